Lay the full path: entry, routing, forwarding and streaming in three regions

Cause: nothing existed. The path comes first, thin but whole, so that every later slice is measured on it.

What stands: a caller asks /v1/entry, sends to the instance named, which routes to a server of its region or forwards over gRPC to an instance of another allowed region; the answer streams back. Configuration is watched from the platform (Consul KV HTTP API), versions only rise. Peers share a secret, mutual TLS may be set. Refusals are RFC 9457 problems whose outcome comes from one function.

Ruled out: generated gRPC stubs (grpc-js takes protobuf-es messages with thirty lines of glue); one proto file (membership and forwarding change apart).

Conclusion: the slices can grow side by side behind these seams. Not here yet: the demo, queues, retries, tickets, failure detection.

--- /dev/null
+++ b/src/cli/serve/run-serve.ts
@@ -0,0 +1,38 @@
+import { randomUUID } from 'node:crypto';
+import { NODE_EVENTS, startNode } from '../../core/node';
+import { parseSettings } from '../../core/settings';
+import { createSystemRandom } from '../../runtime/system-random';
+import { createSystemClock } from '../../runtime/system-clock';
+import { createWinstonLogger } from '../../runtime/winston-logger';
+import { readSettingsText } from './read-settings-text';
+
+function nextStopSignal(): Promise<NodeJS.Signals> {
+  return new Promise((resolve) => {
+    const stop = (signal: NodeJS.Signals) => resolve(signal);
+    process.once('SIGTERM', stop);
+    process.once('SIGINT', stop);
+  });
+}
+
+/** Runs an instance; resolves with the exit code after a graceful stop. */
+export async function serve(settingsPath: string | undefined): Promise<number> {
+  const settings = parseSettings(readSettingsText(settingsPath, process.env));
+  const { instanceId, region } = settings;
+  const logger = createWinstonLogger(settings.logLevel, { instance: instanceId, region });
+  const node = await startNode({
+    settings,
+    logger,
+    clock: createSystemClock(),
+    random: createSystemRandom(),
+    newRequestId: randomUUID,
+  });
+
+  await nextStopSignal();
+  void nextStopSignal().then(() => {
+    logger.event(NODE_EVENTS.cutShort, { inFlightRequests: node.inFlightRequests() });
+    process.exit(1);
+  });
+  await node.drain();
+  await node[Symbol.asyncDispose]();
+  return 0;
+}
--- /dev/null
+++ b/src/core/backends/index.ts
@@ -0,0 +1,5 @@
+/** Backend servers: what is open there, and sending to them. */
+export { createInFlight } from './in-flight';
+export type { InFlight } from './in-flight';
+export { createServerSender, evidenceOfFailure, isEndToEndHeader } from './send-to-server';
+export type { SendTarget, ServerSender } from './send-to-server';
--- /dev/null
+++ b/src/core/configuration/index.ts
@@ -0,0 +1,7 @@
+/** The configuration: its schema, its look-ups, and the store that keeps the version in force. */
+export { compileConfiguration } from './compile';
+export type { CompiledConfiguration } from './compile';
+export { configurationSchema } from './schema';
+export type { BackendServer, Caller, Configuration, Priority, Service, Weights } from './schema';
+export { createConfigurationStore } from './store';
+export type { ConfigurationStore, OfferResult } from './store';
--- /dev/null
+++ b/src/core/configuration/schema.ts
@@ -0,0 +1,120 @@
+import { z } from 'zod';
+import { callerSchema } from './caller-schema';
+import { nameSchema } from './names-schema';
+import { backendServerSchema } from './server-schema';
+import { serviceSchema } from './service-schema';
+import type { prioritySchema } from './service-schema';
+
+/**
+ * The configuration: what operators publish in numbered versions and every instance follows.
+ * Cross-references (a service naming a region, a server naming a service) are checked at the end.
+ */
+
+const weights = z
+  .strictObject({
+    tailLatency: z.number().min(0).default(1),
+    remoteShare: z
+      .number()
+      .min(0)
+      .default(1)
+      .describe('Dislike of serving outside the home region'),
+    cost: z.number().min(0).default(0.2),
+  })
+  .prefault({})
+  .describe('What the deployment weighs; only the ratios matter');
+
+const region = z.strictObject({
+  name: nameSchema,
+  failureDomains: z.array(nameSchema).min(1),
+});
+
+const shape = z.strictObject({
+  $schema: z.string().optional(),
+  version: z.int().min(1).describe('Number of this version; each next one is higher'),
+  deployment: nameSchema,
+  weights,
+  regions: z.array(region).min(1),
+  services: z.array(serviceSchema),
+  backendServers: z.array(backendServerSchema),
+  callers: z.array(callerSchema),
+});
+
+type Shape = z.output<typeof shape>;
+type Report = (path: PropertyKey[], message: string) => void;
+
+function reportRepeated(report: Report, section: string, names: readonly string[]): void {
+  const seen = new Set<string>();
+  names.forEach((entry, index) => {
+    if (seen.has(entry)) {
+      report([section, index], `"${entry}" stands twice; each needs a name of its own`);
+    }
+    seen.add(entry);
+  });
+}
+
+function reportUnknownRegions(report: Report, document: Shape): void {
+  const known = new Set(document.regions.map((entry) => entry.name));
+  const check = (path: PropertyKey[], regionName: string) => {
+    if (!known.has(regionName)) {
+      report(path, `unknown region "${regionName}"; known are ${[...known].join(', ')}`);
+    }
+  };
+  document.services.forEach((service, index) =>
+    service.regions.forEach((entry, at) => check(['services', index, 'regions', at], entry)),
+  );
+  document.callers.forEach((entry, index) =>
+    entry.regions.forEach((allowed, at) => check(['callers', index, 'regions', at], allowed)),
+  );
+  document.backendServers.forEach((server, index) =>
+    check(['backendServers', index, 'region'], server.region),
+  );
+}
+
+function reportUnknownServices(report: Report, document: Shape): void {
+  const known = new Set(document.services.map((service) => service.name));
+  document.backendServers.forEach((server, index) => {
+    if (!known.has(server.service)) {
+      report(['backendServers', index, 'service'], `unknown service "${server.service}"`);
+    }
+  });
+}
+
+/** The zod schema of the configuration. */
+export const configurationSchema = shape.superRefine((document, context) => {
+  const report: Report = (path, message) => context.addIssue({ code: 'custom', path, message });
+  reportRepeated(
+    report,
+    'regions',
+    document.regions.map((entry) => entry.name),
+  );
+  reportRepeated(
+    report,
+    'services',
+    document.services.map((service) => service.name),
+  );
+  reportRepeated(
+    report,
+    'backendServers',
+    document.backendServers.map((server) => server.id),
+  );
+  reportRepeated(
+    report,
+    'callers',
+    document.callers.map((entry) => entry.id),
+  );
+  reportUnknownRegions(report, document);
+  reportUnknownServices(report, document);
+});
+
+/** One version, with defaults filled in. */
+export type Configuration = z.output<typeof configurationSchema>;
+/** One service. */
+export type Service = z.output<typeof serviceSchema>;
+/** One backend server. */
+export type BackendServer = z.output<typeof backendServerSchema>;
+/** One caller. */
+export type Caller = z.output<typeof callerSchema>;
+/** Which work goes first. */
+export type Priority = z.output<typeof prioritySchema>;
+/** What the deployment weighs. */
+export type Weights = z.output<typeof weights>;
--- /dev/null
+++ b/src/core/configuration/service-schema.ts
@@ -0,0 +1,67 @@
+import { z } from 'zod';
+import { nameSchema, regionNamesSchema } from './names-schema';
+
+/** Services: what callers ask for. */
+
+/** Which work goes first when not all can. */
+export const prioritySchema = z.enum(['interactive', 'batch']);
+
+const commonService = {
+  name: nameSchema.describe('What callers ask for and servers belong to'),
+  regions: regionNamesSchema.describe('Regions that this service may run in'),
+  priority: prioritySchema.default('interactive').describe('interactive waits before batch'),
+  deadlineMs: z
+    .int()
+    .min(50)
+    .max(3_600_000)
+    .default(60_000)
+    .describe('Time for a whole answer when the caller states none, ms'),
+  longestDeadlineMs: z
+    .int()
+    .min(50)
+    .max(3_600_000)
+    .default(600_000)
+    .describe('Longest time that a caller may state, ms'),
+  silenceTimeoutMs: z
+    .int()
+    .min(50)
+    .default(10_000)
+    .describe(
+      'Silence of a server in the middle of an answer after which its connection counts as dead, ms',
+    ),
+};
+
+const modelService = z.strictObject({
+  kind: z.literal('model').describe('Engines that speak the OpenAI HTTP API'),
+  ...commonService,
+  models: z
+    .array(z.string().min(1))
+    .min(1)
+    .describe('Model and adapter names that callers may ask for'),
+  maxOutputTokens: z
+    .int()
+    .min(1)
+    .default(4096)
+    .describe('Output assumed when the caller states no max_tokens, tokens'),
+});
+
+const nonRepeatableRule = z.strictObject({
+  method: z.enum(['POST', 'PUT', 'PATCH', 'DELETE']),
+  pathPrefix: z.string().startsWith('/').describe('Start of the path within the service'),
+});
+
+const plainService = z.strictObject({
+  kind: z.literal('plain').describe('Servers of any HTTP application'),
+  ...commonService,
+  nonRepeatable: z
+    .array(nonRepeatableRule)
+    .default([])
+    .describe('Calls that must run at most once; they need a ticket'),
+  notRunStatuses: z
+    .array(z.int().min(400).max(599))
+    .default([])
+    .describe('Statuses by which this application vouches that the call did not run'),
+});
+
+/** A service of either kind. */
+export const serviceSchema = z.discriminatedUnion('kind', [modelService, plainService]);
--- /dev/null
+++ b/src/core/entry/index.ts
@@ -0,0 +1,5 @@
+/** Callers ask which instance to use, since nothing balances before the instances. */
+export { chooseEntry } from './choose-entry';
+export type { EntryChoice } from './choose-entry';
+export { ENTRY_VALID_MS, toEntryAnswer } from './entry-answer';
+export type { EntryAnswer, EntryInstance } from './entry-answer';
--- /dev/null
+++ b/src/core/errors/catalogue.ts
@@ -0,0 +1,42 @@
+import type { ErrorDefinition } from './types';
+
+/** Keeps the argument types of each entry's message. */
+function define<Args extends readonly unknown[]>(
+  definition: ErrorDefinition<Args>,
+): ErrorDefinition<Args> {
+  return definition;
+}
+
+/** Every failure that an operator may read about. Refusals, which callers read, have their own catalogue. */
+export const ERRORS = {
+  settingsUnreadable: define({
+    name: 'SettingsUnreadable',
+    title: 'The settings could not be read',
+    message: (source: string, reason: string) => `Settings from ${source}: ${reason}.`,
+    hint: 'Give --settings FILE, --settings - for standard input, or COLTSFOOTWORKS_SETTINGS with the JSON itself.',
+  }),
+  documentInvalid: define({
+    name: 'DocumentInvalid',
+    title: 'A document does not fit its schema',
+    message: (document: string, problems: string) => `The ${document} has mistakes:\n${problems}`,
+    hint: 'Correct the values named; the schemas directory holds a JSON Schema for your editor.',
+  }),
+  platformUnavailable: define({
+    name: 'PlatformUnavailable',
+    title: 'A platform service did not answer',
+    message: (what: string, reason: string) => `${what}: ${reason}.`,
+    hint: 'The instance goes on with what it knows; look at the platform service named.',
+  }),
+  peerUnavailable: define({
+    name: 'PeerUnavailable',
+    title: 'Another instance did not answer',
+    message: (reason: string) => `The call failed: ${reason}.`,
+    hint: 'Look whether that instance runs and whether its region can be reached.',
+  }),
+  listenerFailed: define({
+    name: 'ListenerFailed',
+    title: 'A listener could not be opened',
+    message: (address: string, reason: string) => `Listening on ${address}: ${reason}.`,
+    hint: 'Choose another address or port in the settings, or stop what holds it.',
+  }),
+} as const;
--- /dev/null
+++ b/src/core/events/catalogue.ts
@@ -0,0 +1,24 @@
+import { CONFIGURATION_EVENTS } from '../configuration/events';
+import { HTTP_EDGE_EVENTS } from '../http-edge/events';
+import { MEMBERSHIP_EVENTS } from '../membership/events';
+import { NODE_EVENTS } from '../node/events';
+import { PLATFORM_EVENTS } from '../platform/events';
+import { ROUTING_EVENTS } from '../routing/events';
+import { SERVING_EVENTS } from '../serving/events';
+import type { EventDefinition } from './types';
+
+/**
+ * Every event of the system. A slice defines its own in its `events.ts`, in a block of a hundred numbers,
+ * and is named here once.
+ */
+export const EVENT_CATALOGUE: readonly EventDefinition[] = [
+  NODE_EVENTS,
+  HTTP_EDGE_EVENTS,
+  ROUTING_EVENTS,
+  SERVING_EVENTS,
+  MEMBERSHIP_EVENTS,
+  CONFIGURATION_EVENTS,
+  PLATFORM_EVENTS,
+]
+  .flatMap((events): EventDefinition[] => Object.values(events))
+  .sort((left, right) => left.id - right.id);
--- /dev/null
+++ b/src/core/http-edge/open-http-edge.ts
@@ -0,0 +1,167 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import createRouter from 'find-my-way';
+import { ERRORS, errorText, gatewayError } from '../errors';
+import { REFUSALS, RefusalError } from '../refusals';
+import { SERVING_EVENTS } from '../serving';
+import { answerRefusal } from './answer';
+import { HTTP_EDGE_EVENTS } from './events';
+import { createHandlers } from './routes';
+import type { EdgeExchange, EdgeHandler } from './routes';
+import type { HttpEdge, HttpEdgeOptions } from './types';
+
+function asRefusal(error: unknown): RefusalError {
+  if (error instanceof RefusalError) return error;
+  return new RefusalError(REFUSALS.internalFault, {
+    detail: 'An internal fault; the log has more.',
+    step: 'answer',
+    // Nobody can say how far the request had come.
+    evidence: { kind: 'lostAfterSending', cause: 'aborted' },
+    cause: error,
+  });
+}
+
+function logRefusal(options: HttpEdgeOptions, refusal: RefusalError, requestId: string): void {
+  const isFault = refusal.definition === REFUSALS.internalFault;
+  options.logger.event(isFault ? SERVING_EVENTS.fault : SERVING_EVENTS.refused, {
+    requestId,
+    refusal: refusal.definition.slug,
+    outcome: refusal.outcome,
+    step: refusal.step,
+    peer: refusal.peer,
+    detail: isFault ? errorText(refusal.cause) : refusal.message,
+  });
+}
+
+/** Runs one handler and answers for it if it throws. */
+async function handle(
+  options: HttpEdgeOptions,
+  handler: EdgeHandler,
+  exchange: EdgeExchange,
+): Promise<void> {
+  const { incoming, response, requestId, signal } = exchange;
+  try {
+    await handler(exchange);
+  } catch (error) {
+    if (signal.aborted) {
+      options.logger.event(SERVING_EVENTS.callerGone, { requestId });
+      return;
+    }
+    const refusal = asRefusal(error);
+    if (response.headersSent) {
+      options.logger.event(SERVING_EVENTS.answerCutShort, { requestId, detail: refusal.message });
+      response.destroy();
+      return;
+    }
+    logRefusal(options, refusal, requestId);
+    // A body that nobody will read must not hold the connection open for the next request.
+    if (!incoming.complete) response.setHeader('connection', 'close');
+    answerRefusal(response, refusal, requestId, options.clock);
+  }
+}
+
+/** Aborts when the connection closes before the answer has ended. */
+function goneSignal(response: ServerResponse): AbortSignal {
+  const gone = new AbortController();
+  response.on('close', () => {
+    if (!response.writableEnded) gone.abort();
+  });
+  return gone.signal;
+}
+
+function createRequestListener(options: HttpEdgeOptions) {
+  const handlers = createHandlers(options);
+  const router = createRouter({ ignoreTrailingSlash: false });
+
+  const run = (
+    handler: EdgeHandler,
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    params: EdgeExchange['params'],
+  ) => {
+    const requestId = options.newRequestId();
+    const signal = goneSignal(response);
+    void handle(options, handler, { incoming, response, requestId, signal, params });
+  };
+
+  const on = (method: 'GET' | 'POST', path: string, handler: EdgeHandler) =>
+    router.on(method, path, (incoming, response, params) =>
+      run(handler, incoming, response, params),
+    );
+
+  on('POST', '/v1/chat/completions', handlers.serveModel);
+  on('POST', '/v1/completions', handlers.serveModel);
+  on('GET', '/v1/models', handlers.listModels);
+  on('GET', '/v1/entry', handlers.nameEntry);
+  on('GET', '/healthz', handlers.health);
+  on('GET', '/readyz', handlers.readiness);
+  router.all('/services/:service/*', (incoming, response, params) =>
+    run(handlers.servePlain, incoming, response, params),
+  );
+
+  const unknownPath: EdgeHandler = async ({ incoming }) => {
+    throw new RefusalError(REFUSALS.unknownPath, {
+      detail: `${incoming.method} ${incoming.url?.split('?')[0]} is not served here.`,
+      step: 'find-path',
+      evidence: { kind: 'neverSent' },
+    });
+  };
+
+  return (incoming: IncomingMessage, response: ServerResponse): void => {
+    const found = router.find(incoming.method as 'GET', incoming.url ?? '/');
+    if (found === null) {
+      run(unknownPath, incoming, response, {});
+      return;
+    }
+    void router.lookup(incoming, response);
+  };
+}
+
+function listen(server: Server, { host, port }: HttpEdgeOptions): Promise<number> {
+  return new Promise((resolve, reject) => {
+    server.once('error', (error) => {
+      const place = { step: 'listen-callers' };
+      reject(
+        gatewayError(ERRORS.listenerFailed, [`${host}:${port}`, errorText(error)], place, error),
+      );
+    });
+    server.listen(port, host, () => resolve((server.address() as AddressInfo).port));
+  });
+}
+
+/** Opens the callers' listener. */
+export async function openHttpEdge(options: HttpEdgeOptions): Promise<HttpEdge> {
+  const { limits, logger } = options;
+  const server = createServer(
+    {
+      maxHeaderSize: limits.headerBytes,
+      headersTimeout: limits.headerTimeoutMs,
+      requestTimeout: limits.bodyTimeoutMs,
+    },
+    createRequestListener(options),
+  );
+  server.maxConnections = limits.connections;
+  server.on('clientError', (error, socket) => {
+    logger.event(HTTP_EDGE_EVENTS.badConnection, { reason: errorText(error) });
+    if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n');
+    else socket.destroy();
+  });
+  const port = await listen(server, options);
+
+  const drain = (): Promise<void> =>
+    new Promise((resolve) => {
+      server.close(() => resolve());
+      server.closeIdleConnections();
+    });
+
+  return {
+    port,
+    drain,
+    async [Symbol.asyncDispose]() {
+      const closed = drain();
+      server.closeAllConnections();
+      await closed;
+    },
+  };
+}
--- /dev/null
+++ b/src/core/http-edge/types.ts
@@ -0,0 +1,28 @@
+import type { Clock } from '../clock';
+import type { ConfigurationStore } from '../configuration';
+import type { Logger } from '../events';
+import type { MembershipView } from '../membership';
+import type { Serving } from '../serving';
+import type { Settings } from '../settings';
+
+/** What the callers' listener needs. */
+export interface HttpEdgeOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly region: string;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly configuration: ConfigurationStore;
+  readonly membership: MembershipView;
+  readonly serving: Serving;
+  readonly limits: Settings['limits'];
+  /** Makes an id that no other request has. */
+  readonly newRequestId: () => string;
+}
+
+/** The callers' listener. */
+export interface HttpEdge extends AsyncDisposable {
+  readonly port: number;
+  /** Takes no new work, and resolves when what is in flight has ended. */
+  drain(): Promise<void>;
+}
--- /dev/null
+++ b/src/core/outcomes/index.ts
@@ -0,0 +1,3 @@
+/** Whether a request that brought no answer ran. */
+export { combineOutcomes, judgeOutcome } from './judge-outcome';
+export type { Evidence, LossCause, Outcome } from './types';
--- /dev/null
+++ b/src/core/peers/index.ts
@@ -0,0 +1,9 @@
+/** Calls between instances, over gRPC. */
+export { channelCredentials, secretMetadata, serverCredentials } from './credentials';
+export { createExchangeTransport } from './exchange';
+export { createPeerForwarder } from './forward';
+export type { ForwardTarget, PeerForwarder } from './forward';
+export { createPeerConnections } from './peer-connections';
+export type { PeerConnections } from './peer-connections';
+export { openPeerServer } from './peer-server';
+export type { PeerHandlers, PeerServer } from './peer-server';
--- /dev/null
+++ b/src/core/peers/peer-server.ts
@@ -0,0 +1,162 @@
+import { create } from '@bufbuild/protobuf';
+import { Server, status as grpcStatus } from '@grpc/grpc-js';
+import type {
+  ServerCredentials,
+  ServerUnaryCall,
+  ServerWritableStream,
+  sendUnaryData,
+} from '@grpc/grpc-js';
+import {
+  CancelResponseSchema,
+  ForwardEventSchema,
+  ForwardRefusalSchema,
+} from '../../gen/forward_pb';
+import { ExchangeResponseSchema } from '../../gen/membership_pb';
+import type {
+  CancelRequest,
+  CancelResponse,
+  ForwardEvent,
+  ForwardRequest,
+} from '../../gen/forward_pb';
+import type { ExchangeRequest, ExchangeResponse } from '../../gen/membership_pb';
+import { ERRORS, errorText, gatewayError } from '../errors';
+import type { MemberState } from '../membership';
+import { REFUSALS, RefusalError } from '../refusals';
+import type { ResponseSink } from '../serving/types';
+import { showsSecret } from './credentials';
+import { PEER_SERVICE } from './definition';
+import { fromWireMember, toWireMember } from './member-messages';
+import { createPeerSink } from './peer-sink';
+
+/** What an instance does when others call it. */
+export interface PeerHandlers {
+  /** Takes in what a peer knows and returns what is known here. */
+  exchange(members: readonly MemberState[]): readonly MemberState[];
+  /** Serves a forwarded request from this region, or throws a `RefusalError`. */
+  serveForwarded(message: ForwardRequest, sink: ResponseSink, signal: AbortSignal): Promise<void>;
+}
+
+/** What the listener needs. */
+export interface PeerServerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly credentials: ServerCredentials;
+  readonly peerSecret: string;
+  readonly handlers: PeerHandlers;
+}
+
+/** The listener for peers. */
+export interface PeerServer extends AsyncDisposable {
+  readonly port: number;
+}
+
+const UNAUTHENTICATED = {
+  code: grpcStatus.UNAUTHENTICATED,
+  details: 'the shared secret is missing or wrong',
+};
+
+function toRefusalEvent(message: ForwardRequest, error: unknown): ForwardEvent {
+  const refusal =
+    error instanceof RefusalError
+      ? error
+      : new RefusalError(REFUSALS.internalFault, {
+          detail: errorText(error),
+          step: 'serve-forwarded',
+          evidence: { kind: 'lostAfterSending', cause: 'aborted' },
+        });
+  return create(ForwardEventSchema, {
+    requestId: message.requestId,
+    attempt: message.attempt,
+    event: {
+      case: 'refusal',
+      value: create(ForwardRefusalSchema, {
+        refusal: refusal.definition.slug,
+        detail: refusal.message,
+        notRun: refusal.outcome === 'notRun',
+        retryAtUnixMs: BigInt(refusal.retryAtUnixMs ?? 0),
+      }),
+    },
+  });
+}
+
+function handleForward(options: PeerServerOptions) {
+  return async (call: ServerWritableStream<ForwardRequest, ForwardEvent>): Promise<void> => {
+    if (!showsSecret(call.metadata, options.peerSecret)) {
+      call.emit('error', UNAUTHENTICATED);
+      return;
+    }
+    const gone = new AbortController();
+    call.on('cancelled', () => gone.abort());
+    const sink = createPeerSink(call);
+    try {
+      await options.handlers.serveForwarded(call.request, sink, gone.signal);
+    } catch (error) {
+      if (sink.headSent) {
+        sink.abort(errorText(error));
+        return;
+      }
+      call.write(toRefusalEvent(call.request, error));
+      call.end();
+    }
+  };
+}
+
+function handleExchange(options: PeerServerOptions) {
+  return (
+    call: ServerUnaryCall<ExchangeRequest, ExchangeResponse>,
+    respond: sendUnaryData<ExchangeResponse>,
+  ): void => {
+    if (!showsSecret(call.metadata, options.peerSecret)) {
+      respond(UNAUTHENTICATED);
+      return;
+    }
+    const members = options.handlers.exchange(call.request.members.map(fromWireMember));
+    respond(null, create(ExchangeResponseSchema, { members: members.map(toWireMember) }));
+  };
+}
+
+function handleCancel(options: PeerServerOptions) {
+  return (
+    call: ServerUnaryCall<CancelRequest, CancelResponse>,
+    respond: sendUnaryData<CancelResponse>,
+  ): void => {
+    if (!showsSecret(call.metadata, options.peerSecret)) {
+      respond(UNAUTHENTICATED);
+      return;
+    }
+    respond(null, create(CancelResponseSchema, { neverSent: false }));
+  };
+}
+
+function bind(server: Server, { host, port, credentials }: PeerServerOptions): Promise<number> {
+  const address = `${host.includes(':') ? `[${host}]` : host}:${port}`;
+  return new Promise((resolve, reject) => {
+    server.bindAsync(address, credentials, (error, boundPort) => {
+      if (error === null) {
+        resolve(boundPort);
+        return;
+      }
+      const place = { step: 'listen-peers' };
+      reject(gatewayError(ERRORS.listenerFailed, [address, errorText(error)], place, error));
+    });
+  });
+}
+
+/** Opens the listener for peers. */
+export async function openPeerServer(options: PeerServerOptions): Promise<PeerServer> {
+  const server = new Server({ 'grpc.max_receive_message_length': 32 * 1024 * 1024 });
+  server.addService(PEER_SERVICE, {
+    exchange: handleExchange(options),
+    forward: (call: ServerWritableStream<ForwardRequest, ForwardEvent>) => {
+      void handleForward(options)(call);
+    },
+    cancel: handleCancel(options),
+  });
+  const port = await bind(server, options);
+  return {
+    port,
+    async [Symbol.asyncDispose]() {
+      server.forceShutdown();
+    },
+  };
+}
--- /dev/null
+++ b/src/core/platform/index.ts
@@ -0,0 +1,3 @@
+/** What the platform publishes. It is only ever read. */
+export { PLATFORM_EVENTS } from './events';
+export { watchConfiguration } from './watch-configuration';
--- /dev/null
+++ b/src/core/refusals/refusal-error.ts
@@ -0,0 +1,41 @@
+import { GatewayError } from '../errors';
+import type { ErrorPlace } from '../errors';
+import { judgeOutcome } from '../outcomes';
+import type { Evidence, Outcome } from '../outcomes';
+import type { RefusalDefinition } from './catalogue';
+
+/** The facts of one refusal. */
+export interface RefusalCase extends ErrorPlace {
+  /** What happened this time, for a person to read. */
+  readonly detail: string;
+  readonly evidence: Evidence;
+  /** When trying again is likely to help; absent where waiting helps nothing. */
+  readonly retryAtUnixMs?: number | undefined;
+  readonly cause?: unknown;
+}
+
+/** A request that is refused, on its way to whoever answers the caller. */
+export class RefusalError extends GatewayError {
+  readonly definition: RefusalDefinition;
+
+  readonly evidence: Evidence;
+
+  readonly retryAtUnixMs: number | undefined;
+
+  constructor(definition: RefusalDefinition, refusal: RefusalCase) {
+    super(
+      { name: definition.slug, title: definition.title, hint: definition.hint },
+      refusal.detail,
+      refusal,
+      refusal.cause,
+    );
+    this.definition = definition;
+    this.evidence = refusal.evidence;
+    this.retryAtUnixMs = refusal.retryAtUnixMs;
+  }
+
+  /** What the caller is told about whether the request ran. */
+  get outcome(): Outcome {
+    return judgeOutcome(this.evidence);
+  }
+}
--- /dev/null
+++ b/src/core/serving/dependencies.ts
@@ -0,0 +1,24 @@
+import type { InFlight, ServerSender } from '../backends';
+import type { Clock } from '../clock';
+import type { ConfigurationStore } from '../configuration';
+import type { Logger } from '../events';
+import type { GossipBoard } from '../gossip';
+import type { MembershipView } from '../membership';
+import type { PeerForwarder } from '../peers';
+import type { RandomSource } from '../random';
+
+/** What serving needs from the rest of the instance. */
+export interface ServingDependencies {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  readonly instanceId: string;
+  readonly region: string;
+  readonly failureDomain: string;
+  readonly configuration: ConfigurationStore;
+  readonly membership: MembershipView;
+  readonly gossip: GossipBoard;
+  readonly inFlight: InFlight;
+  readonly sender: ServerSender;
+  readonly forwarder: PeerForwarder;
+}
--- /dev/null
+++ b/src/core/serving/gather-routing-input.ts
@@ -0,0 +1,31 @@
+import type { RoutingInput } from '../routing';
+import type { ServingDependencies } from './dependencies';
+import type { GatewayRequest } from './types';
+
+/** Collects what the routing decision rests on. A request that came from a peer gets no peers to go to. */
+export function gatherRoutingInput(
+  { region, failureDomain, membership, inFlight }: ServingDependencies,
+  request: GatewayRequest,
+  regions: readonly string[],
+): RoutingInput {
+  const servers = request.configuration.serversOf(request.service.name);
+  const regionsWithServers = new Set(servers.map((server) => server.region));
+  const mayForward = request.origin.kind === 'caller';
+  return {
+    ownFailureDomain: failureDomain,
+    servers: servers
+      .filter((server) => server.region === region)
+      .map((server) => ({
+        serverId: server.id,
+        address: server.address,
+        failureDomain: server.failureDomain,
+        inFlightRequests: inFlight.requestsAt(server.id),
+      })),
+    peers: !mayForward
+      ? []
+      : membership
+          .usablePeers()
+          .filter((peer) => peer.region !== region)
+          .filter((peer) => regions.includes(peer.region) && regionsWithServers.has(peer.region)),
+  };
+}
--- /dev/null
+++ b/src/core/serving/index.ts
@@ -0,0 +1,6 @@
+/** The way of one request through this instance. */
+export { SERVING_EVENTS } from './events';
+export { createServing } from './serve-request';
+export type { Serving } from './serve-request';
+export type { ServingDependencies } from './dependencies';
+export type { GatewayRequest, Header, RequestOrigin, ResponseHead, ResponseSink } from './types';
--- /dev/null
+++ b/src/core/serving/types.ts
@@ -0,0 +1,50 @@
+import type { Caller, CompiledConfiguration, Service } from '../configuration';
+
+/** One header line. */
+export interface Header {
+  readonly name: string;
+  readonly value: string;
+}
+
+/** Who handed the request to this instance. A request from a peer is never handed on again. */
+export type RequestOrigin =
+  { readonly kind: 'caller' } | { readonly kind: 'peer'; readonly instanceId: string };
+
+/** A request that has been read, authenticated and matched to a service. */
+export interface GatewayRequest {
+  readonly requestId: string;
+  /** Counts the attempts of one request along its way, from 1. */
+  readonly attempt: number;
+  readonly origin: RequestOrigin;
+  readonly caller: Caller;
+  readonly service: Service;
+  readonly method: string;
+  /** Path and query as the server gets them. */
+  readonly path: string;
+  /** Headers for the server; connection headers and credentials of the caller are not among them. */
+  readonly headers: readonly Header[];
+  readonly body: Uint8Array;
+  /** On the monotonic clock of this process. */
+  readonly deadlineAtMs: number;
+  /** The version in force when the request came; it sees no other, save for a tightened residency. */
+  readonly configuration: CompiledConfiguration;
+}
+
+/** Start of an answer. */
+export interface ResponseHead {
+  readonly status: number;
+  readonly headers: readonly Header[];
+}
+
+/** Where an answer goes: a caller's connection or a peer's stream. */
+export interface ResponseSink {
+  /** Whether the head has been passed on; after that nothing else can be answered. */
+  readonly headSent: boolean;
+  sendHead(head: ResponseHead): void;
+  /** Resolves once more may be sent, so that a slow reader holds the sender back. */
+  sendChunk(chunk: Uint8Array): Promise<void>;
+  /** The answer is whole. */
+  end(): void;
+  /** The answer can't be finished; ends it so that no client takes it for complete. */
+  abort(reason: string): void;
+}
--- /dev/null
+++ b/src/runtime/winston-logger.ts
@@ -0,0 +1,29 @@
+import { createLogger, format, transports } from 'winston';
+import type { Logger as WinstonLogger } from 'winston';
+import type { EventFields, EventLevel, Logger } from '../core/events';
+
+function wrap(winston: WinstonLogger, labels: EventFields): Logger {
+  return {
+    event(definition, fields = {}) {
+      winston.log({
+        level: definition.level,
+        message: definition.text,
+        event: definition.id,
+        name: definition.name,
+        ...labels,
+        ...fields,
+      });
+    },
+    with: (more) => wrap(winston, { ...labels, ...more }),
+  };
+}
+
+/** JSON lines on standard error, which leaves standard output to what a command prints. */
+export function createWinstonLogger(level: EventLevel, labels: EventFields = {}): Logger {
+  const winston = createLogger({
+    level,
+    format: format.combine(format.timestamp(), format.json()),
+    transports: [new transports.Console({ stderrLevels: ['error', 'warn', 'info', 'debug'] })],
+  });
+  return wrap(winston, labels);
+}
--- /dev/null
+++ b/src/testing/small-fleet.ts
@@ -0,0 +1,189 @@
+import { randomUUID } from 'node:crypto';
+import { keyDigest } from '../core/access';
+import type { Configuration } from '../core/configuration';
+import { createDisposableStore } from '../core/lifetime';
+import { startNode } from '../core/node';
+import type { GatewayNode } from '../core/node';
+import { settingsSchema } from '../core/settings';
+import { createSeededRandom } from '../core/random';
+import { createSystemClock } from '../runtime/system-clock';
+import { openEngineStandIn } from '../../standins/engine';
+import type { EngineStandIn } from '../../standins/engine';
+import { openPlainStandIn } from '../../standins/plain-service';
+import type { PlainStandIn } from '../../standins/plain-service';
+import { openPlatformStandIn } from '../../standins/platform';
+import type { PlatformStandIn } from '../../standins/platform';
+import { createMemoryLogger } from './memory-logger';
+import type { MemoryLogger } from './memory-logger';
+import { waitFor } from './wait-for';
+
+/** Three regions with two instances each on loopback, in one process, before stand-ins. */
+
+/** The regions of the small fleet; only the first two have engines, only the first has orders. */
+export const FLEET_REGIONS = ['windhoek', 'walvis-bay', 'rundu'] as const;
+type Region = (typeof FLEET_REGIONS)[number];
+
+/** Keys of the fleet's callers; `home-only` may be nowhere but in Rundu. */
+export const FLEET_KEYS = {
+  everywhere: 'key-of-everywhere',
+  homeOnly: 'key-of-home-only',
+} as const;
+
+const PEER_SECRET = 'a-secret-shared-by-all-instances';
+const OPERATOR_KEY = 'a-key-for-operators-alone';
+const CONFIGURATION_KEY = 'coltsfootworks/configuration';
+
+/** One instance of the fleet. */
+export interface FleetInstance {
+  readonly instanceId: string;
+  readonly region: Region;
+  readonly node: GatewayNode;
+  readonly logger: MemoryLogger;
+}
+
+/** The fleet and what stands around it. */
+export interface SmallFleet extends AsyncDisposable {
+  readonly platform: PlatformStandIn;
+  readonly engines: ReadonlyMap<string, EngineStandIn>;
+  readonly orders: PlainStandIn;
+  readonly instances: readonly FleetInstance[];
+  /** The configuration that was published first. */
+  readonly configuration: Configuration;
+  publish(configuration: Configuration): void;
+  /** The first instance of a region. */
+  instanceIn(region: Region): FleetInstance;
+}
+
+function describeConfiguration(
+  engines: ReadonlyMap<string, EngineStandIn>,
+  orders: PlainStandIn,
+): Configuration {
+  const regions = FLEET_REGIONS.map((name) => ({
+    name,
+    failureDomains: [`${name}-a`, `${name}-b`],
+  }));
+  const callers = [
+    { id: 'everywhere', keySha256: keyDigest(FLEET_KEYS.everywhere), regions: [...FLEET_REGIONS] },
+    { id: 'home-only', keySha256: keyDigest(FLEET_KEYS.homeOnly), regions: ['rundu'] },
+  ];
+  const limits = { requestsPerSecond: 1_000, burstRequests: 1_000 };
+  return {
+    version: 1,
+    deployment: 'omaruru',
+    weights: { tailLatency: 1, remoteShare: 0.3, cost: 0.2 },
+    regions,
+    services: [
+      {
+        kind: 'model',
+        name: 'kit-assistant',
+        regions: [...FLEET_REGIONS],
+        priority: 'interactive',
+        deadlineMs: 20_000,
+        longestDeadlineMs: 60_000,
+        silenceTimeoutMs: 2_000,
+        models: ['kit-large'],
+        maxOutputTokens: 4096,
+      },
+      {
+        kind: 'plain',
+        name: 'orders',
+        regions: [...FLEET_REGIONS],
+        priority: 'interactive',
+        deadlineMs: 20_000,
+        longestDeadlineMs: 60_000,
+        silenceTimeoutMs: 2_000,
+        nonRepeatable: [],
+        notRunStatuses: [],
+      },
+    ],
+    backendServers: [
+      ...[...engines].map(([id, engine]) => ({
+        id,
+        service: 'kit-assistant',
+        region: id.replace('engine-', ''),
+        failureDomain: `${id.replace('engine-', '')}-a`,
+        address: engine.address,
+        refusesOldFencing: false,
+      })),
+      {
+        id: 'orders-1',
+        service: 'orders',
+        region: 'windhoek',
+        failureDomain: 'windhoek-a',
+        address: orders.address,
+        refusesOldFencing: false,
+      },
+    ],
+    callers: callers.map((caller) => ({ ...caller, limits })),
+  };
+}
+
+/** Starts the fleet and waits until each instance knows all others. */
+export async function startSmallFleet(): Promise<SmallFleet> {
+  const owned = createDisposableStore();
+  const platform = owned.add(await openPlatformStandIn());
+  const engines = new Map<string, EngineStandIn>();
+  for (const region of FLEET_REGIONS.slice(0, 2)) {
+    engines.set(`engine-${region}`, owned.add(await openEngineStandIn()));
+  }
+  const orders = owned.add(await openPlainStandIn());
+  const configuration = describeConfiguration(engines, orders);
+  const publish = (next: Configuration) =>
+    platform.publish(CONFIGURATION_KEY, JSON.stringify(next));
+  publish(configuration);
+
+  const instances: FleetInstance[] = [];
+  for (const region of FLEET_REGIONS) {
+    for (const domain of ['a', 'b']) {
+      const instanceId = `${region}-${domain}`;
+      const logger = createMemoryLogger();
+      const settings = settingsSchema.parse({
+        instanceId,
+        region,
+        failureDomain: `${region}-${domain}`,
+        listeners: {
+          callers: { host: '127.0.0.1', port: 0 },
+          peers: { host: '127.0.0.1', port: 0 },
+          operators: { host: '127.0.0.1', port: 0 },
+        },
+        seedPeers: instances.map(({ node }) => node.peerAddress),
+        peerSecret: PEER_SECRET,
+        operatorKey: OPERATOR_KEY,
+        platform: { configurationUrl: `http://${platform.address}` },
+      });
+      const node = owned.add(
+        await startNode({
+          settings,
+          logger,
+          clock: createSystemClock(),
+          random: createSeededRandom(instances.length),
+          newRequestId: randomUUID,
+        }),
+      );
+      instances.push({ instanceId, region, node, logger });
+    }
+  }
+
+  await waitFor(
+    () =>
+      instances.every(
+        ({ node }) => node.knownPeerCount() === instances.length - 1 && node.isReady(),
+      ),
+    'every instance to know all others',
+  );
+
+  return {
+    platform,
+    engines,
+    orders,
+    instances,
+    configuration,
+    publish,
+    instanceIn(region) {
+      const found = instances.find((instance) => instance.region === region);
+      if (found === undefined) throw new Error(`No instance in ${region}`);
+      return found;
+    },
+    [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose](),
+  };
+}
--- /dev/null
+++ b/standins/engine.ts
@@ -0,0 +1,122 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { createLedger } from './ledger';
+import type { Ledger } from './ledger';
+import { openStandIn, readAll, sendJson } from './listen';
+import type { StandIn } from './listen';
+
+/** How a stand-in engine behaves; may be changed while it runs. */
+export interface EngineBehaviour {
+  /** Tokens of each answer. */
+  answerTokens: number;
+  /** Pause before each token, ms. */
+  tokenIntervalMs: number;
+  /** Drops the connection after this many tokens. */
+  dropAfterTokens: number | undefined;
+  /** Says nothing more after this many tokens, and keeps the connection open. */
+  silentAfterTokens: number | undefined;
+}
+
+/** A stand-in engine that speaks the OpenAI HTTP API. */
+export interface EngineStandIn extends StandIn {
+  readonly behaviour: EngineBehaviour;
+  readonly ledger: Ledger;
+  /** Requests whose caller went away before the end. */
+  cancelledCount(): number;
+}
+
+interface CompletionBody {
+  model: string;
+  stream?: boolean;
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+function completion(id: string, body: CompletionBody, tokens: number) {
+  const content = Array.from({ length: tokens }, (_unused, index) => `t${index} `).join('');
+  return {
+    id,
+    object: 'chat.completion',
+    created: 0,
+    model: body.model,
+    choices: [{ index: 0, message: { role: 'assistant', content }, finish_reason: 'stop' }],
+    usage: { prompt_tokens: 1, completion_tokens: tokens, total_tokens: tokens + 1 },
+  };
+}
+
+function chunk(id: string, body: CompletionBody, content: string, finish: 'stop' | null): string {
+  const value = {
+    id,
+    object: 'chat.completion.chunk',
+    created: 0,
+    model: body.model,
+    choices: [{ index: 0, delta: { content }, finish_reason: finish }],
+  };
+  return `data: ${JSON.stringify(value)}\n\n`;
+}
+
+async function stream(
+  response: ServerResponse,
+  id: string,
+  body: CompletionBody,
+  behaviour: EngineBehaviour,
+): Promise<void> {
+  response.writeHead(200, { 'content-type': 'text/event-stream' });
+  for (let token = 0; token < behaviour.answerTokens; token += 1) {
+    if (response.destroyed) return;
+    if (token === behaviour.dropAfterTokens) {
+      response.destroy();
+      return;
+    }
+    if (token === behaviour.silentAfterTokens) return;
+    if (behaviour.tokenIntervalMs > 0) await sleep(behaviour.tokenIntervalMs);
+    response.write(chunk(id, body, `t${token} `, null));
+  }
+  response.write(chunk(id, body, '', 'stop'));
+  response.end('data: [DONE]\n\n');
+}
+
+/** Opens a stand-in engine. */
+export async function openEngineStandIn(
+  behaviour: Partial<EngineBehaviour> = {},
+  port = 0,
+): Promise<EngineStandIn> {
+  const ledger = createLedger();
+  const current: EngineBehaviour = {
+    answerTokens: 8,
+    tokenIntervalMs: 0,
+    dropAfterTokens: undefined,
+    silentAfterTokens: undefined,
+    ...behaviour,
+  };
+  let cancelled = 0;
+
+  const handler = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
+    if (incoming.url === '/health') {
+      sendJson(response, 200, {});
+      return;
+    }
+    const bodyText = (await readAll(incoming)).toString('utf8');
+    const requestId = String(incoming.headers['x-request-id']);
+    ledger.entries.push({
+      requestId,
+      idempotencyKey: undefined,
+      method: incoming.method ?? '',
+      path: incoming.url ?? '',
+      bodyText,
+    });
+    response.on('close', () => {
+      if (!response.writableFinished) cancelled += 1;
+    });
+    const body = JSON.parse(bodyText) as CompletionBody;
+    const id = `cmpl-${requestId}`;
+    if (body.stream === true) await stream(response, id, body, current);
+    else sendJson(response, 200, completion(id, body, current.answerTokens));
+  };
+
+  const standIn = await openStandIn(handler, port);
+  return { ...standIn, behaviour: current, ledger, cancelledCount: () => cancelled };
+}
