Let the test list pass over directories that a clone lacks

Cause: git keeps no empty directories, so a fresh work tree had no checks/ and the list of tests threw ENOENT before any test ran. Conclusion: the list takes what is there.

--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -2,7 +2,7 @@
  * Runs every *.test.ts of the tree, or those whose path holds one of the words given.
  * Node 20's test runner takes no globs for TypeScript files, so the list is made here.
  */
-import { readdirSync } from 'node:fs';
+import { existsSync, readdirSync } from 'node:fs';
 import { spec as SpecReporter } from 'node:test/reporters';
 import { run } from 'node:test';
 import process from 'node:process';
@@ -12,11 +12,12 @@
 const CONCURRENT_FILES = 4;
 
 const words = process.argv.slice(2);
-const files = ROOTS.flatMap((root) =>
-  readdirSync(root, { recursive: true })
-    .map((file) => `${root}/${file}`)
-    .filter((file) => file.endsWith('.test.ts')),
-)
+const files = ROOTS.filter((root) => existsSync(root))
+  .flatMap((root) =>
+    readdirSync(root, { recursive: true })
+      .map((file) => `${root}/${file}`)
+      .filter((file) => file.endsWith('.test.ts')),
+  )
   .filter((file) => words.length === 0 || words.some((word) => file.includes(word)))
   .sort();
 
