--- a/src/cli/serve/run-serve.ts
+++ b/src/cli/serve/run-serve.ts
@@ -3,6 +3,7 @@
 import { parseSettings } from '../../core/settings';
 import { createSystemRandom } from '../../runtime/system-random';
 import { createSystemClock } from '../../runtime/system-clock';
+import { VERSION } from '../../runtime/version';
 import { createWinstonLogger } from '../../runtime/winston-logger';
 import { readSettingsText } from './read-settings-text';
 
@@ -25,6 +26,7 @@
     clock: createSystemClock(),
     random: createSystemRandom(),
     newRequestId: randomUUID,
+    release: VERSION,
   });
 
   await nextStopSignal();
--- a/src/core/http-edge/open-http-edge.ts
+++ b/src/core/http-edge/open-http-edge.ts
@@ -23,6 +23,7 @@
 }
 
 function logRefusal(options: HttpEdgeOptions, refusal: RefusalError, requestId: string): void {
+  options.metrics.refused(refusal.definition.slug, refusal.outcome);
   const isFault = refusal.definition === REFUSALS.internalFault;
   options.logger.event(isFault ? SERVING_EVENTS.fault : SERVING_EVENTS.refused, {
     requestId,
--- a/src/core/http-edge/routes.ts
+++ b/src/core/http-edge/routes.ts
@@ -6,7 +6,9 @@
 import { allowedRegions } from '../residency';
 import { answerJson } from './answer';
 import { buildRequest, modelOf } from './build-request';
+import type { RequestParts } from './build-request';
 import { createHttpSink } from './http-sink';
+import { createMeteredSink } from './metered-sink';
 import { readBody } from './read-body';
 import type { HttpEdgeOptions } from './types';
 
@@ -24,6 +26,9 @@
 /** Answers one kind of request, or throws a `RefusalError`. */
 export type EdgeHandler = (exchange: EdgeExchange) => Promise<void>;
 
+/** What is known of a request once its body has been read. */
+type ServedParts = Omit<RequestParts, 'incoming' | 'requestId'>;
+
 interface KnownCaller {
   readonly caller: Caller;
   readonly configuration: CompiledConfiguration;
@@ -39,7 +44,7 @@
 
 /** The handlers of the callers' listener. */
 export function createHandlers(options: HttpEdgeOptions) {
-  const { clock, serving, configuration: store, membership, limits, region } = options;
+  const { clock, serving, metrics, configuration: store, membership, limits, region } = options;
 
   const identify = (incoming: IncomingMessage): KnownCaller => {
     const configuration = store.current();
@@ -60,7 +65,20 @@
     throw neverSent(REFUSALS.regionNotAllowed, detail, 'check-residency');
   };
 
-  const serveModel: EdgeHandler = async ({ incoming, response, requestId, signal }) => {
+  const pass = async (exchange: EdgeExchange, parts: ServedParts): Promise<void> => {
+    const { incoming, response, requestId, signal } = exchange;
+    const request = buildRequest({ incoming, requestId, ...parts }, clock);
+    const sink = createMeteredSink(createHttpSink(response, requestId), {
+      clock,
+      metrics,
+      service: parts.service.name,
+      startedAtMs: clock.monotonicMs(),
+    });
+    await serving.serve(request, sink, signal);
+  };
+
+  const serveModel: EdgeHandler = async (exchange) => {
+    const { incoming } = exchange;
     const { caller, configuration } = identify(incoming);
     if (!caller.regions.includes(region)) {
       const detail = `Allowed are: ${caller.regions.join(', ')}.`;
@@ -78,11 +96,11 @@
     }
     requireRegion(caller, service);
     const path = incoming.url ?? '/';
-    const parts = { incoming, requestId, caller, service, path, body, configuration };
-    await serving.serve(buildRequest(parts, clock), createHttpSink(response, requestId), signal);
+    await pass(exchange, { caller, service, path, body, configuration });
   };
 
-  const servePlain: EdgeHandler = async ({ incoming, response, requestId, signal, params }) => {
+  const servePlain: EdgeHandler = async (exchange) => {
+    const { incoming, params } = exchange;
     const { caller, configuration } = identify(incoming);
     const name = params.service ?? '';
     const service = configuration.serviceNamed(name);
@@ -92,8 +110,7 @@
     requireRegion(caller, service);
     const body = await readBody(incoming, limits.bodyBytes);
     const path = (incoming.url ?? '/').slice(`/services/${name}`.length) || '/';
-    const parts = { incoming, requestId, caller, service, path, body, configuration };
-    await serving.serve(buildRequest(parts, clock), createHttpSink(response, requestId), signal);
+    await pass(exchange, { caller, service, path, body, configuration });
   };
 
   const listModels: EdgeHandler = async ({ incoming, response }) => {
--- a/src/core/http-edge/types.ts
+++ b/src/core/http-edge/types.ts
@@ -2,6 +2,7 @@
 import type { ConfigurationStore } from '../configuration';
 import type { Logger } from '../events';
 import type { MembershipView } from '../membership';
+import type { Metrics } from '../metrics';
 import type { Serving } from '../serving';
 import type { Settings } from '../settings';
 
@@ -15,6 +16,7 @@
   readonly configuration: ConfigurationStore;
   readonly membership: MembershipView;
   readonly serving: Serving;
+  readonly metrics: Metrics;
   readonly limits: Settings['limits'];
   /** Makes an id that no other request has. */
   readonly newRequestId: () => string;
--- /dev/null
+++ b/src/core/metrics/create-metrics.test.ts
@@ -0,0 +1,27 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createMetrics } from './create-metrics';
+
+describe('metrics in the Prometheus text format', () => {
+  it('exports latency quantiles of each service, the tail included', async () => {
+    const metrics = createMetrics();
+    for (let answer = 0; answer < 99; answer += 1) metrics.answered('stock', 5, 10);
+    metrics.answered('stock', 5, 2_000);
+    const { text } = await metrics.export();
+    assert.match(text, /coltsfootworks_answers_total\{service="stock"\} 100/);
+    assert.match(text, /coltsfootworks_answer_ms\{service="stock",quantile="0.5"\} 10\b/);
+    const tail = /coltsfootworks_answer_ms\{service="stock",quantile="0.999"\} (\d+)/.exec(text);
+    assert.ok(Math.abs(Number(tail?.[1]) - 2_000) < 20, `the slowest answer shows: ${tail?.[1]}`);
+  });
+
+  it('reads gauges when asked, and counts refusals by kind and outcome', async () => {
+    const metrics = createMetrics();
+    let value = 1;
+    metrics.gauge('coltsfootworks_test', 'A test value', () => value);
+    value = 7;
+    metrics.refused('overloaded', 'notRun');
+    const { text } = await metrics.export();
+    assert.match(text, /coltsfootworks_test 7/);
+    assert.match(text, /refusals_total\{refusal="overloaded",outcome="notRun"\} 1/);
+  });
+});
--- /dev/null
+++ b/src/core/metrics/create-metrics.ts
@@ -0,0 +1,125 @@
+import { build } from 'hdr-histogram-js';
+import type { Histogram } from 'hdr-histogram-js';
+import { Counter, Gauge, Registry } from 'prom-client';
+
+/** Counts and latencies of one instance, for the Prometheus text format. */
+export interface Metrics {
+  /** Notes a whole answer: time to its first byte and to its end, ms. */
+  answered(service: string, firstByteMs: number, totalMs: number): void;
+  /** Notes a refusal by its kind and outcome. */
+  refused(refusal: string, outcome: string): void;
+  /** Notes an answer that could not be finished. */
+  cutShort(service: string): void;
+  /** Notes a caller that left before the end. */
+  callerGone(service: string): void;
+  /** A value that is read when metrics are asked for. */
+  gauge(name: string, help: string, read: () => number): void;
+  /** The text format and its content type. */
+  export(): Promise<MetricsText>;
+}
+
+/** What a scrape is answered with. */
+export interface MetricsText {
+  readonly contentType: string;
+  readonly text: string;
+}
+
+/** The quantiles that are exported; the last two are what the deployments weigh most. */
+const QUANTILES = [0.5, 0.95, 0.99, 0.999];
+/** An hour: longer than any deadline that the configuration lets callers state. */
+const HIGHEST_MS = 3_600_000;
+const SIGNIFICANT_DIGITS = 2;
+
+interface LatencyFamily {
+  record(service: string, durationMs: number): void;
+}
+
+/**
+ * Latencies kept in HDR histograms rather than in the exporter's own buckets: fixed buckets hide the tail,
+ * which is what callers on the telephone notice.
+ */
+function createLatencyFamily(registry: Registry, name: string, help: string): LatencyFamily {
+  const histograms = new Map<string, Histogram>();
+  const gauge = new Gauge({
+    name,
+    help,
+    labelNames: ['service', 'quantile'],
+    registers: [registry],
+    collect() {
+      for (const [service, histogram] of histograms) {
+        for (const quantile of QUANTILES) {
+          const labels = { service, quantile: String(quantile) };
+          gauge.set(labels, histogram.getValueAtPercentile(quantile * 100));
+        }
+      }
+    },
+  });
+  return {
+    record(service, durationMs) {
+      let histogram = histograms.get(service);
+      if (histogram === undefined) {
+        histogram = build({
+          lowestDiscernibleValue: 1,
+          highestTrackableValue: HIGHEST_MS,
+          numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
+        });
+        histograms.set(service, histogram);
+      }
+      histogram.recordValue(Math.min(HIGHEST_MS, Math.max(0, Math.round(durationMs))));
+    },
+  };
+}
+
+/** Metrics that start at zero. */
+export function createMetrics(): Metrics {
+  const registry = new Registry();
+  const counter = (name: string, help: string, labelNames: string[]) =>
+    new Counter({ name, help, labelNames, registers: [registry] });
+
+  const answers = counter('coltsfootworks_answers_total', 'Whole answers', ['service']);
+  const refusals = counter('coltsfootworks_refusals_total', 'Refusals', ['refusal', 'outcome']);
+  const cuts = counter('coltsfootworks_answers_cut_short_total', 'Answers not finished', [
+    'service',
+  ]);
+  const gone = counter('coltsfootworks_callers_gone_total', 'Callers that left early', ['service']);
+  const firstByte = createLatencyFamily(
+    registry,
+    'coltsfootworks_first_byte_ms',
+    'Time to the first byte of an answer, ms',
+  );
+  const total = createLatencyFamily(
+    registry,
+    'coltsfootworks_answer_ms',
+    'Time to the end of an answer, ms',
+  );
+
+  return {
+    answered(service, firstByteMs, totalMs) {
+      answers.inc({ service });
+      firstByte.record(service, firstByteMs);
+      total.record(service, totalMs);
+    },
+    refused(refusal, outcome) {
+      refusals.inc({ refusal, outcome });
+    },
+    cutShort(service) {
+      cuts.inc({ service });
+    },
+    callerGone(service) {
+      gone.inc({ service });
+    },
+    gauge(name, help, read) {
+      const gauge = new Gauge({
+        name,
+        help,
+        registers: [registry],
+        collect() {
+          gauge.set(read());
+        },
+      });
+    },
+    async export() {
+      return { contentType: registry.contentType, text: await registry.metrics() };
+    },
+  };
+}
--- /dev/null
+++ b/src/core/metrics/index.ts
@@ -0,0 +1,3 @@
+/** Counts and latencies for operators. */
+export { createMetrics } from './create-metrics';
+export type { Metrics, MetricsText } from './create-metrics';
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -6,6 +6,8 @@
 import { openHttpEdge } from '../http-edge';
 import { createDisposableStore } from '../lifetime';
 import { createMembership } from '../membership';
+import { createMetrics } from '../metrics';
+import { openOperatorListener } from '../operators';
 import {
   channelCredentials,
   createExchangeTransport,
@@ -29,12 +31,15 @@
   readonly random: RandomSource;
   readonly logger: Logger;
   readonly newRequestId: () => string;
+  /** Version of this release, for operators. */
+  readonly release: string;
 }
 
 /** A running instance. */
 export interface GatewayNode extends AsyncDisposable {
   readonly callerAddress: string;
   readonly peerAddress: string;
+  readonly operatorAddress: string;
   /** Tells all that this instance is leaving, and resolves when nothing is in flight. */
   drain(): Promise<void>;
   /** Requests in flight at servers. */
@@ -65,6 +70,7 @@
   const inFlight = createInFlight();
   const sender = owned.add(createServerSender());
   const forwarder = createPeerForwarder({ clock, connections, metadata, instanceId });
+  const metrics = createMetrics();
   let callerAddress = '';
   let peerAddress = '';
 
@@ -126,11 +132,41 @@
       membership,
       serving,
       limits: settings.limits,
+      metrics,
       newRequestId,
     }),
   );
   callerAddress = advertised.callers ?? addressOf(listeners.callers.host, edge.port);
 
+  const isReady = () =>
+    configuration.current() !== undefined && membership.self().status === 'alive';
+  metrics.gauge('coltsfootworks_in_flight_requests', 'Requests open at servers', () =>
+    inFlight.totalRequests(),
+  );
+  metrics.gauge(
+    'coltsfootworks_configuration_version',
+    'Version of the configuration in force',
+    () => configuration.current()?.version ?? 0,
+  );
+  const operators = owned.add(
+    await openOperatorListener({
+      ...listeners.operators,
+      operatorKey: settings.operatorKey,
+      configuration,
+      metrics,
+      status: () => ({
+        instanceId,
+        version: options.release,
+        region,
+        failureDomain,
+        ready: isReady(),
+        configurationVersion: configuration.current()?.version ?? 0,
+        inFlightRequests: inFlight.totalRequests(),
+        members: membership.members(),
+      }),
+    }),
+  );
+
   const { configurationUrl: url, configurationKey: key } = settings.platform;
   owned.add(watchConfiguration({ clock, logger, store: configuration, url, key }));
   membership.start();
@@ -139,9 +175,10 @@
   return {
     callerAddress,
     peerAddress,
+    operatorAddress: addressOf(listeners.operators.host, operators.port),
     inFlightRequests: () => inFlight.totalRequests(),
     knownPeerCount: () => membership.usablePeers().length,
-    isReady: () => configuration.current() !== undefined && membership.self().status === 'alive',
+    isReady,
     configurationVersion: () => configuration.current()?.version ?? 0,
     async drain() {
       logger.event(NODE_EVENTS.stopping, { inFlightRequests: inFlight.totalRequests() });
--- a/src/testing/small-fleet.ts
+++ b/src/testing/small-fleet.ts
@@ -158,6 +158,7 @@
           clock: createSystemClock(),
           random: createSeededRandom(instances.length),
           newRequestId: randomUUID,
+          release: 'test',
         }),
       );
       instances.push({ instanceId, region, node, logger });
