Retry repeatable requests inside a budget that answers pay for

Cause: a request whose server crashed was refused though another server could have answered it. Ruled out: a budget paid by requests (its share goes on through an outage), retries at each hop (3 tries a hop make 9 over two), retrying POSTs of plain services that no rule lists. Figures: in the unit test of a total outage 5,000 failed requests get 10 retries in all (1.002 tries a request); before, no request had a second try. Conclusion: only the instance that the caller asked retries, elsewhere, and the caller is told 'unknown' when any try may have run.

--- a/src/core/configuration/index.ts
+++ b/src/core/configuration/index.ts
@@ -1,6 +1,8 @@
 /** The configuration: its schema, its look-ups, and the store that keeps the version in force. */
 export { compileConfiguration } from './compile';
 export type { CompiledConfiguration } from './compile';
+export { resilienceSchema } from './resilience-schema';
+export type { Resilience, RetryOptions } from './resilience-schema';
 export { configurationSchema } from './schema';
 export type { BackendServer, Caller, Configuration, Priority, Service, Weights } from './schema';
 export { createConfigurationStore } from './store';
--- /dev/null
+++ b/src/core/configuration/resilience-schema.ts
@@ -0,0 +1,34 @@
+import { z } from 'zod';
+
+/** How the system answers failures of servers and requests; one section for the whole deployment. */
+
+const retries = z.strictObject({
+  mostTries: z.int().min(1).max(10).default(3).describe('Tries of one request, the first included'),
+  share: z
+    .number()
+    .min(0)
+    .max(1)
+    .default(0.1)
+    .describe('Retries that one answered request pays for, per service and instance'),
+  reserveTries: z
+    .number()
+    .min(0)
+    .default(10)
+    .describe('Retries that a service may save up on one instance'),
+  backoffBaseMs: z
+    .number()
+    .min(0)
+    .default(25)
+    .describe('Longest pause before the second try; doubles with each further try, ms'),
+  backoffCapMs: z.number().min(0).default(1_000).describe('Longest pause before any try, ms'),
+});
+
+/** The zod schema of the section. */
+export const resilienceSchema = z.strictObject({
+  retries: retries.prefault({}),
+});
+
+/** The section with its defaults filled in. */
+export type Resilience = z.output<typeof resilienceSchema>;
+/** Options of retries. */
+export type RetryOptions = z.output<typeof retries>;
--- a/src/core/configuration/schema.ts
+++ b/src/core/configuration/schema.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 import { callerSchema } from './caller-schema';
 import { nameSchema } from './names-schema';
+import { resilienceSchema } from './resilience-schema';
 import { backendServerSchema } from './server-schema';
 import { serviceSchema } from './service-schema';
 import type { prioritySchema } from './service-schema';
@@ -33,6 +34,9 @@
   version: z.int().min(1).describe('Number of this version; each next one is higher'),
   deployment: nameSchema,
   weights,
+  resilience: resilienceSchema
+    .prefault({})
+    .describe('How failures of servers and requests are answered'),
   regions: z.array(region).min(1),
   services: z.array(serviceSchema),
   backendServers: z.array(backendServerSchema),
--- /dev/null
+++ b/src/core/retries/decide-retry.test.ts
@@ -0,0 +1,113 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { resilienceSchema } from '../configuration';
+import { createSeededRandom } from '../random';
+import { REFUSALS } from '../refusals';
+import { decideRetry } from './decide-retry';
+import { createRetryBudget } from './retry-budget';
+import type { FailedTry, RetryDecision } from './types';
+
+const OPTIONS = resilienceSchema.parse({}).retries;
+const LOST = { kind: 'lostAfterSending', cause: 'reset' } as const;
+const NEVER_SENT = { kind: 'neverSent' } as const;
+
+const BASE: FailedTry = {
+  tries: 1,
+  refusal: REFUSALS.serverFailed,
+  evidence: LOST,
+  isRepeatable: true,
+  headSent: false,
+  callerGone: false,
+  isForwarded: false,
+  nowMs: 1_000,
+  deadlineAtMs: 60_000,
+};
+
+const decide = (change: Partial<FailedTry>, hasBudget = true): RetryDecision =>
+  decideRetry({ ...BASE, ...change }, OPTIONS, createSeededRandom(1), () => hasBudget);
+
+describe('a try that brought no answer', () => {
+  const refused = { kind: 'refusedByPeer', vouches: true } as const;
+  const giveUps: { when: string; change: Partial<FailedTry>; reason: string; budget?: boolean }[] =
+    [
+      { when: 'part of an answer has gone out', change: { headSent: true }, reason: 'head sent' },
+      { when: 'the caller has gone', change: { callerGone: true }, reason: 'caller gone' },
+      { when: 'a peer forwarded it', change: { isForwarded: true }, reason: 'forwarded' },
+      { when: 'it may not repeat', change: { isRepeatable: false }, reason: 'not repeatable' },
+      { when: 'its tries are used up', change: { tries: 3 }, reason: 'tries used up' },
+      {
+        when: 'the deadline is too near',
+        change: { deadlineAtMs: 1_005 },
+        reason: 'deadline too near',
+      },
+      { when: 'the budget is empty', change: {}, budget: false, reason: 'budget empty' },
+      {
+        when: 'this instance itself had no room',
+        change: { refusal: REFUSALS.overloaded, evidence: NEVER_SENT },
+        reason: 'refusal is final',
+      },
+      {
+        when: 'a peer may not have the data',
+        change: { refusal: REFUSALS.regionNotAllowed, evidence: refused },
+        reason: 'refusal is final',
+      },
+    ];
+  for (const { when, change, reason, budget } of giveUps) {
+    it(`gets no other when ${when}`, () => {
+      assert.deepEqual(decide(change, budget), { kind: 'giveUp', reason });
+    });
+  }
+
+  const atOnce: { when: string; change: Partial<FailedTry> }[] = [
+    { when: 'no connection was made', change: { evidence: NEVER_SENT } },
+    {
+      when: 'a peer was full',
+      change: { refusal: REFUSALS.overloaded, evidence: refused },
+    },
+    {
+      when: 'the server vouched that nothing ran',
+      change: { evidence: { kind: 'refusedByServer', declaredNotRun: true } },
+    },
+  ];
+  for (const { when, change } of atOnce) {
+    it(`goes elsewhere at once when ${when}`, () => {
+      assert.deepEqual(decide(change), { kind: 'retry', atMs: 1_000, reason: 'did not run' });
+    });
+  }
+
+  // A server crashes with many requests open. If all of them were sent again in the same instant, the
+  // servers left would get the whole load of the lost one as one burst; users would see a second outage.
+  it('spreads requests that one crash cut off over a doubling pause', () => {
+    const random = createSeededRandom(7);
+    const startsMs = (tries: number) =>
+      Array.from({ length: 200 }, () => {
+        const decision = decideRetry({ ...BASE, tries }, OPTIONS, random, () => true);
+        return decision.kind === 'retry' ? decision.atMs - BASE.nowMs : Number.NaN;
+      });
+    const first = startsMs(1);
+    const second = startsMs(2);
+    assert.ok(Math.max(...first) <= OPTIONS.backoffBaseMs);
+    assert.ok(new Set(first).size > 150);
+    assert.ok(Math.max(...second) > OPTIONS.backoffBaseMs);
+    assert.ok(Math.max(...second) <= 2 * OPTIONS.backoffBaseMs);
+  });
+});
+
+describe('a retry budget', () => {
+  // Every server of a service is down for minutes while callers keep asking. Each retry would be one more
+  // request in the way of the recovery; users would wait for a service that is kept down by the gateway.
+  it('is spent once in a total outage, however many requests fail', () => {
+    const budget = createRetryBudget(() => OPTIONS);
+    const retries = Array.from({ length: 5_000 }, () => budget.tryTake('orders')).filter(Boolean);
+    assert.equal(retries.length, OPTIONS.reserveTries);
+  });
+
+  it('is filled by answers, up to its reserve, and for one service apart from others', () => {
+    const budget = createRetryBudget(() => OPTIONS);
+    while (budget.tryTake('orders'));
+    for (let answer = 0; answer < 10; answer += 1) budget.answered('orders');
+    assert.equal(budget.tryTake('orders'), true);
+    assert.equal(budget.tryTake('orders'), false);
+    assert.equal(budget.tryTake('stock'), true);
+  });
+});
--- /dev/null
+++ b/src/core/retries/index.ts
@@ -0,0 +1,8 @@
+/** Whether a request that failed is tried again. */
+export { decideRetry } from './decide-retry';
+export { RETRY_EVENTS } from './events';
+export { isRepeatable } from './repeatable';
+export type { RepeatableInput } from './repeatable';
+export { createRetryBudget } from './retry-budget';
+export type { RetryBudget } from './retry-budget';
+export type { FailedTry, GiveUpReason, RetryDecision } from './types';
--- a/src/core/serving/gather-routing-input.ts
+++ b/src/core/serving/gather-routing-input.ts
@@ -1,3 +1,4 @@
+import { withoutFailed } from '../routing';
 import type { RoutingInput } from '../routing';
 import type { ServingDependencies } from './dependencies';
 import type { GatewayRequest } from './types';
@@ -11,7 +12,7 @@
   const servers = request.configuration.serversOf(request.service.name);
   const regionsWithServers = new Set(servers.map((server) => server.region));
   const mayForward = request.origin.kind === 'caller';
-  return {
+  const all = {
     ownFailureDomain: failureDomain,
     servers: servers
       .filter((server) => server.region === region)
@@ -28,4 +29,5 @@
           .filter((peer) => peer.region !== region)
           .filter((peer) => regions.includes(peer.region) && regionsWithServers.has(peer.region)),
   };
+  return withoutFailed(all, request.avoid);
 }
--- a/src/core/serving/run-attempts.ts
+++ b/src/core/serving/run-attempts.ts
@@ -1,12 +1,112 @@
+import { sleepUntil } from '../clock';
+import { judgeOutcome } from '../outcomes';
+import type { Evidence } from '../outcomes';
+import { RefusalError } from '../refusals';
+import { RETRY_EVENTS, decideRetry, isRepeatable } from '../retries';
+import type { RetryBudget, RetryDecision } from '../retries';
+import type { ServingDependencies } from './dependencies';
 import type { AttemptRunner } from './run-attempt';
 import type { GatewayRequest, ResponseSink } from './types';
 
-/** Makes as many attempts at a request as it may have; for now exactly one. */
+/** What making attempts needs. */
+export interface AttemptsDependencies extends Pick<
+  ServingDependencies,
+  'clock' | 'random' | 'logger'
+> {
+  readonly runAttempt: AttemptRunner;
+  readonly retryBudget: RetryBudget;
+}
+
+/**
+ * The refusal of the whole request. If an earlier try may have run, the last one's "not run" speaks for
+ * itself alone: told to the caller, it would have a request that did run sent once more.
+ */
+function refusalOfAll(last: RefusalError, earlier: Evidence | undefined): RefusalError {
+  if (earlier === undefined || last.outcome === 'unknown') return last;
+  return new RefusalError(last.definition, {
+    detail: `${last.message} An earlier try may have run.`,
+    step: last.step,
+    ...(last.peer === undefined ? {} : { peer: last.peer }),
+    evidence: earlier,
+    retryAtUnixMs: last.retryAtUnixMs,
+    cause: last,
+  });
+}
+
+function logDecision(
+  { logger }: AttemptsDependencies,
+  request: GatewayRequest,
+  refusal: RefusalError,
+  decision: RetryDecision,
+): void {
+  const event = decision.kind === 'retry' ? RETRY_EVENTS.retried : RETRY_EVENTS.gaveUp;
+  logger.event(event, {
+    requestId: request.requestId,
+    attempt: request.attempt,
+    service: request.service.name,
+    refusal: refusal.definition.slug,
+    outcome: refusal.outcome,
+    peer: refusal.peer,
+    reason: decision.reason,
+  });
+}
+
+function decide(
+  dependencies: AttemptsDependencies,
+  request: GatewayRequest,
+  tries: number,
+  refusal: RefusalError,
+  sink: ResponseSink,
+  signal: AbortSignal,
+): RetryDecision {
+  const { clock, random, retryBudget } = dependencies;
+  return decideRetry(
+    {
+      tries,
+      refusal: refusal.definition,
+      evidence: refusal.evidence,
+      isRepeatable: isRepeatable(request),
+      headSent: sink.headSent,
+      callerGone: signal.aborted,
+      isForwarded: request.origin.kind === 'peer',
+      nowMs: clock.monotonicMs(),
+      deadlineAtMs: request.deadlineAtMs,
+    },
+    request.configuration.document.resilience.retries,
+    random,
+    () => retryBudget.tryTake(request.service.name),
+  );
+}
+
+/** The request for another try, which names those that failed it so far. */
+function nextTry(request: GatewayRequest, failedAt: string | undefined): GatewayRequest {
+  const avoid = [...(request.avoid ?? []), ...(failedAt === undefined ? [] : [failedAt])];
+  return { ...request, attempt: request.attempt + 1, avoid };
+}
+
+/** Makes as many tries at a request as retries allow, one after the other. */
 export async function runAttempts(
-  runAttempt: AttemptRunner,
+  dependencies: AttemptsDependencies,
   request: GatewayRequest,
   sink: ResponseSink,
   signal: AbortSignal,
 ): Promise<void> {
-  await runAttempt(request, sink, signal);
+  const { clock, retryBudget, runAttempt } = dependencies;
+  let current = request;
+  let mayHaveRun: Evidence | undefined;
+  for (let tries = 1; ; tries += 1) {
+    try {
+      await runAttempt(current, sink, signal);
+      retryBudget.answered(request.service.name);
+      return;
+    } catch (error) {
+      if (!(error instanceof RefusalError)) throw error;
+      const decision = decide(dependencies, current, tries, error, sink, signal);
+      logDecision(dependencies, current, error, decision);
+      if (decision.kind === 'giveUp') throw refusalOfAll(error, mayHaveRun);
+      if (judgeOutcome(error.evidence) === 'unknown') mayHaveRun ??= error.evidence;
+      await sleepUntil(clock, decision.atMs, signal);
+      current = nextTry(current, error.peer);
+    }
+  }
 }
--- a/src/core/serving/serve-request.ts
+++ b/src/core/serving/serve-request.ts
@@ -1,3 +1,5 @@
+import { resilienceSchema } from '../configuration';
+import { createRetryBudget } from '../retries';
 import type { ServingDependencies } from './dependencies';
 import { createAttemptRunner } from './run-attempt';
 import { runAttempts } from './run-attempts';
@@ -11,8 +13,17 @@
 
 /** Serving over the given dependencies. */
 export function createServing(dependencies: ServingDependencies): Serving {
-  const runAttempt = createAttemptRunner(dependencies);
+  const { clock, random, logger, configuration } = dependencies;
+  const defaults = resilienceSchema.parse({});
+  const resilience = () => configuration.current()?.document.resilience ?? defaults;
+  const attempts = {
+    clock,
+    random,
+    logger,
+    runAttempt: createAttemptRunner(dependencies),
+    retryBudget: createRetryBudget(() => resilience().retries),
+  };
   return {
-    serve: (request, sink, signal) => runAttempts(runAttempt, request, sink, signal),
+    serve: (request, sink, signal) => runAttempts(attempts, request, sink, signal),
   };
 }
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -15,6 +15,8 @@
   readonly requestId: string;
   /** Counts the attempts of one request along its way, from 1. */
   readonly attempt: number;
+  /** Servers and instances that failed earlier tries of this request; routing prefers others. */
+  readonly avoid?: readonly string[];
   readonly origin: RequestOrigin;
   readonly caller: Caller;
   readonly service: Service;
--- a/src/testing/small-fleet.ts
+++ b/src/testing/small-fleet.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { keyDigest } from '../core/access';
+import { resilienceSchema } from '../core/configuration';
 import type { Configuration } from '../core/configuration';
 import { createDisposableStore } from '../core/lifetime';
 import { startNode } from '../core/node';
@@ -71,6 +72,7 @@
     version: 1,
     deployment: 'omaruru',
     weights: { tailLatency: 1, remoteShare: 0.3, cost: 0.2 },
+    resilience: resilienceSchema.parse({}),
     regions,
     services: [
       {
