Give operators a command line: check, diff, patch and status of the configuration, and the event catalogue

Cause: an operator could only start an instance; the next version had to be written by hand, and two operators starting from one version would each have published the same number.

What stands: config check names each mistake with its path; config patch takes an RFC 6902 patch against a numbered base, refuses any base but the latest, and prints the next version for the operator to publish; config status compares the version in force on every instance; events prints the catalogue.

Ruled out: publishing from the command line (nothing of the system writes shared state).

--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -15,6 +15,24 @@
     message: (source: string, reason: string) => `Settings from ${source}: ${reason}.`,
     hint: 'Give --settings FILE, --settings - for standard input, or COLTSFOOTWORKS_SETTINGS with the JSON itself.',
   }),
+  documentUnreadable: define({
+    name: 'DocumentUnreadable',
+    title: 'A document could not be read',
+    message: (path: string, reason: string) => `${path}: ${reason}.`,
+    hint: 'Name a file that holds JSON, or - for standard input.',
+  }),
+  patchRefused: define({
+    name: 'PatchRefused',
+    title: 'The patch was not applied',
+    message: (reason: string) => reason,
+    hint: 'Read the latest version again, and write the patch against that.',
+  }),
+  instanceUnreachable: define({
+    name: 'InstanceUnreachable',
+    title: 'No instance answered its operators',
+    message: (address: string, reason: string) => `${address}: ${reason}.`,
+    hint: 'Give --instance HOST:PORT of an operators listener and --key with its operator key.',
+  }),
   documentInvalid: define({
     name: 'DocumentInvalid',
     title: 'A document does not fit its schema',
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,14 +1,3 @@
-import { Builtins, Cli } from 'clipanion';
-import { ServeCommand } from './cli/serve';
-import { VERSION } from './runtime/version';
+import { createCli } from './cli/create-cli';
 
-const cli = new Cli({
-  binaryLabel: 'coltsfootworks',
-  binaryName: 'coltsfootworks',
-  binaryVersion: VERSION,
-});
-cli.register(Builtins.HelpCommand);
-cli.register(Builtins.VersionCommand);
-cli.register(ServeCommand);
-
-void cli.runExit(process.argv.slice(2));
+void createCli().runExit(process.argv.slice(2));
