--- /dev/null
+++ b/bench/decisions/bounds.ts
@@ -0,0 +1,43 @@
+import type { ScenarioFigure } from './scenario-entry';
+
+/** The bounds that CI holds the load scenarios to. Each is a count or a ratio, so no machine's speed matters. */
+
+/** The limit of one figure. */
+export type Bound =
+  | { readonly kind: 'atMost'; readonly limit: number }
+  | { readonly kind: 'atLeast'; readonly limit: number };
+
+/** A figure beside its bound. */
+export interface BoundCheck extends ScenarioFigure {
+  readonly bound: Bound;
+  readonly holds: boolean;
+}
+
+/** The figure may be `limit` or less. */
+export const atMost = (limit: number): Bound => ({ kind: 'atMost', limit });
+/** The figure may be `limit` or more. */
+export const atLeast = (limit: number): Bound => ({ kind: 'atLeast', limit });
+
+/**
+ * The table, by name of figure. A bound is changed only with the figures and the reason, in the commit and in
+ * the design note of the decision that it belongs to.
+ */
+export const BOUNDS: Readonly<Record<string, Bound>> = {};
+
+function holds(measured: number, bound: Bound): boolean {
+  switch (bound.kind) {
+    case 'atMost':
+      return measured <= bound.limit;
+    case 'atLeast':
+      return measured >= bound.limit;
+    default:
+      return bound satisfies never;
+  }
+}
+
+/** Holds a figure to its bound; a figure without one is a mistake in the table. */
+export function checkFigure(figure: ScenarioFigure): BoundCheck {
+  const bound = BOUNDS[figure.name];
+  if (bound === undefined) throw new Error(`No bound is set for ${figure.name}`);
+  return { ...figure, bound, holds: holds(figure.measured, bound) };
+}
--- /dev/null
+++ b/bench/decisions/scenarios/load.ts
@@ -0,0 +1,4 @@
+import type { ScenarioEntry } from '../scenario-entry';
+
+/** Scenarios of admission, queueing and routing. */
+export const LOAD_SCENARIOS: readonly ScenarioEntry[] = [];
