Refuse a request after its second crash of a server

Cause: a request that crashes each server that runs it, sent again by its caller, took down one server per try; nothing recognised it. Ruled out: refusing after one crash (every request open on that server is as likely the cause); counting distinct servers only (a region with one server would lose it over and over); blame for good (innocents near two unrelated crashes), so a refusal lapses after a doubling time and an answer clears. Conclusion: keyed fingerprints, told only in the regions of the data; two tries that may have run bound the loss where messages have not arrived.

--- a/src/core/configuration/index.ts
+++ b/src/core/configuration/index.ts
@@ -2,7 +2,8 @@
 export { compileConfiguration } from './compile';
 export type { CompiledConfiguration } from './compile';
 export { resilienceSchema } from './resilience-schema';
-export type { Resilience, RetryOptions } from './resilience-schema';
+export { currentResilience } from './current-resilience';
+export type { PoisonOptions, Resilience, RetryOptions } from './resilience-schema';
 export { configurationSchema } from './schema';
 export type { BackendServer, Caller, Configuration, Priority, Service, Weights } from './schema';
 export { createConfigurationStore } from './store';
--- a/src/core/configuration/resilience-schema.ts
+++ b/src/core/configuration/resilience-schema.ts
@@ -23,12 +23,34 @@
   backoffCapMs: z.number().min(0).default(1_000).describe('Longest pause before any try, ms'),
 });
 
+const poison = z.strictObject({
+  crashesToRefuse: z
+    .int()
+    .min(2)
+    .max(8)
+    .default(2)
+    .describe('Crashes during one and the same request after which it is refused'),
+  refuseForMs: z
+    .number()
+    .min(1_000)
+    .default(900_000)
+    .describe('Time for which it is refused at first; doubles with each further crash, ms'),
+  refuseAtMostMs: z
+    .number()
+    .min(1_000)
+    .default(86_400_000)
+    .describe('Longest time for which it is refused, ms'),
+});
+
 /** The zod schema of the section. */
 export const resilienceSchema = z.strictObject({
   retries: retries.prefault({}),
+  poison: poison.prefault({}),
 });
 
 /** The section with its defaults filled in. */
 export type Resilience = z.output<typeof resilienceSchema>;
 /** Options of retries. */
 export type RetryOptions = z.output<typeof retries>;
+/** Options of the refusal of requests that crash servers. */
+export type PoisonOptions = z.output<typeof poison>;
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -3,6 +3,7 @@
 import { MEMBERSHIP_EVENTS } from '../membership/events';
 import { NODE_EVENTS } from '../node/events';
 import { PLATFORM_EVENTS } from '../platform/events';
+import { POISON_EVENTS } from '../poison/events';
 import { RETRY_EVENTS } from '../retries/events';
 import { ROUTING_EVENTS } from '../routing/events';
 import { SERVING_EVENTS } from '../serving/events';
@@ -21,6 +22,7 @@
   CONFIGURATION_EVENTS,
   PLATFORM_EVENTS,
   RETRY_EVENTS,
+  POISON_EVENTS,
 ]
   .flatMap((events): EventDefinition[] => Object.values(events))
   .sort((left, right) => left.id - right.id);
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -1,6 +1,6 @@
 import { createInFlight, createServerSender } from '../backends';
 import type { Clock } from '../clock';
-import { createConfigurationStore } from '../configuration';
+import { createConfigurationStore, currentResilience } from '../configuration';
 import type { Logger } from '../events';
 import { createGossipBoard } from '../gossip';
 import { openHttpEdge } from '../http-edge';
@@ -15,6 +15,7 @@
   secretMetadata,
   serverCredentials,
 } from '../peers';
+import { createPoisonGuard, fingerprintKey } from '../poison';
 import type { RandomSource } from '../random';
 import { watchConfiguration } from '../platform';
 import { createServing } from '../serving';
@@ -87,6 +88,15 @@
     }),
   );
 
+  const poison = owned.add(
+    createPoisonGuard({
+      clock,
+      logger,
+      gossip,
+      key: fingerprintKey(settings.peerSecret),
+      options: () => currentResilience(configuration).poison,
+    }),
+  );
   const serving = createServing({
     clock,
     random,
@@ -97,6 +107,7 @@
     configuration,
     membership,
     gossip,
+    poison,
     inFlight,
     sender,
     forwarder,
--- /dev/null
+++ b/src/core/poison/fingerprint.ts
@@ -0,0 +1,34 @@
+import { createHmac } from 'node:crypto';
+
+/** The parts of a request by which it is known again. */
+export interface FingerprintInput {
+  readonly service: { readonly name: string };
+  readonly caller: { readonly id: string };
+  readonly method: string;
+  readonly path: string;
+  readonly body: Uint8Array;
+}
+
+const KEY_PURPOSE = 'coltsfootworks poison request fingerprint';
+const LENGTH_BYTES = 4;
+
+/** The key of fingerprints, the same on every instance of a deployment and of no use for anything else. */
+export function fingerprintKey(peerSecret: string): Uint8Array {
+  return createHmac('sha256', peerSecret).update(KEY_PURPOSE).digest();
+}
+
+/**
+ * A digest by which the same request of the same caller is known again. It is keyed, so that whoever reads it
+ * in a log cannot find a content by trying likely ones. Each part goes in after its length: without that, two
+ * requests that share out the same characters differently would have one fingerprint.
+ */
+export function fingerprintOf(request: FingerprintInput, key: Uint8Array): string {
+  const hmac = createHmac('sha256', key);
+  const names = [request.service.name, request.caller.id, request.method, request.path];
+  for (const part of [...names.map((name) => Buffer.from(name)), request.body]) {
+    const lengthBytes = Buffer.alloc(LENGTH_BYTES);
+    lengthBytes.writeUInt32BE(part.length);
+    hmac.update(lengthBytes).update(part);
+  }
+  return hmac.digest('base64url');
+}
--- /dev/null
+++ b/src/core/poison/poison-guard.ts
@@ -0,0 +1,152 @@
+import type { Clock } from '../clock';
+import type { PoisonOptions } from '../configuration';
+import type { Logger } from '../events';
+import type { GossipBoard, GossipEntry } from '../gossip';
+import type { Evidence } from '../outcomes';
+import { createCrashLedger } from './crash-ledger';
+import { POISON_EVENTS } from './events';
+import { fingerprintOf } from './fingerprint';
+import type { FingerprintInput } from './fingerprint';
+import { parsePoisonStatement } from './statement';
+import type { PoisonStatement } from './statement';
+import type { PoisonVerdict } from './types';
+
+/** A request as the guard sees it. */
+export interface GuardedRequest extends FingerprintInput {
+  readonly requestId: string;
+  readonly attempt: number;
+}
+
+/** A try that is about to start at a server. */
+export interface WatchedTry {
+  /** The whole answer came. */
+  answered(): void;
+  /** No whole answer came; a lost connection counts as a crash. */
+  failed(evidence: Evidence): void;
+  /** This side gave the try up, which says nothing about the server. */
+  abandoned(): void;
+}
+
+/** Knows requests that crash servers, here and through what other instances tell. */
+export interface PoisonGuard extends Disposable {
+  verdict(request: GuardedRequest): PoisonVerdict;
+  /** Servers at which a suspect had better not run: those it crashed, and those that run another suspect. */
+  serversToAvoid(request: GuardedRequest): readonly string[];
+  /** Watches one try; `regions` are those in which its fingerprint may be told. */
+  watch(request: GuardedRequest, serverId: string, regions: readonly string[]): WatchedTry;
+}
+
+/** What the guard needs. */
+export interface PoisonGuardOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly gossip: GossipBoard;
+  readonly key: Uint8Array;
+  readonly options: () => PoisonOptions;
+}
+
+/** Whether a failed try looks like a crash: a silent server and a refused connection do not. */
+function looksLikeCrash(evidence: Evidence): boolean {
+  return evidence.kind === 'lostAfterSending' && evidence.cause === 'reset';
+}
+
+/** A guard that listens to the other instances until it is disposed of. */
+export function createPoisonGuard(needs: PoisonGuardOptions): PoisonGuard {
+  const { clock, logger, gossip, key, options } = needs;
+  const ledger = createCrashLedger(options);
+  const suspectsAt = new Map<string, Set<string>>();
+
+  // Hashing a body of megabytes takes milliseconds, and nearly always nothing has crashed.
+  const verdictOf = (request: GuardedRequest): PoisonVerdict =>
+    ledger.size === 0
+      ? { kind: 'unknown' }
+      : ledger.verdict(fingerprintOf(request, key), clock.unixMs());
+
+  const tell = (fingerprint: string, regions: readonly string[], statement: PoisonStatement) =>
+    gossip.put({
+      topic: 'poisonFingerprints',
+      key: fingerprint,
+      regions,
+      expiresAtUnixMs: clock.unixMs() + 2 * options().refuseAtMostMs,
+      payload: JSON.stringify(statement),
+    });
+
+  const learn = (entry: GossipEntry): void => {
+    const statement = parsePoisonStatement(entry.payload);
+    switch (statement?.kind) {
+      case 'crashed':
+        statement.marks.forEach((mark) => ledger.note(entry.key, mark));
+        return;
+      case 'cleared':
+        ledger.clear(entry.key, statement.atUnixMs);
+        return;
+      case undefined:
+        return;
+      default:
+        statement satisfies never;
+    }
+  };
+  const listening = gossip.onEntry('poisonFingerprints', learn);
+
+  const noteCrash = (request: GuardedRequest, serverId: string, regions: readonly string[]) => {
+    const fingerprint = fingerprintOf(request, key);
+    const atUnixMs = clock.unixMs();
+    const tryId = `${request.requestId}/${request.attempt}`;
+    ledger.note(fingerprint, { tryId, serverId, atUnixMs });
+    tell(fingerprint, regions, { kind: 'crashed', marks: [...ledger.marksOf(fingerprint)] });
+    const verdict = ledger.verdict(fingerprint, atUnixMs);
+    const event = verdict.kind === 'refused' ? POISON_EVENTS.proven : POISON_EVENTS.suspected;
+    const { requestId, service, caller } = request;
+    logger.event(event, {
+      requestId,
+      service: service.name,
+      caller: caller.id,
+      fingerprint,
+      server: serverId,
+    });
+  };
+
+  /** Holds a suspect's place at a server; the result gives it up. */
+  const hold = (fingerprint: string, serverId: string) => {
+    const suspects = suspectsAt.get(serverId) ?? new Set();
+    suspectsAt.set(serverId, suspects.add(fingerprint));
+    return () => {
+      suspects.delete(fingerprint);
+      if (suspects.size === 0) suspectsAt.delete(serverId);
+    };
+  };
+
+  return {
+    verdict: verdictOf,
+    serversToAvoid(request) {
+      const verdict = verdictOf(request);
+      if (verdict.kind !== 'suspect') return [];
+      const fingerprint = fingerprintOf(request, key);
+      const shared = [...suspectsAt]
+        .filter(([, suspects]) => [...suspects].some((other) => other !== fingerprint))
+        .map(([serverId]) => serverId);
+      return [...verdict.serverIds, ...shared];
+    },
+    watch(request, serverId, regions) {
+      const isSuspect = verdictOf(request).kind === 'suspect';
+      const release = isSuspect ? hold(fingerprintOf(request, key), serverId) : () => {};
+      return {
+        answered() {
+          release();
+          if (verdictOf(request).kind === 'unknown') return;
+          const fingerprint = fingerprintOf(request, key);
+          const atUnixMs = clock.unixMs();
+          ledger.clear(fingerprint, atUnixMs);
+          tell(fingerprint, regions, { kind: 'cleared', atUnixMs });
+          logger.event(POISON_EVENTS.cleared, { requestId: request.requestId, fingerprint });
+        },
+        abandoned: release,
+        failed(evidence) {
+          release();
+          if (looksLikeCrash(evidence)) noteCrash(request, serverId, regions);
+        },
+      };
+    },
+    [Symbol.dispose]: () => listening[Symbol.dispose](),
+  };
+}
--- a/src/core/refusals/catalogue.ts
+++ b/src/core/refusals/catalogue.ts
@@ -46,6 +46,18 @@
     title: 'This data may not be handled in this region',
     hint: 'Use one of the entries named in the answer.',
   },
+  poisonRequest: {
+    slug: 'poison-request',
+    status: 422,
+    title: 'Servers crash when they run this request',
+    hint: 'Do not send it again before retryAtUnixMs; tell the operators the requestId.',
+  },
+  rateLimited: {
+    slug: 'rate-limited',
+    status: 429,
+    title: 'The account has reached its limit',
+    hint: 'Send it again at retryAtUnixMs; nothing of it ran.',
+  },
   noServer: {
     slug: 'no-server',
     status: 503,
--- a/src/core/retries/decide-retry.test.ts
+++ b/src/core/retries/decide-retry.test.ts
@@ -13,6 +13,7 @@
 
 const BASE: FailedTry = {
   tries: 1,
+  triesThatMayHaveRun: 1,
   refusal: REFUSALS.serverFailed,
   evidence: LOST,
   isRepeatable: true,
@@ -34,6 +35,11 @@
       { when: 'the caller has gone', change: { callerGone: true }, reason: 'caller gone' },
       { when: 'a peer forwarded it', change: { isForwarded: true }, reason: 'forwarded' },
       { when: 'it may not repeat', change: { isRepeatable: false }, reason: 'not repeatable' },
+      {
+        when: 'two tries may have run',
+        change: { tries: 2, triesThatMayHaveRun: 2 },
+        reason: 'may have run twice',
+      },
       { when: 'its tries are used up', change: { tries: 3 }, reason: 'tries used up' },
       {
         when: 'the deadline is too near',
--- a/src/core/retries/decide-retry.ts
+++ b/src/core/retries/decide-retry.ts
@@ -11,6 +11,7 @@
  * - Only work that may run twice is sent twice; anything else could book a cabin and a visa again.
  * - Nothing after the head: the caller would read two halves of different answers as one.
  * - Only the instance that the caller asked retries. If each hop made 3 tries, two hops would make 9.
+ * - No third try after two that may have run: what has cost two servers is not shown a third.
  * - Never past the deadline; a caller that has hung up gets nothing for the work.
  * - Only inside the budget, and that is asked last so that no other refusal spends it.
  *
@@ -29,6 +30,8 @@
   REFUSALS.regionNotAllowed.slug,
   REFUSALS.deadlineExceeded.slug,
   REFUSALS.internalFault.slug,
+  REFUSALS.poisonRequest.slug,
+  REFUSALS.rateLimited.slug,
 ]);
 
 /** Failures to send that come from the other side, though nothing left this process. */
@@ -37,6 +40,9 @@
   REFUSALS.peerFailed.slug,
 ]);
 
+/** Bounds what one request costs where instances have not heard of each other's crashes yet. */
+const MOST_TRIES_THAT_MAY_HAVE_RUN = 2;
+
 /** Time that a try needs at the least; a shorter one would only be cut off. */
 const LEAST_TRY_MS = 10;
 
@@ -52,6 +58,7 @@
   if (failed.isForwarded) return 'forwarded';
   if (!failed.isRepeatable) return 'not repeatable';
   if (!isWorthRetrying(failed)) return 'refusal is final';
+  if (failed.triesThatMayHaveRun >= MOST_TRIES_THAT_MAY_HAVE_RUN) return 'may have run twice';
   if (failed.tries >= options.mostTries) return 'tries used up';
   return undefined;
 }
--- a/src/core/retries/types.ts
+++ b/src/core/retries/types.ts
@@ -5,6 +5,8 @@
 export interface FailedTry {
   /** Tries made so far, this one included. */
   readonly tries: number;
+  /** Those of them that may have run. */
+  readonly triesThatMayHaveRun: number;
   readonly refusal: RefusalDefinition;
   readonly evidence: Evidence;
   readonly isRepeatable: boolean;
@@ -24,6 +26,7 @@
   | 'forwarded'
   | 'not repeatable'
   | 'refusal is final'
+  | 'may have run twice'
   | 'tries used up'
   | 'deadline too near'
   | 'budget empty';
--- a/src/core/serving/dependencies.ts
+++ b/src/core/serving/dependencies.ts
@@ -5,6 +5,7 @@
 import type { GossipBoard } from '../gossip';
 import type { MembershipView } from '../membership';
 import type { PeerForwarder } from '../peers';
+import type { PoisonGuard } from '../poison';
 import type { RandomSource } from '../random';
 
 /** What serving needs from the rest of the instance. */
@@ -18,7 +19,8 @@
   readonly configuration: ConfigurationStore;
   readonly membership: MembershipView;
   readonly gossip: GossipBoard;
+  readonly poison: PoisonGuard;
   readonly inFlight: InFlight;
-  readonly sender: ServerSender;
+  readonly sender: Pick<ServerSender, 'send'>;
   readonly forwarder: PeerForwarder;
 }
--- a/src/core/serving/run-attempts.test.ts
+++ b/src/core/serving/run-attempts.test.ts
@@ -4,6 +4,8 @@
 import type { Evidence } from '../outcomes';
 import { createSeededRandom } from '../random';
 import { REFUSALS, RefusalError } from '../refusals';
+import { createGossipBoard } from '../gossip';
+import { createPoisonGuard } from '../poison';
 import { createRetryBudget } from '../retries';
 import { createFakeClock, createMemoryLogger } from '../../testing';
 import type { GatewayRequest, ResponseSink } from './types';
@@ -59,11 +61,21 @@
 async function run(ends: readonly (RefusalError | undefined)[]) {
   const clock = createFakeClock();
   const seen: GatewayRequest[] = [];
+  const logger = createMemoryLogger();
+  const resilience = resilienceSchema.parse({});
+  const poison = createPoisonGuard({
+    clock,
+    logger,
+    gossip: createGossipBoard('rundu-a', clock),
+    key: new Uint8Array(32),
+    options: () => resilience.poison,
+  });
   const dependencies = {
     clock,
     random: createSeededRandom(1),
-    logger: createMemoryLogger(),
-    retryBudget: createRetryBudget(() => resilienceSchema.parse({}).retries),
+    logger,
+    poison,
+    retryBudget: createRetryBudget(() => resilience.retries),
     runAttempt: async (request: GatewayRequest) => {
       const end = ends[seen.length];
       seen.push(request);
--- a/src/core/serving/run-attempts.ts
+++ b/src/core/serving/run-attempts.ts
@@ -1,9 +1,9 @@
 import { sleepUntil } from '../clock';
 import { judgeOutcome } from '../outcomes';
 import type { Evidence } from '../outcomes';
-import { RefusalError } from '../refusals';
+import { REFUSALS, RefusalError } from '../refusals';
 import { RETRY_EVENTS, decideRetry, isRepeatable } from '../retries';
-import type { RetryBudget, RetryDecision } from '../retries';
+import type { FailedTry, RetryBudget, RetryDecision } from '../retries';
 import type { ServingDependencies } from './dependencies';
 import type { AttemptRunner } from './run-attempt';
 import type { GatewayRequest, ResponseSink } from './types';
@@ -11,7 +11,7 @@
 /** What making attempts needs. */
 export interface AttemptsDependencies extends Pick<
   ServingDependencies,
-  'clock' | 'random' | 'logger'
+  'clock' | 'random' | 'logger' | 'poison'
 > {
   readonly runAttempt: AttemptRunner;
   readonly retryBudget: RetryBudget;
@@ -33,6 +33,22 @@
   });
 }
 
+/** Refuses a request that is known to crash servers, after whatever it did so far. */
+function refuseIfPoison(
+  { poison }: AttemptsDependencies,
+  request: GatewayRequest,
+  mayHaveRun: Evidence | undefined,
+): void {
+  const verdict = poison.verdict(request);
+  if (verdict.kind !== 'refused') return;
+  throw new RefusalError(REFUSALS.poisonRequest, {
+    detail: `${verdict.crashes} servers broke their connection while they ran it.`,
+    step: 'check-poison',
+    evidence: mayHaveRun ?? { kind: 'neverSent' },
+    retryAtUnixMs: verdict.untilUnixMs,
+  });
+}
+
 function logDecision(
   { logger }: AttemptsDependencies,
   request: GatewayRequest,
@@ -54,7 +70,7 @@
 function decide(
   dependencies: AttemptsDependencies,
   request: GatewayRequest,
-  tries: number,
+  counts: Pick<FailedTry, 'tries' | 'triesThatMayHaveRun'>,
   refusal: RefusalError,
   sink: ResponseSink,
   signal: AbortSignal,
@@ -62,7 +78,7 @@
   const { clock, random, retryBudget } = dependencies;
   return decideRetry(
     {
-      tries,
+      ...counts,
       refusal: refusal.definition,
       evidence: refusal.evidence,
       isRepeatable: isRepeatable(request),
@@ -84,6 +100,17 @@
   return { ...request, attempt: request.attempt + 1, avoid };
 }
 
+/** Adds the servers that a suspected request had better not run at. */
+function avoidingForPoison(
+  { poison }: AttemptsDependencies,
+  request: GatewayRequest,
+): GatewayRequest {
+  const servers = poison.serversToAvoid(request);
+  return servers.length === 0
+    ? request
+    : { ...request, avoid: [...(request.avoid ?? []), ...servers] };
+}
+
 /** Makes as many tries at a request as retries allow, one after the other. */
 export async function runAttempts(
   dependencies: AttemptsDependencies,
@@ -94,17 +121,24 @@
   const { clock, retryBudget, runAttempt } = dependencies;
   let current = request;
   let mayHaveRun: Evidence | undefined;
+  let triesThatMayHaveRun = 0;
+  refuseIfPoison(dependencies, request, undefined);
   for (let tries = 1; ; tries += 1) {
     try {
-      await runAttempt(current, sink, signal);
+      await runAttempt(avoidingForPoison(dependencies, current), sink, signal);
       retryBudget.answered(request.service.name);
       return;
     } catch (error) {
       if (!(error instanceof RefusalError)) throw error;
-      const decision = decide(dependencies, current, tries, error, sink, signal);
+      if (judgeOutcome(error.evidence) === 'unknown') {
+        triesThatMayHaveRun += 1;
+        mayHaveRun ??= error.evidence;
+      }
+      if (!sink.headSent) refuseIfPoison(dependencies, current, mayHaveRun);
+      const counts = { tries, triesThatMayHaveRun };
+      const decision = decide(dependencies, current, counts, error, sink, signal);
       logDecision(dependencies, current, error, decision);
       if (decision.kind === 'giveUp') throw refusalOfAll(error, mayHaveRun);
-      if (judgeOutcome(error.evidence) === 'unknown') mayHaveRun ??= error.evidence;
       await sleepUntil(clock, decision.atMs, signal);
       current = nextTry(current, error.peer);
     }
--- a/src/core/serving/serve-request.ts
+++ b/src/core/serving/serve-request.ts
@@ -1,6 +1,7 @@
-import { resilienceSchema } from '../configuration';
+import { currentResilience } from '../configuration';
 import { createRetryBudget } from '../retries';
 import type { ServingDependencies } from './dependencies';
+import { observeSends } from './observe-sends';
 import { createAttemptRunner } from './run-attempt';
 import { runAttempts } from './run-attempts';
 import type { GatewayRequest, ResponseSink } from './types';
@@ -13,15 +14,15 @@
 
 /** Serving over the given dependencies. */
 export function createServing(dependencies: ServingDependencies): Serving {
-  const { clock, random, logger, configuration } = dependencies;
-  const defaults = resilienceSchema.parse({});
-  const resilience = () => configuration.current()?.document.resilience ?? defaults;
+  const { clock, random, logger, configuration, poison } = dependencies;
+  const sender = observeSends(dependencies.sender, { poison, configuration });
   const attempts = {
     clock,
     random,
     logger,
-    runAttempt: createAttemptRunner(dependencies),
-    retryBudget: createRetryBudget(() => resilience().retries),
+    poison,
+    runAttempt: createAttemptRunner({ ...dependencies, sender }),
+    retryBudget: createRetryBudget(() => currentResilience(configuration).retries),
   };
   return {
     serve: (request, sink, signal) => runAttempts(attempts, request, sink, signal),
