Answer every kind of bad input with a refusal, and never on a connection whose request runs

Cause: oversized headers, bytes that are not HTTP and too many connections were answered with a bare 400 or dropped without a word. Worse, bytes that are not HTTP, coming behind a request still being served, were answered on that connection: a caller would have read "not run" as the answer to an order that runs.

Ruled out: maxConnections of node:http (it drops without an answer).

The instance also bounds the requests it holds (limits.concurrentRequests).

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -63,7 +63,12 @@
   },
   {
     files: ['**/*.test.ts'],
-    rules: { '@typescript-eslint/no-floating-promises': 'off' },
+    rules: {
+      // node:test collects what describe and it return.
+      '@typescript-eslint/no-floating-promises': 'off',
+      // Tables of cases define a test in a loop over rows.
+      '@typescript-eslint/no-loop-func': 'off',
+    },
   },
   {
     files: ['scripts/**', 'demo/**', 'bench/**', 'checks/**'],
--- a/src/core/http-edge/open-http-edge.ts
+++ b/src/core/http-edge/open-http-edge.ts
@@ -6,9 +6,10 @@
 import { REFUSALS, RefusalError } from '../refusals';
 import { SERVING_EVENTS } from '../serving';
 import { answerRefusal } from './answer';
-import { HTTP_EDGE_EVENTS } from './events';
+import { guardConnections } from './connection-guard';
 import { createHandlers } from './routes';
 import type { EdgeExchange, EdgeHandler } from './routes';
+import { createRequestSlots } from './request-slots';
 import type { HttpEdge, HttpEdgeOptions } from './types';
 
 function asRefusal(error: unknown): RefusalError {
@@ -71,6 +72,15 @@
   return gone.signal;
 }
 
+function isDecodable(path: string): boolean {
+  try {
+    decodeURI(path);
+    return true;
+  } catch {
+    return false;
+  }
+}
+
 function createRequestListener(options: HttpEdgeOptions) {
   const handlers = createHandlers(options);
   const router = createRouter({ ignoreTrailingSlash: false });
@@ -86,22 +96,41 @@
     void handle(options, handler, { incoming, response, requestId, signal, params });
   };
 
+  const slots = createRequestSlots(options.limits.concurrentRequests, options.clock);
+  const inSlot =
+    (handler: EdgeHandler): EdgeHandler =>
+    async (exchange) => {
+      const slot = slots.take();
+      try {
+        await handler(exchange);
+      } finally {
+        slot[Symbol.dispose]();
+      }
+    };
+
   const on = (method: 'GET' | 'POST', path: string, handler: EdgeHandler) =>
     router.on(method, path, (incoming, response, params) =>
       run(handler, incoming, response, params),
     );
 
-  on('POST', '/v1/chat/completions', handlers.serveModel);
-  on('POST', '/v1/completions', handlers.serveModel);
+  on('POST', '/v1/chat/completions', inSlot(handlers.serveModel));
+  on('POST', '/v1/completions', inSlot(handlers.serveModel));
   on('GET', '/v1/models', handlers.listModels);
   on('GET', '/v1/entry', handlers.nameEntry);
   on('GET', '/healthz', handlers.health);
   on('GET', '/readyz', handlers.readiness);
   router.all('/services/:service/*', (incoming, response, params) =>
-    run(handlers.servePlain, incoming, response, params),
+    run(inSlot(handlers.servePlain), incoming, response, params),
   );
 
   const unknownPath: EdgeHandler = async ({ incoming }) => {
+    if (!isDecodable(incoming.url ?? '/')) {
+      throw new RefusalError(REFUSALS.malformedRequest, {
+        detail: 'The path has a broken percent-encoding.',
+        step: 'find-path',
+        evidence: { kind: 'neverSent' },
+      });
+    }
     throw new RefusalError(REFUSALS.unknownPath, {
       detail: `${incoming.method} ${incoming.url?.split('?')[0]} is not served here.`,
       step: 'find-path',
@@ -142,11 +171,11 @@
     },
     createRequestListener(options),
   );
-  server.maxConnections = limits.connections;
-  server.on('clientError', (error, socket) => {
-    logger.event(HTTP_EDGE_EVENTS.badConnection, { reason: errorText(error) });
-    if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n');
-    else socket.destroy();
+  guardConnections(server, {
+    logger,
+    metrics: options.metrics,
+    newRequestId: options.newRequestId,
+    mostConnections: limits.connections,
   });
   const port = await listen(server, options);
 
--- a/src/core/refusals/catalogue.ts
+++ b/src/core/refusals/catalogue.ts
@@ -40,6 +40,18 @@
     title: 'The body is too large',
     hint: 'Send less; the detail states the limit.',
   },
+  headersTooLarge: {
+    slug: 'headers-too-large',
+    status: 431,
+    title: 'The header section is too large',
+    hint: 'Send fewer or shorter headers.',
+  },
+  requestTooSlow: {
+    slug: 'request-too-slow',
+    status: 408,
+    title: 'The request came too slowly',
+    hint: 'Send the whole request at once, on a new connection.',
+  },
   regionNotAllowed: {
     slug: 'region-not-allowed',
     status: 421,
