Give backend servers that leave no new work, whoever notices first

Cause: routing took every server of the configuration for usable, so a server that was stopping or dead went on getting its share until the configuration changed. Ruled out: the platform's list alone (it lags and omits live servers); every instance checking every server (servers times instances checks per interval). Conclusion: own word, list, checks and peers' statements are judged by one pure function; checks are divided by rendezvous hashing, two instances per server.

--- a/src/core/configuration/service-schema.ts
+++ b/src/core/configuration/service-schema.ts
@@ -6,6 +6,35 @@
 /** Which work goes first when not all can. */
 export const prioritySchema = z.enum(['interactive', 'batch']);
 
+const healthRules = z.strictObject({
+  path: z
+    .string()
+    .startsWith('/')
+    .optional()
+    .describe('Path of the health check; default: /health for models, /healthz for plain services'),
+  intervalMs: z
+    .int()
+    .min(100)
+    .default(1_000)
+    .describe('Time between two checks of a server by one instance, ms'),
+  timeoutMs: z.int().min(10).default(500).describe('Longest wait for the answer to a check, ms'),
+  failuresToDown: z
+    .int()
+    .min(1)
+    .default(2)
+    .describe('Failed checks in a row until a server gets no new work, checks'),
+  successesToUp: z
+    .int()
+    .min(1)
+    .default(2)
+    .describe('Good checks in a row until a server gets new work again, checks'),
+  slowStartMs: z
+    .int()
+    .min(0)
+    .default(30_000)
+    .describe('Time over which a server that came back rises from a tenth to its full share, ms'),
+});
+
 const commonService = {
   name: nameSchema.describe('What callers ask for and servers belong to'),
   regions: regionNamesSchema.describe('Regions that this service may run in'),
@@ -29,6 +58,7 @@
     .describe(
       'Silence of a server in the middle of an answer after which its connection counts as dead, ms',
     ),
+  health: healthRules.prefault({}).describe('How the servers of this service are checked'),
 };
 
 const modelService = z.strictObject({
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -4,6 +4,7 @@
 import { NODE_EVENTS } from '../node/events';
 import { PLATFORM_EVENTS } from '../platform/events';
 import { ROUTING_EVENTS } from '../routing/events';
+import { SERVER_HEALTH_EVENTS } from '../server-health/events';
 import { SERVING_EVENTS } from '../serving/events';
 import type { EventDefinition } from './types';
 
@@ -19,6 +20,7 @@
   MEMBERSHIP_EVENTS,
   CONFIGURATION_EVENTS,
   PLATFORM_EVENTS,
+  SERVER_HEALTH_EVENTS,
 ]
   .flatMap((events): EventDefinition[] => Object.values(events))
   .sort((left, right) => left.id - right.id);
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -17,6 +17,12 @@
 } from '../peers';
 import type { RandomSource } from '../random';
 import { watchConfiguration } from '../platform';
+import {
+  createServerHealth,
+  createServerProber,
+  observeSender,
+  watchServerLists,
+} from '../server-health';
 import { createServing } from '../serving';
 import type { Settings } from '../settings';
 import { NODE_EVENTS } from './events';
@@ -87,6 +93,20 @@
     }),
   );
 
+  const { probe } = owned.add(createServerProber());
+  const health = owned.add(
+    createServerHealth({
+      clock,
+      random,
+      logger,
+      region,
+      configuration,
+      membership,
+      gossip,
+      probe,
+    }),
+  );
+
   const serving = createServing({
     clock,
     random,
@@ -97,8 +117,9 @@
     configuration,
     membership,
     gossip,
+    availability: health,
     inFlight,
-    sender,
+    sender: observeSender(sender, health),
     forwarder,
   });
 
@@ -134,6 +155,11 @@
   const { configurationUrl: url, configurationKey: key } = settings.platform;
   owned.add(watchConfiguration({ clock, logger, store: configuration, url, key }));
   membership.start();
+  health.start();
+  const { instanceListUrl } = settings.platform;
+  if (instanceListUrl !== undefined) {
+    owned.add(watchServerLists({ clock, logger, health, url: instanceListUrl }));
+  }
   logger.event(NODE_EVENTS.started, { callerAddress, peerAddress, incarnation });
 
   return {
--- /dev/null
+++ b/src/core/server-health/events.ts
@@ -0,0 +1,48 @@
+import type { EventDefinition } from '../events';
+
+/** Events 1500 to 1599: backend servers that come and go. */
+export const SERVER_HEALTH_EVENTS = {
+  serverUsable: {
+    id: 1500,
+    name: 'server-usable',
+    level: 'info',
+    text: 'A backend server takes new work again, little at first.',
+    action: 'None.',
+  },
+  serverDraining: {
+    id: 1501,
+    name: 'server-draining',
+    level: 'info',
+    text: 'A backend server is leaving: it gets no new work and finishes what it has.',
+    action: 'None when the stop was planned; the cause says who told it.',
+  },
+  serverDown: {
+    id: 1502,
+    name: 'server-down',
+    level: 'warn',
+    text: 'A backend server fails its health checks and gets no new work.',
+    action: 'Look at the server; it is taken back by itself once its checks pass.',
+  },
+  checksDoubted: {
+    id: 1503,
+    name: 'checks-doubted',
+    level: 'warn',
+    text: 'Most of the servers that this instance checks fail at once; it does not tell its peers.',
+    action:
+      'Look at the network of this instance first, and at the servers only if others report them too.',
+  },
+  listUnavailable: {
+    id: 1504,
+    name: 'server-list-unavailable',
+    level: 'warn',
+    text: 'The platform’s list of backend servers did not answer; health checks go on.',
+    action: 'Look at the platform’s catalogue; leaving servers are still noticed by checks.',
+  },
+  markRejected: {
+    id: 1505,
+    name: 'server-mark-rejected',
+    level: 'warn',
+    text: 'A peer’s statement about a server could not be read.',
+    action: 'Look whether instances of very different releases run side by side.',
+  },
+} as const satisfies Record<string, EventDefinition>;
--- /dev/null
+++ b/src/core/server-health/probe-server.ts
@@ -0,0 +1,37 @@
+import { Agent } from 'undici';
+import { errorText } from '../errors';
+import { classifyHealthAnswer } from './classify-answer';
+import type { CheckedServer, ServerObservation } from './types';
+
+/** Asks a server for its health; never rejects. */
+export type ServerProbe = (server: CheckedServer) => Promise<ServerObservation>;
+
+/** Probes over HTTP. */
+export interface ServerProber extends AsyncDisposable {
+  readonly probe: ServerProbe;
+}
+
+/**
+ * A prober with connections of its own. Each check makes a fresh one: a kept connection that a middlebox has
+ * forgotten would show a live server as dead, and one that still works would hide that no new one can be made.
+ */
+export function createServerProber(): ServerProber {
+  const agent = new Agent({ pipelining: 0, keepAliveTimeout: 1 });
+  return {
+    async probe({ address, rules }) {
+      try {
+        const response = await agent.request({
+          origin: `http://${address}`,
+          path: rules.path,
+          method: 'GET',
+          signal: AbortSignal.timeout(rules.timeoutMs),
+        });
+        await response.body.dump();
+        return classifyHealthAnswer(response.statusCode, response.headers);
+      } catch (error) {
+        return { kind: 'failed', reason: errorText(error) };
+      }
+    },
+    [Symbol.asyncDispose]: () => agent.destroy(),
+  };
+}
--- a/src/core/serving/dependencies.ts
+++ b/src/core/serving/dependencies.ts
@@ -6,6 +6,7 @@
 import type { MembershipView } from '../membership';
 import type { PeerForwarder } from '../peers';
 import type { RandomSource } from '../random';
+import type { ServerAvailability } from '../server-health';
 
 /** What serving needs from the rest of the instance. */
 export interface ServingDependencies {
@@ -18,6 +19,7 @@
   readonly configuration: ConfigurationStore;
   readonly membership: MembershipView;
   readonly gossip: GossipBoard;
+  readonly availability: ServerAvailability;
   readonly inFlight: InFlight;
   readonly sender: ServerSender;
   readonly forwarder: PeerForwarder;
--- a/src/core/serving/gather-routing-input.ts
+++ b/src/core/serving/gather-routing-input.ts
@@ -4,7 +4,7 @@
 
 /** Collects what the routing decision rests on. A request that came from a peer gets no peers to go to. */
 export function gatherRoutingInput(
-  { region, failureDomain, membership, inFlight }: ServingDependencies,
+  { region, failureDomain, membership, availability, inFlight }: ServingDependencies,
   request: GatewayRequest,
   regions: readonly string[],
 ): RoutingInput {
@@ -13,8 +13,8 @@
   const mayForward = request.origin.kind === 'caller';
   return {
     ownFailureDomain: failureDomain,
-    servers: servers
-      .filter((server) => server.region === region)
+    servers: availability
+      .usable(servers.filter((server) => server.region === region))
       .map((server) => ({
         serverId: server.id,
         address: server.address,
--- a/src/testing/small-fleet.ts
+++ b/src/testing/small-fleet.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { keyDigest } from '../core/access';
+import { configurationSchema } from '../core/configuration';
 import type { Configuration } from '../core/configuration';
 import { createDisposableStore } from '../core/lifetime';
 import { startNode } from '../core/node';
@@ -67,7 +68,7 @@
     { id: 'home-only', keySha256: keyDigest(FLEET_KEYS.homeOnly), regions: ['rundu'] },
   ];
   const limits = { requestsPerSecond: 1_000, burstRequests: 1_000 };
-  return {
+  return configurationSchema.parse({
     version: 1,
     deployment: 'omaruru',
     weights: { tailLatency: 1, remoteShare: 0.3, cost: 0.2 },
@@ -115,7 +116,7 @@
       },
     ],
     callers: callers.map((caller) => ({ ...caller, limits })),
-  };
+  });
 }
 
 /** Starts the fleet and waits until each instance knows all others. */
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -14,6 +14,8 @@
   dropAfterTokens: number | undefined;
   /** Says nothing more after this many tokens, and keeps the connection open. */
   silentAfterTokens: number | undefined;
+  /** What health checks are told; requests are served whatever it is. */
+  health: 'up' | 'draining' | 'failing';
 }
 
 /** A stand-in engine that speaks the OpenAI HTTP API. */
@@ -24,6 +26,8 @@
   cancelledCount(): number;
 }
 
+const HEALTH_STATUSES = { up: 200, draining: 503, failing: 500 } as const;
+
 interface CompletionBody {
   model: string;
   stream?: boolean;
@@ -90,13 +94,14 @@
     tokenIntervalMs: 0,
     dropAfterTokens: undefined,
     silentAfterTokens: undefined,
+    health: 'up',
     ...behaviour,
   };
   let cancelled = 0;
 
   const handler = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
     if (incoming.url === '/health') {
-      sendJson(response, 200, {});
+      sendJson(response, HEALTH_STATUSES[current.health], {});
       return;
     }
     const bodyText = (await readAll(incoming)).toString('utf8');
