Tell of a dead server only with proof of one's own network

Ruled out: a lower threshold (any count comes too late for the first servers). Conclusion: a good check of another server after the failure is required.

--- a/src/core/server-health/choose-usable.ts
+++ b/src/core/server-health/choose-usable.ts
@@ -18,13 +18,17 @@
   return kept.map(({ server }) => server);
 }
 
-/** Fewest failing servers that make an instance doubt itself. */
-const LEAST_DOUBTFUL = 2;
-
 /**
- * Whether this instance should doubt its own checks. Were an instance that has lost its own network to tell
- * that every server it checks is down, its whole region would stop using them on the word of one.
+ * Whether an instance may tell its peers that a server is down. Were one that has lost its own network to tell
+ * it of every server that it checks, its whole region would stop using healthy servers on the word of one. So
+ * it waits until a check of another server has come out well since the failure, which shows that its own
+ * network works. An instance that checks one server alone can have no such proof, and tells.
  */
-export function doubtsOwnChecks(checkedCount: number, failingCount: number): boolean {
-  return failingCount >= LEAST_DOUBTFUL && failingCount * 2 > checkedCount;
+export function mayTellDown(
+  failedAtMs: number,
+  lastGoodCheckAtMs: number | undefined,
+  checkedCount: number,
+): boolean {
+  if (checkedCount <= 1) return true;
+  return lastGoodCheckAtMs !== undefined && lastGoodCheckAtMs >= failedAtMs;
 }
--- a/src/core/server-health/create-server-health.ts
+++ b/src/core/server-health/create-server-health.ts
@@ -4,9 +4,10 @@
 import type { Logger } from '../events';
 import type { GossipBoard, GossipEntry } from '../gossip';
 import type { MembershipView } from '../membership';
+import { pickIndex } from '../random';
 import type { RandomSource } from '../random';
 import { isOnDuty } from './assign-checks';
-import { chooseUsable, doubtsOwnChecks } from './choose-usable';
+import { chooseUsable, mayTellDown } from './choose-usable';
 import { SERVER_HEALTH_EVENTS } from './events';
 import { MARK_RENEWAL_MS, fromEntry, markKey, toStatement } from './marks';
 import type { ServerProbe } from './probe-server';
@@ -58,6 +59,8 @@
 const TICK_MS = 200;
 /** A server in question is checked this many times as often, so that doubt is short whichever way it ends. */
 const QUESTIONED_RATE = 4;
+/** Time without any good check after which an instance says in its log that it doubts itself. */
+const DOUBT_AFTER_MS = 2_000;
 
 /** The servers of `region` as they are checked. */
 function checkedServers(
@@ -88,6 +91,8 @@
   const nextCheckAtMs = new Map<string, number>();
   const checking = new Set<string>();
   const told = new Map<string, { kind: ServerStanding['kind']; atMs: number }>();
+  const downSinceMs = new Map<string, number>();
+  let lastGoodCheckAtMs: number | undefined;
   let doubting = false;
   let duty: { readonly liveIds: string; readonly servers: readonly CheckedServer[] } | undefined;
 
@@ -126,6 +131,18 @@
     return servers;
   };
 
+  /** Whether the failure of a server is proven to be the server's; says so in the log when it long is not. */
+  const isProven = (serverId: string): boolean => {
+    const nowMs = clock.monotonicMs();
+    const failedAtMs = downSinceMs.get(serverId) ?? nowMs;
+    if (mayTellDown(failedAtMs, lastGoodCheckAtMs, dutyServers().length)) return true;
+    if (!doubting && nowMs - failedAtMs >= DOUBT_AFTER_MS) {
+      doubting = true;
+      logger.event(SERVER_HEALTH_EVENTS.checksDoubted, { down: downSinceMs.size });
+    }
+    return false;
+  };
+
   const tell = ({ serverId, address }: CheckedServer) => {
     const nowMs = clock.monotonicMs();
     const { standing, incarnation } = book.ownStanding(serverId, nowMs);
@@ -134,32 +151,40 @@
     const isRenewal =
       standing.kind !== 'usable' && nowMs - (previous?.atMs ?? 0) >= MARK_RENEWAL_MS;
     if (!isNews && !isRenewal) return;
-    const isDoubted = doubting && standing.kind === 'down' && standing.cause === 'checks';
-    if (isDoubted) return;
+    if (standing.kind === 'down' && !isProven(serverId)) return;
     told.set(serverId, { kind: standing.kind, atMs: nowMs });
     const key = markKey(serverId, address);
     gossip.put(toStatement(key, { kind: standing.kind, incarnation }, region, clock.unixMs()));
   };
 
-  const judgeOwnNetwork = () => {
-    const nowMs = clock.monotonicMs();
-    const checked = book.servers().filter(({ serverId }) => nextCheckAtMs.has(serverId));
-    const failing = checked.filter(
-      ({ serverId }) => causeOf(book.ownStanding(serverId, nowMs).standing) === 'checks',
+  /** Brings the check of another server forward, whose good answer would show that this instance has a network. */
+  const seekProof = (downServer: CheckedServer) => {
+    const others = dutyServers().filter(
+      (server) => server !== downServer && book.standing(server.serverId).kind === 'usable',
     );
-    const doubted = doubtsOwnChecks(checked.length, failing.length);
-    if (doubted && !doubting) {
-      logger.event(SERVER_HEALTH_EVENTS.checksDoubted, {
-        checked: checked.length,
-        failing: failing.length,
-      });
+    const other = others[pickIndex(random, others.length)];
+    if (other !== undefined) nextCheckAtMs.set(other.serverId, clock.monotonicMs());
+  };
+
+  const noteCheck = (server: CheckedServer, observation: ServerObservation) => {
+    const { serverId } = server;
+    const nowMs = clock.monotonicMs();
+    if (observation.kind !== 'failed') {
+      lastGoodCheckAtMs = nowMs;
+      doubting = false;
+    }
+    if (causeOf(book.ownStanding(serverId, nowMs).standing) !== 'checks') {
+      downSinceMs.delete(serverId);
+      return;
     }
-    doubting = doubted;
+    if (downSinceMs.has(serverId)) return;
+    downSinceMs.set(serverId, nowMs);
+    seekProof(server);
   };
 
   const observe = (server: CheckedServer, observation: ServerObservation) => {
     book.observe(server.serverId, observation, clock.monotonicMs());
-    judgeOwnNetwork();
+    noteCheck(server, observation);
     tell(server);
   };
 
--- a/src/core/server-health/events.ts
+++ b/src/core/server-health/events.ts
@@ -27,7 +27,7 @@
     id: 1503,
     name: 'checks-doubted',
     level: 'warn',
-    text: 'Most of the servers that this instance checks fail at once; it does not tell its peers.',
+    text: 'No server that this instance checks answers; it does not tell its peers that they are down.',
     action:
       'Look at the network of this instance first, and at the servers only if others report them too.',
   },
--- /dev/null
+++ b/src/core/server-health/server-book.test.ts
@@ -0,0 +1,115 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createServerBook } from './server-book';
+import { SLOW_START_LEAST_SHARE } from './slow-start';
+import type { CheckedServer, ServerObservation } from './types';
+
+const server = (serverId: string, address = '10.0.0.1:80'): CheckedServer => ({
+  serverId,
+  address,
+  service: 'kit-assistant',
+  rules: {
+    path: '/health',
+    intervalMs: 1_000,
+    timeoutMs: 500,
+    failuresToDown: 2,
+    successesToUp: 2,
+    slowStartMs: 10_000,
+  },
+});
+
+const healthy = (incarnation?: string): ServerObservation => ({ kind: 'healthy', incarnation });
+const draining = (incarnation?: string): ServerObservation => ({ kind: 'draining', incarnation });
+const failed: ServerObservation = { kind: 'failed', reason: 'refused' };
+
+interface Step {
+  readonly atMs: number;
+  readonly observation: ServerObservation;
+  readonly share: number;
+}
+
+interface Case {
+  readonly name: string;
+  readonly steps: readonly Step[];
+}
+
+const cases: readonly Case[] = [
+  {
+    name: 'goes down at the second failure and comes back slowly after two good checks',
+    steps: [
+      { atMs: 1_000, observation: failed, share: 1 },
+      { atMs: 2_000, observation: failed, share: 0 },
+      { atMs: 3_000, observation: healthy(), share: 0 },
+      { atMs: 4_000, observation: healthy(), share: SLOW_START_LEAST_SHARE },
+      { atMs: 9_000, observation: healthy(), share: 0.5 },
+      { atMs: 20_000, observation: healthy(), share: 1 },
+    ],
+  },
+  {
+    name: 'one failure between good checks changes nothing',
+    steps: [
+      { atMs: 1_000, observation: failed, share: 1 },
+      { atMs: 2_000, observation: healthy(), share: 1 },
+      { atMs: 3_000, observation: failed, share: 1 },
+    ],
+  },
+  {
+    // A server's word is no symptom to be confirmed: waiting for a second answer gives it work for nothing.
+    name: 'stops at the first word of the server itself',
+    steps: [{ atMs: 1_000, observation: draining(), share: 0 }],
+  },
+  {
+    // The new process answers the first check as if nothing had been, but its cache is empty.
+    name: 'starts slowly when another start answers under the same address',
+    steps: [
+      { atMs: 1_000, observation: healthy('start-1'), share: 1 },
+      { atMs: 2_000, observation: draining('start-1'), share: 0 },
+      { atMs: 3_000, observation: healthy('start-2'), share: SLOW_START_LEAST_SHARE },
+      { atMs: 8_000, observation: healthy('start-2'), share: 0.5 },
+    ],
+  },
+];
+
+describe('the book of backend servers', () => {
+  for (const { name, steps } of cases) {
+    it(name, () => {
+      const book = createServerBook(() => {});
+      book.replaceServers([server('engine-1')], 0);
+      for (const { atMs, observation, share } of steps) {
+        book.observe('engine-1', observation, atMs);
+        assert.equal(book.share('engine-1', atMs), share, `at ${atMs} ms`);
+      }
+    });
+  }
+
+  it('starts a server slowly that a later configuration adds or moves, and no other', () => {
+    const book = createServerBook(() => {});
+    book.replaceServers([server('engine-1'), server('engine-2')], 0);
+    book.replaceServers(
+      [server('engine-1'), server('engine-2', '10.0.0.2:80'), server('engine-3')],
+      5_000,
+    );
+    const shares = ['engine-1', 'engine-2', 'engine-3'].map((id) => book.share(id, 5_000));
+    assert.deepEqual(shares, [1, SLOW_START_LEAST_SHARE, SLOW_START_LEAST_SHARE]);
+  });
+
+  it('tells each change of standing once', () => {
+    const changes: string[] = [];
+    const book = createServerBook(({ serverId }, { kind }) => changes.push(`${serverId} ${kind}`));
+    book.replaceServers([server('engine-1')], 0);
+    for (const atMs of [1, 2, 3]) book.observe('engine-1', failed, atMs);
+    for (const atMs of [4, 5, 6]) book.observe('engine-1', healthy(), atMs);
+    assert.deepEqual(changes, ['engine-1 down', 'engine-1 usable']);
+  });
+
+  it('keeps only what is of concern to look after', () => {
+    const book = createServerBook(() => {});
+    book.replaceServers([server('engine-1'), server('engine-2')], 0);
+    book.observe('engine-1', healthy(), 1);
+    book.observe('engine-2', failed, 1);
+    assert.deepEqual(
+      book.concerned().map(({ serverId }) => serverId),
+      ['engine-2'],
+    );
+  });
+});
--- /dev/null
+++ b/src/core/server-health/watch-server-list.test.ts
@@ -0,0 +1,76 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createSystemClock } from '../../runtime/system-clock';
+import { createDisposableStore } from '../lifetime';
+import { createMemoryLogger, waitFor } from '../../testing';
+import { openServerListStandIn } from '../../../standins/server-list';
+import type { ServerHealth } from './create-server-health';
+import type { CheckedServer, ListStatus } from './types';
+import { watchServerLists } from './watch-server-list';
+
+const checked = (serverId: string, address: string): CheckedServer => ({
+  serverId,
+  address,
+  service: 'kit-assistant',
+  rules: {
+    path: '/health',
+    intervalMs: 1_000,
+    timeoutMs: 500,
+    failuresToDown: 2,
+    successesToUp: 2,
+    slowStartMs: 0,
+  },
+});
+
+/** Health that only notes what the list says. */
+function createListNotes(isOnDuty: boolean) {
+  const statuses = new Map<string, ListStatus>();
+  const health: Pick<ServerHealth, 'servers' | 'noteList' | 'isOnDuty'> = {
+    servers: () => [checked('engine-1', '10.0.0.1:80'), checked('engine-2', '10.0.0.2:80')],
+    noteList: (serverId, status) => statuses.set(serverId, status),
+    isOnDuty: () => isOnDuty,
+  };
+  return { statuses, health };
+}
+
+describe('the watch of the platform’s server list', () => {
+  // The platform marks a server as leaving minutes before it stops it. Unless the list is watched, the first
+  // sign is the cut of every stream that the server has.
+  it('notes a server that starts to leave, and one that the list lacks', async () => {
+    await using list = await openServerListStandIn();
+    list.setServers('kit-assistant', [{ id: 'a', address: '10.0.0.1:80', state: 'passing' }]);
+    const { statuses, health } = createListNotes(true);
+    await using owned = createDisposableStore();
+    owned.add(
+      watchServerLists({
+        clock: createSystemClock(),
+        logger: createMemoryLogger(),
+        health,
+        url: `http://${list.address}`,
+      }),
+    );
+    await waitFor(() => statuses.get('engine-1') === 'passing', 'the first list');
+    assert.equal(statuses.get('engine-2'), 'missing');
+    list.setServers('kit-assistant', [{ id: 'a', address: '10.0.0.1:80', state: 'leaving' }]);
+    await waitFor(() => statuses.get('engine-1') === 'leaving', 'the change of the list');
+  });
+
+  it('reads nothing on an instance that is not on duty', async () => {
+    await using list = await openServerListStandIn();
+    const { statuses, health } = createListNotes(false);
+    await using owned = createDisposableStore();
+    owned.add(
+      watchServerLists({
+        clock: createSystemClock(),
+        logger: createMemoryLogger(),
+        health,
+        url: `http://${list.address}`,
+      }),
+    );
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    assert.equal(statuses.size, 0);
+    assert.equal(list.heldCount(), 0);
+  });
+});
--- a/src/core/server-health/watch-server-list.ts
+++ b/src/core/server-health/watch-server-list.ts
@@ -12,7 +12,7 @@
 export interface ServerListWatchOptions {
   readonly clock: Clock;
   readonly logger: Logger;
-  readonly health: ServerHealth;
+  readonly health: Pick<ServerHealth, 'servers' | 'noteList' | 'isOnDuty'>;
   /** Base URL of a catalogue that speaks the Consul health HTTP API. */
   readonly url: string;
 }
