--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -1,11 +1,13 @@
 import { createInFlight, createServerSender } from '../backends';
 import type { Clock } from '../clock';
-import { createConfigurationStore } from '../configuration';
+import { createConfigurationStore, currentResilience } from '../configuration';
 import type { Logger } from '../events';
 import { createGossipBoard } from '../gossip';
 import { openHttpEdge } from '../http-edge';
 import { createDisposableStore } from '../lifetime';
 import { createMembership } from '../membership';
+import { createMetrics } from '../metrics';
+import { openOperatorListener } from '../operators';
 import {
   channelCredentials,
   createExchangeTransport,
@@ -15,6 +17,7 @@
   secretMetadata,
   serverCredentials,
 } from '../peers';
+import { createPoisonGuard, fingerprintKey } from '../poison';
 import type { RandomSource } from '../random';
 import { watchConfiguration } from '../platform';
 import {
@@ -35,12 +38,15 @@
   readonly random: RandomSource;
   readonly logger: Logger;
   readonly newRequestId: () => string;
+  /** Version of this release, for operators. */
+  readonly release: string;
 }
 
 /** A running instance. */
 export interface GatewayNode extends AsyncDisposable {
   readonly callerAddress: string;
   readonly peerAddress: string;
+  readonly operatorAddress: string;
   /** Tells all that this instance is leaving, and resolves when nothing is in flight. */
   drain(): Promise<void>;
   /** Requests in flight at servers. */
@@ -71,6 +77,7 @@
   const inFlight = createInFlight();
   const sender = owned.add(createServerSender());
   const forwarder = createPeerForwarder({ clock, connections, metadata, instanceId });
+  const metrics = createMetrics();
   let callerAddress = '';
   let peerAddress = '';
 
@@ -107,6 +114,15 @@
     }),
   );
 
+  const poison = owned.add(
+    createPoisonGuard({
+      clock,
+      logger,
+      gossip,
+      key: fingerprintKey(settings.peerSecret),
+      options: () => currentResilience(configuration).poison,
+    }),
+  );
   const serving = createServing({
     clock,
     random,
@@ -118,6 +134,7 @@
     membership,
     gossip,
     availability: health,
+    poison,
     inFlight,
     sender: observeSender(sender, health),
     forwarder,
@@ -147,11 +164,41 @@
       membership,
       serving,
       limits: settings.limits,
+      metrics,
       newRequestId,
     }),
   );
   callerAddress = advertised.callers ?? addressOf(listeners.callers.host, edge.port);
 
+  const isReady = () =>
+    configuration.current() !== undefined && membership.self().status === 'alive';
+  metrics.gauge('coltsfootworks_in_flight_requests', 'Requests open at servers', () =>
+    inFlight.totalRequests(),
+  );
+  metrics.gauge(
+    'coltsfootworks_configuration_version',
+    'Version of the configuration in force',
+    () => configuration.current()?.version ?? 0,
+  );
+  const operators = owned.add(
+    await openOperatorListener({
+      ...listeners.operators,
+      operatorKey: settings.operatorKey,
+      configuration,
+      metrics,
+      status: () => ({
+        instanceId,
+        version: options.release,
+        region,
+        failureDomain,
+        ready: isReady(),
+        configurationVersion: configuration.current()?.version ?? 0,
+        inFlightRequests: inFlight.totalRequests(),
+        members: membership.members(),
+      }),
+    }),
+  );
+
   const { configurationUrl: url, configurationKey: key } = settings.platform;
   owned.add(watchConfiguration({ clock, logger, store: configuration, url, key }));
   membership.start();
@@ -165,9 +212,10 @@
   return {
     callerAddress,
     peerAddress,
+    operatorAddress: addressOf(listeners.operators.host, operators.port),
     inFlightRequests: () => inFlight.totalRequests(),
     knownPeerCount: () => membership.usablePeers().length,
-    isReady: () => configuration.current() !== undefined && membership.self().status === 'alive',
+    isReady,
     configurationVersion: () => configuration.current()?.version ?? 0,
     async drain() {
       logger.event(NODE_EVENTS.stopping, { inFlightRequests: inFlight.totalRequests() });
--- a/src/core/serving/dependencies.ts
+++ b/src/core/serving/dependencies.ts
@@ -5,6 +5,7 @@
 import type { GossipBoard } from '../gossip';
 import type { MembershipView } from '../membership';
 import type { PeerForwarder } from '../peers';
+import type { PoisonGuard } from '../poison';
 import type { RandomSource } from '../random';
 import type { ServerAvailability } from '../server-health';
 
@@ -20,7 +21,8 @@
   readonly membership: MembershipView;
   readonly gossip: GossipBoard;
   readonly availability: ServerAvailability;
+  readonly poison: PoisonGuard;
   readonly inFlight: InFlight;
-  readonly sender: ServerSender;
+  readonly sender: Pick<ServerSender, 'send'>;
   readonly forwarder: PeerForwarder;
 }
