--- a/src/core/metrics/create-metrics.ts
+++ b/src/core/metrics/create-metrics.ts
@@ -1,6 +1,6 @@
 import { build } from 'hdr-histogram-js';
 import type { Histogram } from 'hdr-histogram-js';
-import { Counter, Gauge, Registry } from 'prom-client';
+import { Counter, Gauge, Registry, collectDefaultMetrics } from 'prom-client';
 
 /** Counts and latencies of one instance, for the Prometheus text format. */
 export interface Metrics {
@@ -73,6 +73,8 @@
 /** Metrics that start at zero. */
 export function createMetrics(): Metrics {
   const registry = new Registry();
+  // Processor time, memory and event-loop delay of the process, under the names that dashboards know.
+  collectDefaultMetrics({ register: registry });
   const counter = (name: string, help: string, labelNames: string[]) =>
     new Counter({ name, help, labelNames, registers: [registry] });
 
