--- a/src/core/backends/index.ts
+++ b/src/core/backends/index.ts
@@ -1,5 +1,7 @@
 /** Backend servers: what is open there, and sending to them. */
 export { createInFlight } from './in-flight';
 export type { InFlight } from './in-flight';
-export { createServerSender, evidenceOfFailure, isEndToEndHeader } from './send-to-server';
+export { evidenceAfterSending, evidenceOfFailure } from './evidence';
+export { isEndToEndHeader } from './read-answer';
+export { createServerSender } from './send-to-server';
 export type { SendTarget, ServerSender } from './send-to-server';
--- a/src/core/configuration/service-schema.ts
+++ b/src/core/configuration/service-schema.ts
@@ -29,6 +29,12 @@
     .describe(
       'Silence of a server in the middle of an answer after which its connection counts as dead, ms',
     ),
+  echoesRequestId: z
+    .boolean()
+    .default(false)
+    .describe(
+      'Whether its servers answer with the x-request-id that they were given; an answer with another is dropped',
+    ),
 };
 
 const modelService = z.strictObject({
@@ -61,6 +67,12 @@
     .array(z.int().min(400).max(599))
     .default([])
     .describe('Statuses by which this application vouches that the call did not run'),
+  ticketValidMs: z
+    .int()
+    .min(1_000)
+    .max(3_600_000)
+    .default(120_000)
+    .describe('Time in which a ticket is redeemed, and its answer may be had again, ms'),
 });
 
 /** A service of either kind. */
--- a/src/core/outcomes/judge-outcome.ts
+++ b/src/core/outcomes/judge-outcome.ts
@@ -14,6 +14,9 @@
       return evidence.vouches ? 'notRun' : 'unknown';
     case 'refusedByServer':
       return evidence.declaredNotRun ? 'notRun' : 'unknown';
+    case 'ranBefore':
+      return 'ran';
+    case 'ticketNotVouchedFor':
     case 'lostAfterSending':
       return 'unknown';
     default:
--- a/src/core/outcomes/types.ts
+++ b/src/core/outcomes/types.ts
@@ -1,5 +1,8 @@
-/** What a caller may rely on after a refusal: the request did not run and never will, or nobody can say. */
-export type Outcome = 'notRun' | 'unknown';
+/**
+ * What a caller may rely on after a refusal: the request did not run and never will; it ran and was answered,
+ * but the answer is no longer held; or nobody can say.
+ */
+export type Outcome = 'notRun' | 'ran' | 'unknown';
 
 /** How an attempt was lost after bytes may have left. */
 export type LossCause =
@@ -13,5 +16,12 @@
   | { readonly kind: 'refusedByPeer'; readonly vouches: boolean }
   /** A backend server refused; `declaredNotRun` when the configuration says its status means so. */
   | { readonly kind: 'refusedByServer'; readonly declaredNotRun: boolean }
+  /**
+   * A one-use ticket was presented, and this instance cannot speak for it: its owner was not reached, or
+   * the ticket does not match its record. An earlier presentation may have run.
+   */
+  | { readonly kind: 'ticketNotVouchedFor' }
+  /** An earlier presentation of the same ticket was answered by the backend server. */
+  | { readonly kind: 'ranBefore' }
   /** Bytes may have left, and no answer came. */
   | { readonly kind: 'lostAfterSending'; readonly cause: LossCause };
--- a/src/core/refusals/catalogue.ts
+++ b/src/core/refusals/catalogue.ts
@@ -46,6 +46,48 @@
     title: 'This data may not be handled in this region',
     hint: 'Use one of the entries named in the answer.',
   },
+  ticketRequired: {
+    slug: 'ticket-required',
+    status: 428,
+    title: 'This call runs at most once and needs a ticket',
+    hint: 'Send the same call again with the header "idempotency-ticket" and the ticket of this answer.',
+  },
+  ticketExpired: {
+    slug: 'ticket-expired',
+    status: 410,
+    title: 'The ticket has expired',
+    hint: 'If the outcome is notRun, send the call again with the ticket of this answer; else look whether it ran.',
+  },
+  ticketNotKnown: {
+    slug: 'ticket-not-known',
+    status: 409,
+    title: 'No instance can say what became of this ticket',
+    hint: 'Look in the application whether the call ran before you place it again with another ticket.',
+  },
+  ticketMismatch: {
+    slug: 'ticket-mismatch',
+    status: 422,
+    title: 'The ticket belongs to another call',
+    hint: 'Present a ticket only with the call, body and key that it was first used with.',
+  },
+  answerNotHeld: {
+    slug: 'answer-not-held',
+    status: 409,
+    title: 'The call ran, but its answer is no longer held',
+    hint: 'Do not place it again; look up its result in the application.',
+  },
+  callerGone: {
+    slug: 'caller-gone',
+    status: 409,
+    title: 'The call was given up before it was sent, since its caller had gone',
+    hint: 'Send it again with the ticket of this answer.',
+  },
+  serverRefused: {
+    slug: 'server-refused',
+    status: 503,
+    title: 'The server refused the call and vouches that it did not run',
+    hint: 'Try again later.',
+  },
   noServer: {
     slug: 'no-server',
     status: 503,
--- a/src/core/refusals/index.ts
+++ b/src/core/refusals/index.ts
@@ -4,4 +4,4 @@
 export { PROBLEM_MEDIA_TYPE, PROBLEM_TYPE_PREFIX, retryAfterSeconds, toProblem } from './problem';
 export type { Problem } from './problem';
 export { RefusalError } from './refusal-error';
-export type { RefusalCase } from './refusal-error';
+export type { RefusalCase, RefusalTicket } from './refusal-error';
--- a/src/core/refusals/problem.ts
+++ b/src/core/refusals/problem.ts
@@ -19,6 +19,9 @@
   readonly peer?: string;
   readonly requestId: string;
   readonly retryAtUnixMs?: number;
+  /** A new ticket, where the call may be sent again at once or later. */
+  readonly ticket?: string;
+  readonly ticketExpiresAtUnixMs?: number;
 }
 
 /** The answer to send for `refusal`. */
@@ -34,6 +37,12 @@
     ...(refusal.peer === undefined ? {} : { peer: refusal.peer }),
     requestId,
     ...(refusal.retryAtUnixMs === undefined ? {} : { retryAtUnixMs: refusal.retryAtUnixMs }),
+    ...(refusal.ticket === undefined
+      ? {}
+      : {
+          ticket: refusal.ticket.ticket,
+          ticketExpiresAtUnixMs: refusal.ticket.expiresAtUnixMs,
+        }),
   };
 }
 
--- a/src/core/refusals/refusal-error.ts
+++ b/src/core/refusals/refusal-error.ts
@@ -4,6 +4,12 @@
 import type { Evidence, Outcome } from '../outcomes';
 import type { RefusalDefinition } from './catalogue';
 
+/** A ticket with which a call that did not run may be sent again. */
+export interface RefusalTicket {
+  readonly ticket: string;
+  readonly expiresAtUnixMs: number;
+}
+
 /** The facts of one refusal. */
 export interface RefusalCase extends ErrorPlace {
   /** What happened this time, for a person to read. */
@@ -12,6 +18,7 @@
   /** When trying again is likely to help; absent where waiting helps nothing. */
   readonly retryAtUnixMs?: number | undefined;
   readonly cause?: unknown;
+  readonly ticket?: RefusalTicket | undefined;
 }
 
 /** A request that is refused, on its way to whoever answers the caller. */
@@ -22,6 +29,8 @@
 
   readonly retryAtUnixMs: number | undefined;
 
+  readonly ticket: RefusalTicket | undefined;
+
   constructor(definition: RefusalDefinition, refusal: RefusalCase) {
     super(
       { name: definition.slug, title: definition.title, hint: definition.hint },
@@ -32,6 +41,21 @@
     this.definition = definition;
     this.evidence = refusal.evidence;
     this.retryAtUnixMs = refusal.retryAtUnixMs;
+    this.ticket = refusal.ticket;
+  }
+
+  /** The same refusal with a ticket for sending the call again. */
+  withTicket(ticket: RefusalTicket): RefusalError {
+    const { definition, message, step, peer, evidence, retryAtUnixMs, cause } = this;
+    const place = peer === undefined ? { step } : { step, peer };
+    return new RefusalError(definition, {
+      ...place,
+      detail: message,
+      evidence,
+      retryAtUnixMs,
+      cause,
+      ticket,
+    });
   }
 
   /** What the caller is told about whether the request ran. */
--- a/src/core/serving/index.ts
+++ b/src/core/serving/index.ts
@@ -3,4 +3,11 @@
 export { createServing } from './serve-request';
 export type { Serving } from './serve-request';
 export type { ServingDependencies } from './dependencies';
-export type { GatewayRequest, Header, RequestOrigin, ResponseHead, ResponseSink } from './types';
+export type {
+  GatewayRequest,
+  Header,
+  RequestOrigin,
+  ResponseHead,
+  ResponseSink,
+  SendGuard,
+} from './types';
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -1,4 +1,5 @@
 import type { Caller, CompiledConfiguration, Service } from '../configuration';
+import type { Evidence } from '../outcomes';
 
 /** One header line. */
 export interface Header {
@@ -10,6 +11,22 @@
 export type RequestOrigin =
   { readonly kind: 'caller' } | { readonly kind: 'peer'; readonly instanceId: string };
 
+/**
+ * Has the last word before a request leaves this process.
+ *
+ * Checks made earlier go stale: a process may sleep between the check and the send, or the request may be
+ * cancelled meanwhile. Whoever sends asks the guard directly before the first byte, and tells it what became
+ * of the send, so that one place knows whether anything may have run.
+ */
+export interface SendGuard {
+  /** Given to the backend server as `Idempotency-Key`; such a request is sent at most once, on a fresh connection. */
+  readonly idempotencyKey: string | undefined;
+  /** Notes that the first byte leaves now; throws a `RefusalError` where it must not. */
+  beginSend(): void;
+  /** Tells what the failure of a send that was begun proves. */
+  sendFailed(evidence: Evidence): void;
+}
+
 /** A request that has been read, authenticated and matched to a service. */
 export interface GatewayRequest {
   readonly requestId: string;
@@ -28,6 +45,8 @@
   readonly deadlineAtMs: number;
   /** The version in force when the request came; it sees no other, save for a tightened residency. */
   readonly configuration: CompiledConfiguration;
+  /** Asked before each send; absent where a request may be sent at any time and repeated. */
+  readonly guard?: SendGuard;
 }
 
 /** Start of an answer. */
