Let peers settle lost forwards by asking, and prove connections before orders

Cause: a forwarded request whose peer slept could be told not run and still be sent once the peer woke. Ruled out: judging by timeouts; a peer replaced under the same name would vouch for what its predecessor ran, so the process is named in each message. Conclusion: only the addressed process can vouch, and what it has vouched for it never sends.

--- a/src/core/peers/forward.ts
+++ b/src/core/peers/forward.ts
@@ -1,15 +1,17 @@
-import { create } from '@bufbuild/protobuf';
 import type { ClientReadableStream, Metadata } from '@grpc/grpc-js';
 import { status as grpcStatus } from '@grpc/grpc-js';
-import { ForwardRequestSchema } from '../../gen/forward_pb';
-import type { ForwardEvent, ForwardRefusal } from '../../gen/forward_pb';
+import type { ForwardEvent } from '../../gen/forward_pb';
 import type { Clock } from '../clock';
 import { errorText } from '../errors';
-import type { Evidence } from '../outcomes';
-import { REFUSALS, RefusalError, refusalBySlug } from '../refusals';
+import { RefusalError } from '../refusals';
 import type { GatewayRequest, ResponseSink } from '../serving/types';
+import { createCanceller } from './cancel';
 import { PEER_SERVICE } from './definition';
+import { createForwardAnswer, lostForward } from './forward-answer';
+import type { AttemptId } from './forward-ledger';
+import { toForwardMessage } from './forward-message';
 import type { PeerConnections } from './peer-connections';
+import { proveConnection } from './prove-connection';
 
 /** Where a request is forwarded and until when. */
 export interface ForwardTarget {
@@ -17,6 +19,8 @@
   readonly peerAddress: string;
   readonly timeLeftMs: number;
   readonly signal: AbortSignal;
+  /** A ticket of the target's own, which it redeems; the target is then the only one that may run the call. */
+  readonly ticket?: string;
 }
 
 /** Hands requests to instances of other regions. */
@@ -31,112 +35,99 @@
   readonly connections: PeerConnections;
   readonly metadata: Metadata;
   readonly instanceId: string;
-}
-
-function toMessage(request: GatewayRequest, target: ForwardTarget, instanceId: string) {
-  return create(ForwardRequestSchema, {
-    requestId: request.requestId,
-    attempt: request.attempt,
-    fromInstanceId: instanceId,
-    callerId: request.caller.id,
-    service: request.service.name,
-    method: request.method,
-    path: request.path,
-    headers: request.headers.map((header) => ({ ...header })),
-    body: request.body,
-    timeLeftMs: target.timeLeftMs,
-    configurationVersion: BigInt(request.configuration.version),
-  });
-}
-
-function peerRefusal(refusal: ForwardRefusal, peer: string): RefusalError {
-  const definition = refusalBySlug(refusal.refusal) ?? REFUSALS.peerFailed;
-  const retryAtUnixMs = Number(refusal.retryAtUnixMs);
-  return new RefusalError(definition, {
-    detail: refusal.detail,
-    step: 'forward',
-    peer,
-    evidence: { kind: 'refusedByPeer', vouches: refusal.notRun },
-    ...(retryAtUnixMs === 0 ? {} : { retryAtUnixMs }),
-  });
-}
-
-function lost(peer: string, detail: string, evidence: Evidence, cause?: unknown): RefusalError {
-  return new RefusalError(REFUSALS.peerFailed, { detail, step: 'forward', peer, evidence, cause });
-}
-
-/** Passes on one event; true once the answer is whole. */
-async function passOn(
-  { event, requestId, attempt }: ForwardEvent,
-  request: GatewayRequest,
-  sink: ResponseSink,
-  peer: string,
-): Promise<boolean> {
-  if (requestId !== request.requestId || attempt !== request.attempt) {
-    const detail = 'The answer belongs to another request.';
-    throw lost(peer, detail, { kind: 'lostAfterSending', cause: 'malformed' });
-  }
-  switch (event.case) {
-    case 'head':
-      sink.sendHead({ status: event.value.status, headers: event.value.headers });
-      return false;
-    case 'chunk':
-      await sink.sendChunk(event.value);
-      return false;
-    case 'end':
-      sink.end();
-      return true;
-    case 'refusal':
-      throw peerRefusal(event.value, peer);
-    case undefined:
-      throw lost(peer, 'Empty event.', { kind: 'lostAfterSending', cause: 'malformed' });
-    default:
-      return event satisfies never;
-  }
+  readonly incarnation: number;
+  /** The process that an instance is known to run; undefined for one that is not known. */
+  readonly incarnationOf: (instanceId: string) => number | undefined;
 }
 
 /** Forwarding over gRPC. */
 export function createPeerForwarder(options: ForwarderOptions): PeerForwarder {
-  const { clock, connections, metadata, instanceId } = options;
+  const { clock, connections, metadata, instanceId, incarnation, incarnationOf } = options;
+  const cancelAttempt = createCanceller(clock, connections, metadata);
+  const serials = new Map<string, number>();
 
-  const open = (target: ForwardTarget, request: GatewayRequest) => {
+  const nextAttemptId = (peer: string): AttemptId => {
+    const serial = (serials.get(peer) ?? 0) + 1;
+    serials.set(peer, serial);
+    return {
+      fromInstanceId: instanceId,
+      fromIncarnation: incarnation,
+      toIncarnation: incarnationOf(peer) ?? 0,
+      serial,
+    };
+  };
+
+  const open = (target: ForwardTarget, request: GatewayRequest, attemptId: AttemptId) => {
     const { path, requestSerialize, responseDeserialize } = PEER_SERVICE.forward;
+    const { timeLeftMs, ticket } = target;
     return connections
       .to(target.peerAddress)
       .makeServerStreamRequest(
         path,
         requestSerialize,
         responseDeserialize,
-        toMessage(request, target, instanceId),
+        toForwardMessage(request, { attemptId, timeLeftMs, ticket }),
         metadata,
-        { deadline: clock.unixMs() + target.timeLeftMs },
+        { deadline: clock.unixMs() + timeLeftMs },
       );
   };
 
+  const receive = async (
+    call: ClientReadableStream<ForwardEvent>,
+    request: GatewayRequest,
+    sink: ResponseSink,
+    peer: string,
+  ): Promise<void> => {
+    const answer = createForwardAnswer(request, sink, peer);
+    for await (const event of call) {
+      if (await answer.take(event as ForwardEvent)) return;
+    }
+    const evidence = { kind: 'lostAfterSending', cause: 'peerFellSilent' } as const;
+    throw lostForward(peer, 'The answer ended early.', evidence);
+  };
+
+  const asRefusal = (error: unknown, peer: string): RefusalError => {
+    if (error instanceof RefusalError) return error;
+    const isLate =
+      error instanceof Error && 'code' in error && error.code === grpcStatus.DEADLINE_EXCEEDED;
+    const cause = isLate ? 'timeout' : 'peerFellSilent';
+    return lostForward(peer, errorText(error), { kind: 'lostAfterSending', cause }, error);
+  };
+
+  /** Asks the peer about a lost attempt; only its own word turns the loss into `notRun`. */
+  const settle = async (
+    refusal: RefusalError,
+    target: ForwardTarget,
+    request: GatewayRequest,
+    attemptId: AttemptId,
+  ): Promise<RefusalError> => {
+    if (refusal.evidence.kind !== 'lostAfterSending' || target.ticket !== undefined) return refusal;
+    const asked = cancelAttempt(target.peerAddress, request, attemptId);
+    // Waiting is worth while only where the outcome decides whether the caller may send the call again.
+    if (request.guard?.idempotencyKey === undefined || target.signal.aborted) return refusal;
+    if ((await asked) !== true) return refusal;
+    const evidence = { kind: 'refusedByPeer', vouches: true } as const;
+    return lostForward(target.instanceId, refusal.message, evidence, refusal);
+  };
+
   return {
     async forward(target, request, sink) {
       const peer = target.instanceId;
-      const call: ClientReadableStream<ForwardEvent> = open(target, request);
+      const guard = target.ticket === undefined ? request.guard : undefined;
+      await proveConnection(connections, clock, target, request, cancelAttempt);
+      guard?.beginSend();
+      const attemptId = nextAttemptId(peer);
+      const call: ClientReadableStream<ForwardEvent> = open(target, request, attemptId);
       const cancel = () => call.cancel();
       target.signal.addEventListener('abort', cancel, { once: true });
       try {
-        for await (const event of call) {
-          if (await passOn(event as ForwardEvent, request, sink, peer)) return;
-        }
-        throw lost(peer, 'The answer ended early.', {
-          kind: 'lostAfterSending',
-          cause: 'peerFellSilent',
-        });
+        await receive(call, request, sink, peer);
       } catch (error) {
-        if (error instanceof RefusalError) throw error;
-        const isLate =
-          error instanceof Error && 'code' in error && error.code === grpcStatus.DEADLINE_EXCEEDED;
-        throw lost(
-          peer,
-          errorText(error),
-          { kind: 'lostAfterSending', cause: isLate ? 'timeout' : 'peerFellSilent' },
-          error,
-        );
+        call.cancel();
+        const lost = asRefusal(error, peer);
+        const refusal = sink.headSent ? lost : await settle(lost, target, request, attemptId);
+        guard?.sendFailed(refusal.evidence);
+        throw refusal;
       } finally {
         target.signal.removeEventListener('abort', cancel);
         call.cancel();
--- a/src/core/peers/peer-server.ts
+++ b/src/core/peers/peer-server.ts
@@ -32,6 +32,8 @@
 export interface PeerHandlers {
   /** Takes in what a peer knows and returns what is known here. */
   exchange(members: readonly MemberState[]): readonly MemberState[];
+  /** Gives an attempt up; true if nothing of it was sent and nothing will be. */
+  cancel(message: CancelRequest): boolean;
   /** Serves a forwarded request from this region, or throws a `RefusalError`. */
   serveForwarded(message: ForwardRequest, sink: ResponseSink, signal: AbortSignal): Promise<void>;
 }
@@ -73,6 +75,7 @@
         refusal: refusal.definition.slug,
         detail: refusal.message,
         notRun: refusal.outcome === 'notRun',
+        ran: refusal.outcome === 'ran',
         retryAtUnixMs: BigInt(refusal.retryAtUnixMs ?? 0),
       }),
     },
@@ -124,7 +127,8 @@
       respond(UNAUTHENTICATED);
       return;
     }
-    respond(null, create(CancelResponseSchema, { neverSent: false }));
+    const neverSent = options.handlers.cancel(call.request);
+    respond(null, create(CancelResponseSchema, { neverSent }));
   };
 }
 
--- a/src/core/retries/repeatable.ts
+++ b/src/core/retries/repeatable.ts
@@ -1,4 +1,5 @@
 import type { Service } from '../configuration';
+import { isNonRepeatable } from '../tickets';
 
 /** The parts of a request that tell whether it may run twice. */
 export interface RepeatableInput {
@@ -22,12 +23,7 @@
     case 'model':
       return true;
     case 'plain':
-      return (
-        IDEMPOTENT_METHODS.has(method) &&
-        !service.nonRepeatable.some(
-          (rule) => rule.method === method && path.startsWith(rule.pathPrefix),
-        )
-      );
+      return IDEMPOTENT_METHODS.has(method) && !isNonRepeatable(service, method, path);
     default:
       return service satisfies never;
   }
