Run orders under one-use tickets, and answer for them from any instance

Ruled out: keeping the answer only for the first connection; a caller that comes back by another entry needs it too. Conclusion: at most once rests on one process's memory; whoever else is asked says 'unknown' and runs nothing.

--- a/src/core/backends/send-to-server.ts
+++ b/src/core/backends/send-to-server.ts
@@ -68,7 +68,7 @@
       await passAnswerOn(response, request, sink, serverId);
     } finally {
       // A connection on which an answer was left unread, or delivered what was not asked, is closed.
-      if (!response.body.readableEnded) response.body.destroy();
+      if (!response.body.readableEnded) response.body.on('error', () => {}).destroy();
     }
   };
 
--- a/src/core/http-edge/open-http-edge.ts
+++ b/src/core/http-edge/open-http-edge.ts
@@ -7,6 +7,7 @@
 import { SERVING_EVENTS } from '../serving';
 import { answerRefusal } from './answer';
 import { HTTP_EDGE_EVENTS } from './events';
+import { abortAnswer } from './http-sink';
 import { createHandlers } from './routes';
 import type { EdgeExchange, EdgeHandler } from './routes';
 import type { HttpEdge, HttpEdgeOptions } from './types';
@@ -51,7 +52,7 @@
     const refusal = asRefusal(error);
     if (response.headersSent) {
       options.logger.event(SERVING_EVENTS.answerCutShort, { requestId, detail: refusal.message });
-      response.destroy();
+      abortAnswer(response, refusal, requestId, options.clock);
       return;
     }
     logRefusal(options, refusal, requestId);
@@ -73,6 +74,7 @@
 function createRequestListener(options: HttpEdgeOptions) {
   const handlers = createHandlers(options);
   const router = createRouter({ ignoreTrailingSlash: false });
+  const expecting = new WeakSet<IncomingMessage>();
 
   const run = (
     handler: EdgeHandler,
@@ -80,9 +82,17 @@
     response: ServerResponse,
     params: EdgeExchange['params'],
   ) => {
+    const expectsContinue = expecting.has(incoming);
     const requestId = options.newRequestId();
     const signal = goneSignal(response);
-    void handle(options, handler, { incoming, response, requestId, signal, params });
+    void handle(options, handler, {
+      incoming,
+      response,
+      requestId,
+      expectsContinue,
+      signal,
+      params,
+    });
   };
 
   const on = (method: 'GET' | 'POST', path: string, handler: EdgeHandler) =>
@@ -108,7 +118,7 @@
     });
   };
 
-  return (incoming: IncomingMessage, response: ServerResponse): void => {
+  const listener = (incoming: IncomingMessage, response: ServerResponse): void => {
     const found = router.find(incoming.method as 'GET', incoming.url ?? '/');
     if (found === null) {
       run(unknownPath, incoming, response, {});
@@ -116,6 +126,12 @@
     }
     void router.lookup(incoming, response);
   };
+  /** For callers that wait to be asked for their body: a handler that reads it asks, one that refuses does not. */
+  const continueListener = (incoming: IncomingMessage, response: ServerResponse): void => {
+    expecting.add(incoming);
+    listener(incoming, response);
+  };
+  return { listener, continueListener };
 }
 
 function listen(server: Server, { host, port }: HttpEdgeOptions): Promise<number> {
@@ -133,14 +149,16 @@
 /** Opens the callers' listener. */
 export async function openHttpEdge(options: HttpEdgeOptions): Promise<HttpEdge> {
   const { limits, logger } = options;
+  const { listener, continueListener } = createRequestListener(options);
   const server = createServer(
     {
       maxHeaderSize: limits.headerBytes,
       headersTimeout: limits.headerTimeoutMs,
       requestTimeout: limits.bodyTimeoutMs,
     },
-    createRequestListener(options),
+    listener,
   );
+  server.on('checkContinue', continueListener);
   server.maxConnections = limits.connections;
   server.on('clientError', (error, socket) => {
     logger.event(HTTP_EDGE_EVENTS.badConnection, { reason: errorText(error) });
--- a/src/core/http-edge/types.ts
+++ b/src/core/http-edge/types.ts
@@ -4,6 +4,7 @@
 import type { MembershipView } from '../membership';
 import type { Serving } from '../serving';
 import type { Settings } from '../settings';
+import type { NonRepeatableServer, Tickets } from '../tickets';
 
 /** What the callers' listener needs. */
 export interface HttpEdgeOptions {
@@ -15,6 +16,8 @@
   readonly configuration: ConfigurationStore;
   readonly membership: MembershipView;
   readonly serving: Serving;
+  readonly tickets: Tickets;
+  readonly serveNonRepeatable: NonRepeatableServer;
   readonly limits: Settings['limits'];
   /** Makes an id that no other request has. */
   readonly newRequestId: () => string;
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -1,6 +1,6 @@
 import { createInFlight, createServerSender } from '../backends';
 import type { Clock } from '../clock';
-import { createConfigurationStore } from '../configuration';
+import { createConfigurationStore, currentResilience } from '../configuration';
 import type { Logger } from '../events';
 import { createGossipBoard } from '../gossip';
 import { openHttpEdge } from '../http-edge';
@@ -15,12 +15,15 @@
   secretMetadata,
   serverCredentials,
 } from '../peers';
+import { createPoisonGuard, fingerprintKey } from '../poison';
 import type { RandomSource } from '../random';
 import { watchConfiguration } from '../platform';
 import { createServing } from '../serving';
 import type { Settings } from '../settings';
 import { NODE_EVENTS } from './events';
-import { toGatewayRequest } from './serve-forwarded';
+import { createTicketing } from './create-ticketing';
+import { lingerForTickets } from './linger-for-tickets';
+import { createForwardedHandlers } from './serve-forwarded';
 
 /** What an instance is made from. */
 export interface NodeOptions {
@@ -64,7 +67,6 @@
   const gossip = createGossipBoard(instanceId, clock);
   const inFlight = createInFlight();
   const sender = owned.add(createServerSender());
-  const forwarder = createPeerForwarder({ clock, connections, metadata, instanceId });
   let callerAddress = '';
   let peerAddress = '';
 
@@ -87,6 +89,25 @@
     }),
   );
 
+  const poison = owned.add(
+    createPoisonGuard({
+      clock,
+      logger,
+      gossip,
+      key: fingerprintKey(settings.peerSecret),
+      options: () => currentResilience(configuration).poison,
+    }),
+  );
+  const forwarder = createPeerForwarder({
+    clock,
+    connections,
+    metadata,
+    instanceId,
+    incarnation,
+    incarnationOf: (id) =>
+      membership.members().find((member) => member.instanceId === id)?.incarnation,
+  });
+
   const serving = createServing({
     clock,
     random,
@@ -97,11 +118,23 @@
     configuration,
     membership,
     gossip,
+    poison,
     inFlight,
     sender,
     forwarder,
   });
 
+  const { tickets, serveNonRepeatable } = createTicketing({
+    settings,
+    clock,
+    logger,
+    incarnation,
+    configuration,
+    membership,
+    forwarder,
+    serving,
+  });
+
   const peerServer = owned.add(
     await openPeerServer({
       ...listeners.peers,
@@ -109,8 +142,13 @@
       peerSecret: settings.peerSecret,
       handlers: {
         exchange: (members) => membership.receive(members),
-        serveForwarded: (message, sink, signal) =>
-          serving.serve(toGatewayRequest(message, configuration, clock), sink, signal),
+        ...createForwardedHandlers({
+          clock,
+          incarnation,
+          configuration,
+          serving,
+          serveNonRepeatable,
+        }),
       },
     }),
   );
@@ -125,6 +163,8 @@
       configuration,
       membership,
       serving,
+      tickets,
+      serveNonRepeatable,
       limits: settings.limits,
       newRequestId,
     }),
@@ -146,7 +186,9 @@
     async drain() {
       logger.event(NODE_EVENTS.stopping, { inFlightRequests: inFlight.totalRequests() });
       membership.markLeaving();
+      tickets.stopMinting();
       await edge.drain();
+      await lingerForTickets({ clock, logger, tickets, lingerMs: settings.limits.ticketLingerMs });
       logger.event(NODE_EVENTS.stopped);
     },
     [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose](),
--- a/src/core/peers/forward-ledger.ts
+++ b/src/core/peers/forward-ledger.ts
@@ -1,5 +1,7 @@
 import { REFUSALS, RefusalError } from '../refusals';
 import type { SendGuard } from '../serving/types';
+import { createSenderAttempts } from './sender-attempts';
+import type { Attempt, SenderAttempts } from './sender-attempts';
 
 /**
  * What this process knows of each attempt that peers have handed to it.
@@ -12,7 +14,11 @@
  */
 export interface ForwardLedger {
   /** Takes an attempt in once; throws a `RefusalError` for a repeated, cancelled or old one. */
-  receive(attempt: AttemptId, deadlineAtMs: number, idempotencyKey: string | undefined): AttemptGuard;
+  receive(
+    attempt: AttemptId,
+    deadlineAtMs: number,
+    idempotencyKey: string | undefined,
+  ): AttemptGuard;
   /** Gives an attempt up; true if nothing of it has been sent, and then nothing ever will be. */
   cancel(attempt: AttemptId): boolean;
   /** Attempts and tombstones remembered. */
@@ -48,19 +54,9 @@
 const ATTEMPTS_PER_SENDER = 4_096;
 const SWEEP_INTERVAL_MS = 600_000;
 
-interface Attempt {
-  cancelled: boolean;
-  /** Sends begun, less those of which nothing left. */
-  sends: number;
-  over: boolean;
-}
-
-interface Sender {
-  incarnation: number;
-  /** Every serial up to this one that is not in the map is refused. */
-  floor: number;
-  readonly attempts: Map<number, Attempt>;
-  lastHeardAtMs: number;
+interface KnownSender {
+  readonly attempts: SenderAttempts;
+  readonly lastHeardAtMs: number;
 }
 
 function refused(detail: string, vouches: boolean): RefusalError {
@@ -71,17 +67,6 @@
   });
 }
 
-/** Drops the oldest attempts that are over; their serials fall under the floor. */
-function compact(sender: Sender, most: number): void {
-  if (sender.attempts.size <= most) return;
-  for (const [serial, attempt] of sender.attempts) {
-    if (sender.attempts.size <= most / 2) return;
-    if (!attempt.over) continue;
-    sender.attempts.delete(serial);
-    sender.floor = Math.max(sender.floor, serial);
-  }
-}
-
 function createAttemptGuard(
   attempt: Attempt,
   idempotencyKey: string | undefined,
@@ -91,26 +76,24 @@
     idempotencyKey,
     beginSend() {
       if (attempt.cancelled) throw refused('The attempt was cancelled.', true);
-      if (attempt.sends > 0 && idempotencyKey !== undefined) {
+      if (attempt.maySend && idempotencyKey !== undefined) {
         throw refused('The call was sent before and may have run.', false);
       }
       checkDeadline();
-      attempt.sends += 1;
+      attempt.noteSend();
     },
     sendFailed(evidence) {
       // Nothing left, so another server may be tried, and a cancellation may still vouch.
-      if (evidence.kind === 'neverSent') attempt.sends -= 1;
-    },
-    finish() {
-      attempt.over = true;
+      if (evidence.kind === 'neverSent') attempt.undoSend();
     },
+    finish: () => attempt.finish(),
   };
 }
 
 /** An empty ledger of a process. */
 export function createForwardLedger(options: ForwardLedgerOptions): ForwardLedger {
   const { incarnation, nowMs, attemptsPerSender = ATTEMPTS_PER_SENDER } = options;
-  const senders = new Map<string, Sender>();
+  const senders = new Map<string, KnownSender>();
   let nextSweepAtMs = 0;
 
   const sweep = (atMs: number) => {
@@ -121,24 +104,21 @@
     }
   };
 
-  /** The sender's state; undefined for a process that has been replaced since. */
-  const senderOf = ({ fromInstanceId, fromIncarnation }: AttemptId): Sender | undefined => {
+  /** The sender's attempts; undefined for a process that has been replaced since. */
+  const attemptsOf = ({
+    fromInstanceId,
+    fromIncarnation,
+  }: AttemptId): SenderAttempts | undefined => {
     const atMs = nowMs();
     sweep(atMs);
-    const known = senders.get(fromInstanceId);
+    const known = senders.get(fromInstanceId)?.attempts;
     if (known !== undefined && known.incarnation > fromIncarnation) return undefined;
-    if (known !== undefined && known.incarnation === fromIncarnation) {
-      known.lastHeardAtMs = atMs;
-      return known;
-    }
-    const sender = {
-      incarnation: fromIncarnation,
-      floor: 0,
-      attempts: new Map<number, Attempt>(),
-      lastHeardAtMs: atMs,
-    };
-    senders.set(fromInstanceId, sender);
-    return sender;
+    const attempts =
+      known?.incarnation === fromIncarnation
+        ? known
+        : createSenderAttempts(fromIncarnation, attemptsPerSender);
+    senders.set(fromInstanceId, { attempts, lastHeardAtMs: atMs });
+    return attempts;
   };
 
   return {
@@ -146,17 +126,15 @@
       if (id.toIncarnation !== incarnation) {
         throw refused('The message was meant for an earlier process of this instance.', true);
       }
-      const sender = senderOf(id);
-      if (sender === undefined) throw refused('The sender was replaced since.', false);
-      const known = sender.attempts.get(id.serial);
-      if (known !== undefined && known.cancelled && known.sends === 0 && known.over) {
+      const attempts = attemptsOf(id);
+      if (attempts === undefined) throw refused('The sender was replaced since.', false);
+      const known = attempts.find(id.serial);
+      if (known !== undefined && known.cancelled && known.over && !known.maySend) {
         throw refused('The attempt was cancelled before it came.', true);
       }
       if (known !== undefined) throw refused('The attempt was received before.', false);
-      if (id.serial <= sender.floor) throw refused('The attempt is too old.', false);
-      const attempt: Attempt = { cancelled: false, sends: 0, over: false };
-      sender.attempts.set(id.serial, attempt);
-      compact(sender, attemptsPerSender);
+      if (attempts.isForgotten(id.serial)) throw refused('The attempt is too old.', false);
+      const attempt = attempts.accept(id.serial);
       return createAttemptGuard(attempt, idempotencyKey, () => {
         if (nowMs() < deadlineAtMs) return;
         throw refused('The deadline passed before the request was sent.', true);
@@ -164,16 +142,12 @@
     },
     cancel(id) {
       if (id.toIncarnation !== incarnation) return false;
-      const sender = senderOf(id);
-      if (sender === undefined) return false;
-      const known = sender.attempts.get(id.serial);
-      if (known !== undefined) {
-        known.cancelled = true;
-        return known.sends === 0;
-      }
-      if (id.serial <= sender.floor) return false;
-      sender.attempts.set(id.serial, { cancelled: true, sends: 0, over: true });
-      compact(sender, attemptsPerSender);
+      const attempts = attemptsOf(id);
+      if (attempts === undefined) return false;
+      const known = attempts.find(id.serial);
+      if (known !== undefined) return known.cancel();
+      if (attempts.isForgotten(id.serial)) return false;
+      attempts.bury(id.serial);
       return true;
     },
     size: () => [...senders.values()].reduce((sum, { attempts }) => sum + attempts.size, 0),
--- a/src/core/refusals/problem.ts
+++ b/src/core/refusals/problem.ts
@@ -1,5 +1,5 @@
 import type { Outcome } from '../outcomes';
-import type { RefusalError } from './refusal-error';
+import type { RefusalEntry, RefusalError } from './refusal-error';
 
 /** Start of every problem's `type`. */
 export const PROBLEM_TYPE_PREFIX = 'urn:coltsfootworks:refusal:';
@@ -22,6 +22,8 @@
   /** A new ticket, where the call may be sent again at once or later. */
   readonly ticket?: string;
   readonly ticketExpiresAtUnixMs?: number;
+  /** Instances that may take the request. */
+  readonly entries?: readonly RefusalEntry[];
 }
 
 /** The answer to send for `refusal`. */
@@ -43,6 +45,7 @@
           ticket: refusal.ticket.ticket,
           ticketExpiresAtUnixMs: refusal.ticket.expiresAtUnixMs,
         }),
+    ...(refusal.entries === undefined ? {} : { entries: refusal.entries }),
   };
 }
 
--- a/src/core/refusals/refusal-error.ts
+++ b/src/core/refusals/refusal-error.ts
@@ -10,6 +10,15 @@
   readonly expiresAtUnixMs: number;
 }
 
+/** An instance that the caller may use instead. */
+export interface RefusalEntry {
+  readonly instanceId: string;
+  /** host:port for callers. */
+  readonly address: string;
+  readonly region: string;
+  readonly failureDomain: string;
+}
+
 /** The facts of one refusal. */
 export interface RefusalCase extends ErrorPlace {
   /** What happened this time, for a person to read. */
@@ -19,6 +28,7 @@
   readonly retryAtUnixMs?: number | undefined;
   readonly cause?: unknown;
   readonly ticket?: RefusalTicket | undefined;
+  readonly entries?: readonly RefusalEntry[] | undefined;
 }
 
 /** A request that is refused, on its way to whoever answers the caller. */
@@ -31,6 +41,8 @@
 
   readonly ticket: RefusalTicket | undefined;
 
+  readonly entries: readonly RefusalEntry[] | undefined;
+
   constructor(definition: RefusalDefinition, refusal: RefusalCase) {
     super(
       { name: definition.slug, title: definition.title, hint: definition.hint },
@@ -42,19 +54,23 @@
     this.evidence = refusal.evidence;
     this.retryAtUnixMs = refusal.retryAtUnixMs;
     this.ticket = refusal.ticket;
+    this.entries = refusal.entries;
   }
 
-  /** The same refusal with a ticket for sending the call again. */
-  withTicket(ticket: RefusalTicket): RefusalError {
-    const { definition, message, step, peer, evidence, retryAtUnixMs, cause } = this;
-    const place = peer === undefined ? { step } : { step, peer };
+  /** The same refusal with other facts in some places. */
+  with(changes: Partial<RefusalCase>): RefusalError {
+    const { definition, message, step, peer, evidence, retryAtUnixMs, cause, ticket, entries } =
+      this;
     return new RefusalError(definition, {
-      ...place,
       detail: message,
+      step,
+      ...(peer === undefined ? {} : { peer }),
       evidence,
       retryAtUnixMs,
       cause,
       ticket,
+      entries,
+      ...changes,
     });
   }
 
--- a/src/core/tickets/create-tickets.ts
+++ b/src/core/tickets/create-tickets.ts
@@ -8,6 +8,7 @@
 import { runTicket } from './run-ticket';
 import type { RunCall } from './run-ticket';
 import { createTicketGuard } from './ticket-guard';
+import { createTicketRecord } from './ticket-record';
 import { createTicketRecords } from './ticket-records';
 import type { RecordLimits } from './ticket-records';
 import { isGenuine, writeTicket } from './ticket-text';
@@ -24,7 +25,6 @@
   readonly key: Uint8Array;
   /** Makes an id that cannot be guessed and no other ticket has. */
   readonly newTicketId: () => string;
-  readonly validMs: number;
   readonly limits: RecordLimits;
   /** Largest answer that is held, bytes. */
   readonly answerBytes: number;
@@ -32,8 +32,8 @@
 
 /** One-use tickets of this process. */
 export interface Tickets {
-  /** A new ticket; undefined once this instance is stopping. */
-  mint(binding: TicketBinding): MintedTicket | undefined;
+  /** A new ticket, to be redeemed within `validMs`; undefined once this instance is stopping. */
+  mint(binding: TicketBinding, validMs: number): MintedTicket | undefined;
   /** Whether this process, and no earlier one of its name, is the owner that the ticket names. */
   owns(presented: PresentedTicket): boolean;
   /**
@@ -56,28 +56,11 @@
 
 /** Tickets of a new process. */
 export function createTickets(options: TicketsOptions): Tickets {
-  const { clock, logger, instanceId, incarnation, key, validMs, answerBytes } = options;
+  const { clock, logger, instanceId, incarnation, key, answerBytes } = options;
   const records = createTicketRecords(options.limits);
   let minting = true;
   let lastExpiryAtMs = 0;
 
-  const addRecord = (presented: PresentedTicket, callDigest: string, nowMs: number) => {
-    let end: () => void = () => {};
-    const ended = new Promise<void>((resolve) => {
-      end = resolve;
-    });
-    const { ticketId, expiresAtMs } = presented;
-    const record: TicketRecord = {
-      ticketId,
-      callDigest,
-      expiresAtMs,
-      state: { kind: 'running' },
-      ended,
-    };
-    if (!records.add(record, nowMs)) throw noRoom();
-    return { record, end };
-  };
-
   /** Everything from the look-up to the record is synchronous: two presentations can't both find none. */
   const begin = (presented: PresentedTicket, request: GatewayRequest) => {
     const nowMs = clock.monotonicMs();
@@ -88,7 +71,9 @@
       return { kind: 'known', record: known } as const;
     }
     if (nowMs >= presented.expiresAtMs) throw expiredUnseen(presented, nowMs);
-    return { kind: 'first', ...addRecord(presented, callDigest, nowMs) } as const;
+    const record = createTicketRecord(presented, callDigest);
+    if (!records.add(record, nowMs)) throw noRoom();
+    return { kind: 'first', record } as const;
   };
 
   const noteEnd = (record: TicketRecord, { requestId }: GatewayRequest) => {
@@ -102,10 +87,10 @@
   };
 
   return {
-    mint(binding) {
+    mint(binding, validMs) {
       if (!minting) return undefined;
       const expiresAtMs = Math.floor(clock.monotonicMs()) + validMs;
-      lastExpiryAtMs = expiresAtMs;
+      lastExpiryAtMs = Math.max(lastExpiryAtMs, expiresAtMs);
       const claims = {
         ownerId: instanceId,
         incarnation,
@@ -117,8 +102,7 @@
         expiresAtUnixMs: Math.floor(clock.unixMs()) + validMs,
       };
     },
-    owns: (presented) =>
-      presented.ownerId === instanceId && presented.incarnation === incarnation,
+    owns: (presented) => presented.ownerId === instanceId && presented.incarnation === incarnation,
     async redeem(presented, request, sink, signal, run) {
       const binding = { callerId: request.caller.id, service: request.service.name };
       if (!isGenuine(key, presented, binding)) {
@@ -142,7 +126,6 @@
       });
       const end = await runTicket({ record, guard, request, sink, signal, run, answerBytes });
       noteEnd(record, request);
-      begun.end();
       if (end.kind === 'refused') throw end.refusal;
       if (end.kind === 'held') await replayAnswer(end.answer, sink);
     },
--- a/src/core/tickets/run-ticket.ts
+++ b/src/core/tickets/run-ticket.ts
@@ -1,4 +1,3 @@
-import { errorText } from '../errors';
 import { REFUSALS, RefusalError } from '../refusals';
 import type { GatewayRequest, ResponseSink } from '../serving/types';
 import { createRecordingSink } from './recording-sink';
@@ -43,15 +42,7 @@
       cause: error,
     });
   }
-  const { definition, step, peer, retryAtUnixMs, cause } = error;
-  return new RefusalError(definition, {
-    detail: errorText(error),
-    step,
-    evidence,
-    retryAtUnixMs,
-    cause,
-    ...(peer === undefined ? {} : { peer }),
-  });
+  return error.with({ evidence });
 }
 
 /**
@@ -94,13 +85,13 @@
   const { record } = ticket;
   switch (end.kind) {
     case 'held':
-      record.state = { kind: 'answered', answer: end.answer };
+      record.end({ kind: 'answered', answer: end.answer });
       return end;
     case 'passedOn':
-      record.state = { kind: 'answered', answer: undefined };
+      record.end({ kind: 'answered', answer: undefined });
       return end;
     case 'refused':
-      record.state = end;
+      record.end(end);
       return end;
     default:
       return end satisfies never;
--- a/src/core/tickets/serve-non-repeatable.ts
+++ b/src/core/tickets/serve-non-repeatable.ts
@@ -54,25 +54,20 @@
  */
 function withoutOwner(error: unknown): unknown {
   if (!(error instanceof RefusalError)) return error;
-  const { evidence, definition, step, peer, retryAtUnixMs } = error;
-  const ownerSpoke = evidence.kind === 'refusedByPeer' || evidence.kind === 'ranBefore';
-  if (ownerSpoke) return error;
-  return new RefusalError(definition, {
-    detail: error.message,
-    step,
-    evidence: { kind: 'ticketNotVouchedFor' },
-    retryAtUnixMs,
-    cause: error,
-    ...(peer === undefined ? {} : { peer }),
-  });
+  const { kind } = error.evidence;
+  if (kind === 'refusedByPeer' || kind === 'ranBefore') return error;
+  return error.with({ evidence: { kind: 'ticketNotVouchedFor' }, cause: error });
 }
 
 /** A request in which a caller could be told `notRun` together with a new ticket. */
 function withFreshTicket(error: unknown, request: GatewayRequest, tickets: Tickets): unknown {
   if (!(error instanceof RefusalError) || error.outcome !== 'notRun') return error;
   if (request.origin.kind !== 'caller') return error;
-  const minted = tickets.mint({ callerId: request.caller.id, service: request.service.name });
-  return minted === undefined ? error : error.withTicket(minted);
+  const { caller, service } = request;
+  if (service.kind !== 'plain') return error;
+  const binding = { callerId: caller.id, service: service.name };
+  const minted = tickets.mint(binding, service.ticketValidMs);
+  return minted === undefined ? error : error.with({ ticket: minted });
 }
 
 /** Serves a call under its ticket: here if it is this process's own, else at its owner and nowhere else. */
--- a/src/core/tickets/ticket-records.ts
+++ b/src/core/tickets/ticket-records.ts
@@ -42,7 +42,7 @@
     if (record.state.kind !== 'answered') return;
     if (!holding.delete(record)) return;
     heldBytes -= record.state.answer?.bodyBytes ?? 0;
-    record.state = { kind: 'answered', answer: undefined };
+    record.forgetAnswer();
   };
 
   const sweep = (nowMs: number) => {
--- a/src/core/tickets/types.ts
+++ b/src/core/tickets/types.ts
@@ -46,9 +46,13 @@
   /** Digest of the call that it was first presented with. */
   readonly callDigest: string;
   readonly expiresAtMs: number;
-  state: TicketState;
+  readonly state: TicketState;
   /** Resolves when the run has ended, whatever its end. */
   readonly ended: Promise<void>;
+  /** Writes the end of the run, once. */
+  end(state: Exclude<TicketState, { kind: 'running' }>): void;
+  /** Lets go of the answer; that there was one stays known. */
+  forgetAnswer(): void;
 }
 
 /** Counts for operators and the bench. */
