--- a/src/core/http-edge/routes.ts
+++ b/src/core/http-edge/routes.ts
@@ -8,7 +8,9 @@
 import { TICKET_HEADER, isNonRepeatable } from '../tickets';
 import { answerJson } from './answer';
 import { buildRequest, modelOf } from './build-request';
+import type { RequestParts } from './build-request';
 import { createHttpSink } from './http-sink';
+import { createMeteredSink } from './metered-sink';
 import { readBody } from './read-body';
 import { createRegionGate } from './refuse-region';
 import { pathWithinService } from './service-path';
@@ -30,6 +32,9 @@
 /** Answers one kind of request, or throws a `RefusalError`. */
 export type EdgeHandler = (exchange: EdgeExchange) => Promise<void>;
 
+/** What is known of a request once its body has been read. */
+type ServedParts = Omit<RequestParts, 'incoming' | 'requestId'>;
+
 interface KnownCaller {
   readonly caller: Caller;
   readonly configuration: CompiledConfiguration;
@@ -49,14 +54,18 @@
   return Array.isArray(value) ? value.join(',') : value;
 }
 
-function needsTicket({ service, method, path }: GatewayRequest): boolean {
-  return isNonRepeatable(service, method, path);
+function isRefusedWithoutTicket(
+  incoming: IncomingMessage,
+  { service, path }: ServedParts,
+): boolean {
+  const isWithout = ticketOf(incoming) === undefined;
+  return isWithout && isNonRepeatable(service, incoming.method ?? 'GET', path);
 }
 
 /** The handlers of the callers' listener. */
 export function createHandlers(options: HttpEdgeOptions) {
-  const { clock, serving, serveNonRepeatable, tickets, membership, limits, region } = options;
-  const { configuration: store } = options;
+  const { clock, serving, serveNonRepeatable, tickets, metrics, membership, limits } = options;
+  const { configuration: store, region } = options;
 
   const identify = (incoming: IncomingMessage): KnownCaller => {
     const configuration = store.current();
@@ -77,10 +86,16 @@
     request: GatewayRequest,
     { incoming, response, signal }: EdgeExchange,
   ): Promise<void> => {
-    const sink = createHttpSink(response, request.requestId);
+    const { service, method, path } = request;
+    const sink = createMeteredSink(createHttpSink(response, request.requestId), {
+      clock,
+      metrics,
+      service: service.name,
+      startedAtMs: clock.monotonicMs(),
+    });
     const ticket = ticketOf(incoming);
     const isUnderTicket =
-      request.service.kind === 'plain' && (ticket !== undefined || needsTicket(request));
+      service.kind === 'plain' && (ticket !== undefined || isNonRepeatable(service, method, path));
     try {
       if (isUnderTicket) await serveNonRepeatable(request, ticket, sink, signal);
       else await serving.serve(request, sink, signal);
@@ -89,8 +104,13 @@
     }
   };
 
-  const serveModel: EdgeHandler = async (exchange) => {
+  const pass = (exchange: EdgeExchange, parts: ServedParts): Promise<void> => {
     const { incoming, requestId } = exchange;
+    return answer(buildRequest({ incoming, requestId, ...parts }, clock), exchange);
+  };
+
+  const serveModel: EdgeHandler = async (exchange) => {
+    const { incoming } = exchange;
     const { caller, configuration } = identify(incoming);
     gate.requireAnyModel(caller, configuration);
     const body = await readBody(exchange, limits.bodyBytes);
@@ -105,12 +125,11 @@
     }
     gate.requireService(caller, service);
     const path = incoming.url ?? '/';
-    const parts = { incoming, requestId, caller, service, path, body, configuration };
-    await answer(buildRequest(parts, clock), exchange);
+    await pass(exchange, { caller, service, path, body, configuration });
   };
 
   const servePlain: EdgeHandler = async (exchange) => {
-    const { incoming, requestId, params } = exchange;
+    const { incoming, params } = exchange;
     const { caller, configuration } = identify(incoming);
     const name = params.service ?? '';
     const service = configuration.serviceNamed(name);
@@ -119,15 +138,14 @@
     }
     gate.requireService(caller, service);
     const path = pathWithinService(incoming.url ?? '/', service);
-    const parts = { incoming, requestId, caller, service, path, configuration };
-    const withoutBody = buildRequest({ ...parts, body: new Uint8Array() }, clock);
-    if (exchange.expectsContinue && needsTicket(withoutBody) && ticketOf(incoming) === undefined) {
+    const withoutBody = { caller, service, path, body: new Uint8Array(), configuration };
+    if (exchange.expectsContinue && isRefusedWithoutTicket(incoming, withoutBody)) {
       // The caller waits to be asked for the body; it need not send one that is refused anyway.
-      await answer(withoutBody, exchange);
+      await pass(exchange, withoutBody);
       return;
     }
     const body = await readBody(exchange, limits.bodyBytes);
-    await answer({ ...withoutBody, body }, exchange);
+    await pass(exchange, { ...withoutBody, body });
   };
 
   const listModels: EdgeHandler = async ({ incoming, response }) => {
--- a/src/core/http-edge/types.ts
+++ b/src/core/http-edge/types.ts
@@ -2,6 +2,7 @@
 import type { ConfigurationStore } from '../configuration';
 import type { Logger } from '../events';
 import type { MembershipView } from '../membership';
+import type { Metrics } from '../metrics';
 import type { Serving } from '../serving';
 import type { Settings } from '../settings';
 import type { NonRepeatableServer, Tickets } from '../tickets';
@@ -18,6 +19,7 @@
   readonly serving: Serving;
   readonly tickets: Tickets;
   readonly serveNonRepeatable: NonRepeatableServer;
+  readonly metrics: Metrics;
   readonly limits: Settings['limits'];
   /** Makes an id that no other request has. */
   readonly newRequestId: () => string;
--- a/src/core/serving/dependencies.ts
+++ b/src/core/serving/dependencies.ts
@@ -7,6 +7,7 @@
 import type { PeerForwarder } from '../peers';
 import type { PoisonGuard } from '../poison';
 import type { RandomSource } from '../random';
+import type { ServerAvailability } from '../server-health';
 
 /** What serving needs from the rest of the instance. */
 export interface ServingDependencies {
@@ -19,6 +20,7 @@
   readonly configuration: ConfigurationStore;
   readonly membership: MembershipView;
   readonly gossip: GossipBoard;
+  readonly availability: ServerAvailability;
   readonly poison: PoisonGuard;
   readonly inFlight: InFlight;
   readonly sender: Pick<ServerSender, 'send'>;
