Eject servers that fail or fall behind their kind

Cause: a server ten times slower than its kind kept its share of requests and made the tail of all callers. Conclusion: two times per server on a logarithmic scale against the median of the others, doubling ejections, at most half of a group, gradual return.

--- a/bench/decisions/bounds.ts
+++ b/bench/decisions/bounds.ts
@@ -22,7 +22,10 @@
  * The table, by name of figure. A bound is changed only with the figures and the reason, in the commit and in
  * the design note of the decision that it belongs to.
  */
-export const BOUNDS: Readonly<Record<string, Bound>> = {};
+export const BOUNDS: Readonly<Record<string, Bound>> = {
+  'one-slow-engine: p99 against the fleet without it': atMost(1.2),
+  'one-slow-plain: p99 against the fleet without it': atMost(1.2),
+};
 
 function holds(measured: number, bound: Bound): boolean {
   switch (bound.kind) {
--- a/bench/decisions/harness/types.ts
+++ b/bench/decisions/harness/types.ts
@@ -268,6 +268,8 @@
   onAttemptEnd(request: LoadRequest, end: AttemptEnd): void;
   /** The request's deadline passed while the policy held it; it must be forgotten. */
   onGone(request: LoadRequest): void;
+  /** The first token of an attempt at a server has come. */
+  onFirstToken?(request: LoadRequest, serverId: string): void;
   onLoadReport?(report: LoadReport): void;
   onCacheEvent?(event: CacheEvent): void;
   onPeerMessage?(message: PeerMessage): void;
--- a/bench/decisions/scenarios/index.ts
+++ b/bench/decisions/scenarios/index.ts
@@ -1,5 +1,6 @@
 import type { ScenarioEntry } from '../scenario-entry';
 import { LOAD_SCENARIOS } from './load';
+import { OUTLIER_SCENARIOS } from './outliers';
 
 /** Every load scenario, in the order in which they are run and printed. */
-export const SCENARIOS: readonly ScenarioEntry[] = [...LOAD_SCENARIOS];
+export const SCENARIOS: readonly ScenarioEntry[] = [...LOAD_SCENARIOS, ...OUTLIER_SCENARIOS];
--- a/src/core/configuration/resilience-schema.ts
+++ b/src/core/configuration/resilience-schema.ts
@@ -42,10 +42,46 @@
     .describe('Longest time for which it is refused, ms'),
 });
 
+const outliers = z.strictObject({
+  failuresInARow: z
+    .int()
+    .min(1)
+    .default(5)
+    .describe('Failures in a row after which a server is ejected'),
+  slowFactor: z
+    .number()
+    .min(1.5)
+    .default(3)
+    .describe('Times as slow as the median of its kind at which a server is ejected'),
+  mostEjectedShare: z
+    .number()
+    .min(0)
+    .max(0.9)
+    .default(0.5)
+    .describe('Most servers of a service and region that are ejected at once, as a share'),
+  ejectForMs: z
+    .number()
+    .min(100)
+    .default(10_000)
+    .describe('Length of the first ejection; doubles with each further one in a row, ms'),
+  ejectAtMostMs: z.number().min(100).default(300_000).describe('Longest ejection, ms'),
+  returnMs: z
+    .number()
+    .min(0)
+    .default(10_000)
+    .describe('Time over which a server that comes back is given its full share, ms'),
+  forgetEjectionMs: z
+    .number()
+    .min(1_000)
+    .default(60_000)
+    .describe('Time in good order after which one ejection is forgotten, ms'),
+});
+
 /** The zod schema of the section. */
 export const resilienceSchema = z.strictObject({
   retries: retries.prefault({}),
   poison: poison.prefault({}),
+  outliers: outliers.prefault({}),
 });
 
 /** The section with its defaults filled in. */
@@ -54,3 +90,5 @@
 export type RetryOptions = z.output<typeof retries>;
 /** Options of the refusal of requests that crash servers. */
 export type PoisonOptions = z.output<typeof poison>;
+/** Options of outlier ejection. */
+export type OutlierOptions = z.output<typeof outliers>;
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -2,6 +2,7 @@
 import { HTTP_EDGE_EVENTS } from '../http-edge/events';
 import { MEMBERSHIP_EVENTS } from '../membership/events';
 import { NODE_EVENTS } from '../node/events';
+import { OUTLIER_EVENTS } from '../outliers/events';
 import { PLATFORM_EVENTS } from '../platform/events';
 import { POISON_EVENTS } from '../poison/events';
 import { RETRY_EVENTS } from '../retries/events';
@@ -23,6 +24,7 @@
   PLATFORM_EVENTS,
   RETRY_EVENTS,
   POISON_EVENTS,
+  OUTLIER_EVENTS,
 ]
   .flatMap((events): EventDefinition[] => Object.values(events))
   .sort((left, right) => left.id - right.id);
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -8,6 +8,7 @@
 import { createMembership } from '../membership';
 import { createMetrics } from '../metrics';
 import { openOperatorListener } from '../operators';
+import { OUTLIER_EVENTS, createOutlierTracker } from '../outliers';
 import {
   channelCredentials,
   createExchangeTransport,
@@ -103,6 +104,15 @@
       options: () => currentResilience(configuration).poison,
     }),
   );
+  const outliers = createOutlierTracker(
+    () => currentResilience(configuration).outliers,
+    ({ serverId, untilMs, ...ejection }) =>
+      logger.event(OUTLIER_EVENTS.ejected, {
+        server: serverId,
+        ...ejection,
+        untilUnixMs: clock.unixMs() + untilMs - clock.monotonicMs(),
+      }),
+  );
   const serving = createServing({
     clock,
     random,
@@ -114,6 +124,7 @@
     membership,
     gossip,
     poison,
+    outliers,
     inFlight,
     sender,
     forwarder,
--- /dev/null
+++ b/src/core/outliers/index.ts
@@ -0,0 +1,6 @@
+/** Servers that fail or are slow among good ones. */
+export { OUTLIER_EVENTS } from './events';
+export { keepUsable } from './keep-usable';
+export { createOutlierTracker } from './outlier-tracker';
+export type { OutlierTracker } from './outlier-tracker';
+export type { Ejection, EjectionReason, ObservedServer, ObservedTry, Standing } from './types';
--- /dev/null
+++ b/src/core/outliers/outlier-tracker.test.ts
@@ -0,0 +1,180 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { resilienceSchema } from '../configuration';
+import { createSeededRandom } from '../random';
+import { keepUsable } from './keep-usable';
+import { createOutlierTracker } from './outlier-tracker';
+import type { Ejection } from './types';
+
+const OPTIONS = resilienceSchema.parse({}).outliers;
+const GROUP = 'kit';
+
+/** A tracker whose servers answer after a time of their own, one after the other. */
+function fleet(serverCount: number) {
+  const ejections: Ejection[] = [];
+  const tracker = createOutlierTracker(
+    () => OPTIONS,
+    (ejection) => ejections.push(ejection),
+  );
+  const serverIds = Array.from({ length: serverCount }, (_unused, at) => `engine-${at + 1}`);
+  const begin = (serverId: string, nowMs: number, workUnits = 1) =>
+    tracker.begin({ serverId, group: GROUP }, workUnits, nowMs);
+  const answer = (serverId: string, nowMs: number, tookMs: number) =>
+    begin(serverId, nowMs).headReceived(nowMs + tookMs, false);
+  const fail = (serverId: string, nowMs: number, times: number) => {
+    for (let time = 0; time < times; time += 1) begin(serverId, nowMs).failed(nowMs);
+  };
+  const standings = (nowMs: number) => serverIds.map((id) => tracker.standing(id, nowMs));
+  const warmUp = () => {
+    for (let round = 0; round < 20; round += 1) {
+      serverIds.forEach((id) => answer(id, round * 100, 50 + (round % 3) * 20));
+    }
+    return 2_000;
+  };
+  return { tracker, ejections, serverIds, begin, answer, fail, standings, warmUp };
+}
+
+// One server of a service refuses each connection within a millisecond. It always looks idle, so that most
+// requests go to it; callers see most of their requests fail while the other servers stand by.
+describe('a server that fails', () => {
+  it('is ejected after some failures in a row, for twice as long each time', () => {
+    const { tracker, fail, warmUp, ejections } = fleet(3);
+    let nowMs = warmUp();
+    fail('engine-1', nowMs, OPTIONS.failuresInARow - 1);
+    assert.equal(tracker.standing('engine-1', nowMs), 'inUse');
+    fail('engine-1', nowMs, 1);
+    assert.equal(tracker.standing('engine-1', nowMs), 'ejected');
+
+    nowMs += OPTIONS.ejectForMs;
+    assert.equal(tracker.standing('engine-1', nowMs), 'returning');
+    fail('engine-1', nowMs, 2);
+    assert.deepEqual(
+      ejections.map(({ reason, untilMs, ejections: inARow }) => ({ reason, untilMs, inARow })),
+      [
+        { reason: 'failures', untilMs: nowMs, inARow: 1 },
+        { reason: 'failures', untilMs: nowMs + 2 * OPTIONS.ejectForMs, inARow: 2 },
+      ],
+    );
+  });
+
+  it('stays in use when an answer comes between its failures', () => {
+    const { tracker, fail, answer, warmUp } = fleet(3);
+    const nowMs = warmUp();
+    for (let round = 0; round < 5; round += 1) {
+      fail('engine-1', nowMs + round, OPTIONS.failuresInARow - 1);
+      answer('engine-1', nowMs + round, 50);
+    }
+    assert.equal(tracker.standing('engine-1', nowMs + 5), 'inUse');
+  });
+
+  it('has its old ejections forgotten after long good order', () => {
+    const { fail, warmUp, ejections } = fleet(3);
+    const nowMs = warmUp();
+    fail('engine-1', nowMs, OPTIONS.failuresInARow);
+    const laterMs = nowMs + OPTIONS.ejectForMs + OPTIONS.returnMs + OPTIONS.forgetEjectionMs;
+    fail('engine-1', laterMs, OPTIONS.failuresInARow);
+    assert.deepEqual(
+      ejections.map(({ ejections: inARow }) => inARow),
+      [1, 1],
+    );
+  });
+});
+
+// One engine runs ten times slower than its kind, for example on a throttled accelerator. It answers, so that
+// nothing counts as a failure, and every request that meets it waits many times as long.
+describe('a slow server', () => {
+  it('is ejected once its answers are slower than its kind’s by the factor', () => {
+    const { tracker, answer, warmUp, serverIds } = fleet(4);
+    const startMs = warmUp();
+    for (let round = 0; round < 12; round += 1) {
+      const nowMs = startMs + round * 250;
+      serverIds.forEach((id) => answer(id, nowMs, id === 'engine-1' ? 700 : 70));
+    }
+    const nowMs = startMs + 12 * 250;
+    assert.equal(tracker.standing('engine-1', nowMs), 'ejected');
+    assert.equal(tracker.standing('engine-2', nowMs), 'inUse');
+  });
+
+  it('is found out by requests that are still open', () => {
+    const { tracker, begin, answer, warmUp } = fleet(4);
+    const startMs = warmUp();
+    for (let request = 0; request < 8; request += 1) begin('engine-1', startMs);
+    answer('engine-2', startMs + 1_000, 70);
+    assert.equal(tracker.standing('engine-1', startMs + 1_100), 'ejected');
+  });
+
+  it('is found out by the pace of its streams when their heads come in time', () => {
+    const { tracker, begin, serverIds, warmUp } = fleet(4);
+    const startMs = warmUp();
+    for (let round = 0; round < 16; round += 1) {
+      const nowMs = startMs + round * 250;
+      serverIds.forEach((id) => {
+        const stream = begin(id, nowMs);
+        stream.headReceived(nowMs + 70, false);
+        stream.partsReceived(50);
+        stream.ended(nowMs + 70 + 50 * (id === 'engine-1' ? 200 : 20));
+      });
+    }
+    assert.equal(tracker.standing('engine-1', startMs + 4_000), 'ejected');
+    assert.equal(tracker.standing('engine-3', startMs + 4_000), 'inUse');
+  });
+
+  it('is not taken for slow because its work is larger', () => {
+    const { tracker, begin, answer, warmUp } = fleet(4);
+    const startMs = warmUp();
+    for (let round = 0; round < 20; round += 1) {
+      const nowMs = startMs + round * 250;
+      begin('engine-1', nowMs, 10).headReceived(nowMs + 600, false);
+      answer('engine-2', nowMs, 70);
+    }
+    assert.equal(tracker.standing('engine-1', startMs + 5_000), 'inUse');
+  });
+
+  it('gets little at first when it comes back, and a tenth of its old times shows it again', () => {
+    const { tracker, begin, fail, warmUp } = fleet(4);
+    const startMs = warmUp();
+    fail('engine-1', startMs, OPTIONS.failuresInARow);
+    const backMs = startMs + OPTIONS.ejectForMs;
+    const random = createSeededRandom(3);
+    const drawsAt = (nowMs: number) =>
+      Array.from({ length: 1_000 }, () => tracker.mayUse('engine-1', nowMs, random)).filter(Boolean)
+        .length;
+    assert.equal(drawsAt(backMs - 1), 0);
+    assert.ok(drawsAt(backMs) < 100);
+    const halfway = drawsAt(backMs + OPTIONS.returnMs / 2);
+    assert.ok(halfway > 400 && halfway < 650, `${halfway} of 1000`);
+    assert.equal(drawsAt(backMs + OPTIONS.returnMs), 1_000);
+    begin('engine-1', backMs);
+    begin('engine-1', backMs);
+    begin('engine-2', backMs + 1_000);
+    assert.equal(tracker.standing('engine-1', backMs + 1_000), 'ejected');
+  });
+});
+
+// The network or an application behind all servers fails. If every server were ejected for it, nothing would
+// be left to answer when it comes back, and until then the last server would get the whole load.
+describe('the floor under ejections', () => {
+  const cases = [
+    { servers: 1, mostEjected: 0 },
+    { servers: 2, mostEjected: 1 },
+    { servers: 3, mostEjected: 1 },
+    { servers: 8, mostEjected: 4 },
+  ];
+  for (const { servers, mostEjected } of cases) {
+    it(`lets ${mostEjected} of ${servers} failing servers be ejected`, () => {
+      const { fail, serverIds, standings, warmUp } = fleet(servers);
+      const nowMs = warmUp();
+      serverIds.forEach((id) => fail(id, nowMs, 20));
+      const ejected = standings(nowMs).filter((standing) => standing === 'ejected').length;
+      assert.equal(ejected, mostEjected);
+    });
+  }
+
+  it('still offers a server when the only candidates are ejected', () => {
+    const { tracker, fail, warmUp } = fleet(2);
+    const nowMs = warmUp();
+    fail('engine-1', nowMs, OPTIONS.failuresInARow);
+    const candidates = [{ serverId: 'engine-1' }];
+    assert.deepEqual(keepUsable(tracker, candidates, nowMs, createSeededRandom(1)), candidates);
+  });
+});
--- a/src/core/serving/dependencies.ts
+++ b/src/core/serving/dependencies.ts
@@ -4,6 +4,7 @@
 import type { Logger } from '../events';
 import type { GossipBoard } from '../gossip';
 import type { MembershipView } from '../membership';
+import type { OutlierTracker } from '../outliers';
 import type { PeerForwarder } from '../peers';
 import type { PoisonGuard } from '../poison';
 import type { RandomSource } from '../random';
@@ -20,6 +21,7 @@
   readonly membership: MembershipView;
   readonly gossip: GossipBoard;
   readonly poison: PoisonGuard;
+  readonly outliers: OutlierTracker;
   readonly inFlight: InFlight;
   readonly sender: Pick<ServerSender, 'send'>;
   readonly forwarder: PeerForwarder;
--- a/src/core/serving/gather-routing-input.ts
+++ b/src/core/serving/gather-routing-input.ts
@@ -1,3 +1,4 @@
+import { keepUsable } from '../outliers';
 import { withoutFailed } from '../routing';
 import type { RoutingInput } from '../routing';
 import type { ServingDependencies } from './dependencies';
@@ -5,7 +6,7 @@
 
 /** Collects what the routing decision rests on. A request that came from a peer gets no peers to go to. */
 export function gatherRoutingInput(
-  { region, failureDomain, membership, inFlight }: ServingDependencies,
+  { clock, random, region, failureDomain, membership, inFlight, outliers }: ServingDependencies,
   request: GatewayRequest,
   regions: readonly string[],
 ): RoutingInput {
@@ -29,5 +30,6 @@
           .filter((peer) => peer.region !== region)
           .filter((peer) => regions.includes(peer.region) && regionsWithServers.has(peer.region)),
   };
-  return withoutFailed(all, request.avoid);
+  const rest = withoutFailed(all, request.avoid);
+  return { ...rest, servers: keepUsable(outliers, rest.servers, clock.monotonicMs(), random) };
 }
--- a/src/core/serving/serve-request.ts
+++ b/src/core/serving/serve-request.ts
@@ -14,8 +14,13 @@
 
 /** Serving over the given dependencies. */
 export function createServing(dependencies: ServingDependencies): Serving {
-  const { clock, random, logger, configuration, poison } = dependencies;
-  const sender = observeSends(dependencies.sender, { poison, configuration });
+  const { clock, random, logger, configuration, poison, outliers } = dependencies;
+  const sender = observeSends(dependencies.sender, {
+    clock,
+    poison,
+    outliers,
+    configuration,
+  });
   const attempts = {
     clock,
     random,
