--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -7,6 +7,7 @@
 import { POISON_EVENTS } from '../poison/events';
 import { RETRY_EVENTS } from '../retries/events';
 import { ROUTING_EVENTS } from '../routing/events';
+import { SERVER_HEALTH_EVENTS } from '../server-health/events';
 import { SERVING_EVENTS } from '../serving/events';
 import type { EventDefinition } from './types';
 
@@ -22,6 +23,7 @@
   MEMBERSHIP_EVENTS,
   CONFIGURATION_EVENTS,
   PLATFORM_EVENTS,
+  SERVER_HEALTH_EVENTS,
   RETRY_EVENTS,
   POISON_EVENTS,
   OUTLIER_EVENTS,
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -21,6 +21,12 @@
 import { createPoisonGuard, fingerprintKey } from '../poison';
 import type { RandomSource } from '../random';
 import { watchConfiguration } from '../platform';
+import {
+  createServerHealth,
+  createServerProber,
+  observeSender,
+  watchServerLists,
+} from '../server-health';
 import { createServing } from '../serving';
 import type { Settings } from '../settings';
 import { NODE_EVENTS } from './events';
@@ -95,6 +101,20 @@
     }),
   );
 
+  const { probe } = owned.add(createServerProber());
+  const health = owned.add(
+    createServerHealth({
+      clock,
+      random,
+      logger,
+      region,
+      configuration,
+      membership,
+      gossip,
+      probe,
+    }),
+  );
+
   const poison = owned.add(
     createPoisonGuard({
       clock,
@@ -123,10 +143,11 @@
     configuration,
     membership,
     gossip,
+    availability: health,
     poison,
     outliers,
     inFlight,
-    sender,
+    sender: observeSender(sender, health),
     forwarder,
   });
 
@@ -192,6 +213,11 @@
   const { configurationUrl: url, configurationKey: key } = settings.platform;
   owned.add(watchConfiguration({ clock, logger, store: configuration, url, key }));
   membership.start();
+  health.start();
+  const { instanceListUrl } = settings.platform;
+  if (instanceListUrl !== undefined) {
+    owned.add(watchServerLists({ clock, logger, health, url: instanceListUrl }));
+  }
   logger.event(NODE_EVENTS.started, { callerAddress, peerAddress, incarnation });
 
   return {
--- a/src/core/serving/dependencies.ts
+++ b/src/core/serving/dependencies.ts
@@ -8,6 +8,7 @@
 import type { PeerForwarder } from '../peers';
 import type { PoisonGuard } from '../poison';
 import type { RandomSource } from '../random';
+import type { ServerAvailability } from '../server-health';
 
 /** What serving needs from the rest of the instance. */
 export interface ServingDependencies {
@@ -20,6 +21,7 @@
   readonly configuration: ConfigurationStore;
   readonly membership: MembershipView;
   readonly gossip: GossipBoard;
+  readonly availability: ServerAvailability;
   readonly poison: PoisonGuard;
   readonly outliers: OutlierTracker;
   readonly inFlight: InFlight;
--- a/src/core/serving/gather-routing-input.ts
+++ b/src/core/serving/gather-routing-input.ts
@@ -6,7 +6,16 @@
 
 /** Collects what the routing decision rests on. A request that came from a peer gets no peers to go to. */
 export function gatherRoutingInput(
-  { clock, random, region, failureDomain, membership, inFlight, outliers }: ServingDependencies,
+  {
+    clock,
+    random,
+    region,
+    failureDomain,
+    membership,
+    availability,
+    inFlight,
+    outliers,
+  }: ServingDependencies,
   request: GatewayRequest,
   regions: readonly string[],
 ): RoutingInput {
@@ -15,8 +24,8 @@
   const mayForward = request.origin.kind === 'caller';
   const all = {
     ownFailureDomain: failureDomain,
-    servers: servers
-      .filter((server) => server.region === region)
+    servers: availability
+      .usable(servers.filter((server) => server.region === region))
       .map((server) => ({
         serverId: server.id,
         address: server.address,
