--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -8,6 +8,7 @@
 import { createMembership } from '../membership';
 import { createMetrics } from '../metrics';
 import { openOperatorListener } from '../operators';
+import { OUTLIER_EVENTS, createOutlierTracker } from '../outliers';
 import {
   channelCredentials,
   createExchangeTransport,
@@ -134,6 +135,15 @@
       membership.members().find((member) => member.instanceId === id)?.incarnation,
   });
 
+  const outliers = createOutlierTracker(
+    () => currentResilience(configuration).outliers,
+    ({ serverId, untilMs, ...ejection }) =>
+      logger.event(OUTLIER_EVENTS.ejected, {
+        server: serverId,
+        ...ejection,
+        untilUnixMs: clock.unixMs() + untilMs - clock.monotonicMs(),
+      }),
+  );
   const serving = createServing({
     clock,
     random,
@@ -146,6 +156,7 @@
     gossip,
     availability: health,
     poison,
+    outliers,
     inFlight,
     sender: observeSender(sender, health),
     forwarder,
