--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -2,12 +2,14 @@
 import { HTTP_EDGE_EVENTS } from '../http-edge/events';
 import { MEMBERSHIP_EVENTS } from '../membership/events';
 import { NODE_EVENTS } from '../node/events';
+import { OUTLIER_EVENTS } from '../outliers/events';
 import { PLATFORM_EVENTS } from '../platform/events';
 import { POISON_EVENTS } from '../poison/events';
 import { RETRY_EVENTS } from '../retries/events';
 import { ROUTING_EVENTS } from '../routing/events';
 import { SERVER_HEALTH_EVENTS } from '../server-health/events';
 import { SERVING_EVENTS } from '../serving/events';
+import { TICKET_EVENTS } from '../tickets/events';
 import type { EventDefinition } from './types';
 
 /**
@@ -25,6 +27,8 @@
   SERVER_HEALTH_EVENTS,
   RETRY_EVENTS,
   POISON_EVENTS,
+  TICKET_EVENTS,
+  OUTLIER_EVENTS,
 ]
   .flatMap((events): EventDefinition[] => Object.values(events))
   .sort((left, right) => left.id - right.id);
--- a/src/core/settings/schema.ts
+++ b/src/core/settings/schema.ts
@@ -92,6 +92,26 @@
       bodyBytes: z.int().min(1024).default(8_388_608).describe('Body of a request, bytes'),
       connections: z.int().min(1).default(10_000).describe('Open caller connections'),
       concurrentRequests: z.int().min(1).default(5_000).describe('Requests in work at once'),
+      ticketRecords: z
+        .int()
+        .min(1)
+        .default(20_000)
+        .describe('Presented tickets remembered, until ten minutes after their expiry'),
+      heldAnswersBytes: z
+        .int()
+        .min(0)
+        .default(4_194_304)
+        .describe('All answers held for tickets that may be presented again, bytes'),
+      heldAnswerBytes: z
+        .int()
+        .min(0)
+        .default(65_536)
+        .describe('Largest answer that is held; larger ones are passed on as they come, bytes'),
+      ticketLingerMs: z
+        .int()
+        .min(0)
+        .default(5_000)
+        .describe('Longest time that a stop waits to answer for tickets already minted, ms'),
       headerTimeoutMs: z
         .int()
         .min(100)
