--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -2,24 +2,18 @@
  * Runs every *.test.ts of the tree, or those whose path holds one of the words given.
  * Node 20's test runner takes no globs for TypeScript files, so the list is made here.
  */
-import { existsSync, readdirSync } from 'node:fs';
 import { spec as SpecReporter } from 'node:test/reporters';
 import { run } from 'node:test';
 import process from 'node:process';
+import { listSourceFiles } from './source-tree.mjs';
 
-const ROOTS = ['src', 'standins', 'checks', 'bench', 'demo'];
 /** Few at once: several tests open dozens of sockets, and a laptop should stay usable. */
 const CONCURRENT_FILES = 4;
 
 const words = process.argv.slice(2);
-const files = ROOTS.filter((root) => existsSync(root))
-  .flatMap((root) =>
-    readdirSync(root, { recursive: true })
-      .map((file) => `${root}/${file}`)
-      .filter((file) => file.endsWith('.test.ts')),
-  )
-  .filter((file) => words.length === 0 || words.some((word) => file.includes(word)))
-  .sort();
+const files = listSourceFiles()
+  .filter((file) => file.endsWith('.test.ts'))
+  .filter((file) => words.length === 0 || words.some((word) => file.includes(word)));
 
 if (files.length === 0) {
   process.stderr.write(`No test file matches ${words.join(', ')}.\n`);
--- /dev/null
+++ b/scripts/source-tree.mjs
@@ -0,0 +1,19 @@
+import { existsSync, readdirSync } from 'node:fs';
+
+/** The folders that hold TypeScript, those of them that a checkout has: git keeps no empty ones. */
+const SOURCE_ROOTS = ['src', 'standins', 'bench', 'checks', 'demo', 'scripts'].filter((root) =>
+  existsSync(root),
+);
+
+/**
+ * Paths of all TypeScript files, generated ones left out, in order.
+ *
+ * @returns {string[]}
+ */
+export function listSourceFiles() {
+  return SOURCE_ROOTS.flatMap((root) =>
+    readdirSync(root, { recursive: true }).map((file) => `${root}/${file}`),
+  )
+    .filter((path) => path.endsWith('.ts') && !path.startsWith('src/gen/'))
+    .sort();
+}
