Run the tests from TypeScript, so that the list of files can stand once

Cause: letting TypeScript read the shared .mjs file (allowJs) made the loader resolve fast-json-patch's own sources, and every test that patches a configuration failed: 3 of 28. Ruled out: a second copy of the list. Conclusion: scripts that share code are TypeScript.

--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.ts
@@ -5,7 +5,7 @@
 import { spec as SpecReporter } from 'node:test/reporters';
 import { run } from 'node:test';
 import process from 'node:process';
-import { listSourceFiles } from './source-tree.mjs';
+import { listSourceFiles } from './source-tree';
 
 /** Few at once: several tests open dozens of sockets, and a laptop should stay usable. */
 const CONCURRENT_FILES = 4;
@@ -21,7 +21,8 @@
 }
 
 // The child processes that the runner starts take their loader from here.
-process.env.NODE_OPTIONS = `${process.env.NODE_OPTIONS ?? ''} --import tsx`.trim();
+const inherited = process.env['NODE_OPTIONS'] ?? '';
+process.env['NODE_OPTIONS'] = `${inherited} --import tsx`.trim();
 run({ files, concurrency: CONCURRENT_FILES, timeout: 300_000 })
   .on('test:fail', () => {
     process.exitCode = 1;
--- a/scripts/source-tree.mjs
+++ b/scripts/source-tree.ts
@@ -5,14 +5,10 @@
   existsSync(root),
 );
 
-/**
- * Paths of all TypeScript files, generated ones left out, in order.
- *
- * @returns {string[]}
- */
-export function listSourceFiles() {
+/** Paths of all TypeScript files, generated ones left out, in order. */
+export function listSourceFiles(): string[] {
   return SOURCE_ROOTS.flatMap((root) =>
-    readdirSync(root, { recursive: true }).map((file) => `${root}/${file}`),
+    readdirSync(root, { recursive: true }).map((file) => `${root}/${String(file)}`),
   )
     .filter((path) => path.endsWith('.ts') && !path.startsWith('src/gen/'))
     .sort();
--- a/scripts/stats.ts
+++ b/scripts/stats.ts
@@ -1,5 +1,5 @@
 import { readFileSync } from 'node:fs';
-import { listSourceFiles } from './source-tree.mjs';
+import { listSourceFiles } from './source-tree';
 
 /** Prints what the tree consists of: lines by part, the share of tests, and files that have grown large. */
 
