Decide spillover between regions in pure code

Cause: a request left its region only when that had no server; a region at its limit had no way out, and nothing protected the one next to it. Ruled out: spreading each region's load by messages (340 instances, 17 services a second are some 350 KB/s at a node against 3 KB/s allowed); going wherever it is soonest (all leave at once); a plain on-off mark (swings). Conclusion: share by seconds of excess, a window per region that grows by answers and halves on refusal, and a gate that takes foreign work only when it can begin at once.

--- a/src/core/configuration/index.ts
+++ b/src/core/configuration/index.ts
@@ -3,7 +3,13 @@
 export type { CompiledConfiguration } from './compile';
 export { resilienceSchema } from './resilience-schema';
 export { currentResilience } from './current-resilience';
-export type { OutlierOptions, PoisonOptions, Resilience, RetryOptions } from './resilience-schema';
+export type {
+  OutlierOptions,
+  PoisonOptions,
+  Resilience,
+  RetryOptions,
+  SpilloverOptions,
+} from './resilience-schema';
 export { configurationSchema } from './schema';
 export type { BackendServer, Caller, Configuration, Priority, Service, Weights } from './schema';
 export { createConfigurationStore } from './store';
--- a/src/core/configuration/resilience-schema.ts
+++ b/src/core/configuration/resilience-schema.ts
@@ -77,11 +77,39 @@
     .describe('Time in good order after which one ejection is forgotten, ms'),
 });
 
+const spillover = z.strictObject({
+  leastUtilisation: z
+    .number()
+    .min(0)
+    .max(1)
+    .default(0.9)
+    .describe('Use of the home region below which nothing leaves it, as a share of its limit'),
+  foreignUtilisation: z
+    .number()
+    .min(0)
+    .max(1)
+    .default(0.75)
+    .describe('Use of a region up to which it takes requests of others, as a share of its limit'),
+  risePerSecond: z
+    .number()
+    .min(0)
+    .max(1)
+    .default(0.05)
+    .describe('Most by which the share of requests that leave may rise in a second'),
+  fallPerSecond: z
+    .number()
+    .min(0)
+    .max(1)
+    .default(0.02)
+    .describe('Most by which it may fall in a second'),
+});
+
 /** The zod schema of the section. */
 export const resilienceSchema = z.strictObject({
   retries: retries.prefault({}),
   poison: poison.prefault({}),
   outliers: outliers.prefault({}),
+  spillover: spillover.prefault({}),
 });
 
 /** The section with its defaults filled in. */
@@ -92,3 +120,5 @@
 export type PoisonOptions = z.output<typeof poison>;
 /** Options of outlier ejection. */
 export type OutlierOptions = z.output<typeof outliers>;
+/** Options of spillover between regions. */
+export type SpilloverOptions = z.output<typeof spillover>;
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -9,6 +9,7 @@
 import { ROUTING_EVENTS } from '../routing/events';
 import { SERVER_HEALTH_EVENTS } from '../server-health/events';
 import { SERVING_EVENTS } from '../serving/events';
+import { SPILLOVER_EVENTS } from '../spillover/events';
 import type { EventDefinition } from './types';
 
 /**
@@ -27,6 +28,7 @@
   RETRY_EVENTS,
   POISON_EVENTS,
   OUTLIER_EVENTS,
+  SPILLOVER_EVENTS,
 ]
   .flatMap((events): EventDefinition[] => Object.values(events))
   .sort((left, right) => left.id - right.id);
--- /dev/null
+++ b/src/core/spillover/index.ts
@@ -0,0 +1,14 @@
+/** When requests leave their home region, and which of another region's are taken here. */
+export { createSpillover } from './create-spillover';
+export type { Spillover, SpilloverNeeds } from './create-spillover';
+export { SPILLOVER_EVENTS } from './events';
+export { mayTakeForeign } from './foreign-gate';
+export { willingness } from './spill-share';
+export type {
+  ForwardResult,
+  HomeOutlook,
+  HomeReason,
+  RemoteRegion,
+  SpilloverDecision,
+  SpilloverInput,
+} from './types';
