--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -10,6 +10,7 @@
 import { SERVER_HEALTH_EVENTS } from '../server-health/events';
 import { SERVING_EVENTS } from '../serving/events';
 import { SPILLOVER_EVENTS } from '../spillover/events';
+import { TICKET_EVENTS } from '../tickets/events';
 import type { EventDefinition } from './types';
 
 /**
@@ -27,6 +28,7 @@
   SERVER_HEALTH_EVENTS,
   RETRY_EVENTS,
   POISON_EVENTS,
+  TICKET_EVENTS,
   OUTLIER_EVENTS,
   SPILLOVER_EVENTS,
 ]
--- a/src/core/http-edge/build-request.ts
+++ b/src/core/http-edge/build-request.ts
@@ -4,6 +4,7 @@
 import type { Caller, CompiledConfiguration, Service } from '../configuration';
 import { REFUSALS, RefusalError } from '../refusals';
 import type { GatewayRequest, Header } from '../serving';
+import { METHOD_OVERRIDE_HEADERS, TICKET_HEADER, hasNonRepeatableCalls } from '../tickets';
 
 /** Turns what came over HTTP into a request for serving. */
 
@@ -17,7 +18,9 @@
   'content-length',
   'expect',
   'x-request-id',
+  'x-attempt',
   'idempotency-key',
+  TICKET_HEADER,
   DEADLINE_HEADER,
 ]);
 
@@ -40,11 +43,13 @@
   });
 }
 
-function passedHeaders(incoming: IncomingMessage): Header[] {
+function passedHeaders(incoming: IncomingMessage, service: Service): Header[] {
+  const dropsOverrides = hasNonRepeatableCalls(service);
   const headers: Header[] = [];
   for (let at = 0; at < incoming.rawHeaders.length; at += 2) {
     const name = incoming.rawHeaders[at] ?? '';
     const lowerName = name.toLowerCase();
+    if (dropsOverrides && METHOD_OVERRIDE_HEADERS.has(lowerName)) continue;
     if (isEndToEndHeader(lowerName) && !EDGE_HEADERS.has(lowerName)) {
       headers.push({ name: lowerName, value: incoming.rawHeaders[at + 1] ?? '' });
     }
@@ -74,7 +79,7 @@
     service,
     method: incoming.method ?? 'GET',
     path,
-    headers: passedHeaders(incoming),
+    headers: passedHeaders(incoming, service),
     body,
     deadlineAtMs: clock.monotonicMs() + statedTimeMs(incoming, service),
     configuration,
--- a/src/core/http-edge/open-http-edge.ts
+++ b/src/core/http-edge/open-http-edge.ts
@@ -7,6 +7,7 @@
 import { SERVING_EVENTS } from '../serving';
 import { answerRefusal } from './answer';
 import { guardConnections } from './connection-guard';
+import { abortAnswer } from './http-sink';
 import { createHandlers } from './routes';
 import type { EdgeExchange, EdgeHandler } from './routes';
 import { createRequestSlots } from './request-slots';
@@ -53,7 +54,7 @@
     const refusal = asRefusal(error);
     if (response.headersSent) {
       options.logger.event(SERVING_EVENTS.answerCutShort, { requestId, detail: refusal.message });
-      response.destroy();
+      abortAnswer(response, refusal, requestId, options.clock);
       return;
     }
     logRefusal(options, refusal, requestId);
@@ -84,6 +85,7 @@
 function createRequestListener(options: HttpEdgeOptions) {
   const handlers = createHandlers(options);
   const router = createRouter({ ignoreTrailingSlash: false });
+  const expecting = new WeakSet<IncomingMessage>();
 
   const run = (
     handler: EdgeHandler,
@@ -91,9 +93,17 @@
     response: ServerResponse,
     params: EdgeExchange['params'],
   ) => {
+    const expectsContinue = expecting.has(incoming);
     const requestId = options.newRequestId();
     const signal = goneSignal(response);
-    void handle(options, handler, { incoming, response, requestId, signal, params });
+    void handle(options, handler, {
+      incoming,
+      response,
+      requestId,
+      expectsContinue,
+      signal,
+      params,
+    });
   };
 
   const slots = createRequestSlots(options.limits.concurrentRequests, options.clock);
@@ -138,7 +148,7 @@
     });
   };
 
-  return (incoming: IncomingMessage, response: ServerResponse): void => {
+  const listener = (incoming: IncomingMessage, response: ServerResponse): void => {
     const found = router.find(incoming.method as 'GET', incoming.url ?? '/');
     if (found === null) {
       run(unknownPath, incoming, response, {});
@@ -146,6 +156,12 @@
     }
     void router.lookup(incoming, response);
   };
+  /** For callers that wait to be asked for their body: a handler that reads it asks, one that refuses does not. */
+  const continueListener = (incoming: IncomingMessage, response: ServerResponse): void => {
+    expecting.add(incoming);
+    listener(incoming, response);
+  };
+  return { listener, continueListener };
 }
 
 function listen(server: Server, { host, port }: HttpEdgeOptions): Promise<number> {
@@ -163,14 +179,16 @@
 /** Opens the callers' listener. */
 export async function openHttpEdge(options: HttpEdgeOptions): Promise<HttpEdge> {
   const { limits, logger } = options;
+  const { listener, continueListener } = createRequestListener(options);
   const server = createServer(
     {
       maxHeaderSize: limits.headerBytes,
       headersTimeout: limits.headerTimeoutMs,
       requestTimeout: limits.bodyTimeoutMs,
     },
-    createRequestListener(options),
+    listener,
   );
+  server.on('checkContinue', continueListener);
   guardConnections(server, {
     logger,
     metrics: options.metrics,
--- a/src/core/http-edge/routes.ts
+++ b/src/core/http-edge/routes.ts
@@ -1,15 +1,19 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { authenticate } from '../access';
-import type { Caller, CompiledConfiguration, Service } from '../configuration';
+import type { Caller, CompiledConfiguration } from '../configuration';
 import { chooseEntry, toEntryAnswer } from '../entry';
 import { REFUSALS, RefusalError } from '../refusals';
 import { allowedRegions } from '../residency';
+import type { GatewayRequest } from '../serving';
+import { TICKET_HEADER, isNonRepeatable } from '../tickets';
 import { answerJson } from './answer';
 import { buildRequest, modelOf } from './build-request';
 import type { RequestParts } from './build-request';
 import { createHttpSink } from './http-sink';
 import { createMeteredSink } from './metered-sink';
 import { readBody } from './read-body';
+import { createRegionGate } from './refuse-region';
+import { pathWithinService } from './service-path';
 import type { HttpEdgeOptions } from './types';
 
 /** One request at the edge, before it is known what it asks for. */
@@ -17,6 +21,8 @@
   readonly incoming: IncomingMessage;
   readonly response: ServerResponse;
   readonly requestId: string;
+  /** Whether the caller sends its body only once it is asked to (`Expect: 100-continue`). */
+  readonly expectsContinue: boolean;
   /** Aborts when the caller has gone. */
   readonly signal: AbortSignal;
   /** Parameters of the path. */
@@ -42,9 +48,24 @@
   return new RefusalError(definition, { detail, step, evidence: { kind: 'neverSent' } });
 }
 
+/** The ticket that came with a request; a repeated header gives a text that no ticket has. */
+function ticketOf({ headers }: IncomingMessage): string | undefined {
+  const value = headers[TICKET_HEADER];
+  return Array.isArray(value) ? value.join(',') : value;
+}
+
+function isRefusedWithoutTicket(
+  incoming: IncomingMessage,
+  { service, path }: ServedParts,
+): boolean {
+  const isWithout = ticketOf(incoming) === undefined;
+  return isWithout && isNonRepeatable(service, incoming.method ?? 'GET', path);
+}
+
 /** The handlers of the callers' listener. */
 export function createHandlers(options: HttpEdgeOptions) {
-  const { clock, serving, metrics, configuration: store, membership, limits, region } = options;
+  const { clock, serving, serveNonRepeatable, tickets, metrics, membership, limits } = options;
+  const { configuration: store, region } = options;
 
   const identify = (incoming: IncomingMessage): KnownCaller => {
     const configuration = store.current();
@@ -58,33 +79,41 @@
     return { caller, configuration };
   };
 
-  const requireRegion = (caller: Caller, service: Service): void => {
-    const regions = allowedRegions(caller, service);
-    if (regions.includes(region)) return;
-    const detail = `Allowed are: ${regions.join(', ') || 'none'}.`;
-    throw neverSent(REFUSALS.regionNotAllowed, detail, 'check-residency');
-  };
+  const gate = createRegionGate({ region, membership, nowUnixMs: () => clock.unixMs() });
 
-  const pass = async (exchange: EdgeExchange, parts: ServedParts): Promise<void> => {
-    const { incoming, response, requestId, signal } = exchange;
-    const request = buildRequest({ incoming, requestId, ...parts }, clock);
-    const sink = createMeteredSink(createHttpSink(response, requestId), {
+  /** Serves a request that was read, under its ticket where it has or needs one. */
+  const answer = async (
+    request: GatewayRequest,
+    { incoming, response, signal }: EdgeExchange,
+  ): Promise<void> => {
+    const { service, method, path } = request;
+    const sink = createMeteredSink(createHttpSink(response, request.requestId), {
       clock,
       metrics,
-      service: parts.service.name,
+      service: service.name,
       startedAtMs: clock.monotonicMs(),
     });
-    await serving.serve(request, sink, signal);
+    const ticket = ticketOf(incoming);
+    const isUnderTicket =
+      service.kind === 'plain' && (ticket !== undefined || isNonRepeatable(service, method, path));
+    try {
+      if (isUnderTicket) await serveNonRepeatable(request, ticket, sink, signal);
+      else await serving.serve(request, sink, signal);
+    } catch (error) {
+      throw gate.nameEntries(error, request);
+    }
+  };
+
+  const pass = (exchange: EdgeExchange, parts: ServedParts): Promise<void> => {
+    const { incoming, requestId } = exchange;
+    return answer(buildRequest({ incoming, requestId, ...parts }, clock), exchange);
   };
 
   const serveModel: EdgeHandler = async (exchange) => {
     const { incoming } = exchange;
     const { caller, configuration } = identify(incoming);
-    if (!caller.regions.includes(region)) {
-      const detail = `Allowed are: ${caller.regions.join(', ')}.`;
-      throw neverSent(REFUSALS.regionNotAllowed, detail, 'check-residency');
-    }
-    const body = await readBody(incoming, limits.bodyBytes);
+    gate.requireAnyModel(caller, configuration);
+    const body = await readBody(exchange, limits.bodyBytes);
     const model = modelOf(body);
     const service = configuration.serviceOfModel(model);
     if (service === undefined) {
@@ -94,7 +123,7 @@
         'find-service',
       );
     }
-    requireRegion(caller, service);
+    gate.requireService(caller, service);
     const path = incoming.url ?? '/';
     await pass(exchange, { caller, service, path, body, configuration });
   };
@@ -107,10 +136,16 @@
     if (service?.kind !== 'plain') {
       throw neverSent(REFUSALS.unknownService, `There is no service "${name}".`, 'find-service');
     }
-    requireRegion(caller, service);
-    const body = await readBody(incoming, limits.bodyBytes);
-    const path = (incoming.url ?? '/').slice(`/services/${name}`.length) || '/';
-    await pass(exchange, { caller, service, path, body, configuration });
+    gate.requireService(caller, service);
+    const path = pathWithinService(incoming.url ?? '/', service);
+    const withoutBody = { caller, service, path, body: new Uint8Array(), configuration };
+    if (exchange.expectsContinue && isRefusedWithoutTicket(incoming, withoutBody)) {
+      // The caller waits to be asked for the body; it need not send one that is refused anyway.
+      await pass(exchange, withoutBody);
+      return;
+    }
+    const body = await readBody(exchange, limits.bodyBytes);
+    await pass(exchange, { ...withoutBody, body });
   };
 
   const listModels: EdgeHandler = async ({ incoming, response }) => {
@@ -130,14 +165,30 @@
     answerJson(response, 200, { object: 'list', data });
   };
 
+  /** A ticket for the service asked about, when the caller is sent to this very instance. */
+  const ticketForEntry = ({ caller, configuration }: KnownCaller, incoming: IncomingMessage) => {
+    const name = new URL(incoming.url ?? '/', 'http://entry').searchParams.get('service');
+    const service = name === null ? undefined : configuration.serviceNamed(name);
+    if (service?.kind !== 'plain' || !allowedRegions(caller, service).includes(region)) return {};
+    const minted = tickets.mint(
+      { callerId: caller.id, service: service.name },
+      service.ticketValidMs,
+    );
+    if (minted === undefined) return {};
+    return { ticket: minted.ticket, ticketExpiresAtUnixMs: minted.expiresAtUnixMs };
+  };
+
   const nameEntry: EdgeHandler = async ({ incoming, response }) => {
-    const { caller } = identify(incoming);
+    const known = identify(incoming);
+    const { caller } = known;
     const choice = chooseEntry(membership.members(), caller.regions, caller.homeRegion ?? region);
     if (choice === undefined) {
       const detail = 'No instance of an allowed region answers.';
       throw neverSent(REFUSALS.noServer, detail, 'choose-entry');
     }
-    answerJson(response, 200, toEntryAnswer(choice, clock.unixMs()));
+    const isSelf = choice.entry.instanceId === membership.self().instanceId;
+    const ticket = isSelf ? ticketForEntry(known, incoming) : {};
+    answerJson(response, 200, { ...toEntryAnswer(choice, clock.unixMs()), ...ticket });
   };
 
   const health: EdgeHandler = async ({ response }) => answerJson(response, 200, { status: 'ok' });
--- a/src/core/http-edge/types.ts
+++ b/src/core/http-edge/types.ts
@@ -5,6 +5,7 @@
 import type { Metrics } from '../metrics';
 import type { Serving } from '../serving';
 import type { Settings } from '../settings';
+import type { NonRepeatableServer, Tickets } from '../tickets';
 
 /** What the callers' listener needs. */
 export interface HttpEdgeOptions {
@@ -16,6 +17,8 @@
   readonly configuration: ConfigurationStore;
   readonly membership: MembershipView;
   readonly serving: Serving;
+  readonly tickets: Tickets;
+  readonly serveNonRepeatable: NonRepeatableServer;
   readonly metrics: Metrics;
   readonly limits: Settings['limits'];
   /** Makes an id that no other request has. */
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -30,7 +30,9 @@
 import { createServing } from '../serving';
 import type { Settings } from '../settings';
 import { NODE_EVENTS } from './events';
-import { toGatewayRequest } from './serve-forwarded';
+import { createTicketing } from './create-ticketing';
+import { lingerForTickets } from './linger-for-tickets';
+import { createForwardedHandlers } from './serve-forwarded';
 
 /** What an instance is made from. */
 export interface NodeOptions {
@@ -77,7 +79,6 @@
   const gossip = createGossipBoard(instanceId, clock);
   const inFlight = createInFlight();
   const sender = owned.add(createServerSender());
-  const forwarder = createPeerForwarder({ clock, connections, metadata, instanceId });
   const metrics = createMetrics();
   let callerAddress = '';
   let peerAddress = '';
@@ -124,6 +125,16 @@
       options: () => currentResilience(configuration).poison,
     }),
   );
+  const forwarder = createPeerForwarder({
+    clock,
+    connections,
+    metadata,
+    instanceId,
+    incarnation,
+    incarnationOf: (id) =>
+      membership.members().find((member) => member.instanceId === id)?.incarnation,
+  });
+
   const outliers = createOutlierTracker(
     () => currentResilience(configuration).outliers,
     ({ serverId, untilMs, ...ejection }) =>
@@ -151,6 +162,17 @@
     forwarder,
   });
 
+  const { tickets, serveNonRepeatable } = createTicketing({
+    settings,
+    clock,
+    logger,
+    incarnation,
+    configuration,
+    membership,
+    forwarder,
+    serving,
+  });
+
   const peerServer = owned.add(
     await openPeerServer({
       ...listeners.peers,
@@ -158,8 +180,13 @@
       peerSecret: settings.peerSecret,
       handlers: {
         exchange: (members) => membership.receive(members),
-        serveForwarded: (message, sink, signal) =>
-          serving.serve(toGatewayRequest(message, configuration, clock), sink, signal),
+        ...createForwardedHandlers({
+          clock,
+          incarnation,
+          configuration,
+          serving,
+          serveNonRepeatable,
+        }),
       },
     }),
   );
@@ -174,6 +201,8 @@
       configuration,
       membership,
       serving,
+      tickets,
+      serveNonRepeatable,
       limits: settings.limits,
       metrics,
       newRequestId,
@@ -231,7 +260,9 @@
     async drain() {
       logger.event(NODE_EVENTS.stopping, { inFlightRequests: inFlight.totalRequests() });
       membership.markLeaving();
+      tickets.stopMinting();
       await edge.drain();
+      await lingerForTickets({ clock, logger, tickets, lingerMs: settings.limits.ticketLingerMs });
       logger.event(NODE_EVENTS.stopped);
     },
     [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose](),
--- a/src/core/refusals/problem.ts
+++ b/src/core/refusals/problem.ts
@@ -1,5 +1,5 @@
 import type { Outcome } from '../outcomes';
-import type { RefusalError } from './refusal-error';
+import type { RefusalEntry, RefusalError } from './refusal-error';
 
 /** Start of every problem's `type`. */
 export const PROBLEM_TYPE_PREFIX = 'urn:coltsfootworks:refusal:';
@@ -19,6 +19,11 @@
   readonly peer?: string;
   readonly requestId: string;
   readonly retryAtUnixMs?: number;
+  /** A new ticket, where the call may be sent again at once or later. */
+  readonly ticket?: string;
+  readonly ticketExpiresAtUnixMs?: number;
+  /** Instances that may take the request. */
+  readonly entries?: readonly RefusalEntry[];
 }
 
 /** The answer to send for `refusal`. */
@@ -34,6 +39,13 @@
     ...(refusal.peer === undefined ? {} : { peer: refusal.peer }),
     requestId,
     ...(refusal.retryAtUnixMs === undefined ? {} : { retryAtUnixMs: refusal.retryAtUnixMs }),
+    ...(refusal.ticket === undefined
+      ? {}
+      : {
+          ticket: refusal.ticket.ticket,
+          ticketExpiresAtUnixMs: refusal.ticket.expiresAtUnixMs,
+        }),
+    ...(refusal.entries === undefined ? {} : { entries: refusal.entries }),
   };
 }
 
