--- a/scripts/run-tests.ts
+++ b/scripts/run-tests.ts
@@ -21,8 +21,8 @@
 }
 
 // The child processes that the runner starts take their loader from here.
-const inherited = process.env['NODE_OPTIONS'] ?? '';
-process.env['NODE_OPTIONS'] = `${inherited} --import tsx`.trim();
+const inherited = process.env.NODE_OPTIONS ?? '';
+process.env.NODE_OPTIONS = `${inherited} --import tsx`.trim();
 run({ files, concurrency: CONCURRENT_FILES, timeout: 300_000 })
   .on('test:fail', () => {
     process.exitCode = 1;
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -9,6 +9,7 @@
 import { ROUTING_EVENTS } from '../routing/events';
 import { SERVER_HEALTH_EVENTS } from '../server-health/events';
 import { SERVING_EVENTS } from '../serving/events';
+import { SPILLOVER_EVENTS } from '../spillover/events';
 import { TICKET_EVENTS } from '../tickets/events';
 import type { EventDefinition } from './types';
 
@@ -29,6 +30,7 @@
   POISON_EVENTS,
   TICKET_EVENTS,
   OUTLIER_EVENTS,
+  SPILLOVER_EVENTS,
 ]
   .flatMap((events): EventDefinition[] => Object.values(events))
   .sort((left, right) => left.id - right.id);
