Build membership from heartbeats of a few partners and deltas

Cause: the skeleton sent the whole view to every seed, knew nobody else, held an instance for dead on its own evidence alone and took the start time for the incarnation, so a replacement with a slow clock was lost. Found by the partition test and mended: an instance that stopped being a partner while it could not be reached stayed out of use after the network healed. Conclusion: rings per failure domain, region and fleet; three change logs with cursors; gossip statements on the same exchanges inside a byte budget.

--- /dev/null
+++ b/src/core/membership/log-change.ts
@@ -0,0 +1,31 @@
+import type { Logger } from '../events';
+import { MEMBERSHIP_EVENTS } from './events';
+import type { MemberChange, MemberStatus } from './types';
+
+function eventOf(status: MemberStatus) {
+  switch (status) {
+    case 'alive':
+      return MEMBERSHIP_EVENTS.peerUp;
+    case 'suspect':
+      return MEMBERSHIP_EVENTS.peerSuspected;
+    case 'leaving':
+      return MEMBERSHIP_EVENTS.peerLeaving;
+    case 'dead':
+      return MEMBERSHIP_EVENTS.peerDown;
+    default:
+      return status satisfies never;
+  }
+}
+
+/** Writes one line for each change of another instance's standing. */
+export function logChange(logger: Logger, change: MemberChange): void {
+  const { member, previousStatus, isNewIncarnation } = change;
+  if (member.status === previousStatus && !isNewIncarnation) return;
+  logger.event(eventOf(member.status), {
+    peer: member.instanceId,
+    region: member.region,
+    failureDomain: member.failureDomain,
+    incarnation: member.incarnation,
+    previousStatus: previousStatus ?? null,
+  });
+}
--- a/src/core/membership/merge.ts
+++ b/src/core/membership/merge.ts
@@ -1,9 +1,104 @@
-import type { MemberState } from './types';
-
-/** The later of two statements about one instance; merging in any order gives the same result. */
-export function laterState(left: MemberState, right: MemberState): MemberState {
-  if (left.incarnation !== right.incarnation) {
-    return left.incarnation > right.incarnation ? left : right;
-  }
-  return right.sequence > left.sequence ? right : left;
+import type { LoadState, MemberRecord, MemberStatus } from './types';
+
+/**
+ * Merging of two statements about one instance. Statements arrive in any order, twice, or by several ways;
+ * unless every order gives the same result, two instances that heard the same things disagree for ever, and
+ * one goes on sending work to an instance that the other knows to be gone.
+ *
+ * The higher incarnation wins whole. Within an incarnation the standing and the load are merged apart, each by
+ * a total order, so the result is the least upper bound of a lexicographic product: commutative, associative
+ * and idempotent.
+ */
+
+/** At one sequence the graver word stands; an incarnation found dead never stands up again. */
+const GRAVITY: Readonly<Record<MemberStatus, number>> = {
+  alive: 0,
+  leaving: 1,
+  suspect: 2,
+  dead: 3,
+};
+
+type Standing = Pick<
+  MemberRecord,
+  | 'instanceId'
+  | 'incarnation'
+  | 'sequence'
+  | 'region'
+  | 'failureDomain'
+  | 'callerAddress'
+  | 'peerAddress'
+  | 'status'
+  | 'processToken'
+>;
+
+function standingOf(record: MemberRecord): Standing {
+  const { instanceId, incarnation, sequence, region, failureDomain } = record;
+  const { callerAddress, peerAddress, status, processToken } = record;
+  return {
+    instanceId,
+    incarnation,
+    sequence,
+    region,
+    failureDomain,
+    callerAddress,
+    peerAddress,
+    status,
+    processToken,
+  };
+}
+
+function loadOf(record: LoadState): LoadState {
+  const { loadSequence, inFlightRequests, configurationVersion, configurationDigest } = record;
+  const { configurationSinceUnixMs, configurationConfirmed, watching } = record;
+  return {
+    loadSequence,
+    inFlightRequests,
+    configurationVersion,
+    configurationDigest,
+    configurationSinceUnixMs,
+    configurationConfirmed,
+    watching,
+  };
+}
+
+/** Orders what no honest instance says twice; any fixed order will do. */
+function compareContent(left: object, right: object): number {
+  const leftText = JSON.stringify(left);
+  const rightText = JSON.stringify(right);
+  if (leftText === rightText) return 0;
+  return leftText < rightText ? -1 : 1;
+}
+
+function compareLives(left: MemberRecord, right: MemberRecord): number {
+  return left.incarnation - right.incarnation || left.processToken - right.processToken;
+}
+
+function compareStandings(left: MemberRecord, right: MemberRecord): number {
+  const deadLeft = left.status === 'dead' ? 1 : 0;
+  const deadRight = right.status === 'dead' ? 1 : 0;
+  return (
+    deadLeft - deadRight ||
+    left.sequence - right.sequence ||
+    GRAVITY[left.status] - GRAVITY[right.status] ||
+    compareContent(standingOf(left), standingOf(right))
+  );
+}
+
+/** Negative when `right` is the later statement of load. */
+export function compareLoads(left: LoadState, right: LoadState): number {
+  return left.loadSequence - right.loadSequence || compareContent(loadOf(left), loadOf(right));
+}
+
+/** What both records together say of one instance. */
+export function mergeRecords(left: MemberRecord, right: MemberRecord): MemberRecord {
+  const lives = compareLives(left, right);
+  if (lives !== 0) return lives > 0 ? left : right;
+  const standing = compareStandings(left, right) >= 0 ? left : right;
+  const load = compareLoads(left, right) >= 0 ? left : right;
+  return standing === load ? standing : { ...standing, ...loadOf(load) };
+}
+
+/** Whether two records say the same of the instance's standing. */
+export function sameStanding(left: MemberRecord, right: MemberRecord): boolean {
+  return compareLives(left, right) === 0 && compareStandings(left, right) === 0;
 }
--- a/src/core/membership/types.ts
+++ b/src/core/membership/types.ts
@@ -4,9 +4,9 @@
 /** One instance as it describes itself, or as others have it. */
 export interface MemberState {
   readonly instanceId: string;
-  /** Rises with each start of the process. */
+  /** Rises with each life of the instance: each start of the process and each return from being held dead. */
   readonly incarnation: number;
-  /** Rises with each statement of the incarnation. */
+  /** Rises with each statement of the incarnation about its standing. */
   readonly sequence: number;
   readonly region: string;
   readonly failureDomain: string;
@@ -17,6 +17,41 @@
   readonly inFlightRequests: number;
 }
 
+/** The part of a member that changes all the time and spreads apart from the rest. */
+export interface LoadState {
+  /** Rises with each statement of load within an incarnation. */
+  readonly loadSequence: number;
+  readonly inFlightRequests: number;
+  readonly configurationVersion: number;
+  /** First 32 bits of the SHA-256 of that version's root. */
+  readonly configurationDigest: number;
+  /** When that version came into force there, by that machine's clock. */
+  readonly configurationSinceUnixMs: number;
+  /** Whether an instance that was there before vouched for that version. */
+  readonly configurationConfirmed: boolean;
+  /** Whether the instance reads the configuration service with success just now. */
+  readonly watching: boolean;
+}
+
+/** All that instances tell one another about a member. */
+export interface MemberRecord extends MemberState, LoadState {
+  /** Drawn at random by each process; tells two processes of one name apart. Unsigned 32 bits. */
+  readonly processToken: number;
+}
+
+/** A load statement as it spreads: the member is named by a hash. */
+export interface LoadStatement extends LoadState {
+  readonly memberKey: number;
+  /** Whether it goes on to other regions, which need load more rarely. */
+  readonly wide: boolean;
+}
+
+/** What an instance says of itself; membership fills in the rest. */
+export type SelfDescription = Omit<
+  MemberRecord,
+  'incarnation' | 'sequence' | 'status' | 'loadSequence' | 'processToken'
+>;
+
 /** The fleet as this instance sees it. */
 export interface MembershipView {
   /** This instance. */
@@ -26,3 +61,17 @@
   /** Other instances that may be given work. */
   usablePeers(): readonly MemberState[];
 }
+
+/** A change of another instance's standing. */
+export interface MemberChange {
+  readonly member: MemberRecord;
+  /** Undefined for an instance heard of for the first time. */
+  readonly previousStatus: MemberStatus | undefined;
+  /** A replaced or woken instance: nothing that was known of the former life holds. */
+  readonly isNewIncarnation: boolean;
+}
+
+/** Tells of changes of standing as they are learned. */
+export interface MembershipChanges {
+  onChange(listener: (change: MemberChange) => void): Disposable;
+}
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -56,7 +56,6 @@
   const { settings, clock, random, logger, newRequestId } = options;
   const { instanceId, region, failureDomain, listeners, advertised } = settings;
   const owned = createDisposableStore();
-  const incarnation = clock.unixMs();
 
   const configuration = createConfigurationStore(logger);
   const connections = owned.add(createPeerConnections(channelCredentials(settings.tls)));
@@ -72,16 +71,21 @@
     createMembership({
       clock,
       logger,
-      transport: createExchangeTransport({ clock, connections, metadata, instanceId }),
+      random,
+      gossip,
+      transport: createExchangeTransport({ clock, connections, metadata }),
       seedPeers: settings.seedPeers,
       describeSelf: () => ({
         instanceId,
-        incarnation,
         region,
         failureDomain,
         callerAddress,
         peerAddress,
         configurationVersion: configuration.current()?.version ?? 0,
+        configurationDigest: 0,
+        configurationSinceUnixMs: 0,
+        configurationConfirmed: false,
+        watching: false,
         inFlightRequests: inFlight.totalRequests(),
       }),
     }),
@@ -108,7 +112,7 @@
       credentials: serverCredentials(settings.tls),
       peerSecret: settings.peerSecret,
       handlers: {
-        exchange: (members) => membership.receive(members),
+        exchange: (message) => membership.receive(message),
         serveForwarded: (message, sink, signal) =>
           serving.serve(toGatewayRequest(message, configuration, clock), sink, signal),
       },
@@ -134,7 +138,11 @@
   const { configurationUrl: url, configurationKey: key } = settings.platform;
   owned.add(watchConfiguration({ clock, logger, store: configuration, url, key }));
   membership.start();
-  logger.event(NODE_EVENTS.started, { callerAddress, peerAddress, incarnation });
+  logger.event(NODE_EVENTS.started, {
+    callerAddress,
+    peerAddress,
+    incarnation: membership.self().incarnation,
+  });
 
   return {
     callerAddress,
--- a/src/core/peers/definition.ts
+++ b/src/core/peers/definition.ts
@@ -7,7 +7,11 @@
   ForwardEventSchema,
   ForwardRequestSchema,
 } from '../../gen/forward_pb';
-import { ExchangeRequestSchema, ExchangeResponseSchema } from '../../gen/membership_pb';
+import {
+  ExchangeMessageSchema,
+  FetchConfigurationRequestSchema,
+  FetchConfigurationResponseSchema,
+} from '../../gen/membership_pb';
 
 /** Ties the generated messages to grpc-js, which generates nothing itself. */
 
@@ -46,8 +50,15 @@
   exchange: method({
     service: MEMBERSHIP_PATH,
     name: 'Exchange',
-    input: ExchangeRequestSchema,
-    output: ExchangeResponseSchema,
+    input: ExchangeMessageSchema,
+    output: ExchangeMessageSchema,
+    responseStream: false,
+  }),
+  fetchConfiguration: method({
+    service: MEMBERSHIP_PATH,
+    name: 'FetchConfiguration',
+    input: FetchConfigurationRequestSchema,
+    output: FetchConfigurationResponseSchema,
     responseStream: false,
   }),
   forward: method({
--- a/src/core/peers/index.ts
+++ b/src/core/peers/index.ts
@@ -1,6 +1,7 @@
 /** Calls between instances, over gRPC. */
 export { channelCredentials, secretMetadata, serverCredentials } from './credentials';
 export { createExchangeTransport } from './exchange';
+export { fromWireMessage, toWireMessage } from './exchange-messages';
 export { createPeerForwarder } from './forward';
 export type { ForwardTarget, PeerForwarder } from './forward';
 export { createPeerConnections } from './peer-connections';
--- a/src/core/peers/member-messages.ts
+++ b/src/core/peers/member-messages.ts
@@ -1,7 +1,7 @@
 import { create } from '@bufbuild/protobuf';
-import { MemberSchema, MemberStatus as WireStatus } from '../../gen/membership_pb';
-import type { Member } from '../../gen/membership_pb';
-import type { MemberState, MemberStatus } from '../membership';
+import { LoadSchema, MemberSchema, MemberStatus as WireStatus } from '../../gen/membership_pb';
+import type { Load, Member } from '../../gen/membership_pb';
+import type { LoadStatement, MemberRecord, MemberStatus } from '../membership';
 
 const WIRE_STATUSES: Readonly<Record<MemberStatus, WireStatus>> = {
   alive: WireStatus.ALIVE,
@@ -27,18 +27,19 @@
 }
 
 /** A member as it goes over the wire. */
-export function toWireMember(state: MemberState): Member {
+export function toWireMember(record: MemberRecord): Member {
   return create(MemberSchema, {
-    ...state,
-    incarnation: BigInt(state.incarnation),
-    sequence: BigInt(state.sequence),
-    configurationVersion: BigInt(state.configurationVersion),
-    status: WIRE_STATUSES[state.status],
+    ...record,
+    incarnation: BigInt(record.incarnation),
+    sequence: BigInt(record.sequence),
+    configurationVersion: BigInt(record.configurationVersion),
+    configurationSinceUnixMs: BigInt(record.configurationSinceUnixMs),
+    status: WIRE_STATUSES[record.status],
   });
 }
 
 /** A member as it came over the wire. */
-export function fromWireMember(member: Member): MemberState {
+export function fromWireMember(member: Member): MemberRecord {
   return {
     instanceId: member.instanceId,
     incarnation: Number(member.incarnation),
@@ -50,5 +51,35 @@
     status: fromWireStatus(member.status),
     configurationVersion: Number(member.configurationVersion),
     inFlightRequests: member.inFlightRequests,
+    loadSequence: member.loadSequence,
+    processToken: member.processToken,
+    configurationDigest: member.configurationDigest,
+    configurationSinceUnixMs: Number(member.configurationSinceUnixMs),
+    configurationConfirmed: member.configurationConfirmed,
+    watching: member.watching,
+  };
+}
+
+/** A load statement as it goes over the wire. */
+export function toWireLoad(statement: LoadStatement): Load {
+  return create(LoadSchema, {
+    ...statement,
+    configurationVersion: BigInt(statement.configurationVersion),
+    configurationSinceUnixMs: BigInt(statement.configurationSinceUnixMs),
+  });
+}
+
+/** A load statement as it came over the wire. */
+export function fromWireLoad(load: Load): LoadStatement {
+  return {
+    memberKey: load.memberKey,
+    wide: load.wide,
+    loadSequence: load.loadSequence,
+    inFlightRequests: load.inFlightRequests,
+    configurationVersion: Number(load.configurationVersion),
+    configurationDigest: load.configurationDigest,
+    configurationSinceUnixMs: Number(load.configurationSinceUnixMs),
+    configurationConfirmed: load.configurationConfirmed,
+    watching: load.watching,
   };
 }
--- a/src/core/peers/peer-server.ts
+++ b/src/core/peers/peer-server.ts
@@ -11,27 +11,26 @@
   ForwardEventSchema,
   ForwardRefusalSchema,
 } from '../../gen/forward_pb';
-import { ExchangeResponseSchema } from '../../gen/membership_pb';
 import type {
   CancelRequest,
   CancelResponse,
   ForwardEvent,
   ForwardRequest,
 } from '../../gen/forward_pb';
-import type { ExchangeRequest, ExchangeResponse } from '../../gen/membership_pb';
+import type { ExchangeMessage as WireMessage } from '../../gen/membership_pb';
 import { ERRORS, errorText, gatewayError } from '../errors';
-import type { MemberState } from '../membership';
+import type { ExchangeMessage } from '../membership';
 import { REFUSALS, RefusalError } from '../refusals';
 import type { ResponseSink } from '../serving/types';
 import { showsSecret } from './credentials';
 import { PEER_SERVICE } from './definition';
-import { fromWireMember, toWireMember } from './member-messages';
+import { fromWireMessage, toWireMessage } from './exchange-messages';
 import { createPeerSink } from './peer-sink';
 
 /** What an instance does when others call it. */
 export interface PeerHandlers {
   /** Takes in what a peer knows and returns what is known here. */
-  exchange(members: readonly MemberState[]): readonly MemberState[];
+  exchange(message: ExchangeMessage): ExchangeMessage;
   /** Serves a forwarded request from this region, or throws a `RefusalError`. */
   serveForwarded(message: ForwardRequest, sink: ResponseSink, signal: AbortSignal): Promise<void>;
 }
@@ -103,15 +102,19 @@
 
 function handleExchange(options: PeerServerOptions) {
   return (
-    call: ServerUnaryCall<ExchangeRequest, ExchangeResponse>,
-    respond: sendUnaryData<ExchangeResponse>,
+    call: ServerUnaryCall<WireMessage, WireMessage>,
+    respond: sendUnaryData<WireMessage>,
   ): void => {
     if (!showsSecret(call.metadata, options.peerSecret)) {
       respond(UNAUTHENTICATED);
       return;
     }
-    const members = options.handlers.exchange(call.request.members.map(fromWireMember));
-    respond(null, create(ExchangeResponseSchema, { members: members.map(toWireMember) }));
+    const message = fromWireMessage(call.request);
+    if (message === undefined) {
+      respond({ code: grpcStatus.INVALID_ARGUMENT, details: 'the message names no sender' });
+      return;
+    }
+    respond(null, toWireMessage(options.handlers.exchange(message)));
   };
 }
 
