Order lives apart from naming processes

Cause: outcomes and tickets need a number that stays while a process runs, since it remembers across a pause; membership needs one that rises when a process was held dead. Ruled out: one number for both (a ticket of an instance that slept would point at nobody). Conclusion: incarnation names the process, life orders what is said of a name.

--- a/src/core/membership/create-membership.ts
+++ b/src/core/membership/create-membership.ts
@@ -31,6 +31,8 @@
   readonly logger: Logger;
   readonly transport: MembershipTransport;
   readonly gossip: GossipStore;
+  /** Wall clock at the start of the process, which names it. */
+  readonly incarnation: number;
   readonly seedPeers: readonly string[];
   /** Peer addresses from the platform's list, which may be wrong; rejects when it can't be read. */
   readonly listPeers?: () => Promise<readonly string[]>;
@@ -71,7 +73,7 @@
   const { clock, random, logger, transport, gossip, seedPeers, describeSelf } = options;
   const self = createSelfRecord({
     describeSelf,
-    incarnation: clock.unixMs(),
+    incarnation: options.incarnation,
     processToken: 1 + Math.floor(random.next() * (2 ** 32 - 2)),
   });
   const policy = createSuspicionPolicy();
@@ -105,8 +107,8 @@
   const { table } = view;
 
   const noteNewLife = (reason: string) => {
-    const { incarnation } = self.current();
-    logger.event(MEMBERSHIP_EVENTS.newIncarnation, { incarnation, reason });
+    const { life } = self.current();
+    logger.event(MEMBERSHIP_EVENTS.newLife, { life, reason });
     if (self.overtakenCount() === NAME_USED_TWICE_AFTER) {
       logger.event(MEMBERSHIP_EVENTS.nameUsedTwice, { peer: self.current().instanceId });
     }
@@ -128,9 +130,9 @@
 
   const read = (message: ExchangeMessage) => {
     const nowMs = observe();
-    const { incarnation } = self.current();
+    const { life } = self.current();
     const hadToContradict = view.read(message, nowMs);
-    if (self.current().incarnation !== incarnation) noteNewLife('heard of itself');
+    if (self.current().life !== life) noteNewLife('heard of itself');
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called after both exist
     if (hadToContradict) partners.wake(() => true);
     if (message.from.processToken === self.current().processToken) return;
--- a/src/core/membership/events.ts
+++ b/src/core/membership/events.ts
@@ -6,7 +6,7 @@
     id: 500,
     name: 'peer-up',
     level: 'info',
-    text: 'Another instance has joined, or has come back as a new incarnation.',
+    text: 'Another instance has joined, or has come back as a new life.',
     action: 'None.',
   },
   peerDown: {
@@ -32,11 +32,11 @@
     text: 'Another instance is stopping and takes no new work.',
     action: 'None.',
   },
-  newIncarnation: {
+  newLife: {
     id: 504,
-    name: 'own-incarnation-raised',
+    name: 'own-life-raised',
     level: 'warn',
-    text: 'This instance was held for dead, stood still, or followed one of its own name; it goes on as a new incarnation.',
+    text: 'This instance was held for dead, stood still, or followed one of its own name; it goes on as a new life.',
     action: 'Look for a pause of the machine or a break of the network at that time.',
   },
   nameUsedTwice: {
--- a/src/core/membership/log-change.ts
+++ b/src/core/membership/log-change.ts
@@ -19,13 +19,14 @@
 
 /** Writes one line for each change of another instance's standing. */
 export function logChange(logger: Logger, change: MemberChange): void {
-  const { member, previousStatus, isNewIncarnation } = change;
-  if (member.status === previousStatus && !isNewIncarnation) return;
+  const { member, previousStatus, isNewLife } = change;
+  if (member.status === previousStatus && !isNewLife) return;
   logger.event(eventOf(member.status), {
     peer: member.instanceId,
     region: member.region,
     failureDomain: member.failureDomain,
     incarnation: member.incarnation,
+    life: member.life,
     previousStatus: previousStatus ?? null,
   });
 }
--- a/src/core/membership/member-table.ts
+++ b/src/core/membership/member-table.ts
@@ -54,14 +54,14 @@
 
   const isForgottenLife = (record: MemberRecord): boolean => {
     const past = forgotten.get(record.instanceId)?.record;
-    return past !== undefined && record.incarnation <= past.incarnation;
+    return past !== undefined && record.life <= past.life;
   };
 
   const announce = (entry: Entry, previous: MemberRecord | undefined) => {
     onChange({
       member: entry.record,
       previousStatus: previous?.status,
-      isNewIncarnation: previous !== undefined && previous.incarnation < entry.record.incarnation,
+      isNewLife: previous !== undefined && previous.life < entry.record.life,
     });
   };
 
@@ -98,7 +98,7 @@
       entry.record = merged;
       return false;
     }
-    const isSameLife = merged.incarnation === entry.record.incarnation;
+    const isSameLife = merged.life === entry.record.life;
     const isSameStatus = merged.status === entry.record.status;
     const next: Entry = {
       record: merged,
@@ -152,10 +152,10 @@
       if (past !== undefined && isForgottenLife(record)) return { ...past, status: 'dead' };
       const known = entries.get(record.instanceId)?.record;
       if (known === undefined || known.status === 'alive' || known.status === 'leaving') {
-        const isLaterLife = known !== undefined && known.incarnation > record.incarnation;
+        const isLaterLife = known !== undefined && known.life > record.life;
         return isLaterLife ? known : undefined;
       }
-      return known.incarnation >= record.incarnation ? known : undefined;
+      return known.life >= record.life ? known : undefined;
     },
     suspect(instanceId, nowMs) {
       const record = entries.get(instanceId)?.record;
--- a/src/core/membership/membership.test.ts
+++ b/src/core/membership/membership.test.ts
@@ -60,7 +60,7 @@
   it('takes a replacement for a new life even when its clock is behind', () =>
     withFleet(async (fleet) => {
       const old = fleet.get('i-5');
-      const oldIncarnation = old.membership.self().incarnation;
+      const oldLife = old.membership.self().life;
       await fleet.crash('i-5');
       await fleet.clock.runFor(1_000);
       fleet.start({
@@ -73,7 +73,7 @@
       await fleet.clock.runFor(10_000);
       const seen = fleet.seen('i-1', 'i-5');
       assert.equal(seen?.status, 'alive');
-      assert.ok((seen?.incarnation ?? 0) > oldIncarnation);
+      assert.ok((seen?.life ?? 0) > oldLife);
       assert.ok(usableCounts(fleet).every((count) => count === SIZE - 1));
     }));
 
@@ -99,7 +99,7 @@
   it('takes an instance that slept for 30 s back as a new life, and it accuses nobody', () =>
     withFleet(async (fleet) => {
       const sleeper = fleet.get('i-5');
-      const incarnationBefore = sleeper.membership.self().incarnation;
+      const lifeBefore = sleeper.membership.self().life;
       sleeper.port.pause();
       await fleet.clock.runFor(30_000);
       assert.ok(statuses(fleet, 'i-5').every((status) => status === 'dead'));
@@ -107,7 +107,7 @@
       sleeper.port.wake();
       await fleet.clock.runFor(10_000);
       assert.ok(statuses(fleet, 'i-5').every((status) => status === 'alive'));
-      assert.ok(sleeper.membership.self().incarnation > incarnationBefore);
+      assert.ok(sleeper.membership.self().life > lifeBefore);
       assert.equal(eventCount(fleet, MEMBERSHIP_EVENTS.peerSuspected), suspicionsBefore);
       assert.deepEqual(usableCounts(fleet), Array(SIZE).fill(SIZE - 1));
     }));
--- a/src/core/membership/merge.test.ts
+++ b/src/core/membership/merge.test.ts
@@ -8,7 +8,8 @@
 const anyRecord: fc.Arbitrary<MemberRecord> = fc.record(
   {
     instanceId: fc.constant('windhoek-a-1'),
-    incarnation: fc.integer({ min: 1, max: 3 }),
+    incarnation: fc.constant(1),
+    life: fc.integer({ min: 1, max: 3 }),
     sequence: fc.integer({ min: 0, max: 3 }),
     region: fc.constant('windhoek'),
     failureDomain: fc.constantFrom('windhoek-a', 'windhoek-b'),
@@ -70,6 +71,7 @@
   const base: MemberRecord = {
     instanceId: 'windhoek-a-1',
     incarnation: 5,
+    life: 5,
     sequence: 2,
     region: 'windhoek',
     failureDomain: 'windhoek-a',
@@ -101,10 +103,10 @@
     },
     {
       name: 'the death of an earlier life',
-      other: { status: 'dead', incarnation: 4 },
+      other: { status: 'dead', life: 4 },
       wins: false,
     },
-    { name: 'a later life', other: { incarnation: 6, sequence: 0 }, wins: true },
+    { name: 'a later life', other: { life: 6, sequence: 0 }, wins: true },
   ];
   for (const { name, other, wins } of CASES) {
     it(`${wins ? 'takes' : 'leaves out'} ${name}`, () => {
--- a/src/core/membership/merge.ts
+++ b/src/core/membership/merge.ts
@@ -5,12 +5,12 @@
  * unless every order gives the same result, two instances that heard the same things disagree for ever, and
  * one goes on sending work to an instance that the other knows to be gone.
  *
- * The higher incarnation wins whole. Within an incarnation the standing and the load are merged apart, each by
+ * The later life wins whole. Within a life the standing and the load are merged apart, each by
  * a total order, so the result is the least upper bound of a lexicographic product: commutative, associative
  * and idempotent.
  */
 
-/** At one sequence the graver word stands; an incarnation found dead never stands up again. */
+/** At one sequence the graver word stands; a life found dead never stands up again. */
 const GRAVITY: Readonly<Record<MemberStatus, number>> = {
   alive: 0,
   leaving: 1,
@@ -22,6 +22,7 @@
   MemberRecord,
   | 'instanceId'
   | 'incarnation'
+  | 'life'
   | 'sequence'
   | 'region'
   | 'failureDomain'
@@ -32,11 +33,12 @@
 >;
 
 function standingOf(record: MemberRecord): Standing {
-  const { instanceId, incarnation, sequence, region, failureDomain } = record;
+  const { instanceId, incarnation, life, sequence, region, failureDomain } = record;
   const { callerAddress, peerAddress, status, processToken } = record;
   return {
     instanceId,
     incarnation,
+    life,
     sequence,
     region,
     failureDomain,
@@ -70,7 +72,7 @@
 }
 
 function compareLives(left: MemberRecord, right: MemberRecord): number {
-  return left.incarnation - right.incarnation || left.processToken - right.processToken;
+  return left.life - right.life || left.processToken - right.processToken;
 }
 
 function compareStandings(left: MemberRecord, right: MemberRecord): number {
--- a/src/core/membership/self-record.ts
+++ b/src/core/membership/self-record.ts
@@ -2,16 +2,17 @@
 import type { MemberRecord, SelfDescription } from './types';
 
 /**
- * This instance's own record and its incarnation.
+ * This instance's own record and the number of its life.
  *
- * The incarnation starts from the wall clock, which as a rule puts a replacement above its predecessor. It is
- * not relied on for that: clocks of two machines differ, and a replacement whose clock runs behind would be
- * held for a stale report of the dead one and never be given work. So whenever this process hears of a life
- * of its own name that is not its own and not lower, it takes the next number above that. Each process also
- * draws a token, so that two processes that start from the same number are still told apart. Whoever knows of
- * a later life than a peer claims says so in its answer, hence the correction takes one exchange.
+ * A life starts from the wall clock, which as a rule puts a replacement above its predecessor. That is not
+ * relied on: clocks of two machines differ, and a replacement whose clock runs behind would be held for a
+ * stale report of the dead one and never be given work. So whenever this process hears of a life of its own
+ * name that is not its own and not lower, it takes the next number above that. Each process also draws a
+ * token, so that two processes that start from the same number are still told apart. Whoever knows of a later
+ * life than a peer claims says so in its answer, hence the correction takes one exchange.
  *
- * A process that stood still for long has been held dead and perhaps replaced; it comes back as a new life too.
+ * A process that stood still for long has been held dead and perhaps replaced; it comes back as a new life
+ * too. Its incarnation stays, since it still remembers what it did before.
  */
 export interface SelfRecord {
   current(): MemberRecord;
@@ -27,6 +28,7 @@
 /** What the own record is made of. */
 export interface SelfOptions {
   readonly describeSelf: () => SelfDescription;
+  /** Wall clock at the start of the process. */
   readonly incarnation: number;
   readonly processToken: number;
 }
@@ -52,23 +54,23 @@
   let record: MemberRecord = {
     ...describeSelf(),
     incarnation: options.incarnation,
+    life: options.incarnation,
     sequence: 0,
     loadSequence: 0,
     status: 'alive',
     processToken,
   };
 
-  const startNewLife = (incarnation: number) => {
-    record = { ...record, incarnation, sequence: 0, loadSequence: 0 };
+  const startNewLife = (life: number) => {
+    record = { ...record, life, sequence: 0, loadSequence: 0 };
   };
 
   const hearOfOtherLife = (other: MemberRecord): boolean => {
     const isLower =
-      other.incarnation < record.incarnation ||
-      (other.incarnation === record.incarnation && other.processToken < processToken);
+      other.life < record.life || (other.life === record.life && other.processToken < processToken);
     if (isLower) return false;
     overtaken += 1;
-    startNewLife(other.incarnation + 1);
+    startNewLife(other.life + 1);
     return true;
   };
 
@@ -81,11 +83,10 @@
       return record;
     },
     hear(other) {
-      const isOwnLife =
-        other.incarnation === record.incarnation && other.processToken === processToken;
+      const isOwnLife = other.life === record.life && other.processToken === processToken;
       if (!isOwnLife) return other.processToken !== processToken && hearOfOtherLife(other);
       if (other.status === 'dead') {
-        startNewLife(record.incarnation + 1);
+        startNewLife(record.life + 1);
         return true;
       }
       if (other.status !== 'suspect' || other.sequence < record.sequence) return false;
@@ -94,7 +95,7 @@
     },
     notePause(pausedMs) {
       if (pausedMs < NEW_LIFE_AFTER_PAUSE_MS) return false;
-      startNewLife(record.incarnation + 1);
+      startNewLife(record.life + 1);
       return true;
     },
     markLeaving() {
--- a/src/core/membership/standing-digest.ts
+++ b/src/core/membership/standing-digest.ts
@@ -3,12 +3,12 @@
 
 /** Names a life of an instance in load statements. */
 export function memberKey(record: MemberRecord): number {
-  return hashText(`${record.instanceId}\n${record.incarnation}\n${record.processToken}`);
+  return hashText(`${record.instanceId}\n${record.life}\n${record.processToken}`);
 }
 
 /** Hash of one standing; the dead count as absent, since everyone forgets them at another time. */
 export function standingDigest(record: MemberRecord): number {
   if (record.status === 'dead') return 0;
-  const { instanceId, incarnation, processToken, sequence, status } = record;
-  return hashText(`${instanceId}\n${incarnation}\n${processToken}\n${sequence}\n${status}`);
+  const { instanceId, life, processToken, sequence, status } = record;
+  return hashText(`${instanceId}\n${life}\n${processToken}\n${sequence}\n${status}`);
 }
--- a/src/core/membership/timing.ts
+++ b/src/core/membership/timing.ts
@@ -27,7 +27,7 @@
 /** A gap between two ticks that is longer than this means that this process itself stood still. */
 export const PAUSE_MS = 2_500;
 
-/** A pause after which others will have held this instance for dead; it comes back as a new incarnation. */
+/** A pause after which others will have held this instance for dead; it comes back as a new life. */
 export const NEW_LIFE_AFTER_PAUSE_MS = 6_000;
 
 /** Rest between two looks at what has fallen due. */
@@ -36,7 +36,7 @@
 /** How long a dead instance stays in the view, so that late statements of others meet the news of its death. */
 export const FORGET_DEAD_AFTER_MS = 600_000;
 
-/** How long the incarnation of a forgotten instance is remembered, so that nothing stale brings it back. */
+/** How long the life of a forgotten instance is remembered, so that nothing stale brings it back. */
 export const REMEMBER_FORGOTTEN_MS = 86_400_000;
 
 /** Rest between two tries to reach someone outside the view: seeds, listed addresses, the dead. */
--- a/src/core/membership/types.ts
+++ b/src/core/membership/types.ts
@@ -4,9 +4,9 @@
 /** One instance as it describes itself, or as others have it. */
 export interface MemberState {
   readonly instanceId: string;
-  /** Rises with each life of the instance: each start of the process and each return from being held dead. */
+  /** Names the process: the wall clock at its start, which stays the same while it runs. */
   readonly incarnation: number;
-  /** Rises with each statement of the incarnation about its standing. */
+  /** Rises with each statement of one life about its standing. */
   readonly sequence: number;
   readonly region: string;
   readonly failureDomain: string;
@@ -19,7 +19,7 @@
 
 /** The part of a member that changes all the time and spreads apart from the rest. */
 export interface LoadState {
-  /** Rises with each statement of load within an incarnation. */
+  /** Rises with each statement of load within a life. */
   readonly loadSequence: number;
   readonly inFlightRequests: number;
   readonly configurationVersion: number;
@@ -35,6 +35,8 @@
 
 /** All that instances tell one another about a member. */
 export interface MemberRecord extends MemberState, LoadState {
+  /** Orders the lives of one name: rises with each start and with each return from being held dead. */
+  readonly life: number;
   /** Drawn at random by each process; tells two processes of one name apart. Unsigned 32 bits. */
   readonly processToken: number;
 }
@@ -49,7 +51,7 @@
 /** What an instance says of itself; membership fills in the rest. */
 export type SelfDescription = Omit<
   MemberRecord,
-  'incarnation' | 'sequence' | 'status' | 'loadSequence' | 'processToken'
+  'incarnation' | 'life' | 'sequence' | 'status' | 'loadSequence' | 'processToken'
 >;
 
 /** The fleet as this instance sees it. */
@@ -68,7 +70,7 @@
   /** Undefined for an instance heard of for the first time. */
   readonly previousStatus: MemberStatus | undefined;
   /** A replaced or woken instance: nothing that was known of the former life holds. */
-  readonly isNewIncarnation: boolean;
+  readonly isNewLife: boolean;
 }
 
 /** Tells of changes of standing as they are learned. */
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -56,6 +56,7 @@
   const { settings, clock, random, logger, newRequestId } = options;
   const { instanceId, region, failureDomain, listeners, advertised } = settings;
   const owned = createDisposableStore();
+  const incarnation = clock.unixMs();
 
   const configuration = createConfigurationStore(logger);
   const connections = owned.add(createPeerConnections(channelCredentials(settings.tls)));
@@ -73,6 +74,7 @@
       logger,
       random,
       gossip,
+      incarnation,
       transport: createExchangeTransport({ clock, connections, metadata }),
       seedPeers: settings.seedPeers,
       describeSelf: () => ({
@@ -138,11 +140,7 @@
   const { configurationUrl: url, configurationKey: key } = settings.platform;
   owned.add(watchConfiguration({ clock, logger, store: configuration, url, key }));
   membership.start();
-  logger.event(NODE_EVENTS.started, {
-    callerAddress,
-    peerAddress,
-    incarnation: membership.self().incarnation,
-  });
+  logger.event(NODE_EVENTS.started, { callerAddress, peerAddress, incarnation });
 
   return {
     callerAddress,
--- a/src/core/peers/member-messages.ts
+++ b/src/core/peers/member-messages.ts
@@ -31,6 +31,7 @@
   return create(MemberSchema, {
     ...record,
     incarnation: BigInt(record.incarnation),
+    life: BigInt(record.life),
     sequence: BigInt(record.sequence),
     configurationVersion: BigInt(record.configurationVersion),
     configurationSinceUnixMs: BigInt(record.configurationSinceUnixMs),
@@ -43,6 +44,7 @@
   return {
     instanceId: member.instanceId,
     incarnation: Number(member.incarnation),
+    life: Number(member.life),
     sequence: Number(member.sequence),
     region: member.region,
     failureDomain: member.failureDomain,
--- a/src/testing/virtual-fleet.ts
+++ b/src/testing/virtual-fleet.ts
@@ -91,6 +91,7 @@
       random: createSeededRandom(nextSeed),
       logger,
       gossip,
+      incarnation: port.clock.unixMs(),
       seedPeers,
       ...(options.listPeers === undefined ? {} : { listPeers: options.listPeers }),
       describeSelf: () => ({
