--- a/src/core/gossip/create-gossip-board.ts
+++ b/src/core/gossip/create-gossip-board.ts
@@ -6,7 +6,7 @@
 /** A board with its other side: what membership's messages carry. */
 export interface GossipStore extends GossipBoard {
   /** Takes in statements that came from a peer, and passes the new ones on to the others. */
-  receive(entries: readonly GossipEntry[], learnedFrom: string): void;
+  receive(entries: readonly GossipEntry[], learnedFrom?: string): void;
   /** Drops statements that have expired. */
   forgetExpired(): void;
   /** Statements in the order in which they were made or learned. */
@@ -15,9 +15,9 @@
 
 /**
  * Longest life that is taken from a peer. A clock that runs far ahead would otherwise leave statements behind
- * that nobody forgets.
+ * that nobody forgets. A week is more than any slice asks for.
  */
-const LONGEST_LIFE_MS = 86_400_000;
+const LONGEST_LIFE_MS = 7 * 86_400_000;
 
 /** An empty board of one instance. */
 export function createGossipBoard(ownInstanceId: string, clock: Clock): GossipStore {
--- a/src/core/http-edge/answer.ts
+++ b/src/core/http-edge/answer.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../clock';
 import { PROBLEM_MEDIA_TYPE, retryAfterSeconds, toProblem } from '../refusals';
 import type { RefusalError } from '../refusals';
+import { TICKET_HEADER } from '../tickets';
 
 /** Answers that the edge makes itself. */
 
@@ -27,6 +28,7 @@
   if (retryAtUnixMs !== undefined) {
     response.setHeader('retry-after', String(retryAfterSeconds(retryAtUnixMs, clock.unixMs())));
   }
+  if (refusal.ticket !== undefined) response.setHeader(TICKET_HEADER, refusal.ticket.ticket);
   response.setHeader('x-request-id', requestId);
   response.writeHead(refusal.definition.status, {
     'content-type': PROBLEM_MEDIA_TYPE,
--- a/src/core/http-edge/types.ts
+++ b/src/core/http-edge/types.ts
@@ -2,8 +2,10 @@
 import type { ConfigurationStore } from '../configuration';
 import type { Logger } from '../events';
 import type { MembershipView } from '../membership';
+import type { Metrics } from '../metrics';
 import type { Serving } from '../serving';
 import type { Settings } from '../settings';
+import type { NonRepeatableServer, Tickets } from '../tickets';
 
 /** What the callers' listener needs. */
 export interface HttpEdgeOptions {
@@ -15,6 +17,9 @@
   readonly configuration: ConfigurationStore;
   readonly membership: MembershipView;
   readonly serving: Serving;
+  readonly tickets: Tickets;
+  readonly serveNonRepeatable: NonRepeatableServer;
+  readonly metrics: Metrics;
   readonly limits: Settings['limits'];
   /** Makes an id that no other request has. */
   readonly newRequestId: () => string;
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -1,11 +1,14 @@
 import { createInFlight, createServerSender } from '../backends';
 import type { Clock } from '../clock';
-import { createConfigurationStore } from '../configuration';
+import { createConfigurationStore, currentResilience } from '../configuration';
 import type { Logger } from '../events';
 import { createGossipBoard } from '../gossip';
 import { openHttpEdge } from '../http-edge';
 import { createDisposableStore } from '../lifetime';
 import { createMembership } from '../membership';
+import { createMetrics } from '../metrics';
+import { openOperatorListener } from '../operators';
+import { OUTLIER_EVENTS, createOutlierTracker } from '../outliers';
 import {
   channelCredentials,
   createExchangeTransport,
@@ -15,12 +18,21 @@
   secretMetadata,
   serverCredentials,
 } from '../peers';
+import { createPoisonGuard, fingerprintKey } from '../poison';
 import type { RandomSource } from '../random';
 import { watchConfiguration } from '../platform';
+import {
+  createServerHealth,
+  createServerProber,
+  observeSender,
+  watchServerLists,
+} from '../server-health';
 import { createServing } from '../serving';
 import type { Settings } from '../settings';
 import { NODE_EVENTS } from './events';
-import { toGatewayRequest } from './serve-forwarded';
+import { createTicketing } from './create-ticketing';
+import { lingerForTickets } from './linger-for-tickets';
+import { createForwardedHandlers } from './serve-forwarded';
 
 /** What an instance is made from. */
 export interface NodeOptions {
@@ -29,12 +41,15 @@
   readonly random: RandomSource;
   readonly logger: Logger;
   readonly newRequestId: () => string;
+  /** Version of this release, for operators. */
+  readonly release: string;
 }
 
 /** A running instance. */
 export interface GatewayNode extends AsyncDisposable {
   readonly callerAddress: string;
   readonly peerAddress: string;
+  readonly operatorAddress: string;
   /** Tells all that this instance is leaving, and resolves when nothing is in flight. */
   drain(): Promise<void>;
   /** Requests in flight at servers. */
@@ -64,7 +79,7 @@
   const gossip = createGossipBoard(instanceId, clock);
   const inFlight = createInFlight();
   const sender = owned.add(createServerSender());
-  const forwarder = createPeerForwarder({ clock, connections, metadata, instanceId });
+  const metrics = createMetrics();
   let callerAddress = '';
   let peerAddress = '';
 
@@ -93,6 +108,48 @@
     }),
   );
 
+  const { probe } = owned.add(createServerProber());
+  const health = owned.add(
+    createServerHealth({
+      clock,
+      random,
+      logger,
+      region,
+      configuration,
+      membership,
+      gossip,
+      probe,
+    }),
+  );
+
+  const poison = owned.add(
+    createPoisonGuard({
+      clock,
+      logger,
+      gossip,
+      key: fingerprintKey(settings.peerSecret),
+      options: () => currentResilience(configuration).poison,
+    }),
+  );
+  const forwarder = createPeerForwarder({
+    clock,
+    connections,
+    metadata,
+    instanceId,
+    incarnation,
+    incarnationOf: (id) =>
+      membership.members().find((member) => member.instanceId === id)?.incarnation,
+  });
+
+  const outliers = createOutlierTracker(
+    () => currentResilience(configuration).outliers,
+    ({ serverId, untilMs, ...ejection }) =>
+      logger.event(OUTLIER_EVENTS.ejected, {
+        server: serverId,
+        ...ejection,
+        untilUnixMs: clock.unixMs() + untilMs - clock.monotonicMs(),
+      }),
+  );
   const serving = createServing({
     clock,
     random,
@@ -103,9 +160,23 @@
     configuration,
     membership,
     gossip,
+    availability: health,
+    poison,
+    outliers,
     inFlight,
-    sender,
+    sender: observeSender(sender, health),
+    forwarder,
+  });
+
+  const { tickets, serveNonRepeatable } = createTicketing({
+    settings,
+    clock,
+    logger,
+    incarnation,
+    configuration,
+    membership,
     forwarder,
+    serving,
   });
 
   const peerServer = owned.add(
@@ -115,8 +186,13 @@
       peerSecret: settings.peerSecret,
       handlers: {
         exchange: (message) => membership.receive(message),
-        serveForwarded: (message, sink, signal) =>
-          serving.serve(toGatewayRequest(message, configuration, clock), sink, signal),
+        ...createForwardedHandlers({
+          clock,
+          incarnation,
+          configuration,
+          serving,
+          serveNonRepeatable,
+        }),
       },
     }),
   );
@@ -131,28 +207,68 @@
       configuration,
       membership,
       serving,
+      tickets,
+      serveNonRepeatable,
       limits: settings.limits,
+      metrics,
       newRequestId,
     }),
   );
   callerAddress = advertised.callers ?? addressOf(listeners.callers.host, edge.port);
 
+  const isReady = () =>
+    configuration.current() !== undefined && membership.self().status === 'alive';
+  metrics.gauge('coltsfootworks_in_flight_requests', 'Requests open at servers', () =>
+    inFlight.totalRequests(),
+  );
+  metrics.gauge(
+    'coltsfootworks_configuration_version',
+    'Version of the configuration in force',
+    () => configuration.current()?.version ?? 0,
+  );
+  const operators = owned.add(
+    await openOperatorListener({
+      ...listeners.operators,
+      operatorKey: settings.operatorKey,
+      configuration,
+      metrics,
+      status: () => ({
+        instanceId,
+        version: options.release,
+        region,
+        failureDomain,
+        ready: isReady(),
+        configurationVersion: configuration.current()?.version ?? 0,
+        inFlightRequests: inFlight.totalRequests(),
+        members: membership.members(),
+      }),
+    }),
+  );
+
   const { configurationUrl: url, configurationKey: key } = settings.platform;
   owned.add(watchConfiguration({ clock, logger, store: configuration, url, key }));
   membership.start();
+  health.start();
+  const { instanceListUrl } = settings.platform;
+  if (instanceListUrl !== undefined) {
+    owned.add(watchServerLists({ clock, logger, health, url: instanceListUrl }));
+  }
   logger.event(NODE_EVENTS.started, { callerAddress, peerAddress, incarnation });
 
   return {
     callerAddress,
     peerAddress,
+    operatorAddress: addressOf(listeners.operators.host, operators.port),
     inFlightRequests: () => inFlight.totalRequests(),
     knownPeerCount: () => membership.usablePeers().length,
-    isReady: () => configuration.current() !== undefined && membership.self().status === 'alive',
+    isReady,
     configurationVersion: () => configuration.current()?.version ?? 0,
     async drain() {
       logger.event(NODE_EVENTS.stopping, { inFlightRequests: inFlight.totalRequests() });
       membership.markLeaving();
+      tickets.stopMinting();
       await edge.drain();
+      await lingerForTickets({ clock, logger, tickets, lingerMs: settings.limits.ticketLingerMs });
       logger.event(NODE_EVENTS.stopped);
     },
     [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose](),
--- a/src/core/node/serve-forwarded.ts
+++ b/src/core/node/serve-forwarded.ts
@@ -1,14 +1,32 @@
-import type { ForwardRequest } from '../../gen/forward_pb';
+import type { CancelRequest, ForwardRequest } from '../../gen/forward_pb';
 import type { Clock } from '../clock';
 import type { ConfigurationStore } from '../configuration';
+import { attemptIdOf, createForwardLedger } from '../peers';
 import { REFUSALS, RefusalError } from '../refusals';
-import type { GatewayRequest } from '../serving';
+import type { GatewayRequest, ResponseSink, SendGuard, Serving } from '../serving';
+import type { NonRepeatableServer } from '../tickets';
+
+/** What serving for peers needs. */
+export interface ForwardedOptions {
+  readonly clock: Clock;
+  readonly incarnation: number;
+  readonly configuration: ConfigurationStore;
+  readonly serving: Serving;
+  readonly serveNonRepeatable: NonRepeatableServer;
+}
+
+/** Answers for peers. */
+export interface ForwardedHandlers {
+  serveForwarded(message: ForwardRequest, sink: ResponseSink, signal: AbortSignal): Promise<void>;
+  cancel(message: CancelRequest): boolean;
+}
 
 /** Turns a peer's message into a request of this instance; refuses what this instance can't place. */
-export function toGatewayRequest(
+function toGatewayRequest(
   message: ForwardRequest,
   store: ConfigurationStore,
-  clock: Clock,
+  deadlineAtMs: number,
+  guard: SendGuard,
 ): GatewayRequest {
   const configuration = store.current();
   const caller = configuration?.callerById(message.callerId);
@@ -30,7 +48,31 @@
     path: message.path,
     headers: message.headers,
     body: message.body,
-    deadlineAtMs: clock.monotonicMs() + message.timeLeftMs,
+    deadlineAtMs,
     configuration,
+    guard,
+  };
+}
+
+/** Takes each attempt in once, and serves it from this region. */
+export function createForwardedHandlers(options: ForwardedOptions): ForwardedHandlers {
+  const { clock, incarnation, configuration, serving, serveNonRepeatable } = options;
+  const ledger = createForwardLedger({ incarnation, nowMs: () => clock.monotonicMs() });
+
+  return {
+    async serveForwarded(message, sink, signal) {
+      const deadlineAtMs = clock.monotonicMs() + message.timeLeftMs;
+      const key = message.idempotencyKey === '' ? undefined : message.idempotencyKey;
+      // The ledger comes first: a repeated message must never be answered "not run" for another reason.
+      const guard = ledger.receive(attemptIdOf(message), deadlineAtMs, key);
+      try {
+        const request = toGatewayRequest(message, configuration, deadlineAtMs, guard);
+        if (message.ticket === '') await serving.serve(request, sink, signal);
+        else await serveNonRepeatable(request, message.ticket, sink, signal);
+      } finally {
+        guard.finish();
+      }
+    },
+    cancel: (message) => ledger.cancel(attemptIdOf(message)),
   };
 }
--- a/src/core/peers/index.ts
+++ b/src/core/peers/index.ts
@@ -2,6 +2,9 @@
 export { channelCredentials, secretMetadata, serverCredentials } from './credentials';
 export { createExchangeTransport } from './exchange';
 export { fromWireMessage, toWireMessage } from './exchange-messages';
+export { createForwardLedger } from './forward-ledger';
+export type { AttemptGuard, AttemptId, ForwardLedger } from './forward-ledger';
+export { attemptIdOf } from './forward-message';
 export { createPeerForwarder } from './forward';
 export type { ForwardTarget, PeerForwarder } from './forward';
 export { createPeerConnections } from './peer-connections';
--- a/src/core/serving/check-request.ts
+++ b/src/core/serving/check-request.ts
@@ -2,6 +2,7 @@
 import type { ConfigurationStore } from '../configuration';
 import { REFUSALS, RefusalError } from '../refusals';
 import { allowedRegionsNow } from '../residency';
+import { isNonRepeatable } from '../tickets';
 import type { GatewayRequest } from './types';
 
 /** What the checks need. */
@@ -18,27 +19,54 @@
   readonly timeLeftMs: number;
 }
 
+const neverSent = { kind: 'neverSent' } as const;
+
+function currentConfiguration({ configuration }: RequestChecks, request: GatewayRequest) {
+  return configuration.current() ?? request.configuration;
+}
+
+/** The regions in which the data may be now; throws where this region, or the one asked about, is not among them. */
+export function checkRegion(checks: RequestChecks, request: GatewayRequest): readonly string[] {
+  const current = currentConfiguration(checks, request);
+  const regions = allowedRegionsNow(current, request.caller.id, request.service.name);
+  if (regions.includes(checks.region)) return regions;
+  throw new RefusalError(REFUSALS.regionNotAllowed, {
+    detail: `Allowed are: ${regions.join(', ') || 'none'}.`,
+    step: 'check-residency',
+    evidence: neverSent,
+  });
+}
+
+/** Throws where a rule for non-repeatable calls came into force while the request waited without a ticket. */
+function checkTicket(checks: RequestChecks, request: GatewayRequest): void {
+  if (request.guard?.idempotencyKey !== undefined) return;
+  const { service, method, path } = request;
+  const current = currentConfiguration(checks, request).serviceNamed(service.name);
+  if (current === undefined || !isNonRepeatable(current, method, path)) return;
+  throw new RefusalError(REFUSALS.ticketRequired, {
+    detail: 'The configuration now asks for a ticket; the call was not sent to any server.',
+    step: 'check-ticket',
+    evidence: neverSent,
+  });
+}
+
+function checkDeadline({ clock }: RequestChecks, { deadlineAtMs }: GatewayRequest): number {
+  const timeLeftMs = Math.floor(deadlineAtMs - clock.monotonicMs());
+  if (timeLeftMs > 0) return timeLeftMs;
+  throw new RefusalError(REFUSALS.deadlineExceeded, {
+    detail: 'The deadline passed before the request was sent on.',
+    step: 'check-deadline',
+    evidence: neverSent,
+  });
+}
+
 /**
- * Checks residency and deadline again. It runs at entry, on leaving a queue and before each send: a request
- * that waited through a tightening of its regions, or through its deadline, must not be sent after all.
+ * Checks residency, the need of a ticket, and the deadline again. It runs at entry, on leaving a queue and
+ * before each send: a request that waited through a tightening of its regions, or through its deadline, must
+ * not be sent after all.
  */
 export function checkRequest(checks: RequestChecks, request: GatewayRequest): CheckedRequest {
-  const current = checks.configuration.current() ?? request.configuration;
-  const regions = allowedRegionsNow(current, request.caller.id, request.service.name);
-  if (!regions.includes(checks.region)) {
-    throw new RefusalError(REFUSALS.regionNotAllowed, {
-      detail: `Allowed are: ${regions.join(', ') || 'none'}.`,
-      step: 'check-residency',
-      evidence: { kind: 'neverSent' },
-    });
-  }
-  const timeLeftMs = Math.floor(request.deadlineAtMs - checks.clock.monotonicMs());
-  if (timeLeftMs <= 0) {
-    throw new RefusalError(REFUSALS.deadlineExceeded, {
-      detail: 'The deadline passed before the request was sent on.',
-      step: 'check-deadline',
-      evidence: { kind: 'neverSent' },
-    });
-  }
-  return { regions, timeLeftMs };
+  const regions = checkRegion(checks, request);
+  checkTicket(checks, request);
+  return { regions, timeLeftMs: checkDeadline(checks, request) };
 }
--- a/src/core/serving/dependencies.ts
+++ b/src/core/serving/dependencies.ts
@@ -4,8 +4,11 @@
 import type { Logger } from '../events';
 import type { GossipBoard } from '../gossip';
 import type { MembershipView } from '../membership';
+import type { OutlierTracker } from '../outliers';
 import type { PeerForwarder } from '../peers';
+import type { PoisonGuard } from '../poison';
 import type { RandomSource } from '../random';
+import type { ServerAvailability } from '../server-health';
 
 /** What serving needs from the rest of the instance. */
 export interface ServingDependencies {
@@ -18,7 +21,10 @@
   readonly configuration: ConfigurationStore;
   readonly membership: MembershipView;
   readonly gossip: GossipBoard;
+  readonly availability: ServerAvailability;
+  readonly poison: PoisonGuard;
+  readonly outliers: OutlierTracker;
   readonly inFlight: InFlight;
-  readonly sender: ServerSender;
+  readonly sender: Pick<ServerSender, 'send'>;
   readonly forwarder: PeerForwarder;
 }
--- a/src/core/serving/serve-request.ts
+++ b/src/core/serving/serve-request.ts
@@ -1,4 +1,7 @@
+import { currentResilience } from '../configuration';
+import { createRetryBudget } from '../retries';
 import type { ServingDependencies } from './dependencies';
+import { observeSends } from './observe-sends';
 import { createAttemptRunner } from './run-attempt';
 import { runAttempts } from './run-attempts';
 import type { GatewayRequest, ResponseSink } from './types';
@@ -11,8 +14,22 @@
 
 /** Serving over the given dependencies. */
 export function createServing(dependencies: ServingDependencies): Serving {
-  const runAttempt = createAttemptRunner(dependencies);
+  const { clock, random, logger, configuration, poison, outliers } = dependencies;
+  const sender = observeSends(dependencies.sender, {
+    clock,
+    poison,
+    outliers,
+    configuration,
+  });
+  const attempts = {
+    clock,
+    random,
+    logger,
+    poison,
+    runAttempt: createAttemptRunner({ ...dependencies, sender }),
+    retryBudget: createRetryBudget(() => currentResilience(configuration).retries),
+  };
   return {
-    serve: (request, sink, signal) => runAttempts(runAttempt, request, sink, signal),
+    serve: (request, sink, signal) => runAttempts(attempts, request, sink, signal),
   };
 }
--- a/src/testing/small-fleet.ts
+++ b/src/testing/small-fleet.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { keyDigest } from '../core/access';
+import { configurationSchema, resilienceSchema } from '../core/configuration';
 import type { Configuration } from '../core/configuration';
 import { createDisposableStore } from '../core/lifetime';
 import { startNode } from '../core/node';
@@ -67,10 +68,11 @@
     { id: 'home-only', keySha256: keyDigest(FLEET_KEYS.homeOnly), regions: ['rundu'] },
   ];
   const limits = { requestsPerSecond: 1_000, burstRequests: 1_000 };
-  return {
+  return configurationSchema.parse({
     version: 1,
     deployment: 'omaruru',
     weights: { tailLatency: 1, remoteShare: 0.3, cost: 0.2 },
+    resilience: resilienceSchema.parse({}),
     regions,
     services: [
       {
@@ -81,6 +83,7 @@
         deadlineMs: 20_000,
         longestDeadlineMs: 60_000,
         silenceTimeoutMs: 2_000,
+        echoesRequestId: false,
         models: ['kit-large'],
         maxOutputTokens: 4096,
       },
@@ -92,8 +95,10 @@
         deadlineMs: 20_000,
         longestDeadlineMs: 60_000,
         silenceTimeoutMs: 2_000,
-        nonRepeatable: [],
-        notRunStatuses: [],
+        echoesRequestId: false,
+        nonRepeatable: [{ method: 'POST', pathPrefix: '/place' }],
+        notRunStatuses: [429],
+        ticketValidMs: 60_000,
       },
     ],
     backendServers: [
@@ -115,7 +120,7 @@
       },
     ],
     callers: callers.map((caller) => ({ ...caller, limits })),
-  };
+  });
 }
 
 /** Starts the fleet and waits until each instance knows all others. */
@@ -158,6 +163,7 @@
           clock: createSystemClock(),
           random: createSeededRandom(instances.length),
           newRequestId: randomUUID,
+          release: 'test',
         }),
       );
       instances.push({ instanceId, region, node, logger });
