--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -87,16 +87,22 @@
     createMembership({
       clock,
       logger,
-      transport: createExchangeTransport({ clock, connections, metadata, instanceId }),
+      random,
+      gossip,
+      incarnation,
+      transport: createExchangeTransport({ clock, connections, metadata }),
       seedPeers: settings.seedPeers,
       describeSelf: () => ({
         instanceId,
-        incarnation,
         region,
         failureDomain,
         callerAddress,
         peerAddress,
         configurationVersion: configuration.current()?.version ?? 0,
+        configurationDigest: 0,
+        configurationSinceUnixMs: 0,
+        configurationConfirmed: false,
+        watching: false,
         inFlightRequests: inFlight.totalRequests(),
       }),
     }),
@@ -179,7 +185,7 @@
       credentials: serverCredentials(settings.tls),
       peerSecret: settings.peerSecret,
       handlers: {
-        exchange: (members) => membership.receive(members),
+        exchange: (message) => membership.receive(message),
         ...createForwardedHandlers({
           clock,
           incarnation,
