--- a/demo/steps.ts
+++ b/demo/steps.ts
@@ -1,5 +1,4 @@
 import { waitFor } from '../src/testing';
-import type { PlainStandIn } from '../standins/plain-service';
 import { send, sampleKey, streamChat } from './caller-client';
 import { DEMO_OPERATOR_KEY, waitUntilWhole } from './deployment';
 import type { Deployment } from './deployment';
@@ -31,10 +30,6 @@
   readonly outcome?: string;
 }
 
-function totalRuns(applications: Iterable<PlainStandIn>, bodyText: string): number {
-  return [...applications].reduce((sum, app) => sum + app.ledger.runsOfBody(bodyText), 0);
-}
-
 function enginesRan(deployment: Deployment): number {
   return [...deployment.engines.values()].reduce((sum, one) => sum + one.ledger.entries.length, 0);
 }
@@ -76,6 +71,73 @@
   };
 }
 
+/** Counts the runs of an order over all stand-in applications. */
+function totalRuns(deployment: Deployment, bodyText: string): number {
+  return [...deployment.applications.values()].reduce(
+    (sum, application) => sum + application.ledger.runsOfBody(bodyText),
+    0,
+  );
+}
+
+function orderTwice(deployment: Deployment, cast: DemoCast): DemoStep {
+  return {
+    name: 'an order sent twice with one ticket',
+    expected: '428 and a ticket; then run once, one answer',
+    async run() {
+      const call = {
+        method: 'POST' as const,
+        path: `/services/${cast.plainService}${cast.orderPath}`,
+        key: sampleKey(cast.caller),
+        body: cast.orderBody,
+      };
+      const instance = deployment.instanceIn(cast.home);
+      const asked = await send(instance, call);
+      const headers = { 'idempotency-ticket': String(asked.headers['idempotency-ticket']) };
+      const first = await send(instance, { ...call, headers });
+      // The second goes to another instance, as when the first entry seems gone.
+      const another = deployment.instances.find((one) => one !== instance) ?? instance;
+      const second = await send(another, { ...call, headers });
+      const runs = totalRuns(deployment, cast.orderBody);
+      const isSame = first.text === second.text;
+      return {
+        got: `${asked.status}; ${first.status}, ${second.status}, ${isSame ? 'same' : 'other'} answer; ${runs} run`,
+        isAsStated: asked.status === 428 && first.status === 200 && isSame && runs === 1,
+      };
+    },
+  };
+}
+
+function lostReply(deployment: Deployment, cast: DemoCast): DemoStep {
+  return {
+    name: 'an order whose reply is lost, sent again',
+    expected: 'unknown, never notRun; run once',
+    async run() {
+      const call = {
+        method: 'POST' as const,
+        path: `/services/${cast.plainService}${cast.orderPath}`,
+        key: sampleKey(cast.caller),
+        body: `${cast.orderBody}, reply lost`,
+      };
+      const instance = deployment.instanceIn(cast.home);
+      const asked = await send(instance, call);
+      const headers = { 'idempotency-ticket': String(asked.headers['idempotency-ticket']) };
+      const applications = [...deployment.applications.values()];
+      for (const { behaviour } of applications) behaviour.after = 'drop';
+      const answers = [
+        await send(instance, { ...call, headers }),
+        await send(instance, { ...call, headers }),
+      ];
+      for (const { behaviour } of applications) behaviour.after = 'answer';
+      const outcomes = answers.map(({ text }) => (JSON.parse(text) as ProblemBody).outcome);
+      const runs = totalRuns(deployment, call.body);
+      return {
+        got: `${outcomes.join(', ')}; ${runs} run`,
+        isAsStated: outcomes.every((outcome) => outcome === 'unknown') && runs === 1,
+      };
+    },
+  };
+}
+
 function barredRegion(deployment: Deployment, cast: DemoCast): DemoStep {
   return {
     name: 'a caller bound to one region, at another',
@@ -191,11 +253,11 @@
   return [
     streamedQuote(deployment, cast),
     stockCheck(deployment, cast),
+    orderTwice(deployment, cast),
+    lostReply(deployment, cast),
     barredRegion(deployment, cast),
     newVersion(deployment),
     partition(deployment, cast),
     replaceInstance(deployment),
   ];
 }
-
-export { totalRuns };
