Judge refusals before the ticket look-up as unknown; part forwarding from its transport

Cause: a presentation refused for want of room, key or configuration was answered notRun though an earlier presentation of the same ticket may have run; a peer's vouching for such a message had the same fault. Ruled out: marking only the edge's own refusals; the peer hop needs the rule as well. Conclusion: only the owner's records give notRun to a presentation; transports can now be faked in a search.

--- a/src/core/http-edge/open-http-edge.ts
+++ b/src/core/http-edge/open-http-edge.ts
@@ -5,6 +5,7 @@
 import { ERRORS, errorText, gatewayError } from '../errors';
 import { REFUSALS, RefusalError } from '../refusals';
 import { SERVING_EVENTS } from '../serving';
+import { TICKET_HEADER, refusedBeforeRecord } from '../tickets';
 import { answerRefusal } from './answer';
 import { guardConnections } from './connection-guard';
 import { abortAnswer } from './http-sink';
@@ -51,7 +52,8 @@
       options.logger.event(SERVING_EVENTS.callerGone, { requestId });
       return;
     }
-    const refusal = asRefusal(error);
+    const isPresentation = TICKET_HEADER in incoming.headers;
+    const refusal = asRefusal(isPresentation ? refusedBeforeRecord(error) : error);
     if (response.headersSent) {
       options.logger.event(SERVING_EVENTS.answerCutShort, { requestId, detail: refusal.message });
       abortAnswer(response, refusal, requestId, options.clock);
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -13,6 +13,7 @@
   channelCredentials,
   createExchangeTransport,
   createPeerConnections,
+  createForwardTransport,
   createPeerForwarder,
   openPeerServer,
   secretMetadata,
@@ -126,9 +127,8 @@
     }),
   );
   const forwarder = createPeerForwarder({
-    clock,
-    connections,
-    metadata,
+    transport: createForwardTransport(clock, connections, metadata),
+    nowMs: () => clock.monotonicMs(),
     instanceId,
     incarnation,
     incarnationOf: (id) =>
--- a/src/core/node/serve-forwarded.ts
+++ b/src/core/node/serve-forwarded.ts
@@ -4,6 +4,7 @@
 import { attemptIdOf, createForwardLedger } from '../peers';
 import { REFUSALS, RefusalError } from '../refusals';
 import type { GatewayRequest, ResponseSink, SendGuard, Serving } from '../serving';
+import { refusedBeforeRecord } from '../tickets';
 import type { NonRepeatableServer } from '../tickets';
 
 /** What serving for peers needs. */
@@ -59,18 +60,30 @@
   const { clock, incarnation, configuration, serving, serveNonRepeatable } = options;
   const ledger = createForwardLedger({ incarnation, nowMs: () => clock.monotonicMs() });
 
+  const takeIn = async (
+    message: ForwardRequest,
+    sink: ResponseSink,
+    signal: AbortSignal,
+  ): Promise<void> => {
+    const deadlineAtMs = clock.monotonicMs() + message.timeLeftMs;
+    const key = message.idempotencyKey === '' ? undefined : message.idempotencyKey;
+    // The ledger comes first: a repeated message must never be answered "not run" for another reason.
+    const guard = ledger.receive(attemptIdOf(message), deadlineAtMs, key);
+    try {
+      const request = toGatewayRequest(message, configuration, deadlineAtMs, guard);
+      if (message.ticket === '') await serving.serve(request, sink, signal);
+      else await serveNonRepeatable(request, message.ticket, sink, signal);
+    } finally {
+      guard.finish();
+    }
+  };
+
   return {
     async serveForwarded(message, sink, signal) {
-      const deadlineAtMs = clock.monotonicMs() + message.timeLeftMs;
-      const key = message.idempotencyKey === '' ? undefined : message.idempotencyKey;
-      // The ledger comes first: a repeated message must never be answered "not run" for another reason.
-      const guard = ledger.receive(attemptIdOf(message), deadlineAtMs, key);
       try {
-        const request = toGatewayRequest(message, configuration, deadlineAtMs, guard);
-        if (message.ticket === '') await serving.serve(request, sink, signal);
-        else await serveNonRepeatable(request, message.ticket, sink, signal);
-      } finally {
-        guard.finish();
+        await takeIn(message, sink, signal);
+      } catch (error) {
+        throw message.ticket === '' ? error : refusedBeforeRecord(error);
       }
     },
     cancel: (message) => ledger.cancel(attemptIdOf(message)),
--- a/src/core/outcomes/judge-outcome.ts
+++ b/src/core/outcomes/judge-outcome.ts
@@ -9,6 +9,7 @@
 export function judgeOutcome(evidence: Evidence): Outcome {
   switch (evidence.kind) {
     case 'neverSent':
+    case 'vouchedByTicketOwner':
       return 'notRun';
     case 'refusedByPeer':
       return evidence.vouches ? 'notRun' : 'unknown';
--- a/src/core/outcomes/types.ts
+++ b/src/core/outcomes/types.ts
@@ -21,6 +21,8 @@
    * the ticket does not match its record. An earlier presentation may have run.
    */
   | { readonly kind: 'ticketNotVouchedFor' }
+  /** The owner of a one-use ticket looked into its records: the call never ran and, with this ticket, never will. */
+  | { readonly kind: 'vouchedByTicketOwner' }
   /** An earlier presentation of the same ticket was answered by the backend server. */
   | { readonly kind: 'ranBefore' }
   /** Bytes may have left, and no answer came. */
--- a/src/core/peers/forward.ts
+++ b/src/core/peers/forward.ts
@@ -1,16 +1,10 @@
-import type { ClientReadableStream, Metadata } from '@grpc/grpc-js';
-import { status as grpcStatus } from '@grpc/grpc-js';
-import type { ForwardEvent } from '../../gen/forward_pb';
-import type { Clock } from '../clock';
 import { errorText } from '../errors';
-import { RefusalError } from '../refusals';
+import { REFUSALS, RefusalError } from '../refusals';
 import type { GatewayRequest, ResponseSink } from '../serving/types';
-import { createCanceller } from './cancel';
-import { PEER_SERVICE } from './definition';
 import { createForwardAnswer, lostForward } from './forward-answer';
 import type { AttemptId } from './forward-ledger';
-import { toForwardMessage } from './forward-message';
-import type { PeerConnections } from './peer-connections';
+import { toCancelMessage, toForwardMessage } from './forward-message';
+import type { ForwardCall, ForwardTransport } from './forward-transport';
 import { proveConnection } from './prove-connection';
 
 /** Where a request is forwarded and until when. */
@@ -31,19 +25,20 @@
 
 /** What forwarding needs. */
 export interface ForwarderOptions {
-  readonly clock: Clock;
-  readonly connections: PeerConnections;
-  readonly metadata: Metadata;
+  readonly transport: ForwardTransport;
+  readonly nowMs: () => number;
   readonly instanceId: string;
   readonly incarnation: number;
   /** The process that an instance is known to run; undefined for one that is not known. */
   readonly incarnationOf: (instanceId: string) => number | undefined;
 }
 
-/** Forwarding over gRPC. */
+/** Longest wait for a peer to say whether it has sent an attempt: a few round trips between regions. */
+const CANCEL_TIMEOUT_MS = 500;
+
+/** Forwards each attempt once, and settles with the peer what became of one that was lost. */
 export function createPeerForwarder(options: ForwarderOptions): PeerForwarder {
-  const { clock, connections, metadata, instanceId, incarnation, incarnationOf } = options;
-  const cancelAttempt = createCanceller(clock, connections, metadata);
+  const { transport, nowMs, instanceId, incarnation, incarnationOf } = options;
   const serials = new Map<string, number>();
 
   const nextAttemptId = (peer: string): AttemptId => {
@@ -57,30 +52,15 @@
     };
   };
 
-  const open = (target: ForwardTarget, request: GatewayRequest, attemptId: AttemptId) => {
-    const { path, requestSerialize, responseDeserialize } = PEER_SERVICE.forward;
-    const { timeLeftMs, ticket } = target;
-    return connections
-      .to(target.peerAddress)
-      .makeServerStreamRequest(
-        path,
-        requestSerialize,
-        responseDeserialize,
-        toForwardMessage(request, { attemptId, timeLeftMs, ticket }),
-        metadata,
-        { deadline: clock.unixMs() + timeLeftMs },
-      );
-  };
-
   const receive = async (
-    call: ClientReadableStream<ForwardEvent>,
+    call: ForwardCall,
     request: GatewayRequest,
     sink: ResponseSink,
     peer: string,
   ): Promise<void> => {
     const answer = createForwardAnswer(request, sink, peer);
     for await (const event of call) {
-      if (await answer.take(event as ForwardEvent)) return;
+      if (await answer.take(event)) return;
     }
     const evidence = { kind: 'lostAfterSending', cause: 'peerFellSilent' } as const;
     throw lostForward(peer, 'The answer ended early.', evidence);
@@ -88,9 +68,7 @@
 
   const asRefusal = (error: unknown, peer: string): RefusalError => {
     if (error instanceof RefusalError) return error;
-    const isLate =
-      error instanceof Error && 'code' in error && error.code === grpcStatus.DEADLINE_EXCEEDED;
-    const cause = isLate ? 'timeout' : 'peerFellSilent';
+    const cause = transport.isTimeout(error) ? 'timeout' : 'peerFellSilent';
     return lostForward(peer, errorText(error), { kind: 'lostAfterSending', cause }, error);
   };
 
@@ -102,7 +80,8 @@
     attemptId: AttemptId,
   ): Promise<RefusalError> => {
     if (refusal.evidence.kind !== 'lostAfterSending' || target.ticket !== undefined) return refusal;
-    const asked = cancelAttempt(target.peerAddress, request, attemptId);
+    const message = toCancelMessage(request, attemptId);
+    const asked = transport.cancel(target.peerAddress, message, CANCEL_TIMEOUT_MS);
     // Waiting is worth while only where the outcome decides whether the caller may send the call again.
     if (request.guard?.idempotencyKey === undefined || target.signal.aborted) return refusal;
     if ((await asked) !== true) return refusal;
@@ -110,16 +89,30 @@
     return lostForward(target.instanceId, refusal.message, evidence, refusal);
   };
 
+  /** Judged again once the connection stands: the process may have slept while it was being made. */
+  const timeLeft = (target: ForwardTarget, request: GatewayRequest): number => {
+    const leftMs = Math.floor(request.deadlineAtMs - nowMs());
+    if (leftMs > 0) return Math.min(leftMs, target.timeLeftMs);
+    throw new RefusalError(REFUSALS.deadlineExceeded, {
+      detail: 'The deadline passed before the request was forwarded.',
+      step: 'forward',
+      peer: target.instanceId,
+      evidence: { kind: 'neverSent' },
+    });
+  };
+
   return {
     async forward(target, request, sink) {
-      const peer = target.instanceId;
-      const guard = target.ticket === undefined ? request.guard : undefined;
-      await proveConnection(connections, clock, target, request, cancelAttempt);
+      const { instanceId: peer, peerAddress, ticket, signal } = target;
+      const guard = ticket === undefined ? request.guard : undefined;
+      await proveConnection(transport, target, request);
+      const timeLeftMs = timeLeft(target, request);
       guard?.beginSend();
       const attemptId = nextAttemptId(peer);
-      const call: ClientReadableStream<ForwardEvent> = open(target, request, attemptId);
+      const message = toForwardMessage(request, { attemptId, timeLeftMs, ticket });
+      const call = transport.forward(peerAddress, message, timeLeftMs);
       const cancel = () => call.cancel();
-      target.signal.addEventListener('abort', cancel, { once: true });
+      signal.addEventListener('abort', cancel, { once: true });
       try {
         await receive(call, request, sink, peer);
       } catch (error) {
@@ -129,7 +122,7 @@
         guard?.sendFailed(refusal.evidence);
         throw refusal;
       } finally {
-        target.signal.removeEventListener('abort', cancel);
+        signal.removeEventListener('abort', cancel);
         call.cancel();
       }
     },
--- a/src/core/peers/index.ts
+++ b/src/core/peers/index.ts
@@ -5,6 +5,8 @@
 export type { AttemptGuard, AttemptId, ForwardLedger } from './forward-ledger';
 export { attemptIdOf } from './forward-message';
 export { createPeerForwarder } from './forward';
+export { createForwardTransport } from './forward-transport';
+export type { ForwardCall, ForwardTransport } from './forward-transport';
 export type { ForwardTarget, PeerForwarder } from './forward';
 export { createPeerConnections } from './peer-connections';
 export type { PeerConnections } from './peer-connections';
--- a/src/core/peers/prove-connection.ts
+++ b/src/core/peers/prove-connection.ts
@@ -1,15 +1,15 @@
 import { errorText } from '../errors';
-import type { Clock } from '../clock';
-import type { RefusalError } from '../refusals';
 import type { GatewayRequest } from '../serving/types';
-import type { AttemptCanceller } from './cancel';
 import { lostForward } from './forward-answer';
-import type { AttemptId } from './forward-ledger';
-import type { PeerConnections } from './peer-connections';
+import { toCancelMessage } from './forward-message';
+import type { ForwardTransport } from './forward-transport';
 
 /** Time for a connection to a peer to stand; connecting between regions takes a few round trips. */
 const READY_TIMEOUT_MS = 1_000;
 
+/** Time for a connection to bring one small answer. */
+const PROBE_TIMEOUT_MS = 500;
+
 /** What proving needs to know of the target. */
 export interface ProvenTarget {
   readonly instanceId: string;
@@ -17,23 +17,8 @@
   readonly timeLeftMs: number;
 }
 
-function notSent(peer: string, detail: string, cause?: unknown): RefusalError {
-  return lostForward(peer, detail, { kind: 'neverSent' }, cause);
-}
-
-function waitForReady(
-  connections: PeerConnections,
-  { instanceId, peerAddress, timeLeftMs }: ProvenTarget,
-  clock: Clock,
-): Promise<void> {
-  const deadline = clock.unixMs() + Math.min(READY_TIMEOUT_MS, timeLeftMs);
-  return new Promise((resolve, reject) => {
-    connections.to(peerAddress).waitForReady(deadline, (error) => {
-      if (error === undefined) resolve();
-      else reject(notSent(instanceId, `No connection: ${errorText(error)}.`, error));
-    });
-  });
-}
+/** Names no attempt, so that its cancellation changes nothing. */
+const NO_ATTEMPT = { fromInstanceId: '', fromIncarnation: 0, toIncarnation: 0, serial: 0 };
 
 /**
  * Makes sure that a connection stands before a request is written to it; one that can't be had proves that
@@ -42,22 +27,21 @@
  * for one answered message first: a round trip is the price of knowing.
  */
 export async function proveConnection(
-  connections: PeerConnections,
-  clock: Clock,
-  target: ProvenTarget,
+  transport: ForwardTransport,
+  { instanceId, peerAddress, timeLeftMs }: ProvenTarget,
   request: GatewayRequest,
-  probe: AttemptCanceller,
 ): Promise<void> {
-  await waitForReady(connections, target, clock);
+  try {
+    await transport.connect(peerAddress, Math.min(READY_TIMEOUT_MS, timeLeftMs));
+  } catch (error) {
+    const detail = `No connection: ${errorText(error)}.`;
+    throw lostForward(instanceId, detail, { kind: 'neverSent' }, error);
+  }
   if (request.guard?.idempotencyKey === undefined) return;
-  const nothing: AttemptId = {
-    fromInstanceId: '',
-    fromIncarnation: 0,
-    toIncarnation: 0,
-    serial: 0,
-  };
-  const answered = await probe(target.peerAddress, request, nothing);
-  if (answered === undefined) {
-    throw notSent(target.instanceId, 'The connection stands but brings no answers.');
+  const probe = toCancelMessage(request, NO_ATTEMPT);
+  const answer = await transport.cancel(peerAddress, probe, PROBE_TIMEOUT_MS);
+  if (answer === undefined) {
+    const detail = 'The connection stands but brings no answers.';
+    throw lostForward(instanceId, detail, { kind: 'neverSent' });
   }
 }
--- a/src/core/tickets/index.ts
+++ b/src/core/tickets/index.ts
@@ -8,7 +8,7 @@
   isNonRepeatable,
   isUnclearPath,
 } from './non-repeatable';
-export { createNonRepeatableServer } from './serve-non-repeatable';
+export { createNonRepeatableServer, refusedBeforeRecord } from './serve-non-repeatable';
 export type {
   ForwardToOwner,
   NonRepeatableOptions,
--- a/src/core/tickets/serve-non-repeatable.ts
+++ b/src/core/tickets/serve-non-repeatable.ts
@@ -59,17 +59,32 @@
   return error.with({ evidence: { kind: 'ticketNotVouchedFor' }, cause: error });
 }
 
-/** A request in which a caller could be told `notRun` together with a new ticket. */
+/** Notes that a `notRun` comes from the owner's own records, which nothing but them can give. */
+function vouched(error: unknown): unknown {
+  if (!(error instanceof RefusalError) || error.outcome !== 'notRun') return error;
+  return error.with({ evidence: { kind: 'vouchedByTicketOwner' } });
+}
+
+/** Adds a new ticket where a caller is told `notRun`. */
 function withFreshTicket(error: unknown, request: GatewayRequest, tickets: Tickets): unknown {
   if (!(error instanceof RefusalError) || error.outcome !== 'notRun') return error;
-  if (request.origin.kind !== 'caller') return error;
-  const { caller, service } = request;
-  if (service.kind !== 'plain') return error;
+  const { origin, caller, service } = request;
+  if (origin.kind !== 'caller' || service.kind !== 'plain') return error;
   const binding = { callerId: caller.id, service: service.name };
   const minted = tickets.mint(binding, service.ticketValidMs);
   return minted === undefined ? error : error.with({ ticket: minted });
 }
 
+/**
+ * What a presentation is told when it was refused before its ticket was looked up: for want of room, of a
+ * configuration, of a key. Such a refusal proves that this presentation did not run, but an earlier one may
+ * have; were it answered `notRun`, the caller would place the order again.
+ */
+export function refusedBeforeRecord(error: unknown): unknown {
+  if (!(error instanceof RefusalError) || error.evidence.kind !== 'neverSent') return error;
+  return error.with({ evidence: { kind: 'ticketNotVouchedFor' } });
+}
+
 /** Serves a call under its ticket: here if it is this process's own, else at its owner and nowhere else. */
 export function createNonRepeatableServer(options: NonRepeatableOptions): NonRepeatableServer {
   const { tickets, logger, run, checkOwnerRegion, forwardToOwner } = options;
@@ -98,13 +113,26 @@
     }
   };
 
-  return async (request, ticket, sink, signal) => {
+  const present = async (
+    ticket: string,
+    request: GatewayRequest,
+    sink: ResponseSink,
+    signal: AbortSignal,
+  ): Promise<void> => {
+    const presented = readTicket(ticket);
+    if (presented === undefined) throw unreadable();
     try {
-      if (ticket === undefined) throw ticketRequired();
-      const presented = readTicket(ticket);
-      if (presented === undefined) throw unreadable();
       if (tickets.owns(presented)) await tickets.redeem(presented, request, sink, signal, run);
       else await atOwner(presented, ticket, request, sink, signal);
+    } catch (error) {
+      throw vouched(error);
+    }
+  };
+
+  return async (request, ticket, sink, signal) => {
+    try {
+      if (ticket === undefined) throw ticketRequired();
+      await present(ticket, request, sink, signal);
     } catch (error) {
       const told = withFreshTicket(error, request, tickets);
       const isRequired = ticket === undefined && told === error;
