--- a/src/core/backends/send-to-server.ts
+++ b/src/core/backends/send-to-server.ts
@@ -22,6 +22,8 @@
   readonly timeLeftMs: number;
   /** Aborts when the caller has gone or the deadline has passed. */
   readonly signal: AbortSignal;
+  /** Throws where the request may not be sent any more; asked last, once a connection stands where it is fresh. */
+  readonly lastCheck: () => void;
 }
 
 /** Time for a TCP connection to be made; a server in the same region answers within a few ms. */
@@ -78,9 +80,10 @@
     sink: ResponseSink,
   ): Promise<void> => {
     const { guard } = request;
-    const fresh = openFreshConnection(`http://${target.address}`, CONNECT_TIMEOUT_MS, () =>
-      guard?.beginSend(),
-    );
+    const fresh = openFreshConnection(`http://${target.address}`, CONNECT_TIMEOUT_MS, () => {
+      target.lastCheck();
+      guard?.beginSend();
+    });
     try {
       await exchange(fresh.client, target, request, sink);
     } catch (error) {
@@ -104,6 +107,7 @@
     request: GatewayRequest,
     sink: ResponseSink,
   ): Promise<void> => {
+    target.lastCheck();
     request.guard?.beginSend();
     try {
       await exchange(agent, target, request, sink);
--- a/src/core/node/at-most-once.test.ts
+++ b/src/core/node/at-most-once.test.ts
@@ -149,6 +149,23 @@
     assert.equal(fleet.orders.ledger.runsOfBody('order G'), 1);
   });
 
+  it('is not called "not run" by a refusal that came before its ticket was looked up', async () => {
+    // The order was placed and its answer lost. The caller asks again, but its key has just been withdrawn, or
+    // the body is too large for this instance. That says nothing about the first time.
+    const { node } = fleet.instanceIn('windhoek');
+    const ticket = await ticketAt(node.callerAddress, 'order L');
+    await place(node.callerAddress, 'order L', ticket);
+    const changes = [{ authorization: 'Bearer withdrawn' }, { 'x-deadline-ms': '-1' }];
+    for (const headers of changes) {
+      const told = await place(node.callerAddress, 'order L', ticket, headers);
+      assert.ok(told.status >= 400);
+      assert.equal(told.body.outcome, 'unknown');
+      assert.equal(told.ticket, undefined);
+    }
+    const withoutTicket = await place(node.callerAddress, 'order L', undefined, changes[0]);
+    assert.equal(withoutTicket.body.outcome, 'notRun');
+  });
+
   it('gets its ticket with the name of its entry', async () => {
     const { node } = fleet.instanceIn('windhoek');
     const answer = await request(`http://${node.callerAddress}/v1/entry?service=orders`, {
--- a/src/core/node/create-ticketing.ts
+++ b/src/core/node/create-ticketing.ts
@@ -8,7 +8,7 @@
 import type { Serving } from '../serving';
 import type { Settings } from '../settings';
 import { createNonRepeatableServer, createTickets } from '../tickets';
-import type { NonRepeatableServer, Tickets } from '../tickets';
+import type { NonRepeatableOptions, NonRepeatableServer, Tickets } from '../tickets';
 
 /** What tickets need from the rest of the instance. */
 export interface TicketingOptions {
@@ -48,19 +48,22 @@
   const check = (request: Parameters<NonRepeatableServer>[0], inRegion: string) =>
     checkRegion({ clock, configuration, region: inRegion }, request);
 
+  const checkOwnerRegion: NonRepeatableOptions['checkOwnerRegion'] = (request, owner) => {
+    check(request, region);
+    check(request, owner.region);
+  };
+
   const serveNonRepeatable = createNonRepeatableServer({
     tickets,
     membership,
     logger,
     run: (request, sink, signal) => options.serving.serve(request, sink, signal),
-    checkOwnerRegion: (request, owner) => {
-      check(request, region);
-      check(request, owner.region);
-    },
+    checkOwnerRegion,
     forwardToOwner: (owner, ticket, request, sink, signal) => {
       const { instanceId: ownerId, peerAddress } = owner;
       const timeLeftMs = Math.floor(request.deadlineAtMs - clock.monotonicMs());
-      const target = { instanceId: ownerId, peerAddress, timeLeftMs, signal, ticket };
+      const lastCheck = () => checkOwnerRegion(request, owner);
+      const target = { instanceId: ownerId, peerAddress, timeLeftMs, signal, lastCheck, ticket };
       return forwarder.forward(target, request, sink);
     },
   });
--- a/src/core/node/serve-forwarded.ts
+++ b/src/core/node/serve-forwarded.ts
@@ -55,6 +55,15 @@
   };
 }
 
+/**
+ * What a peer is told when an earlier send of the attempt may have run. The last failure may be one to connect,
+ * which alone proves that nothing ran; passed on, the peer would vouch to its caller for the whole attempt.
+ */
+function withoutVouching(error: unknown): unknown {
+  if (!(error instanceof RefusalError) || error.outcome !== 'notRun') return error;
+  return error.with({ evidence: { kind: 'lostAfterSending', cause: 'aborted' } });
+}
+
 /** Takes each attempt in once, and serves it from this region. */
 export function createForwardedHandlers(options: ForwardedOptions): ForwardedHandlers {
   const { clock, incarnation, configuration, serving, serveNonRepeatable } = options;
@@ -73,6 +82,8 @@
       const request = toGatewayRequest(message, configuration, deadlineAtMs, guard);
       if (message.ticket === '') await serving.serve(request, sink, signal);
       else await serveNonRepeatable(request, message.ticket, sink, signal);
+    } catch (error) {
+      throw guard.mayHaveRun ? withoutVouching(error) : error;
     } finally {
       guard.finish();
     }
--- a/src/core/peers/forward-ledger.ts
+++ b/src/core/peers/forward-ledger.ts
@@ -1,3 +1,4 @@
+import { judgeOutcome } from '../outcomes';
 import { REFUSALS, RefusalError } from '../refusals';
 import type { SendGuard } from '../serving/types';
 import { createSenderAttempts } from './sender-attempts';
@@ -37,6 +38,8 @@
 
 /** The guard of an attempt that was taken in. */
 export interface AttemptGuard extends SendGuard {
+  /** Whether bytes may have left for a server that has not vouched that nothing ran. */
+  readonly mayHaveRun: boolean;
   /** The attempt is over. */
   finish(): void;
 }
@@ -74,6 +77,9 @@
 ): AttemptGuard {
   return {
     idempotencyKey,
+    get mayHaveRun() {
+      return attempt.maySend;
+    },
     beginSend() {
       if (attempt.cancelled) throw refused('The attempt was cancelled.', true);
       if (attempt.maySend && idempotencyKey !== undefined) {
@@ -83,8 +89,8 @@
       attempt.noteSend();
     },
     sendFailed(evidence) {
-      // Nothing left, so another server may be tried, and a cancellation may still vouch.
-      if (evidence.kind === 'neverSent') attempt.undoSend();
+      // Nothing ran, so another server may be tried, and a cancellation may still vouch.
+      if (judgeOutcome(evidence) === 'notRun') attempt.undoSend();
     },
     finish: () => attempt.finish(),
   };
--- a/src/core/peers/forward.ts
+++ b/src/core/peers/forward.ts
@@ -13,6 +13,8 @@
   readonly peerAddress: string;
   readonly timeLeftMs: number;
   readonly signal: AbortSignal;
+  /** Throws where the data may not go there any more; asked once the connection stands. */
+  readonly lastCheck: () => void;
   /** A ticket of the target's own, which it redeems; the target is then the only one that may run the call. */
   readonly ticket?: string;
 }
@@ -107,6 +109,7 @@
       const guard = ticket === undefined ? request.guard : undefined;
       await proveConnection(transport, target, request);
       const timeLeftMs = timeLeft(target, request);
+      target.lastCheck();
       guard?.beginSend();
       const attemptId = nextAttemptId(peer);
       const message = toForwardMessage(request, { attemptId, timeLeftMs, ticket });
--- a/src/core/peers/index.ts
+++ b/src/core/peers/index.ts
@@ -10,5 +10,7 @@
 export type { ForwardTarget, PeerForwarder } from './forward';
 export { createPeerConnections } from './peer-connections';
 export type { PeerConnections } from './peer-connections';
+export { createForwardEventSink, toRefusalEvent } from './peer-sink';
+export type { EventWriter } from './peer-sink';
 export { openPeerServer } from './peer-server';
 export type { PeerHandlers, PeerServer } from './peer-server';
--- a/src/core/peers/peer-server.ts
+++ b/src/core/peers/peer-server.ts
@@ -6,11 +6,7 @@
   ServerWritableStream,
   sendUnaryData,
 } from '@grpc/grpc-js';
-import {
-  CancelResponseSchema,
-  ForwardEventSchema,
-  ForwardRefusalSchema,
-} from '../../gen/forward_pb';
+import { CancelResponseSchema } from '../../gen/forward_pb';
 import { ExchangeResponseSchema } from '../../gen/membership_pb';
 import type {
   CancelRequest,
@@ -21,12 +17,11 @@
 import type { ExchangeRequest, ExchangeResponse } from '../../gen/membership_pb';
 import { ERRORS, errorText, gatewayError } from '../errors';
 import type { MemberState } from '../membership';
-import { REFUSALS, RefusalError } from '../refusals';
 import type { ResponseSink } from '../serving/types';
 import { showsSecret } from './credentials';
 import { PEER_SERVICE } from './definition';
 import { fromWireMember, toWireMember } from './member-messages';
-import { createPeerSink } from './peer-sink';
+import { createPeerSink, toRefusalEvent } from './peer-sink';
 
 /** What an instance does when others call it. */
 export interface PeerHandlers {
@@ -57,31 +52,6 @@
   details: 'the shared secret is missing or wrong',
 };
 
-function toRefusalEvent(message: ForwardRequest, error: unknown): ForwardEvent {
-  const refusal =
-    error instanceof RefusalError
-      ? error
-      : new RefusalError(REFUSALS.internalFault, {
-          detail: errorText(error),
-          step: 'serve-forwarded',
-          evidence: { kind: 'lostAfterSending', cause: 'aborted' },
-        });
-  return create(ForwardEventSchema, {
-    requestId: message.requestId,
-    attempt: message.attempt,
-    event: {
-      case: 'refusal',
-      value: create(ForwardRefusalSchema, {
-        refusal: refusal.definition.slug,
-        detail: refusal.message,
-        notRun: refusal.outcome === 'notRun',
-        ran: refusal.outcome === 'ran',
-        retryAtUnixMs: BigInt(refusal.retryAtUnixMs ?? 0),
-      }),
-    },
-  });
-}
-
 function handleForward(options: PeerServerOptions) {
   return async (call: ServerWritableStream<ForwardRequest, ForwardEvent>): Promise<void> => {
     if (!showsSecret(call.metadata, options.peerSecret)) {
--- a/src/core/peers/peer-sink.ts
+++ b/src/core/peers/peer-sink.ts
@@ -1,68 +1,109 @@
 import { create } from '@bufbuild/protobuf';
 import { status as grpcStatus } from '@grpc/grpc-js';
 import type { ServerWritableStream } from '@grpc/grpc-js';
-import { ForwardEventSchema } from '../../gen/forward_pb';
+import { ForwardEventSchema, ForwardRefusalSchema } from '../../gen/forward_pb';
 import type { ForwardEvent, ForwardRequest } from '../../gen/forward_pb';
+import { errorText } from '../errors';
+import { REFUSALS, RefusalError } from '../refusals';
 import type { ResponseSink } from '../serving/types';
 
-type Event = ForwardEvent['event'];
-
 /** Passes an answer back to the instance that forwarded the request. */
-export function createPeerSink(
-  call: ServerWritableStream<ForwardRequest, ForwardEvent>,
+
+/** Where the events of one answer go. */
+export interface EventWriter {
+  /** Resolves once more may be written, so that a slow reader holds the sender back across the hop. */
+  write(event: ForwardEvent): Promise<void>;
+  end(): void;
+  abort(reason: string): void;
+}
+
+/** A sink that writes events which name the request and attempt they belong to. */
+export function createForwardEventSink(
+  { requestId, attempt }: ForwardRequest,
+  writer: EventWriter,
 ): ResponseSink {
-  const { requestId, attempt } = call.request;
   let headSent = false;
   let bodyBytes = 0;
-
-  const write = (event: Event): boolean =>
-    call.write(create(ForwardEventSchema, { requestId, attempt, event }));
+  const write = (event: ForwardEvent['event']): Promise<void> =>
+    writer.write(create(ForwardEventSchema, { requestId, attempt, event }));
 
   return {
     get headSent() {
       return headSent;
     },
-    sendHead(head) {
+    sendHead({ status, headers }) {
       headSent = true;
-      const headers = head.headers.map(({ name, value }) => ({
-        $typeName: 'coltsfootworks.forward.v1.Header' as const,
-        name,
-        value,
-      }));
-      write({
-        case: 'head',
-        value: {
-          $typeName: 'coltsfootworks.forward.v1.ResponseHead',
-          status: head.status,
-          headers,
-        },
-      });
+      const value = {
+        $typeName: 'coltsfootworks.forward.v1.ResponseHead' as const,
+        status,
+        headers: headers.map((header) => ({
+          $typeName: 'coltsfootworks.forward.v1.Header' as const,
+          ...header,
+        })),
+      };
+      void write({ case: 'head', value });
     },
     async sendChunk(chunk) {
       bodyBytes += chunk.length;
-      if (write({ case: 'chunk', value: chunk }) || call.cancelled) return;
-      await new Promise<void>((resolve) => {
-        const go = () => {
-          call.off('drain', go);
-          call.off('cancelled', go);
-          resolve();
-        };
-        call.on('drain', go);
-        call.on('cancelled', go);
-      });
+      await write({ case: 'chunk', value: chunk });
     },
     end() {
-      write({
-        case: 'end',
-        value: {
-          $typeName: 'coltsfootworks.forward.v1.ResponseEnd',
-          bodyBytes: BigInt(bodyBytes),
-        },
-      });
+      const value = {
+        $typeName: 'coltsfootworks.forward.v1.ResponseEnd' as const,
+        bodyBytes: BigInt(bodyBytes),
+      };
+      void write({ case: 'end', value });
+      writer.end();
+    },
+    abort: (reason) => writer.abort(reason),
+  };
+}
+
+/** The event that tells the sender why there is no answer, and whether anything ran. */
+export function toRefusalEvent(message: ForwardRequest, error: unknown): ForwardEvent {
+  const refusal =
+    error instanceof RefusalError
+      ? error
+      : new RefusalError(REFUSALS.internalFault, {
+          detail: errorText(error),
+          step: 'serve-forwarded',
+          evidence: { kind: 'lostAfterSending', cause: 'aborted' },
+        });
+  const value = create(ForwardRefusalSchema, {
+    refusal: refusal.definition.slug,
+    detail: refusal.message,
+    notRun: refusal.outcome === 'notRun',
+    ran: refusal.outcome === 'ran',
+    retryAtUnixMs: BigInt(Math.floor(refusal.retryAtUnixMs ?? 0)),
+  });
+  const { requestId, attempt } = message;
+  return create(ForwardEventSchema, { requestId, attempt, event: { case: 'refusal', value } });
+}
+
+/** A sink over a gRPC stream. */
+export function createPeerSink(
+  call: ServerWritableStream<ForwardRequest, ForwardEvent>,
+): ResponseSink {
+  const waitForDrain = (): Promise<void> =>
+    new Promise((resolve) => {
+      const go = () => {
+        call.off('drain', go);
+        call.off('cancelled', go);
+        resolve();
+      };
+      call.on('drain', go);
+      call.on('cancelled', go);
+    });
+
+  return createForwardEventSink(call.request, {
+    async write(event) {
+      if (!call.write(event) && !call.cancelled) await waitForDrain();
+    },
+    end: () => {
       call.end();
     },
-    abort(reason) {
+    abort: (reason) => {
       call.emit('error', { code: grpcStatus.ABORTED, details: reason });
     },
-  };
+  });
 }
--- a/src/core/serving/run-attempt.ts
+++ b/src/core/serving/run-attempt.ts
@@ -1,6 +1,6 @@
 import { REFUSALS, RefusalError } from '../refusals';
 import { chooseRoute } from '../routing';
-import { checkRequest } from './check-request';
+import { checkRegion, checkRequest } from './check-request';
 import type { ServingDependencies } from './dependencies';
 import { gatherRoutingInput } from './gather-routing-input';
 import { logDecision } from './log-decision';
@@ -27,15 +27,25 @@
         const { serverId, address } = decision.server;
         const open = inFlight.begin(serverId);
         try {
-          await sender.send({ serverId, address, timeLeftMs, signal }, request, sink);
+          const lastCheck = () => {
+            checkRequest(dependencies, request);
+          };
+          await sender.send({ serverId, address, timeLeftMs, signal, lastCheck }, request, sink);
         } finally {
           open[Symbol.dispose]();
         }
         return;
       }
-      case 'peer':
-        await forwarder.forward({ ...decision.peer, timeLeftMs, signal }, request, sink);
+      case 'peer': {
+        const { region } = decision.peer;
+        const lastCheck = () => {
+          checkRequest(dependencies, request);
+          checkRegion({ ...dependencies, region }, request);
+        };
+        const target = { ...decision.peer, timeLeftMs, signal, lastCheck };
+        await forwarder.forward(target, request, sink);
         return;
+      }
       case 'none':
         throw new RefusalError(REFUSALS.noServer, {
           detail: decision.reason,
--- a/src/core/tickets/index.ts
+++ b/src/core/tickets/index.ts
@@ -14,5 +14,5 @@
   NonRepeatableOptions,
   NonRepeatableServer,
 } from './serve-non-repeatable';
-export { TICKET_HEADER } from './ticket-text';
+export { TICKET_HEADER, readTicket } from './ticket-text';
 export type { MintedTicket, TicketCounts } from './types';
