--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -1,3 +1,4 @@
+import { CALLER_LIMIT_EVENTS } from '../caller-limits/events';
 import { CONFIGURATION_EVENTS } from '../configuration/events';
 import { HTTP_EDGE_EVENTS } from '../http-edge/events';
 import { MEMBERSHIP_EVENTS } from '../membership/events';
@@ -9,6 +10,7 @@
 import { ROUTING_EVENTS } from '../routing/events';
 import { SERVER_HEALTH_EVENTS } from '../server-health/events';
 import { SERVING_EVENTS } from '../serving/events';
+import { SPILLOVER_EVENTS } from '../spillover/events';
 import { TICKET_EVENTS } from '../tickets/events';
 import type { EventDefinition } from './types';
 
@@ -29,6 +31,8 @@
   POISON_EVENTS,
   TICKET_EVENTS,
   OUTLIER_EVENTS,
+  SPILLOVER_EVENTS,
+  CALLER_LIMIT_EVENTS,
 ]
   .flatMap((events): EventDefinition[] => Object.values(events))
   .sort((left, right) => left.id - right.id);
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -1,3 +1,4 @@
+import { createCallerLimits } from '../caller-limits';
 import { createInFlight, createServerSender } from '../backends';
 import type { Clock } from '../clock';
 import { createConfigurationStore, currentResilience } from '../configuration';
@@ -88,16 +89,22 @@
     createMembership({
       clock,
       logger,
-      transport: createExchangeTransport({ clock, connections, metadata, instanceId }),
+      random,
+      gossip,
+      incarnation,
+      transport: createExchangeTransport({ clock, connections, metadata }),
       seedPeers: settings.seedPeers,
       describeSelf: () => ({
         instanceId,
-        incarnation,
         region,
         failureDomain,
         callerAddress,
         peerAddress,
         configurationVersion: configuration.current()?.version ?? 0,
+        configurationDigest: 0,
+        configurationSinceUnixMs: 0,
+        configurationConfirmed: false,
+        watching: false,
         inFlightRequests: inFlight.totalRequests(),
       }),
     }),
@@ -117,6 +124,16 @@
     }),
   );
 
+  const callerLimits = owned.add(
+    createCallerLimits({
+      clock,
+      random,
+      logger,
+      gossip,
+      configuration,
+      instances: () => membership.usablePeers().length + 1,
+    }),
+  );
   const poison = owned.add(
     createPoisonGuard({
       clock,
@@ -179,7 +196,7 @@
       credentials: serverCredentials(settings.tls),
       peerSecret: settings.peerSecret,
       handlers: {
-        exchange: (members) => membership.receive(members),
+        exchange: (message) => membership.receive(message),
         ...createForwardedHandlers({
           clock,
           incarnation,
@@ -201,6 +218,7 @@
       configuration,
       membership,
       serving,
+      callerLimits,
       tickets,
       serveNonRepeatable,
       limits: settings.limits,
