Choose entries by weighted rendezvous hashing

Cause: naming the least loaded instance sends every caller that asks between two exchanges of load to one instance, and moves all of them with the next exchange. Ruled out: random choice (a caller's prefixes end up at every instance); following load finely (each exchange moves callers). Conclusion: hashing spreads, coarse weights relieve an instance at 1.5 times the mean and more; large callers are split by the address that asks.

--- /dev/null
+++ b/src/core/entry/choose-entry.test.ts
@@ -0,0 +1,136 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import type { MemberState, MemberStatus } from '../membership';
+import { chooseEntry } from './choose-entry';
+
+const CALLERS = 2_000;
+
+interface MemberPlace {
+  readonly region: string;
+  readonly domain: string;
+  readonly index: number;
+  readonly status?: MemberStatus;
+  readonly inFlightRequests?: number;
+}
+
+const member = (place: MemberPlace): MemberState => ({
+  instanceId: `${place.region}-${place.domain}-${place.index}`,
+  incarnation: 1,
+  sequence: 1,
+  region: place.region,
+  failureDomain: `${place.region}-${place.domain}`,
+  callerAddress: '',
+  peerAddress: '',
+  status: place.status ?? 'alive',
+  configurationVersion: 1,
+  inFlightRequests: place.inFlightRequests ?? 0,
+});
+
+const REGIONS = ['windhoek', 'rundu'];
+const fleet = REGIONS.flatMap((region) =>
+  ['a', 'b', 'c'].flatMap((domain) => [1, 2].map((index) => member({ region, domain, index }))),
+);
+
+const entryOf = (members: readonly MemberState[], caller: number) =>
+  chooseEntry({ members, regions: REGIONS, homeRegion: 'rundu', key: `caller-${caller}` })?.entry
+    .instanceId;
+
+function entriesOf(members: readonly MemberState[]): (string | undefined)[] {
+  return Array.from({ length: CALLERS }, (_unused, caller) => entryOf(members, caller));
+}
+
+function countBy(names: readonly (string | undefined)[]): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const name of names) counts.set(name ?? '', (counts.get(name ?? '') ?? 0) + 1);
+  return counts;
+}
+
+const movedShare = (before: readonly unknown[], after: readonly unknown[]) =>
+  before.filter((name, caller) => name !== after[caller]).length / before.length;
+
+describe('the choice of an entry', () => {
+  it('spreads callers evenly over the instances of their home region', () => {
+    const counts = countBy(entriesOf(fleet));
+    assert.equal(counts.size, 6);
+    const fairShare = CALLERS / 6;
+    for (const [name, count] of counts) {
+      assert.match(name, /^rundu-/);
+      assert.ok(Math.abs(count / fairShare - 1) < 0.2, `${name} has ${count}`);
+    }
+  });
+
+  it('is the same whichever instance is asked and in whatever order it knows the others', () => {
+    assert.deepEqual(entriesOf([...fleet].reverse()), entriesOf(fleet));
+  });
+
+  // A rack loses power. Were its callers all sent to the least loaded instance left, that one would fall over
+  // next; were all callers dealt anew, every instance would serve prefixes that it has never seen.
+  it('moves only the callers of a failure domain that goes, and scatters them over all that are left', () => {
+    const before = entriesOf(fleet);
+    const left = fleet.filter((one) => one.failureDomain !== 'rundu-b');
+    const after = entriesOf(left);
+    const stayed = before.filter((name) => !name?.startsWith('rundu-b'));
+    const lost = before.length - stayed.length;
+    assert.equal(movedShare(before, after), lost / before.length);
+    const newcomers = countBy(after.filter((name, caller) => name !== before[caller]));
+    assert.equal(newcomers.size, 4);
+    for (const count of newcomers.values()) assert.ok(count < lost / 2.5, `${count} of ${lost}`);
+  });
+
+  // One caller's batch keeps an instance busy. Callers hashed to it wait behind work that others could share.
+  it('draws callers away from an instance with far more than its share, and moves no others', () => {
+    const busy = (inFlightRequests: number) =>
+      fleet.map((one) => ({
+        ...one,
+        inFlightRequests: one.instanceId === 'rundu-a-1' ? inFlightRequests : 20,
+      }));
+    const before = entriesOf(busy(20));
+    const after = entriesOf(busy(200));
+    const moved = before.filter((name, caller) => name !== after[caller]);
+    assert.ok(moved.every((name) => name === 'rundu-a-1'));
+    const share = (countBy(after).get('rundu-a-1') ?? 0) / (countBy(before).get('rundu-a-1') ?? 1);
+    assert.ok(share > 0.2 && share < 0.55, `keeps ${share}`);
+  });
+
+  it('moves nobody for differences of load that mean nothing', () => {
+    const uneven = fleet.map((one, index) => ({ ...one, inFlightRequests: 20 + (index % 5) * 3 }));
+    assert.equal(movedShare(entriesOf(fleet), entriesOf(uneven)), 0);
+  });
+
+  const standing: readonly { readonly status: MemberStatus; readonly isNamed: boolean }[] = [
+    { status: 'alive', isNamed: true },
+    { status: 'suspect', isNamed: false },
+    { status: 'leaving', isNamed: false },
+    { status: 'dead', isNamed: false },
+  ];
+  for (const { status, isNamed } of standing) {
+    it(`${isNamed ? 'names' : 'does not name'} an instance that is ${status}`, () => {
+      const members = fleet.map((one) =>
+        one.instanceId === 'rundu-a-1' ? { ...one, status } : one,
+      );
+      assert.equal(entriesOf(members).includes('rundu-a-1'), isNamed);
+    });
+  }
+
+  it('names a suspected instance when no other is left, but never one that leaves', () => {
+    const only = (status: MemberStatus) =>
+      entryOf([member({ region: 'rundu', domain: 'a', index: 1, status })], 1);
+    assert.equal(only('suspect'), 'rundu-a-1');
+    assert.equal(only('leaving'), undefined);
+  });
+
+  it('names only instances of allowed regions, and fallbacks in other failure domains', () => {
+    const choice = chooseEntry({
+      members: fleet,
+      regions: ['windhoek'],
+      homeRegion: 'rundu',
+      key: 'caller-1',
+    });
+    assert.equal(choice?.entry.region, 'windhoek');
+    assert.equal(choice?.fallbacks.length, 2);
+    for (const fallback of choice?.fallbacks ?? []) {
+      assert.equal(fallback.region, 'windhoek');
+      assert.notEqual(fallback.failureDomain, choice?.entry.failureDomain);
+    }
+  });
+});
--- a/src/core/entry/entry-answer.ts
+++ b/src/core/entry/entry-answer.ts
@@ -30,11 +30,22 @@
   };
 }
 
-/** The choice as it is answered. */
-export function toEntryAnswer(choice: EntryChoice, nowUnixMs: number): EntryAnswer {
+/** Part of the time of validity over which the next questions of callers are scattered. */
+const SCATTER = 0.4;
+
+/**
+ * The choice as it is answered. Callers that asked together (after an instance or a failure domain went) are
+ * told different times to ask again, or they would come together each time for as long as they run: `scatter`,
+ * from 0 up to 1, differs with each answer.
+ */
+export function toEntryAnswer(
+  choice: EntryChoice,
+  nowUnixMs: number,
+  scatter: number,
+): EntryAnswer {
   return {
     entry: toInstance(choice.entry),
     fallbacks: choice.fallbacks.map(toInstance),
-    askAgainAtUnixMs: nowUnixMs + ENTRY_VALID_MS,
+    askAgainAtUnixMs: nowUnixMs + Math.round(ENTRY_VALID_MS * (1 - SCATTER * scatter)),
   };
 }
--- a/src/core/entry/index.ts
+++ b/src/core/entry/index.ts
@@ -1,5 +1,6 @@
 /** Callers ask which instance to use, since nothing balances before the instances. */
 export { chooseEntry } from './choose-entry';
-export type { EntryChoice } from './choose-entry';
+export type { EntryChoice, EntryQuestion } from './choose-entry';
 export { ENTRY_VALID_MS, toEntryAnswer } from './entry-answer';
+export { entryKey } from './entry-key';
 export type { EntryAnswer, EntryInstance } from './entry-answer';
--- a/src/core/http-edge/routes.ts
+++ b/src/core/http-edge/routes.ts
@@ -1,8 +1,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { authenticate } from '../access';
 import type { Caller, CompiledConfiguration, Service } from '../configuration';
-import { chooseEntry, toEntryAnswer } from '../entry';
+import { chooseEntry, entryKey, toEntryAnswer } from '../entry';
 import { REFUSALS, RefusalError } from '../refusals';
+import { hashPair } from '../rendezvous';
 import { allowedRegions } from '../residency';
 import { answerJson } from './answer';
 import { buildRequest, modelOf } from './build-request';
@@ -130,14 +131,21 @@
     answerJson(response, 200, { object: 'list', data });
   };
 
-  const nameEntry: EdgeHandler = async ({ incoming, response }) => {
+  /** Any instance answers, one on its way out or in a barred region included: it knows the others. */
+  const nameEntry: EdgeHandler = async ({ incoming, response, requestId }) => {
     const { caller } = identify(incoming);
-    const choice = chooseEntry(membership.members(), caller.regions, caller.homeRegion ?? region);
+    const choice = chooseEntry({
+      members: membership.members(),
+      regions: caller.regions,
+      homeRegion: caller.homeRegion ?? region,
+      key: entryKey(caller, incoming.socket.remoteAddress ?? ''),
+    });
     if (choice === undefined) {
       const detail = 'No instance of an allowed region answers.';
       throw neverSent(REFUSALS.noServer, detail, 'choose-entry');
     }
-    answerJson(response, 200, toEntryAnswer(choice, clock.unixMs()));
+    const scatter = hashPair('ask-again', requestId);
+    answerJson(response, 200, toEntryAnswer(choice, clock.unixMs(), scatter));
   };
 
   const health: EdgeHandler = async ({ response }) => answerJson(response, 200, { status: 'ok' });
