Stop an instance as planned: told first, then nothing new, gone when nothing is open

Cause: a stop closed the listener at once, so kept connections were reset, peers went on forwarding, and work that peers had handed in was not waited for. Ruled out: refusing from the first moment (turns away all who have not heard yet); closing idle connections first (resets requests on their way). Conclusion: three phases decided by a pure function; callers' and peers' work is counted; answers close their connections; a second signal says what it cut.

--- a/src/cli/serve/run-serve.ts
+++ b/src/cli/serve/run-serve.ts
@@ -31,7 +31,7 @@
 
   await nextStopSignal();
   void nextStopSignal().then(() => {
-    logger.event(NODE_EVENTS.cutShort, { inFlightRequests: node.inFlightRequests() });
+    logger.event(NODE_EVENTS.cutShort, { ...node.openWork() });
     process.exit(1);
   });
   await node.drain();
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -1,4 +1,5 @@
 import { CONFIGURATION_EVENTS } from '../configuration/events';
+import { DRAINING_EVENTS } from '../draining/events';
 import { HTTP_EDGE_EVENTS } from '../http-edge/events';
 import { MEMBERSHIP_EVENTS } from '../membership/events';
 import { NODE_EVENTS } from '../node/events';
@@ -23,6 +24,7 @@
   CONFIGURATION_EVENTS,
   PLATFORM_EVENTS,
   SERVER_HEALTH_EVENTS,
+  DRAINING_EVENTS,
   RETRY_EVENTS,
   POISON_EVENTS,
 ]
--- a/src/core/http-edge/open-http-edge.ts
+++ b/src/core/http-edge/open-http-edge.ts
@@ -83,6 +83,8 @@
   ) => {
     const requestId = options.newRequestId();
     const signal = goneSignal(response);
+    // A caller that keeps its connection would send its next request to an instance that is about to go.
+    if (options.draining.isLeaving()) response.setHeader('connection', 'close');
     void handle(options, handler, { incoming, response, requestId, signal, params });
   };
 
@@ -131,9 +133,12 @@
   });
 }
 
+/** How often connections that have turned idle are looked for while the listener closes. */
+const CLOSE_IDLE_EVERY_MS = 50;
+
 /** Opens the callers' listener. */
 export async function openHttpEdge(options: HttpEdgeOptions): Promise<HttpEdge> {
-  const { limits, logger } = options;
+  const { limits, logger, clock } = options;
   const server = createServer(
     {
       maxHeaderSize: limits.headerBytes,
@@ -150,10 +155,21 @@
   });
   const port = await listen(server, options);
 
+  /** Connections whose last answer ended after the close turn idle and would be kept for their timeout. */
+  const closeIdleUntil = (isClosed: () => boolean): void => {
+    if (isClosed()) return;
+    server.closeIdleConnections();
+    clock.schedule(clock.monotonicMs() + CLOSE_IDLE_EVERY_MS, () => closeIdleUntil(isClosed));
+  };
+
   const drain = (): Promise<void> =>
     new Promise((resolve) => {
-      server.close(() => resolve());
-      server.closeIdleConnections();
+      let closed = false;
+      server.close(() => {
+        closed = true;
+        resolve();
+      });
+      closeIdleUntil(() => closed);
     });
 
   return {
--- a/src/core/http-edge/types.ts
+++ b/src/core/http-edge/types.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../clock';
 import type { ConfigurationStore } from '../configuration';
+import type { Draining } from '../draining';
 import type { Logger } from '../events';
 import type { MembershipView } from '../membership';
 import type { Metrics } from '../metrics';
@@ -17,6 +18,7 @@
   readonly membership: MembershipView;
   readonly serving: Serving;
   readonly metrics: Metrics;
+  readonly draining: Pick<Draining, 'isLeaving'>;
   readonly limits: Settings['limits'];
   /** Makes an id that no other request has. */
   readonly newRequestId: () => string;
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -1,6 +1,8 @@
 import { createInFlight, createServerSender } from '../backends';
 import type { Clock } from '../clock';
 import { createConfigurationStore, currentResilience } from '../configuration';
+import { createDraining, gateServing } from '../draining';
+import type { OpenWork } from '../draining';
 import type { Logger } from '../events';
 import { createGossipBoard } from '../gossip';
 import { openHttpEdge } from '../http-edge';
@@ -51,6 +53,8 @@
   drain(): Promise<void>;
   /** Requests in flight at servers. */
   inFlightRequests(): number;
+  /** Requests open here, of callers and of peers. */
+  openWork(): OpenWork;
   /** Other instances that may be given work. */
   knownPeerCount(): number;
   /** Whether callers can be served: a configuration is in force and no stop has begun. */
@@ -123,7 +127,8 @@
       options: () => currentResilience(configuration).poison,
     }),
   );
-  const serving = createServing({
+  const draining = createDraining({ clock, logger, noticeMs: settings.drain.noticeMs });
+  const servingAlways = createServing({
     clock,
     random,
     logger,
@@ -140,6 +145,8 @@
     forwarder,
   });
 
+  const serving = gateServing(servingAlways, draining);
+
   const peerServer = owned.add(
     await openPeerServer({
       ...listeners.peers,
@@ -165,6 +172,7 @@
       serving,
       limits: settings.limits,
       metrics,
+      draining,
       newRequestId,
     }),
   );
@@ -214,13 +222,16 @@
     peerAddress,
     operatorAddress: addressOf(listeners.operators.host, operators.port),
     inFlightRequests: () => inFlight.totalRequests(),
+    openWork: draining.openWork,
     knownPeerCount: () => membership.usablePeers().length,
     isReady,
     configurationVersion: () => configuration.current()?.version ?? 0,
     async drain() {
       logger.event(NODE_EVENTS.stopping, { inFlightRequests: inFlight.totalRequests() });
       membership.markLeaving();
+      await draining.run();
       await edge.drain();
+      await peerServer.drain();
       logger.event(NODE_EVENTS.stopped);
     },
     [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose](),
--- a/src/core/node/events.ts
+++ b/src/core/node/events.ts
@@ -28,6 +28,7 @@
     name: 'instance-cut-short',
     level: 'warn',
     text: 'A second signal ended the instance at once.',
-    action: 'The count says how many requests were cut; their callers were told nothing.',
+    action:
+      'The counts say how many requests of callers and of peers were cut; their callers were told nothing.',
   },
 } as const satisfies Record<string, EventDefinition>;
--- a/src/core/peers/peer-server.ts
+++ b/src/core/peers/peer-server.ts
@@ -48,6 +48,8 @@
 /** The listener for peers. */
 export interface PeerServer extends AsyncDisposable {
   readonly port: number;
+  /** Takes no new calls, and resolves when the last words of those open have left. */
+  drain(): Promise<void>;
 }
 
 const UNAUTHENTICATED = {
@@ -155,6 +157,10 @@
   const port = await bind(server, options);
   return {
     port,
+    drain: () =>
+      new Promise((resolve) => {
+        server.tryShutdown(() => resolve());
+      }),
     async [Symbol.asyncDispose]() {
       server.forceShutdown();
     },
--- a/src/core/settings/schema.ts
+++ b/src/core/settings/schema.ts
@@ -105,6 +105,18 @@
     })
     .prefault({})
     .describe('Bounds that protect the instance itself'),
+  drain: z
+    .strictObject({
+      noticeMs: z
+        .int()
+        .min(0)
+        .default(3_000)
+        .describe(
+          'Time for which a stop is told to peers and callers before new requests are refused, ms',
+        ),
+    })
+    .prefault({})
+    .describe('The planned stop of this instance'),
   logLevel: z
     .enum(['error', 'warn', 'info', 'debug'])
     .default('info')
--- a/src/testing/small-fleet.ts
+++ b/src/testing/small-fleet.ts
@@ -31,6 +31,8 @@
 } as const;
 
 const PEER_SECRET = 'a-secret-shared-by-all-instances';
+/** Longer than an exchange between instances takes, so that all hear of a stop. */
+const NOTICE_MS = 1_200;
 const OPERATOR_KEY = 'a-key-for-operators-alone';
 const CONFIGURATION_KEY = 'coltsfootworks/configuration';
 
@@ -38,6 +40,8 @@
 export interface FleetInstance {
   readonly instanceId: string;
   readonly region: Region;
+  /** Last part of the failure domain's name. */
+  readonly domain: string;
   readonly node: GatewayNode;
   readonly logger: MemoryLogger;
 }
@@ -51,6 +55,8 @@
   /** The configuration that was published first. */
   readonly configuration: Configuration;
   publish(configuration: Configuration): void;
+  /** Stops an instance as planned, and starts another in its place with the same name. */
+  replace(instance: FleetInstance): Promise<FleetInstance>;
   /** The first instance of a region. */
   instanceIn(region: Region): FleetInstance;
 }
@@ -135,36 +141,40 @@
   publish(configuration);
 
   const instances: FleetInstance[] = [];
+  let startCount = 0;
+  const startInstance = async (region: Region, domain: string): Promise<FleetInstance> => {
+    const instanceId = `${region}-${domain}`;
+    const logger = createMemoryLogger();
+    const settings = settingsSchema.parse({
+      instanceId,
+      region,
+      failureDomain: `${region}-${domain}`,
+      listeners: {
+        callers: { host: '127.0.0.1', port: 0 },
+        peers: { host: '127.0.0.1', port: 0 },
+        operators: { host: '127.0.0.1', port: 0 },
+      },
+      seedPeers: instances.map(({ node }) => node.peerAddress),
+      peerSecret: PEER_SECRET,
+      operatorKey: OPERATOR_KEY,
+      platform: { configurationUrl: `http://${platform.address}` },
+      drain: { noticeMs: NOTICE_MS },
+    });
+    const node = owned.add(
+      await startNode({
+        settings,
+        logger,
+        clock: createSystemClock(),
+        random: createSeededRandom(startCount),
+        newRequestId: randomUUID,
+        release: 'test',
+      }),
+    );
+    startCount += 1;
+    return { instanceId, region, domain, node, logger };
+  };
   for (const region of FLEET_REGIONS) {
-    for (const domain of ['a', 'b']) {
-      const instanceId = `${region}-${domain}`;
-      const logger = createMemoryLogger();
-      const settings = settingsSchema.parse({
-        instanceId,
-        region,
-        failureDomain: `${region}-${domain}`,
-        listeners: {
-          callers: { host: '127.0.0.1', port: 0 },
-          peers: { host: '127.0.0.1', port: 0 },
-          operators: { host: '127.0.0.1', port: 0 },
-        },
-        seedPeers: instances.map(({ node }) => node.peerAddress),
-        peerSecret: PEER_SECRET,
-        operatorKey: OPERATOR_KEY,
-        platform: { configurationUrl: `http://${platform.address}` },
-      });
-      const node = owned.add(
-        await startNode({
-          settings,
-          logger,
-          clock: createSystemClock(),
-          random: createSeededRandom(instances.length),
-          newRequestId: randomUUID,
-          release: 'test',
-        }),
-      );
-      instances.push({ instanceId, region, node, logger });
-    }
+    for (const domain of ['a', 'b']) instances.push(await startInstance(region, domain));
   }
 
   await waitFor(
@@ -182,6 +192,15 @@
     instances,
     configuration,
     publish,
+    async replace(old) {
+      await old.node.drain();
+      await old.node[Symbol.asyncDispose]();
+      const at = instances.indexOf(old);
+      instances.splice(at, 1);
+      const next = await startInstance(old.region, old.domain);
+      instances.splice(at, 0, next);
+      return next;
+    },
     instanceIn(region) {
       const found = instances.find((instance) => instance.region === region);
       if (found === undefined) throw new Error(`No instance in ${region}`);
