Wait for quiet before the listener of a leaving instance closes

Cause: with nothing open the listener closed at once; requests sent on kept connections in that moment were reset, and their callers could not know whether they ran. Ruled out: half-closing idle connections (the answer could not be sent any more). Conclusion: 500 ms without any request, at most 10 s; a table case holds the rule.

--- a/src/core/draining/create-draining.ts
+++ b/src/core/draining/create-draining.ts
@@ -11,7 +11,9 @@
   /** Whether a stop has begun, so that connections are closed after their answer. */
   isLeaving(): boolean;
   openWork(): OpenWork;
-  /** Notes a request that has come in; disposing of the result notes its end. */
+  /** Notes that any request has come in, whatever becomes of it. */
+  noteArrival(): void;
+  /** Notes a request that is being served; disposing of the result notes its end. */
   begin(origin: 'caller' | 'peer'): Disposable;
   /** Notes a request that was refused because of the stop. */
   noteRefused(): void;
@@ -40,6 +42,7 @@
   let peerRequests = 0;
   let servedWhileLeaving = 0;
   let refused = 0;
+  let lastArrivalAtMs: number | undefined;
   let running: Promise<void> | undefined;
 
   const openWork = (): OpenWork => ({ callerRequests, peerRequests });
@@ -64,7 +67,13 @@
     enter('leaving');
     for (;;) {
       const nowMs = clock.monotonicMs();
-      const step = decideDrain({ nowMs, noticeEndsAtMs, openWork: openWork(), holds: heldBy() });
+      const step = decideDrain({
+        nowMs,
+        noticeEndsAtMs,
+        lastArrivalAtMs,
+        openWork: openWork(),
+        holds: heldBy(),
+      });
       if (step.kind === 'done') break;
       enter(step.phase);
       if (nowMs >= sayAtMs) {
@@ -81,6 +90,9 @@
     phase: () => phase,
     isLeaving: () => phase !== 'serving',
     openWork,
+    noteArrival() {
+      lastArrivalAtMs = clock.monotonicMs();
+    },
     begin(origin) {
       let open = true;
       count(origin, 1);
--- a/src/core/draining/draining.test.ts
+++ b/src/core/draining/draining.test.ts
@@ -14,6 +14,7 @@
     readonly nowMs: number;
     readonly openWork?: Partial<typeof nothing>;
     readonly holds?: readonly string[];
+    readonly lastArrivalAtMs?: number;
     readonly expected: DrainStep;
   }[] = [
     { name: 'while it is told', nowMs: 2_999, expected: { kind: 'stay', phase: 'leaving' } },
@@ -37,11 +38,31 @@
       holds: ['tickets'],
       expected: { kind: 'stay', phase: 'refusing' },
     },
+    {
+      // A caller sends its next request on its kept connection just as that is closed: the request is reset.
+      name: 'told, a request came a moment ago',
+      nowMs: 3_100,
+      lastArrivalAtMs: 2_800,
+      expected: { kind: 'stay', phase: 'refusing' },
+    },
+    { name: 'told, quiet', nowMs: 3_300, lastArrivalAtMs: 2_800, expected: { kind: 'done' } },
+    {
+      name: 'told long ago, a caller comes again and again',
+      nowMs: 13_000,
+      lastArrivalAtMs: 12_990,
+      expected: { kind: 'done' },
+    },
   ];
-  for (const { name, nowMs, openWork, holds, expected } of cases) {
+  for (const { name, nowMs, openWork, holds, lastArrivalAtMs, expected } of cases) {
     it(name, () => {
-      const state = { nowMs, noticeEndsAtMs: 3_000, openWork: { ...nothing, ...openWork } };
-      assert.deepEqual(decideDrain({ ...state, holds: holds ?? [] }), expected);
+      const step = decideDrain({
+        nowMs,
+        noticeEndsAtMs: 3_000,
+        lastArrivalAtMs,
+        openWork: { ...nothing, ...openWork },
+        holds: holds ?? [],
+      });
+      assert.deepEqual(step, expected);
     });
   }
 });
--- a/src/core/draining/gate-serving.ts
+++ b/src/core/draining/gate-serving.ts
@@ -11,6 +11,7 @@
 export function gateServing(serving: Serving, draining: Draining): Serving {
   return {
     async serve(request, sink, signal) {
+      draining.noteArrival();
       if (draining.phase() === 'refusing') {
         draining.noteRefused();
         throw new RefusalError(REFUSALS.notReady, {
--- a/src/core/http-edge/open-http-edge.ts
+++ b/src/core/http-edge/open-http-edge.ts
@@ -83,6 +83,7 @@
   ) => {
     const requestId = options.newRequestId();
     const signal = goneSignal(response);
+    options.draining.noteArrival();
     // A caller that keeps its connection would send its next request to an instance that is about to go.
     if (options.draining.isLeaving()) response.setHeader('connection', 'close');
     void handle(options, handler, { incoming, response, requestId, signal, params });
--- a/src/core/http-edge/types.ts
+++ b/src/core/http-edge/types.ts
@@ -18,7 +18,7 @@
   readonly membership: MembershipView;
   readonly serving: Serving;
   readonly metrics: Metrics;
-  readonly draining: Pick<Draining, 'isLeaving'>;
+  readonly draining: Pick<Draining, 'isLeaving' | 'noteArrival'>;
   readonly limits: Settings['limits'];
   /** Makes an id that no other request has. */
   readonly newRequestId: () => string;
--- a/src/testing/small-fleet.ts
+++ b/src/testing/small-fleet.ts
@@ -126,8 +126,14 @@
   });
 }
 
+/** What a test may set. */
+export interface SmallFleetOptions {
+  /** Time for which a stop is told before new requests are refused. */
+  readonly noticeMs?: number;
+}
+
 /** Starts the fleet and waits until each instance knows all others. */
-export async function startSmallFleet(): Promise<SmallFleet> {
+export async function startSmallFleet(options: SmallFleetOptions = {}): Promise<SmallFleet> {
   const owned = createDisposableStore();
   const platform = owned.add(await openPlatformStandIn());
   const engines = new Map<string, EngineStandIn>();
@@ -158,7 +164,7 @@
       peerSecret: PEER_SECRET,
       operatorKey: OPERATOR_KEY,
       platform: { configurationUrl: `http://${platform.address}` },
-      drain: { noticeMs: NOTICE_MS },
+      drain: { noticeMs: options.noticeMs ?? NOTICE_MS },
     });
     const node = owned.add(
       await startNode({
