--- a/src/core/draining/index.ts
+++ b/src/core/draining/index.ts
@@ -2,5 +2,5 @@
 export { createDraining } from './create-draining';
 export type { Draining } from './create-draining';
 export { DRAINING_EVENTS } from './events';
-export { gateServing } from './gate-serving';
+export { countServing, gateServing } from './gate-serving';
 export type { DrainHold, DrainPhase, OpenWork } from './types';
--- a/src/core/http-edge/open-http-edge.ts
+++ b/src/core/http-edge/open-http-edge.ts
@@ -6,9 +6,11 @@
 import { REFUSALS, RefusalError } from '../refusals';
 import { SERVING_EVENTS } from '../serving';
 import { answerRefusal } from './answer';
-import { HTTP_EDGE_EVENTS } from './events';
+import { guardConnections } from './connection-guard';
+import { abortAnswer } from './http-sink';
 import { createHandlers } from './routes';
 import type { EdgeExchange, EdgeHandler } from './routes';
+import { createRequestSlots } from './request-slots';
 import type { HttpEdge, HttpEdgeOptions } from './types';
 
 function asRefusal(error: unknown): RefusalError {
@@ -52,7 +54,7 @@
     const refusal = asRefusal(error);
     if (response.headersSent) {
       options.logger.event(SERVING_EVENTS.answerCutShort, { requestId, detail: refusal.message });
-      response.destroy();
+      abortAnswer(response, refusal, requestId, options.clock);
       return;
     }
     logRefusal(options, refusal, requestId);
@@ -71,9 +73,19 @@
   return gone.signal;
 }
 
+function isDecodable(path: string): boolean {
+  try {
+    decodeURI(path);
+    return true;
+  } catch {
+    return false;
+  }
+}
+
 function createRequestListener(options: HttpEdgeOptions) {
   const handlers = createHandlers(options);
   const router = createRouter({ ignoreTrailingSlash: false });
+  const expecting = new WeakSet<IncomingMessage>();
 
   const run = (
     handler: EdgeHandler,
@@ -81,30 +93,57 @@
     response: ServerResponse,
     params: EdgeExchange['params'],
   ) => {
+    const expectsContinue = expecting.has(incoming);
     const requestId = options.newRequestId();
     const signal = goneSignal(response);
     options.draining.noteArrival();
     // A caller that keeps its connection would send its next request to an instance that is about to go.
     if (options.draining.isLeaving()) response.setHeader('connection', 'close');
-    void handle(options, handler, { incoming, response, requestId, signal, params });
+    void handle(options, handler, {
+      incoming,
+      response,
+      requestId,
+      expectsContinue,
+      signal,
+      params,
+    });
   };
 
+  const slots = createRequestSlots(options.limits.concurrentRequests, options.clock);
+  const inSlot =
+    (handler: EdgeHandler): EdgeHandler =>
+    async (exchange) => {
+      const slot = slots.take();
+      try {
+        await handler(exchange);
+      } finally {
+        slot[Symbol.dispose]();
+      }
+    };
+
   const on = (method: 'GET' | 'POST', path: string, handler: EdgeHandler) =>
     router.on(method, path, (incoming, response, params) =>
       run(handler, incoming, response, params),
     );
 
-  on('POST', '/v1/chat/completions', handlers.serveModel);
-  on('POST', '/v1/completions', handlers.serveModel);
+  on('POST', '/v1/chat/completions', inSlot(handlers.serveModel));
+  on('POST', '/v1/completions', inSlot(handlers.serveModel));
   on('GET', '/v1/models', handlers.listModels);
   on('GET', '/v1/entry', handlers.nameEntry);
   on('GET', '/healthz', handlers.health);
   on('GET', '/readyz', handlers.readiness);
   router.all('/services/:service/*', (incoming, response, params) =>
-    run(handlers.servePlain, incoming, response, params),
+    run(inSlot(handlers.servePlain), incoming, response, params),
   );
 
   const unknownPath: EdgeHandler = async ({ incoming }) => {
+    if (!isDecodable(incoming.url ?? '/')) {
+      throw new RefusalError(REFUSALS.malformedRequest, {
+        detail: 'The path has a broken percent-encoding.',
+        step: 'find-path',
+        evidence: { kind: 'neverSent' },
+      });
+    }
     throw new RefusalError(REFUSALS.unknownPath, {
       detail: `${incoming.method} ${incoming.url?.split('?')[0]} is not served here.`,
       step: 'find-path',
@@ -112,7 +151,7 @@
     });
   };
 
-  return (incoming: IncomingMessage, response: ServerResponse): void => {
+  const listener = (incoming: IncomingMessage, response: ServerResponse): void => {
     const found = router.find(incoming.method as 'GET', incoming.url ?? '/');
     if (found === null) {
       run(unknownPath, incoming, response, {});
@@ -120,6 +159,12 @@
     }
     void router.lookup(incoming, response);
   };
+  /** For callers that wait to be asked for their body: a handler that reads it asks, one that refuses does not. */
+  const continueListener = (incoming: IncomingMessage, response: ServerResponse): void => {
+    expecting.add(incoming);
+    listener(incoming, response);
+  };
+  return { listener, continueListener };
 }
 
 function listen(server: Server, { host, port }: HttpEdgeOptions): Promise<number> {
@@ -140,19 +185,21 @@
 /** Opens the callers' listener. */
 export async function openHttpEdge(options: HttpEdgeOptions): Promise<HttpEdge> {
   const { limits, logger, clock } = options;
+  const { listener, continueListener } = createRequestListener(options);
   const server = createServer(
     {
       maxHeaderSize: limits.headerBytes,
       headersTimeout: limits.headerTimeoutMs,
       requestTimeout: limits.bodyTimeoutMs,
     },
-    createRequestListener(options),
+    listener,
   );
-  server.maxConnections = limits.connections;
-  server.on('clientError', (error, socket) => {
-    logger.event(HTTP_EDGE_EVENTS.badConnection, { reason: errorText(error) });
-    if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n');
-    else socket.destroy();
+  server.on('checkContinue', continueListener);
+  guardConnections(server, {
+    logger,
+    metrics: options.metrics,
+    newRequestId: options.newRequestId,
+    mostConnections: limits.connections,
   });
   const port = await listen(server, options);
 
--- a/src/core/http-edge/types.ts
+++ b/src/core/http-edge/types.ts
@@ -6,6 +6,7 @@
 import type { Metrics } from '../metrics';
 import type { Serving } from '../serving';
 import type { Settings } from '../settings';
+import type { NonRepeatableServer, Tickets } from '../tickets';
 
 /** What the callers' listener needs. */
 export interface HttpEdgeOptions {
@@ -17,6 +18,8 @@
   readonly configuration: ConfigurationStore;
   readonly membership: MembershipView;
   readonly serving: Serving;
+  readonly tickets: Tickets;
+  readonly serveNonRepeatable: NonRepeatableServer;
   readonly metrics: Metrics;
   readonly draining: Pick<Draining, 'isLeaving' | 'noteArrival'>;
   readonly limits: Settings['limits'];
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -1,7 +1,7 @@
 import { createInFlight, createServerSender } from '../backends';
 import type { Clock } from '../clock';
 import { createConfigurationStore, currentResilience } from '../configuration';
-import { createDraining, gateServing } from '../draining';
+import { countServing, createDraining, gateServing } from '../draining';
 import type { OpenWork } from '../draining';
 import type { Logger } from '../events';
 import { createGossipBoard } from '../gossip';
@@ -10,6 +10,7 @@
 import { createMembership } from '../membership';
 import { createMetrics } from '../metrics';
 import { openOperatorListener } from '../operators';
+import { OUTLIER_EVENTS, createOutlierTracker } from '../outliers';
 import {
   channelCredentials,
   createExchangeTransport,
@@ -31,7 +32,9 @@
 import { createServing } from '../serving';
 import type { Settings } from '../settings';
 import { NODE_EVENTS } from './events';
-import { toGatewayRequest } from './serve-forwarded';
+import { createTicketing } from './create-ticketing';
+import { lingerForTickets } from './linger-for-tickets';
+import { createForwardedHandlers } from './serve-forwarded';
 
 /** What an instance is made from. */
 export interface NodeOptions {
@@ -80,7 +83,6 @@
   const gossip = createGossipBoard(instanceId, clock);
   const inFlight = createInFlight();
   const sender = owned.add(createServerSender());
-  const forwarder = createPeerForwarder({ clock, connections, metadata, instanceId });
   const metrics = createMetrics();
   let callerAddress = '';
   let peerAddress = '';
@@ -89,16 +91,22 @@
     createMembership({
       clock,
       logger,
-      transport: createExchangeTransport({ clock, connections, metadata, instanceId }),
+      random,
+      gossip,
+      incarnation,
+      transport: createExchangeTransport({ clock, connections, metadata }),
       seedPeers: settings.seedPeers,
       describeSelf: () => ({
         instanceId,
-        incarnation,
         region,
         failureDomain,
         callerAddress,
         peerAddress,
         configurationVersion: configuration.current()?.version ?? 0,
+        configurationDigest: 0,
+        configurationSinceUnixMs: 0,
+        configurationConfirmed: false,
+        watching: false,
         inFlightRequests: inFlight.totalRequests(),
       }),
     }),
@@ -127,6 +135,25 @@
       options: () => currentResilience(configuration).poison,
     }),
   );
+  const forwarder = createPeerForwarder({
+    clock,
+    connections,
+    metadata,
+    instanceId,
+    incarnation,
+    incarnationOf: (id) =>
+      membership.members().find((member) => member.instanceId === id)?.incarnation,
+  });
+
+  const outliers = createOutlierTracker(
+    () => currentResilience(configuration).outliers,
+    ({ serverId, untilMs, ...ejection }) =>
+      logger.event(OUTLIER_EVENTS.ejected, {
+        server: serverId,
+        ...ejection,
+        untilUnixMs: clock.unixMs() + untilMs - clock.monotonicMs(),
+      }),
+  );
   const draining = createDraining({ clock, logger, noticeMs: settings.drain.noticeMs });
   const servingAlways = createServing({
     clock,
@@ -140,12 +167,24 @@
     gossip,
     availability: health,
     poison,
+    outliers,
     inFlight,
     sender: observeSender(sender, health),
     forwarder,
   });
 
   const serving = gateServing(servingAlways, draining);
+  const { tickets, serveNonRepeatable } = createTicketing({
+    settings,
+    clock,
+    logger,
+    incarnation,
+    configuration,
+    membership,
+    forwarder,
+    // A ticket can be redeemed here alone, so its holder is served until the end.
+    serving: countServing(servingAlways, draining),
+  });
 
   const peerServer = owned.add(
     await openPeerServer({
@@ -153,9 +192,14 @@
       credentials: serverCredentials(settings.tls),
       peerSecret: settings.peerSecret,
       handlers: {
-        exchange: (members) => membership.receive(members),
-        serveForwarded: (message, sink, signal) =>
-          serving.serve(toGatewayRequest(message, configuration, clock), sink, signal),
+        exchange: (message) => membership.receive(message),
+        ...createForwardedHandlers({
+          clock,
+          incarnation,
+          configuration,
+          serving,
+          serveNonRepeatable,
+        }),
       },
     }),
   );
@@ -170,6 +214,8 @@
       configuration,
       membership,
       serving,
+      tickets,
+      serveNonRepeatable,
       limits: settings.limits,
       metrics,
       draining,
@@ -229,8 +275,10 @@
     async drain() {
       logger.event(NODE_EVENTS.stopping, { inFlightRequests: inFlight.totalRequests() });
       membership.markLeaving();
+      tickets.stopMinting();
       await draining.run();
       await edge.drain();
+      await lingerForTickets({ clock, logger, tickets, lingerMs: settings.limits.ticketLingerMs });
       await peerServer.drain();
       logger.event(NODE_EVENTS.stopped);
     },
--- a/src/core/serving/run-attempts.ts
+++ b/src/core/serving/run-attempts.ts
@@ -81,7 +81,7 @@
       ...counts,
       refusal: refusal.definition,
       evidence: refusal.evidence,
-      isRepeatable: isRepeatable(request),
+      isRepeatable: request.guard === undefined && isRepeatable(request),
       headSent: sink.headSent,
       callerGone: signal.aborted,
       isForwarded: request.origin.kind === 'peer',
