--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -1,3 +1,4 @@
+import { CALLER_LIMIT_EVENTS } from '../caller-limits/events';
 import { CONFIGURATION_EVENTS } from '../configuration/events';
 import { DRAINING_EVENTS } from '../draining/events';
 import { HTTP_EDGE_EVENTS } from '../http-edge/events';
@@ -33,6 +34,7 @@
   TICKET_EVENTS,
   OUTLIER_EVENTS,
   SPILLOVER_EVENTS,
+  CALLER_LIMIT_EVENTS,
 ]
   .flatMap((events): EventDefinition[] => Object.values(events))
   .sort((left, right) => left.id - right.id);
