Expect the cut of an answer before the process is told to end

Cause: the test attached its expectation after the process had ended; when the reset came first the rejection was unhandled and failed the run (1 of 2 runs). Ruled out: the process itself: its exit code and event were right in both runs. Conclusion: the expectation stands before the signals; it asserts the same.

--- a/src/cli/serve/second-signal.test.ts
+++ b/src/cli/serve/second-signal.test.ts
@@ -81,12 +81,12 @@
         headers: { authorization: `Bearer ${KEY}` },
         body: JSON.stringify({ model: 'kit-large', stream: true, messages: [] }),
       });
-      const text = open.body.text();
+      const cut = assert.rejects(open.body.text());
       child.kill('SIGTERM');
       await waitFor(() => lineOf(NODE_EVENTS.stopping.id) !== undefined, 'the first signal');
       child.kill('SIGTERM');
       assert.equal(await ended, 1);
-      await assert.rejects(text);
+      await cut;
       assert.equal(lineOf(NODE_EVENTS.cutShort.id)?.callerRequests, 1);
     } finally {
       child.kill('SIGKILL');
