--- a/src/core/http-edge/refuse-region.ts
+++ b/src/core/http-edge/refuse-region.ts
@@ -24,38 +24,43 @@
 
 /** A gate for one instance's region. */
 export function createRegionGate({ region, membership, nowUnixMs }: RegionGateOptions): RegionGate {
-  const entriesIn = (regions: readonly string[]) => {
-    const choice = chooseEntry(membership.members(), regions, regions[0] ?? region);
+  const entriesIn = (caller: Caller, regions: readonly string[]) => {
+    const choice = chooseEntry({
+      members: membership.members(),
+      regions,
+      homeRegion: caller.homeRegion ?? regions[0] ?? region,
+      key: caller.id,
+    });
     if (choice === undefined) return [];
-    const { entry, fallbacks } = toEntryAnswer(choice, nowUnixMs());
+    const { entry, fallbacks } = toEntryAnswer(choice, nowUnixMs(), 0);
     return [entry, ...fallbacks];
   };
 
-  const admit = (regions: readonly string[]): void => {
+  const admit = (caller: Caller, regions: readonly string[]): void => {
     if (regions.includes(region)) return;
     throw new RefusalError(REFUSALS.regionNotAllowed, {
       detail: `Allowed are: ${regions.join(', ') || 'none'}.`,
       step: 'check-residency',
       evidence: { kind: 'neverSent' },
-      entries: entriesIn(regions),
+      entries: entriesIn(caller, regions),
     });
   };
 
   return {
-    requireService: (caller, service) => admit(allowedRegions(caller, service)),
+    requireService: (caller, service) => admit(caller, allowedRegions(caller, service)),
     requireAnyModel(caller, configuration) {
       const regions = configuration.document.services
         .filter((service) => service.kind === 'model')
         .flatMap((service) => allowedRegions(caller, service));
-      admit([...new Set(regions)]);
+      admit(caller, [...new Set(regions)]);
     },
     nameEntries(error, { caller, service, configuration }) {
       if (!(error instanceof RefusalError)) return error;
-      if (error.definition !== REFUSALS.regionNotAllowed || error.entries !== undefined) {
-        return error;
-      }
+      const isElsewhere =
+        error.definition === REFUSALS.regionNotAllowed || error.definition === REFUSALS.notReady;
+      if (!isElsewhere || error.entries !== undefined) return error;
       const regions = allowedRegionsNow(configuration, caller.id, service.name);
-      return error.with({ entries: entriesIn(regions) });
+      return error.with({ entries: entriesIn(caller, regions) });
     },
   };
 }
--- a/src/core/http-edge/types.ts
+++ b/src/core/http-edge/types.ts
@@ -1,6 +1,7 @@
 import type { CallerLimits } from '../caller-limits';
 import type { Clock } from '../clock';
 import type { ConfigurationStore } from '../configuration';
+import type { Draining } from '../draining';
 import type { Logger } from '../events';
 import type { MembershipView } from '../membership';
 import type { Metrics } from '../metrics';
@@ -22,6 +23,7 @@
   readonly tickets: Tickets;
   readonly serveNonRepeatable: NonRepeatableServer;
   readonly metrics: Metrics;
+  readonly draining: Pick<Draining, 'isLeaving' | 'noteArrival'>;
   readonly limits: Settings['limits'];
   /** Makes an id that no other request has. */
   readonly newRequestId: () => string;
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -2,6 +2,8 @@
 import { createInFlight, createServerSender } from '../backends';
 import type { Clock } from '../clock';
 import { createConfigurationStore, currentResilience } from '../configuration';
+import { countServing, createDraining, gateServing } from '../draining';
+import type { OpenWork } from '../draining';
 import type { Logger } from '../events';
 import { createGossipBoard } from '../gossip';
 import { openHttpEdge } from '../http-edge';
@@ -14,6 +16,7 @@
   channelCredentials,
   createExchangeTransport,
   createPeerConnections,
+  createForwardTransport,
   createPeerForwarder,
   openPeerServer,
   secretMetadata,
@@ -55,6 +58,8 @@
   drain(): Promise<void>;
   /** Requests in flight at servers. */
   inFlightRequests(): number;
+  /** Requests open here, of callers and of peers. */
+  openWork(): OpenWork;
   /** Other instances that may be given work. */
   knownPeerCount(): number;
   /** Whether callers can be served: a configuration is in force and no stop has begun. */
@@ -143,9 +148,8 @@
     }),
   );
   const forwarder = createPeerForwarder({
-    clock,
-    connections,
-    metadata,
+    transport: createForwardTransport(clock, connections, metadata),
+    nowMs: () => clock.monotonicMs(),
     instanceId,
     incarnation,
     incarnationOf: (id) =>
@@ -161,7 +165,8 @@
         untilUnixMs: clock.unixMs() + untilMs - clock.monotonicMs(),
       }),
   );
-  const serving = createServing({
+  const draining = createDraining({ clock, logger, noticeMs: settings.drain.noticeMs });
+  const servingAlways = createServing({
     clock,
     random,
     logger,
@@ -179,6 +184,7 @@
     forwarder,
   });
 
+  const serving = gateServing(servingAlways, draining);
   const { tickets, serveNonRepeatable } = createTicketing({
     settings,
     clock,
@@ -187,7 +193,8 @@
     configuration,
     membership,
     forwarder,
-    serving,
+    // A ticket can be redeemed here alone, so its holder is served until the end.
+    serving: countServing(servingAlways, draining),
   });
 
   const peerServer = owned.add(
@@ -223,6 +230,7 @@
       serveNonRepeatable,
       limits: settings.limits,
       metrics,
+      draining,
       newRequestId,
     }),
   );
@@ -272,6 +280,7 @@
     peerAddress,
     operatorAddress: addressOf(listeners.operators.host, operators.port),
     inFlightRequests: () => inFlight.totalRequests(),
+    openWork: draining.openWork,
     knownPeerCount: () => membership.usablePeers().length,
     isReady,
     configurationVersion: () => configuration.current()?.version ?? 0,
@@ -279,8 +288,10 @@
       logger.event(NODE_EVENTS.stopping, { inFlightRequests: inFlight.totalRequests() });
       membership.markLeaving();
       tickets.stopMinting();
+      await draining.run();
       await edge.drain();
       await lingerForTickets({ clock, logger, tickets, lingerMs: settings.limits.ticketLingerMs });
+      await peerServer.drain();
       logger.event(NODE_EVENTS.stopped);
     },
     [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose](),
