Run outages, a lost server and poison requests as load scenarios

Cause: retries and poison refusal had unit runs only; the first load run showed servers that refuse connections drawing requests, since they look idle. Conclusion: unreachable servers pause for 2 s outside the floor; no hedges.

--- a/bench/decisions/bounds.ts
+++ b/bench/decisions/bounds.ts
@@ -25,6 +25,11 @@
 export const BOUNDS: Readonly<Record<string, Bound>> = {
   'one-slow-engine: p99 against the fleet without it': atMost(1.2),
   'one-slow-plain: p99 against the fleet without it': atMost(1.2),
+  'total-outage: tries per request': atMost(1.1),
+  'server-lost: share of requests answered': atLeast(0.999),
+  'server-lost: tries per request': atMost(1.1),
+  'poison-request: most crashes per fingerprint': atMost(2),
+  'poison-request: share of other requests answered': atLeast(0.85),
 };
 
 function holds(measured: number, bound: Bound): boolean {
--- a/bench/decisions/policies/resilient.ts
+++ b/bench/decisions/policies/resilient.ts
@@ -23,6 +23,9 @@
 /** Prompt tokens that make one unit of work for the comparison of servers. */
 const TOKENS_PER_UNIT = 1_000;
 
+/** Silence of a server's reports after which it counts as down, as the health checks would find, ms. */
+const SILENT_MS = 2_000;
+
 interface Progress {
   readonly tries: number;
   readonly triesThatMayHaveRun: number;
@@ -88,6 +91,7 @@
   );
   const open = new Map<string, number>();
   const progress = new Map<number, Progress>();
+  const reportedAtMs = new Map<string, number>();
   const openAt = (serverId: string) => open.get(serverId) ?? 0;
 
   const choose = (request: LoadRequest, avoid: readonly string[]): string | undefined => {
@@ -97,7 +101,9 @@
     const others = local.filter((serverId) => !avoid.includes(serverId));
     const candidates = others.length > 0 ? others : local;
     const usable = candidates.filter(
-      (serverId) => !parts.outliers || outliers.mayUse(serverId, actions.nowMs(), random),
+      (serverId) =>
+        actions.nowMs() - (reportedAtMs.get(serverId) ?? actions.nowMs()) < SILENT_MS &&
+        (!parts.outliers || outliers.mayUse(serverId, actions.nowMs(), random)),
     );
     const [first, ...rest] = usable.length > 0 ? usable : candidates;
     if (first === undefined) return undefined;
@@ -196,7 +202,10 @@
         current.observed?.abandoned(actions.nowMs());
         return;
       }
-      current.observed?.failed(actions.nowMs());
+      current.observed?.failed(
+        actions.nowMs(),
+        end.kind === 'unreachable' ? 'unreachable' : 'broken',
+      );
       if (end.kind === 'crashed') noteCrash(request, end.serverId, current.tries);
       afterFailure(request, current, failure);
     },
@@ -206,6 +215,9 @@
     onGone(request) {
       progress.delete(request.requestId);
     },
+    onLoadReport({ serverId }) {
+      reportedAtMs.set(serverId, actions.nowMs());
+    },
     onPeerMessage({ topic, payload }) {
       if (topic !== POISON_TOPIC) return;
       const { fingerprint, marks } = JSON.parse(payload) as PoisonMessage;
--- a/bench/decisions/scenarios/outliers.ts
+++ b/bench/decisions/scenarios/outliers.ts
@@ -1,5 +1,6 @@
 import { classOf, leastInFlight, roundRobin, runScenario } from '../harness';
 import type { Scenario } from '../harness';
+import { hedging } from '../policies/hedging';
 import { resilient } from '../policies/resilient';
 import type { ScenarioEntry } from '../scenario-entry';
 import { chatCaller, engine, orderServer, scenarioOf, stockCaller } from './omaruru';
@@ -50,6 +51,7 @@
       const ownWithout = runScenario(without, resilient('coltsfootworks without that server'));
       const plain = [
         runScenario(slow, resilient('without ejection', { outliers: false })),
+        runScenario(slow, hedging(kind === 'engine' ? 400 : 160, 0.1)),
         runScenario(slow, leastInFlight),
         runScenario(slow, roundRobin),
       ];
--- a/src/core/outliers/ejection-schedule.ts
+++ b/src/core/outliers/ejection-schedule.ts
@@ -30,6 +30,14 @@
   return { ejections, untilMs: nowMs + lastsMs };
 }
 
+/** Time after which a server on which nothing listened is tried again, ms. */
+const UNREACHABLE_FOR_MS = 2_000;
+
+/** The schedule of a server that could not be reached: short, and without a memory of it. */
+export function pauseUnreachable(previous: EjectionSchedule, nowMs: number): EjectionSchedule {
+  return { ...previous, untilMs: nowMs + UNREACHABLE_FOR_MS };
+}
+
 /** How the server is used at `nowMs`. */
 export function standingAt(
   { untilMs }: EjectionSchedule,
--- a/src/core/outliers/outlier-tracker.test.ts
+++ b/src/core/outliers/outlier-tracker.test.ts
@@ -21,8 +21,13 @@
     tracker.begin({ serverId, group: GROUP }, workUnits, nowMs);
   const answer = (serverId: string, nowMs: number, tookMs: number) =>
     begin(serverId, nowMs).headReceived(nowMs + tookMs, false);
-  const fail = (serverId: string, nowMs: number, times: number) => {
-    for (let time = 0; time < times; time += 1) begin(serverId, nowMs).failed(nowMs);
+  const fail = (
+    serverId: string,
+    nowMs: number,
+    times: number,
+    failure: 'unreachable' | 'broken' = 'broken',
+  ) => {
+    for (let time = 0; time < times; time += 1) begin(serverId, nowMs).failed(nowMs, failure);
   };
   const standings = (nowMs: number) => serverIds.map((id) => tracker.standing(id, nowMs));
   const warmUp = () => {
@@ -57,6 +62,22 @@
     );
   });
 
+  it('is left out sooner and for a short time when nothing listens on it', () => {
+    const { tracker, fail, warmUp, ejections } = fleet(3);
+    const nowMs = warmUp();
+    fail('engine-1', nowMs, 1, 'unreachable');
+    assert.equal(tracker.standing('engine-1', nowMs), 'inUse');
+    fail('engine-1', nowMs, 1, 'unreachable');
+    fail('engine-1', nowMs + 2_000, 1, 'unreachable');
+    assert.deepEqual(
+      ejections.map(({ reason, untilMs }) => ({ reason, untilMs })),
+      [
+        { reason: 'unreachable', untilMs: nowMs + 2_000 },
+        { reason: 'unreachable', untilMs: nowMs + 4_000 },
+      ],
+    );
+  });
+
   it('stays in use when an answer comes between its failures', () => {
     const { tracker, fail, answer, warmUp } = fleet(3);
     const nowMs = warmUp();
@@ -170,6 +191,13 @@
     });
   }
 
+  it('does not count servers that cannot be reached, but leaves one', () => {
+    const { fail, serverIds, standings, warmUp } = fleet(8);
+    const nowMs = warmUp();
+    serverIds.forEach((id) => fail(id, nowMs, 20, 'unreachable'));
+    assert.equal(standings(nowMs).filter((standing) => standing === 'ejected').length, 7);
+  });
+
   it('still offers a server when the only candidates are ejected', () => {
     const { tracker, fail, warmUp } = fleet(2);
     const nowMs = warmUp();
--- a/src/core/outliers/outlier-tracker.ts
+++ b/src/core/outliers/outlier-tracker.ts
@@ -1,6 +1,12 @@
 import type { OutlierOptions } from '../configuration';
 import type { RandomSource } from '../random';
-import { NEVER_EJECTED, nextEjection, shareAt, standingAt } from './ejection-schedule';
+import {
+  NEVER_EJECTED,
+  nextEjection,
+  pauseUnreachable,
+  shareAt,
+  standingAt,
+} from './ejection-schedule';
 import type { EjectionSchedule } from './ejection-schedule';
 import { medianLevel } from './latency-level';
 import { NO_TIMES, addEnd, addHead, addUnfinished } from './server-times';
@@ -17,7 +23,10 @@
  * - `slowFactor` (3): servers with equal work differ by less than 2 through chance and caches; below 3, a
  *   server with a cold cache would be ejected just when it should warm up.
  * - `mostEjectedShare` (0.5): where more than half look bad the fault is common to them, and ejecting would
- *   put the whole load on the rest. At least one server always stays.
+ *   put the whole load on the rest.
+ * - A server that refuses connections is left out for 2 s at a time and does not count against that share: it
+ *   has no capacity to lose. Counted and kept out like the others, servers that were up again held the places
+ *   of servers that were down. At least one server always stays.
  */
 export interface OutlierTracker {
   /** Notes a try that begins now. `workUnits` scales its time, 1 for work of the usual size. */
@@ -31,7 +40,9 @@
   readonly serverId: string;
   readonly failuresInARow: number;
   readonly times: ServerTimes;
+  readonly unreachableInARow: number;
   readonly schedule: EjectionSchedule;
+  readonly ejectedFor: EjectionReason | undefined;
   readonly lastUsedAtMs: number;
   readonly open: Set<OpenTry>;
 }
@@ -49,6 +60,8 @@
 const LEAST_SAMPLES_RETURNING = 2;
 /** Failures in a row that eject a returning server. */
 const RETURNING_FAILURES = 2;
+/** Refused connections in a row that eject a server: nothing listens there, which chance does not explain. */
+const UNREACHABLE_IN_A_ROW = 2;
 /** A server without any try for so long has left the group, ms. */
 const FORGET_SERVER_MS = 900_000;
 
@@ -65,7 +78,9 @@
       serverId,
       failuresInARow: 0,
       times: NO_TIMES,
+      unreachableInARow: 0,
       schedule: NEVER_EJECTED,
+      ejectedFor: undefined,
       lastUsedAtMs: -Infinity,
       open: new Set(),
     };
@@ -85,17 +100,34 @@
   const standingOf = (serverId: string, nowMs: number): Standing =>
     standingAt(recordOf(serverId).schedule, nowMs, options());
 
-  const mayEjectOneMore = ({ serverIds }: Group, nowMs: number): boolean => {
-    const ejected = [...serverIds].filter((id) => standingOf(id, nowMs) === 'ejected').length;
-    return ejected + 1 <= Math.floor(serverIds.size * options().mostEjectedShare);
+  const mayEjectOneMore = (
+    { serverIds }: Group,
+    reason: EjectionReason,
+    nowMs: number,
+  ): boolean => {
+    const ejected = [...serverIds].filter((id) => standingOf(id, nowMs) === 'ejected');
+    if (ejected.length + 1 >= serverIds.size) return false;
+    if (reason === 'unreachable') return true;
+    const bad = ejected.filter((id) => recordOf(id).ejectedFor !== 'unreachable').length;
+    return bad + 1 <= Math.floor(serverIds.size * options().mostEjectedShare);
   };
 
   const eject = (name: string, serverId: string, reason: EjectionReason, nowMs: number): void => {
     if (standingOf(serverId, nowMs) === 'ejected') return;
-    if (!mayEjectOneMore(groupNamed(name, nowMs), nowMs)) return;
-    const schedule = nextEjection(recordOf(serverId).schedule, nowMs, options());
+    if (!mayEjectOneMore(groupNamed(name, nowMs), reason, nowMs)) return;
+    const { schedule: previous } = recordOf(serverId);
+    const schedule =
+      reason === 'unreachable'
+        ? pauseUnreachable(previous, nowMs)
+        : nextEjection(previous, nowMs, options());
     // What it did so far must not decide about its return.
-    update(serverId, { schedule, failuresInARow: 0, times: NO_TIMES });
+    update(serverId, {
+      schedule,
+      ejectedFor: reason,
+      failuresInARow: 0,
+      unreachableInARow: 0,
+      times: NO_TIMES,
+    });
     onEjection({ serverId, group: name, reason, ...schedule });
   };
 
@@ -141,6 +173,14 @@
     }
   };
 
+  const noteUnreachable = (name: string, serverId: string, nowMs: number): void => {
+    const unreachableInARow = recordOf(serverId).unreachableInARow + 1;
+    update(serverId, { unreachableInARow });
+    const isReturning = standingOf(serverId, nowMs) === 'returning';
+    const limit = isReturning ? 1 : UNREACHABLE_IN_A_ROW;
+    if (unreachableInARow >= limit) eject(name, serverId, 'unreachable', nowMs);
+  };
+
   const noteFailure = (name: string, serverId: string, nowMs: number): void => {
     const failuresInARow = recordOf(serverId).failuresInARow + 1;
     update(serverId, { failuresInARow });
@@ -168,7 +208,7 @@
             noteFailure(group, serverId, atMs);
             return;
           }
-          update(serverId, { failuresInARow: 0 });
+          update(serverId, { failuresInARow: 0, unreachableInARow: 0 });
           addTimes(addHead, atMs);
           look(group, atMs);
         },
@@ -178,8 +218,10 @@
         ended(atMs) {
           if (allOpen.delete(open) && isOfNow()) addTimes(addEnd, atMs);
         },
-        failed(atMs) {
-          if (allOpen.delete(open) && isOfNow()) noteFailure(group, serverId, atMs);
+        failed(atMs, failure) {
+          if (!allOpen.delete(open) || !isOfNow()) return;
+          if (failure === 'unreachable') noteUnreachable(group, serverId, atMs);
+          else noteFailure(group, serverId, atMs);
         },
         abandoned(atMs) {
           if (allOpen.delete(open) && isOfNow()) addTimes(addUnfinished, atMs);
--- a/src/core/outliers/types.ts
+++ b/src/core/outliers/types.ts
@@ -9,7 +9,7 @@
 export type Standing = 'inUse' | 'ejected' | 'returning';
 
 /** Why a server was ejected. */
-export type EjectionReason = 'failures' | 'slow';
+export type EjectionReason = 'failures' | 'slow' | 'unreachable';
 
 /** A server that was ejected, for the log. */
 export interface Ejection {
@@ -21,6 +21,9 @@
   readonly ejections: number;
 }
 
+/** How a try failed: no connection could be made, or the answer was not whole. */
+export type TryFailure = 'unreachable' | 'broken';
+
 /** One try at a server. It ends with the end of its answer, with its failure, or by being abandoned. */
 export interface ObservedTry {
   /** The head of an answer came; `isFailure` for a status that speaks of a broken server. */
@@ -29,7 +32,7 @@
   partsReceived(count: number): void;
   /** The answer is whole. */
   ended(nowMs: number): void;
-  failed(nowMs: number): void;
+  failed(nowMs: number, failure: TryFailure): void;
   /** This side gave it up: its deadline passed or its caller has gone. */
   abandoned(nowMs: number): void;
 }
--- a/src/core/serving/observe-sends.ts
+++ b/src/core/serving/observe-sends.ts
@@ -3,7 +3,7 @@
 import type { ConfigurationStore } from '../configuration';
 import type { ObservedTry, OutlierTracker } from '../outliers';
 import type { PoisonGuard } from '../poison';
-import { RefusalError } from '../refusals';
+import { REFUSALS, RefusalError } from '../refusals';
 import { allowedRegionsNow } from '../residency';
 import type { GatewayRequest, ResponseHead, ResponseSink } from './types';
 
@@ -72,9 +72,12 @@
         watched.answered();
         observed.ended(clock.monotonicMs());
       } catch (error) {
-        if (error instanceof RefusalError && !signal.aborted) {
+        const isOfServer =
+          error instanceof RefusalError && error.definition === REFUSALS.serverFailed;
+        if (isOfServer && !signal.aborted) {
+          const failure = error.evidence.kind === 'neverSent' ? 'unreachable' : 'broken';
           watched.failed(error.evidence);
-          observed.failed(clock.monotonicMs());
+          observed.failed(clock.monotonicMs(), failure);
         } else {
           watched.abandoned();
           observed.abandoned(clock.monotonicMs());
