--- a/src/core/http-edge/routes.ts
+++ b/src/core/http-edge/routes.ts
@@ -1,8 +1,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { authenticate } from '../access';
 import type { Caller, CompiledConfiguration } from '../configuration';
-import { chooseEntry, toEntryAnswer } from '../entry';
+import { chooseEntry, entryKey, toEntryAnswer } from '../entry';
 import { REFUSALS, RefusalError } from '../refusals';
+import { hashPair } from '../rendezvous';
 import { allowedRegions } from '../residency';
 import type { GatewayRequest } from '../serving';
 import { TICKET_HEADER, isNonRepeatable } from '../tickets';
@@ -180,17 +181,24 @@
     return { ticket: minted.ticket, ticketExpiresAtUnixMs: minted.expiresAtUnixMs };
   };
 
-  const nameEntry: EdgeHandler = async ({ incoming, response }) => {
+  /** Any instance answers, one on its way out or in a barred region included: it knows the others. */
+  const nameEntry: EdgeHandler = async ({ incoming, response, requestId }) => {
     const known = identify(incoming);
     const { caller } = known;
-    const choice = chooseEntry(membership.members(), caller.regions, caller.homeRegion ?? region);
+    const choice = chooseEntry({
+      members: membership.members(),
+      regions: caller.regions,
+      homeRegion: caller.homeRegion ?? region,
+      key: entryKey(caller, incoming.socket.remoteAddress ?? ''),
+    });
     if (choice === undefined) {
       const detail = 'No instance of an allowed region answers.';
       throw neverSent(REFUSALS.noServer, detail, 'choose-entry');
     }
     const isSelf = choice.entry.instanceId === membership.self().instanceId;
     const ticket = isSelf ? ticketForEntry(known, incoming) : {};
-    answerJson(response, 200, { ...toEntryAnswer(choice, clock.unixMs()), ...ticket });
+    const scatter = hashPair('ask-again', requestId);
+    answerJson(response, 200, { ...toEntryAnswer(choice, clock.unixMs(), scatter), ...ticket });
   };
 
   const health: EdgeHandler = async ({ response }) => answerJson(response, 200, { status: 'ok' });
