Check what a plot reads, so that an empty plot can't pass for a measurement

Cause: the first plots were empty: p99 stands one level deeper than the plot looked, and nothing said so. Ruled out: leaving it to the eye. Now the scenario JSON goes through a schema, and a renamed field ends the run.

--- a/bench/runner/plots.ts
+++ b/bench/runner/plots.ts
@@ -1,5 +1,6 @@
 import { mkdirSync, writeFileSync } from 'node:fs';
 import * as echarts from 'echarts';
+import { z } from 'zod';
 
 /** Plots of benches as SVG files, for the pages. */
 
@@ -63,16 +64,23 @@
   readonly value: unknown;
 }
 
-/** One load scenario as `bench/decisions` prints it, as far as a plot needs it. */
-interface ScenarioResult {
-  readonly name: string;
-  readonly runs: readonly ScenarioRun[];
-}
+/**
+ * What a plot needs of a load scenario as `bench/decisions` prints it. Checked, since a renamed field would
+ * otherwise give an empty plot that looks like a measurement.
+ */
+const scenariosSchema = z.array(
+  z.object({
+    name: z.string(),
+    runs: z.array(
+      z.object({
+        policy: z.string(),
+        classes: z.record(z.string(), z.object({ latency: z.object({ p99Ms: z.number() }) })),
+      }),
+    ),
+  }),
+);
 
-interface ScenarioRun {
-  readonly policy: string;
-  readonly classes: Readonly<Record<string, { readonly p99Ms: number }>>;
-}
+type ScenarioResult = z.output<typeof scenariosSchema>[number];
 
 function plotScenario({ name, runs }: ScenarioResult): Plot {
   const classes = [...new Set(runs.flatMap((run) => Object.keys(run.classes)))];
@@ -85,14 +93,14 @@
     yTitle: 'p99, ms',
     series: classes.map((className) => ({
       name: className,
-      values: runs.map((run) => Math.round(run.classes[className]?.p99Ms ?? 0)),
+      values: runs.map((run) => Math.round(run.classes[className]?.latency.p99Ms ?? 0)),
     })),
   };
 }
 
 /** Writes the plots that the runs allow. */
 export function writePlots(runs: readonly PlottedRun[]): void {
-  const decisions = runs.find((run) => run.bench === 'decisions')?.value as
-    readonly ScenarioResult[] | undefined;
-  for (const scenario of decisions ?? []) writePlot(plotScenario(scenario));
+  const decisions = runs.find((run) => run.bench === 'decisions');
+  if (decisions === undefined) return;
+  for (const scenario of scenariosSchema.parse(decisions.value)) writePlot(plotScenario(scenario));
 }
