Refresh what an instance knows after a pause, before it sends anything

Cause: a process that was frozen and woken sent what it held to servers that had left, under a configuration that had been replaced. Ruled out: leases (need a grantor); a timer alone (a waiting request may run first). A refresh of more than 1 s first counted as a pause of its own; a test showed it, the task now looks on meanwhile.

--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -5,6 +5,7 @@
 import { MEMBERSHIP_EVENTS } from '../membership/events';
 import { NODE_EVENTS } from '../node/events';
 import { OUTLIER_EVENTS } from '../outliers/events';
+import { PAUSE_EVENTS } from '../pauses/events';
 import { PLATFORM_EVENTS } from '../platform/events';
 import { POISON_EVENTS } from '../poison/events';
 import { RETRY_EVENTS } from '../retries/events';
@@ -29,6 +30,7 @@
   PLATFORM_EVENTS,
   SERVER_HEALTH_EVENTS,
   DRAINING_EVENTS,
+  PAUSE_EVENTS,
   RETRY_EVENTS,
   POISON_EVENTS,
   TICKET_EVENTS,
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -12,6 +12,7 @@
 import { createMetrics } from '../metrics';
 import { openOperatorListener } from '../operators';
 import { OUTLIER_EVENTS, createOutlierTracker } from '../outliers';
+import { createPauseGuard, createPeerRefresh, guardForwarder, guardSender } from '../pauses';
 import {
   channelCredentials,
   createExchangeTransport,
@@ -30,7 +31,8 @@
   observeSender,
   watchServerLists,
 } from '../server-health';
-import { createServing } from '../serving';
+import { checkRequest, createServing } from '../serving';
+import type { GatewayRequest } from '../serving';
 import type { Settings } from '../settings';
 import { NODE_EVENTS } from './events';
 import { createTicketing } from './create-ticketing';
@@ -146,7 +148,16 @@
       options: () => currentResilience(configuration).poison,
     }),
   );
-  const forwarder = createPeerForwarder({
+  const pauses = owned.add(
+    createPauseGuard({
+      clock,
+      logger,
+      refresh: createPeerRefresh({ clock, membership, configuration }),
+    }),
+  );
+  const check = (request: GatewayRequest) =>
+    checkRequest({ clock, region, configuration }, request);
+  const plainForwarder = createPeerForwarder({
     clock,
     connections,
     metadata,
@@ -156,6 +167,8 @@
       membership.members().find((member) => member.instanceId === id)?.incarnation,
   });
 
+  const forwarder = guardForwarder(plainForwarder, { pauses, check });
+
   const outliers = createOutlierTracker(
     () => currentResilience(configuration).outliers,
     ({ serverId, untilMs, ...ejection }) =>
@@ -180,7 +193,7 @@
     poison,
     outliers,
     inFlight,
-    sender: observeSender(sender, health),
+    sender: guardSender(observeSender(sender, health), { pauses, check, availability: health }),
     forwarder,
   });
 
@@ -269,6 +282,7 @@
   owned.add(watchConfiguration({ clock, logger, store: configuration, url, key }));
   membership.start();
   health.start();
+  pauses.start();
   const { instanceListUrl } = settings.platform;
   if (instanceListUrl !== undefined) {
     owned.add(watchServerLists({ clock, logger, health, url: instanceListUrl }));
--- a/src/core/serving/index.ts
+++ b/src/core/serving/index.ts
@@ -1,5 +1,5 @@
 /** The way of one request through this instance. */
-export { checkRegion } from './check-request';
+export { checkRegion, checkRequest } from './check-request';
 export { SERVING_EVENTS } from './events';
 export { createServing } from './serve-request';
 export type { Serving } from './serve-request';
--- a/src/testing/fake-clock.ts
+++ b/src/testing/fake-clock.ts
@@ -8,6 +8,8 @@
   advanceBy(byMs: number): void;
   /** As `advanceBy`, but lets promises settle after each callback. */
   advanceByAsync(byMs: number): Promise<void>;
+  /** Moves on by `byMs` without running anything, as a process finds its clock after it stood still. */
+  jumpBy(byMs: number): void;
   /** How many callbacks are waiting; zero shows that nothing was left armed. */
   pendingCount(): number;
 }
@@ -88,6 +90,9 @@
       nowMs = Math.max(nowMs, targetMs);
       for (let round = 0; round < SETTLE_ROUNDS; round += 1) await settle();
     },
+    jumpBy(byMs) {
+      nowMs += byMs;
+    },
     pendingCount: () => entries.size,
   };
 }
--- a/src/testing/small-fleet.ts
+++ b/src/testing/small-fleet.ts
@@ -16,6 +16,8 @@
 import type { PlatformStandIn } from '../../standins/platform';
 import { createMemoryLogger } from './memory-logger';
 import type { MemoryLogger } from './memory-logger';
+import { createShiftableClock } from './shiftable-clock';
+import type { ShiftableClock } from './shiftable-clock';
 import { waitFor } from './wait-for';
 
 /** Three regions with two instances each on loopback, in one process, before stand-ins. */
@@ -44,6 +46,8 @@
   readonly domain: string;
   readonly node: GatewayNode;
   readonly logger: MemoryLogger;
+  /** Its clock; a jump makes it find that it stood still. */
+  readonly clock: ShiftableClock;
 }
 
 /** The fleet and what stands around it. */
@@ -154,6 +158,7 @@
   const startInstance = async (region: Region, domain: string): Promise<FleetInstance> => {
     const instanceId = `${region}-${domain}`;
     const logger = createMemoryLogger();
+    const clock = createShiftableClock(createSystemClock());
     const settings = settingsSchema.parse({
       instanceId,
       region,
@@ -173,14 +178,14 @@
       await startNode({
         settings,
         logger,
-        clock: createSystemClock(),
+        clock,
         random: createSeededRandom(startCount),
         newRequestId: randomUUID,
         release: 'test',
       }),
     );
     startCount += 1;
-    return { instanceId, region, domain, node, logger };
+    return { instanceId, region, domain, node, logger, clock };
   };
   for (const region of FLEET_REGIONS) {
     for (const domain of ['a', 'b']) instances.push(await startInstance(region, domain));
