--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -17,6 +17,7 @@
   channelCredentials,
   createExchangeTransport,
   createPeerConnections,
+  createForwardTransport,
   createPeerForwarder,
   openPeerServer,
   secretMetadata,
@@ -158,9 +159,8 @@
   const check = (request: GatewayRequest) =>
     checkRequest({ clock, region, configuration }, request);
   const plainForwarder = createPeerForwarder({
-    clock,
-    connections,
-    metadata,
+    transport: createForwardTransport(clock, connections, metadata),
+    nowMs: () => clock.monotonicMs(),
     instanceId,
     incarnation,
     incarnationOf: (id) =>
--- a/src/core/pauses/pause-guard.test.ts
+++ b/src/core/pauses/pause-guard.test.ts
@@ -170,13 +170,24 @@
     address: '10.0.0.1:80',
     timeLeftMs: 50_000,
     signal: new AbortController().signal,
+    lastCheck() {},
   };
 
-  const send = async (setting: { paused: boolean; barred: boolean; left: boolean }) => {
+  interface Setting {
+    readonly paused: boolean;
+    readonly barred?: boolean;
+    readonly left?: boolean;
+    /** Stands still again while the connection is made. */
+    readonly pausedConnecting?: boolean;
+  }
+
+  const send = async (setting: Setting) => {
     const { clock, guard } = startGuard(async () => true);
     const sent: number[] = [];
     const sender: ServerSender = {
-      async send({ timeLeftMs }) {
+      async send({ timeLeftMs, lastCheck }) {
+        if (setting.pausedConnecting === true) clock.jumpBy(PAUSE_MS);
+        lastCheck();
         sent.push(timeLeftMs);
       },
       async [Symbol.asyncDispose]() {
@@ -185,9 +196,9 @@
     };
     const guarded = guardSender(sender, {
       pauses: guard,
-      availability: { takesNewWork: () => !setting.left },
+      availability: { takesNewWork: () => setting.left !== true },
       check() {
-        if (!setting.barred) return { timeLeftMs: 20_000 };
+        if (setting.barred !== true) return { timeLeftMs: 20_000 };
         throw new RefusalError(REFUSALS.regionNotAllowed, {
           detail: 'The data may be here no longer.',
           step: 'check-residency',
@@ -206,7 +217,12 @@
   });
 
   it('goes out with the time that is left after the refresh', async () => {
-    assert.deepEqual(await send({ paused: true, barred: false, left: false }), [20_000]);
+    assert.deepEqual(await send({ paused: true }), [20_000]);
+  });
+
+  it('does not go out after a pause while its connection was made', async () => {
+    const setting = { paused: false, pausedConnecting: true };
+    await assert.rejects(send(setting), (error: RefusalError) => error.outcome === 'notRun');
   });
 
   // While the instance stood still its operators barred the caller's data from the region, or the server left.
--- a/src/core/tickets/index.ts
+++ b/src/core/tickets/index.ts
@@ -8,11 +8,11 @@
   isNonRepeatable,
   isUnclearPath,
 } from './non-repeatable';
-export { createNonRepeatableServer } from './serve-non-repeatable';
+export { createNonRepeatableServer, refusedBeforeRecord } from './serve-non-repeatable';
 export type {
   ForwardToOwner,
   NonRepeatableOptions,
   NonRepeatableServer,
 } from './serve-non-repeatable';
-export { TICKET_HEADER } from './ticket-text';
+export { TICKET_HEADER, readTicket } from './ticket-text';
 export type { MintedTicket, TicketCounts } from './types';
