Keep the record of forwards for each sender process apart

Ruled out: ordering by another number; nothing outlives a process that could count, and no order is needed. Figures: forward-ledger and invariants tests pass; the test that late attempts of an older process are refused is replaced by one as strict: each process has its own tombstones and its repeated attempts are refused. Conclusion: the name of the process is compared for equality only.

--- a/src/core/peers/forward-ledger.ts
+++ b/src/core/peers/forward-ledger.ts
@@ -52,7 +52,7 @@
   readonly attemptsPerSender?: number;
 }
 
-/** Senders silent for this long are forgotten; no message survives in a connection for a hundredth of it. */
+/** Sender processes silent for this long are forgotten; no message survives in a connection for a hundredth of it. */
 const FORGET_SENDER_AFTER_MS = 24 * 3_600_000;
 const ATTEMPTS_PER_SENDER = 4_096;
 const SWEEP_INTERVAL_MS = 600_000;
@@ -110,20 +110,13 @@
     }
   };
 
-  /** The sender's attempts; undefined for a process that has been replaced since. */
-  const attemptsOf = ({
-    fromInstanceId,
-    fromIncarnation,
-  }: AttemptId): SenderAttempts | undefined => {
+  /** The attempts of one sender process; a later process of the same name has its own. */
+  const attemptsOf = ({ fromInstanceId, fromIncarnation }: AttemptId): SenderAttempts => {
     const atMs = nowMs();
     sweep(atMs);
-    const known = senders.get(fromInstanceId)?.attempts;
-    if (known !== undefined && known.incarnation > fromIncarnation) return undefined;
-    const attempts =
-      known?.incarnation === fromIncarnation
-        ? known
-        : createSenderAttempts(fromIncarnation, attemptsPerSender);
-    senders.set(fromInstanceId, { attempts, lastHeardAtMs: atMs });
+    const name = `${fromInstanceId} ${fromIncarnation}`;
+    const attempts = senders.get(name)?.attempts ?? createSenderAttempts(attemptsPerSender);
+    senders.set(name, { attempts, lastHeardAtMs: atMs });
     return attempts;
   };
 
@@ -133,7 +126,6 @@
         throw refused('The message was meant for an earlier process of this instance.', true);
       }
       const attempts = attemptsOf(id);
-      if (attempts === undefined) throw refused('The sender was replaced since.', false);
       const known = attempts.find(id.serial);
       if (known !== undefined && known.cancelled && known.over && !known.maySend) {
         throw refused('The attempt was cancelled before it came.', true);
@@ -149,7 +141,6 @@
     cancel(id) {
       if (id.toIncarnation !== incarnation) return false;
       const attempts = attemptsOf(id);
-      if (attempts === undefined) return false;
       const known = attempts.find(id.serial);
       if (known !== undefined) return known.cancel();
       if (attempts.isForgotten(id.serial)) return false;
--- a/src/core/peers/sender-attempts.ts
+++ b/src/core/peers/sender-attempts.ts
@@ -45,7 +45,6 @@
 
 /** The attempts of one sender process, by serial. */
 export interface SenderAttempts {
-  readonly incarnation: number;
   readonly size: number;
   find(serial: number): Attempt | undefined;
   /** Whether the serial is so old that it may have been forgotten. */
@@ -60,7 +59,7 @@
  * Remembers up to `most` attempts. Beyond that the oldest that are over are dropped, and the floor rises over
  * them: no serial up to the floor is ever taken in, so a tombstone that was dropped still holds.
  */
-export function createSenderAttempts(incarnation: number, most: number): SenderAttempts {
+export function createSenderAttempts(most: number): SenderAttempts {
   const attempts = new Map<number, Attempt>();
   let floor = 0;
 
@@ -82,7 +81,6 @@
   };
 
   return {
-    incarnation,
     get size() {
       return attempts.size;
     },
