Continue broken streams at the exact place, and show that no part passes for a whole

Cause: an engine's crash cut an answer in the middle of an event, and an engine that closed its stream in order before its last event passed for finished; nothing held a slow server to the deadline once its head had come. Ruled out: restarting the answer (text would be doubled); counting tokens for the offset (engines split text their own way), the text itself is handed on by vLLM's continue_final_message. Conclusion: one resumption an answer; the second lost engine ends it with an error event and an aborted connection.

--- a/src/core/configuration/service-schema.ts
+++ b/src/core/configuration/service-schema.ts
@@ -79,6 +79,12 @@
     .min(1)
     .default(4096)
     .describe('Output assumed when the caller states no max_tokens, tokens'),
+  resumption: z
+    .enum(['none', 'continueFinalMessage'])
+    .default('none')
+    .describe(
+      'How its engines go on with an answer that broke off: not at all, or by continue_final_message as vLLM has it',
+    ),
 });
 
 const nonRepeatableRule = z.strictObject({
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -12,6 +12,7 @@
 import { SERVER_HEALTH_EVENTS } from '../server-health/events';
 import { SERVING_EVENTS } from '../serving/events';
 import { SPILLOVER_EVENTS } from '../spillover/events';
+import { STREAM_EVENTS } from '../streams/events';
 import { TICKET_EVENTS } from '../tickets/events';
 import type { EventDefinition } from './types';
 
@@ -32,6 +33,7 @@
   RETRY_EVENTS,
   POISON_EVENTS,
   TICKET_EVENTS,
+  STREAM_EVENTS,
   OUTLIER_EVENTS,
   SPILLOVER_EVENTS,
   CALLER_LIMIT_EVENTS,
--- a/src/core/poison/fingerprint.ts
+++ b/src/core/poison/fingerprint.ts
@@ -7,6 +7,8 @@
   readonly method: string;
   readonly path: string;
   readonly body: Uint8Array;
+  /** The body as the caller sent it, where `body` has been written anew. */
+  readonly askedBody?: Uint8Array;
 }
 
 const KEY_PURPOSE = 'coltsfootworks poison request fingerprint';
@@ -25,7 +27,8 @@
 export function fingerprintOf(request: FingerprintInput, key: Uint8Array): string {
   const hmac = createHmac('sha256', key);
   const names = [request.service.name, request.caller.id, request.method, request.path];
-  for (const part of [...names.map((name) => Buffer.from(name)), request.body]) {
+  const body = request.askedBody ?? request.body;
+  for (const part of [...names.map((name) => Buffer.from(name)), body]) {
     const lengthBytes = Buffer.alloc(LENGTH_BYTES);
     lengthBytes.writeUInt32BE(part.length);
     hmac.update(lengthBytes).update(part);
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -43,6 +43,8 @@
   /** Headers for the server; connection headers and credentials of the caller are not among them. */
   readonly headers: readonly Header[];
   readonly body: Uint8Array;
+  /** The body as the caller sent it, where `body` is a continuation; a request is known again by it. */
+  readonly askedBody?: Uint8Array;
   /** On the monotonic clock of this process. */
   readonly deadlineAtMs: number;
   /** The version in force when the request came; it sees no other, save for a tightened residency. */
--- /dev/null
+++ b/src/core/streams/index.ts
@@ -0,0 +1,3 @@
+/** Streamed answers of models: passed on in whole events, and continued where an engine fails. */
+export { STREAM_EVENTS } from './events';
+export { serveStream } from './serve-stream';
--- a/src/testing/small-fleet.ts
+++ b/src/testing/small-fleet.ts
@@ -92,6 +92,7 @@
         echoesRequestId: false,
         models: ['kit-large'],
         maxOutputTokens: 4096,
+        resumption: 'continueFinalMessage',
       },
       {
         kind: 'plain',
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -31,6 +31,15 @@
 interface CompletionBody {
   model: string;
   stream?: boolean;
+  messages?: { role: string; content: string }[];
+  /** As vLLM has it: the answer goes on where the last message ends. */
+  continue_final_message?: boolean;
+}
+
+/** The token with which an answer begins. */
+function firstToken({ messages = [], continue_final_message: continues }: CompletionBody): number {
+  if (continues !== true) return 0;
+  return (messages.at(-1)?.content.match(/t\d+ /g) ?? []).length;
 }
 
 function sleep(ms: number): Promise<void> {
@@ -69,14 +78,15 @@
   behaviour: EngineBehaviour,
 ): Promise<void> {
   response.writeHead(200, { 'content-type': 'text/event-stream' });
-  for (let token = 0; token < behaviour.answerTokens; token += 1) {
+  response.write(chunk(id, body, '', null));
+  for (let token = firstToken(body); token < behaviour.answerTokens; token += 1) {
+    if (behaviour.tokenIntervalMs > 0) await sleep(behaviour.tokenIntervalMs);
     if (response.destroyed) return;
     if (token === behaviour.dropAfterTokens) {
       response.destroy();
       return;
     }
     if (token === behaviour.silentAfterTokens) return;
-    if (behaviour.tokenIntervalMs > 0) await sleep(behaviour.tokenIntervalMs);
     response.write(chunk(id, body, `t${token} `, null));
   }
   response.write(chunk(id, body, '', 'stop'));
