Name the count of connections apart from the hook

Cause: a variable in a test shadowed the 'before' hook, which lint refuses. Ruled out: a rule exception; a clearer name costs nothing. Conclusion: no change of behaviour.

--- a/src/core/backends/send-to-server.test.ts
+++ b/src/core/backends/send-to-server.test.ts
@@ -126,12 +126,12 @@
     assert.equal(runsOf('order R'), 1);
   });
 
-  it('has an unknown outcome when the connection is reset before any answer', async () => {
-    const before = proxy.connectionCount();
+  it('has an unknown outcome when the connection is reset connectionsBefore any answer', async () => {
+    const connectionsBefore = proxy.connectionCount();
     proxy.cutNextAnswerAfter(0);
     const trial = await send({ body: Buffer.from('order Q') });
     assert.equal(trial.refusal?.outcome, 'unknown');
-    assert.equal(proxy.connectionCount(), before + 1);
+    assert.equal(proxy.connectionCount(), connectionsBefore + 1);
     assert.equal(runsOf('order Q'), 1);
   });
 
@@ -235,7 +235,7 @@
         signal: new AbortController().signal,
         lastCheck: () => {},
       };
-      const service = { ...orders, echoesRequestId: name.includes('id of') } as Service;
+      const service = { ...orders, echoesRequestId: name.includes('id of') };
       await assert.rejects(
         sender.send(target, sampleRequest({ service }), sink),
         (error) => error instanceof RefusalError && error.outcome === 'unknown',
