Record decisions and replay recorded cases against their outcomes

Ruled out: recording inner state (ties recordings to the code), seeds instead of draws (one draw more elsewhere shifts all that follow), a bounded queue before a slow reader (requests would wait for the recording).

--- a/src/cli/serve/index.ts
+++ b/src/cli/serve/index.ts
@@ -9,6 +9,7 @@
     description: 'Run one instance.',
     examples: [
       ['Settings from a file', '$0 serve --settings instance.json'],
+      ['Record decisions beside the log', '$0 serve --settings instance.json --record -'],
       ['Settings from standard input', '$0 serve --settings - < instance.json'],
     ],
   });
@@ -17,8 +18,12 @@
     description: 'File with the settings, or - for standard input',
   });
 
+  record = Option.String('--record', {
+    description: 'Record decisions to a file, or to - for standard output, for a later replay',
+  });
+
   override async run(): Promise<number> {
     const { serve } = await import('./run-serve');
-    return serve(this.settings);
+    return serve(this.settings, this.record);
   }
 }
--- a/src/cli/serve/run-serve.ts
+++ b/src/cli/serve/run-serve.ts
@@ -5,6 +5,7 @@
 import { createSystemClock } from '../../runtime/system-clock';
 import { VERSION } from '../../runtime/version';
 import { createWinstonLogger } from '../../runtime/winston-logger';
+import { openRecording } from './open-recording';
 import { readSettingsText } from './read-settings-text';
 
 function nextStopSignal(): Promise<NodeJS.Signals> {
@@ -16,7 +17,10 @@
 }
 
 /** Runs an instance; resolves with the exit code after a graceful stop. */
-export async function serve(settingsPath: string | undefined): Promise<number> {
+export async function serve(
+  settingsPath: string | undefined,
+  recordPath: string | undefined,
+): Promise<number> {
   const settings = parseSettings(readSettingsText(settingsPath, process.env));
   const { instanceId, region } = settings;
   const logger = createWinstonLogger(settings.logLevel, { instance: instanceId, region });
@@ -27,6 +31,7 @@
     random: createSystemRandom(),
     newRequestId: randomUUID,
     release: VERSION,
+    ...(recordPath === undefined ? {} : { record: openRecording(recordPath, instanceId) }),
   });
 
   await nextStopSignal();
--- a/src/core/caller-limits/caller-limits.ts
+++ b/src/core/caller-limits/caller-limits.ts
@@ -1,6 +1,8 @@
 import { sleepUntil } from '../clock';
 import type { Clock } from '../clock';
 import type { Caller, ConfigurationStore } from '../configuration';
+import { recordDraws } from '../decision-trace';
+import type { DecisionRecorder } from '../decision-trace';
 import type { Logger } from '../events';
 import type { GossipBoard, GossipEntry } from '../gossip';
 import type { RandomSource } from '../random';
@@ -8,6 +10,7 @@
 import { ANNOUNCEMENT_LASTS_MS, announcementSchema } from './announcement';
 import type { Announcement } from './announcement';
 import { createCallerLimiter } from './caller-limiter';
+import type { LimiterResult } from './caller-limiter';
 import { CALLER_LIMIT_EVENTS } from './events';
 import { createOthersDemand } from './others-demand';
 
@@ -26,6 +29,8 @@
   readonly configuration: ConfigurationStore;
   /** Instances of the fleet that live, this one included. */
   readonly instances: () => number;
+  /** Takes each decision down, where decisions are recorded. */
+  readonly record: DecisionRecorder | undefined;
 }
 
 function readPerSecond(payload: string): number | undefined {
@@ -41,7 +46,8 @@
 
 /** Limits that listen to the other instances until they are disposed of. */
 export function createCallerLimits(needs: CallerLimitsNeeds): CallerLimits {
-  const { clock, random, logger, gossip, configuration, instances } = needs;
+  const { clock, logger, gossip, configuration, instances, record } = needs;
+  const random = recordDraws(needs.random);
   const others = createOthersDemand();
 
   const learn = ({ key, origin, payload, expiresAtUnixMs }: GossipEntry): void => {
@@ -65,6 +71,27 @@
       payload: JSON.stringify({ perSecond: Number(perSecond.toPrecision(2)) }),
     });
 
+  const decide = (caller: Caller, nowMs: number): LimiterResult => {
+    const othersPerSecond = others.of(caller.id, nowMs);
+    const result = limiter.decide(caller.id, caller.limits, nowMs);
+    const draws = random.takeDraws();
+    const toldPerSecond = result.announcement?.perSecond;
+    record?.({
+      kind: 'callerLimit',
+      atMs: nowMs,
+      callerId: caller.id,
+      limit: caller.limits,
+      instances: instances(),
+      othersPerSecond,
+      draws,
+      outcome: {
+        decision: result.decision,
+        ...(toldPerSecond === undefined ? {} : { toldPerSecond }),
+      },
+    });
+    return result;
+  };
+
   const sweep = async (): Promise<void> => {
     while (!stopping.signal.aborted) {
       for (const { callerId, announcement } of limiter.sweep(clock.monotonicMs())) {
@@ -79,7 +106,7 @@
   return {
     require(caller, requestId) {
       const nowMs = clock.monotonicMs();
-      const { decision, announcement } = limiter.decide(caller.id, caller.limits, nowMs);
+      const { decision, announcement } = decide(caller, nowMs);
       if (announcement !== undefined) tell(caller, announcement);
       if (decision.kind === 'admit') return;
       const { retryAtMs, ratePerSecond } = decision;
--- a/src/core/configuration/index.ts
+++ b/src/core/configuration/index.ts
@@ -1,7 +1,13 @@
 /** The configuration: its schema, its look-ups, and the store that keeps the version in force. */
 export { compileConfiguration } from './compile';
 export type { CompiledConfiguration } from './compile';
-export { resilienceSchema } from './resilience-schema';
+export {
+  outlierOptionsSchema,
+  poisonOptionsSchema,
+  resilienceSchema,
+  retryOptionsSchema,
+  spilloverOptionsSchema,
+} from './resilience-schema';
 export { currentResilience } from './current-resilience';
 export type {
   OutlierOptions,
@@ -10,7 +16,7 @@
   RetryOptions,
   SpilloverOptions,
 } from './resilience-schema';
-export { configurationSchema } from './schema';
+export { configurationSchema, weightsSchema } from './schema';
 export type { BackendServer, Caller, Configuration, Priority, Service, Weights } from './schema';
 export { createConfigurationStore } from './store';
 export type { ConfigurationStore, OfferResult } from './store';
--- a/src/core/configuration/resilience-schema.ts
+++ b/src/core/configuration/resilience-schema.ts
@@ -2,7 +2,8 @@
 
 /** How the system answers failures of servers and requests; one section for the whole deployment. */
 
-const retries = z.strictObject({
+/** The zod schema of its options. */
+export const retryOptionsSchema = z.strictObject({
   mostTries: z.int().min(1).max(10).default(3).describe('Tries of one request, the first included'),
   share: z
     .number()
@@ -23,7 +24,8 @@
   backoffCapMs: z.number().min(0).default(1_000).describe('Longest pause before any try, ms'),
 });
 
-const poison = z.strictObject({
+/** The zod schema of its options. */
+export const poisonOptionsSchema = z.strictObject({
   crashesToRefuse: z
     .int()
     .min(2)
@@ -42,7 +44,8 @@
     .describe('Longest time for which it is refused, ms'),
 });
 
-const outliers = z.strictObject({
+/** The zod schema of its options. */
+export const outlierOptionsSchema = z.strictObject({
   failuresInARow: z
     .int()
     .min(1)
@@ -77,7 +80,8 @@
     .describe('Time in good order after which one ejection is forgotten, ms'),
 });
 
-const spillover = z.strictObject({
+/** The zod schema of its options. */
+export const spilloverOptionsSchema = z.strictObject({
   leastUtilisation: z
     .number()
     .min(0)
@@ -106,19 +110,19 @@
 
 /** The zod schema of the section. */
 export const resilienceSchema = z.strictObject({
-  retries: retries.prefault({}),
-  poison: poison.prefault({}),
-  outliers: outliers.prefault({}),
-  spillover: spillover.prefault({}),
+  retries: retryOptionsSchema.prefault({}),
+  poison: poisonOptionsSchema.prefault({}),
+  outliers: outlierOptionsSchema.prefault({}),
+  spillover: spilloverOptionsSchema.prefault({}),
 });
 
 /** The section with its defaults filled in. */
 export type Resilience = z.output<typeof resilienceSchema>;
 /** Options of retries. */
-export type RetryOptions = z.output<typeof retries>;
+export type RetryOptions = z.output<typeof retryOptionsSchema>;
 /** Options of the refusal of requests that crash servers. */
-export type PoisonOptions = z.output<typeof poison>;
+export type PoisonOptions = z.output<typeof poisonOptionsSchema>;
 /** Options of outlier ejection. */
-export type OutlierOptions = z.output<typeof outliers>;
+export type OutlierOptions = z.output<typeof outlierOptionsSchema>;
 /** Options of spillover between regions. */
-export type SpilloverOptions = z.output<typeof spillover>;
+export type SpilloverOptions = z.output<typeof spilloverOptionsSchema>;
--- a/src/core/configuration/schema.ts
+++ b/src/core/configuration/schema.ts
@@ -11,7 +11,8 @@
  * Cross-references (a service naming a region, a server naming a service) are checked at the end.
  */
 
-const weights = z
+/** The zod schema of what the deployment weighs. */
+export const weightsSchema = z
   .strictObject({
     tailLatency: z.number().min(0).default(1),
     remoteShare: z
@@ -33,7 +34,7 @@
   $schema: z.string().optional(),
   version: z.int().min(1).describe('Number of this version; each next one is higher'),
   deployment: nameSchema,
-  weights,
+  weights: weightsSchema,
   resilience: resilienceSchema
     .prefault({})
     .describe('How failures of servers and requests are answered'),
@@ -121,4 +122,4 @@
 /** Which work goes first. */
 export type Priority = z.output<typeof prioritySchema>;
 /** What the deployment weighs. */
-export type Weights = z.output<typeof weights>;
+export type Weights = z.output<typeof weightsSchema>;
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -1,9 +1,9 @@
-import { createCallerLimits } from '../caller-limits';
 import { createInFlight, createServerSender } from '../backends';
 import type { Clock } from '../clock';
-import { createConfigurationStore, currentResilience } from '../configuration';
+import { createConfigurationStore } from '../configuration';
 import { countServing, createDraining, gateServing } from '../draining';
 import type { OpenWork } from '../draining';
+import type { DecisionRecorder } from '../decision-trace';
 import type { Logger } from '../events';
 import { createGossipBoard } from '../gossip';
 import { openHttpEdge } from '../http-edge';
@@ -11,7 +11,6 @@
 import { createMembership } from '../membership';
 import { createMetrics } from '../metrics';
 import { openOperatorListener } from '../operators';
-import { OUTLIER_EVENTS, createOutlierTracker } from '../outliers';
 import {
   channelCredentials,
   createExchangeTransport,
@@ -22,7 +21,6 @@
   secretMetadata,
   serverCredentials,
 } from '../peers';
-import { createPoisonGuard, fingerprintKey } from '../poison';
 import type { RandomSource } from '../random';
 import { watchConfiguration } from '../platform';
 import {
@@ -34,6 +32,7 @@
 import { createServing } from '../serving';
 import type { Settings } from '../settings';
 import { NODE_EVENTS } from './events';
+import { createProtections } from './create-protections';
 import { createTicketing } from './create-ticketing';
 import { lingerForTickets } from './linger-for-tickets';
 import { createForwardedHandlers } from './serve-forwarded';
@@ -47,6 +46,8 @@
   readonly newRequestId: () => string;
   /** Version of this release, for operators. */
   readonly release: string;
+  /** Takes decisions down for a later replay. */
+  readonly record?: DecisionRecorder;
 }
 
 /** A running instance. */
@@ -128,24 +129,18 @@
     }),
   );
 
-  const callerLimits = owned.add(
-    createCallerLimits({
+  const { callerLimits, poison, outliers } = createProtections(
+    {
       clock,
       random,
       logger,
       gossip,
       configuration,
-      instances: () => membership.usablePeers().length + 1,
-    }),
-  );
-  const poison = owned.add(
-    createPoisonGuard({
-      clock,
-      logger,
-      gossip,
-      key: fingerprintKey(settings.peerSecret),
-      options: () => currentResilience(configuration).poison,
-    }),
+      membership,
+      peerSecret: settings.peerSecret,
+      record: options.record,
+    },
+    owned,
   );
   const forwarder = createPeerForwarder({
     transport: createForwardTransport(clock, connections, metadata),
@@ -156,15 +151,6 @@
       membership.members().find((member) => member.instanceId === id)?.incarnation,
   });
 
-  const outliers = createOutlierTracker(
-    () => currentResilience(configuration).outliers,
-    ({ serverId, untilMs, ...ejection }) =>
-      logger.event(OUTLIER_EVENTS.ejected, {
-        server: serverId,
-        ...ejection,
-        untilUnixMs: clock.unixMs() + untilMs - clock.monotonicMs(),
-      }),
-  );
   const draining = createDraining({ clock, logger, noticeMs: settings.drain.noticeMs });
   const servingAlways = createServing({
     clock,
@@ -177,6 +163,7 @@
     membership,
     gossip,
     availability: health,
+    record: options.record,
     poison,
     outliers,
     inFlight,
--- a/src/core/poison/poison-guard.ts
+++ b/src/core/poison/poison-guard.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../clock';
 import type { PoisonOptions } from '../configuration';
+import type { DecisionRecorder, TraceLineOf } from '../decision-trace';
 import type { Logger } from '../events';
 import type { GossipBoard, GossipEntry } from '../gossip';
 import type { Evidence } from '../outcomes';
@@ -43,6 +44,8 @@
   readonly gossip: GossipBoard;
   readonly key: Uint8Array;
   readonly options: () => PoisonOptions;
+  /** Takes each decision down, where decisions are recorded. */
+  readonly record?: DecisionRecorder | undefined;
 }
 
 /** Whether a failed try looks like a crash: a silent server and a refused connection do not. */
@@ -52,10 +55,19 @@
 
 /** A guard that listens to the other instances until it is disposed of. */
 export function createPoisonGuard(needs: PoisonGuardOptions): PoisonGuard {
-  const { clock, logger, gossip, key, options } = needs;
+  const { clock, logger, gossip, key, options, record } = needs;
   const ledger = createCrashLedger(options);
   const suspectsAt = new Map<string, Set<string>>();
 
+  const recordStep = (fingerprint: string, step: TraceLineOf<'poison'>['step']): void =>
+    record?.({
+      kind: 'poison',
+      fingerprint,
+      step,
+      options: options(),
+      outcome: ledger.verdict(fingerprint, step.atUnixMs).kind,
+    });
+
   // Hashing a body of megabytes takes milliseconds, and nearly always nothing has crashed.
   const verdictOf = (request: GuardedRequest): PoisonVerdict =>
     ledger.size === 0
@@ -75,10 +87,14 @@
     const statement = parsePoisonStatement(entry.payload);
     switch (statement?.kind) {
       case 'crashed':
-        statement.marks.forEach((mark) => ledger.note(entry.key, mark));
+        for (const mark of statement.marks) {
+          ledger.note(entry.key, mark);
+          recordStep(entry.key, { kind: 'crashed', ...mark });
+        }
         return;
       case 'cleared':
         ledger.clear(entry.key, statement.atUnixMs);
+        recordStep(entry.key, { kind: 'cleared', atUnixMs: statement.atUnixMs });
         return;
       case undefined:
         return;
@@ -93,6 +109,7 @@
     const atUnixMs = clock.unixMs();
     const tryId = `${request.requestId}/${request.attempt}`;
     ledger.note(fingerprint, { tryId, serverId, atUnixMs });
+    recordStep(fingerprint, { kind: 'crashed', tryId, serverId, atUnixMs });
     tell(fingerprint, regions, { kind: 'crashed', marks: [...ledger.marksOf(fingerprint)] });
     const verdict = ledger.verdict(fingerprint, atUnixMs);
     const event = verdict.kind === 'refused' ? POISON_EVENTS.proven : POISON_EVENTS.suspected;
@@ -137,6 +154,7 @@
           const fingerprint = fingerprintOf(request, key);
           const atUnixMs = clock.unixMs();
           ledger.clear(fingerprint, atUnixMs);
+          recordStep(fingerprint, { kind: 'cleared', atUnixMs });
           tell(fingerprint, regions, { kind: 'cleared', atUnixMs });
           logger.event(POISON_EVENTS.cleared, { requestId: request.requestId, fingerprint });
         },
--- a/src/core/serving/dependencies.ts
+++ b/src/core/serving/dependencies.ts
@@ -1,6 +1,7 @@
 import type { InFlight, ServerSender } from '../backends';
 import type { Clock } from '../clock';
 import type { ConfigurationStore } from '../configuration';
+import type { DecisionRecorder } from '../decision-trace';
 import type { Logger } from '../events';
 import type { GossipBoard } from '../gossip';
 import type { MembershipView } from '../membership';
@@ -22,6 +23,8 @@
   readonly membership: MembershipView;
   readonly gossip: GossipBoard;
   readonly availability: ServerAvailability;
+  /** Takes decisions down, where they are recorded. */
+  readonly record?: DecisionRecorder | undefined;
   readonly poison: PoisonGuard;
   readonly outliers: OutlierTracker;
   readonly inFlight: InFlight;
--- a/src/core/serving/run-attempts.ts
+++ b/src/core/serving/run-attempts.ts
@@ -1,4 +1,5 @@
 import { sleepUntil } from '../clock';
+import { recordDraws } from '../decision-trace';
 import { judgeOutcome } from '../outcomes';
 import type { Evidence } from '../outcomes';
 import { REFUSALS, RefusalError } from '../refusals';
@@ -11,7 +12,7 @@
 /** What making attempts needs. */
 export interface AttemptsDependencies extends Pick<
   ServingDependencies,
-  'clock' | 'random' | 'logger' | 'poison'
+  'clock' | 'random' | 'logger' | 'poison' | 'record'
 > {
   readonly runAttempt: AttemptRunner;
   readonly retryBudget: RetryBudget;
@@ -75,23 +76,37 @@
   sink: ResponseSink,
   signal: AbortSignal,
 ): RetryDecision {
-  const { clock, random, retryBudget } = dependencies;
-  return decideRetry(
-    {
-      ...counts,
-      refusal: refusal.definition,
-      evidence: refusal.evidence,
-      isRepeatable: request.guard === undefined && isRepeatable(request),
-      headSent: sink.headSent,
-      callerGone: signal.aborted,
-      isForwarded: request.origin.kind === 'peer',
-      nowMs: clock.monotonicMs(),
-      deadlineAtMs: request.deadlineAtMs,
-    },
-    request.configuration.document.resilience.retries,
-    random,
-    () => retryBudget.tryTake(request.service.name),
-  );
+  const { clock, retryBudget, record } = dependencies;
+  const random = recordDraws(dependencies.random);
+  const options = request.configuration.document.resilience.retries;
+  const { evidence, definition } = refusal;
+  const failed = {
+    ...counts,
+    evidence,
+    isRepeatable: request.guard === undefined && isRepeatable(request),
+    headSent: sink.headSent,
+    callerGone: signal.aborted,
+    isForwarded: request.origin.kind === 'peer',
+    nowMs: clock.monotonicMs(),
+    deadlineAtMs: request.deadlineAtMs,
+  };
+  let hasBudget = true;
+  const decision = decideRetry({ ...failed, refusal: definition }, options, random, () => {
+    hasBudget = retryBudget.tryTake(request.service.name);
+    return hasBudget;
+  });
+  record?.({
+    kind: 'retry',
+    requestId: request.requestId,
+    service: request.service.name,
+    ...failed,
+    refusal: definition.slug,
+    options,
+    hasBudget,
+    draws: random.takeDraws(),
+    outcome: decision,
+  });
+  return decision;
 }
 
 /** The request for another try, which names those that failed it so far. */
--- a/src/core/serving/serve-request.ts
+++ b/src/core/serving/serve-request.ts
@@ -26,6 +26,7 @@
     random,
     logger,
     poison,
+    record: dependencies.record,
     runAttempt: createAttemptRunner({ ...dependencies, sender }),
     retryBudget: createRetryBudget(() => currentResilience(configuration).retries),
   };
--- a/src/testing/small-fleet.ts
+++ b/src/testing/small-fleet.ts
@@ -2,6 +2,7 @@
 import { keyDigest } from '../core/access';
 import { configurationSchema, resilienceSchema } from '../core/configuration';
 import type { Configuration } from '../core/configuration';
+import type { DecisionRecorder } from '../core/decision-trace';
 import { createDisposableStore } from '../core/lifetime';
 import { startNode } from '../core/node';
 import type { GatewayNode } from '../core/node';
@@ -131,6 +132,8 @@
 
 /** What a test may set. */
 export interface SmallFleetOptions {
+  /** Takes down the decisions of the instance with this id. */
+  readonly recordOf?: (instanceId: string) => DecisionRecorder;
   /** Time for which a stop is told before new requests are refused. */
   readonly noticeMs?: number;
 }
@@ -177,6 +180,7 @@
         random: createSeededRandom(startCount),
         newRequestId: randomUUID,
         release: 'test',
+        ...(options.recordOf === undefined ? {} : { record: options.recordOf(instanceId) }),
       }),
     );
     startCount += 1;
