--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -5,6 +5,7 @@
 import { MEMBERSHIP_EVENTS } from '../membership/events';
 import { NODE_EVENTS } from '../node/events';
 import { OUTLIER_EVENTS } from '../outliers/events';
+import { PAUSE_EVENTS } from '../pauses/events';
 import { PLATFORM_EVENTS } from '../platform/events';
 import { POISON_EVENTS } from '../poison/events';
 import { RETRY_EVENTS } from '../retries/events';
@@ -12,6 +13,7 @@
 import { SERVER_HEALTH_EVENTS } from '../server-health/events';
 import { SERVING_EVENTS } from '../serving/events';
 import { SPILLOVER_EVENTS } from '../spillover/events';
+import { STREAM_EVENTS } from '../streams/events';
 import { TICKET_EVENTS } from '../tickets/events';
 import type { EventDefinition } from './types';
 
@@ -29,9 +31,11 @@
   PLATFORM_EVENTS,
   SERVER_HEALTH_EVENTS,
   DRAINING_EVENTS,
+  PAUSE_EVENTS,
   RETRY_EVENTS,
   POISON_EVENTS,
   TICKET_EVENTS,
+  STREAM_EVENTS,
   OUTLIER_EVENTS,
   SPILLOVER_EVENTS,
   CALLER_LIMIT_EVENTS,
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -11,6 +11,7 @@
 import { createMembership } from '../membership';
 import { createMetrics } from '../metrics';
 import { openOperatorListener } from '../operators';
+import { createPauseGuard, createPeerRefresh, guardForwarder, guardSender } from '../pauses';
 import {
   channelCredentials,
   createExchangeTransport,
@@ -29,7 +30,8 @@
   observeSender,
   watchServerLists,
 } from '../server-health';
-import { createServing } from '../serving';
+import { checkRequest, createServing } from '../serving';
+import type { GatewayRequest } from '../serving';
 import type { Settings } from '../settings';
 import { NODE_EVENTS } from './events';
 import { createProtections } from './create-protections';
@@ -142,7 +144,17 @@
     },
     owned,
   );
-  const forwarder = createPeerForwarder({
+
+  const pauses = owned.add(
+    createPauseGuard({
+      clock,
+      logger,
+      refresh: createPeerRefresh({ clock, membership, configuration }),
+    }),
+  );
+  const check = (request: GatewayRequest) =>
+    checkRequest({ clock, region, configuration }, request);
+  const plainForwarder = createPeerForwarder({
     transport: createForwardTransport(clock, connections, metadata),
     nowMs: () => clock.monotonicMs(),
     instanceId,
@@ -151,6 +163,8 @@
       membership.members().find((member) => member.instanceId === id)?.incarnation,
   });
 
+  const forwarder = guardForwarder(plainForwarder, { pauses, check });
+
   const draining = createDraining({ clock, logger, noticeMs: settings.drain.noticeMs });
   const servingAlways = createServing({
     clock,
@@ -167,7 +181,7 @@
     poison,
     outliers,
     inFlight,
-    sender: observeSender(sender, health),
+    sender: guardSender(observeSender(sender, health), { pauses, check, availability: health }),
     forwarder,
   });
 
@@ -256,6 +270,7 @@
   owned.add(watchConfiguration({ clock, logger, store: configuration, url, key }));
   membership.start();
   health.start();
+  pauses.start();
   const { instanceListUrl } = settings.platform;
   if (instanceListUrl !== undefined) {
     owned.add(watchServerLists({ clock, logger, health, url: instanceListUrl }));
