--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -1,9 +1,9 @@
-import { createCallerLimits } from '../caller-limits';
 import { createInFlight, createServerSender } from '../backends';
 import type { Clock } from '../clock';
-import { createConfigurationStore, currentResilience } from '../configuration';
+import { createConfigurationStore } from '../configuration';
 import { countServing, createDraining, gateServing } from '../draining';
 import type { OpenWork } from '../draining';
+import type { DecisionRecorder } from '../decision-trace';
 import type { Logger } from '../events';
 import { createGossipBoard } from '../gossip';
 import { openHttpEdge } from '../http-edge';
@@ -11,7 +11,6 @@
 import { createMembership } from '../membership';
 import { createMetrics } from '../metrics';
 import { openOperatorListener } from '../operators';
-import { OUTLIER_EVENTS, createOutlierTracker } from '../outliers';
 import { createPauseGuard, createPeerRefresh, guardForwarder, guardSender } from '../pauses';
 import {
   channelCredentials,
@@ -23,7 +22,6 @@
   secretMetadata,
   serverCredentials,
 } from '../peers';
-import { createPoisonGuard, fingerprintKey } from '../poison';
 import type { RandomSource } from '../random';
 import { watchConfiguration } from '../platform';
 import {
@@ -36,6 +34,7 @@
 import type { GatewayRequest } from '../serving';
 import type { Settings } from '../settings';
 import { NODE_EVENTS } from './events';
+import { createProtections } from './create-protections';
 import { createTicketing } from './create-ticketing';
 import { lingerForTickets } from './linger-for-tickets';
 import { createForwardedHandlers } from './serve-forwarded';
@@ -49,12 +48,16 @@
   readonly newRequestId: () => string;
   /** Version of this release, for operators. */
   readonly release: string;
+  /** Takes decisions down for a later replay. */
+  readonly record?: DecisionRecorder;
 }
 
 /** A running instance. */
 export interface GatewayNode extends AsyncDisposable {
   readonly callerAddress: string;
   readonly peerAddress: string;
+  /** Port on which peers are listened to, whatever address they are told. */
+  readonly peerPort: number;
   readonly operatorAddress: string;
   /** Tells all that this instance is leaving, and resolves when nothing is in flight. */
   drain(): Promise<void>;
@@ -130,25 +133,20 @@
     }),
   );
 
-  const callerLimits = owned.add(
-    createCallerLimits({
+  const { callerLimits, poison, outliers } = createProtections(
+    {
       clock,
       random,
       logger,
       gossip,
       configuration,
-      instances: () => membership.usablePeers().length + 1,
-    }),
-  );
-  const poison = owned.add(
-    createPoisonGuard({
-      clock,
-      logger,
-      gossip,
-      key: fingerprintKey(settings.peerSecret),
-      options: () => currentResilience(configuration).poison,
-    }),
+      membership,
+      peerSecret: settings.peerSecret,
+      record: options.record,
+    },
+    owned,
   );
+
   const pauses = owned.add(
     createPauseGuard({
       clock,
@@ -169,15 +167,6 @@
 
   const forwarder = guardForwarder(plainForwarder, { pauses, check });
 
-  const outliers = createOutlierTracker(
-    () => currentResilience(configuration).outliers,
-    ({ serverId, untilMs, ...ejection }) =>
-      logger.event(OUTLIER_EVENTS.ejected, {
-        server: serverId,
-        ...ejection,
-        untilUnixMs: clock.unixMs() + untilMs - clock.monotonicMs(),
-      }),
-  );
   const draining = createDraining({ clock, logger, noticeMs: settings.drain.noticeMs });
   const servingAlways = createServing({
     clock,
@@ -190,6 +179,7 @@
     membership,
     gossip,
     availability: health,
+    record: options.record,
     poison,
     outliers,
     inFlight,
@@ -292,6 +282,7 @@
   return {
     callerAddress,
     peerAddress,
+    peerPort: peerServer.port,
     operatorAddress: addressOf(listeners.operators.host, operators.port),
     inFlightRequests: () => inFlight.totalRequests(),
     openWork: draining.openWork,
--- a/src/testing/small-fleet.ts
+++ b/src/testing/small-fleet.ts
@@ -2,6 +2,7 @@
 import { keyDigest } from '../core/access';
 import { configurationSchema, resilienceSchema } from '../core/configuration';
 import type { Configuration } from '../core/configuration';
+import type { DecisionRecorder } from '../core/decision-trace';
 import { createDisposableStore } from '../core/lifetime';
 import { startNode } from '../core/node';
 import type { GatewayNode } from '../core/node';
@@ -136,8 +137,14 @@
 
 /** What a test may set. */
 export interface SmallFleetOptions {
+  /** Takes down the decisions of the instance with this id. */
+  readonly recordOf?: (instanceId: string) => DecisionRecorder;
   /** Time for which a stop is told before new requests are refused. */
   readonly noticeMs?: number;
+  /** Address that an instance tells its peers, where they are to reach it by another way. */
+  readonly peersReach?: (instanceId: string) => string | undefined;
+  /** Told of each instance as soon as it listens. */
+  readonly onStart?: (instance: FleetInstance) => void;
 }
 
 /** Starts the fleet and waits until each instance knows all others. */
@@ -173,6 +180,7 @@
       peerSecret: PEER_SECRET,
       operatorKey: OPERATOR_KEY,
       platform: { configurationUrl: `http://${platform.address}` },
+      advertised: { peers: options.peersReach?.(instanceId) },
       drain: { noticeMs: options.noticeMs ?? NOTICE_MS },
     });
     const node = owned.add(
@@ -183,10 +191,13 @@
         random: createSeededRandom(startCount),
         newRequestId: randomUUID,
         release: 'test',
+        ...(options.recordOf === undefined ? {} : { record: options.recordOf(instanceId) }),
       }),
     );
     startCount += 1;
-    return { instanceId, region, domain, node, logger, clock };
+    const instance = { instanceId, region, domain, node, logger, clock };
+    options.onStart?.(instance);
+    return instance;
   };
   for (const region of FLEET_REGIONS) {
     for (const domain of ['a', 'b']) instances.push(await startInstance(region, domain));
