Order engines to have what the configuration wants

Cause: models, adapters, versions and roles per region had no way to the engines. Ruled out: an elected sender; fencing numbers from wall clocks, incarnations or gossip; handing prefix caches over (faster only above 21 to 31.5 Gbit/s, worked out). Conclusion: pure plan, pure orders from one look, numbers read back from the engine.

--- a/src/core/configuration/index.ts
+++ b/src/core/configuration/index.ts
@@ -11,6 +11,15 @@
   SpilloverOptions,
 } from './resilience-schema';
 export { configurationSchema } from './schema';
-export type { BackendServer, Caller, Configuration, Priority, Service, Weights } from './schema';
+export type {
+  BackendServer,
+  Caller,
+  Configuration,
+  EngineRole,
+  Placement,
+  Priority,
+  Service,
+  Weights,
+} from './schema';
 export { createConfigurationStore } from './store';
 export type { ConfigurationStore, OfferResult } from './store';
--- a/src/core/configuration/schema.ts
+++ b/src/core/configuration/schema.ts
@@ -2,6 +2,8 @@
 import { callerSchema } from './caller-schema';
 import { nameSchema } from './names-schema';
 import { resilienceSchema } from './resilience-schema';
+import { placementSchema } from './placement-schema';
+import type { engineRoleSchema } from './placement-schema';
 import { backendServerSchema } from './server-schema';
 import { serviceSchema } from './service-schema';
 import type { prioritySchema } from './service-schema';
@@ -40,6 +42,7 @@
   regions: z.array(region).min(1),
   services: z.array(serviceSchema),
   backendServers: z.array(backendServerSchema),
+  placement: placementSchema,
   callers: z.array(callerSchema),
 });
 
@@ -72,6 +75,11 @@
   document.backendServers.forEach((server, index) =>
     check(['backendServers', index, 'region'], server.region),
   );
+  for (const section of ['models', 'roles'] as const) {
+    document.placement[section].forEach((wanted, index) =>
+      check(['placement', section, index, 'region'], wanted.region),
+    );
+  }
 }
 
 function reportUnknownServices(report: Report, document: Shape): void {
@@ -116,6 +124,10 @@
 export type Service = z.output<typeof serviceSchema>;
 /** One backend server. */
 export type BackendServer = z.output<typeof backendServerSchema>;
+/** What the engines of each region are to have. */
+export type Placement = z.output<typeof placementSchema>;
+/** What an engine does. */
+export type EngineRole = z.output<typeof engineRoleSchema>;
 /** One caller. */
 export type Caller = z.output<typeof callerSchema>;
 /** Which work goes first. */
--- a/src/core/configuration/server-schema.ts
+++ b/src/core/configuration/server-schema.ts
@@ -16,6 +16,11 @@
       'write ip:port, for example 10.0.1.5:8000',
     )
     .describe('ip:port'),
+  modelSlots: z
+    .int()
+    .min(1)
+    .default(4)
+    .describe('Models and adapters that the engine can hold at once'),
   refusesOldFencing: z
     .boolean()
     .default(false)
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -1,6 +1,7 @@
 import { CALLER_LIMIT_EVENTS } from '../caller-limits/events';
 import { CONFIGURATION_EVENTS } from '../configuration/events';
 import { DRAINING_EVENTS } from '../draining/events';
+import { ENGINE_ORDER_EVENTS } from '../engine-orders/events';
 import { HTTP_EDGE_EVENTS } from '../http-edge/events';
 import { MEMBERSHIP_EVENTS } from '../membership/events';
 import { NODE_EVENTS } from '../node/events';
@@ -31,6 +32,7 @@
   SERVER_HEALTH_EVENTS,
   DRAINING_EVENTS,
   PAUSE_EVENTS,
+  ENGINE_ORDER_EVENTS,
   RETRY_EVENTS,
   POISON_EVENTS,
   TICKET_EVENTS,
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -4,6 +4,7 @@
 import { createConfigurationStore, currentResilience } from '../configuration';
 import { countServing, createDraining, gateServing } from '../draining';
 import type { OpenWork } from '../draining';
+import { createEngineClient, runEngineOrders } from '../engine-orders';
 import type { Logger } from '../events';
 import { createGossipBoard } from '../gossip';
 import { openHttpEdge } from '../http-edge';
@@ -283,6 +284,17 @@
   membership.start();
   health.start();
   pauses.start();
+  owned.add(
+    runEngineOrders({
+      clock,
+      logger,
+      region,
+      configuration,
+      health,
+      pauses,
+      client: owned.add(createEngineClient()),
+    }),
+  );
   const { instanceListUrl } = settings.platform;
   if (instanceListUrl !== undefined) {
     owned.add(watchServerLists({ clock, logger, health, url: instanceListUrl }));
--- a/src/core/pauses/create-pause-guard.ts
+++ b/src/core/pauses/create-pause-guard.ts
@@ -15,7 +15,10 @@
   pauseCount(): number;
   /** Whether a pause has been noticed, by this look too, and nothing refreshed since. */
   isStale(): boolean;
-  /** Resolves when what is known is no older than the last pause, at once when there was none. */
+  /**
+   * Resolves when what is known is no older than the last pause, at once when there was none; `unconfirmed` for
+   * as long as no peer has answered since, though nothing waits for that any longer.
+   */
   requireFresh(): Promise<Freshness>;
 }
 
@@ -44,6 +47,7 @@
   let last: ClockReading = { monotonicMs: clock.monotonicMs(), unixMs: clock.unixMs() };
   let pauses = 0;
   let freshAsOfPause = 0;
+  let confirmedAsOfPause = 0;
   let refreshing: Promise<Freshness> | undefined;
   let task: Promise<void> | undefined;
 
@@ -70,9 +74,13 @@
     look();
     // A pause in the middle of a refresh leaves it as old as what it was to renew.
     if (pauses !== pauseAtStart && !stopping.signal.aborted) return refreshOnce();
+    const isNews = freshAsOfPause !== pauses || reached;
     freshAsOfPause = pauses;
+    if (reached) confirmedAsOfPause = pauses;
     const waitedMs = Math.round(clock.monotonicMs() - startedAtMs);
-    logger.event(reached ? PAUSE_EVENTS.refreshed : PAUSE_EVENTS.unconfirmed, { waitedMs });
+    if (isNews) {
+      logger.event(reached ? PAUSE_EVENTS.refreshed : PAUSE_EVENTS.unconfirmed, { waitedMs });
+    }
     return reached ? 'fresh' : 'unconfirmed';
   };
 
@@ -81,18 +89,23 @@
     return freshAsOfPause !== pauses;
   };
 
-  const requireFresh = (): Promise<Freshness> => {
-    if (!isStale()) return Promise.resolve('fresh');
+  const startRefresh = (): Promise<Freshness> => {
     refreshing ??= refreshOnce().finally(() => {
       refreshing = undefined;
     });
     return refreshing;
   };
 
+  const requireFresh = (): Promise<Freshness> => {
+    if (isStale()) return startRefresh();
+    return Promise.resolve(confirmedAsOfPause === pauses ? 'fresh' : 'unconfirmed');
+  };
+
   /** Looks on while a refresh is under way; a refresh that is not looked at would seem a pause itself. */
   const run = async (): Promise<void> => {
     while (!stopping.signal.aborted) {
-      void requireFresh();
+      look();
+      if (confirmedAsOfPause !== pauses) void startRefresh();
       await sleepUntil(clock, clock.monotonicMs() + LOOK_EVERY_MS, stopping.signal);
     }
   };
--- a/src/core/pauses/pause-guard.test.ts
+++ b/src/core/pauses/pause-guard.test.ts
@@ -93,6 +93,28 @@
     const waiting = guard.requireFresh();
     await clock.advanceByAsync(REFRESH_TIMEOUT_MS);
     assert.equal(await waiting, 'unconfirmed');
+    assert.equal(await guard.requireFresh(), 'unconfirmed');
+    assert.equal(logger.of(PAUSE_EVENTS.unconfirmed).length, 1);
+  });
+
+  it('goes on asking after that, and is fresh once a peer answers', async () => {
+    let isReachable = false;
+    const { clock, guard, logger } = startGuard(
+      (signal) =>
+        new Promise((resolve) => {
+          if (isReachable) resolve(true);
+          signal.addEventListener('abort', () => resolve(false));
+        }),
+    );
+    await clock.advanceByAsync(500);
+    clock.jumpBy(PAUSE_MS);
+    void guard.requireFresh();
+    await clock.advanceByAsync(10_000);
+    assert.equal(await guard.requireFresh(), 'unconfirmed');
+    isReachable = true;
+    await clock.advanceByAsync(2 * REFRESH_TIMEOUT_MS);
+    assert.equal(await guard.requireFresh(), 'fresh');
+    assert.equal(guard.pauseCount(), 1);
     assert.equal(logger.of(PAUSE_EVENTS.unconfirmed).length, 1);
   });
 });
--- a/src/core/server-health/create-server-health.ts
+++ b/src/core/server-health/create-server-health.ts
@@ -51,8 +51,8 @@
   standing(serverId: string): ServerStanding;
   /** Calls back whenever a server's standing changes, for whoever holds work queued for it. */
   onChange(listener: (serverId: string, standing: ServerStanding) => void): Disposable;
-  /** Whether this instance is one of those that do `duty` for the region. */
-  isOnDuty(duty: string): boolean;
+  /** Whether this instance is one of the `count` (two) that do `duty` for the region. */
+  isOnDuty(duty: string, count?: number): boolean;
 }
 
 /** How often it is looked which checks are due: a tenth of the time in which a leaving server must be out. */
@@ -117,8 +117,8 @@
       .map((peer) => peer.instanceId)
       .sort();
 
-  const onDuty = (name: string): boolean =>
-    isOnDuty(name, membership.self().instanceId, livePeerIds());
+  const onDuty = (name: string, count?: number): boolean =>
+    isOnDuty(name, membership.self().instanceId, livePeerIds(), count);
 
   /** Servers that this instance checks; worked out anew only when instances or servers have changed. */
   const dutyServers = (): readonly CheckedServer[] => {
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -1,8 +1,11 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { answerOrder, createEngineModels } from './engine-orders';
+import type { EngineModels } from './engine-orders';
 import { createLedger } from './ledger';
 import type { Ledger } from './ledger';
 import { openStandIn, readAll, sendJson } from './listen';
 import type { StandIn } from './listen';
+import { createWeightStore } from './weight-store';
 
 /** How a stand-in engine behaves; may be changed while it runs. */
 export interface EngineBehaviour {
@@ -22,6 +25,8 @@
 export interface EngineStandIn extends StandIn {
   readonly behaviour: EngineBehaviour;
   readonly ledger: Ledger;
+  /** What it has loaded by orders; orders are open to any test. */
+  readonly models: EngineModels;
   /** Requests whose caller went away before the end. */
   cancelledCount(): number;
 }
@@ -89,6 +94,12 @@
   port = 0,
 ): Promise<EngineStandIn> {
   const ledger = createLedger();
+  const models = createEngineModels({
+    fencing: 'refuses',
+    slots: 4,
+    loadMs: 50,
+    weightStore: createWeightStore(),
+  });
   const current: EngineBehaviour = {
     answerTokens: 8,
     tokenIntervalMs: 0,
@@ -104,6 +115,7 @@
       sendJson(response, HEALTH_STATUSES[current.health], {});
       return;
     }
+    if (await answerOrder(models, incoming, response)) return;
     const bodyText = (await readAll(incoming)).toString('utf8');
     const requestId = String(incoming.headers['x-request-id']);
     ledger.entries.push({
@@ -123,5 +135,5 @@
   };
 
   const standIn = await openStandIn(handler, port);
-  return { ...standIn, behaviour: current, ledger, cancelledCount: () => cancelled };
+  return { ...standIn, behaviour: current, ledger, models, cancelledCount: () => cancelled };
 }
