--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -1,10 +1,10 @@
-import { createCallerLimits } from '../caller-limits';
 import { createInFlight, createServerSender } from '../backends';
 import type { Clock } from '../clock';
-import { createConfigurationStore, currentResilience } from '../configuration';
+import { createConfigurationStore } from '../configuration';
 import { countServing, createDraining, gateServing } from '../draining';
 import type { OpenWork } from '../draining';
 import { createEngineClient, runEngineOrders } from '../engine-orders';
+import type { DecisionRecorder } from '../decision-trace';
 import type { Logger } from '../events';
 import { createGossipBoard } from '../gossip';
 import { openHttpEdge } from '../http-edge';
@@ -12,7 +12,6 @@
 import { createMembership } from '../membership';
 import { createMetrics } from '../metrics';
 import { openOperatorListener } from '../operators';
-import { OUTLIER_EVENTS, createOutlierTracker } from '../outliers';
 import { createPauseGuard, createPeerRefresh, guardForwarder, guardSender } from '../pauses';
 import {
   channelCredentials,
@@ -24,7 +23,6 @@
   secretMetadata,
   serverCredentials,
 } from '../peers';
-import { createPoisonGuard, fingerprintKey } from '../poison';
 import type { RandomSource } from '../random';
 import { watchConfiguration } from '../platform';
 import {
@@ -37,6 +35,7 @@
 import type { GatewayRequest } from '../serving';
 import type { Settings } from '../settings';
 import { NODE_EVENTS } from './events';
+import { createProtections } from './create-protections';
 import { createTicketing } from './create-ticketing';
 import { lingerForTickets } from './linger-for-tickets';
 import { createForwardedHandlers } from './serve-forwarded';
@@ -50,6 +49,8 @@
   readonly newRequestId: () => string;
   /** Version of this release, for operators. */
   readonly release: string;
+  /** Takes decisions down for a later replay. */
+  readonly record?: DecisionRecorder;
 }
 
 /** A running instance. */
@@ -133,25 +134,20 @@
     }),
   );
 
-  const callerLimits = owned.add(
-    createCallerLimits({
+  const { callerLimits, poison, outliers } = createProtections(
+    {
       clock,
       random,
       logger,
       gossip,
       configuration,
-      instances: () => membership.usablePeers().length + 1,
-    }),
-  );
-  const poison = owned.add(
-    createPoisonGuard({
-      clock,
-      logger,
-      gossip,
-      key: fingerprintKey(settings.peerSecret),
-      options: () => currentResilience(configuration).poison,
-    }),
+      membership,
+      peerSecret: settings.peerSecret,
+      record: options.record,
+    },
+    owned,
   );
+
   const pauses = owned.add(
     createPauseGuard({
       clock,
@@ -172,15 +168,6 @@
 
   const forwarder = guardForwarder(plainForwarder, { pauses, check });
 
-  const outliers = createOutlierTracker(
-    () => currentResilience(configuration).outliers,
-    ({ serverId, untilMs, ...ejection }) =>
-      logger.event(OUTLIER_EVENTS.ejected, {
-        server: serverId,
-        ...ejection,
-        untilUnixMs: clock.unixMs() + untilMs - clock.monotonicMs(),
-      }),
-  );
   const draining = createDraining({ clock, logger, noticeMs: settings.drain.noticeMs });
   const servingAlways = createServing({
     clock,
@@ -193,6 +180,7 @@
     membership,
     gossip,
     availability: health,
+    record: options.record,
     poison,
     outliers,
     inFlight,
