--- a/checks/invariants/caller.ts
+++ b/checks/invariants/caller.ts
@@ -21,7 +21,12 @@
  * Places one order as a caller does that trusts the answers: it asks again with the same ticket while it does
  * not know, at whichever instance, and places the order anew only where it was told `notRun`.
  */
-export function placeOrder(fleet: Fleet, order: string, told: Told[]): void {
+export function placeOrder(
+  fleet: Fleet,
+  order: string,
+  told: Told[],
+  mayAsk: (instanceId: string) => boolean,
+): void {
   const { world, instances } = fleet;
   const caller = createSimProcess(world.clock, `caller of ${order}`, 'windhoek', 1);
   let requests = 0;
@@ -31,7 +36,7 @@
     if (requests === MOST_REQUESTS) return;
     requests += 1;
     const requestId = `${order}/${requests}`;
-    const names = [...instances.keys()];
+    const names = [...instances.keys()].filter(mayAsk);
     const instance = names.length === 0 ? undefined : instances.get(world.pick(names));
     const gone = new AbortController();
     let settled = false;
--- a/src/core/tickets/run-ticket.ts
+++ b/src/core/tickets/run-ticket.ts
@@ -49,14 +49,17 @@
  * The signal of the run. A caller that goes before the call was sent takes it back; afterwards the run goes
  * on without the caller, who will present the ticket again to learn what became of the order.
  */
-function runSignal({ signal, guard }: TicketRun): AbortSignal {
+function createRunSignal({ signal, guard }: TicketRun) {
   const stopped = new AbortController();
   const onGone = () => {
     if (!guard.mayHaveRun) stopped.abort();
   };
   if (signal.aborted) onGone();
   else signal.addEventListener('abort', onGone, { once: true });
-  return stopped.signal;
+  return {
+    signal: stopped.signal,
+    [Symbol.dispose]: () => signal.removeEventListener('abort', onGone),
+  };
 }
 
 /** What the first presentation is given; all later ones are answered from the record. */
@@ -67,10 +70,13 @@
   | { readonly kind: 'refused'; readonly refusal: RefusalError };
 
 async function serveOnce(ticket: TicketRun, recording: RecordingSink): Promise<TicketEnd> {
+  const running = createRunSignal(ticket);
   try {
-    await ticket.run({ ...ticket.request, guard: ticket.guard }, recording, runSignal(ticket));
+    await ticket.run({ ...ticket.request, guard: ticket.guard }, recording, running.signal);
   } catch (error) {
     if (!recording.ended) return { kind: 'refused', refusal: finalRefusal(error, ticket) };
+  } finally {
+    running[Symbol.dispose]();
   }
   const answer = recording.whole();
   if (answer !== undefined) return { kind: 'held', answer };
