--- a/src/core/configuration/schema.ts
+++ b/src/core/configuration/schema.ts
@@ -2,6 +2,8 @@
 import { callerSchema } from './caller-schema';
 import { nameSchema } from './names-schema';
 import { resilienceSchema } from './resilience-schema';
+import { placementSchema } from './placement-schema';
+import type { engineRoleSchema } from './placement-schema';
 import { backendServerSchema } from './server-schema';
 import { serviceSchema } from './service-schema';
 import type { prioritySchema } from './service-schema';
@@ -11,7 +13,8 @@
  * Cross-references (a service naming a region, a server naming a service) are checked at the end.
  */
 
-const weights = z
+/** The zod schema of what the deployment weighs. */
+export const weightsSchema = z
   .strictObject({
     tailLatency: z.number().min(0).default(1),
     remoteShare: z
@@ -33,13 +36,14 @@
   $schema: z.string().optional(),
   version: z.int().min(1).describe('Number of this version; each next one is higher'),
   deployment: nameSchema,
-  weights,
+  weights: weightsSchema,
   resilience: resilienceSchema
     .prefault({})
     .describe('How failures of servers and requests are answered'),
   regions: z.array(region).min(1),
   services: z.array(serviceSchema),
   backendServers: z.array(backendServerSchema),
+  placement: placementSchema,
   callers: z.array(callerSchema),
 });
 
@@ -72,6 +76,11 @@
   document.backendServers.forEach((server, index) =>
     check(['backendServers', index, 'region'], server.region),
   );
+  for (const section of ['models', 'roles'] as const) {
+    document.placement[section].forEach((wanted, index) =>
+      check(['placement', section, index, 'region'], wanted.region),
+    );
+  }
 }
 
 function reportUnknownServices(report: Report, document: Shape): void {
@@ -116,9 +125,13 @@
 export type Service = z.output<typeof serviceSchema>;
 /** One backend server. */
 export type BackendServer = z.output<typeof backendServerSchema>;
+/** What the engines of each region are to have. */
+export type Placement = z.output<typeof placementSchema>;
+/** What an engine does. */
+export type EngineRole = z.output<typeof engineRoleSchema>;
 /** One caller. */
 export type Caller = z.output<typeof callerSchema>;
 /** Which work goes first. */
 export type Priority = z.output<typeof prioritySchema>;
 /** What the deployment weighs. */
-export type Weights = z.output<typeof weights>;
+export type Weights = z.output<typeof weightsSchema>;
