Spread the configuration over few watchers and from peer to peer

Cause: every instance watched the service and took the whole document; 18,000 callers are 3.9 MB, which no value of the service holds, and a change of one caller cost all of it. Ruled out: sections alone (a change costs its section: 2.7 KB of manifest and 56 KB); a tree of manifests (more reads for a cold start: over a thousand against 74). Conclusion: manifest, sections by content hash, and the records that each version changed; two watchers for each failure domain by rendezvous order; peers hand versions on; a new instance asks six peers first.

--- a/src/core/configuration/index.ts
+++ b/src/core/configuration/index.ts
@@ -11,6 +11,21 @@
   SpilloverOptions,
 } from './resilience-schema';
 export { configurationSchema } from './schema';
-export type { BackendServer, Caller, Configuration, Priority, Service, Weights } from './schema';
+export type {
+  BackendServer,
+  Caller,
+  Configuration,
+  ConfigurationInput,
+  Priority,
+  Service,
+  Weights,
+} from './schema';
 export { createConfigurationStore } from './store';
-export type { ConfigurationStore, OfferResult } from './store';
+export type { ConfigurationStore, ConfigurationStoreOptions, OfferResult } from './store';
+export type { ConfigurationImage } from './assemble';
+export type { Documents } from './apply-changes';
+export { contentHash, shortDigest } from './content-hash';
+export { splitConfiguration } from './split-configuration';
+export type { PreviousVersion, PublishedConfiguration } from './split-configuration';
+export { manifestSchema } from './manifest-schema';
+export type { Manifest } from './manifest-schema';
--- a/src/core/configuration/schema.ts
+++ b/src/core/configuration/schema.ts
@@ -43,6 +43,9 @@
   callers: z.array(callerSchema),
 });
 
+/** All but the collections that grow with the deployment; in the published form they are sections of their own. */
+export const headSchema = shape.omit({ services: true, backendServers: true, callers: true });
+
 type Shape = z.output<typeof shape>;
 type Report = (path: PropertyKey[], message: string) => void;
 
@@ -83,9 +86,8 @@
   });
 }
 
-/** The zod schema of the configuration. */
-export const configurationSchema = shape.superRefine((document, context) => {
-  const report: Report = (path, message) => context.addIssue({ code: 'custom', path, message });
+/** Reports what is wrong between the parts of a document whose parts are each right. */
+export function checkReferences(document: Shape, report: Report): void {
   reportRepeated(
     report,
     'regions',
@@ -108,8 +110,15 @@
   );
   reportUnknownRegions(report, document);
   reportUnknownServices(report, document);
+}
+
+/** The zod schema of the configuration. */
+export const configurationSchema = shape.superRefine((document, context) => {
+  checkReferences(document, (path, message) => context.addIssue({ code: 'custom', path, message }));
 });
 
+/** One version as operators write it. */
+export type ConfigurationInput = z.input<typeof configurationSchema>;
 /** One version, with defaults filled in. */
 export type Configuration = z.output<typeof configurationSchema>;
 /** One service. */
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -1,9 +1,9 @@
 import { CONFIGURATION_EVENTS } from '../configuration/events';
+import { CONFIGURATION_SYNC_EVENTS } from '../configuration-sync/events';
 import { HTTP_EDGE_EVENTS } from '../http-edge/events';
 import { MEMBERSHIP_EVENTS } from '../membership/events';
 import { NODE_EVENTS } from '../node/events';
 import { OUTLIER_EVENTS } from '../outliers/events';
-import { PLATFORM_EVENTS } from '../platform/events';
 import { POISON_EVENTS } from '../poison/events';
 import { RETRY_EVENTS } from '../retries/events';
 import { ROUTING_EVENTS } from '../routing/events';
@@ -24,7 +24,7 @@
   SERVING_EVENTS,
   MEMBERSHIP_EVENTS,
   CONFIGURATION_EVENTS,
-  PLATFORM_EVENTS,
+  CONFIGURATION_SYNC_EVENTS,
   SERVER_HEALTH_EVENTS,
   RETRY_EVENTS,
   POISON_EVENTS,
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -1,6 +1,7 @@
 import { createInFlight, createServerSender } from '../backends';
 import type { Clock } from '../clock';
 import { createConfigurationStore, currentResilience } from '../configuration';
+import { NO_STANDING, createConfigurationSync } from '../configuration-sync';
 import type { Logger } from '../events';
 import { createGossipBoard } from '../gossip';
 import { openHttpEdge } from '../http-edge';
@@ -11,6 +12,7 @@
 import { OUTLIER_EVENTS, createOutlierTracker } from '../outliers';
 import {
   channelCredentials,
+  createConfigurationAsker,
   createExchangeTransport,
   createPeerConnections,
   createPeerForwarder,
@@ -20,7 +22,7 @@
 } from '../peers';
 import { createPoisonGuard, fingerprintKey } from '../poison';
 import type { RandomSource } from '../random';
-import { watchConfiguration } from '../platform';
+import { createConfigurationService, readInstanceList } from '../platform';
 import {
   createServerHealth,
   createServerProber,
@@ -73,15 +75,19 @@
   const owned = createDisposableStore();
   const incarnation = clock.unixMs();
 
-  const configuration = createConfigurationStore(logger);
+  const configuration = createConfigurationStore(logger, {
+    lowestVersion: settings.platform.lowestConfigurationVersion,
+  });
   const connections = owned.add(createPeerConnections(channelCredentials(settings.tls)));
   const metadata = secretMetadata(settings.peerSecret);
   const gossip = createGossipBoard(instanceId, clock);
   const inFlight = createInFlight();
   const sender = owned.add(createServerSender());
   const metrics = createMetrics();
+  let standing = () => NO_STANDING;
   let callerAddress = '';
   let peerAddress = '';
+  const { instanceListUrl, instanceListService: service } = settings.platform;
 
   const membership = owned.add(
     createMembership({
@@ -92,22 +98,36 @@
       incarnation,
       transport: createExchangeTransport({ clock, connections, metadata }),
       seedPeers: settings.seedPeers,
+      ...(instanceListUrl === undefined
+        ? {}
+        : { listPeers: () => readInstanceList({ url: instanceListUrl, service }) }),
       describeSelf: () => ({
         instanceId,
         region,
         failureDomain,
         callerAddress,
         peerAddress,
-        configurationVersion: configuration.current()?.version ?? 0,
-        configurationDigest: 0,
-        configurationSinceUnixMs: 0,
-        configurationConfirmed: false,
-        watching: false,
+        ...standing(),
         inFlightRequests: inFlight.totalRequests(),
       }),
     }),
   );
 
+  const { configurationUrl, configurationKey, unconfirmedConfiguration } = settings.platform;
+  const sync = owned.add(
+    createConfigurationSync({
+      clock,
+      random,
+      logger,
+      store: configuration,
+      membership,
+      askPeer: createConfigurationAsker({ clock, connections, metadata }),
+      service: createConfigurationService({ url: configurationUrl, key: configurationKey }),
+      whenUnconfirmed: unconfirmedConfiguration,
+    }),
+  );
+  standing = sync.standing;
+
   const { probe } = owned.add(createServerProber());
   const health = owned.add(
     createServerHealth({
@@ -186,6 +206,7 @@
       peerSecret: settings.peerSecret,
       handlers: {
         exchange: (message) => membership.receive(message),
+        fetchConfiguration: (request) => sync.answer(request),
         ...createForwardedHandlers({
           clock,
           incarnation,
@@ -216,8 +237,7 @@
   );
   callerAddress = advertised.callers ?? addressOf(listeners.callers.host, edge.port);
 
-  const isReady = () =>
-    configuration.current() !== undefined && membership.self().status === 'alive';
+  const isReady = () => sync.isSettled() && membership.self().status === 'alive';
   metrics.gauge('coltsfootworks_in_flight_requests', 'Requests open at servers', () =>
     inFlight.totalRequests(),
   );
@@ -245,11 +265,9 @@
     }),
   );
 
-  const { configurationUrl: url, configurationKey: key } = settings.platform;
-  owned.add(watchConfiguration({ clock, logger, store: configuration, url, key }));
   membership.start();
+  sync.start();
   health.start();
-  const { instanceListUrl } = settings.platform;
   if (instanceListUrl !== undefined) {
     owned.add(watchServerLists({ clock, logger, health, url: instanceListUrl }));
   }
--- a/src/core/peers/index.ts
+++ b/src/core/peers/index.ts
@@ -1,6 +1,7 @@
 /** Calls between instances, over gRPC. */
 export { channelCredentials, secretMetadata, serverCredentials } from './credentials';
 export { createExchangeTransport } from './exchange';
+export { createConfigurationAsker, toWireAnswer } from './fetch-configuration';
 export { fromWireMessage, toWireMessage } from './exchange-messages';
 export { createForwardLedger } from './forward-ledger';
 export type { AttemptGuard, AttemptId, ForwardLedger } from './forward-ledger';
--- a/src/core/peers/peer-server.ts
+++ b/src/core/peers/peer-server.ts
@@ -17,7 +17,12 @@
   ForwardEvent,
   ForwardRequest,
 } from '../../gen/forward_pb';
-import type { ExchangeMessage as WireMessage } from '../../gen/membership_pb';
+import type {
+  ExchangeMessage as WireMessage,
+  FetchConfigurationRequest,
+  FetchConfigurationResponse,
+} from '../../gen/membership_pb';
+import type { ConfigurationAnswer, ConfigurationRequest } from '../configuration-sync';
 import { ERRORS, errorText, gatewayError } from '../errors';
 import type { ExchangeMessage } from '../membership';
 import { REFUSALS, RefusalError } from '../refusals';
@@ -25,12 +30,15 @@
 import { showsSecret } from './credentials';
 import { PEER_SERVICE } from './definition';
 import { fromWireMessage, toWireMessage } from './exchange-messages';
+import { fromWireRequest, toWireAnswer } from './fetch-configuration';
 import { createPeerSink } from './peer-sink';
 
 /** What an instance does when others call it. */
 export interface PeerHandlers {
   /** Takes in what a peer knows and returns what is known here. */
   exchange(message: ExchangeMessage): ExchangeMessage;
+  /** Hands out the configuration in force here. */
+  fetchConfiguration(request: ConfigurationRequest): ConfigurationAnswer;
   /** Gives an attempt up; true if nothing of it was sent and nothing will be. */
   cancel(message: CancelRequest): boolean;
   /** Serves a forwarded request from this region, or throws a `RefusalError`. */
@@ -121,6 +129,20 @@
   };
 }
 
+function handleFetchConfiguration(options: PeerServerOptions) {
+  return (
+    call: ServerUnaryCall<FetchConfigurationRequest, FetchConfigurationResponse>,
+    respond: sendUnaryData<FetchConfigurationResponse>,
+  ): void => {
+    if (!showsSecret(call.metadata, options.peerSecret)) {
+      respond(UNAUTHENTICATED);
+      return;
+    }
+    const answer = options.handlers.fetchConfiguration(fromWireRequest(call.request));
+    respond(null, toWireAnswer(answer));
+  };
+}
+
 function handleCancel(options: PeerServerOptions) {
   return (
     call: ServerUnaryCall<CancelRequest, CancelResponse>,
@@ -154,6 +176,7 @@
   const server = new Server({ 'grpc.max_receive_message_length': 32 * 1024 * 1024 });
   server.addService(PEER_SERVICE, {
     exchange: handleExchange(options),
+    fetchConfiguration: handleFetchConfiguration(options),
     forward: (call: ServerWritableStream<ForwardRequest, ForwardEvent>) => {
       void handleForward(options)(call);
     },
--- a/src/core/settings/schema.ts
+++ b/src/core/settings/schema.ts
@@ -84,6 +84,20 @@
         .string()
         .default('coltsfootworks/configuration')
         .describe('Key of the configuration'),
+      instanceListService: name
+        .default('coltsfootworks')
+        .describe('Service under which the catalogue lists the instances, with their peer ports'),
+      unconfirmedConfiguration: z
+        .enum(['serve', 'refuse'])
+        .default('serve')
+        .describe(
+          'What an instance does while nobody could vouch that its configuration is not an old one',
+        ),
+      lowestConfigurationVersion: z
+        .int()
+        .min(1)
+        .default(1)
+        .describe('Versions below this are never taken, whoever offers them'),
     })
     .describe('What the platform publishes; nothing is ever written there'),
   limits: z
--- a/src/testing/virtual-fleet.ts
+++ b/src/testing/virtual-fleet.ts
@@ -1,16 +1,26 @@
 import { toBinary } from '@bufbuild/protobuf';
-import { ExchangeMessageSchema } from '../gen/membership_pb';
+import { ExchangeMessageSchema, FetchConfigurationResponseSchema } from '../gen/membership_pb';
+import { createConfigurationStore } from '../core/configuration';
+import type { ConfigurationStore } from '../core/configuration';
+import { createConfigurationSync } from '../core/configuration-sync';
+import type {
+  ConfigurationAnswer,
+  ConfigurationRequest,
+  ConfigurationSync,
+} from '../core/configuration-sync';
 import { createGossipBoard } from '../core/gossip';
 import type { GossipStore } from '../core/gossip';
 import { createMembership } from '../core/membership';
 import type { ExchangeMessage, MemberRecord, Membership } from '../core/membership';
-import { fromWireMessage, toWireMessage } from '../core/peers';
+import { fromWireMessage, toWireAnswer, toWireMessage } from '../core/peers';
 import { createSeededRandom } from '../core/random';
 import { createMemoryLogger } from './memory-logger';
 import type { MemoryLogger } from './memory-logger';
 import { createVirtualClock } from './virtual-clock';
 import type { VirtualClock } from './virtual-clock';
 import { createVirtualNetwork } from './virtual-network';
+import type { VirtualConfigurationService } from './virtual-service';
+import { createVirtualConfigurationService } from './virtual-service';
 import type { NetworkCut, NetworkPlace, NetworkPort } from './virtual-network';
 
 /** Many instances' membership in one process, on virtual time, over function calls. */
@@ -23,9 +33,12 @@
   readonly gossip: GossipStore;
   readonly port: NetworkPort;
   readonly logger: MemoryLogger;
+  readonly store: ConfigurationStore;
+  /** Set when the fleet has a configuration service. */
+  readonly sync: ConfigurationSync | undefined;
   /** What it says of itself; tests change it. */
   readonly says: { configurationVersion: number; inFlightRequests: number };
-  /** Bytes of its exchanges' requests and answers, sent. */
+  /** Bytes that it sent to peers: exchanges and configuration. */
   sentBytes(): number;
 }
 
@@ -40,11 +53,19 @@
   readonly clockOffsetMs?: number;
   readonly seedPeers?: readonly string[];
   readonly listPeers?: () => Promise<readonly string[]>;
+  readonly whenUnconfirmed?: 'serve' | 'refuse';
+}
+
+/** Options of the fleet. */
+export interface VirtualFleetOptions {
+  /** Whether instances follow the fleet's configuration service; else tests say which version each has. */
+  readonly withConfiguration?: boolean;
 }
 
 /** The fleet. */
 export interface VirtualFleet extends AsyncDisposable {
   readonly clock: VirtualClock;
+  readonly service: VirtualConfigurationService;
   readonly instances: ReadonlyMap<string, VirtualInstance>;
   start(options: VirtualInstanceOptions): VirtualInstance;
   get(instanceId: string): VirtualInstance;
@@ -58,7 +79,8 @@
 
 /** What an instance offers to the others. */
 interface VirtualService {
-  exchange(message: Uint8Array | ExchangeMessage): ExchangeMessage;
+  exchange(message: ExchangeMessage): ExchangeMessage;
+  fetchConfiguration(request: ConfigurationRequest): ConfigurationAnswer;
 }
 
 /** gRPC's own frames around a message: headers that HPACK has met before, data frame, length prefix. */
@@ -69,11 +91,14 @@
 }
 
 /** An empty fleet; the same seed gives the same course of events. */
-export function createVirtualFleet(seed = 1): VirtualFleet {
+export function createVirtualFleet(
+  seed = 1,
+  { withConfiguration = false }: VirtualFleetOptions = {},
+): VirtualFleet {
   const clock = createVirtualClock();
   const network = createVirtualNetwork(clock);
+  const service = createVirtualConfigurationService(clock);
   const instances = new Map<string, VirtualInstance>();
-  const graveyard: Membership[] = [];
   let nextSeed = seed * 1_000;
 
   const start = (options: VirtualInstanceOptions): VirtualInstance => {
@@ -83,6 +108,8 @@
     const port = network.open(place, clockOffsetMs);
     const logger = createMemoryLogger();
     const gossip = createGossipBoard(instanceId, port.clock);
+    const store = createConfigurationStore(logger);
+    let sync: ConfigurationSync | undefined;
     const says = { configurationVersion: 1, inFlightRequests: 0 };
     let sentBytes = 0;
     nextSeed += 1;
@@ -105,6 +132,7 @@
         configurationConfirmed: true,
         watching: false,
         ...says,
+        ...sync?.standing(),
       }),
       transport: {
         async exchange(peerAddress, message) {
@@ -113,16 +141,38 @@
         },
       },
     });
-    const service: VirtualService = {
+    if (withConfiguration) {
+      sync = createConfigurationSync({
+        clock: port.clock,
+        random: createSeededRandom(nextSeed + 500_000),
+        logger,
+        store,
+        membership,
+        askPeer: (peerAddress, request) =>
+          port.call(peerAddress, (to) =>
+            (to.service as VirtualService).fetchConfiguration(request),
+          ),
+        service: service.openFor(port.clock, place),
+        whenUnconfirmed: options.whenUnconfirmed ?? 'serve',
+      });
+    }
+    const offered: VirtualService = {
+      fetchConfiguration(request) {
+        if (sync === undefined) throw new Error('no configuration');
+        const answer = sync.answer(request);
+        sentBytes +=
+          toBinary(FetchConfigurationResponseSchema, toWireAnswer(answer)).length + FRAME_BYTES;
+        return answer;
+      },
       exchange(message) {
-        const read = fromWireMessage(toWireMessage(message as ExchangeMessage));
+        const read = fromWireMessage(toWireMessage(message));
         if (read === undefined) throw new Error('no sender');
         const answer = membership.receive(read);
         sentBytes += wireBytes(answer);
         return answer;
       },
     };
-    port.service = service;
+    port.service = offered;
     const instance: VirtualInstance = {
       instanceId,
       place,
@@ -130,11 +180,14 @@
       gossip,
       port,
       logger,
+      store,
+      sync,
       says,
       sentBytes: () => sentBytes,
     };
     instances.set(instanceId, instance);
     membership.start();
+    sync?.start();
     return instance;
   };
 
@@ -146,14 +199,15 @@
 
   return {
     clock,
+    service,
     instances,
     start,
     get,
     async crash(instanceId, silently = true) {
-      const { port, membership } = get(instanceId);
+      const { port, membership, sync } = get(instanceId);
       port.close(silently);
       instances.delete(instanceId);
-      graveyard.push(membership);
+      void sync?.[Symbol.asyncDispose]();
       void membership[Symbol.asyncDispose]();
     },
     setCut: network.setCut,
@@ -163,9 +217,10 @@
         .membership.members()
         .find((member) => member.instanceId === instanceId),
     async [Symbol.asyncDispose]() {
-      const stopping = [...instances.values()].map(({ membership }) =>
+      const stopping = [...instances.values()].flatMap(({ membership, sync }) => [
         membership[Symbol.asyncDispose](),
-      );
+        sync?.[Symbol.asyncDispose](),
+      ]);
       await clock.runFor(5_000);
       await Promise.all(stopping);
     },
