--- a/src/core/http-edge/open-http-edge.ts
+++ b/src/core/http-edge/open-http-edge.ts
@@ -5,6 +5,7 @@
 import { ERRORS, errorText, gatewayError } from '../errors';
 import { REFUSALS, RefusalError } from '../refusals';
 import { SERVING_EVENTS } from '../serving';
+import { TICKET_HEADER, refusedBeforeRecord } from '../tickets';
 import { answerRefusal } from './answer';
 import { guardConnections } from './connection-guard';
 import { abortAnswer } from './http-sink';
@@ -51,7 +52,8 @@
       options.logger.event(SERVING_EVENTS.callerGone, { requestId });
       return;
     }
-    const refusal = asRefusal(error);
+    const isPresentation = TICKET_HEADER in incoming.headers;
+    const refusal = asRefusal(isPresentation ? refusedBeforeRecord(error) : error);
     if (response.headersSent) {
       options.logger.event(SERVING_EVENTS.answerCutShort, { requestId, detail: refusal.message });
       abortAnswer(response, refusal, requestId, options.clock);
@@ -96,6 +98,9 @@
     const expectsContinue = expecting.has(incoming);
     const requestId = options.newRequestId();
     const signal = goneSignal(response);
+    options.draining.noteArrival();
+    // A caller that keeps its connection would send its next request to an instance that is about to go.
+    if (options.draining.isLeaving()) response.setHeader('connection', 'close');
     void handle(options, handler, {
       incoming,
       response,
@@ -176,9 +181,12 @@
   });
 }
 
+/** How often connections that have turned idle are looked for while the listener closes. */
+const CLOSE_IDLE_EVERY_MS = 50;
+
 /** Opens the callers' listener. */
 export async function openHttpEdge(options: HttpEdgeOptions): Promise<HttpEdge> {
-  const { limits, logger } = options;
+  const { limits, logger, clock } = options;
   const { listener, continueListener } = createRequestListener(options);
   const server = createServer(
     {
@@ -197,10 +205,21 @@
   });
   const port = await listen(server, options);
 
+  /** Connections whose last answer ended after the close turn idle and would be kept for their timeout. */
+  const closeIdleUntil = (isClosed: () => boolean): void => {
+    if (isClosed()) return;
+    server.closeIdleConnections();
+    clock.schedule(clock.monotonicMs() + CLOSE_IDLE_EVERY_MS, () => closeIdleUntil(isClosed));
+  };
+
   const drain = (): Promise<void> =>
     new Promise((resolve) => {
-      server.close(() => resolve());
-      server.closeIdleConnections();
+      let closed = false;
+      server.close(() => {
+        closed = true;
+        resolve();
+      });
+      closeIdleUntil(() => closed);
     });
 
   return {
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -1,7 +1,10 @@
+import { createCallerLimits } from '../caller-limits';
 import { createInFlight, createServerSender } from '../backends';
 import type { Clock } from '../clock';
 import { createConfigurationStore, currentResilience } from '../configuration';
 import { NO_STANDING, createConfigurationSync } from '../configuration-sync';
+import { countServing, createDraining, gateServing } from '../draining';
+import type { OpenWork } from '../draining';
 import type { Logger } from '../events';
 import { createGossipBoard } from '../gossip';
 import { openHttpEdge } from '../http-edge';
@@ -10,11 +13,13 @@
 import { createMetrics } from '../metrics';
 import { openOperatorListener } from '../operators';
 import { OUTLIER_EVENTS, createOutlierTracker } from '../outliers';
+import { createPauseGuard, createPeerRefresh, guardForwarder, guardSender } from '../pauses';
 import {
   channelCredentials,
   createConfigurationAsker,
   createExchangeTransport,
   createPeerConnections,
+  createForwardTransport,
   createPeerForwarder,
   openPeerServer,
   secretMetadata,
@@ -29,7 +34,8 @@
   observeSender,
   watchServerLists,
 } from '../server-health';
-import { createServing } from '../serving';
+import { checkRequest, createServing } from '../serving';
+import type { GatewayRequest } from '../serving';
 import type { Settings } from '../settings';
 import { NODE_EVENTS } from './events';
 import { createTicketing } from './create-ticketing';
@@ -56,6 +62,8 @@
   drain(): Promise<void>;
   /** Requests in flight at servers. */
   inFlightRequests(): number;
+  /** Requests open here, of callers and of peers. */
+  openWork(): OpenWork;
   /** Other instances that may be given work. */
   knownPeerCount(): number;
   /** Whether callers can be served: a configuration is in force and no stop has begun. */
@@ -142,6 +150,16 @@
     }),
   );
 
+  const callerLimits = owned.add(
+    createCallerLimits({
+      clock,
+      random,
+      logger,
+      gossip,
+      configuration,
+      instances: () => membership.usablePeers().length + 1,
+    }),
+  );
   const poison = owned.add(
     createPoisonGuard({
       clock,
@@ -151,16 +169,26 @@
       options: () => currentResilience(configuration).poison,
     }),
   );
-  const forwarder = createPeerForwarder({
-    clock,
-    connections,
-    metadata,
+  const pauses = owned.add(
+    createPauseGuard({
+      clock,
+      logger,
+      refresh: createPeerRefresh({ clock, membership, configuration }),
+    }),
+  );
+  const check = (request: GatewayRequest) =>
+    checkRequest({ clock, region, configuration }, request);
+  const plainForwarder = createPeerForwarder({
+    transport: createForwardTransport(clock, connections, metadata),
+    nowMs: () => clock.monotonicMs(),
     instanceId,
     incarnation,
     incarnationOf: (id) =>
       membership.members().find((member) => member.instanceId === id)?.incarnation,
   });
 
+  const forwarder = guardForwarder(plainForwarder, { pauses, check });
+
   const outliers = createOutlierTracker(
     () => currentResilience(configuration).outliers,
     ({ serverId, untilMs, ...ejection }) =>
@@ -170,7 +198,8 @@
         untilUnixMs: clock.unixMs() + untilMs - clock.monotonicMs(),
       }),
   );
-  const serving = createServing({
+  const draining = createDraining({ clock, logger, noticeMs: settings.drain.noticeMs });
+  const servingAlways = createServing({
     clock,
     random,
     logger,
@@ -184,10 +213,11 @@
     poison,
     outliers,
     inFlight,
-    sender: observeSender(sender, health),
+    sender: guardSender(observeSender(sender, health), { pauses, check, availability: health }),
     forwarder,
   });
 
+  const serving = gateServing(servingAlways, draining);
   const { tickets, serveNonRepeatable } = createTicketing({
     settings,
     clock,
@@ -196,7 +226,8 @@
     configuration,
     membership,
     forwarder,
-    serving,
+    // A ticket can be redeemed here alone, so its holder is served until the end.
+    serving: countServing(servingAlways, draining),
   });
 
   const peerServer = owned.add(
@@ -228,10 +259,12 @@
       configuration,
       membership,
       serving,
+      callerLimits,
       tickets,
       serveNonRepeatable,
       limits: settings.limits,
       metrics,
+      draining,
       newRequestId,
     }),
   );
@@ -268,6 +301,7 @@
   membership.start();
   sync.start();
   health.start();
+  pauses.start();
   if (instanceListUrl !== undefined) {
     owned.add(watchServerLists({ clock, logger, health, url: instanceListUrl }));
   }
@@ -278,6 +312,7 @@
     peerAddress,
     operatorAddress: addressOf(listeners.operators.host, operators.port),
     inFlightRequests: () => inFlight.totalRequests(),
+    openWork: draining.openWork,
     knownPeerCount: () => membership.usablePeers().length,
     isReady,
     configurationVersion: () => configuration.current()?.version ?? 0,
@@ -285,8 +320,10 @@
       logger.event(NODE_EVENTS.stopping, { inFlightRequests: inFlight.totalRequests() });
       membership.markLeaving();
       tickets.stopMinting();
+      await draining.run();
       await edge.drain();
       await lingerForTickets({ clock, logger, tickets, lingerMs: settings.limits.ticketLingerMs });
+      await peerServer.drain();
       logger.event(NODE_EVENTS.stopped);
     },
     [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose](),
--- a/src/core/peers/forward-ledger.ts
+++ b/src/core/peers/forward-ledger.ts
@@ -1,3 +1,4 @@
+import { judgeOutcome } from '../outcomes';
 import { REFUSALS, RefusalError } from '../refusals';
 import type { SendGuard } from '../serving/types';
 import { createSenderAttempts } from './sender-attempts';
@@ -37,6 +38,8 @@
 
 /** The guard of an attempt that was taken in. */
 export interface AttemptGuard extends SendGuard {
+  /** Whether bytes may have left for a server that has not vouched that nothing ran. */
+  readonly mayHaveRun: boolean;
   /** The attempt is over. */
   finish(): void;
 }
@@ -49,7 +52,7 @@
   readonly attemptsPerSender?: number;
 }
 
-/** Senders silent for this long are forgotten; no message survives in a connection for a hundredth of it. */
+/** Sender processes silent for this long are forgotten; no message survives in a connection for a hundredth of it. */
 const FORGET_SENDER_AFTER_MS = 24 * 3_600_000;
 const ATTEMPTS_PER_SENDER = 4_096;
 const SWEEP_INTERVAL_MS = 600_000;
@@ -74,6 +77,9 @@
 ): AttemptGuard {
   return {
     idempotencyKey,
+    get mayHaveRun() {
+      return attempt.maySend;
+    },
     beginSend() {
       if (attempt.cancelled) throw refused('The attempt was cancelled.', true);
       if (attempt.maySend && idempotencyKey !== undefined) {
@@ -83,8 +89,8 @@
       attempt.noteSend();
     },
     sendFailed(evidence) {
-      // Nothing left, so another server may be tried, and a cancellation may still vouch.
-      if (evidence.kind === 'neverSent') attempt.undoSend();
+      // Nothing ran, so another server may be tried, and a cancellation may still vouch.
+      if (judgeOutcome(evidence) === 'notRun') attempt.undoSend();
     },
     finish: () => attempt.finish(),
   };
@@ -104,20 +110,13 @@
     }
   };
 
-  /** The sender's attempts; undefined for a process that has been replaced since. */
-  const attemptsOf = ({
-    fromInstanceId,
-    fromIncarnation,
-  }: AttemptId): SenderAttempts | undefined => {
+  /** The attempts of one sender process; a later process of the same name has its own. */
+  const attemptsOf = ({ fromInstanceId, fromIncarnation }: AttemptId): SenderAttempts => {
     const atMs = nowMs();
     sweep(atMs);
-    const known = senders.get(fromInstanceId)?.attempts;
-    if (known !== undefined && known.incarnation > fromIncarnation) return undefined;
-    const attempts =
-      known?.incarnation === fromIncarnation
-        ? known
-        : createSenderAttempts(fromIncarnation, attemptsPerSender);
-    senders.set(fromInstanceId, { attempts, lastHeardAtMs: atMs });
+    const name = `${fromInstanceId} ${fromIncarnation}`;
+    const attempts = senders.get(name)?.attempts ?? createSenderAttempts(attemptsPerSender);
+    senders.set(name, { attempts, lastHeardAtMs: atMs });
     return attempts;
   };
 
@@ -127,7 +126,6 @@
         throw refused('The message was meant for an earlier process of this instance.', true);
       }
       const attempts = attemptsOf(id);
-      if (attempts === undefined) throw refused('The sender was replaced since.', false);
       const known = attempts.find(id.serial);
       if (known !== undefined && known.cancelled && known.over && !known.maySend) {
         throw refused('The attempt was cancelled before it came.', true);
@@ -143,7 +141,6 @@
     cancel(id) {
       if (id.toIncarnation !== incarnation) return false;
       const attempts = attemptsOf(id);
-      if (attempts === undefined) return false;
       const known = attempts.find(id.serial);
       if (known !== undefined) return known.cancel();
       if (attempts.isForgotten(id.serial)) return false;
--- a/src/core/peers/peer-server.ts
+++ b/src/core/peers/peer-server.ts
@@ -6,11 +6,7 @@
   ServerWritableStream,
   sendUnaryData,
 } from '@grpc/grpc-js';
-import {
-  CancelResponseSchema,
-  ForwardEventSchema,
-  ForwardRefusalSchema,
-} from '../../gen/forward_pb';
+import { CancelResponseSchema } from '../../gen/forward_pb';
 import type {
   CancelRequest,
   CancelResponse,
@@ -25,13 +21,12 @@
 import type { ConfigurationAnswer, ConfigurationRequest } from '../configuration-sync';
 import { ERRORS, errorText, gatewayError } from '../errors';
 import type { ExchangeMessage } from '../membership';
-import { REFUSALS, RefusalError } from '../refusals';
 import type { ResponseSink } from '../serving/types';
 import { showsSecret } from './credentials';
 import { PEER_SERVICE } from './definition';
 import { fromWireMessage, toWireMessage } from './exchange-messages';
 import { fromWireRequest, toWireAnswer } from './fetch-configuration';
-import { createPeerSink } from './peer-sink';
+import { createPeerSink, toRefusalEvent } from './peer-sink';
 
 /** What an instance does when others call it. */
 export interface PeerHandlers {
@@ -57,6 +52,8 @@
 /** The listener for peers. */
 export interface PeerServer extends AsyncDisposable {
   readonly port: number;
+  /** Takes no new calls, and resolves when the last words of those open have left. */
+  drain(): Promise<void>;
 }
 
 const UNAUTHENTICATED = {
@@ -64,31 +61,6 @@
   details: 'the shared secret is missing or wrong',
 };
 
-function toRefusalEvent(message: ForwardRequest, error: unknown): ForwardEvent {
-  const refusal =
-    error instanceof RefusalError
-      ? error
-      : new RefusalError(REFUSALS.internalFault, {
-          detail: errorText(error),
-          step: 'serve-forwarded',
-          evidence: { kind: 'lostAfterSending', cause: 'aborted' },
-        });
-  return create(ForwardEventSchema, {
-    requestId: message.requestId,
-    attempt: message.attempt,
-    event: {
-      case: 'refusal',
-      value: create(ForwardRefusalSchema, {
-        refusal: refusal.definition.slug,
-        detail: refusal.message,
-        notRun: refusal.outcome === 'notRun',
-        ran: refusal.outcome === 'ran',
-        retryAtUnixMs: BigInt(refusal.retryAtUnixMs ?? 0),
-      }),
-    },
-  });
-}
-
 function handleForward(options: PeerServerOptions) {
   return async (call: ServerWritableStream<ForwardRequest, ForwardEvent>): Promise<void> => {
     if (!showsSecret(call.metadata, options.peerSecret)) {
@@ -185,6 +157,10 @@
   const port = await bind(server, options);
   return {
     port,
+    drain: () =>
+      new Promise((resolve) => {
+        server.tryShutdown(() => resolve());
+      }),
     async [Symbol.asyncDispose]() {
       server.forceShutdown();
     },
--- a/src/testing/small-fleet.ts
+++ b/src/testing/small-fleet.ts
@@ -16,6 +16,8 @@
 import type { PlatformStandIn } from '../../standins/platform';
 import { createMemoryLogger } from './memory-logger';
 import type { MemoryLogger } from './memory-logger';
+import { createShiftableClock } from './shiftable-clock';
+import type { ShiftableClock } from './shiftable-clock';
 import { waitFor } from './wait-for';
 
 /** Three regions with two instances each on loopback, in one process, before stand-ins. */
@@ -31,6 +33,8 @@
 } as const;
 
 const PEER_SECRET = 'a-secret-shared-by-all-instances';
+/** Longer than an exchange between instances takes, so that all hear of a stop. */
+const NOTICE_MS = 1_200;
 const OPERATOR_KEY = 'a-key-for-operators-alone';
 const CONFIGURATION_KEY = 'coltsfootworks/configuration';
 
@@ -38,8 +42,12 @@
 export interface FleetInstance {
   readonly instanceId: string;
   readonly region: Region;
+  /** Last part of the failure domain's name. */
+  readonly domain: string;
   readonly node: GatewayNode;
   readonly logger: MemoryLogger;
+  /** Its clock; a jump makes it find that it stood still. */
+  readonly clock: ShiftableClock;
 }
 
 /** The fleet and what stands around it. */
@@ -51,6 +59,8 @@
   /** The configuration that was published first. */
   readonly configuration: Configuration;
   publish(configuration: Configuration): void;
+  /** Stops an instance as planned, and starts another in its place with the same name. */
+  replace(instance: FleetInstance): Promise<FleetInstance>;
   /** The first instance of a region. */
   instanceIn(region: Region): FleetInstance;
 }
@@ -86,6 +96,7 @@
         echoesRequestId: false,
         models: ['kit-large'],
         maxOutputTokens: 4096,
+        resumption: 'continueFinalMessage',
       },
       {
         kind: 'plain',
@@ -123,8 +134,14 @@
   });
 }
 
+/** What a test may set. */
+export interface SmallFleetOptions {
+  /** Time for which a stop is told before new requests are refused. */
+  readonly noticeMs?: number;
+}
+
 /** Starts the fleet and waits until each instance knows all others. */
-export async function startSmallFleet(): Promise<SmallFleet> {
+export async function startSmallFleet(options: SmallFleetOptions = {}): Promise<SmallFleet> {
   const owned = createDisposableStore();
   const platform = owned.add(await openPlatformStandIn());
   const engines = new Map<string, EngineStandIn>();
@@ -138,36 +155,41 @@
   publish(configuration);
 
   const instances: FleetInstance[] = [];
+  let startCount = 0;
+  const startInstance = async (region: Region, domain: string): Promise<FleetInstance> => {
+    const instanceId = `${region}-${domain}`;
+    const logger = createMemoryLogger();
+    const clock = createShiftableClock(createSystemClock());
+    const settings = settingsSchema.parse({
+      instanceId,
+      region,
+      failureDomain: `${region}-${domain}`,
+      listeners: {
+        callers: { host: '127.0.0.1', port: 0 },
+        peers: { host: '127.0.0.1', port: 0 },
+        operators: { host: '127.0.0.1', port: 0 },
+      },
+      seedPeers: instances.map(({ node }) => node.peerAddress),
+      peerSecret: PEER_SECRET,
+      operatorKey: OPERATOR_KEY,
+      platform: { configurationUrl: `http://${platform.address}` },
+      drain: { noticeMs: options.noticeMs ?? NOTICE_MS },
+    });
+    const node = owned.add(
+      await startNode({
+        settings,
+        logger,
+        clock,
+        random: createSeededRandom(startCount),
+        newRequestId: randomUUID,
+        release: 'test',
+      }),
+    );
+    startCount += 1;
+    return { instanceId, region, domain, node, logger, clock };
+  };
   for (const region of FLEET_REGIONS) {
-    for (const domain of ['a', 'b']) {
-      const instanceId = `${region}-${domain}`;
-      const logger = createMemoryLogger();
-      const settings = settingsSchema.parse({
-        instanceId,
-        region,
-        failureDomain: `${region}-${domain}`,
-        listeners: {
-          callers: { host: '127.0.0.1', port: 0 },
-          peers: { host: '127.0.0.1', port: 0 },
-          operators: { host: '127.0.0.1', port: 0 },
-        },
-        seedPeers: instances.map(({ node }) => node.peerAddress),
-        peerSecret: PEER_SECRET,
-        operatorKey: OPERATOR_KEY,
-        platform: { configurationUrl: `http://${platform.address}` },
-      });
-      const node = owned.add(
-        await startNode({
-          settings,
-          logger,
-          clock: createSystemClock(),
-          random: createSeededRandom(instances.length),
-          newRequestId: randomUUID,
-          release: 'test',
-        }),
-      );
-      instances.push({ instanceId, region, node, logger });
-    }
+    for (const domain of ['a', 'b']) instances.push(await startInstance(region, domain));
   }
 
   await waitFor(
@@ -185,6 +207,15 @@
     instances,
     configuration,
     publish,
+    async replace(old) {
+      await old.node.drain();
+      await old.node[Symbol.asyncDispose]();
+      const at = instances.indexOf(old);
+      instances.splice(at, 1);
+      const next = await startInstance(old.region, old.domain);
+      instances.splice(at, 0, next);
+      return next;
+    },
     instanceIn(region) {
       const found = instances.find((instance) => instance.region === region);
       if (found === undefined) throw new Error(`No instance in ${region}`);
