--- a/src/core/configuration/index.ts
+++ b/src/core/configuration/index.ts
@@ -22,6 +22,8 @@
   Caller,
   Configuration,
   ConfigurationInput,
+  EngineRole,
+  Placement,
   Priority,
   Service,
   Weights,
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -4,6 +4,7 @@
 import { NO_STANDING, createConfigurationSync } from '../configuration-sync';
 import { countServing, createDraining, gateServing } from '../draining';
 import type { OpenWork } from '../draining';
+import { createEngineClient, runEngineOrders } from '../engine-orders';
 import type { DecisionRecorder } from '../decision-trace';
 import type { Logger } from '../events';
 import { createGossipBoard } from '../gossip';
@@ -292,6 +293,17 @@
   sync.start();
   health.start();
   pauses.start();
+  owned.add(
+    runEngineOrders({
+      clock,
+      logger,
+      region,
+      configuration,
+      health,
+      pauses,
+      client: owned.add(createEngineClient()),
+    }),
+  );
   if (instanceListUrl !== undefined) {
     owned.add(watchServerLists({ clock, logger, health, url: instanceListUrl }));
   }
