Tell operators since when each version is in force, and cut large versions for publishing

Cause: config status compared version numbers alone, though members now say since when, and whether one number has two contents; and no command made the published form of a configuration above a megabyte. Ruled out: a command that publishes (nothing of the system writes shared state).

--- a/src/cli/config-status/compare-versions.ts
+++ b/src/cli/config-status/compare-versions.ts
@@ -1,40 +1,21 @@
-import type { MemberState } from '../../core/membership';
+import { configurationStatus } from '../../core/configuration-sync';
+import type { ConfigurationStatus } from '../../core/configuration-sync';
+import type { MemberRecord } from '../../core/membership';
 import type { InstanceStatus } from '../../core/operators';
 
-/** One instance and the version in force there. */
-export interface VersionRow {
-  readonly instanceId: string;
-  readonly region: string;
-  readonly status: MemberState['status'];
-  readonly version: number;
-  /** Whether a higher version is in force elsewhere. */
-  readonly lags: boolean;
+/** Whether `left` was said after `right` about the same instance. */
+function isLater(left: MemberRecord, right: MemberRecord): boolean {
+  if (left.life !== right.life) return left.life > right.life;
+  if (left.loadSequence !== right.loadSequence) return left.loadSequence > right.loadSequence;
+  return left.sequence > right.sequence;
 }
 
-function latestStates(statuses: readonly InstanceStatus[]): MemberState[] {
-  const latest = new Map<string, MemberState>();
+/** The version on each instance, from what one or several instances say of the fleet. */
+export function compareVersions(statuses: readonly InstanceStatus[]): ConfigurationStatus {
+  const latest = new Map<string, MemberRecord>();
   for (const member of statuses.flatMap((status) => status.members)) {
     const known = latest.get(member.instanceId);
-    const isLater =
-      known === undefined ||
-      member.incarnation > known.incarnation ||
-      (member.incarnation === known.incarnation && member.sequence > known.sequence);
-    if (isLater) latest.set(member.instanceId, member);
+    if (known === undefined || isLater(member, known)) latest.set(member.instanceId, member);
   }
-  return [...latest.values()];
-}
-
-/** The version of each instance, from what one or several instances say of the fleet. */
-export function compareVersions(statuses: readonly InstanceStatus[]): VersionRow[] {
-  const members = latestStates(statuses).filter((member) => member.status !== 'dead');
-  const highest = Math.max(0, ...members.map((member) => member.configurationVersion));
-  return members
-    .map((member) => ({
-      instanceId: member.instanceId,
-      region: member.region,
-      status: member.status,
-      version: member.configurationVersion,
-      lags: member.configurationVersion < highest,
-    }))
-    .sort((left, right) => (left.instanceId < right.instanceId ? -1 : 1));
+  return configurationStatus([...latest.values()]);
 }
--- a/src/cli/create-cli.ts
+++ b/src/cli/create-cli.ts
@@ -2,6 +2,7 @@
 import { ConfigCheckCommand } from './config-check';
 import { ConfigDiffCommand } from './config-diff';
 import { ConfigPatchCommand } from './config-patch';
+import { ConfigSplitCommand } from './config-split';
 import { ConfigStatusCommand } from './config-status';
 import { EventsCommand } from './events';
 import { ServeCommand } from './serve';
@@ -20,6 +21,7 @@
   cli.register(ConfigCheckCommand);
   cli.register(ConfigDiffCommand);
   cli.register(ConfigPatchCommand);
+  cli.register(ConfigSplitCommand);
   cli.register(ConfigStatusCommand);
   cli.register(EventsCommand);
   return cli;
--- a/src/core/operators/types.ts
+++ b/src/core/operators/types.ts
@@ -1,4 +1,4 @@
-import type { MemberState } from '../membership';
+import type { MemberRecord } from '../membership';
 
 /** What `GET /status` tells operators of one instance and of the fleet as it sees it. */
 export interface InstanceStatus {
@@ -9,5 +9,5 @@
   readonly ready: boolean;
   readonly configurationVersion: number;
   readonly inFlightRequests: number;
-  readonly members: readonly MemberState[];
+  readonly members: readonly MemberRecord[];
 }
