--- a/src/cli/serve/run-serve.ts
+++ b/src/cli/serve/run-serve.ts
@@ -1,4 +1,6 @@
 import { randomUUID } from 'node:crypto';
+import { ERRORS, gatewayError } from '../../core/errors';
+import { brokenMachineRules } from '../../core/machine-rules';
 import { NODE_EVENTS, startNode } from '../../core/node';
 import { parseSettings } from '../../core/settings';
 import { createSystemRandom } from '../../runtime/system-random';
@@ -22,6 +24,11 @@
   recordPath: string | undefined,
 ): Promise<number> {
   const settings = parseSettings(readSettingsText(settingsPath, process.env));
+  const broken = brokenMachineRules(process.env);
+  if (broken.length > 0) {
+    const place = { step: 'check-environment' };
+    throw gatewayError(ERRORS.machineRuleBroken, [broken.join('; ')], place);
+  }
   const { instanceId, region } = settings;
   const logger = createWinstonLogger(settings.logLevel, { instance: instanceId, region });
   const node = await startNode({
--- a/src/cli/serve/second-signal.test.ts
+++ b/src/cli/serve/second-signal.test.ts
@@ -1,95 +1,31 @@
 import assert from 'node:assert/strict';
-import { spawn } from 'node:child_process';
-import { createInterface } from 'node:readline';
 import { describe, it } from 'node:test';
-import { request } from 'undici';
-import { keyDigest } from '../../core/access';
 import { NODE_EVENTS } from '../../core/node';
 import { waitFor } from '../../testing';
-import { openEngineStandIn } from '../../../standins/engine';
-import { openPlatformStandIn } from '../../../standins/platform';
-
-const KEY = 'key-of-a-caller';
-const listener = { host: '127.0.0.1', port: 0 };
-
-const configurationBefore = (engineAddress: string) => ({
-  version: 1,
-  deployment: 'omaruru',
-  regions: [{ name: 'rundu', failureDomains: ['rundu-a'] }],
-  services: [{ kind: 'model', name: 'kit-assistant', regions: ['rundu'], models: ['kit-large'] }],
-  backendServers: [
-    {
-      id: 'engine-1',
-      service: 'kit-assistant',
-      region: 'rundu',
-      failureDomain: 'rundu-a',
-      address: engineAddress,
-    },
-  ],
-  callers: [{ id: 'builder', keySha256: keyDigest(KEY), regions: ['rundu'] }],
-});
-
-interface Line {
-  readonly event: number;
-  readonly callerAddress?: string;
-  readonly callerRequests?: number;
-}
+import { startServeProcess } from '../../testing/serve-process';
 
 describe('the process', () => {
   // An operator cannot wait for a long answer and signals again. The process must go at once, and the log must
   // say what that cost, since the callers that were cut are told nothing.
   it('ends at the second signal and says how many requests it cut', async () => {
-    await using engine = await openEngineStandIn({ answerTokens: Infinity, tokenIntervalMs: 20 });
-    await using platform = await openPlatformStandIn();
-    platform.publish(
-      'coltsfootworks/configuration',
-      JSON.stringify(configurationBefore(engine.address)),
-    );
-    const settings = {
-      instanceId: 'rundu-a',
-      region: 'rundu',
-      failureDomain: 'rundu-a',
-      listeners: { callers: listener, peers: listener, operators: listener },
-      peerSecret: 'a-secret-shared-by-all',
-      operatorKey: 'a-key-for-operators',
-      platform: { configurationUrl: `http://${platform.address}` },
-    };
-    const child = spawn(process.execPath, ['--import', 'tsx', 'src/main.ts', 'serve'], {
-      env: { ...process.env, COLTSFOOTWORKS_SETTINGS: JSON.stringify(settings) },
-      stdio: ['ignore', 'ignore', 'pipe'],
-    });
-    const ended = new Promise<number | null>((resolve) => {
-      child.once('exit', resolve);
-    });
-    const lines: Line[] = [];
-    createInterface({ input: child.stderr }).on('line', (text) =>
-      lines.push(JSON.parse(text) as Line),
-    );
-    const lineOf = (id: number) => lines.find((line) => line.event === id);
+    await using serving = await startServeProcess();
+    const { child, engine, lineOf } = serving;
+    Object.assign(engine.behaviour, { answerTokens: Infinity, tokenIntervalMs: 20 });
+    const open = await serving.ask();
+    const cut = assert.rejects(open.body.text());
+    child.kill('SIGTERM');
+    await waitFor(() => lineOf(NODE_EVENTS.stopping.id) !== undefined, 'the first signal');
+    child.kill('SIGTERM');
+    assert.equal(await serving.ended, 1);
+    await cut;
+    assert.equal(lineOf(NODE_EVENTS.cutShort.id)?.callerRequests, 1);
+  });
 
-    try {
-      await waitFor(() => lineOf(NODE_EVENTS.started.id) !== undefined, 'the start');
-      const address = lineOf(NODE_EVENTS.started.id)?.callerAddress ?? '';
-      const isReady = async () =>
-        (await request(`http://${address}/readyz`).then(async ({ statusCode, body }) => {
-          await body.dump();
-          return statusCode;
-        })) === 200;
-      await waitFor(isReady, 'readiness');
-      const open = await request(`http://${address}/v1/chat/completions`, {
-        method: 'POST',
-        headers: { authorization: `Bearer ${KEY}` },
-        body: JSON.stringify({ model: 'kit-large', stream: true, messages: [] }),
-      });
-      const cut = assert.rejects(open.body.text());
-      child.kill('SIGTERM');
-      await waitFor(() => lineOf(NODE_EVENTS.stopping.id) !== undefined, 'the first signal');
-      child.kill('SIGTERM');
-      assert.equal(await ended, 1);
-      await cut;
-      assert.equal(lineOf(NODE_EVENTS.cutShort.id)?.callerRequests, 1);
-    } finally {
-      child.kill('SIGKILL');
-    }
+  // Somebody tunes the environment of all machines for another program. The calls that io_uring makes are
+  // forbidden here, and the process would be ended in the middle of its work.
+  it('does not start where the environment turns io_uring on', async () => {
+    await using serving = await startServeProcess({ UV_USE_IO_URING: '1' });
+    assert.notEqual(await serving.ended, 0);
+    assert.equal(serving.lineOf(NODE_EVENTS.started.id), undefined);
   });
 });
--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -57,4 +57,10 @@
     message: (address: string, reason: string) => `Listening on ${address}: ${reason}.`,
     hint: 'Choose another address or port in the settings, or stop what holds it.',
   }),
+  machineRuleBroken: define({
+    name: 'MachineRuleBroken',
+    title: 'The environment turns on what the machines forbid',
+    message: (rules: string) => `${rules}.`,
+    hint: 'Remove the variable from the environment of the process.',
+  }),
 } as const;
--- a/src/core/settings/schema.ts
+++ b/src/core/settings/schema.ts
@@ -47,7 +47,14 @@
     })
     .default({}),
   seedPeers: z
-    .array(z.string().regex(/^[^\s]+:\d+$/, 'write host:port, for example 10.0.0.8:7400'))
+    .array(
+      z
+        .string()
+        .regex(
+          /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/i,
+          'write ip:port, for example 10.0.0.8:7400; names are not looked up',
+        ),
+    )
     .default([])
     .describe('Peer addresses to try first; the platform list and peers add the others'),
   peerSecret: z
