Expect seed peers to be asked for as ip:port

Cause: a test of the messages expected "write host:port" for seeds; seeds by name are refused now, since instances talk by IP numbers and the message says so. Ruled out: keeping the old words, which would tell people to write what is refused. Conclusion: the case expects the new words, and a case for a seed by name is added.

--- a/src/core/documents/read-document.test.ts
+++ b/src/core/documents/read-document.test.ts
@@ -48,7 +48,14 @@
     at: ['seedPeers', 0],
     value: '10.0.0.1',
     path: '/seedPeers/0',
-    problem: /write host:port/,
+    problem: /write ip:port/,
+  },
+  {
+    name: 'a seed by its name',
+    at: ['seedPeers', 0],
+    value: 'gateway-1.example:7400',
+    path: '/seedPeers/0',
+    problem: /names are not looked up/,
   },
   {
     name: 'a secret that is too short',
