--- a/checks/invariants/fleet.ts
+++ b/checks/invariants/fleet.ts
@@ -139,6 +139,7 @@
     emptyStore: {
       current: () => inForce,
       currentText: UNUSED,
+      currentImage: UNUSED,
       offer: UNUSED,
       onChange: UNUSED,
     },
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -1,6 +1,7 @@
 import { createInFlight, createServerSender } from '../backends';
 import type { Clock } from '../clock';
 import { createConfigurationStore } from '../configuration';
+import { NO_STANDING, createConfigurationSync } from '../configuration-sync';
 import { countServing, createDraining, gateServing } from '../draining';
 import type { OpenWork } from '../draining';
 import { createEngineClient, runEngineOrders } from '../engine-orders';
@@ -15,6 +16,7 @@
 import { createPauseGuard, createPeerRefresh, guardForwarder, guardSender } from '../pauses';
 import {
   channelCredentials,
+  createConfigurationAsker,
   createExchangeTransport,
   createPeerConnections,
   createForwardTransport,
@@ -24,7 +26,7 @@
   serverCredentials,
 } from '../peers';
 import type { RandomSource } from '../random';
-import { watchConfiguration } from '../platform';
+import { createConfigurationService, readInstanceList } from '../platform';
 import {
   createServerHealth,
   createServerProber,
@@ -85,15 +87,19 @@
   const owned = createDisposableStore();
   const incarnation = clock.unixMs();
 
-  const configuration = createConfigurationStore(logger);
+  const configuration = createConfigurationStore(logger, {
+    lowestVersion: settings.platform.lowestConfigurationVersion,
+  });
   const connections = owned.add(createPeerConnections(channelCredentials(settings.tls)));
   const metadata = secretMetadata(settings.peerSecret);
   const gossip = createGossipBoard(instanceId, clock);
   const inFlight = createInFlight();
   const sender = owned.add(createServerSender());
   const metrics = createMetrics();
+  let standing = () => NO_STANDING;
   let callerAddress = '';
   let peerAddress = '';
+  const { instanceListUrl, instanceListService: service } = settings.platform;
 
   const membership = owned.add(
     createMembership({
@@ -104,22 +110,36 @@
       incarnation,
       transport: createExchangeTransport({ clock, connections, metadata }),
       seedPeers: settings.seedPeers,
+      ...(instanceListUrl === undefined
+        ? {}
+        : { listPeers: () => readInstanceList({ url: instanceListUrl, service }) }),
       describeSelf: () => ({
         instanceId,
         region,
         failureDomain,
         callerAddress,
         peerAddress,
-        configurationVersion: configuration.current()?.version ?? 0,
-        configurationDigest: 0,
-        configurationSinceUnixMs: 0,
-        configurationConfirmed: false,
-        watching: false,
+        ...standing(),
         inFlightRequests: inFlight.totalRequests(),
       }),
     }),
   );
 
+  const { configurationUrl, configurationKey, unconfirmedConfiguration } = settings.platform;
+  const sync = owned.add(
+    createConfigurationSync({
+      clock,
+      random,
+      logger,
+      store: configuration,
+      membership,
+      askPeer: createConfigurationAsker({ clock, connections, metadata }),
+      service: createConfigurationService({ url: configurationUrl, key: configurationKey }),
+      whenUnconfirmed: unconfirmedConfiguration,
+    }),
+  );
+  standing = sync.standing;
+
   const { probe } = owned.add(createServerProber());
   const health = owned.add(
     createServerHealth({
@@ -208,6 +228,7 @@
       peerSecret: settings.peerSecret,
       handlers: {
         exchange: (message) => membership.receive(message),
+        fetchConfiguration: (request) => sync.answer(request),
         ...createForwardedHandlers({
           clock,
           incarnation,
@@ -240,8 +261,7 @@
   );
   callerAddress = advertised.callers ?? addressOf(listeners.callers.host, edge.port);
 
-  const isReady = () =>
-    configuration.current() !== undefined && membership.self().status === 'alive';
+  const isReady = () => sync.isSettled() && membership.self().status === 'alive';
   metrics.gauge('coltsfootworks_in_flight_requests', 'Requests open at servers', () =>
     inFlight.totalRequests(),
   );
@@ -269,9 +289,8 @@
     }),
   );
 
-  const { configurationUrl: url, configurationKey: key } = settings.platform;
-  owned.add(watchConfiguration({ clock, logger, store: configuration, url, key }));
   membership.start();
+  sync.start();
   health.start();
   pauses.start();
   owned.add(
@@ -285,7 +304,6 @@
       client: owned.add(createEngineClient()),
     }),
   );
-  const { instanceListUrl } = settings.platform;
   if (instanceListUrl !== undefined) {
     owned.add(watchServerLists({ clock, logger, health, url: instanceListUrl }));
   }
