--- a/src/core/configuration-sync/configuration-sync.test.ts
+++ b/src/core/configuration-sync/configuration-sync.test.ts
@@ -190,6 +190,56 @@
       assert.equal(fresh.sync?.isSettled(), true);
     }));
 
+  // An instance knows the others by the platform's list alone, and the list can't be read when it starts. Taken
+  // for the only one, it would vouch for whatever an old copy of the configuration says.
+  it('does not take itself for a whole site because the list cannot be read', () =>
+    withFleet(async (fleet) => {
+      let isDown = true;
+      const fresh = fleet.start({
+        instanceId: 'new',
+        region: 'region-0',
+        failureDomain: 'region-0-0',
+        listPeers: async () => {
+          if (isDown) throw new Error('list unavailable');
+          return ['i-5:7400'];
+        },
+      });
+      await fleet.clock.runFor(10_000);
+      assert.equal(fresh.sync?.standing().configurationConfirmed, false);
+      isDown = false;
+      await fleet.clock.runFor(30_000);
+      assert.ok(fresh.membership.usablePeers().length === SIZE);
+    }));
+
+  it('vouches for itself where settings and list name nobody else', async () => {
+    const fleet = createVirtualFleet(4, { withConfiguration: true });
+    const published = splitConfiguration(SAMPLE);
+    fleet.service.publish(published.rootText, published.documents);
+    const only = fleet.start({ instanceId: 'only', region: 'region-0', failureDomain: 'a' });
+    await fleet.clock.runFor(3_000);
+    assert.equal(only.sync?.standing().configurationConfirmed, true);
+    assert.equal(only.sync?.isSettled(), true);
+    await fleet[Symbol.asyncDispose]();
+  });
+
+  // Each new instance of a large site needs megabytes. Taken from every peer that it asks, they would fill the
+  // links of the region on the day all are replaced.
+  it('takes the documents from one peer when it starts', () =>
+    withFleet(async (fleet, publisher) => {
+      const sent = () => all(fleet).map((each) => each.sentBytes());
+      const before = sent();
+      fleet.start({
+        instanceId: 'new',
+        region: 'region-0',
+        failureDomain: 'region-0-0',
+        seedPeers: ['i-0:7400', 'i-1:7400', 'i-2:7400', 'i-3:7400', 'i-4:7400'],
+      });
+      await fleet.clock.runFor(2_000);
+      const wholeBytes = [...publisher.published.documents.values()].join('').length;
+      const givers = sent().filter((bytes, index) => bytes - (before[index] ?? 0) > wholeBytes);
+      assert.equal(givers.length, 1);
+    }));
+
   // Every instance of every region is replaced at once while the service is stale. Nothing that knew the
   // newer version is left; the version falls to what the service gives, and rises again with it.
   it('can only take what the service gives when all regions are replaced at once, and says so', () =>
--- a/src/core/configuration-sync/create-configuration-sync.ts
+++ b/src/core/configuration-sync/create-configuration-sync.ts
@@ -8,6 +8,7 @@
 import type { RandomSource } from '../random';
 import { answerConfigurationRequest } from './answer-peer';
 import { WATCHERS_PER_DOMAIN, shouldWatch, watchStanding } from './choose-watchers';
+import { askSome } from './ask-some';
 import { CONFIGURATION_SYNC_EVENTS } from './events';
 import { pullFromPeer } from './pull-from-peer';
 import { offerFromService } from './read-from-service';
@@ -26,7 +27,7 @@
   readonly store: ConfigurationStore;
   readonly membership: Pick<
     Membership,
-    'self' | 'members' | 'candidateAddresses' | 'prompt' | 'onContact'
+    'self' | 'members' | 'candidateAddresses' | 'whenExplored' | 'isAlone' | 'prompt' | 'onContact'
   >;
   readonly askPeer: AskPeer;
   readonly service: ConfigurationService;
@@ -62,8 +63,6 @@
   answer(request: ConfigurationRequest): ConfigurationAnswer;
 }
 
-/** Peers that a new instance asks before it serves. */
-const ASKED_AT_START = 6;
 /** How often an instance looks whether it is its turn to watch. */
 const TURN_INTERVAL_MS = 1_000;
 const RETRY_LEAST_MS = 1_000;
@@ -91,7 +90,7 @@
   const ownDigest = () => shortDigest(store.currentImage()?.digest ?? '0');
 
   const confirm = () => {
-    if (isConfirmed || store.current() === undefined) return;
+    if (isConfirmed) return;
     isConfirmed = true;
     logger.event(CONFIGURATION_SYNC_EVENTS.confirmed, { version: ownVersion() });
   };
@@ -155,32 +154,19 @@
 
   /** A new instance takes the highest version that its peers have, before it serves. */
   const askAtStart = async (): Promise<void> => {
-    const addresses = membership
-      .candidateAddresses()
-      .map((address) => ({ address, order: random.next() }))
-      .sort((left, right) => left.order - right.order)
-      .slice(0, ASKED_AT_START)
-      .map(({ address }) => address);
-    const answers = await Promise.all(addresses.map((address) => pull(address)));
+    await membership.whenExplored();
+    const answers = await askSome({ random, askPeer, addresses: membership.candidateAddresses() });
+    for (const { peerAddress, answer } of answers) {
+      if (answer.version > ownVersion()) await pull(peerAddress);
+    }
     const isVouched = answers.some(
-      (answer) => answer?.isConfirmed === true && answer.version <= ownVersion(),
+      ({ answer }) => answer.isConfirmed && answer.version <= ownVersion(),
     );
-    if (isVouched) confirm();
+    // An instance whose settings and list name nobody is a whole site: nobody else could vouch.
+    if (isVouched || membership.isAlone()) confirm();
     hasAsked = true;
   };
 
-  const noteUnconfirmed = () => {
-    const { candidateAddresses } = membership;
-    // An instance that is configured to know nobody is a whole site: nobody else could vouch.
-    if (candidateAddresses().length === 0) {
-      confirm();
-      return;
-    }
-    if (!isConfirmed) {
-      logger.event(CONFIGURATION_SYNC_EVENTS.unconfirmed, { version: ownVersion() });
-    }
-  };
-
   const isTurn = (): boolean => {
     const own = membership.self();
     const candidates = membership
@@ -228,7 +214,9 @@
 
   const runWatch = async (): Promise<void> => {
     await askAtStart();
-    noteUnconfirmed();
+    if (!isConfirmed) {
+      logger.event(CONFIGURATION_SYNC_EVENTS.unconfirmed, { version: ownVersion() });
+    }
     while (!signal.aborted) {
       if (isTurn()) {
         logger.event(CONFIGURATION_SYNC_EVENTS.watchStarted);
--- a/src/core/membership/create-membership.ts
+++ b/src/core/membership/create-membership.ts
@@ -47,6 +47,10 @@
   usablePeers(): readonly MemberRecord[];
   /** Addresses at which other instances may be found, whether they are known to live or not. */
   candidateAddresses(): readonly string[];
+  /** Resolves once the list has been read or given up and the first addresses have been tried. */
+  whenExplored(): Promise<void>;
+  /** Whether settings and list name nobody else; false while the list cannot be read. */
+  isAlone(): boolean;
   /** Starts the tasks. */
   start(): void;
   /** Takes in what a peer sent, and returns what to answer. */
@@ -83,6 +87,11 @@
   const stopping = new AbortController();
   const tasks: Promise<void>[] = [];
   let listed: readonly string[] = [];
+  let isListRead = options.listPeers === undefined;
+  let endFirstRound = () => {};
+  const firstRound = new Promise<void>((resolve) => {
+    endFirstRound = resolve;
+  });
   let observedAtMs = clock.monotonicMs();
   let pauses = 0;
   let rechoosing = false;
@@ -208,6 +217,7 @@
     if (options.listPeers === undefined) return;
     try {
       listed = await options.listPeers();
+      isListRead = true;
     } catch (error) {
       logger.event(MEMBERSHIP_EVENTS.instanceListUnavailable, { reason: errorText(error) });
     }
@@ -249,6 +259,7 @@
       const address = chooseExplored({ ...exploreInput(), turn }, random);
       if (address !== undefined && !isAlone) await tryAddress(address);
       forgetLinks();
+      endFirstRound();
       const restMs = livingOthers().length === 0 ? restedMs() / 5 : restedMs();
       await sleepUntil(clock, clock.monotonicMs() + restMs, stopping.signal);
     }
@@ -265,6 +276,9 @@
       ...livingOthers().map((member) => member.peerAddress),
       ...addressesOutside(exploreInput()),
     ],
+    whenExplored: () => firstRound,
+    isAlone: () =>
+      isListRead && livingOthers().length + addressesOutside(exploreInput()).length === 0,
     start() {
       started = true;
       observedAtMs = clock.monotonicMs();
@@ -297,6 +311,7 @@
     },
     async [Symbol.asyncDispose]() {
       stopping.abort();
+      endFirstRound();
       await Promise.all([...tasks, partners[Symbol.asyncDispose]()]);
     },
   };
