Start the demonstration's processes on whatever ports are free

Cause: one start in six failed: a port that had been looked for beforehand was taken by another connection before the instance got to it (EADDRINUSE in its log), and the wait for a whole fleet ended in vain. Ruled out: trying again (the next port can be taken as well); a fixed range (two runs at once collide). Now each instance takes port 0 and names its addresses in its first log line; the relays between instances are the fault proxy that the tests use, and the second relay and the search for ports are gone. The line now names the listener's address as well.

--- a/bench/edge/gateway-under-test.ts
+++ b/bench/edge/gateway-under-test.ts
@@ -8,7 +8,6 @@
 import { startInstanceProcess } from '../../demo/instance-process';
 import { openEngineStandIn } from '../../standins/engine';
 import type { EngineStandIn } from '../../standins/engine';
-import { findFreePorts } from '../../standins/free-ports';
 import { openPlainStandIn } from '../../standins/plain-service';
 import type { PlainStandIn } from '../../standins/plain-service';
 import { openPlatformStandIn } from '../../standins/platform';
@@ -72,26 +71,21 @@
   const configuration = describeConfiguration(engine.address, application.address);
   platform.publish(CONFIGURATION_KEY, JSON.stringify(configuration));
 
-  const [callers, peers, operators] = await findFreePorts(3);
-  const host = '127.0.0.1';
+  const anyPort = { host: '127.0.0.1', port: 0 };
   const settings = settingsSchema.parse({
     instanceId: 'bench-1',
     region: REGION,
     failureDomain: 'rundu-a',
-    listeners: {
-      callers: { host, port: callers },
-      peers: { host, port: peers },
-      operators: { host, port: operators },
-    },
+    listeners: { callers: anyPort, peers: anyPort, operators: anyPort },
     peerSecret: 'peer-secret-of-the-bench',
     operatorKey: OPERATOR_KEY,
     platform: { configurationUrl: `http://${platform.address}` },
     // A line for each decision is part of the cost, as in production.
     logLevel: 'info',
   });
-  owned.add(startInstanceProcess(settings));
+  const { addresses } = owned.add(await startInstanceProcess(settings));
 
-  const url = `http://${host}:${callers}`;
+  const url = `http://${addresses.callerAddress}`;
   await waitFor(async () => {
     const answer = await request(`${url}/readyz`).catch(() => undefined);
     await answer?.body.dump();
@@ -99,7 +93,7 @@
   }, 'the instance to be ready');
 
   const metric = async (name: string) => {
-    const answer = await request(`http://${host}:${operators}/metrics`, {
+    const answer = await request(`http://${addresses.operatorAddress}/metrics`, {
       headers: { authorization: `Bearer ${OPERATOR_KEY}` },
     });
     return metricValue(await answer.body.text(), name);
--- a/demo/caller-client.ts
+++ b/demo/caller-client.ts
@@ -30,7 +30,7 @@
   instance: InstanceProcess,
   { method, path, key, body, headers }: CallerRequest,
 ): Promise<CallerAnswer> {
-  const response = await request(`http://${instance.callerAddress}${path}`, {
+  const response = await request(`http://${instance.addresses.callerAddress}${path}`, {
     method,
     headers: { authorization: `Bearer ${key}`, ...headers },
     ...(body === undefined ? {} : { body }),
--- a/demo/deployment.ts
+++ b/demo/deployment.ts
@@ -3,12 +3,12 @@
 import type { Configuration } from '../src/core/configuration';
 import { createDisposableStore } from '../src/core/lifetime';
 import { settingsSchema } from '../src/core/settings';
+import type { Settings } from '../src/core/settings';
 import { waitFor } from '../src/testing';
 import { openEngineStandIn } from '../standins/engine';
 import type { EngineStandIn } from '../standins/engine';
-import { findFreePorts } from '../standins/free-ports';
-import { openNetworkLink } from '../standins/network-link';
-import type { NetworkLink } from '../standins/network-link';
+import { openFaultProxy } from '../standins/fault-proxy';
+import type { FaultProxy } from '../standins/fault-proxy';
 import { openPlainStandIn } from '../standins/plain-service';
 import type { PlainStandIn } from '../standins/plain-service';
 import { openPlatformStandIn } from '../standins/platform';
@@ -26,10 +26,10 @@
   readonly applications: ReadonlyMap<string, PlainStandIn>;
   readonly instances: readonly InstanceProcess[];
   /** Links by which instances reach one another, in the order of the instances. */
-  readonly links: readonly NetworkLink[];
+  readonly links: readonly FaultProxy[];
   publish(configuration: Configuration): void;
   /** Starts another process with the settings of the instance at `index`, once that has ended. */
-  restart(index: number): void;
+  restart(index: number): Promise<void>;
   instanceIn(region: string): InstanceProcess;
 }
 
@@ -37,7 +37,6 @@
 /** Key of the operators' listeners of the demonstration. */
 export const DEMO_OPERATOR_KEY = 'demonstration-operator-key';
 const CONFIGURATION_KEY = 'coltsfootworks/configuration';
-const PORTS_PER_INSTANCE = 3;
 const ANSWER_TOKENS = 24;
 const TOKEN_INTERVAL_MS = 5;
 
@@ -108,33 +107,34 @@
     platform.publish(CONFIGURATION_KEY, JSON.stringify(next));
   publish(configuration);
 
+  const instances: InstanceProcess[] = [];
   const places = placesOf(configuration);
-  const ports = await findFreePorts(places.length * PORTS_PER_INSTANCE);
-  const links: NetworkLink[] = [];
+  const links: FaultProxy[] = [];
   for (let index = 0; index < places.length; index += 1) {
-    links.push(owned.add(await openNetworkLink(ports[index * PORTS_PER_INSTANCE + 1] ?? 0)));
+    // Until the instance listens there is nothing behind its link, as with any seed that is not up yet.
+    const target = () => instances[index]?.addresses.peerListenAddress ?? '127.0.0.1:1';
+    links.push(owned.add(await openFaultProxy(target)));
   }
 
-  const instances = places.map(({ region, failureDomain }, index) => {
-    const [callers, peers, operators] = ports.slice(index * PORTS_PER_INSTANCE);
-    const host = '127.0.0.1';
-    const settings = settingsSchema.parse({
+  const settingsOf = ({ region, failureDomain }: Place, index: number): Settings => {
+    const anyPort = { host: '127.0.0.1', port: 0 };
+    return settingsSchema.parse({
       instanceId: `${failureDomain}1`,
       region,
       failureDomain,
-      listeners: {
-        callers: { host, port: callers },
-        peers: { host, port: peers },
-        operators: { host, port: operators },
-      },
+      listeners: { callers: anyPort, peers: anyPort, operators: anyPort },
       advertised: { peers: links[index]?.address },
       seedPeers: links.filter((_link, other) => other !== index).map((link) => link.address),
       peerSecret: PEER_SECRET,
       operatorKey: DEMO_OPERATOR_KEY,
       platform: { configurationUrl: `http://${platform.address}` },
     });
-    return startInstanceProcess(settings);
-  });
+  };
+  instances.push(
+    ...(await Promise.all(
+      places.map((place, index) => startInstanceProcess(settingsOf(place, index))),
+    )),
+  );
   owned.defer(async () => {
     await Promise.all(instances.map((instance) => instance[Symbol.asyncDispose]()));
   });
@@ -148,9 +148,9 @@
     instances,
     links,
     publish,
-    restart(index) {
+    async restart(index) {
       const previous = instances[index];
-      if (previous !== undefined) instances[index] = startInstanceProcess(previous.settings);
+      if (previous !== undefined) instances[index] = await startInstanceProcess(previous.settings);
     },
     instanceIn(region) {
       const found = instances.find(({ settings }) => settings.region === region);
--- a/demo/instance-process.ts
+++ b/demo/instance-process.ts
@@ -1,12 +1,25 @@
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
+import { createInterface } from 'node:readline';
+import { z } from 'zod';
+import { NODE_EVENTS } from '../src/core/node';
 import type { Settings } from '../src/core/settings';
 
+/** Addresses of an instance that runs, as its first log line has them. */
+const startedSchema = z.object({
+  event: z.literal(NODE_EVENTS.started.id),
+  callerAddress: z.string(),
+  peerListenAddress: z.string(),
+  operatorAddress: z.string(),
+});
+
+/** ip:port of each listener. */
+export type InstanceAddresses = Omit<z.output<typeof startedSchema>, 'event'>;
+
 /** One instance as a process of its own, as it runs in production. */
 export interface InstanceProcess extends AsyncDisposable {
   readonly settings: Settings;
-  /** ip:port for callers. */
-  readonly callerAddress: string;
+  readonly addresses: InstanceAddresses;
   /** The last lines that it logged. */
   readonly logTail: readonly string[];
   /** Asks for a graceful stop and resolves with the exit code. */
@@ -24,24 +37,41 @@
   });
 }
 
-function keepTail(child: ChildProcess, tail: string[]): void {
-  child.stderr?.setEncoding('utf8');
-  child.stderr?.on('data', (text: string) => {
-    tail.push(...text.split('\n').filter((line) => line !== ''));
-    tail.splice(0, Math.max(0, tail.length - LOG_LINES_KEPT));
+function parseStarted(line: string): InstanceAddresses | undefined {
+  try {
+    return startedSchema.safeParse(JSON.parse(line)).data;
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * Resolves with the addresses that the process names. Each listener takes whatever port is free: a port that
+ * was looked for beforehand may be taken by another connection before the process gets to it.
+ */
+function readAddresses(child: ChildProcess, tail: string[]): Promise<InstanceAddresses> {
+  return new Promise((resolve, reject) => {
+    if (child.stderr === null) throw new Error('the log is not piped');
+    createInterface({ input: child.stderr }).on('line', (line) => {
+      tail.push(line);
+      if (tail.length > LOG_LINES_KEPT) tail.shift();
+      const addresses = parseStarted(line);
+      if (addresses !== undefined) resolve(addresses);
+    });
+    child.once('exit', () => reject(new Error(`the instance did not start:\n${tail.join('\n')}`)));
   });
 }
 
-/** Starts `coltsfootworks serve` with its settings on standard input. */
-export function startInstanceProcess(settings: Settings): InstanceProcess {
+/** Starts `coltsfootworks serve` with its settings on standard input, and waits until it listens. */
+export async function startInstanceProcess(settings: Settings): Promise<InstanceProcess> {
   const child = spawn(
     process.execPath,
     ['--import', 'tsx', 'src/main.ts', 'serve', '--settings', '-'],
     { stdio: ['pipe', 'ignore', 'pipe'] },
   );
-  child.stdin?.end(JSON.stringify(settings));
+  child.stdin.end(JSON.stringify(settings));
   const logTail: string[] = [];
-  keepTail(child, logTail);
+  const addresses = await readAddresses(child, logTail);
 
   const stop = () => {
     child.kill('SIGTERM');
@@ -49,7 +79,7 @@
   };
   return {
     settings,
-    callerAddress: `${settings.listeners.callers.host}:${settings.listeners.callers.port}`,
+    addresses,
     logTail,
     stop,
     async kill() {
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -37,7 +37,7 @@
 };
 
 function printCommands(deployment: Deployment, cast: DemoCast): void {
-  const { callerAddress } = deployment.instanceIn(cast.home);
+  const { callerAddress } = deployment.instanceIn(cast.home).addresses;
   const authorization = `-H 'Authorization: Bearer ${sampleKey(cast.caller)}'`;
   console.log(`\n${deployment.name}:`);
   console.log(`  curl ${authorization} http://${callerAddress}/v1/entry`);
--- a/demo/operator-client.ts
+++ b/demo/operator-client.ts
@@ -4,12 +4,11 @@
 
 /** The status of an instance, or undefined while it does not answer. */
 export async function fetchStatus(
-  { settings }: InstanceProcess,
+  { addresses }: InstanceProcess,
   operatorKey: string,
 ): Promise<InstanceStatus | undefined> {
-  const { host, port } = settings.listeners.operators;
   try {
-    const response = await request(`http://${host}:${port}/status`, {
+    const response = await request(`http://${addresses.operatorAddress}/status`, {
       headers: { authorization: `Bearer ${operatorKey}` },
     });
     return (await response.body.json()) as InstanceStatus;
--- a/demo/steps.ts
+++ b/demo/steps.ts
@@ -185,16 +185,19 @@
     name: 'all links between instances cut',
     expected: 'each region serves its own; views heal',
     async run() {
-      for (const link of deployment.links) link.cut();
+      for (const link of deployment.links) {
+        link.refuse();
+        link.resetOpen();
+      }
       await new Promise((resolve) => {
         setTimeout(resolve, CUT_MS);
       });
       const key = sampleKey(cast.boundCaller);
       const instance = deployment.instanceIn(cast.boundRegion);
       const others = await aliveOthers(instance);
-      const text = await streamChat(instance.callerAddress, key, cast.model, 'cut off');
+      const text = await streamChat(instance.addresses.callerAddress, key, cast.model, 'cut off');
       const tokens = text.trim().split(' ').length;
-      for (const link of deployment.links) link.heal();
+      for (const link of deployment.links) link.accept();
       const healingFromMs = performance.now();
       await waitUntilWhole(deployment.instances);
       const healedMs = Math.round(performance.now() - healingFromMs);
@@ -236,7 +239,7 @@
       const [before = 0] = await incarnationsSeen(deployment, instanceId);
       await deployment.instances[index]?.kill();
       const startedAtMs = performance.now();
-      deployment.restart(index);
+      await deployment.restart(index);
       await waitFor(
         async () => (await incarnationsSeen(deployment, instanceId)).every((seen) => seen > before),
         'the new incarnation everywhere',
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -307,13 +307,21 @@
   if (instanceListUrl !== undefined) {
     owned.add(watchServerLists({ clock, logger, health, url: instanceListUrl }));
   }
-  logger.event(NODE_EVENTS.started, { callerAddress, peerAddress, incarnation });
+  const operatorAddress = addressOf(listeners.operators.host, operators.port);
+  logger.event(NODE_EVENTS.started, {
+    callerAddress,
+    peerAddress,
+    // What is advertised may be the address of a relay before this listener.
+    peerListenAddress: addressOf(listeners.peers.host, peerServer.port),
+    operatorAddress,
+    incarnation,
+  });
 
   return {
     callerAddress,
     peerAddress,
     peerPort: peerServer.port,
-    operatorAddress: addressOf(listeners.operators.host, operators.port),
+    operatorAddress,
     inFlightRequests: () => inFlight.totalRequests(),
     openWork: draining.openWork,
     knownPeerCount: () => membership.usablePeers().length,
