--- a/src/core/membership/merge.ts
+++ b/src/core/membership/merge.ts
@@ -10,8 +10,8 @@
  * and idempotent.
  */
 
-/** At one sequence the graver word stands; a life found dead never stands up again. */
-const GRAVITY: Readonly<Record<MemberStatus, number>> = {
+/** At one sequence the more severe status stands; a life found dead stays dead. */
+const SEVERITY: Readonly<Record<MemberStatus, number>> = {
   alive: 0,
   leaving: 1,
   suspect: 2,
@@ -81,7 +81,7 @@
   return (
     deadLeft - deadRight ||
     left.sequence - right.sequence ||
-    GRAVITY[left.status] - GRAVITY[right.status] ||
+    SEVERITY[left.status] - SEVERITY[right.status] ||
     compareContent(standingOf(left), standingOf(right))
   );
 }
