Decide admission, queueing and routing of a service in pure code, and play six load scenarios at it

Cause: the skeleton sends everything at once to the server with the fewest requests of this instance.

--- a/bench/decisions/bounds.ts
+++ b/bench/decisions/bounds.ts
@@ -22,7 +22,21 @@
  * The table, by name of figure. A bound is changed only with the figures and the reason, in the commit and in
  * the design note of the decision that it belongs to.
  */
-export const BOUNDS: Readonly<Record<string, Bound>> = {};
+export const BOUNDS: Readonly<Record<string, Bound>> = {
+  'long-among-short/short-p99-to-fifo': atMost(0.35),
+  'long-among-short/long-p99-to-fifo': atMost(1.3),
+  'burst/goodput-to-capacity': atLeast(0.95),
+  'burst/p99-to-deadline': atMost(1),
+  'burst/refusal-delay-p99-ms': atMost(50),
+  'saturation/goodput-to-capacity': atLeast(0.95),
+  'saturation/p99-to-deadline': atMost(1),
+  'saturation/refusal-delay-p99-ms': atMost(50),
+  'heavy-callers/light-p99-to-alone': atMost(1.25),
+  'shared-prefixes/recomputed-to-least-in-flight': atMost(0.5),
+  'shared-prefixes/p99-to-least-in-flight': atMost(1.1),
+  'lagging-reports/p99-to-fresh-reports': atMost(1.25),
+  'lagging-reports/refused-share': atMost(0.01),
+};
 
 function holds(measured: number, bound: Bound): boolean {
   switch (bound.kind) {
--- a/bench/decisions/harness/types.ts
+++ b/bench/decisions/harness/types.ts
@@ -266,6 +266,8 @@
   onRequest(request: LoadRequest): void;
   /** An attempt ended. After `answered` nothing is left to do; after a failure, try again or refuse. */
   onAttemptEnd(request: LoadRequest, end: AttemptEnd): void;
+  /** The first token of an attempt's answer came. */
+  onFirstToken?(request: LoadRequest, serverId: string): void;
   /** The request's deadline passed while the policy held it; it must be forgotten. */
   onGone(request: LoadRequest): void;
   onLoadReport?(report: LoadReport): void;
--- a/bench/decisions/harness/visits.ts
+++ b/bench/decisions/harness/visits.ts
@@ -108,7 +108,9 @@
       onFirstToken: () =>
         back(() => {
           firstTokenAtMs = queue.nowMs();
-          if (attempts.has(attempt)) listener.firstToken();
+          if (!attempts.has(attempt)) return;
+          policy.onFirstToken?.(request, serverId);
+          listener.firstToken();
         }),
       onAnswered: (usage) =>
         back(() => {
--- /dev/null
+++ b/bench/decisions/policies/scheduler-policy.ts
@@ -0,0 +1,164 @@
+import { createServiceScheduler } from '../../../src/core/scheduling';
+import type {
+  Placement,
+  ScheduledRequest,
+  SchedulerOptions,
+  ServiceScheduler,
+} from '../../../src/core/scheduling';
+import { PLAIN_WORK, engineWork } from '../../../src/core/work';
+import type { LoadRequest, Policy, PolicyFactory, PolicySetup, ServerSpec } from '../harness';
+
+/** What a measurement may change of the project's own decisions. */
+export type SchedulerChanges = Partial<
+  Pick<SchedulerOptions, 'limitRule' | 'batchShare' | 'batchLongestWaitMs' | 'standingWaitMs'>
+>;
+
+const DEFAULTS = { batchShare: 0.2, batchLongestWaitMs: 20_000, standingWaitMs: 500 };
+
+type Item = LoadRequest;
+
+/** The servers of one service in the region of an instance, with the scheduler that decides over them. */
+interface ScheduledService {
+  readonly kind: ServerSpec['kind'];
+  readonly scheduler: ServiceScheduler<Item>;
+}
+
+function createServices(
+  { servers, instance, random }: PolicySetup,
+  changes: SchedulerChanges,
+): ReadonlyMap<string, ScheduledService> {
+  const services = new Map<string, ScheduledService>();
+  const local = servers.filter(({ region }) => region === instance.region);
+  for (const { service, kind } of local) {
+    if (services.has(service)) continue;
+    const scheduler = createServiceScheduler<Item>({
+      kind,
+      ownFailureDomain: instance.failureDomain,
+      random,
+      ...DEFAULTS,
+      ...changes,
+    });
+    const own = local.filter((server) => server.service === service);
+    scheduler.replaceServers(own.map((server) => ({ ...server, address: server.serverId })));
+    services.set(service, { kind, scheduler });
+  }
+  return services;
+}
+
+function workOf({ promptTokens, maxOutputTokens, prefixKey, prefixTokens }: LoadRequest) {
+  const prefixes = prefixKey === undefined ? [] : [{ key: prefixKey, tokens: prefixTokens }];
+  return engineWork(promptTokens, maxOutputTokens, prefixes);
+}
+
+/** The project's own admission, queueing and routing as the running instance wires them. */
+function createSchedulerPolicy(setup: PolicySetup, changes: SchedulerChanges): Policy {
+  const { actions } = setup;
+  const services = createServices(setup, changes);
+  const waiting = new Map<number, ScheduledRequest<Item>>();
+  const placements = new Map<number, Placement<Item>>();
+  let wakeAtMs = Number.POSITIVE_INFINITY;
+
+  const send = (placement: Placement<Item>) => {
+    const { item } = placement.request;
+    waiting.delete(item.requestId);
+    placements.set(item.requestId, placement);
+    actions.send(item, placement.choice.server.serverId);
+  };
+
+  const expire = (scheduler: ServiceScheduler<Item>) => {
+    const nowMs = actions.nowMs();
+    for (const { request, retryAtMs } of scheduler.takeExpired(nowMs)) {
+      waiting.delete(request.item.requestId);
+      actions.refuse(request.item, 'expired', retryAtMs);
+    }
+    const nextMs = scheduler.nextExpiryAtMs();
+    if (nextMs === undefined || nextMs >= wakeAtMs) return;
+    wakeAtMs = nextMs;
+    actions.wakeAt(nextMs + 1, () => {
+      wakeAtMs = Number.POSITIVE_INFINITY;
+      expire(scheduler);
+    });
+  };
+
+  const schedulerOf = ({ service }: LoadRequest) => services.get(service)?.scheduler;
+
+  const pump = (scheduler: ServiceScheduler<Item>) => {
+    scheduler.takeReady(actions.nowMs()).forEach(send);
+    expire(scheduler);
+  };
+
+  return {
+    onRequest(item) {
+      const service = services.get(item.service);
+      if (service === undefined) {
+        actions.refuse(item, 'no server');
+        return;
+      }
+      const request: ScheduledRequest<Item> = {
+        item,
+        callerId: item.callerId,
+        priority: item.priority,
+        work: service.kind === 'engine' ? workOf(item) : PLAIN_WORK,
+        arrivedAtMs: actions.nowMs(),
+        deadlineAtMs: item.deadlineAtMs,
+        mayUse: () => true,
+      };
+      const offer = service.scheduler.offer(request, actions.nowMs());
+      switch (offer.kind) {
+        case 'run':
+          send(offer.placement);
+          return;
+        case 'wait':
+          waiting.set(item.requestId, request);
+          pump(service.scheduler);
+          return;
+        case 'refuse':
+          actions.refuse(item, offer.reason, offer.retryAtMs);
+          return;
+        default:
+          offer satisfies never;
+      }
+    },
+    onAttemptEnd(item, end) {
+      const placement = placements.get(item.requestId);
+      const scheduler = schedulerOf(item);
+      if (placement === undefined || scheduler === undefined) return;
+      placements.delete(item.requestId);
+      const result = end.kind === 'answered' ? 'answered' : 'withoutAnswer';
+      scheduler.end(placement, result, actions.nowMs());
+      if (end.kind === 'crashed' || end.kind === 'unreachable') {
+        scheduler.forgetCache(end.serverId);
+        actions.refuse(item, 'server failed');
+      }
+      pump(scheduler);
+    },
+    onFirstToken(item) {
+      const placement = placements.get(item.requestId);
+      if (placement !== undefined) schedulerOf(item)?.firstByte(placement);
+    },
+    onGone(item) {
+      const request = waiting.get(item.requestId);
+      if (request === undefined) return;
+      waiting.delete(item.requestId);
+      schedulerOf(item)?.remove(request);
+    },
+    onLoadReport(report) {
+      services.forEach(({ scheduler }) =>
+        scheduler.noteReport(report.serverId, report, actions.nowMs()),
+      );
+    },
+    onCacheEvent({ kind, serverId, prefixKey, atMs }) {
+      services.forEach(({ scheduler }) =>
+        scheduler.noteCacheEvent({ kind, serverId, key: prefixKey, atMs }),
+      );
+    },
+  };
+}
+
+/** The project's own decisions, with what a measurement changes of them. */
+export function schedulerPolicy(
+  name = 'coltsfootworks',
+  changes: SchedulerChanges = {},
+): PolicyFactory {
+  return { name, create: (setup) => createSchedulerPolicy(setup, changes) };
+}
--- /dev/null
+++ b/src/core/admission/gradient-rule.ts
@@ -0,0 +1,32 @@
+import type { LimitWindow } from './types';
+
+/**
+ * Stretch up to which a limit grows. A batch of 16 makes each request of an engine about 1.8 times as slow
+ * as alone while it raises throughput almost ninefold; past a full batch only the latency grows. A plain
+ * server's calls take as long as alone until its workers are busy, and twice as long once as many wait.
+ */
+export const STRETCH_TOLERANCE = 2;
+
+/** Least share of a limit that one window leaves, so that one odd window does not close a server. */
+const LEAST_KEPT_SHARE = 0.7;
+
+/** Use of a limit from which a window without strain lets it grow; an unused limit says nothing. */
+const USED_SHARE = 0.8;
+
+/** Growth of a limit in a window, as a share of it; at least one request. */
+const GROWTH_SHARE = 0.1;
+
+/**
+ * Latency gradient: the limit shrinks in proportion to how far the stretch is above the tolerance, and grows by
+ * a little where it was used and the stretch is below. A fixed limit is wrong as soon as the mix of work, the
+ * version of a model or the number of instances changes: too low it wastes servers, too high it moves the queue
+ * into them, where neither priority nor fairness reaches it.
+ */
+export function gradientRule(window: LimitWindow): number {
+  const { limitUnits, peakUnits, meanRequestUnits, stretch } = window;
+  if (stretch > STRETCH_TOLERANCE) {
+    return limitUnits * Math.max(LEAST_KEPT_SHARE, STRETCH_TOLERANCE / stretch);
+  }
+  if (peakUnits < USED_SHARE * limitUnits) return limitUnits;
+  return limitUnits + Math.max(meanRequestUnits, GROWTH_SHARE * limitUnits);
+}
--- /dev/null
+++ b/src/core/queueing/fair-queue.ts
@@ -0,0 +1,104 @@
+import type { Priority } from '../configuration';
+import { createClassQueue } from './class-queue';
+import { createHeap } from './heap';
+import type { FairQueue, QueueEntry } from './types';
+
+/** How a queue divides its turns. */
+export interface FairQueueOptions {
+  /** Share of the work that batch requests get while interactive ones wait too, 0 to 1. */
+  readonly batchShare: number;
+  /** A batch request that has waited longer goes next, whatever else waits, ms. */
+  readonly batchLongestWaitMs: number;
+}
+
+/**
+ * The waiting requests of one service.
+ *
+ * It answers long work among short: a plan reading or a dossier takes as much as a hundred stock checks, and
+ * in a FIFO queue the checks wait behind it. Interactive work goes first; batch work keeps a share
+ * of the turns, and goes next once it has waited for its longest wait, for without a bound a busy day would
+ * hold it for hours. Work that can't be whole before its deadline leaves before it runs: were it run, the
+ * servers would be busy with answers that nobody waits for, and everyone after it would miss the deadline too.
+ */
+export function createFairQueue<Item>(options: FairQueueOptions): FairQueue<Item> {
+  const classes = {
+    interactive: createClassQueue<Item>(),
+    batch: createClassQueue<Item>(),
+  } satisfies Record<Priority, unknown>;
+  const weights: Readonly<Record<Priority, number>> = {
+    interactive: 1 - options.batchShare,
+    batch: options.batchShare,
+  };
+  /** Weighted work given to each class while both had some waiting. */
+  const tags: Record<Priority, number> = { interactive: 0, batch: 0 };
+  const expiries = createHeap<QueueEntry<Item>>(
+    (left, right) => left.latestStartAtMs < right.latestStartAtMs,
+  );
+  const waiting = new Set<QueueEntry<Item>>();
+
+  const nextClass = (nowMs: number): Priority => {
+    if (classes.interactive.size() === 0) return 'batch';
+    if (classes.batch.size() === 0) return 'interactive';
+    const oldestBatchAtMs = classes.batch.oldestArrivalAtMs() ?? nowMs;
+    if (nowMs - oldestBatchAtMs > options.batchLongestWaitMs) {
+      classes.batch.promoteOldest();
+      return 'batch';
+    }
+    return tags.interactive <= tags.batch ? 'interactive' : 'batch';
+  };
+
+  const firstToExpire = (): QueueEntry<Item> | undefined => {
+    for (let first = expiries.peek(); first !== undefined; first = expiries.peek()) {
+      if (waiting.has(first)) return first;
+      expiries.pop();
+    }
+    return undefined;
+  };
+
+  const remove = (entry: QueueEntry<Item>) => {
+    waiting.delete(entry);
+    classes[entry.priority].remove(entry);
+  };
+
+  return {
+    size: () => waiting.size,
+    queuedUnits: (priority) => classes[priority].units(),
+    unitsAhead(priority, callerId, units) {
+      const ownClass = classes[priority].unitsAhead(callerId, units);
+      const otherPriority = priority === 'interactive' ? 'batch' : 'interactive';
+      const otherUnits = classes[otherPriority].units();
+      const turnsOfOther = (weights[otherPriority] / weights[priority]) * (ownClass + units);
+      return ownClass + Math.min(otherUnits, turnsOfOther);
+    },
+    push(entry) {
+      const own = classes[entry.priority];
+      if (own.size() === 0) {
+        const other = entry.priority === 'interactive' ? 'batch' : 'interactive';
+        tags[entry.priority] = Math.max(tags[entry.priority], tags[other]);
+      }
+      own.push(entry);
+      expiries.push(entry);
+      waiting.add(entry);
+    },
+    peek: (nowMs) => classes[nextClass(nowMs)].peek(),
+    shift(nowMs) {
+      const priority = nextClass(nowMs);
+      const entry = classes[priority].shift();
+      if (entry === undefined) return undefined;
+      waiting.delete(entry);
+      tags[priority] += entry.units / weights[priority];
+      return entry;
+    },
+    remove,
+    takeExpired(nowMs) {
+      const expired: QueueEntry<Item>[] = [];
+      for (let first = firstToExpire(); first !== undefined; first = firstToExpire()) {
+        if (first.latestStartAtMs >= nowMs) break;
+        remove(first);
+        expired.push(first);
+      }
+      return expired;
+    },
+    nextExpiryAtMs: () => firstToExpire()?.latestStartAtMs,
+  };
+}
--- /dev/null
+++ b/src/core/queueing/index.ts
@@ -0,0 +1,6 @@
+/** In which order waiting requests run, and which leave before they run. */
+export { createFairQueue } from './fair-queue';
+export type { FairQueueOptions } from './fair-queue';
+export { createStandingQueue } from './standing-queue';
+export type { StandingQueue, StandingQueueOptions } from './standing-queue';
+export type { FairQueue, QueueEntry } from './types';
--- /dev/null
+++ b/src/core/queueing/types.ts
@@ -0,0 +1,32 @@
+import type { Priority } from '../configuration';
+
+/** What waits for its turn. */
+export interface QueueEntry<Item> {
+  readonly item: Item;
+  readonly callerId: string;
+  readonly priority: Priority;
+  /** Estimated work. */
+  readonly units: number;
+  readonly arrivedAtMs: number;
+  /** Begun later than this it can't be whole before its deadline. */
+  readonly latestStartAtMs: number;
+}
+
+/** Waiting requests of one service, in the order in which they shall run. */
+export interface FairQueue<Item> {
+  size(): number;
+  /** Work waiting in a class. */
+  queuedUnits(priority: Priority): number;
+  /** Work that would probably run before a request of this caller that came now. */
+  unitsAhead(priority: Priority, callerId: string, units: number): number;
+  push(entry: QueueEntry<Item>): void;
+  /** The entry whose turn it is; it stays until `shift`. */
+  peek(nowMs: number): QueueEntry<Item> | undefined;
+  shift(nowMs: number): QueueEntry<Item> | undefined;
+  /** Takes an entry out, for example since its caller has gone. */
+  remove(entry: QueueEntry<Item>): void;
+  /** Takes out all that can no longer be whole before their deadline. */
+  takeExpired(nowMs: number): readonly QueueEntry<Item>[];
+  /** When the next entry expires; undefined when nothing waits. */
+  nextExpiryAtMs(): number | undefined;
+}
--- /dev/null
+++ b/src/core/routing/choose-server.ts
@@ -0,0 +1,173 @@
+import type { RandomSource } from '../random';
+import { pickIndex } from '../random';
+import type { WorkEstimate } from '../work';
+import type { DenseSet } from './dense-set';
+import type { PrefixIndex } from './prefix-index';
+import type { ServerPool } from './server-pool';
+import type { ServerState } from './server-state';
+
+/** What the choice of a server rests on. */
+export interface ServerChoiceInput {
+  readonly kind: 'engine' | 'plain';
+  readonly pool: ServerPool;
+  readonly prefixIndex: PrefixIndex;
+  readonly work: WorkEstimate;
+  readonly ownFailureDomain: string;
+  readonly random: RandomSource;
+  readonly nowMs: number;
+  /** Whether the request may go there: not ejected, not leaving, not failed for it before. */
+  readonly mayUse: (serverId: string) => boolean;
+}
+
+/** A server for a request. */
+export interface ServerChoice {
+  readonly server: ServerState;
+  /** Prompt tokens that the server will probably have to compute. */
+  readonly prefillTokens: number;
+  readonly runnersUp: readonly string[];
+  readonly reason: 'holds-prefix' | 'home-of-prefix' | 'least-work' | 'near-least-work';
+}
+
+interface Candidate {
+  readonly server: ServerState;
+  readonly reason: ServerChoice['reason'];
+  readonly prefillTokens: number;
+  readonly cost: number;
+}
+
+/** Servers drawn at random in each of the two circles: two are nearly as good as all, one is far worse. */
+const DRAWN = 2;
+
+/** Further draws when none of those drawn may be used, before the request counts as without a server. */
+const MOST_FURTHER_DRAWS = 8;
+
+/** Servers on the ring that a prefix belongs to while nobody is known to hold it. */
+const HOMES_OF_PREFIX = 2;
+
+/**
+ * Chance that the home of a prefix holds it although this instance never sent it there: other instances
+ * send their first request with it to the same home.
+ */
+const HOME_HOLDS_SHARE = 0.3;
+
+/** Use above which servers of the own failure domain no longer come first for plain services. */
+const NEAR_USE_LIMIT = 0.8;
+
+/** Those not chosen that a decision names. */
+const RUNNERS_UP_NAMED = 3;
+
+/**
+ * What choosing a server costs the request, in prompt tokens computed: those waiting to be computed before it, its
+ * own that are not cached, and the slower steps of a fuller batch; all of it more on a slow server.
+ */
+function costAt(server: ServerState, work: WorkEstimate, prefillTokens: number, nowMs: number) {
+  const sharing = work.units * server.utilisation(nowMs);
+  return server.limit.stretch() * (server.pendingPrefillTokens() + prefillTokens + sharing);
+}
+
+function draw(
+  set: DenseSet<ServerState>,
+  { random, mayUse }: ServerChoiceInput,
+  count: number,
+): ServerState[] {
+  const drawn: ServerState[] = [];
+  const draws = Math.min(set.size(), MOST_FURTHER_DRAWS);
+  for (let index = 0; index < draws && drawn.length < count; index += 1) {
+    const server = set.at(pickIndex(random, set.size()));
+    if (!drawn.includes(server) && mayUse(server.serverId)) drawn.push(server);
+  }
+  return drawn;
+}
+
+function toChoice(candidates: readonly Candidate[]): ServerChoice | undefined {
+  const [first, ...others] = candidates;
+  if (first === undefined) return undefined;
+  const best = others.reduce((least, next) => (next.cost < least.cost ? next : least), first);
+  return {
+    server: best.server,
+    prefillTokens: best.prefillTokens,
+    reason: best.reason,
+    runnersUp: candidates
+      .filter((candidate) => candidate !== best)
+      .sort((left, right) => left.cost - right.cost)
+      .slice(0, RUNNERS_UP_NAMED)
+      .map(({ server }) => server.serverId),
+  };
+}
+
+/**
+ * Chooses an engine by what is probably cached and by work in flight.
+ *
+ * It answers shared prefixes and lagging reports. Least in flight alone spreads each prefix over all engines, so
+ * that each computes and stores it and none has room for the others; affinity alone sends a hot
+ * prefix to one engine until that falls behind. The cost weighs both in the same unit, so that a prefix spreads to
+ * one more engine exactly when waiting for its holders costs more than computing it again. A few servers
+ * drawn at random stand beside the holders: of those that last reported themselves idle each instance draws
+ * others, and they don't all go to the same one.
+ */
+function chooseEngine(input: ServerChoiceInput): ServerChoice | undefined {
+  const { pool, prefixIndex, work, nowMs, mayUse, ownFailureDomain } = input;
+  const candidates: Candidate[] = [];
+
+  const consider = (
+    server: ServerState | undefined,
+    cachedTokens: number,
+    reason: ServerChoice['reason'],
+  ) => {
+    if (server === undefined || !server.limit.hasRoom() || !mayUse(server.serverId)) return;
+    if (candidates.some((candidate) => candidate.server === server)) return;
+    const prefillTokens = Math.max(0, work.promptTokens - cachedTokens);
+    const cost = costAt(server, work, prefillTokens, nowMs);
+    candidates.push({ server, reason, prefillTokens, cost });
+  };
+
+  const holders = prefixIndex.holders(work.prefixes, nowMs);
+  for (const { serverId, tokens } of holders) consider(pool.get(serverId), tokens, 'holds-prefix');
+  const longest = work.prefixes.at(-1);
+  if (longest !== undefined && holders.length < HOMES_OF_PREFIX) {
+    for (const home of pool.ring().after(longest.key, HOMES_OF_PREFIX)) {
+      consider(home, HOME_HOLDS_SHARE * longest.tokens, 'home-of-prefix');
+    }
+  }
+  for (const server of draw(pool.roomyIn(ownFailureDomain), input, DRAWN)) {
+    consider(server, 0, 'near-least-work');
+  }
+  for (const server of draw(pool.roomy(), input, DRAWN)) consider(server, 0, 'least-work');
+  return toChoice(candidates);
+}
+
+/**
+ * Chooses a plain server: the less loaded of two drawn from the own failure domain, and of two from all when
+ * those near are nearly full. Two choices keep the fullest server close to the mean, where always the least
+ * loaded would send every instance's calls to the same one between two reports.
+ */
+function choosePlain(input: ServerChoiceInput): ServerChoice | undefined {
+  const { pool, work, nowMs, ownFailureDomain } = input;
+  const toCandidate =
+    (reason: ServerChoice['reason']) =>
+    (server: ServerState): Candidate => ({
+      server,
+      reason,
+      prefillTokens: 0,
+      cost: costAt(server, work, 0, nowMs),
+    });
+  const near = draw(pool.roomyIn(ownFailureDomain), input, DRAWN).map(
+    toCandidate('near-least-work'),
+  );
+  const hasNearRoom = near.some(({ server }) => server.utilisation(nowMs) < NEAR_USE_LIMIT);
+  if (hasNearRoom) return toChoice(near);
+  const anywhere = draw(pool.roomy(), input, DRAWN).map(toCandidate('least-work'));
+  return toChoice([...near, ...anywhere]);
+}
+
+/** Chooses a server with room for a request; undefined when none of those looked at may take it now. */
+export function chooseServer(input: ServerChoiceInput): ServerChoice | undefined {
+  switch (input.kind) {
+    case 'engine':
+      return chooseEngine(input);
+    case 'plain':
+      return choosePlain(input);
+    default:
+      return input.kind satisfies never;
+  }
+}
--- /dev/null
+++ b/src/core/routing/dense-set.ts
@@ -0,0 +1,33 @@
+/** A set from which any member can be drawn in O(1), whatever its size. */
+export interface DenseSet<Item> {
+  size(): number;
+  at(index: number): Item;
+  has(item: Item): boolean;
+  add(item: Item): void;
+  delete(item: Item): void;
+}
+
+/** An empty set. */
+export function createDenseSet<Item>(): DenseSet<Item> {
+  const items: Item[] = [];
+  const positions = new Map<Item, number>();
+  return {
+    size: () => items.length,
+    at: (index) => items[index] as Item,
+    has: (item) => positions.has(item),
+    add(item) {
+      if (positions.has(item)) return;
+      positions.set(item, items.length);
+      items.push(item);
+    },
+    delete(item) {
+      const position = positions.get(item);
+      if (position === undefined) return;
+      positions.delete(item);
+      const last = items.pop() as Item;
+      if (last === item) return;
+      items[position] = last;
+      positions.set(last, position);
+    },
+  };
+}
--- /dev/null
+++ b/src/core/routing/hash-ring.ts
@@ -0,0 +1,59 @@
+/** A consistent-hash ring: instances that never speak about a key still choose the same servers for it. */
+export interface HashRing<Item> {
+  /** The first `count` different items after the key's place. */
+  after(key: string, count: number): readonly Item[];
+}
+
+/** Places of each item on the ring: the share of keys of two items then differs by a fifth or so. */
+const PLACES_PER_ITEM = 16;
+
+/** FNV-1a over the UTF-16 units, then mixed so that near strings lie far apart. */
+export function hashText(text: string): number {
+  /* eslint-disable no-bitwise -- the hash is defined on 32-bit words */
+  let hash = 0x811c9dc5;
+  for (let index = 0; index < text.length; index += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193);
+  }
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
+  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
+  return (hash ^ (hash >>> 16)) >>> 0;
+  /* eslint-enable no-bitwise */
+}
+
+/** A ring of `items`; costs O(n log n), so it is made once a configuration. */
+export function createHashRing<Item>(
+  items: readonly Item[],
+  nameOf: (item: Item) => string,
+): HashRing<Item> {
+  const places = items
+    .flatMap((item) =>
+      Array.from({ length: PLACES_PER_ITEM }, (_unused, place) => ({
+        item,
+        hash: hashText(`${nameOf(item)}#${place}`),
+      })),
+    )
+    .sort((left, right) => left.hash - right.hash);
+
+  const firstFrom = (hash: number): number => {
+    let low = 0;
+    let high = places.length;
+    while (low < high) {
+      const middle = Math.floor((low + high) / 2);
+      if ((places[middle]?.hash ?? 0) < hash) low = middle + 1;
+      else high = middle;
+    }
+    return low;
+  };
+
+  return {
+    after(key, count) {
+      const found: Item[] = [];
+      const start = firstFrom(hashText(key));
+      for (let step = 0; step < places.length && found.length < count; step += 1) {
+        const place = places[(start + step) % places.length];
+        if (place !== undefined && !found.includes(place.item)) found.push(place.item);
+      }
+      return found;
+    },
+  };
+}
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -1,5 +1,12 @@
 /** Which server, or which other region, gets a request. */
 export { chooseRoute } from './choose-route';
+export { chooseServer } from './choose-server';
+export type { ServerChoice, ServerChoiceInput } from './choose-server';
 export { ROUTING_EVENTS } from './events';
+export { createPrefixIndex, PREFIX_INDEX_DEFAULTS } from './prefix-index';
+export type { PrefixEvent, PrefixIndex, PrefixIndexOptions } from './prefix-index';
+export { createServerPool } from './server-pool';
+export type { ServerPool } from './server-pool';
+export type { OpenWork, PoolServer, ServerReport, ServerState } from './server-state';
 export type { PeerCandidate, RoutingDecision, RoutingInput, ServerCandidate } from './types';
 export { withoutFailed } from './without-failed';
