Keep long prompts to a part of the engines; tell a standing queue per caller

Cause: short answers shared batches with long prompts, whose chunks lengthen every step; a light caller's short waits hid that a heavy one's requests stood.

--- a/bench/decisions/harness/recorder.ts
+++ b/bench/decisions/harness/recorder.ts
@@ -14,7 +14,7 @@
   offered(request: CallerRequest): void;
   sent(request: CallerRequest, waitMs: number): void;
   firstToken(request: CallerRequest, nowMs: number): void;
-  answered(request: CallerRequest, nowMs: number, region: string): void;
+  answered(request: CallerRequest, triedAtMs: number, nowMs: number, region: string): void;
   refused(request: CallerRequest, delayMs: number, wasAvoidable: boolean): void;
   expired(request: CallerRequest): void;
   serverCrashed(fingerprint: string): void;
@@ -64,7 +64,7 @@
       if (!isCounted(request)) return;
       recordMs(recorderOf(request).firstToken, nowMs - request.firstArrivedAtMs);
     },
-    answered(request, nowMs, region) {
+    answered(request, triedAtMs, nowMs, region) {
       const isRemote = region !== request.caller.homeRegion;
       addIn(secondOf(nowMs), { answered: 1, remote: isRemote ? 1 : 0 });
       if (!isCounted(request)) return;
@@ -72,6 +72,7 @@
       recorder.answered += 1;
       if (isRemote) recorder.remote += 1;
       recordMs(recorder.latency, nowMs - request.firstArrivedAtMs);
+      recordMs(recorder.admittedLatency, nowMs - triedAtMs);
     },
     refused(request, delayMs, wasAvoidable) {
       if (!isCounted(request)) return;
--- a/bench/decisions/harness/results.ts
+++ b/bench/decisions/harness/results.ts
@@ -20,6 +20,8 @@
   readonly answeredPerSecond: number;
   /** From the first try to the end of the answer. */
   readonly latency: Quantiles;
+  /** From the try that was let in to the end of its answer. */
+  readonly admittedLatency: Quantiles;
   readonly firstToken: Quantiles;
   /** Refusals, counted for each try, and the time from a try's arrival to its refusal. */
   readonly refused: number;
@@ -74,6 +76,7 @@
   attempts: number;
   longestWaitMs: number;
   latency: Histogram;
+  admittedLatency: Histogram;
   firstToken: Histogram;
   refusalDelay: Histogram;
 }
@@ -111,6 +114,7 @@
     attempts: 0,
     longestWaitMs: 0,
     latency: createHistogram(),
+    admittedLatency: createHistogram(),
     firstToken: createHistogram(),
     refusalDelay: createHistogram(),
   };
@@ -128,6 +132,7 @@
     answered: recorder.answered,
     answeredPerSecond: recorder.answered / (countedMs / 1000),
     latency: toQuantiles(recorder.latency),
+    admittedLatency: toQuantiles(recorder.admittedLatency),
     firstToken: toQuantiles(recorder.firstToken),
     refused: recorder.refused,
     refusalDelay: toQuantiles(recorder.refusalDelay),
--- a/bench/decisions/harness/run-scenario.ts
+++ b/bench/decisions/harness/run-scenario.ts
@@ -229,7 +229,7 @@
       },
       answered(region) {
         isOver = true;
-        recorder.answered(callerRequest, queue.nowMs(), region);
+        recorder.answered(callerRequest, arrivedAtMs, queue.nowMs(), region);
       },
       refused(retryAtMs) {
         isOver = true;
--- a/src/core/admission/adaptive-limit.ts
+++ b/src/core/admission/adaptive-limit.ts
@@ -4,6 +4,10 @@
 /** Answers after which a limit is set anew: enough that one long request does not decide alone. */
 const WINDOW_ANSWERS = 10;
 
+/** Where answers come seldom, a limit is also set anew after this time and so many answers. */
+const SLOW_WINDOW_MS = 2_000;
+const SLOW_WINDOW_ANSWERS = 3;
+
 /** Requests of mean size that a server's fresh limit allows; it doubles with each used window until strain. */
 export const FIRST_LIMIT_REQUESTS = 4;
 
@@ -19,6 +23,8 @@
   readonly firstRequestUnits: number;
   /** Requests that are allowed before anything was seen. */
   readonly firstLimitRequests?: number;
+  /** Stretch above which the limit shrinks. */
+  readonly tolerance: number;
   readonly rule?: LimitRule;
 }
 
@@ -47,7 +53,8 @@
 
   const setAnew = (nowMs: number) => {
     lastStretch = latencyMs / expectedMs;
-    const next = rule({ limitUnits, peakUnits, meanRequestUnits, stretch: lastStretch });
+    const seen = { limitUnits, peakUnits, meanRequestUnits, stretch: lastStretch };
+    const next = rule(seen, options.tolerance);
     if (next < limitUnits) hadStrain = true;
     const grewFirst = next > limitUnits && !hadStrain;
     limitUnits = Math.max(meanRequestUnits, grewFirst ? 2 * limitUnits : next);
@@ -79,7 +86,8 @@
       answers += 1;
       latencyMs += end.latencyMs;
       expectedMs += end.expectedMs;
-      if (answers >= WINDOW_ANSWERS) setAnew(nowMs);
+      const isSlow = answers >= SLOW_WINDOW_ANSWERS && nowMs - changedAtMs >= SLOW_WINDOW_MS;
+      if (answers >= WINDOW_ANSWERS || isSlow) setAnew(nowMs);
     },
     noteServerQueue(atMs, nowMs) {
       if (atMs < changedAtMs) return;
--- a/src/core/admission/gradient-rule.ts
+++ b/src/core/admission/gradient-rule.ts
@@ -1,11 +1,13 @@
 import type { LimitWindow } from './types';
 
 /**
- * Stretch up to which a limit grows. A batch of 16 makes each request of an engine about 1.8 times as slow
- * as alone while it raises throughput almost ninefold; past a full batch only the latency grows. A plain
- * server's calls take as long as alone until its workers are busy, and twice as long once as many wait.
+ * Stretch up to which a limit grows. A full batch makes each request of an engine 1.5 to 2 times as slow as
+ * alone while it raises throughput twentyfold; past that only the latency grows. A plain server's calls take
+ * as long as alone until its workers are busy, so any stretch there is waiting. The limit of a whole service
+ * is there for fleets in which an instance seldom has a second request at a server; where servers' own limits
+ * can act it has to leave them alone, so it tolerates more.
  */
-export const STRETCH_TOLERANCE = 2;
+export const STRETCH_TOLERANCE = { engine: 3, plain: 1.25, service: 4 } as const;
 
 /** Least share of a limit that one window leaves, so that one odd window does not close a server. */
 const LEAST_KEPT_SHARE = 0.7;
@@ -22,11 +24,9 @@
  * version of a model or the number of instances changes: too low it wastes servers, too high it moves the queue
  * into them, where neither priority nor fairness reaches it.
  */
-export function gradientRule(window: LimitWindow): number {
+export function gradientRule(window: LimitWindow, tolerance: number): number {
   const { limitUnits, peakUnits, meanRequestUnits, stretch } = window;
-  if (stretch > STRETCH_TOLERANCE) {
-    return limitUnits * Math.max(LEAST_KEPT_SHARE, STRETCH_TOLERANCE / stretch);
-  }
+  if (stretch > tolerance) return limitUnits * Math.max(LEAST_KEPT_SHARE, tolerance / stretch);
   if (peakUnits < USED_SHARE * limitUnits) return limitUnits;
   return limitUnits + Math.max(meanRequestUnits, GROWTH_SHARE * limitUnits);
 }
--- a/src/core/admission/latency-baseline.ts
+++ b/src/core/admission/latency-baseline.ts
@@ -13,9 +13,22 @@
   learn(units: number, latencyMs: number, mayRise: boolean): void;
 }
 
-/** Weight of an answer that is faster than the baseline, and of one that is slower. */
-const FALL_WEIGHT = 0.05;
-const RISE_WEIGHT = 0.05;
+/**
+ * Answers of a size that move its baseline together. One at a time, the fast ones alone would move it under
+ * load, and it would sink from the mean to the fastest answer ever given.
+ */
+const ANSWERS_TOGETHER = 20;
+
+/** Weight of their mean. */
+const MEAN_WEIGHT = 0.3;
+
+interface SizeBucket {
+  expectedMs: number;
+  answers: number;
+  sumMs: number;
+  /** Answers among them that may raise the baseline. */
+  risers: number;
+}
 
 /** Sizes are told apart by powers of two. */
 function bucketOf(units: number): number {
@@ -24,13 +37,13 @@
 
 /** A baseline that knows nothing. */
 export function createLatencyBaseline(): LatencyBaseline {
-  const buckets: (number | undefined)[] = [];
+  const buckets: (SizeBucket | undefined)[] = [];
 
   const nearest = (bucket: number): number | undefined => {
     for (let distance = 0; distance < buckets.length + bucket; distance += 1) {
-      const below = buckets[bucket - distance];
+      const below = buckets[bucket - distance]?.expectedMs;
       if (below !== undefined) return below * 2 ** distance;
-      const above = buckets[bucket + distance];
+      const above = buckets[bucket + distance]?.expectedMs;
       if (above !== undefined) return above / 2 ** distance;
     }
     return undefined;
@@ -41,9 +54,20 @@
     learn(units, latencyMs, mayRise) {
       const bucket = bucketOf(units);
       const known = buckets[bucket];
-      if (known === undefined) buckets[bucket] = latencyMs;
-      else if (latencyMs < known) buckets[bucket] = known + FALL_WEIGHT * (latencyMs - known);
-      else if (mayRise) buckets[bucket] = known + RISE_WEIGHT * (latencyMs - known);
+      if (known === undefined) {
+        buckets[bucket] = { expectedMs: latencyMs, answers: 0, sumMs: 0, risers: 0 };
+        return;
+      }
+      known.answers += 1;
+      known.sumMs += latencyMs;
+      if (mayRise) known.risers += 1;
+      if (known.answers < ANSWERS_TOGETHER) return;
+      const meanMs = known.sumMs / known.answers;
+      const moves = meanMs < known.expectedMs || known.risers > known.answers / 2;
+      if (moves) known.expectedMs += MEAN_WEIGHT * (meanMs - known.expectedMs);
+      known.answers = 0;
+      known.sumMs = 0;
+      known.risers = 0;
     },
   };
 }
--- a/src/core/admission/types.ts
+++ b/src/core/admission/types.ts
@@ -9,8 +9,8 @@
   readonly stretch: number;
 }
 
-/** Sets the next limit from what was seen. */
-export type LimitRule = (window: LimitWindow) => number;
+/** Sets the next limit from what was seen; a stretch above `tolerance` is strain. */
+export type LimitRule = (window: LimitWindow, tolerance: number) => number;
 
 /** How a request ended at a server, as far as its latency tells something. */
 export type RequestEnd =
--- a/src/core/queueing/fair-queue.ts
+++ b/src/core/queueing/fair-queue.ts
@@ -11,6 +11,10 @@
   readonly batchLongestWaitMs: number;
 }
 
+function otherOf(priority: Priority): Priority {
+  return priority === 'interactive' ? 'batch' : 'interactive';
+}
+
 /**
  * The waiting requests of one service.
  *
@@ -36,7 +40,8 @@
   );
   const waiting = new Set<QueueEntry<Item>>();
 
-  const nextClass = (nowMs: number): Priority => {
+  const nextClass = (nowMs: number, blocked: Priority | undefined): Priority => {
+    if (blocked !== undefined) return otherOf(blocked);
     if (classes.interactive.size() === 0) return 'batch';
     if (classes.batch.size() === 0) return 'interactive';
     const oldestBatchAtMs = classes.batch.oldestArrivalAtMs() ?? nowMs;
@@ -63,9 +68,10 @@
   return {
     size: () => waiting.size,
     queuedUnits: (priority) => classes[priority].units(),
+    hasWaiting: (priority, callerId) => classes[priority].hasWaiting(callerId),
     unitsAhead(priority, callerId, units) {
       const ownClass = classes[priority].unitsAhead(callerId, units);
-      const otherPriority = priority === 'interactive' ? 'batch' : 'interactive';
+      const otherPriority = otherOf(priority);
       const otherUnits = classes[otherPriority].units();
       const turnsOfOther = (weights[otherPriority] / weights[priority]) * (ownClass + units);
       return ownClass + Math.min(otherUnits, turnsOfOther);
@@ -73,16 +79,16 @@
     push(entry) {
       const own = classes[entry.priority];
       if (own.size() === 0) {
-        const other = entry.priority === 'interactive' ? 'batch' : 'interactive';
-        tags[entry.priority] = Math.max(tags[entry.priority], tags[other]);
+        const { priority } = entry;
+        tags[priority] = Math.max(tags[priority], tags[otherOf(priority)]);
       }
       own.push(entry);
       expiries.push(entry);
       waiting.add(entry);
     },
-    peek: (nowMs) => classes[nextClass(nowMs)].peek(),
-    shift(nowMs) {
-      const priority = nextClass(nowMs);
+    peek: (nowMs, blocked) => classes[nextClass(nowMs, blocked)].peek(),
+    shift(nowMs, blocked) {
+      const priority = nextClass(nowMs, blocked);
       const entry = classes[priority].shift();
       if (entry === undefined) return undefined;
       waiting.delete(entry);
--- a/src/core/queueing/index.ts
+++ b/src/core/queueing/index.ts
@@ -2,5 +2,5 @@
 export { createFairQueue } from './fair-queue';
 export type { FairQueueOptions } from './fair-queue';
 export { createStandingQueue } from './standing-queue';
-export type { StandingQueue, StandingQueueOptions } from './standing-queue';
+export type { QueueFlow, StandingQueue, StandingTargets } from './standing-queue';
 export type { FairQueue, QueueEntry } from './types';
--- a/src/core/queueing/types.ts
+++ b/src/core/queueing/types.ts
@@ -17,12 +17,15 @@
   size(): number;
   /** Work waiting in a class. */
   queuedUnits(priority: Priority): number;
+  /** Whether something of the caller waits in a class. */
+  hasWaiting(priority: Priority, callerId: string): boolean;
   /** Work that would probably run before a request of this caller that came now. */
   unitsAhead(priority: Priority, callerId: string, units: number): number;
   push(entry: QueueEntry<Item>): void;
   /** The entry whose turn it is; it stays until `shift`. */
-  peek(nowMs: number): QueueEntry<Item> | undefined;
-  shift(nowMs: number): QueueEntry<Item> | undefined;
+  peek(nowMs: number, blocked?: Priority): QueueEntry<Item> | undefined;
+  /** Takes what `peek` showed. `blocked` is a class for which there is no room, so that the other has its turn. */
+  shift(nowMs: number, blocked?: Priority): QueueEntry<Item> | undefined;
   /** Takes an entry out, for example since its caller has gone. */
   remove(entry: QueueEntry<Item>): void;
   /** Takes out all that can no longer be whole before their deadline. */
--- a/src/core/routing/choose-server.ts
+++ b/src/core/routing/choose-server.ts
@@ -2,6 +2,7 @@
 import { pickIndex } from '../random';
 import type { WorkEstimate } from '../work';
 import type { DenseSet } from './dense-set';
+import type { LongPrompts } from './long-prompts';
 import type { PrefixIndex } from './prefix-index';
 import type { ServerPool } from './server-pool';
 import type { ServerState } from './server-state';
@@ -11,6 +12,7 @@
   readonly kind: 'engine' | 'plain';
   readonly pool: ServerPool;
   readonly prefixIndex: PrefixIndex;
+  readonly longPrompts: LongPrompts;
   readonly work: WorkEstimate;
   readonly ownFailureDomain: string;
   readonly random: RandomSource;
@@ -53,6 +55,15 @@
 /** Use above which servers of the own failure domain no longer come first for plain services. */
 const NEAR_USE_LIMIT = 0.8;
 
+/**
+ * How much dearer a server of the other part is: it takes long prompts among short ones, or the reverse, only
+ * when its own part is several times as loaded.
+ */
+const OTHER_PART_FACTOR = 8;
+
+/** Use below which a server for short work may take a long prompt. */
+const IDLE_USE = 0.1;
+
 /** Those not chosen that a decision names. */
 const RUNNERS_UP_NAMED = 3;
 
@@ -65,17 +76,23 @@
   return server.limit.stretch() * (server.pendingPrefillTokens() + prefillTokens + sharing);
 }
 
-function draw(
-  set: DenseSet<ServerState>,
-  { random, mayUse }: ServerChoiceInput,
-  count: number,
-): ServerState[] {
+/** Short work may go among long; long work goes among short only where next to nothing runs. */
+function mayCross(server: ServerState, { longPrompts, work, nowMs }: ServerChoiceInput): boolean {
+  return !longPrompts.isLong(work) || server.utilisation(nowMs) < IDLE_USE;
+}
+
+function draw(set: DenseSet<ServerState>, input: ServerChoiceInput, count: number): ServerState[] {
+  const { random, mayUse, longPrompts, work } = input;
   const drawn: ServerState[] = [];
+  let otherPart: ServerState | undefined;
   const draws = Math.min(set.size(), MOST_FURTHER_DRAWS);
   for (let index = 0; index < draws && drawn.length < count; index += 1) {
     const server = set.at(pickIndex(random, set.size()));
-    if (!drawn.includes(server) && mayUse(server.serverId)) drawn.push(server);
+    if (drawn.includes(server) || !mayUse(server.serverId)) continue;
+    if (longPrompts.isFor(server.place(), work)) drawn.push(server);
+    else if (mayCross(server, input)) otherPart = server;
   }
+  if (drawn.length === 0 && otherPart !== undefined) drawn.push(otherPart);
   return drawn;
 }
 
@@ -106,7 +123,7 @@
  * others, and they don't all go to the same one.
  */
 function chooseEngine(input: ServerChoiceInput): ServerChoice | undefined {
-  const { pool, prefixIndex, work, nowMs, mayUse, ownFailureDomain } = input;
+  const { pool, prefixIndex, longPrompts, work, nowMs, mayUse, ownFailureDomain } = input;
   const candidates: Candidate[] = [];
 
   const consider = (
@@ -117,7 +134,10 @@
     if (server === undefined || !server.limit.hasRoom() || !mayUse(server.serverId)) return;
     if (candidates.some((candidate) => candidate.server === server)) return;
     const prefillTokens = Math.max(0, work.promptTokens - cachedTokens);
-    const cost = costAt(server, work, prefillTokens, nowMs);
+    const isOwnPart = longPrompts.isFor(server.place(), work);
+    if (!isOwnPart && !mayCross(server, input)) return;
+    const factor = isOwnPart ? 1 : OTHER_PART_FACTOR;
+    const cost = factor * costAt(server, work, prefillTokens, nowMs);
     candidates.push({ server, reason, prefillTokens, cost });
   };
 
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -3,6 +3,8 @@
 export { chooseServer } from './choose-server';
 export type { ServerChoice, ServerChoiceInput } from './choose-server';
 export { ROUTING_EVENTS } from './events';
+export { createLongPrompts, LONG_PROMPT_TOKENS } from './long-prompts';
+export type { LongPrompts } from './long-prompts';
 export { createPrefixIndex, PREFIX_INDEX_DEFAULTS } from './prefix-index';
 export type { PrefixEvent, PrefixIndex, PrefixIndexOptions } from './prefix-index';
 export { createServerPool } from './server-pool';
--- a/src/core/routing/server-pool.ts
+++ b/src/core/routing/server-pool.ts
@@ -1,7 +1,7 @@
 import type { AdaptiveLimit } from '../admission';
 import { createDenseSet } from './dense-set';
 import type { DenseSet } from './dense-set';
-import { createHashRing } from './hash-ring';
+import { createHashRing, hashText } from './hash-ring';
 import type { HashRing } from './hash-ring';
 import { createServerState } from './server-state';
 import type { PoolServer, ServerState } from './server-state';
@@ -22,6 +22,14 @@
   limitUnits(): number;
 }
 
+/** Gives each server its place: by hash, so that no instance has to ask another and domains are mixed. */
+function placeAll(servers: readonly ServerState[]): void {
+  const inOrder = [...servers].sort(
+    (left, right) => hashText(left.serverId) - hashText(right.serverId),
+  );
+  inOrder.forEach((server, index) => server.setPlace(index / inOrder.length));
+}
+
 /** An empty pool; `createLimit` makes the limit of a server that is new. */
 export function createServerPool(createLimit: () => AdaptiveLimit): ServerPool {
   let states = new Map<string, ServerState>();
@@ -71,6 +79,7 @@
         return isSame ? known : createServerState(server, createLimit());
       };
       list = servers.map(kept);
+      placeAll(list);
       states = new Map(list.map((state) => [state.serverId, state]));
       ring = createHashRing(list, ({ serverId }) => serverId);
       roomy = createDenseSet();
--- a/src/core/routing/server-state.ts
+++ b/src/core/routing/server-state.ts
@@ -22,6 +22,9 @@
   readonly address: string;
   readonly failureDomain: string;
   readonly limit: AdaptiveLimit;
+  /** Place among the pool's servers in an order that all instances share, 0 up to 1. */
+  place(): number;
+  setPlace(place: number): void;
   /** Prompt tokens sent there whose computing has not shown its end by a first byte. */
   pendingPrefillTokens(): number;
   /** Estimated share of the server that is in use, by this instance and by others. */
@@ -49,6 +52,7 @@
   const open = new Set<OpenWork>();
   const inPrefill = new Set<OpenWork>();
   let pendingPrefillTokens = 0;
+  let place = 0;
   let report: ServerReport | undefined;
   let otherRequests = 0;
 
@@ -66,6 +70,10 @@
   return {
     ...server,
     limit,
+    place: () => place,
+    setPlace(next) {
+      place = next;
+    },
     pendingPrefillTokens: () => pendingPrefillTokens,
     utilisation(nowMs) {
       const others = othersUnits(nowMs);
--- a/src/core/scheduling/create-service-scheduler.ts
+++ b/src/core/scheduling/create-service-scheduler.ts
@@ -1,5 +1,6 @@
 import {
   FIRST_LIMIT_REQUESTS,
+  STRETCH_TOLERANCE,
   createAdaptiveLimit,
   createLatencyBaseline,
   createRetrySlots,
@@ -7,9 +8,10 @@
   decideAdmission,
 } from '../admission';
 import type { AdaptiveLimit } from '../admission';
+import type { Priority } from '../configuration';
 import { createFairQueue, createStandingQueue } from '../queueing';
 import type { QueueEntry } from '../queueing';
-import { chooseServer, createPrefixIndex, createServerPool } from '../routing';
+import { chooseServer, createLongPrompts, createPrefixIndex, createServerPool } from '../routing';
 import type { ServerChoice, ServerState } from '../routing';
 import type {
   Placement,
@@ -22,12 +24,12 @@
 /** Size of a request, as long as none was seen, units. */
 const FIRST_REQUEST_UNITS = { engine: 2_000, plain: 1 } as const;
 
-/** How long a queue may go without one short wait before it counts as standing. */
-const STANDING_INTERVAL_MS = 1_000;
-
 /** Use of a server up to which its answers may raise the baseline of latency. */
 const LITTLE_USE = 0.5;
 
+/** Requests in a server's own queue, as a share of those it runs, from which its limit shrinks. */
+const SERVER_QUEUE_SHARE = 0.1;
+
 /** Requests without a usable server that are passed over in one round, so that they don't hold up the rest. */
 const MOST_PASSED_OVER = 4;
 
@@ -37,20 +39,29 @@
   const firstRequestUnits = FIRST_REQUEST_UNITS[kind];
   const limitOptions = {
     firstRequestUnits,
+    tolerance: STRETCH_TOLERANCE[kind],
     ...(options.limitRule === undefined ? {} : { rule: options.limitRule }),
   };
   const pool = createServerPool(() => createAdaptiveLimit(limitOptions));
   const prefixIndex = createPrefixIndex();
+  const longPrompts = createLongPrompts();
   const baseline = createLatencyBaseline();
   const rate = createServiceRate();
   const retrySlots = createRetrySlots();
-  const standing = createStandingQueue({
-    targetMs: options.standingWaitMs,
-    intervalMs: STANDING_INTERVAL_MS,
-  });
+  const longestWaits = {
+    interactive: options.standingWaitMs,
+    batch: Math.max(options.standingWaitMs, options.batchLongestWaitMs),
+  };
+  const standing = createStandingQueue(longestWaits);
   const queue = createFairQueue<ScheduledRequest<Item>>(options);
   const entries = new Map<ScheduledRequest<Item>, QueueEntry<ScheduledRequest<Item>>>();
-  let serviceLimit: AdaptiveLimit = createAdaptiveLimit(limitOptions);
+  const createServiceLimit = (servers: number): AdaptiveLimit =>
+    createAdaptiveLimit({
+      ...limitOptions,
+      tolerance: STRETCH_TOLERANCE.service,
+      firstLimitRequests: FIRST_LIMIT_REQUESTS * Math.max(1, servers),
+    });
+  let serviceLimit = createServiceLimit(1);
 
   const choose = (request: ScheduledRequest<Item>, nowMs: number): ServerChoice | undefined => {
     if (!serviceLimit.hasRoom()) return undefined;
@@ -59,6 +70,7 @@
       kind,
       pool,
       prefixIndex,
+      longPrompts,
       work,
       ownFailureDomain,
       random,
@@ -80,6 +92,7 @@
     server.limit.begin(work.units);
     serviceLimit.begin(work.units);
     pool.refresh(server);
+    longPrompts.note(work);
     prefixIndex.noteSent(server.serverId, work.prefixes, nowMs);
     return { request, choice, open, utilisation, waitedMs: nowMs - arrivedAtMs };
   };
@@ -88,7 +101,12 @@
     (baseline.expectedMs(units) ?? 0) * Math.max(1, serviceLimit.stretch());
 
   const unitsPerMs = (): number =>
-    rate.unitsPerMs(Math.min(pool.limitUnits(), serviceLimit.limitUnits()));
+    rate.unitsPerMs(
+      Math.max(
+        serviceLimit.inFlightUnits(),
+        Math.min(pool.limitUnits(), serviceLimit.limitUnits()),
+      ),
+    );
 
   const expectedWaitMs = ({ priority, callerId, work }: ScheduledRequest<Item>): number => {
     if (queue.size() === 0) return 0;
@@ -123,6 +141,12 @@
     return { latencyMs, expectedMs: baseline.expectedMs(units) ?? latencyMs };
   };
 
+  const noteTurn = (request: ScheduledRequest<Item>, nowMs: number) => {
+    const { priority, callerId, arrivedAtMs } = request;
+    standing.noteTurn(request, nowMs - arrivedAtMs, nowMs);
+    if (!queue.hasWaiting(priority, callerId)) standing.noteCallerEmpty(request);
+  };
+
   const passOver = (request: ScheduledRequest<Item>): boolean =>
     serviceLimit.hasRoom() && pool.roomy().size() > 0 && entries.has(request);
 
@@ -145,8 +169,8 @@
         deadlineAtMs,
         expectedWaitMs: waitMs,
         expectedServiceMs: expectedServiceMs(work.units),
-        isQueueStanding: standing.isStanding(),
-        standingWaitMs: options.standingWaitMs,
+        isQueueStanding: standing.isStanding(request),
+        standingWaitMs: longestWaits[request.priority],
       });
       if (decision.kind === 'refuse') {
         return refuse(request, decision.reason, waitMs, decision.excessMs, nowMs);
@@ -166,18 +190,22 @@
     takeReady(nowMs) {
       const ready: Placement<Item>[] = [];
       const passedOver: QueueEntry<ScheduledRequest<Item>>[] = [];
-      for (let entry = queue.peek(nowMs); entry !== undefined; entry = queue.peek(nowMs)) {
+      let blocked: Priority | undefined;
+      for (;;) {
+        const entry = queue.peek(nowMs, blocked);
+        if (entry === undefined) break;
         const request = entry.item;
         const choice = choose(request, nowMs);
         if (choice !== undefined) {
-          queue.shift(nowMs);
+          queue.shift(nowMs, blocked);
           entries.delete(request);
-          standing.noteWait(nowMs - request.arrivedAtMs, nowMs);
+          noteTurn(request, nowMs);
           ready.push(begin(request, choice, nowMs));
         } else if (passOver(request) && passedOver.length < MOST_PASSED_OVER) {
           queue.remove(entry);
           passedOver.push(entry);
-        } else break;
+        } else if (blocked === undefined && serviceLimit.hasRoom()) blocked = entry.priority;
+        else break;
       }
       passedOver.forEach((entry) => queue.push(entry));
       if (queue.size() === 0) standing.noteEmpty(nowMs);
@@ -213,7 +241,8 @@
       const server: ServerState | undefined = pool.get(serverId);
       if (server === undefined) return;
       server.noteReport(report);
-      if (report.waitingRequests === 0) return;
+      const { waitingRequests, runningRequests } = report;
+      if (waitingRequests <= SERVER_QUEUE_SHARE * runningRequests) return;
       server.limit.noteServerQueue(report.atMs, nowMs);
       pool.refresh(server);
     },
@@ -222,8 +251,7 @@
     replaceServers(servers) {
       pool.replace(servers);
       if (serviceLimit.inFlightRequests() > 0) return;
-      const firstLimitRequests = FIRST_LIMIT_REQUESTS * Math.max(1, servers.length);
-      serviceLimit = createAdaptiveLimit({ ...limitOptions, firstLimitRequests });
+      serviceLimit = createServiceLimit(servers.length);
     },
     outlook: (request, nowMs) => ({
       expectedWaitMs:
--- a/src/core/scheduling/types.ts
+++ b/src/core/scheduling/types.ts
@@ -11,7 +11,7 @@
   readonly random: RandomSource;
   readonly batchShare: number;
   readonly batchLongestWaitMs: number;
-  /** Wait that is still granted while the queue is a standing one, ms. */
+  /** Wait that is still granted interactive work while the queue is a standing one, ms. */
   readonly standingWaitMs: number;
   /** How limits adapt; the gradient unless a measurement compares another. */
   readonly limitRule?: LimitRule;
