Divide engines between long and short prompts; estimate output by what callers really got

Cause: short answers in a batch with a long prompt took a step of 225 ms instead of 25 for each token, and stated max_tokens hid how much of the work was long. The engine model now has memory for 80,000 tokens, as large models do.

--- a/bench/decisions/policies/scheduler-policy.ts
+++ b/bench/decisions/policies/scheduler-policy.ts
@@ -5,7 +5,7 @@
   SchedulerOptions,
   ServiceScheduler,
 } from '../../../src/core/scheduling';
-import { PLAIN_WORK, engineWork } from '../../../src/core/work';
+import { PLAIN_WORK } from '../../../src/core/work';
 import type { LoadRequest, Policy, PolicyFactory, PolicySetup, ServerSpec } from '../harness';
 
 /** What a measurement may change of the project's own decisions. */
@@ -45,9 +45,9 @@
   return services;
 }
 
-function workOf({ promptTokens, maxOutputTokens, prefixKey, prefixTokens }: LoadRequest) {
+function demandOf({ promptTokens, maxOutputTokens, prefixKey, prefixTokens }: LoadRequest) {
   const prefixes = prefixKey === undefined ? [] : [{ key: prefixKey, tokens: prefixTokens }];
-  return engineWork(promptTokens, maxOutputTokens, prefixes);
+  return { promptTokens, maxOutputTokens, prefixes };
 }
 
 /** The project's own admission, queueing and routing as the running instance wires them. */
@@ -98,7 +98,7 @@
         item,
         callerId: item.callerId,
         priority: item.priority,
-        work: service.kind === 'engine' ? workOf(item) : PLAIN_WORK,
+        work: service.kind === 'engine' ? service.scheduler.estimate(demandOf(item)) : PLAIN_WORK,
         arrivedAtMs: actions.nowMs(),
         deadlineAtMs: item.deadlineAtMs,
         mayUse: () => true,
@@ -126,6 +126,7 @@
       placements.delete(item.requestId);
       const result = end.kind === 'answered' ? 'answered' : 'withoutAnswer';
       scheduler.end(placement, result, actions.nowMs());
+      if (end.kind === 'answered') scheduler.noteOutput(placement, end.usage.outputTokens);
       if (end.kind === 'crashed' || end.kind === 'unreachable') {
         scheduler.forgetCache(end.serverId);
         actions.refuse(item, 'server failed');
--- a/bench/decisions/scenarios/capacity.ts
+++ b/bench/decisions/scenarios/capacity.ts
@@ -1,4 +1,4 @@
-import { answersPerSecondBetween, fifoWithFixedLimit, runScenario } from '../harness';
+import { answersPerSecondBetween, classOf, fifoWithFixedLimit, runScenario } from '../harness';
 import type { CallerSpec, Scenario } from '../harness';
 import { instancesIn } from './fleet';
 
@@ -11,14 +11,17 @@
 /** Fixed limits among which the best counts. */
 const LIMITS_PER_SERVER = [8, 24, 32, 40];
 
+/** A caller and its share of the requests. */
+export interface MixPart {
+  readonly caller: CallerSpec;
+  readonly share: number;
+}
+
 /**
  * Answers a second that a fleet gives at most for a mix of callers, whose `share`s add up to 1: a backlog that is
  * never empty, no deadlines, one instance that sees everything, and the best of several fixed limits.
  */
-export function capacityPerSecond(
-  scenario: Scenario,
-  mix: readonly { readonly caller: CallerSpec; readonly share: number }[],
-): number {
+export function capacityPerSecond(scenario: Scenario, mix: readonly MixPart[]): number {
   const flooded: Scenario = {
     ...scenario,
     durationMs: RUN_MS,
@@ -38,3 +41,37 @@
   );
   return Math.max(...rates);
 }
+
+/** Share of each class that has to be in time for a rate to count as carried. */
+const IN_TIME_SHARE = 0.99;
+
+/** Rates tried, as shares of the rate without deadlines. */
+const RATE_SHARES = [1, 0.95, 0.9, 0.85, 0.8, 0.75, 0.7, 0.65, 0.6];
+
+/**
+ * The greatest rate that a fleet carries with 99 in 100 of each class in time: one instance, a fixed limit. Where
+ * long work shares steps with short, the rate without deadlines is one at which short work misses them all.
+ */
+export function rateInTime(scenario: Scenario, mix: readonly MixPart[]): number {
+  const most = capacityPerSecond(scenario, mix);
+  const isCarried = (perSecond: number): boolean => {
+    const steady: Scenario = {
+      ...scenario,
+      durationMs: RUN_MS,
+      warmUpMs: SETTLED_AT_MS,
+      instances: instancesIn(scenario.instances[0]?.region ?? '', 1),
+      callers: mix.map(({ caller, share }) => ({
+        ...caller,
+        arrivals: [{ fromMs: 0, untilMs: RUN_MS, perSecond: perSecond * share }],
+      })),
+    };
+    const run = runScenario(steady, fifoWithFixedLimit(LIMITS_PER_SERVER.at(-1) ?? 0));
+    return mix.every(({ caller }) => {
+      const { answered, offered } = classOf(run, caller.className);
+      return answered >= IN_TIME_SHARE * offered;
+    });
+  };
+  const share = RATE_SHARES.find((candidate) => isCarried(candidate * most));
+  if (share === undefined) throw new Error(`${scenario.name}: no rate tried is carried in time`);
+  return share * most;
+}
--- a/bench/decisions/scenarios/fleet.ts
+++ b/bench/decisions/scenarios/fleet.ts
@@ -27,7 +27,7 @@
     region,
     failureDomain: `${region}-${index % 2 === 0 ? 'a' : 'b'}`,
     maxSequences: 32,
-    kvTokens: 200_000,
+    kvTokens: 80_000,
     prefixCacheTokens: 24_000,
     stepBaseMs: 20,
     stepPerSequenceMs: 0.4,
@@ -77,6 +77,11 @@
   };
 }
 
+/** A question on stock or slots: a line or two. */
+export function drawQuestion(random: RandomSource): WorkSize {
+  return { ...drawShort(random), promptTokens: between(random, 50, 250) };
+}
+
 /** A floor plan or a whole dossier: some dozens of pages, and an answer of one. */
 export function drawLong(random: RandomSource): WorkSize {
   return {
--- a/bench/decisions/scenarios/load.ts
+++ b/bench/decisions/scenarios/load.ts
@@ -9,8 +9,16 @@
 import type { CallerSpec, PolicyFactory, RunResult, Scenario } from '../harness';
 import { schedulerPolicy } from '../policies/scheduler-policy';
 import type { ScenarioEntry } from '../scenario-entry';
-import { capacityPerSecond } from './capacity';
-import { callerOf, drawLong, drawPlainCall, oneRegion, plainServerIn, times } from './fleet';
+import { capacityPerSecond, rateInTime } from './capacity';
+import {
+  callerOf,
+  drawLong,
+  drawPlainCall,
+  drawQuestion,
+  oneRegion,
+  plainServerIn,
+  times,
+} from './fleet';
 
 /** Requests at each server that the FIFO baseline allows: a full batch. */
 const FULL_BATCH = 32;
@@ -38,9 +46,8 @@
   name: 'long-among-short',
   summary: 'One in thirty requests has a prompt of 16,000 to 40,000 tokens; 85% of capacity.',
   run() {
-    const base = oneRegion('long-among-short', { durationMs: 180_000 });
-    // Time enough that even those who wait longest in the baselines are counted.
-    const short = callerOf('sales-desk', { deadlineMs: 40_000 });
+    const base = oneRegion('long-among-short', { durationMs: 180_000, warmUpMs: 60_000 });
+    const short = callerOf('sales-desk', { drawWork: drawQuestion });
     const long = callerOf('plan-reader', {
       className: 'long',
       priority: 'batch',
@@ -51,10 +58,12 @@
       { caller: short, share: 29 / 30 },
       { caller: long, share: 1 / 30 },
     ];
-    const capacity = capacityPerSecond(base, mix);
+    const rate = 0.85 * rateInTime(base, mix);
+    // Time enough that even those who wait longest in the baselines are counted.
+    const patient = (caller: CallerSpec) => ({ ...caller, deadlineMs: 120_000 });
     const scenario = {
       ...base,
-      callers: mix.map(({ caller, share }) => steady(caller, base, 0.85 * capacity * share)),
+      callers: mix.map(({ caller, share }) => steady(patient(caller), base, rate * share)),
     };
     const runs = runAll(scenario, [OWN, FIFO, roundRobin, leastInFlight]);
     const [own, fifo] = [at(runs, OWN), at(runs, FIFO)];
--- a/src/core/admission/adaptive-limit.ts
+++ b/src/core/admission/adaptive-limit.ts
@@ -40,7 +40,8 @@
 export function createAdaptiveLimit(options: AdaptiveLimitOptions): AdaptiveLimit {
   const rule = options.rule ?? gradientRule;
   let meanRequestUnits = options.firstRequestUnits;
-  let limitUnits = (options.firstLimitRequests ?? FIRST_LIMIT_REQUESTS) * meanRequestUnits;
+  const firstLimitRequests = options.firstLimitRequests ?? FIRST_LIMIT_REQUESTS;
+  let limitUnits = firstLimitRequests * meanRequestUnits;
   let inFlightUnits = 0;
   let inFlightRequests = 0;
   let peakUnits = 0;
@@ -67,9 +68,12 @@
 
   return {
     limitUnits: () => limitUnits,
+    meanRequestUnits: () => meanRequestUnits,
     inFlightUnits: () => inFlightUnits,
     inFlightRequests: () => inFlightRequests,
-    hasRoom: () => inFlightRequests === 0 || inFlightUnits < limitUnits,
+    hasRoom: () =>
+      inFlightRequests < (hadStrain ? 1 : firstLimitRequests) ||
+      inFlightUnits + meanRequestUnits / 2 <= limitUnits,
     stretch: () => lastStretch,
     begin(units) {
       inFlightUnits += units;
--- a/src/core/admission/types.ts
+++ b/src/core/admission/types.ts
@@ -21,6 +21,8 @@
 /** How much work may be in flight, adapted to what is seen. */
 export interface AdaptiveLimit {
   limitUnits(): number;
+  /** Mean work of a request of late. */
+  meanRequestUnits(): number;
   inFlightUnits(): number;
   inFlightRequests(): number;
   hasRoom(): boolean;
--- a/src/core/queueing/class-queue.ts
+++ b/src/core/queueing/class-queue.ts
@@ -14,7 +14,6 @@
 export interface ClassQueue<Item> {
   size(): number;
   units(): number;
-  hasWaiting(callerId: string): boolean;
   unitsAhead(callerId: string, units: number): number;
   push(entry: QueueEntry<Item>): void;
   peek(): QueueEntry<Item> | undefined;
@@ -124,7 +123,6 @@
   return {
     size: () => waiting.size,
     units: () => totalUnits,
-    hasWaiting: (callerId) => (flows.get(callerId)?.queuedCount ?? 0) > 0,
     unitsAhead(callerId, units) {
       const own = flows.get(callerId)?.queuedUnits ?? 0;
       return Math.min(totalUnits, own + activeCallers * (own + units));
--- a/src/core/queueing/fair-queue.ts
+++ b/src/core/queueing/fair-queue.ts
@@ -68,7 +68,6 @@
   return {
     size: () => waiting.size,
     queuedUnits: (priority) => classes[priority].units(),
-    hasWaiting: (priority, callerId) => classes[priority].hasWaiting(callerId),
     unitsAhead(priority, callerId, units) {
       const ownClass = classes[priority].unitsAhead(callerId, units);
       const otherPriority = otherOf(priority);
--- a/src/core/queueing/standing-queue.ts
+++ b/src/core/queueing/standing-queue.ts
@@ -11,12 +11,8 @@
 export interface StandingQueue {
   /** Notes how long a request of a class and caller had waited when its turn came. */
   noteTurn(flow: QueueFlow, waitMs: number, nowMs: number): void;
-  /** Notes that nothing of the caller waits in the class. */
-  noteCallerEmpty(flow: QueueFlow): void;
-  /** Notes that nothing at all waits. */
-  noteEmpty(nowMs: number): void;
-  /** Whether even the shortest wait of an interval was above the target: of the class, or of the caller. */
-  isStanding(flow: QueueFlow): boolean;
+  /** Whether the queue stands: that of the class, or that of the caller in it. */
+  isStanding(flow: QueueFlow, nowMs: number): boolean;
 }
 
 /** Whose requests are meant. */
@@ -31,39 +27,52 @@
 /** How long a queue may go without one short wait before it counts as standing. */
 const INTERVAL_MS = 1_000;
 
+/** After this long without a turn nothing is said of a queue any more. */
+const FORGOTTEN_AFTER_MS = 10_000;
+
+/** Callers beyond this many are looked through for forgotten ones. */
+const MOST_CALLERS = 1_000;
+
+/** Share of the target below which all waits of an interval must stay for a standing queue to count as dissolved. */
+const DISSOLVED_SHARE = 0.5;
+
 interface Detector {
   noteWait(waitMs: number, nowMs: number): void;
-  noteEmpty(nowMs: number): void;
-  isStanding(): boolean;
+  isStanding(nowMs: number): boolean;
 }
 
+/**
+ * A queue becomes standing by an interval without a short wait, and dissolves by one without a long wait. Were one
+ * short wait enough to dissolve it, lasting overload would make it swing: let in all that fits the deadline
+ * for an interval, refuse for the next.
+ */
 function createDetector(targetMs: number): Detector {
   let intervalEndsAtMs: number | undefined;
   let shortestWaitMs = Number.POSITIVE_INFINITY;
+  let longestWaitMs = 0;
+  let lastNotedAtMs = Number.NEGATIVE_INFINITY;
   let standing = false;
 
   return {
     noteWait(waitMs, nowMs) {
       intervalEndsAtMs ??= nowMs + INTERVAL_MS;
+      lastNotedAtMs = nowMs;
       shortestWaitMs = Math.min(shortestWaitMs, waitMs);
-      if (waitMs <= targetMs) standing = false;
+      longestWaitMs = Math.max(longestWaitMs, waitMs);
       if (nowMs < intervalEndsAtMs) return;
-      standing = shortestWaitMs > targetMs;
+      if (shortestWaitMs > targetMs) standing = true;
+      else if (longestWaitMs < DISSOLVED_SHARE * targetMs) standing = false;
       shortestWaitMs = Number.POSITIVE_INFINITY;
+      longestWaitMs = 0;
       intervalEndsAtMs = nowMs + INTERVAL_MS;
     },
-    noteEmpty(nowMs) {
-      standing = false;
-      shortestWaitMs = Number.POSITIVE_INFINITY;
-      intervalEndsAtMs = nowMs + INTERVAL_MS;
-    },
-    isStanding: () => standing,
+    isStanding: (nowMs) => standing && nowMs - lastNotedAtMs < FORGOTTEN_AFTER_MS,
   };
 }
 
 /**
- * Detectors for each class and for each caller with something waiting. In a queue that is fair between callers
- * a light one's short waits would hide that a heavy one's own requests stand.
+ * Detectors for each class and for each caller. In a queue that is fair between callers a light one's short
+ * waits would hide that a heavy one's own requests stand.
  */
 export function createStandingQueue(targets: StandingTargets): StandingQueue {
   const classes: Readonly<Record<Priority, Detector>> = {
@@ -73,20 +82,21 @@
   const callers = new Map<string, Detector>();
   const keyOf = ({ priority, callerId }: QueueFlow) => `${priority}/${callerId}`;
 
+  const dropSettled = (nowMs: number) => {
+    for (const [key, detector] of callers) if (!detector.isStanding(nowMs)) callers.delete(key);
+  };
+
   return {
     noteTurn(flow, waitMs, nowMs) {
       classes[flow.priority].noteWait(waitMs, nowMs);
-      const own = callers.get(keyOf(flow)) ?? createDetector(targets[flow.priority]);
+      const known = callers.get(keyOf(flow));
+      if (known === undefined && callers.size >= MOST_CALLERS) dropSettled(nowMs);
+      const own = known ?? createDetector(targets[flow.priority]);
       callers.set(keyOf(flow), own);
       own.noteWait(waitMs, nowMs);
     },
-    noteCallerEmpty: (flow) => callers.delete(keyOf(flow)),
-    noteEmpty(nowMs) {
-      classes.interactive.noteEmpty(nowMs);
-      classes.batch.noteEmpty(nowMs);
-      callers.clear();
-    },
-    isStanding: (flow) =>
-      classes[flow.priority].isStanding() || (callers.get(keyOf(flow))?.isStanding() ?? false),
+    isStanding: (flow, nowMs) =>
+      classes[flow.priority].isStanding(nowMs) ||
+      (callers.get(keyOf(flow))?.isStanding(nowMs) ?? false),
   };
 }
--- a/src/core/queueing/types.ts
+++ b/src/core/queueing/types.ts
@@ -17,8 +17,6 @@
   size(): number;
   /** Work waiting in a class. */
   queuedUnits(priority: Priority): number;
-  /** Whether something of the caller waits in a class. */
-  hasWaiting(priority: Priority, callerId: string): boolean;
   /** Work that would probably run before a request of this caller that came now. */
   unitsAhead(priority: Priority, callerId: string, units: number): number;
   push(entry: QueueEntry<Item>): void;
--- a/src/core/routing/choose-server.ts
+++ b/src/core/routing/choose-server.ts
@@ -17,6 +17,8 @@
   readonly ownFailureDomain: string;
   readonly random: RandomSource;
   readonly nowMs: number;
+  /** How long the request has waited here. */
+  readonly waitedMs: number;
   /** Whether the request may go there: not ejected, not leaving, not failed for it before. */
   readonly mayUse: (serverId: string) => boolean;
 }
@@ -61,24 +63,37 @@
  */
 const OTHER_PART_FACTOR = 8;
 
-/** Use below which a server for short work may take a long prompt. */
-const IDLE_USE = 0.1;
+/** How much dearer a server is that other instances may count to the other part. */
+const NEAR_LINE_FACTOR = 3;
+
+/** Waits after which work may go to the other part; a long prompt does more harm there. */
+const SHORT_PATIENCE_MS = 500;
+const LONG_PATIENCE_MS = 10_000;
 
 /** Those not chosen that a decision names. */
 const RUNNERS_UP_NAMED = 3;
 
 /**
  * What choosing a server costs the request, in prompt tokens computed: those waiting to be computed before it, its
- * own that are not cached, and the slower steps of a fuller batch; all of it more on a slow server.
+ * own that are not cached, the slower steps of a fuller batch and the requests waiting in the server's own queue;
+ * all of it more on a slow server.
  */
 function costAt(server: ServerState, work: WorkEstimate, prefillTokens: number, nowMs: number) {
-  const sharing = work.units * server.utilisation(nowMs);
+  const sharing = work.units * (server.utilisation(nowMs) + server.reportedWaiting(nowMs));
   return server.limit.stretch() * (server.pendingPrefillTokens() + prefillTokens + sharing);
 }
 
-/** Short work may go among long; long work goes among short only where next to nothing runs. */
-function mayCross(server: ServerState, { longPrompts, work, nowMs }: ServerChoiceInput): boolean {
-  return !longPrompts.isLong(work) || server.utilisation(nowMs) < IDLE_USE;
+/**
+ * Work goes to the other part only after it has waited in vain for its own: a little waiting costs less than
+ * sharing steps with a long prompt, and a wrong division must not leave servers idle for long.
+ */
+function mayCross({ longPrompts, work, waitedMs }: ServerChoiceInput): boolean {
+  return waitedMs > (longPrompts.isLong(work) ? LONG_PATIENCE_MS : SHORT_PATIENCE_MS);
+}
+
+function partFactor(server: ServerState, { longPrompts, work }: ServerChoiceInput): number {
+  if (!longPrompts.isFor(server.place(), work)) return OTHER_PART_FACTOR;
+  return longPrompts.isNearLine(server.place()) ? NEAR_LINE_FACTOR : 1;
 }
 
 function draw(set: DenseSet<ServerState>, input: ServerChoiceInput, count: number): ServerState[] {
@@ -90,7 +105,7 @@
     const server = set.at(pickIndex(random, set.size()));
     if (drawn.includes(server) || !mayUse(server.serverId)) continue;
     if (longPrompts.isFor(server.place(), work)) drawn.push(server);
-    else if (mayCross(server, input)) otherPart = server;
+    else if (mayCross(input)) otherPart ??= server;
   }
   if (drawn.length === 0 && otherPart !== undefined) drawn.push(otherPart);
   return drawn;
@@ -135,9 +150,8 @@
     if (candidates.some((candidate) => candidate.server === server)) return;
     const prefillTokens = Math.max(0, work.promptTokens - cachedTokens);
     const isOwnPart = longPrompts.isFor(server.place(), work);
-    if (!isOwnPart && !mayCross(server, input)) return;
-    const factor = isOwnPart ? 1 : OTHER_PART_FACTOR;
-    const cost = factor * costAt(server, work, prefillTokens, nowMs);
+    if (!isOwnPart && !mayCross(input)) return;
+    const cost = partFactor(server, input) * costAt(server, work, prefillTokens, nowMs);
     candidates.push({ server, reason, prefillTokens, cost });
   };
 
--- a/src/core/routing/server-state.ts
+++ b/src/core/routing/server-state.ts
@@ -29,6 +29,8 @@
   pendingPrefillTokens(): number;
   /** Estimated share of the server that is in use, by this instance and by others. */
   utilisation(nowMs: number): number;
+  /** Requests that the server itself reported as waiting; counts for less the older the report. */
+  reportedWaiting(nowMs: number): number;
   begin(work: OpenWork): void;
   firstByte(work: OpenWork): void;
   /** Ends the accounts of `begin`; the limit is told apart. */
@@ -60,12 +62,12 @@
     if (inPrefill.delete(work)) pendingPrefillTokens -= work.prefillTokens;
   };
 
-  const othersUnits = (nowMs: number): number => {
-    if (report === undefined || otherRequests === 0) return 0;
-    const weight = Math.max(0, 1 - (nowMs - report.atMs) / REPORT_LIFETIME_MS);
-    const requestUnits = limit.inFlightUnits() / Math.max(1, limit.inFlightRequests());
-    return weight * otherRequests * requestUnits;
-  };
+  /** 1 for a report of this moment, 0 for one that says nothing any more. */
+  const freshness = (nowMs: number): number =>
+    report === undefined ? 0 : Math.max(0, 1 - (nowMs - report.atMs) / REPORT_LIFETIME_MS);
+
+  const othersUnits = (nowMs: number): number =>
+    freshness(nowMs) * otherRequests * limit.meanRequestUnits();
 
   return {
     ...server,
@@ -79,6 +81,7 @@
       const others = othersUnits(nowMs);
       return (limit.inFlightUnits() + others) / (limit.limitUnits() + others);
     },
+    reportedWaiting: (nowMs) => freshness(nowMs) * (report?.waitingRequests ?? 0),
     begin(work) {
       open.add(work);
       inPrefill.add(work);
--- a/src/core/scheduling/create-service-scheduler.ts
+++ b/src/core/scheduling/create-service-scheduler.ts
@@ -13,6 +13,7 @@
 import type { QueueEntry } from '../queueing';
 import { chooseServer, createLongPrompts, createPrefixIndex, createServerPool } from '../routing';
 import type { ServerChoice, ServerState } from '../routing';
+import { createOutputEstimator, engineWork } from '../work';
 import type {
   Placement,
   RefusalReason,
@@ -45,6 +46,7 @@
   const pool = createServerPool(() => createAdaptiveLimit(limitOptions));
   const prefixIndex = createPrefixIndex();
   const longPrompts = createLongPrompts();
+  const outputs = createOutputEstimator();
   const baseline = createLatencyBaseline();
   const rate = createServiceRate();
   const retrySlots = createRetrySlots();
@@ -75,6 +77,7 @@
       ownFailureDomain,
       random,
       nowMs,
+      waitedMs: nowMs - request.arrivedAtMs,
       mayUse,
     });
   };
@@ -142,25 +145,26 @@
   };
 
   const noteTurn = (request: ScheduledRequest<Item>, nowMs: number) => {
-    const { priority, callerId, arrivedAtMs } = request;
-    standing.noteTurn(request, nowMs - arrivedAtMs, nowMs);
-    if (!queue.hasWaiting(priority, callerId)) standing.noteCallerEmpty(request);
+    standing.noteTurn(request, nowMs - request.arrivedAtMs, nowMs);
   };
 
   const passOver = (request: ScheduledRequest<Item>): boolean =>
     serviceLimit.hasRoom() && pool.roomy().size() > 0 && entries.has(request);
 
   return {
+    estimate: (demand) => engineWork(demand, outputs.estimate(demand.maxOutputTokens)),
     offer(request, nowMs) {
       const { work, deadlineAtMs } = request;
       if (queue.size() === 0) {
-        standing.noteEmpty(nowMs);
         const choice = choose(request, nowMs);
         const serviceMs = baseline.expectedMs(work.units) ?? 0;
         if (nowMs + serviceMs > deadlineAtMs) {
           return refuse(request, 'deadline-too-near', 0, 0, nowMs);
         }
-        if (choice !== undefined) return { kind: 'run', placement: begin(request, choice, nowMs) };
+        if (choice !== undefined) {
+          noteTurn(request, nowMs);
+          return { kind: 'run', placement: begin(request, choice, nowMs) };
+        }
       }
       if (!mayAnyServe(request)) return refuse(request, 'no-server', 0, 0, nowMs);
       const waitMs = expectedWaitMs(request);
@@ -169,7 +173,7 @@
         deadlineAtMs,
         expectedWaitMs: waitMs,
         expectedServiceMs: expectedServiceMs(work.units),
-        isQueueStanding: standing.isStanding(request),
+        isQueueStanding: standing.isStanding(request, nowMs),
         standingWaitMs: longestWaits[request.priority],
       });
       if (decision.kind === 'refuse') {
@@ -208,7 +212,6 @@
         else break;
       }
       passedOver.forEach((entry) => queue.push(entry));
-      if (queue.size() === 0) standing.noteEmpty(nowMs);
       return ready;
     },
     takeExpired: (nowMs) =>
@@ -237,6 +240,9 @@
       serviceLimit.end(request.work.units, end, nowMs);
       pool.refresh(server);
     },
+    noteOutput({ request }, outputTokens) {
+      outputs.learn(request.work.maxOutputTokens, outputTokens);
+    },
     noteReport(serverId, report, nowMs) {
       const server: ServerState | undefined = pool.get(serverId);
       if (server === undefined) return;
@@ -250,6 +256,7 @@
     forgetCache: (serverId) => prefixIndex.forgetServer(serverId),
     replaceServers(servers) {
       pool.replace(servers);
+      longPrompts.setServers(servers.length);
       if (serviceLimit.inFlightRequests() > 0) return;
       serviceLimit = createServiceLimit(servers.length);
     },
--- a/src/core/scheduling/types.ts
+++ b/src/core/scheduling/types.ts
@@ -2,7 +2,7 @@
 import type { Priority } from '../configuration';
 import type { RandomSource } from '../random';
 import type { OpenWork, PoolServer, PrefixEvent, ServerChoice, ServerReport } from '../routing';
-import type { WorkEstimate } from '../work';
+import type { EngineDemand, WorkEstimate } from '../work';
 
 /** What a service's scheduler is made from. */
 export interface SchedulerOptions {
@@ -75,6 +75,8 @@
 
 /** Admission, queue and routing of one service at this instance, without timers or sockets. */
 export interface ServiceScheduler<Item> {
+  /** Work of a request to an engine, by what its like have brought so far. */
+  estimate(demand: EngineDemand): WorkEstimate;
   offer(request: ScheduledRequest<Item>, nowMs: number): Offer<Item>;
   /** Requests that may begin now; to be asked after each `end` and each change of the servers. */
   takeReady(nowMs: number): readonly Placement<Item>[];
@@ -85,6 +87,8 @@
   remove(request: ScheduledRequest<Item>): void;
   firstByte(placement: Placement<Item>): void;
   end(placement: Placement<Item>, result: PlacementResult, nowMs: number): void;
+  /** The answer's size, where it could be told. */
+  noteOutput(placement: Placement<Item>, outputTokens: number): void;
   noteReport(serverId: string, report: ServerReport, nowMs: number): void;
   noteCacheEvent(event: PrefixEvent): void;
   /** A server has crashed: its cache is gone. */
