Let a light caller's request pass while heavy ones keep every limit used

Cause: with six instances a light caller waited for the next of its own instance's requests to end, and limits went from one request a server to two, so that 36 calls stood at 24 workers. Conclusion: sparse callers may exceed a limit by one request, and limits grow by a tenth of a request.

--- a/src/core/admission/adaptive-limit.ts
+++ b/src/core/admission/adaptive-limit.ts
@@ -2,7 +2,7 @@
 import type { AdaptiveLimit, LimitRule } from './types';
 
 /** Answers after which a limit is set anew: enough that one long request does not decide alone. */
-const WINDOW_ANSWERS = 10;
+const WINDOW_ANSWERS = 20;
 
 /** Where answers come seldom, a limit is also set anew after this time and so many answers. */
 const SLOW_WINDOW_MS = 2_000;
@@ -74,6 +74,7 @@
     hasRoom: () =>
       inFlightRequests < (hadStrain ? 1 : firstLimitRequests) ||
       inFlightUnits + meanRequestUnits / 2 <= limitUnits,
+    hasSparseRoom: () => inFlightUnits - meanRequestUnits / 2 <= limitUnits,
     stretch: () => lastStretch,
     begin(units) {
       inFlightUnits += units;
--- a/src/core/admission/gradient-rule.ts
+++ b/src/core/admission/gradient-rule.ts
@@ -7,7 +7,7 @@
  * is there for fleets in which an instance seldom has a second request at a server; where servers' own limits
  * can act it has to leave them alone, so it tolerates more.
  */
-export const STRETCH_TOLERANCE = { engine: 3, plain: 1.1, service: 4 } as const;
+export const STRETCH_TOLERANCE = { engine: 3, plain: 1.05, service: 4 } as const;
 
 /** Least share of a limit that one window leaves, so that one odd window does not close a server. */
 const LEAST_KEPT_SHARE = 0.7;
@@ -16,13 +16,13 @@
 const USED_SHARE = 0.8;
 
 /** Growth of a limit in a window, as a share of it; at least a part of a request. */
-const GROWTH_SHARE = 0.1;
+const GROWTH_SHARE = 0.05;
 
 /**
  * Part of a request by which a limit grows at least. Several instances that each go from one to two requests
  * at once would double what a server has.
  */
-const GROWTH_REQUESTS = 0.25;
+const GROWTH_REQUESTS = 0.1;
 
 /**
  * Latency gradient: the limit shrinks in proportion to how far the stretch is above the tolerance, and grows by
--- a/src/core/admission/types.ts
+++ b/src/core/admission/types.ts
@@ -26,6 +26,8 @@
   inFlightUnits(): number;
   inFlightRequests(): number;
   hasRoom(): boolean;
+  /** Whether there is room if one more request than the limit is allowed. */
+  hasSparseRoom(): boolean;
   /** Latency of late against servers with little to do; 1 before anything is known. */
   stretch(): number;
   begin(units: number): void;
--- a/src/core/queueing/class-queue.ts
+++ b/src/core/queueing/class-queue.ts
@@ -15,6 +15,7 @@
   size(): number;
   units(): number;
   unitsAhead(callerId: string, units: number): number;
+  takeSparseTurn(callerId: string, units: number): boolean;
   push(entry: QueueEntry<Item>): void;
   peek(): QueueEntry<Item> | undefined;
   shift(): QueueEntry<Item> | undefined;
@@ -127,6 +128,12 @@
       const own = flows.get(callerId)?.queuedUnits ?? 0;
       return Math.min(totalUnits, own + activeCallers * (own + units));
     },
+    takeSparseTurn(callerId, units) {
+      const flow = flowOf(callerId);
+      if (flow.queuedCount > 0 || flow.tag > currentTag) return false;
+      flow.tag = currentTag + units;
+      return true;
+    },
     push(entry) {
       const flow = flowOf(entry.callerId);
       if (flow.queuedCount === 0) {
--- a/src/core/queueing/fair-queue.ts
+++ b/src/core/queueing/fair-queue.ts
@@ -75,6 +75,8 @@
       const turnsOfOther = (weights[otherPriority] / weights[priority]) * (ownClass + units);
       return ownClass + Math.min(otherUnits, turnsOfOther);
     },
+    takeSparseTurn: (priority, callerId, units) =>
+      classes[priority].takeSparseTurn(callerId, units),
     push(entry) {
       const own = classes[entry.priority];
       if (own.size() === 0) {
--- a/src/core/queueing/types.ts
+++ b/src/core/queueing/types.ts
@@ -19,6 +19,11 @@
   queuedUnits(priority: Priority): number;
   /** Work that would probably run before a request of this caller that came now. */
   unitsAhead(priority: Priority, callerId: string, units: number): number;
+  /**
+   * Whether a caller has had less than its fair part of late and has nothing waiting; if so, `units` are put to
+   * its account, as for a turn.
+   */
+  takeSparseTurn(priority: Priority, callerId: string, units: number): boolean;
   push(entry: QueueEntry<Item>): void;
   /** The entry whose turn it is; it stays until `shift`. */
   peek(nowMs: number, blocked?: Priority): QueueEntry<Item> | undefined;
--- a/src/core/routing/choose-server.ts
+++ b/src/core/routing/choose-server.ts
@@ -29,7 +29,8 @@
   /** Prompt tokens that the server will probably have to compute. */
   readonly prefillTokens: number;
   readonly runnersUp: readonly string[];
-  readonly reason: 'holds-prefix' | 'home-of-prefix' | 'least-work' | 'near-least-work';
+  readonly reason:
+    'holds-prefix' | 'home-of-prefix' | 'sparse-caller' | 'least-work' | 'near-least-work';
 }
 
 interface Candidate {
@@ -194,6 +195,27 @@
   return toChoice([...near, ...anywhere]);
 }
 
+/**
+ * A server for a request of a caller that uses less than its fair part, for which the limits give way by one request.
+ *
+ * It answers a few heavy callers. They keep every limit used, and a light caller's request would wait for the next
+ * of this instance's own requests to end, which with many instances and servers is far longer than the
+ * server itself would have it wait.
+ */
+export function chooseSparseServer(input: ServerChoiceInput): ServerChoice | undefined {
+  const { pool, work, nowMs, random, mayUse, longPrompts } = input;
+  const servers = pool.all();
+  const candidates: Candidate[] = [];
+  for (let index = 0; index < MOST_FURTHER_DRAWS && candidates.length < 2 * DRAWN; index += 1) {
+    const server = servers[pickIndex(random, servers.length)];
+    if (server === undefined || !server.limit.hasSparseRoom()) continue;
+    if (!mayUse(server.serverId) || !longPrompts.isFor(server.place(), work)) continue;
+    const cost = costAt(server, work, work.promptTokens, nowMs);
+    candidates.push({ server, reason: 'sparse-caller', prefillTokens: work.promptTokens, cost });
+  }
+  return toChoice(candidates);
+}
+
 /** Chooses a server with room for a request; undefined when none of those looked at may take it now. */
 export function chooseServer(input: ServerChoiceInput): ServerChoice | undefined {
   switch (input.kind) {
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -1,6 +1,6 @@
 /** Which server, or which other region, gets a request. */
 export { chooseRoute } from './choose-route';
-export { chooseServer } from './choose-server';
+export { chooseServer, chooseSparseServer } from './choose-server';
 export type { ServerChoice, ServerChoiceInput } from './choose-server';
 export { ROUTING_EVENTS } from './events';
 export { createLongPrompts, LONG_PROMPT_TOKENS } from './long-prompts';
--- a/src/core/scheduling/create-service-scheduler.ts
+++ b/src/core/scheduling/create-service-scheduler.ts
@@ -11,8 +11,14 @@
 import type { Priority } from '../configuration';
 import { createFairQueue, createStandingQueue } from '../queueing';
 import type { QueueEntry } from '../queueing';
-import { chooseServer, createLongPrompts, createPrefixIndex, createServerPool } from '../routing';
-import type { ServerChoice, ServerState } from '../routing';
+import {
+  chooseServer,
+  chooseSparseServer,
+  createLongPrompts,
+  createPrefixIndex,
+  createServerPool,
+} from '../routing';
+import type { ServerChoice, ServerChoiceInput, ServerState } from '../routing';
 import { createOutputEstimator, engineWork } from '../work';
 import type {
   Placement,
@@ -65,21 +71,32 @@
     });
   let serviceLimit = createServiceLimit(1);
 
-  const choose = (request: ScheduledRequest<Item>, nowMs: number): ServerChoice | undefined => {
-    if (!serviceLimit.hasRoom()) return undefined;
-    const { work, mayUse } = request;
-    return chooseServer({
-      kind,
-      pool,
-      prefixIndex,
-      longPrompts,
-      work,
-      ownFailureDomain,
-      random,
-      nowMs,
-      waitedMs: nowMs - request.arrivedAtMs,
-      mayUse,
-    });
+  const choiceInput = (request: ScheduledRequest<Item>, nowMs: number): ServerChoiceInput => ({
+    kind,
+    pool,
+    prefixIndex,
+    longPrompts,
+    work: request.work,
+    ownFailureDomain,
+    random,
+    nowMs,
+    waitedMs: nowMs - request.arrivedAtMs,
+    mayUse: request.mayUse,
+  });
+
+  const choose = (request: ScheduledRequest<Item>, nowMs: number): ServerChoice | undefined =>
+    serviceLimit.hasRoom() ? chooseServer(choiceInput(request, nowMs)) : undefined;
+
+  /** For interactive work of light callers while others' waits. */
+  const chooseForSparse = (
+    request: ScheduledRequest<Item>,
+    nowMs: number,
+  ): ServerChoice | undefined => {
+    const { priority, callerId, work } = request;
+    if (priority !== 'interactive') return undefined;
+    const choice = chooseSparseServer(choiceInput(request, nowMs));
+    if (choice === undefined) return undefined;
+    return queue.takeSparseTurn(priority, callerId, work.units) ? choice : undefined;
   };
 
   const begin = (
@@ -166,6 +183,8 @@
           return { kind: 'run', placement: begin(request, choice, nowMs) };
         }
       }
+      const sparse = chooseForSparse(request, nowMs);
+      if (sparse !== undefined) return { kind: 'run', placement: begin(request, sparse, nowMs) };
       if (!mayAnyServe(request)) return refuse(request, 'no-server', 0, 0, nowMs);
       const waitMs = expectedWaitMs(request);
       const decision = decideAdmission({
