--- a/bench/decisions/bounds.ts
+++ b/bench/decisions/bounds.ts
@@ -38,6 +38,13 @@
   'shared-prefixes/p99-to-least-in-flight': atMost(1.1),
   'lagging-reports/p99-to-fresh-reports': atMost(1.25),
   'lagging-reports/refused-share': atMost(0.01),
+  'one-slow-engine: p99 against the fleet without it': atMost(1.2),
+  'one-slow-plain: p99 against the fleet without it': atMost(1.2),
+  'total-outage: tries per request': atMost(1.1),
+  'server-lost: share of requests answered': atLeast(0.999),
+  'server-lost: tries per request': atMost(1.1),
+  'poison-request: most crashes per fingerprint': atMost(2),
+  'poison-request: share of other requests answered': atLeast(0.85),
 };
 
 function holds(measured: number, bound: Bound): boolean {
--- a/bench/decisions/harness/visits.ts
+++ b/bench/decisions/harness/visits.ts
@@ -109,8 +109,8 @@
         back(() => {
           firstTokenAtMs = queue.nowMs();
           if (!attempts.has(attempt)) return;
-          policy.onFirstToken?.(request, serverId);
           listener.firstToken();
+          policy.onFirstToken?.(request, serverId);
         }),
       onAnswered: (usage) =>
         back(() => {
--- a/src/cli/serve/run-serve.ts
+++ b/src/cli/serve/run-serve.ts
@@ -3,6 +3,7 @@
 import { parseSettings } from '../../core/settings';
 import { createSystemRandom } from '../../runtime/system-random';
 import { createSystemClock } from '../../runtime/system-clock';
+import { VERSION } from '../../runtime/version';
 import { createWinstonLogger } from '../../runtime/winston-logger';
 import { readSettingsText } from './read-settings-text';
 
@@ -25,11 +26,12 @@
     clock: createSystemClock(),
     random: createSystemRandom(),
     newRequestId: randomUUID,
+    release: VERSION,
   });
 
   await nextStopSignal();
   void nextStopSignal().then(() => {
-    logger.event(NODE_EVENTS.cutShort, { inFlightRequests: node.inFlightRequests() });
+    logger.event(NODE_EVENTS.cutShort, { ...node.openWork() });
     process.exit(1);
   });
   await node.drain();
--- a/src/core/http-edge/http-sink.ts
+++ b/src/core/http-edge/http-sink.ts
@@ -1,4 +1,7 @@
 import type { ServerResponse } from 'node:http';
+import type { Clock } from '../clock';
+import { toProblem } from '../refusals';
+import type { RefusalError } from '../refusals';
 import type { ResponseSink } from '../serving';
 
 /** Waits until a response takes more, or has gone. */
@@ -14,6 +17,40 @@
   });
 }
 
+/** Time for the last words of a broken stream to leave; a caller that reads nothing must not hold them longer. */
+const LAST_WORDS_TIMEOUT_MS = 1_000;
+
+function isEventStream(response: ServerResponse): boolean {
+  return String(response.getHeader('content-type') ?? '').startsWith('text/event-stream');
+}
+
+/**
+ * Ends an answer that can't be finished so that no client takes it for complete.
+ *
+ * A chunked answer without its last chunk, or one shorter than its Content-Length, is an error to every HTTP
+ * client; ending it in order would pass half a cutting list off as a whole one. Readers of an event stream
+ * often treat a closed connection as the end, so they are sent an `error` event first.
+ */
+export function abortAnswer(
+  response: ServerResponse,
+  refusal: RefusalError,
+  requestId: string,
+  clock: Clock,
+): void {
+  if (response.destroyed || response.writableEnded || !isEventStream(response)) {
+    response.destroy();
+    return;
+  }
+  const close = () => response.destroy();
+  const timer = clock.schedule(clock.monotonicMs() + LAST_WORDS_TIMEOUT_MS, close);
+  const problem = JSON.stringify({ error: toProblem(refusal, requestId) });
+  // The blank line ends whatever event was cut in the middle.
+  response.write(`\n\nevent: error\ndata: ${problem}\n\n`, () => {
+    timer[Symbol.dispose]();
+    close();
+  });
+}
+
 /** Passes an answer to a caller's connection. */
 export function createHttpSink(response: ServerResponse, requestId: string): ResponseSink {
   return {
@@ -36,8 +73,6 @@
     end() {
       response.end();
     },
-    // A chunked answer without its last chunk, or one shorter than its Content-Length, is an error to every
-    // HTTP client; ending it in order would pass half a cutting list off as a whole one.
     abort() {
       response.destroy();
     },
--- a/src/core/http-edge/types.ts
+++ b/src/core/http-edge/types.ts
@@ -1,9 +1,13 @@
+import type { CallerLimits } from '../caller-limits';
 import type { Clock } from '../clock';
 import type { ConfigurationStore } from '../configuration';
+import type { Draining } from '../draining';
 import type { Logger } from '../events';
 import type { MembershipView } from '../membership';
+import type { Metrics } from '../metrics';
 import type { Serving } from '../serving';
 import type { Settings } from '../settings';
+import type { NonRepeatableServer, Tickets } from '../tickets';
 
 /** What the callers' listener needs. */
 export interface HttpEdgeOptions {
@@ -15,6 +19,11 @@
   readonly configuration: ConfigurationStore;
   readonly membership: MembershipView;
   readonly serving: Serving;
+  readonly callerLimits: Pick<CallerLimits, 'require'>;
+  readonly tickets: Tickets;
+  readonly serveNonRepeatable: NonRepeatableServer;
+  readonly metrics: Metrics;
+  readonly draining: Pick<Draining, 'isLeaving' | 'noteArrival'>;
   readonly limits: Settings['limits'];
   /** Makes an id that no other request has. */
   readonly newRequestId: () => string;
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -1,26 +1,44 @@
+import { createCallerLimits } from '../caller-limits';
 import { createInFlight, createServerSender } from '../backends';
 import type { Clock } from '../clock';
-import { createConfigurationStore } from '../configuration';
+import { createConfigurationStore, currentResilience } from '../configuration';
+import { countServing, createDraining, gateServing } from '../draining';
+import type { OpenWork } from '../draining';
 import type { Logger } from '../events';
 import { createGossipBoard } from '../gossip';
 import { openHttpEdge } from '../http-edge';
 import { createDisposableStore } from '../lifetime';
 import { createMembership } from '../membership';
+import { createMetrics } from '../metrics';
+import { openOperatorListener } from '../operators';
+import { OUTLIER_EVENTS, createOutlierTracker } from '../outliers';
+import { createPauseGuard, createPeerRefresh, guardForwarder, guardSender } from '../pauses';
 import {
   channelCredentials,
   createExchangeTransport,
   createPeerConnections,
+  createForwardTransport,
   createPeerForwarder,
   openPeerServer,
   secretMetadata,
   serverCredentials,
 } from '../peers';
+import { createPoisonGuard, fingerprintKey } from '../poison';
 import type { RandomSource } from '../random';
 import { watchConfiguration } from '../platform';
-import { createServing } from '../serving';
+import {
+  createServerHealth,
+  createServerProber,
+  observeSender,
+  watchServerLists,
+} from '../server-health';
+import { checkRequest, createServing } from '../serving';
+import type { GatewayRequest } from '../serving';
 import type { Settings } from '../settings';
 import { NODE_EVENTS } from './events';
-import { toGatewayRequest } from './serve-forwarded';
+import { createTicketing } from './create-ticketing';
+import { lingerForTickets } from './linger-for-tickets';
+import { createForwardedHandlers } from './serve-forwarded';
 
 /** What an instance is made from. */
 export interface NodeOptions {
@@ -29,16 +47,21 @@
   readonly random: RandomSource;
   readonly logger: Logger;
   readonly newRequestId: () => string;
+  /** Version of this release, for operators. */
+  readonly release: string;
 }
 
 /** A running instance. */
 export interface GatewayNode extends AsyncDisposable {
   readonly callerAddress: string;
   readonly peerAddress: string;
+  readonly operatorAddress: string;
   /** Tells all that this instance is leaving, and resolves when nothing is in flight. */
   drain(): Promise<void>;
   /** Requests in flight at servers. */
   inFlightRequests(): number;
+  /** Requests open here, of callers and of peers. */
+  openWork(): OpenWork;
   /** Other instances that may be given work. */
   knownPeerCount(): number;
   /** Whether callers can be served: a configuration is in force and no stop has begun. */
@@ -64,7 +87,7 @@
   const gossip = createGossipBoard(instanceId, clock);
   const inFlight = createInFlight();
   const sender = owned.add(createServerSender());
-  const forwarder = createPeerForwarder({ clock, connections, metadata, instanceId });
+  const metrics = createMetrics();
   let callerAddress = '';
   let peerAddress = '';
 
@@ -72,22 +95,91 @@
     createMembership({
       clock,
       logger,
-      transport: createExchangeTransport({ clock, connections, metadata, instanceId }),
+      random,
+      gossip,
+      incarnation,
+      transport: createExchangeTransport({ clock, connections, metadata }),
       seedPeers: settings.seedPeers,
       describeSelf: () => ({
         instanceId,
-        incarnation,
         region,
         failureDomain,
         callerAddress,
         peerAddress,
         configurationVersion: configuration.current()?.version ?? 0,
+        configurationDigest: 0,
+        configurationSinceUnixMs: 0,
+        configurationConfirmed: false,
+        watching: false,
         inFlightRequests: inFlight.totalRequests(),
       }),
     }),
   );
 
-  const serving = createServing({
+  const { probe } = owned.add(createServerProber());
+  const health = owned.add(
+    createServerHealth({
+      clock,
+      random,
+      logger,
+      region,
+      configuration,
+      membership,
+      gossip,
+      probe,
+    }),
+  );
+
+  const callerLimits = owned.add(
+    createCallerLimits({
+      clock,
+      random,
+      logger,
+      gossip,
+      configuration,
+      instances: () => membership.usablePeers().length + 1,
+    }),
+  );
+  const poison = owned.add(
+    createPoisonGuard({
+      clock,
+      logger,
+      gossip,
+      key: fingerprintKey(settings.peerSecret),
+      options: () => currentResilience(configuration).poison,
+    }),
+  );
+  const pauses = owned.add(
+    createPauseGuard({
+      clock,
+      logger,
+      refresh: createPeerRefresh({ clock, membership, configuration }),
+    }),
+  );
+  const check = (request: GatewayRequest) =>
+    checkRequest({ clock, region, configuration }, request);
+  const plainForwarder = createPeerForwarder({
+    transport: createForwardTransport(clock, connections, metadata),
+    nowMs: () => clock.monotonicMs(),
+    instanceId,
+    incarnation,
+    incarnationOf: (id) =>
+      membership.members().find((member) => member.instanceId === id)?.incarnation,
+  });
+
+  const forwarder = guardForwarder(plainForwarder, { pauses, check });
+
+  const outliers = createOutlierTracker(
+    () => currentResilience(configuration).outliers,
+    ({ serverId, untilMs, ...ejection }) =>
+      logger.event(OUTLIER_EVENTS.ejected, {
+        server: serverId,
+        ...ejection,
+        untilUnixMs: clock.unixMs() + untilMs - clock.monotonicMs(),
+      }),
+  );
+  const draining = createDraining({ clock, logger, noticeMs: settings.drain.noticeMs });
+  const servingAlways = createServing({
     clock,
     random,
     logger,
@@ -97,9 +189,25 @@
     configuration,
     membership,
     gossip,
+    availability: health,
+    poison,
+    outliers,
     inFlight,
-    sender,
+    sender: guardSender(observeSender(sender, health), { pauses, check, availability: health }),
+    forwarder,
+  });
+
+  const serving = gateServing(servingAlways, draining);
+  const { tickets, serveNonRepeatable } = createTicketing({
+    settings,
+    clock,
+    logger,
+    incarnation,
+    configuration,
+    membership,
     forwarder,
+    // A ticket can be redeemed here alone, so its holder is served until the end.
+    serving: countServing(servingAlways, draining),
   });
 
   const peerServer = owned.add(
@@ -108,9 +216,14 @@
       credentials: serverCredentials(settings.tls),
       peerSecret: settings.peerSecret,
       handlers: {
-        exchange: (members) => membership.receive(members),
-        serveForwarded: (message, sink, signal) =>
-          serving.serve(toGatewayRequest(message, configuration, clock), sink, signal),
+        exchange: (message) => membership.receive(message),
+        ...createForwardedHandlers({
+          clock,
+          incarnation,
+          configuration,
+          serving,
+          serveNonRepeatable,
+        }),
       },
     }),
   );
@@ -125,28 +238,74 @@
       configuration,
       membership,
       serving,
+      callerLimits,
+      tickets,
+      serveNonRepeatable,
       limits: settings.limits,
+      metrics,
+      draining,
       newRequestId,
     }),
   );
   callerAddress = advertised.callers ?? addressOf(listeners.callers.host, edge.port);
 
+  const isReady = () =>
+    configuration.current() !== undefined && membership.self().status === 'alive';
+  metrics.gauge('coltsfootworks_in_flight_requests', 'Requests open at servers', () =>
+    inFlight.totalRequests(),
+  );
+  metrics.gauge(
+    'coltsfootworks_configuration_version',
+    'Version of the configuration in force',
+    () => configuration.current()?.version ?? 0,
+  );
+  const operators = owned.add(
+    await openOperatorListener({
+      ...listeners.operators,
+      operatorKey: settings.operatorKey,
+      configuration,
+      metrics,
+      status: () => ({
+        instanceId,
+        version: options.release,
+        region,
+        failureDomain,
+        ready: isReady(),
+        configurationVersion: configuration.current()?.version ?? 0,
+        inFlightRequests: inFlight.totalRequests(),
+        members: membership.members(),
+      }),
+    }),
+  );
+
   const { configurationUrl: url, configurationKey: key } = settings.platform;
   owned.add(watchConfiguration({ clock, logger, store: configuration, url, key }));
   membership.start();
+  health.start();
+  pauses.start();
+  const { instanceListUrl } = settings.platform;
+  if (instanceListUrl !== undefined) {
+    owned.add(watchServerLists({ clock, logger, health, url: instanceListUrl }));
+  }
   logger.event(NODE_EVENTS.started, { callerAddress, peerAddress, incarnation });
 
   return {
     callerAddress,
     peerAddress,
+    operatorAddress: addressOf(listeners.operators.host, operators.port),
     inFlightRequests: () => inFlight.totalRequests(),
+    openWork: draining.openWork,
     knownPeerCount: () => membership.usablePeers().length,
-    isReady: () => configuration.current() !== undefined && membership.self().status === 'alive',
+    isReady,
     configurationVersion: () => configuration.current()?.version ?? 0,
     async drain() {
       logger.event(NODE_EVENTS.stopping, { inFlightRequests: inFlight.totalRequests() });
       membership.markLeaving();
+      tickets.stopMinting();
+      await draining.run();
       await edge.drain();
+      await lingerForTickets({ clock, logger, tickets, lingerMs: settings.limits.ticketLingerMs });
+      await peerServer.drain();
       logger.event(NODE_EVENTS.stopped);
     },
     [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose](),
--- a/src/core/outcomes/judge-outcome.ts
+++ b/src/core/outcomes/judge-outcome.ts
@@ -9,11 +9,15 @@
 export function judgeOutcome(evidence: Evidence): Outcome {
   switch (evidence.kind) {
     case 'neverSent':
+    case 'vouchedByTicketOwner':
       return 'notRun';
     case 'refusedByPeer':
       return evidence.vouches ? 'notRun' : 'unknown';
     case 'refusedByServer':
       return evidence.declaredNotRun ? 'notRun' : 'unknown';
+    case 'ranBefore':
+      return 'ran';
+    case 'ticketNotVouchedFor':
     case 'lostAfterSending':
       return 'unknown';
     default:
--- a/src/core/peers/peer-server.ts
+++ b/src/core/peers/peer-server.ts
@@ -6,32 +6,28 @@
   ServerWritableStream,
   sendUnaryData,
 } from '@grpc/grpc-js';
-import {
-  CancelResponseSchema,
-  ForwardEventSchema,
-  ForwardRefusalSchema,
-} from '../../gen/forward_pb';
-import { ExchangeResponseSchema } from '../../gen/membership_pb';
+import { CancelResponseSchema } from '../../gen/forward_pb';
 import type {
   CancelRequest,
   CancelResponse,
   ForwardEvent,
   ForwardRequest,
 } from '../../gen/forward_pb';
-import type { ExchangeRequest, ExchangeResponse } from '../../gen/membership_pb';
+import type { ExchangeMessage as WireMessage } from '../../gen/membership_pb';
 import { ERRORS, errorText, gatewayError } from '../errors';
-import type { MemberState } from '../membership';
-import { REFUSALS, RefusalError } from '../refusals';
+import type { ExchangeMessage } from '../membership';
 import type { ResponseSink } from '../serving/types';
 import { showsSecret } from './credentials';
 import { PEER_SERVICE } from './definition';
-import { fromWireMember, toWireMember } from './member-messages';
-import { createPeerSink } from './peer-sink';
+import { fromWireMessage, toWireMessage } from './exchange-messages';
+import { createPeerSink, toRefusalEvent } from './peer-sink';
 
 /** What an instance does when others call it. */
 export interface PeerHandlers {
   /** Takes in what a peer knows and returns what is known here. */
-  exchange(members: readonly MemberState[]): readonly MemberState[];
+  exchange(message: ExchangeMessage): ExchangeMessage;
+  /** Gives an attempt up; true if nothing of it was sent and nothing will be. */
+  cancel(message: CancelRequest): boolean;
   /** Serves a forwarded request from this region, or throws a `RefusalError`. */
   serveForwarded(message: ForwardRequest, sink: ResponseSink, signal: AbortSignal): Promise<void>;
 }
@@ -48,6 +44,8 @@
 /** The listener for peers. */
 export interface PeerServer extends AsyncDisposable {
   readonly port: number;
+  /** Takes no new calls, and resolves when the last words of those open have left. */
+  drain(): Promise<void>;
 }
 
 const UNAUTHENTICATED = {
@@ -55,30 +53,6 @@
   details: 'the shared secret is missing or wrong',
 };
 
-function toRefusalEvent(message: ForwardRequest, error: unknown): ForwardEvent {
-  const refusal =
-    error instanceof RefusalError
-      ? error
-      : new RefusalError(REFUSALS.internalFault, {
-          detail: errorText(error),
-          step: 'serve-forwarded',
-          evidence: { kind: 'lostAfterSending', cause: 'aborted' },
-        });
-  return create(ForwardEventSchema, {
-    requestId: message.requestId,
-    attempt: message.attempt,
-    event: {
-      case: 'refusal',
-      value: create(ForwardRefusalSchema, {
-        refusal: refusal.definition.slug,
-        detail: refusal.message,
-        notRun: refusal.outcome === 'notRun',
-        retryAtUnixMs: BigInt(refusal.retryAtUnixMs ?? 0),
-      }),
-    },
-  });
-}
-
 function handleForward(options: PeerServerOptions) {
   return async (call: ServerWritableStream<ForwardRequest, ForwardEvent>): Promise<void> => {
     if (!showsSecret(call.metadata, options.peerSecret)) {
@@ -103,15 +77,19 @@
 
 function handleExchange(options: PeerServerOptions) {
   return (
-    call: ServerUnaryCall<ExchangeRequest, ExchangeResponse>,
-    respond: sendUnaryData<ExchangeResponse>,
+    call: ServerUnaryCall<WireMessage, WireMessage>,
+    respond: sendUnaryData<WireMessage>,
   ): void => {
     if (!showsSecret(call.metadata, options.peerSecret)) {
       respond(UNAUTHENTICATED);
       return;
     }
-    const members = options.handlers.exchange(call.request.members.map(fromWireMember));
-    respond(null, create(ExchangeResponseSchema, { members: members.map(toWireMember) }));
+    const message = fromWireMessage(call.request);
+    if (message === undefined) {
+      respond({ code: grpcStatus.INVALID_ARGUMENT, details: 'the message names no sender' });
+      return;
+    }
+    respond(null, toWireMessage(options.handlers.exchange(message)));
   };
 }
 
@@ -124,7 +102,8 @@
       respond(UNAUTHENTICATED);
       return;
     }
-    respond(null, create(CancelResponseSchema, { neverSent: false }));
+    const neverSent = options.handlers.cancel(call.request);
+    respond(null, create(CancelResponseSchema, { neverSent }));
   };
 }
 
@@ -155,6 +134,10 @@
   const port = await bind(server, options);
   return {
     port,
+    drain: () =>
+      new Promise((resolve) => {
+        server.tryShutdown(() => resolve());
+      }),
     async [Symbol.asyncDispose]() {
       server.forceShutdown();
     },
--- a/src/core/refusals/refusal-error.ts
+++ b/src/core/refusals/refusal-error.ts
@@ -4,6 +4,21 @@
 import type { Evidence, Outcome } from '../outcomes';
 import type { RefusalDefinition } from './catalogue';
 
+/** A ticket with which a call that did not run may be sent again. */
+export interface RefusalTicket {
+  readonly ticket: string;
+  readonly expiresAtUnixMs: number;
+}
+
+/** An instance that the caller may use instead. */
+export interface RefusalEntry {
+  readonly instanceId: string;
+  /** host:port for callers. */
+  readonly address: string;
+  readonly region: string;
+  readonly failureDomain: string;
+}
+
 /** The facts of one refusal. */
 export interface RefusalCase extends ErrorPlace {
   /** What happened this time, for a person to read. */
@@ -12,6 +27,8 @@
   /** When trying again is likely to help; absent where waiting helps nothing. */
   readonly retryAtUnixMs?: number | undefined;
   readonly cause?: unknown;
+  readonly ticket?: RefusalTicket | undefined;
+  readonly entries?: readonly RefusalEntry[] | undefined;
 }
 
 /** A request that is refused, on its way to whoever answers the caller. */
@@ -22,6 +39,10 @@
 
   readonly retryAtUnixMs: number | undefined;
 
+  readonly ticket: RefusalTicket | undefined;
+
+  readonly entries: readonly RefusalEntry[] | undefined;
+
   constructor(definition: RefusalDefinition, refusal: RefusalCase) {
     super(
       { name: definition.slug, title: definition.title, hint: definition.hint },
@@ -32,6 +53,25 @@
     this.definition = definition;
     this.evidence = refusal.evidence;
     this.retryAtUnixMs = refusal.retryAtUnixMs;
+    this.ticket = refusal.ticket;
+    this.entries = refusal.entries;
+  }
+
+  /** The same refusal with other facts in some places. */
+  with(changes: Partial<RefusalCase>): RefusalError {
+    const { definition, message, step, peer, evidence, retryAtUnixMs, cause, ticket, entries } =
+      this;
+    return new RefusalError(definition, {
+      detail: message,
+      step,
+      ...(peer === undefined ? {} : { peer }),
+      evidence,
+      retryAtUnixMs,
+      cause,
+      ticket,
+      entries,
+      ...changes,
+    });
   }
 
   /** What the caller is told about whether the request ran. */
--- a/src/core/routing/server-pool.ts
+++ b/src/core/routing/server-pool.ts
@@ -1,7 +1,8 @@
 import type { AdaptiveLimit } from '../admission';
+import { hashText } from '../hashing';
 import { createDenseSet } from './dense-set';
 import type { DenseSet } from './dense-set';
-import { createHashRing, hashText } from './hash-ring';
+import { createHashRing } from './hash-ring';
 import type { HashRing } from './hash-ring';
 import { createServerState } from './server-state';
 import type { PoolServer, ServerState } from './server-state';
--- a/src/core/serving/index.ts
+++ b/src/core/serving/index.ts
@@ -1,6 +1,14 @@
 /** The way of one request through this instance. */
+export { checkRegion, checkRequest } from './check-request';
 export { SERVING_EVENTS } from './events';
 export { createServing } from './serve-request';
 export type { Serving } from './serve-request';
 export type { ServingDependencies } from './dependencies';
-export type { GatewayRequest, Header, RequestOrigin, ResponseHead, ResponseSink } from './types';
+export type {
+  GatewayRequest,
+  Header,
+  RequestOrigin,
+  ResponseHead,
+  ResponseSink,
+  SendGuard,
+} from './types';
