--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -1,5 +1,6 @@
 import { CALLER_LIMIT_EVENTS } from '../caller-limits/events';
 import { CONFIGURATION_EVENTS } from '../configuration/events';
+import { CONFIGURATION_SYNC_EVENTS } from '../configuration-sync/events';
 import { DRAINING_EVENTS } from '../draining/events';
 import { ENGINE_ORDER_EVENTS } from '../engine-orders/events';
 import { HTTP_EDGE_EVENTS } from '../http-edge/events';
@@ -7,7 +8,6 @@
 import { NODE_EVENTS } from '../node/events';
 import { OUTLIER_EVENTS } from '../outliers/events';
 import { PAUSE_EVENTS } from '../pauses/events';
-import { PLATFORM_EVENTS } from '../platform/events';
 import { POISON_EVENTS } from '../poison/events';
 import { RETRY_EVENTS } from '../retries/events';
 import { ROUTING_EVENTS } from '../routing/events';
@@ -29,7 +29,7 @@
   SERVING_EVENTS,
   MEMBERSHIP_EVENTS,
   CONFIGURATION_EVENTS,
-  PLATFORM_EVENTS,
+  CONFIGURATION_SYNC_EVENTS,
   SERVER_HEALTH_EVENTS,
   DRAINING_EVENTS,
   PAUSE_EVENTS,
--- a/src/core/peers/peer-security.test.ts
+++ b/src/core/peers/peer-security.test.ts
@@ -80,6 +80,12 @@
         peerSecret: SECRET,
         handlers: {
           exchange: (message) => message,
+          fetchConfiguration: () => ({
+            version: 0,
+            isConfirmed: false,
+            rootText: '',
+            documents: new Map(),
+          }),
           cancel: () => true,
           serveForwarded: async () => {},
         },
