Tell a caller when there is room for its ticket, and halve the records held by default

Cause: a refusal for want of room named no time to come back at, though its hint points to one; 20000 records of 1.7 KB took 34 MB, more than an instance may spend on control. Ruled out: dropping records earlier; the ten minutes after expiry are what lets the owner vouch. Conclusion: the bound is a setting; an instance that takes more orders says so by 'overloaded'.

--- a/src/core/settings/schema.ts
+++ b/src/core/settings/schema.ts
@@ -116,7 +116,7 @@
       ticketRecords: z
         .int()
         .min(1)
-        .default(20_000)
+        .default(10_000)
         .describe('Presented tickets remembered, until ten minutes after their expiry'),
       heldAnswersBytes: z
         .int()
--- a/src/core/tickets/create-tickets.ts
+++ b/src/core/tickets/create-tickets.ts
@@ -9,7 +9,7 @@
 import type { RunCall } from './run-ticket';
 import { createTicketGuard } from './ticket-guard';
 import { createTicketRecord } from './ticket-record';
-import { createTicketRecords } from './ticket-records';
+import { SWEEP_INTERVAL_MS, createTicketRecords } from './ticket-records';
 import type { RecordLimits } from './ticket-records';
 import { isGenuine, writeTicket } from './ticket-text';
 import type { TicketBinding } from './ticket-text';
@@ -72,7 +72,7 @@
     }
     if (nowMs >= presented.expiresAtMs) throw expiredUnseen(presented, nowMs);
     const record = createTicketRecord(presented, callDigest);
-    if (!records.add(record, nowMs)) throw noRoom();
+    if (!records.add(record, nowMs)) throw noRoom(clock.unixMs() + SWEEP_INTERVAL_MS);
     return { kind: 'first', record } as const;
   };
 
--- a/src/core/tickets/refuse-ticket.ts
+++ b/src/core/tickets/refuse-ticket.ts
@@ -50,10 +50,10 @@
 }
 
 /** No more records fit in; the ticket was never presented before and may be presented again later. */
-export function noRoom(): RefusalError {
+export function noRoom(retryAtUnixMs: number): RefusalError {
   return refuse(REFUSALS.overloaded, 'This instance has no room for another ticket.', {
     kind: 'neverSent',
-  });
+  }).with({ retryAtUnixMs });
 }
 
 /** An expired ticket without a record: never presented, for as long as records are kept. */
--- a/src/core/tickets/ticket-records.ts
+++ b/src/core/tickets/ticket-records.ts
@@ -9,7 +9,7 @@
 export const VOUCH_AFTER_EXPIRY_MS = 600_000;
 
 /** Time between two sweeps: rare enough to cost nothing, often enough that memory follows the load. */
-const SWEEP_INTERVAL_MS = 5_000;
+export const SWEEP_INTERVAL_MS = 5_000;
 
 /** Bounds of the records. */
 export interface RecordLimits {
--- a/src/core/tickets/tickets.test.ts
+++ b/src/core/tickets/tickets.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { createFakeClock } from '../../testing/fake-clock';
+import { FAKE_EPOCH_UNIX_MS, createFakeClock } from '../../testing/fake-clock';
 import { createMemoryLogger } from '../../testing/memory-logger';
 import {
   answerWith,
@@ -303,6 +303,7 @@
     const refusal = refusalOf(await present(tickets, mint(), server.run));
     assert.equal(refusal.definition, REFUSALS.overloaded);
     assert.equal(refusal.outcome, 'notRun');
+    assert.ok((refusal.retryAtUnixMs ?? 0) > FAKE_EPOCH_UNIX_MS);
     assert.equal(server.runs(), 1);
   });
 });
