Do not take one's own statements about servers for those of peers

Cause: on a new version of the configuration an instance read all statements on its board back, its own included, and kept a server out that was long back. Ruled out: a shorter life of statements; it hides the fault and loses checkers' words.

--- a/src/core/server-health/region-health.test.ts
+++ b/src/core/server-health/region-health.test.ts
@@ -60,6 +60,19 @@
     assert.equal(logger.of(SERVER_HEALTH_EVENTS.checksDoubted).length, 1);
   });
 
+  // Operators publish while a server is out for maintenance. Were an instance to take its own statement for that of
+  // a peer, it would keep the server out after it is back, until the statement expires.
+  it('does not take its own statements for those of peers when a new version comes into force', async () => {
+    const { clock, answers, usersOf, publish } = startRegion(17);
+    await clock.advanceByAsync(3_000);
+    answers.set(serverIdAt(4), 'draining');
+    await msUntil(clock, () => usersOf(serverIdAt(4)) === 0, 5_000);
+    publish(2);
+    answers.delete(serverIdAt(4));
+    const backMs = await msUntil(clock, () => usersOf(serverIdAt(4)) === INSTANCES, 30_000);
+    assert.ok(backMs <= 5_000, `took ${backMs} ms`);
+  });
+
   // Were every instance to check every server, checks would grow with servers times instances until servers
   // spend their time on answering them.
   it('checks each server as often as if there were two instances, however many there are', async () => {
--- a/src/testing/server-region.ts
+++ b/src/testing/server-region.ts
@@ -1,4 +1,5 @@
 import { configurationSchema, createConfigurationStore } from '../core/configuration';
+import type { ConfigurationStore } from '../core/configuration';
 import { createGossipBoard } from '../core/gossip';
 import type { GossipStore } from '../core/gossip';
 import type { MemberState, MembershipView } from '../core/membership';
@@ -28,6 +29,7 @@
   readonly health: ServerHealth;
   readonly board: GossipStore;
   readonly logger: MemoryLogger;
+  readonly configuration: ConfigurationStore;
 }
 
 /** The region, with what its servers answer. */
@@ -41,6 +43,8 @@
   /** How many instances give a server new work. */
   usersOf(serverId: string): number;
   probeCount(): number;
+  /** Brings a version with the same servers into force everywhere. */
+  publish(version: number): void;
   /** Statements taken in by all instances together, expired and repeated ones included. */
   statementCount(): number;
 }
@@ -48,9 +52,9 @@
 /** The id of the server with this index. */
 export const serverIdAt = (index: number) => `engine-${index}`;
 
-function describeConfiguration(serverCount: number): string {
+function describeConfiguration(serverCount: number, version: number): string {
   const document = configurationSchema.parse({
-    version: 1,
+    version,
     deployment: 'omaruru',
     regions: [{ name: REGION, failureDomains: ['rundu-a'] }],
     services: [{ kind: 'model', name: 'kit-assistant', regions: [REGION], models: ['kit-large'] }],
@@ -88,7 +92,6 @@
   const random = createSeededRandom(seed);
   const answers = new Map<string, ServerObservation['kind']>();
   const cutOff = new Set<number>();
-  const text = describeConfiguration(serverCount);
   const members = Array.from({ length: instanceCount }, (_unused, index) => memberAt(index));
   let probes = 0;
   let statements = 0;
@@ -102,7 +105,7 @@
   const startInstance = (self: MemberState, index: number): RegionInstance => {
     const logger = createMemoryLogger();
     const configuration = createConfigurationStore(logger);
-    configuration.offer(text, 'test');
+    configuration.offer(describeConfiguration(serverCount, 1), 'test');
     const membership: MembershipView = {
       self: () => self,
       members: () => members,
@@ -123,7 +126,7 @@
       },
     });
     health.start();
-    return { health, board, logger };
+    return { health, board, logger, configuration };
   };
 
   const instances = members.map(startInstance);
@@ -152,6 +155,10 @@
     instances,
     usersOf: (id) => instances.filter(({ health }) => health.takesNewWork(id)).length,
     probeCount: () => probes,
+    publish(version) {
+      const text = describeConfiguration(serverCount, version);
+      instances.forEach(({ configuration }) => configuration.offer(text, 'test'));
+    },
     statementCount: () => statements,
   };
 }
