--- a/bench/decisions/bounds.ts
+++ b/bench/decisions/bounds.ts
@@ -23,6 +23,21 @@
  * the design note of the decision that it belongs to.
  */
 export const BOUNDS: Readonly<Record<string, Bound>> = {
+  'long-among-short/short-p99-to-fifo': atMost(0.35),
+  'long-among-short/long-p99-to-fifo': atMost(1.3),
+  'burst/goodput-to-capacity': atLeast(0.95),
+  'burst/p99-to-deadline': atMost(1),
+  'burst/refusal-delay-p99-ms': atMost(50),
+  'saturation/goodput-to-capacity': atLeast(0.95),
+  'saturation/p99-to-deadline': atMost(1),
+  'saturation/refusal-delay-p99-ms': atMost(50),
+  'heavy-callers/light-p99-to-alone': atMost(1.25),
+  'heavy-callers/goodput-to-capacity': atLeast(0.93),
+  'heavy-callers-on-engines/light-p99-to-usual': atMost(1.4),
+  'shared-prefixes/recomputed-to-least-in-flight': atMost(0.5),
+  'shared-prefixes/p99-to-least-in-flight': atMost(1.1),
+  'lagging-reports/p99-to-fresh-reports': atMost(1.25),
+  'lagging-reports/refused-share': atMost(0.01),
   'one-slow-engine: p99 against the fleet without it': atMost(1.2),
   'one-slow-plain: p99 against the fleet without it': atMost(1.2),
   'total-outage: tries per request': atMost(1.1),
@@ -30,6 +45,17 @@
   'server-lost: tries per request': atMost(1.1),
   'poison-request: most crashes per fingerprint': atMost(2),
   'poison-request: share of other requests answered': atLeast(0.85),
+  'home-at-80/remote-share': atMost(0),
+  'excess-by-weights/hooghly-to-omaruru': atMost(0.5),
+  'excess-by-weights/answered-to-no-spillover': atLeast(1.1),
+  'region-half-lost/next-p99-to-undisturbed': atMost(1.3),
+  'region-half-lost/next-answered': atLeast(0.999),
+  'region-half-lost/home-answered-to-no-spillover': atLeast(1.2),
+  'region-half-lost/largest-swing': atMost(0.1),
+  'region-half-lost/remote-after-return': atMost(0.02),
+  'region-half-lost/recomputed-share-after-return': atMost(0.02),
+  'retry-storm/goodput-after-recovery': atLeast(0.9),
+  'retry-storm/tries-per-request': atMost(1.1),
 };
 
 function holds(measured: number, bound: Bound): boolean {
