Let the running instance admit, queue and route by the scheduler

Cause: each request was sent at once to the server where this instance had fewest requests, after a scan of all servers of the service; nothing was refused or waited. Conclusion: requests wait for a slot, are checked again on leaving the queue, and each admission and each choice of a server has its log line.

--- a/src/core/configuration/service-schema.ts
+++ b/src/core/configuration/service-schema.ts
@@ -35,6 +35,25 @@
     .describe('Time over which a server that came back rises from a tenth to its full share, ms'),
 });
 
+const queueingRules = z.strictObject({
+  batchShare: z
+    .number()
+    .min(0.01)
+    .max(0.99)
+    .default(0.2)
+    .describe('Share of the work that batch requests get while interactive ones wait, 0 to 1'),
+  batchLongestWaitMs: z
+    .int()
+    .min(100)
+    .default(20_000)
+    .describe('Wait after which a batch request goes next whatever else waits, ms'),
+  standingWaitMs: z
+    .int()
+    .min(10)
+    .default(500)
+    .describe('Longest wait of interactive requests that is granted while overload lasts, ms'),
+});
+
 const commonService = {
   name: nameSchema.describe('What callers ask for and servers belong to'),
   regions: regionNamesSchema.describe('Regions that this service may run in'),
@@ -64,6 +83,7 @@
     .describe(
       'Whether its servers answer with the x-request-id that they were given; an answer with another is dropped',
     ),
+  queueing: queueingRules.prefault({}).describe('How its requests wait for their turn'),
   health: healthRules.prefault({}).describe('How the servers of this service are checked'),
 };
 
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -3,6 +3,7 @@
 import { DRAINING_EVENTS } from '../draining/events';
 import { ENGINE_ORDER_EVENTS } from '../engine-orders/events';
 import { HTTP_EDGE_EVENTS } from '../http-edge/events';
+import { LOAD_CONTROL_EVENTS } from '../load-control/events';
 import { MEMBERSHIP_EVENTS } from '../membership/events';
 import { NODE_EVENTS } from '../node/events';
 import { OUTLIER_EVENTS } from '../outliers/events';
@@ -27,6 +28,7 @@
   HTTP_EDGE_EVENTS,
   ROUTING_EVENTS,
   SERVING_EVENTS,
+  LOAD_CONTROL_EVENTS,
   MEMBERSHIP_EVENTS,
   CONFIGURATION_EVENTS,
   PLATFORM_EVENTS,
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -9,6 +9,7 @@
 import { createGossipBoard } from '../gossip';
 import { openHttpEdge } from '../http-edge';
 import { createDisposableStore } from '../lifetime';
+import { createLoadControl } from '../load-control';
 import { createMembership } from '../membership';
 import { createMetrics } from '../metrics';
 import { openOperatorListener } from '../operators';
@@ -168,6 +169,9 @@
 
   const forwarder = guardForwarder(plainForwarder, { pauses, check });
 
+  const loadControl = owned.add(
+    createLoadControl({ clock, random, logger, region, failureDomain, configuration }),
+  );
   const draining = createDraining({ clock, logger, noticeMs: settings.drain.noticeMs });
   const servingAlways = createServing({
     clock,
@@ -183,6 +187,7 @@
     record: options.record,
     poison,
     outliers,
+    loadControl,
     inFlight,
     sender: guardSender(observeSender(sender, health), { pauses, check, availability: health }),
     forwarder,
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -10,5 +10,4 @@
 export { createServerPool } from './server-pool';
 export type { ServerPool } from './server-pool';
 export type { OpenWork, PoolServer, ServerReport, ServerState } from './server-state';
-export type { PeerCandidate, RoutingDecision, RoutingInput, ServerCandidate } from './types';
-export { withoutFailed } from './without-failed';
+export type { PeerCandidate, RoutingDecision, RoutingInput } from './types';
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -1,12 +1,3 @@
-/** A backend server as routing sees it. */
-export interface ServerCandidate {
-  readonly serverId: string;
-  readonly address: string;
-  readonly failureDomain: string;
-  /** Requests that this instance has open there. */
-  readonly inFlightRequests: number;
-}
-
 /** Another instance through which a region can be reached. */
 export interface PeerCandidate {
   readonly instanceId: string;
@@ -15,23 +6,18 @@
   readonly inFlightRequests: number;
 }
 
-/** Everything that a routing decision rests on. */
+/** What the decision between this region and the others rests on. */
 export interface RoutingInput {
-  readonly ownFailureDomain: string;
-  /** Servers of the service in this region, when the data may be here; else none. */
-  readonly servers: readonly ServerCandidate[];
+  /** Whether a server of this region may have the request. */
+  readonly canServeHere: boolean;
   /** Instances of other allowed regions that have servers of the service; none for forwarded requests. */
   readonly peers: readonly PeerCandidate[];
 }
 
 /** Where a request goes. */
 export type RoutingDecision =
-  | {
-      readonly kind: 'server';
-      readonly server: ServerCandidate;
-      readonly runnersUp: readonly string[];
-      readonly reason: string;
-    }
+  /** To a server of this region, which is chosen when its turn comes. */
+  | { readonly kind: 'here' }
   | {
       readonly kind: 'peer';
       readonly peer: PeerCandidate;
--- a/src/core/scheduling/create-service-scheduler.ts
+++ b/src/core/scheduling/create-service-scheduler.ts
@@ -148,6 +148,16 @@
     retryAtMs: retrySlots.next(request.work.units, excessMs, unitsPerMs(), nowMs),
   });
 
+  const admission = (request: ScheduledRequest<Item>, waitMs: number, nowMs: number) =>
+    decideAdmission({
+      nowMs,
+      deadlineAtMs: request.deadlineAtMs,
+      expectedWaitMs: waitMs,
+      expectedServiceMs: expectedServiceMs(request.work.units),
+      isQueueStanding: standing.isStanding(request, nowMs),
+      standingWaitMs: longestWaits[request.priority],
+    });
+
   const mayAnyServe = (request: ScheduledRequest<Item>): boolean =>
     pool.all().some(({ serverId }) => request.mayUse(serverId));
 
@@ -187,14 +197,7 @@
       if (sparse !== undefined) return { kind: 'run', placement: begin(request, sparse, nowMs) };
       if (!mayAnyServe(request)) return refuse(request, 'no-server', 0, 0, nowMs);
       const waitMs = expectedWaitMs(request);
-      const decision = decideAdmission({
-        nowMs,
-        deadlineAtMs,
-        expectedWaitMs: waitMs,
-        expectedServiceMs: expectedServiceMs(work.units),
-        isQueueStanding: standing.isStanding(request, nowMs),
-        standingWaitMs: longestWaits[request.priority],
-      });
+      const decision = admission(request, waitMs, nowMs);
       if (decision.kind === 'refuse') {
         return refuse(request, decision.reason, waitMs, decision.excessMs, nowMs);
       }
@@ -279,12 +282,17 @@
       if (serviceLimit.inFlightRequests() > 0) return;
       serviceLimit = createServiceLimit(servers.length);
     },
-    outlook: (request, nowMs) => ({
-      expectedWaitMs:
-        queue.size() > 0 || choose(request, nowMs) === undefined ? expectedWaitMs(request) : 0,
-      expectedServiceMs: expectedServiceMs(request.work.units),
-      utilisation: serviceLimit.inFlightUnits() / Math.max(1, pool.limitUnits()),
-      waitingRequests: queue.size(),
-    }),
+    canServe: mayAnyServe,
+    outlook(request, nowMs) {
+      const runsNow = queue.size() === 0 && choose(request, nowMs) !== undefined;
+      const waitMs = runsNow ? 0 : expectedWaitMs(request);
+      return {
+        wouldRefuse: !runsNow && admission(request, waitMs, nowMs).kind === 'refuse',
+        expectedWaitMs: waitMs,
+        expectedServiceMs: expectedServiceMs(request.work.units),
+        utilisation: serviceLimit.inFlightUnits() / Math.max(1, pool.limitUnits()),
+        waitingRequests: queue.size(),
+      };
+    },
   };
 }
--- a/src/core/scheduling/types.ts
+++ b/src/core/scheduling/types.ts
@@ -66,6 +66,8 @@
 
 /** How long a request would wait here, for whoever weighs another region. */
 export interface Outlook {
+  /** Whether it would be refused. */
+  readonly wouldRefuse: boolean;
   readonly expectedWaitMs: number;
   readonly expectedServiceMs: number;
   /** Work in flight against the limit, 0 to 1 and a little above. */
@@ -94,5 +96,7 @@
   /** A server has crashed: its cache is gone. */
   forgetCache(serverId: string): void;
   replaceServers(servers: readonly PoolServer[]): void;
+  /** Whether any server may have the request at all, now or later. */
+  canServe(request: ScheduledRequest<Item>): boolean;
   outlook(request: ScheduledRequest<Item>, nowMs: number): Outlook;
 }
--- a/src/core/serving/dependencies.ts
+++ b/src/core/serving/dependencies.ts
@@ -4,6 +4,7 @@
 import type { DecisionRecorder } from '../decision-trace';
 import type { Logger } from '../events';
 import type { GossipBoard } from '../gossip';
+import type { LoadControl } from '../load-control';
 import type { MembershipView } from '../membership';
 import type { OutlierTracker } from '../outliers';
 import type { PeerForwarder } from '../peers';
@@ -27,6 +28,7 @@
   readonly record?: DecisionRecorder | undefined;
   readonly poison: PoisonGuard;
   readonly outliers: OutlierTracker;
+  readonly loadControl: LoadControl;
   readonly inFlight: InFlight;
   readonly sender: Pick<ServerSender, 'send'>;
   readonly forwarder: PeerForwarder;
--- a/src/core/serving/gather-routing-input.ts
+++ b/src/core/serving/gather-routing-input.ts
@@ -1,44 +1,54 @@
-import { keepUsable } from '../outliers';
-import { withoutFailed } from '../routing';
-import type { RoutingInput } from '../routing';
+import type { MayUse } from '../load-control';
+import type { PeerCandidate, RoutingInput } from '../routing';
 import type { ServingDependencies } from './dependencies';
 import type { GatewayRequest } from './types';
 
-/** Collects what the routing decision rests on. A request that came from a peer gets no peers to go to. */
-export function gatherRoutingInput(
-  {
-    clock,
-    random,
-    region,
-    failureDomain,
-    membership,
-    availability,
-    inFlight,
-    outliers,
-  }: ServingDependencies,
+/** What a routing decision rests on, and which servers the request may go to. */
+export interface GatheredRouting {
+  readonly input: RoutingInput;
+  readonly mayUse: MayUse;
+}
+
+/** Instances of other regions; a request that came from a peer gets none. */
+function otherRegionPeers(
+  { region, membership }: ServingDependencies,
   request: GatewayRequest,
   regions: readonly string[],
-): RoutingInput {
+): readonly PeerCandidate[] {
+  if (request.origin.kind === 'peer') return [];
   const servers = request.configuration.serversOf(request.service.name);
   const regionsWithServers = new Set(servers.map((server) => server.region));
-  const mayForward = request.origin.kind === 'caller';
-  const all = {
-    ownFailureDomain: failureDomain,
-    servers: availability
-      .usable(servers.filter((server) => server.region === region))
-      .map((server) => ({
-        serverId: server.id,
-        address: server.address,
-        failureDomain: server.failureDomain,
-        inFlightRequests: inFlight.requestsAt(server.id),
-      })),
-    peers: !mayForward
-      ? []
-      : membership
-          .usablePeers()
-          .filter((peer) => peer.region !== region)
-          .filter((peer) => regions.includes(peer.region) && regionsWithServers.has(peer.region)),
-  };
-  const rest = withoutFailed(all, request.avoid);
-  return { ...rest, servers: keepUsable(outliers, rest.servers, clock.monotonicMs(), random) };
+  return membership
+    .usablePeers()
+    .filter((peer) => peer.region !== region && regions.includes(peer.region))
+    .filter((peer) => regionsWithServers.has(peer.region));
+}
+
+/**
+ * Collects what the routing decision rests on. Servers and instances that failed earlier tries are passed over,
+ * and so are ejected servers, as long as anything else is left: one that lost a connection is better than none.
+ */
+export function gatherRoutingInput(
+  dependencies: ServingDependencies,
+  request: GatewayRequest,
+  regions: readonly string[],
+): GatheredRouting {
+  const { clock, random, availability, outliers, loadControl } = dependencies;
+  const avoid = request.avoid ?? [];
+  const inService: MayUse = (serverId) => availability.takesNewWork(serverId);
+  const preferred: MayUse = (serverId) =>
+    inService(serverId) &&
+    !avoid.includes(serverId) &&
+    outliers.mayUse(serverId, clock.monotonicMs(), random);
+
+  if (loadControl.canServe(request, preferred)) {
+    return { input: { canServeHere: true, peers: [] }, mayUse: preferred };
+  }
+  const peers = otherRegionPeers(dependencies, request, regions);
+  const freshPeers = peers.filter(({ instanceId }) => !avoid.includes(instanceId));
+  if (freshPeers.length > 0) {
+    return { input: { canServeHere: false, peers: freshPeers }, mayUse: preferred };
+  }
+  const canServeHere = loadControl.canServe(request, inService);
+  return { input: { canServeHere, peers }, mayUse: inService };
 }
--- a/src/core/serving/log-decision.ts
+++ b/src/core/serving/log-decision.ts
@@ -1,40 +1,42 @@
 import type { Logger } from '../events';
+import type { Slot } from '../load-control';
 import { ROUTING_EVENTS } from '../routing';
 import type { RoutingDecision } from '../routing';
 import type { GatewayRequest } from './types';
 
-/** Writes the one log line that says where a request goes, what else was near, and why. */
-export function logDecision(
-  logger: Logger,
-  request: GatewayRequest,
-  decision: RoutingDecision,
-): void {
-  const fields = {
-    requestId: request.requestId,
-    attempt: request.attempt,
-    service: request.service.name,
-    reason: decision.reason,
-  };
+function fieldsOf({ requestId, attempt, service }: GatewayRequest) {
+  return { requestId, attempt, service: service.name };
+}
+
+/** Writes the line that says to which other region a request goes; its own region's server gets `logServer`. */
+export function logRoute(logger: Logger, request: GatewayRequest, decision: RoutingDecision): void {
   switch (decision.kind) {
-    case 'server':
-      logger.event(ROUTING_EVENTS.routed, {
-        ...fields,
-        server: decision.server.serverId,
-        runnersUp: decision.runnersUp,
-      });
+    case 'here':
       return;
     case 'peer':
       logger.event(ROUTING_EVENTS.routed, {
-        ...fields,
+        ...fieldsOf(request),
+        reason: decision.reason,
         instance: decision.peer.instanceId,
         region: decision.peer.region,
         runnersUp: decision.runnersUp,
       });
       return;
     case 'none':
-      logger.event(ROUTING_EVENTS.noRoute, fields);
+      logger.event(ROUTING_EVENTS.noRoute, { ...fieldsOf(request), reason: decision.reason });
       return;
     default:
       decision satisfies never;
   }
 }
+
+/** Writes the one line that says which server a request goes to, what else was near, and why. */
+export function logServer(logger: Logger, request: GatewayRequest, slot: Slot): void {
+  logger.event(ROUTING_EVENTS.routed, {
+    ...fieldsOf(request),
+    reason: slot.reason,
+    server: slot.serverId,
+    runnersUp: slot.runnersUp,
+    waitedMs: Math.round(slot.waitedMs),
+  });
+}
