--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -10,6 +10,7 @@
 import { createGossipBoard } from '../gossip';
 import { openHttpEdge } from '../http-edge';
 import { createDisposableStore } from '../lifetime';
+import { createLoadControl } from '../load-control';
 import { createMembership } from '../membership';
 import { createMetrics } from '../metrics';
 import { openOperatorListener } from '../operators';
@@ -188,6 +189,9 @@
 
   const forwarder = guardForwarder(plainForwarder, { pauses, check });
 
+  const loadControl = owned.add(
+    createLoadControl({ clock, random, logger, region, failureDomain, configuration }),
+  );
   const draining = createDraining({ clock, logger, noticeMs: settings.drain.noticeMs });
   const servingAlways = createServing({
     clock,
@@ -203,6 +207,7 @@
     record: options.record,
     poison,
     outliers,
+    loadControl,
     inFlight,
     sender: guardSender(observeSender(sender, health), { pauses, check, availability: health }),
     forwarder,
