Let the running instance spill over, serve its own region first, and honour slow start again

Cause: spillover was decided in pure code and asked by nobody: a region without room refused although the next one had some, and work forwarded to a region joined its queues. And since servers are chosen by the scheduler, one that had just come back got its full share at once.

The load scenarios of spillover drive the same decision and are unchanged.

Not yet: recording of spillover decisions in traces.

--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -1,6 +1,6 @@
 import { createInFlight, createServerSender } from '../backends';
 import type { Clock } from '../clock';
-import { createConfigurationStore } from '../configuration';
+import { createConfigurationStore, currentResilience, weightsSchema } from '../configuration';
 import { NO_STANDING, createConfigurationSync } from '../configuration-sync';
 import { countServing, createDraining, gateServing } from '../draining';
 import type { OpenWork } from '../draining';
@@ -37,6 +37,7 @@
 import { checkRequest, createServing } from '../serving';
 import type { GatewayRequest } from '../serving';
 import type { Settings } from '../settings';
+import { createSpillover } from '../spillover';
 import { NODE_EVENTS } from './events';
 import { createProtections } from './create-protections';
 import { createTicketing } from './create-ticketing';
@@ -192,6 +193,11 @@
   const loadControl = owned.add(
     createLoadControl({ clock, random, logger, region, failureDomain, configuration }),
   );
+  const spillover = createSpillover({
+    options: () => currentResilience(configuration).spillover,
+    weights: () => configuration.current()?.document.weights ?? weightsSchema.parse({}),
+    random,
+  });
   const draining = createDraining({ clock, logger, noticeMs: settings.drain.noticeMs });
   const servingAlways = createServing({
     clock,
@@ -208,6 +214,7 @@
     poison,
     outliers,
     loadControl,
+    spillover,
     inFlight,
     sender: guardSender(observeSender(sender, health), { pauses, check, availability: health }),
     forwarder,
--- a/src/core/serving/dependencies.ts
+++ b/src/core/serving/dependencies.ts
@@ -11,6 +11,7 @@
 import type { PoisonGuard } from '../poison';
 import type { RandomSource } from '../random';
 import type { ServerAvailability } from '../server-health';
+import type { Spillover } from '../spillover';
 
 /** What serving needs from the rest of the instance. */
 export interface ServingDependencies {
@@ -29,6 +30,7 @@
   readonly poison: PoisonGuard;
   readonly outliers: OutlierTracker;
   readonly loadControl: LoadControl;
+  readonly spillover: Spillover;
   readonly inFlight: InFlight;
   readonly sender: Pick<ServerSender, 'send'>;
   readonly forwarder: PeerForwarder;
--- a/src/core/serving/gather-routing-input.ts
+++ b/src/core/serving/gather-routing-input.ts
@@ -27,6 +27,7 @@
 /**
  * Collects what the routing decision rests on. Servers and instances that failed earlier tries are passed over,
  * and so are ejected servers, as long as anything else is left: one that lost a connection is better than none.
+ * A server in its slow start is offered to a share of the requests, unless the region has no other.
  */
 export function gatherRoutingInput(
   dependencies: ServingDependencies,
@@ -36,18 +37,20 @@
   const { clock, random, availability, outliers, loadControl } = dependencies;
   const avoid = request.avoid ?? [];
   const inService: MayUse = (serverId) => availability.takesNewWork(serverId);
-  const preferred: MayUse = (serverId) =>
+  const trusted: MayUse = (serverId) =>
     inService(serverId) &&
     !avoid.includes(serverId) &&
     outliers.mayUse(serverId, clock.monotonicMs(), random);
+  const preferred: MayUse = (serverId) => availability.isOffered(serverId) && trusted(serverId);
 
-  if (loadControl.canServe(request, preferred)) {
-    return { input: { canServeHere: true, peers: [] }, mayUse: preferred };
-  }
   const peers = otherRegionPeers(dependencies, request, regions);
   const freshPeers = peers.filter(({ instanceId }) => !avoid.includes(instanceId));
+  const here = [preferred, trusted].find((mayUse) => loadControl.canServe(request, mayUse));
+  if (here !== undefined) {
+    return { input: { canServeHere: true, peers: freshPeers }, mayUse: here };
+  }
   if (freshPeers.length > 0) {
-    return { input: { canServeHere: false, peers: freshPeers }, mayUse: preferred };
+    return { input: { canServeHere: false, peers: freshPeers }, mayUse: trusted };
   }
   const canServeHere = loadControl.canServe(request, inService);
   return { input: { canServeHere, peers }, mayUse: inService };
