--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,10 +1,10 @@
-import { spawn } from 'node:child_process';
 import { existsSync } from 'node:fs';
-import { text } from 'node:stream/consumers';
 import { checkBounds, readBounds, readEarlier, saveEarlier } from './runner/bounds';
 import type { BoundResult } from './runner/bounds';
 import { flattenFigures } from './runner/flatten';
 import { writePlots } from './runner/plots';
+import { runBench } from './runner/run-bench';
+import type { BenchRun } from './runner/run-bench';
 
 /**
  * Runs the benches one after another and prints each watched figure beside its bound and the figure of the
@@ -19,6 +19,7 @@
   'decision-cost',
   'trust',
   'fleet',
+  'caller-limits',
   'server-health',
   'entry',
   'draining',
@@ -26,25 +27,6 @@
   'edge',
 ];
 
-interface BenchRun {
-  readonly bench: string;
-  readonly exitCode: number | null;
-  readonly value: unknown;
-}
-
-async function runBench(bench: string): Promise<BenchRun> {
-  const child = spawn(
-    process.execPath,
-    ['--expose-gc', '--import', 'tsx', `bench/${bench}/main.ts`, '--json'],
-    { stdio: ['ignore', 'pipe', 'inherit'] },
-  );
-  const exited = new Promise<number | null>((resolve) => {
-    child.once('exit', resolve);
-  });
-  const printed = await text(child.stdout);
-  return { bench, exitCode: await exited, value: JSON.parse(printed) as unknown };
-}
-
 function printResults(results: readonly BoundResult[]): void {
   console.table(
     results.map(({ bound, value, earlier, holds }) => ({
