--- a/bench/edge/gateway-under-test.ts
+++ b/bench/edge/gateway-under-test.ts
@@ -16,7 +16,7 @@
 export interface GatewayUnderTest extends AsyncDisposable {
   /** http://ip:port for callers. */
   readonly url: string;
-  readonly engine: EngineStandIn;
+  readonly engines: readonly EngineStandIn[];
   readonly application: PlainStandIn;
   /** Processor time that the instance has used so far, s. */
   processorSeconds(): Promise<number>;
@@ -31,8 +31,13 @@
 const OPERATOR_KEY = 'operator-key-of-the-bench';
 const CONFIGURATION_KEY = 'coltsfootworks/configuration';
 const NO_LIMIT = 1_000_000;
+/** Engines of one node's share at the target are 8.5; with fewer, admission would queue the bench's streams. */
+const ENGINES = 10;
 
-function describeConfiguration(engine: string, application: string): Configuration {
+function describeConfiguration(
+  engines: readonly EngineStandIn[],
+  application: string,
+): Configuration {
   const server = { region: REGION, failureDomain: 'rundu-a' };
   return configurationSchema.parse({
     version: 1,
@@ -43,7 +48,12 @@
       { kind: 'plain', name: 'stock', regions: [REGION] },
     ],
     backendServers: [
-      { ...server, id: 'engine', service: 'chat', address: engine },
+      ...engines.map(({ address }, index) => ({
+        ...server,
+        id: `engine-${index + 1}`,
+        service: 'chat',
+        address,
+      })),
       { ...server, id: 'application', service: 'stock', address: application },
     ],
     callers: [
@@ -66,9 +76,12 @@
 export async function startGatewayUnderTest(): Promise<GatewayUnderTest> {
   const owned = createDisposableStore();
   const platform = owned.add(await openPlatformStandIn());
-  const engine = owned.add(await openEngineStandIn());
+  const engines: EngineStandIn[] = [];
+  for (let index = 0; index < ENGINES; index += 1) {
+    engines.push(owned.add(await openEngineStandIn()));
+  }
   const application = owned.add(await openPlainStandIn());
-  const configuration = describeConfiguration(engine.address, application.address);
+  const configuration = describeConfiguration(engines, application.address);
   platform.publish(CONFIGURATION_KEY, JSON.stringify(configuration));
 
   const anyPort = { host: '127.0.0.1', port: 0 };
@@ -100,7 +113,7 @@
   };
   return {
     url,
-    engine,
+    engines,
     application,
     processorSeconds: () => metric('process_cpu_seconds_total'),
     residentBytes: () => metric('process_resident_memory_bytes'),
--- a/bench/edge/main.ts
+++ b/bench/edge/main.ts
@@ -70,10 +70,11 @@
 }
 
 async function measureStreaming(gateway: GatewayUnderTest): Promise<Figure[]> {
-  const { behaviour, address } = gateway.engine;
-  behaviour.answerTokens = STREAM_TOKENS;
-  behaviour.tokenIntervalMs = STREAM_TOKEN_INTERVAL_MS;
-  const relay = await startPlainRelay(address);
+  for (const { behaviour } of gateway.engines) {
+    behaviour.answerTokens = STREAM_TOKENS;
+    behaviour.tokenIntervalMs = STREAM_TOKEN_INTERVAL_MS;
+  }
+  const relay = await startPlainRelay(gateway.engines[0]?.address ?? '');
   const relayed = await microsecondsPerToken(relay);
   relay[Symbol.dispose]();
   const value = await microsecondsPerToken(gateway);
