Explain at a running instance where a request would go, and why

Cause: an operator who asks why a caller's request left its region, or was refused, had to piece it together from log lines of other requests. Ruled out: explaining from the configuration alone (it knows no leaving server, no queue and no peer).

Conclusion: routes explain asks an instance, which answers from what its next decision would rest on.

--- a/src/cli/create-cli.ts
+++ b/src/cli/create-cli.ts
@@ -5,6 +5,7 @@
 import { ConfigSplitCommand } from './config-split';
 import { ConfigStatusCommand } from './config-status';
 import { EventsCommand } from './events';
+import { RoutesExplainCommand } from './routes-explain';
 import { ServeCommand } from './serve';
 import { VERSION } from '../runtime/version';
 
@@ -24,5 +25,6 @@
   cli.register(ConfigSplitCommand);
   cli.register(ConfigStatusCommand);
   cli.register(EventsCommand);
+  cli.register(RoutesExplainCommand);
   return cli;
 }
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -34,8 +34,8 @@
   observeSender,
   watchServerLists,
 } from '../server-health';
-import { checkRequest, createServing } from '../serving';
-import type { GatewayRequest } from '../serving';
+import { checkRequest, createServing, explainRoute } from '../serving';
+import type { GatewayRequest, ServingDependencies } from '../serving';
 import type { Settings } from '../settings';
 import { createSpillover } from '../spillover';
 import { NODE_EVENTS } from './events';
@@ -199,7 +199,7 @@
     random,
   });
   const draining = createDraining({ clock, logger, noticeMs: settings.drain.noticeMs });
-  const servingAlways = createServing({
+  const servingDependencies: ServingDependencies = {
     clock,
     random,
     logger,
@@ -218,7 +218,8 @@
     inFlight,
     sender: guardSender(observeSender(sender, health), { pauses, check, availability: health }),
     forwarder,
-  });
+  };
+  const servingAlways = createServing(servingDependencies);
 
   const serving = gateServing(servingAlways, draining);
   const { tickets, serveNonRepeatable } = createTicketing({
@@ -288,6 +289,7 @@
       operatorKey: settings.operatorKey,
       configuration,
       metrics,
+      explainRoute: (callerId, name) => explainRoute(servingDependencies, callerId, name),
       status: () => ({
         instanceId,
         version: options.release,
--- a/src/core/operators/open-operator-listener.ts
+++ b/src/core/operators/open-operator-listener.ts
@@ -6,6 +6,7 @@
 import type { ConfigurationStore } from '../configuration';
 import { ERRORS, errorText, gatewayError } from '../errors';
 import type { Metrics } from '../metrics';
+import type { RouteExplanation } from '../serving';
 import type { InstanceStatus } from './types';
 
 /** What the operators' listener needs. */
@@ -16,6 +17,8 @@
   readonly configuration: ConfigurationStore;
   readonly metrics: Metrics;
   readonly status: () => InstanceStatus;
+  /** Why a request would go where; undefined for an unknown caller or service. */
+  readonly explainRoute: (callerId: string, service: string) => RouteExplanation | undefined;
 }
 
 /** The operators' listener. */
@@ -31,12 +34,12 @@
   response.end(text);
 }
 
-function sendJson(response: ServerResponse, status: number, value: object): void {
+function sendJson(response: ServerResponse, status: number, value: object | null): void {
   send(response, status, 'application/json', JSON.stringify(value));
 }
 
 function createRequestListener(options: OperatorListenerOptions) {
-  const { operatorKey, configuration, metrics, status } = options;
+  const { operatorKey, configuration, metrics, status, explainRoute } = options;
   const router = createRouter({
     defaultRoute: (_incoming, response) => sendJson(response, 404, {}),
   });
@@ -47,6 +50,11 @@
     if (text === undefined) sendJson(response, 404, {});
     else send(response, 200, 'application/json', text);
   });
+  router.on('GET', '/routes/explain', (incoming, response) => {
+    const query = new URL(incoming.url ?? '/', 'http://operators').searchParams;
+    const explanation = explainRoute(query.get('caller') ?? '', query.get('service') ?? '');
+    sendJson(response, 200, explanation ?? null);
+  });
   router.on('GET', '/metrics', (_incoming, response) => {
     void metrics.export().then(({ contentType, text }) => send(response, 200, contentType, text));
   });
--- a/src/core/serving/index.ts
+++ b/src/core/serving/index.ts
@@ -12,3 +12,5 @@
   ResponseSink,
   SendGuard,
 } from './types';
+export { explainRoute } from './explain-route';
+export type { RouteExplanation } from './explain-route';
--- a/src/testing/small-fleet.ts
+++ b/src/testing/small-fleet.ts
@@ -36,7 +36,8 @@
 const PEER_SECRET = 'a-secret-shared-by-all-instances';
 /** Longer than an exchange between instances takes, so that all hear of a stop. */
 const NOTICE_MS = 1_200;
-const OPERATOR_KEY = 'a-key-for-operators-alone';
+/** Key of the operators’ listeners of the fleet. */
+export const FLEET_OPERATOR_KEY = 'a-key-for-operators-alone';
 const CONFIGURATION_KEY = 'coltsfootworks/configuration';
 
 /** One instance of the fleet. */
@@ -178,7 +179,7 @@
       },
       seedPeers: instances.map(({ node }) => node.peerAddress),
       peerSecret: PEER_SECRET,
-      operatorKey: OPERATOR_KEY,
+      operatorKey: FLEET_OPERATOR_KEY,
       platform: { configurationUrl: `http://${platform.address}` },
       advertised: { peers: options.peersReach?.(instanceId) },
       drain: { noticeMs: options.noticeMs ?? NOTICE_MS },
