Part what operators are shown from the starting of an instance

Cause: startNode had grown to a function of over 250 lines, in which the operators' listener and its gauges stood between other parts.

--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -13,7 +13,6 @@
 import { createLoadControl } from '../load-control';
 import { createMembership } from '../membership';
 import { createMetrics } from '../metrics';
-import { openOperatorListener } from '../operators';
 import { createPauseGuard, createPeerRefresh, guardForwarder, guardSender } from '../pauses';
 import {
   channelCredentials,
@@ -34,13 +33,14 @@
   observeSender,
   watchServerLists,
 } from '../server-health';
-import { checkRequest, createServing, explainRoute } from '../serving';
+import { checkRequest, createServing } from '../serving';
 import type { GatewayRequest, ServingDependencies } from '../serving';
 import type { Settings } from '../settings';
 import { createSpillover } from '../spillover';
 import { NODE_EVENTS } from './events';
 import { createProtections } from './create-protections';
 import { createTicketing } from './create-ticketing';
+import { openOperatorSide } from './open-operator-side';
 import { lingerForTickets } from './linger-for-tickets';
 import { createForwardedHandlers } from './serve-forwarded';
 
@@ -275,31 +275,15 @@
   callerAddress = advertised.callers ?? addressOf(listeners.callers.host, edge.port);
 
   const isReady = () => sync.isSettled() && membership.self().status === 'alive';
-  metrics.gauge('coltsfootworks_in_flight_requests', 'Requests open at servers', () =>
-    inFlight.totalRequests(),
-  );
-  metrics.gauge(
-    'coltsfootworks_configuration_version',
-    'Version of the configuration in force',
-    () => configuration.current()?.version ?? 0,
-  );
   const operators = owned.add(
-    await openOperatorListener({
-      ...listeners.operators,
-      operatorKey: settings.operatorKey,
+    await openOperatorSide({
+      settings,
+      release: options.release,
       configuration,
+      membership,
       metrics,
-      explainRoute: (callerId, name) => explainRoute(servingDependencies, callerId, name),
-      status: () => ({
-        instanceId,
-        version: options.release,
-        region,
-        failureDomain,
-        ready: isReady(),
-        configurationVersion: configuration.current()?.version ?? 0,
-        inFlightRequests: inFlight.totalRequests(),
-        members: membership.members(),
-      }),
+      serving: servingDependencies,
+      isReady,
     }),
   );
 
