--- a/src/core/caller-limits/token-bucket.ts
+++ b/src/core/caller-limits/token-bucket.ts
@@ -8,7 +8,7 @@
   readonly promisedUntilMs: number;
 }
 
-/** Longest time until which a refused caller is sent away; beyond it, demand will have changed, ms. */
+/** Latest time that a refused caller is told to come back at; beyond it, demand will have changed, ms. */
 const LATEST_RETRY_MS = 30_000;
 /** Least rate that times are worked out with: a share may be close to nothing, requests/s. */
 const LEAST_PER_SECOND = 0.05;
--- a/src/core/draining/decide-drain.ts
+++ b/src/core/draining/decide-drain.ts
@@ -30,7 +30,7 @@
 /**
  * Decides how far a planned stop has come.
  *
- * Answers steady load on an instance that is being replaced. Refusing from the first moment turns away every
+ * Answers steady load on an instance that is being replaced. A refusal from the first moment meets every
  * caller and peer that has not heard yet, all through a rolling replacement; closing the listener at once
  * resets requests that are on their way, and their callers cannot know whether they ran. So the instance first
  * serves on while its leaving spreads, then refuses with a plain "not run", and goes only when nothing is open.
--- a/src/core/membership/member-table.ts
+++ b/src/core/membership/member-table.ts
@@ -8,7 +8,7 @@
 
 /**
  * What one instance knows of all others: a state machine without sockets or timers. Time comes in with each
- * call, so every course of events can be played on a fake clock.
+ * call, so every course of events can be run on a fake clock.
  */
 export interface MemberTable {
   get(instanceId: string): MemberRecord | undefined;
