--- a/scripts/source-tree.ts
+++ b/scripts/source-tree.ts
@@ -1,8 +1,8 @@
 import { existsSync, readdirSync } from 'node:fs';
 
 /** The folders that hold TypeScript, those of them that a checkout has: git keeps no empty ones. */
-const SOURCE_ROOTS = ['src', 'standins', 'bench', 'checks', 'demo', 'scripts'].filter((root) =>
-  existsSync(root),
+const SOURCE_ROOTS = ['src', 'platform', 'standins', 'bench', 'checks', 'demo', 'scripts'].filter(
+  (root) => existsSync(root),
 );
 
 /** Paths of all TypeScript files, generated ones left out, in order. */
--- /dev/null
+++ b/src/core/exchanges/index.ts
@@ -0,0 +1,11 @@
+/** HTTP exchanges with backend servers and other instances, each with proof of how it ended. */
+export { createConnectionPool } from './connection-pool';
+export type { ConnectionPool, SendOptions } from './connection-pool';
+export type {
+  AnswerHead,
+  AnswerListener,
+  Exchange,
+  ExchangeEnd,
+  HeaderMap,
+  OutgoingRequest,
+} from './types';
--- /dev/null
+++ b/src/core/host-routes/index.ts
@@ -0,0 +1,13 @@
+/** Routes by host and path, in numbered versions that never go back. */
+export { createRouteTableStore } from './route-table-store';
+export type { RouteTableStore, RoutesInForce } from './route-table-store';
+export { createRouteSelector, pickTarget } from './select-route';
+export type { RouteSelector } from './select-route';
+export type {
+  ClientLimits,
+  HostRoute,
+  RouteKind,
+  RouteTable,
+  RouteTarget,
+  RoutedService,
+} from './types';
--- /dev/null
+++ b/src/core/host-routes/route-table-store.ts
@@ -0,0 +1,35 @@
+import { createRouteSelector } from './select-route';
+import type { RouteSelector } from './select-route';
+import type { RouteTable } from './types';
+
+/** The version in force with its index. */
+export interface RoutesInForce {
+  readonly table: RouteTable;
+  readonly selector: RouteSelector;
+}
+
+/** Holds the version in force. */
+export interface RouteTableStore {
+  current(): RoutesInForce | undefined;
+  /** Puts a version in force unless it is older than the one that is; says whether it did. */
+  offer(table: RouteTable): boolean;
+}
+
+/**
+ * A store without a version.
+ *
+ * Versions reach an instance by several ways (a watch, a list read, another instance), and an older one can
+ * come last. Going back would send requests to services that an operator has already taken out of a route, so
+ * only a higher version is ever taken.
+ */
+export function createRouteTableStore(): RouteTableStore {
+  let inForce: RoutesInForce | undefined;
+  return {
+    current: () => inForce,
+    offer(table) {
+      if (inForce !== undefined && table.version <= inForce.table.version) return false;
+      inForce = { table, selector: createRouteSelector(table) };
+      return true;
+    },
+  };
+}
--- /dev/null
+++ b/src/core/pass-through/create-router.ts
@@ -0,0 +1,254 @@
+import type { ConnectionPool } from '../exchanges';
+import type { RouteTableStore, RoutedService } from '../host-routes';
+import {
+  chooseRegion,
+  chooseServer,
+  createPrefixCacheView,
+  createServerLoads,
+  createServicePaces,
+} from '../placement';
+import type {
+  Candidate,
+  PrefixCacheView,
+  RegionOption,
+  ServerLoads,
+  ServicePaces,
+} from '../placement';
+import type { KnownServer, ServerRegistry } from '../server-registry';
+import type { ColdGate } from '../shared-budget';
+import type { InboundRequest, RequestPlan } from './types';
+
+/** Another instance that can serve requests in its region. */
+export interface ForwardPeer {
+  readonly instanceId: string;
+  readonly region: string;
+  /** Where it takes forwarded requests, `HOST:PORT`. */
+  readonly forwardAddress: string;
+  readonly inFlightRequests: number;
+}
+
+/** Where a request goes next. */
+export type Destination =
+  | {
+      readonly kind: 'server';
+      readonly server: KnownServer;
+      readonly predictedMs: number;
+      /** Prompt tokens that it will probably have to read. */
+      readonly tokens: number;
+      readonly mostConnections: number;
+    }
+  | { readonly kind: 'peer'; readonly peer: ForwardPeer }
+  | {
+      readonly kind: 'none';
+      readonly reason: 'noServer' | 'overloaded';
+      readonly retryAfterMs: number;
+    };
+
+/** Chooses destinations, and learns from what becomes of requests. */
+export interface Router {
+  choose(
+    request: InboundRequest,
+    plan: RequestPlan,
+    tried: ReadonlySet<string>,
+    nowMs: number,
+  ): Destination;
+  readonly loads: ServerLoads;
+  readonly paces: ServicePaces;
+  readonly prefixes: PrefixCacheView;
+  /** Forgets servers that have gone. */
+  forgetGone(): void;
+}
+
+/** What the router is made from. */
+export interface RouterOptions {
+  readonly region: string;
+  readonly routes: RouteTableStore;
+  readonly servers: ServerRegistry;
+  readonly pool: ConnectionPool;
+  readonly coldGate: ColdGate;
+  /** Other instances that may be given work. */
+  readonly peers: () => readonly ForwardPeer[];
+  /** Instances of this region, this one included. */
+  readonly instancesInRegion: () => number;
+  /** A number from 0 up to 1. */
+  readonly draw: () => number;
+}
+
+/**
+ * Part of a server's connections that instances use: what they know of one another's number is seconds old,
+ * and a connection too many is reset.
+ */
+const CONNECTIONS_USED = 0.85;
+/** Where the routes do not say how many connections a server takes. */
+const CONNECTIONS_UNSTATED = 32;
+/** Part of the prompt that a server reads again although all instances prefer it for the request's shared parts. */
+const UNSURE_READ_SHARE = 0.3;
+/**
+ * Multiple of the latency objective after which callers are taken to have left: they wait for a first byte for
+ * a few times what they count as good.
+ */
+const PATIENCE_IN_OBJECTIVES = 4;
+/** When to come back where no server is known: they announce themselves every second or so. */
+const NO_SERVER_RETRY_MS = 1_000;
+const SHORTEST_RETRY_MS = 200;
+const LONGEST_RETRY_MS = 2_000;
+
+const MODEL_REQUEST_WITHOUT_DEMAND = { parts: [], promptTokens: 0 };
+
+/** A router that has seen nothing yet. */
+export function createRouter(options: RouterOptions): Router {
+  const { region, routes, servers, pool, coldGate, draw } = options;
+  const loads = createServerLoads();
+  const paces = createServicePaces();
+  const prefixes = createPrefixCacheView();
+
+  const mostConnections = (service: RoutedService | undefined): number => {
+    const all = service?.maxConnections ?? CONNECTIONS_UNSTATED;
+    return Math.max(
+      1,
+      Math.floor((all * CONNECTIONS_USED) / Math.max(1, options.instancesInRegion())),
+    );
+  };
+
+  const isOpen = (
+    server: KnownServer,
+    service: RoutedService | undefined,
+    nowMs: number,
+  ): boolean =>
+    server.coldUntilMs <= nowMs ||
+    coldGate.isOpen(server.serverId, service?.coldRequestsPerSecond ?? 0, nowMs);
+
+  const eligible = (
+    plan: RequestPlan,
+    tried: ReadonlySet<string>,
+    nowMs: number,
+  ): readonly KnownServer[] => {
+    const service = routes.current()?.table.services.get(plan.service);
+    const most = mostConnections(service);
+    const open = servers
+      .usable(plan.service, region)
+      .filter(
+        (server) =>
+          !tried.has(server.serverId) &&
+          isOpen(server, service, nowMs) &&
+          pool.hasRoom(server.address, most),
+      );
+    const reachable = open.filter((server) => !loads.isBlocked(server.serverId, nowMs));
+    // Where none can be reached, one that is only suspected is still the best that there is.
+    return reachable.length > 0 ? reachable : open;
+  };
+
+  const toCandidate = (
+    server: KnownServer,
+    request: InboundRequest,
+    plan: RequestPlan,
+    preferred: string | undefined,
+    nowMs: number,
+  ): Candidate => {
+    const { serverId, slots } = server;
+    const demand = request.demand ?? MODEL_REQUEST_WITHOUT_DEMAND;
+    const unread = prefixes.uncachedTokens(serverId, demand);
+    const own = demand.parts.at(-1)?.tokens ?? 0;
+    const shared = Math.max(0, unread - own);
+    return {
+      serverId,
+      slots,
+      load: loads.load(serverId, nowMs),
+      pendingTokens: loads.pendingTokens(serverId),
+      uncachedTokens: serverId === preferred ? unread - shared * (1 - UNSURE_READ_SHARE) : unread,
+      penaltyMs: loads.penaltyMs(serverId, plan.objectiveMs, nowMs),
+    };
+  };
+
+  const regionOptions = (plan: RequestPlan): RegionOption[] => {
+    const peers = options.peers();
+    const regions = new Set(peers.map((peer) => peer.region));
+    return [...regions]
+      .filter((other) => other !== region)
+      .filter((other) => plan.homeRegions.length === 0 || plan.homeRegions.includes(other))
+      .flatMap((other) => {
+        if (servers.usable(plan.service, other).length === 0) return [];
+        // Instances tell what they have open at all services together, so all slots of the region count.
+        const slots = servers
+          .all()
+          .filter((server) => server.region === other && !server.isDraining)
+          .reduce((sum, server) => sum + server.slots, 0);
+        const inFlight = peers
+          .filter((peer) => peer.region === other)
+          .reduce((sum, peer) => sum + peer.inFlightRequests, 0);
+        return [{ region: other, utilization: inFlight / Math.max(1, slots) }];
+      });
+  };
+
+  const pickPeer = (inRegion: string, tried: ReadonlySet<string>): ForwardPeer | undefined => {
+    const peers = options
+      .peers()
+      .filter((peer) => peer.region === inRegion && !tried.has(peer.instanceId));
+    return peers[Math.floor(draw() * peers.length)];
+  };
+
+  const retryAfterMs = (predictedMs: number, plan: RequestPlan): number =>
+    Math.min(LONGEST_RETRY_MS, Math.max(SHORTEST_RETRY_MS, predictedMs - plan.objectiveMs));
+
+  return {
+    loads,
+    paces,
+    prefixes,
+    choose(request, plan, tried, nowMs) {
+      const service = routes.current()?.table.services.get(plan.service);
+      const mayServeHere = plan.homeRegions.length === 0 || plan.homeRegions.includes(region);
+      const usable = mayServeHere ? eligible(plan, tried, nowMs) : [];
+      const ids = usable.map((server) => server.serverId);
+      const preferred =
+        request.demand === undefined ? undefined : prefixes.preferred(ids, request.demand);
+      const candidates = usable.map((server) =>
+        toCandidate(server, request, plan, preferred, nowMs),
+      );
+      const choice = chooseServer(candidates, paces.pace(plan.service));
+      const where = plan.isForwarded
+        ? ({ kind: choice === undefined ? 'nowhere' : 'local' } as const)
+        : chooseRegion({
+            localMs: choice?.predictedMs,
+            objectiveMs: plan.objectiveMs,
+            others: regionOptions(plan),
+          });
+      if (where.kind === 'remote') {
+        const peer = pickPeer(where.region, tried);
+        if (peer !== undefined) return { kind: 'peer', peer };
+      }
+      if (choice === undefined) {
+        return { kind: 'none', reason: 'noServer', retryAfterMs: NO_SERVER_RETRY_MS };
+      }
+      const patienceMs = Math.min(
+        plan.deadlineAtMs - nowMs,
+        plan.objectiveMs * PATIENCE_IN_OBJECTIVES,
+      );
+      if (choice.predictedMs > patienceMs) {
+        return {
+          kind: 'none',
+          reason: 'overloaded',
+          retryAfterMs: retryAfterMs(choice.predictedMs, plan),
+        };
+      }
+      const server = usable.find(({ serverId }) => serverId === choice.serverId);
+      const candidate = candidates.find(({ serverId }) => serverId === choice.serverId);
+      if (server === undefined || candidate === undefined) {
+        return { kind: 'none', reason: 'noServer', retryAfterMs: NO_SERVER_RETRY_MS };
+      }
+      if (server.coldUntilMs > nowMs) coldGate.noteSent(server.serverId, nowMs);
+      return {
+        kind: 'server',
+        server,
+        predictedMs: choice.predictedMs,
+        tokens: candidate.uncachedTokens,
+        mostConnections: mostConnections(service),
+      };
+    },
+    forgetGone() {
+      const known = new Set(servers.all().map((server) => server.serverId));
+      loads.keepOnly(known);
+      prefixes.keepOnly(known);
+      coldGate.keepOnly(known);
+    },
+  };
+}
--- /dev/null
+++ b/src/core/pass-through/open-ingress.ts
@@ -0,0 +1,278 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Clock } from '../clock';
+import { ERRORS, errorText, gatewayError } from '../errors';
+import type { Logger } from '../events';
+import { pickTarget } from '../host-routes';
+import type { HostRoute, RouteTableStore, RoutesInForce } from '../host-routes';
+import type { RandomSource } from '../random';
+import type { RetryAllowance } from '../shared-budget';
+import { createClientAnswer } from './client-answer';
+import { PASS_THROUGH_EVENTS } from './events';
+import { PLAN_HEADER, readPlan } from './forwarding';
+import { headerText } from './judge-answer';
+import { headersToPassOn } from './headers';
+import { headerBytes, readBody } from './read-request';
+import { serveRequest } from './serve-request';
+import type { ServeDependencies } from './serve-request';
+import type { ClientAnswer, InboundRequest, Refusal, RefusalReason, RequestPlan } from './types';
+
+/** What a listener for requests is opened with. */
+export interface IngressOptions {
+  readonly host: string;
+  readonly port: number;
+  /** Who sends here: callers, or other instances that have chosen a route already. */
+  readonly from: 'callers' | 'peers';
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  readonly routes: RouteTableStore;
+  readonly retries: RetryAllowance;
+  readonly serving: ServeDependencies;
+  /** Whether a planned stop has begun. */
+  readonly isLeaving: () => boolean;
+  /** Whether new requests are refused, because there is not enough time left to answer them. */
+  readonly isRefusing: () => boolean;
+  /** Answers of this listener that are no requests, by path; for other instances alone. */
+  readonly documents?: ReadonlyMap<string, () => string>;
+}
+
+/** A listener for requests. */
+export interface Ingress extends AsyncDisposable {
+  readonly port: number;
+  /** Requests that have been read or are being read, and have no whole answer yet. */
+  openRequests(): number;
+  /** Takes over how long connections may stay idle and how long a header section may take. */
+  applyLimits(): void;
+}
+
+/** Largest header section that is read at all; the routes' own limit is checked on top. */
+const MOST_HEADER_BYTES = 131_072;
+/** How long another instance may keep a connection idle: longer than gaps between bursts. */
+const PEER_IDLE_MS = 60_000;
+/** Idle time of callers' connections until the routes say otherwise. */
+const FIRST_IDLE_MS = 15_000;
+/** Deadline of a request that states none, and the longest that one may state. */
+const LONGEST_DEADLINE_MS = 600_000;
+/** When to come back to an instance that has no routes yet: it reads them within a second or so. */
+const NO_ROUTES_RETRY_MS = 500;
+/** When to come back after an instance that is stopping: at once, since another one takes the request. */
+const STOPPING_RETRY_MS = 50;
+
+function statedTimeLeftMs(text: string | undefined): number {
+  const value = Number(text);
+  if (text === undefined || !Number.isFinite(value) || value < 0) return LONGEST_DEADLINE_MS;
+  return Math.min(LONGEST_DEADLINE_MS, value);
+}
+
+function listen(server: Server, host: string, port: number): Promise<number> {
+  return new Promise((resolve, reject) => {
+    server.once('error', (error) => {
+      const place = { step: 'listen-requests' };
+      reject(
+        gatewayError(ERRORS.listenerFailed, [`${host}:${port}`, errorText(error)], place, error),
+      );
+    });
+    server.listen({ host, port, backlog: 1_024 }, () => {
+      const address = server.address();
+      resolve(typeof address === 'object' && address !== null ? address.port : port);
+    });
+  });
+}
+
+/** Opens a listener that passes requests through to backend servers. */
+export async function openIngress(options: IngressOptions): Promise<Ingress> {
+  const { clock, random, logger, routes, retries, serving, isLeaving, isRefusing } = options;
+  const { dialect } = serving;
+  const isForPeer = options.from === 'peers';
+  let openRequests = 0;
+
+  const refuse = (
+    incoming: IncomingMessage,
+    answer: ClientAnswer,
+    reason: RefusalReason,
+    retryAfterMs?: number,
+  ): void => {
+    const refusal: Refusal = { reason, outcome: 'notRun', retryAfterMs };
+    answer.refuse(refusal);
+    logger.event(PASS_THROUGH_EVENTS.refused, {
+      requestId: headerText(incoming.headers[dialect.requestId]),
+      reason,
+      outcome: refusal.outcome,
+      retryAfterMs,
+      routesVersion: routes.current()?.table.version,
+    });
+  };
+
+  /** Refuses a request whose body is not going to be read, and so the connection with it. */
+  const refuseUnread = (
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    answer: ClientAnswer,
+    reason: RefusalReason,
+  ): void => {
+    response.setHeader('connection', 'close');
+    refuse(incoming, answer, reason);
+  };
+
+  const planFor = (
+    incoming: IncomingMessage,
+    route: HostRoute,
+    { table }: RoutesInForce,
+    nowMs: number,
+  ): RequestPlan | undefined => {
+    const service = pickTarget(route, random.next());
+    if (service === undefined) return undefined;
+    const timeLeftMs = statedTimeLeftMs(headerText(incoming.headers[dialect.timeLeftMs]));
+    return {
+      route: route.name,
+      service,
+      kind: route.kind,
+      isResumable: route.isResumable,
+      priority: route.priority,
+      objectiveMs: route.objectiveMs,
+      maxAttempts: route.maxAttempts,
+      homeRegions: route.homeRegions,
+      routesVersion: table.version,
+      deadlineAtMs: nowMs + timeLeftMs,
+      timeoutAtMs: nowMs + route.timeoutMs,
+      isForwarded: false,
+    };
+  };
+
+  const droppedHeaders = new Set([
+    ...dialect.systemOnly,
+    dialect.timeLeftMs,
+    dialect.targetServer,
+    dialect.priority,
+    'last-event-id',
+    PLAN_HEADER,
+  ]);
+
+  const toRequest = (
+    incoming: IncomingMessage,
+    body: Buffer,
+    receivedAtMs: number,
+  ): InboundRequest => ({
+    requestId: headerText(incoming.headers[dialect.requestId]) ?? '',
+    method: incoming.method ?? 'GET',
+    path: incoming.url ?? '/',
+    headers: headersToPassOn(incoming.rawHeaders, incoming.headers.connection, droppedHeaders),
+    body,
+    receivedAtMs,
+    lastEventId: headerText(incoming.headers['last-event-id']),
+    demand: dialect.readDemand(incoming.headers),
+  });
+
+  const serve = (
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    answer: ClientAnswer,
+    plan: RequestPlan,
+    mostBodyBytes: number,
+  ): void => {
+    const receivedAtMs = clock.monotonicMs();
+    readBody(incoming, mostBodyBytes, (reading) => {
+      switch (reading.kind) {
+        case 'gone':
+          return;
+        case 'tooLarge':
+          refuseUnread(incoming, response, answer, 'bodyTooLarge');
+          return;
+        case 'whole':
+          break;
+        default:
+          reading satisfies never;
+          return;
+      }
+      if (response.destroyed) return;
+      if (!plan.isForwarded) retries.noteRequest(plan.service, receivedAtMs);
+      const handle = serveRequest(
+        serving,
+        toRequest(incoming, reading.body, receivedAtMs),
+        plan,
+        answer,
+      );
+      response.on('close', () => {
+        if (!response.writableFinished) handle.cancel();
+      });
+    });
+  };
+
+  const handleCaller = (
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    answer: ClientAnswer,
+  ): void => {
+    const inForce = routes.current();
+    if (inForce === undefined) {
+      refuse(incoming, answer, 'noRoutesYet', NO_ROUTES_RETRY_MS);
+      return;
+    }
+    const { limits } = inForce.table;
+    if (headerBytes(incoming) > limits.headerBytes) {
+      refuseUnread(incoming, response, answer, 'headersTooLarge');
+      return;
+    }
+    const route = inForce.selector.select(incoming.headers.host ?? '', incoming.url ?? '/');
+    const plan =
+      route === undefined ? undefined : planFor(incoming, route, inForce, clock.monotonicMs());
+    if (plan === undefined) {
+      refuse(incoming, answer, 'noSuchRoute');
+      return;
+    }
+    serve(incoming, response, answer, plan, limits.bodyBytes);
+  };
+
+  const handlePeer = (
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    answer: ClientAnswer,
+  ): void => {
+    const text = headerText(incoming.headers[PLAN_HEADER]);
+    const plan = text === undefined ? undefined : readPlan(text, clock.monotonicMs());
+    if (plan === undefined) {
+      refuse(incoming, answer, 'malformedRequest');
+      return;
+    }
+    serve(incoming, response, answer, plan, Infinity);
+  };
+
+  const handle = (incoming: IncomingMessage, response: ServerResponse): void => {
+    const document = options.documents?.get(incoming.url ?? '');
+    if (document !== undefined) {
+      response.writeHead(200, { 'content-type': 'application/json' }).end(document());
+      return;
+    }
+    openRequests += 1;
+    response.on('close', () => {
+      openRequests -= 1;
+    });
+    const answer = createClientAnswer({ response, isLeaving, isForPeer });
+    if (isRefusing()) {
+      refuse(incoming, answer, 'stopping', STOPPING_RETRY_MS);
+      return;
+    }
+    if (isForPeer) handlePeer(incoming, response, answer);
+    else handleCaller(incoming, response, answer);
+  };
+
+  const server = createServer({ maxHeaderSize: MOST_HEADER_BYTES, noDelay: true }, handle);
+  server.requestTimeout = 0;
+  const applyLimits = () => {
+    const limits = routes.current()?.table.limits;
+    server.keepAliveTimeout = isForPeer ? PEER_IDLE_MS : (limits?.idleTimeoutMs ?? FIRST_IDLE_MS);
+    if (limits !== undefined) server.headersTimeout = limits.headerTimeoutMs;
+  };
+  applyLimits();
+  const port = await listen(server, options.host, options.port);
+  return {
+    port,
+    openRequests: () => openRequests,
+    applyLimits,
+    async [Symbol.asyncDispose]() {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
--- /dev/null
+++ b/src/core/pass-through/refusals.ts
@@ -0,0 +1,27 @@
+import type { Refusal, RefusalReason } from './types';
+
+/** Refusals that no waiting mends. */
+const STATUS_BY_FINAL_REASON: Partial<Record<RefusalReason, number>> = {
+  noSuchRoute: 404,
+  headersTooLarge: 431,
+  bodyTooLarge: 413,
+  malformedRequest: 400,
+};
+
+/**
+ * The status of a refusal. 503 promises that the request has not run, so that a caller may send it again; what
+ * may have run is 504 when time ran out and 502 otherwise, which promise nothing.
+ */
+export function statusOf({ reason, outcome }: Refusal): number {
+  const final = STATUS_BY_FINAL_REASON[reason];
+  if (final !== undefined) return final;
+  if (outcome === 'notRun') return 503;
+  return reason === 'timedOut' ? 504 : 502;
+}
+
+const MS_PER_S = 1_000;
+
+/** The value of the header that says when to come back, in seconds with fractions. */
+export function retryAfterText(retryAfterMs: number): string {
+  return (Math.ceil(retryAfterMs) / MS_PER_S).toFixed(2);
+}
--- /dev/null
+++ b/src/core/pass-through/types.ts
@@ -0,0 +1,100 @@
+import type { HeaderMap } from '../exchanges';
+import type { RouteKind } from '../host-routes';
+import type { LoadReport, ModelDemand } from '../placement';
+
+/** The header names that callers and backend servers use, and how those with a form of their own are read. */
+export interface HeaderDialect {
+  /** Names a request; backend servers repeat it in their answer. */
+  readonly requestId: string;
+  /** Time that the caller still waits, ms. */
+  readonly timeLeftMs: string;
+  /** The backend server that alone may run the request. */
+  readonly targetServer: string;
+  /** Present where a backend server says that it did not run the request. */
+  readonly notRun: string;
+  /** Present on each answer that a backend server made by running the request. */
+  readonly signature: string;
+  /** Urgency at the backend server; 0 is the most urgent. */
+  readonly priority: string;
+  /** A backend server's load. */
+  readonly load: string;
+  /** Set by this system alone; dropped where a caller sends them. */
+  readonly systemOnly: ReadonlySet<string>;
+  /** What a request asks of a model; undefined where it does not say. */
+  readDemand(headers: HeaderMap): ModelDemand | undefined;
+  readLoadReport(text: string): LoadReport | undefined;
+}
+
+/** A request that has been read whole. */
+export interface InboundRequest {
+  readonly requestId: string;
+  readonly method: string;
+  /** Path with its query, as sent. */
+  readonly path: string;
+  /** Names and values by turns, those that concern one connection left out. */
+  readonly headers: readonly string[];
+  readonly body: Uint8Array;
+  readonly receivedAtMs: number;
+  /** Last event that the caller has of a stream that it resumes. */
+  readonly lastEventId: string | undefined;
+  readonly demand: ModelDemand | undefined;
+}
+
+/** What the route in force says of one request. It goes along when another instance serves the request. */
+export interface RequestPlan {
+  readonly route: string;
+  readonly service: string;
+  readonly kind: RouteKind;
+  readonly isResumable: boolean;
+  readonly priority: number;
+  readonly objectiveMs: number;
+  /** Backend servers to which it may be sent. */
+  readonly maxAttempts: number;
+  readonly homeRegions: readonly string[];
+  /** Version of the routes that it was made from. */
+  readonly routesVersion: number;
+  /** When the caller gives up, monotonic ms. */
+  readonly deadlineAtMs: number;
+  /** When the route's timeout ends, monotonic ms. */
+  readonly timeoutAtMs: number;
+  /** Whether another instance sent it here, so that it may not be sent on. */
+  readonly isForwarded: boolean;
+}
+
+/** Where an answer is written to. */
+export interface ClientAnswer {
+  readonly headSent: boolean;
+  sendHead(status: number, headers: HeaderMap): void;
+  /** False when the reader is slow; `onDrain` is called when it has caught up. */
+  sendData(chunk: Uint8Array): boolean;
+  end(): void;
+  /** Ends the connection, so that the answer does not look whole. */
+  breakOff(): void;
+  /** Refuses a request whose head has not been sent. */
+  refuse(refusal: Refusal): void;
+  onDrain(callback: () => void): void;
+}
+
+/** Why no answer of a backend server is passed on. */
+export type RefusalReason =
+  | 'noRoutesYet'
+  | 'noSuchRoute'
+  | 'headersTooLarge'
+  | 'bodyTooLarge'
+  | 'malformedRequest'
+  | 'noServer'
+  | 'overloaded'
+  | 'stopping'
+  | 'suspectedOfCrashes'
+  | 'serverRefused'
+  | 'serverFailed'
+  | 'timedOut';
+
+/** What a caller is told in place of an answer. */
+export interface Refusal {
+  readonly reason: RefusalReason;
+  /** Whether the request provably has not run and never will. */
+  readonly outcome: 'notRun' | 'unknown';
+  /** When to come back, where that makes sense, ms. */
+  readonly retryAfterMs: number | undefined;
+}
--- a/src/core/peers/peer-server.ts
+++ b/src/core/peers/peer-server.ts
@@ -40,13 +40,17 @@
   serveForwarded(message: ForwardRequest, sink: ResponseSink, signal: AbortSignal): Promise<void>;
 }
 
+/** The handlers that every instance has, and those of an instance that does all of its duties over gRPC. */
+export type OfferedHandlers = Pick<PeerHandlers, 'exchange'> & Partial<PeerHandlers>;
+
 /** What the listener needs. */
 export interface PeerServerOptions {
   readonly host: string;
   readonly port: number;
   readonly credentials: ServerCredentials;
   readonly peerSecret: string;
-  readonly handlers: PeerHandlers;
+  /** Calls for which there is no handler are answered as not implemented. */
+  readonly handlers: OfferedHandlers;
 }
 
 /** The listener for peers. */
@@ -61,9 +65,12 @@
   details: 'the shared secret is missing or wrong',
 };
 
-function handleForward(options: PeerServerOptions) {
+function handleForward(
+  { peerSecret }: PeerServerOptions,
+  serveForwarded: PeerHandlers['serveForwarded'],
+) {
   return async (call: ServerWritableStream<ForwardRequest, ForwardEvent>): Promise<void> => {
-    if (!showsSecret(call.metadata, options.peerSecret)) {
+    if (!showsSecret(call.metadata, peerSecret)) {
       call.emit('error', UNAUTHENTICATED);
       return;
     }
@@ -71,7 +78,7 @@
     call.on('cancelled', () => gone.abort());
     const sink = createPeerSink(call);
     try {
-      await options.handlers.serveForwarded(call.request, sink, gone.signal);
+      await serveForwarded(call.request, sink, gone.signal);
     } catch (error) {
       if (sink.headSent) {
         sink.abort(errorText(error));
@@ -101,30 +108,33 @@
   };
 }
 
-function handleFetchConfiguration(options: PeerServerOptions) {
+function handleFetchConfiguration(
+  { peerSecret }: PeerServerOptions,
+  fetchConfiguration: PeerHandlers['fetchConfiguration'],
+) {
   return (
     call: ServerUnaryCall<FetchConfigurationRequest, FetchConfigurationResponse>,
     respond: sendUnaryData<FetchConfigurationResponse>,
   ): void => {
-    if (!showsSecret(call.metadata, options.peerSecret)) {
+    if (!showsSecret(call.metadata, peerSecret)) {
       respond(UNAUTHENTICATED);
       return;
     }
-    const answer = options.handlers.fetchConfiguration(fromWireRequest(call.request));
+    const answer = fetchConfiguration(fromWireRequest(call.request));
     respond(null, toWireAnswer(answer));
   };
 }
 
-function handleCancel(options: PeerServerOptions) {
+function handleCancel({ peerSecret }: PeerServerOptions, cancel: PeerHandlers['cancel']) {
   return (
     call: ServerUnaryCall<CancelRequest, CancelResponse>,
     respond: sendUnaryData<CancelResponse>,
   ): void => {
-    if (!showsSecret(call.metadata, options.peerSecret)) {
+    if (!showsSecret(call.metadata, peerSecret)) {
       respond(UNAUTHENTICATED);
       return;
     }
-    const neverSent = options.handlers.cancel(call.request);
+    const neverSent = cancel(call.request);
     respond(null, create(CancelResponseSchema, { neverSent }));
   };
 }
@@ -146,13 +156,20 @@
 /** Opens the listener for peers. */
 export async function openPeerServer(options: PeerServerOptions): Promise<PeerServer> {
   const server = new Server({ 'grpc.max_receive_message_length': 32 * 1024 * 1024 });
+  const { fetchConfiguration, serveForwarded, cancel } = options.handlers;
   server.addService(PEER_SERVICE, {
     exchange: handleExchange(options),
-    fetchConfiguration: handleFetchConfiguration(options),
-    forward: (call: ServerWritableStream<ForwardRequest, ForwardEvent>) => {
-      void handleForward(options)(call);
-    },
-    cancel: handleCancel(options),
+    ...(fetchConfiguration === undefined
+      ? {}
+      : { fetchConfiguration: handleFetchConfiguration(options, fetchConfiguration) }),
+    ...(serveForwarded === undefined
+      ? {}
+      : {
+          forward: (call: ServerWritableStream<ForwardRequest, ForwardEvent>) => {
+            void handleForward(options, serveForwarded)(call);
+          },
+        }),
+    ...(cancel === undefined ? {} : { cancel: handleCancel(options, cancel) }),
   });
   const port = await bind(server, options);
   return {
--- /dev/null
+++ b/src/core/placement/choose-server.ts
@@ -0,0 +1,53 @@
+import type { Candidate, ServicePace } from './types';
+
+/**
+ * Chooses the server with the least predicted time to its first byte.
+ *
+ * Answers uneven load on servers that batch requests and cache prompts: sending each request to the least
+ * loaded server reads shared prompts again on all of them, and sending it to the one that holds the prompt
+ * piles requests up on the server of a popular prompt. One notices the first by prefill work that grows with
+ * the number of servers, the second by a queue at one server beside idle ones. Waiting and reading again are
+ * both time here, so they are weighed against one another in one unit. A fleet of tens of servers is looked
+ * at whole: drawing two at random finds the one that holds a prompt only by luck.
+ */
+
+/** Share of a request's prefill by which it delays others that decode beside it; they run in one batch. */
+const PENDING_WEIGHT = 0.7;
+
+/**
+ * Part of the slot time by which one more running request slows the others down: a step of a full batch
+ * takes about half as long again as one of an idle server, so filling all slots costs a third.
+ */
+const CROWDING_SHARE = 0.15;
+
+/** Predicted time to the first byte at a server, ms. */
+export function predictFirstByteMs(candidate: Candidate, pace: ServicePace): number {
+  const { slots, load, pendingTokens, uncachedTokens, penaltyMs } = candidate;
+  const waiting = Math.max(0, load + 1 - slots);
+  const waitMs = (waiting * pace.slotTimeMs) / Math.max(1, slots);
+  const crowdingMs =
+    (Math.min(load, slots) / Math.max(1, slots)) * pace.slotTimeMs * CROWDING_SHARE;
+  const prefillMs = (uncachedTokens + pendingTokens * PENDING_WEIGHT) * pace.prefillMsPerToken;
+  return waitMs + crowdingMs + prefillMs + penaltyMs;
+}
+
+/** A server with what it is expected to take. */
+export interface ServerChoice {
+  readonly serverId: string;
+  readonly predictedMs: number;
+}
+
+/** The best of the candidates; undefined where there are none. */
+export function chooseServer(
+  candidates: readonly Candidate[],
+  pace: ServicePace,
+): ServerChoice | undefined {
+  let best: ServerChoice | undefined;
+  for (const candidate of candidates) {
+    const predictedMs = predictFirstByteMs(candidate, pace);
+    if (best === undefined || predictedMs < best.predictedMs) {
+      best = { serverId: candidate.serverId, predictedMs };
+    }
+  }
+  return best;
+}
--- /dev/null
+++ b/src/core/placement/prefix-cache-view.ts
@@ -0,0 +1,63 @@
+import { rankFor } from '../rendezvous';
+import type { ModelDemand } from './types';
+
+/** What the servers' prompt caches probably hold, by what was sent to them from here. */
+export interface PrefixCacheView {
+  /** Prompt tokens of the request that a server probably has to read. */
+  uncachedTokens(serverId: string, demand: ModelDemand): number;
+  /** Notes that a server has read the request's prompt. */
+  noteRead(serverId: string, demand: ModelDemand): void;
+  /** Forgets servers that have gone. */
+  keepOnly(serverIds: ReadonlySet<string>): void;
+  /** Which of the servers all instances prefer for the request's shared parts. */
+  preferred(serverIds: readonly string[], demand: ModelDemand): string | undefined;
+}
+
+/** Parts remembered for one server; more than a cache of some hundred thousand tokens holds. */
+const MOST_PARTS = 400;
+
+/**
+ * A view that knows nothing.
+ *
+ * Other instances send to the same servers, and this one does not see what. All of them rank the servers of a
+ * region for a shared part by the same hash, so the server that ranks first is likely to have read it already.
+ */
+export function createPrefixCacheView(): PrefixCacheView {
+  const partsAt = new Map<string, Map<string, true>>();
+
+  const sharedKey = ({ parts }: ModelDemand): string | undefined => {
+    const shared = parts.slice(0, -1);
+    return shared.length === 0 ? undefined : shared.map((part) => part.partId).join(',');
+  };
+
+  return {
+    uncachedTokens(serverId, demand) {
+      const held = partsAt.get(serverId);
+      let cached = 0;
+      for (const { partId, tokens } of demand.parts) {
+        if (held?.has(partId) !== true) break;
+        cached += tokens;
+      }
+      return Math.max(0, demand.promptTokens - cached);
+    },
+    noteRead(serverId, { parts }) {
+      const held = partsAt.get(serverId) ?? new Map<string, true>();
+      partsAt.set(serverId, held);
+      for (const { partId } of parts) {
+        held.delete(partId);
+        held.set(partId, true);
+      }
+      for (const oldest of held.keys()) {
+        if (held.size <= MOST_PARTS) break;
+        held.delete(oldest);
+      }
+    },
+    keepOnly(serverIds) {
+      for (const serverId of partsAt.keys()) if (!serverIds.has(serverId)) partsAt.delete(serverId);
+    },
+    preferred(serverIds, demand) {
+      const key = sharedKey(demand);
+      return key === undefined ? undefined : rankFor(key, serverIds)[0];
+    },
+  };
+}
--- /dev/null
+++ b/src/core/relay-node/fetch-peer-state.ts
@@ -0,0 +1,32 @@
+import { request } from 'undici';
+import { errorText } from '../errors';
+import type { Logger } from '../events';
+import { readSnapshot } from '../state-sync';
+import type { PublishedState } from '../state-sync';
+import { STATE_SYNC_EVENTS } from '../state-sync';
+
+/** Path on the listener for other instances under which published state is handed out. */
+export const STATE_PATH = '/state';
+
+/** Time for an instance of another region to answer, ms. */
+const ANSWER_TIMEOUT_MS = 1_000;
+
+/** Published state as the instance at `address` holds it; undefined where it does not answer. */
+export async function fetchPeerState(
+  address: string,
+  logger: Logger,
+  signal: AbortSignal,
+): Promise<PublishedState | undefined> {
+  try {
+    const response = await request(`http://${address}${STATE_PATH}`, {
+      signal,
+      headersTimeout: ANSWER_TIMEOUT_MS,
+      bodyTimeout: ANSWER_TIMEOUT_MS,
+    });
+    const text = await response.body.text();
+    return response.statusCode === 200 ? readSnapshot(text) : undefined;
+  } catch (error) {
+    logger.event(STATE_SYNC_EVENTS.peerUnavailable, { peer: address, reason: errorText(error) });
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/core/relay-node/index.ts
@@ -0,0 +1,6 @@
+/** An instance that passes requests through to backend servers that announce themselves. */
+export { RELAY_NODE_EVENTS } from './events';
+export { relaySettingsSchema } from './settings';
+export type { RelaySettings } from './settings';
+export { startRelayNode } from './start-relay-node';
+export type { RelayNode, RelayNodeOptions } from './start-relay-node';
--- /dev/null
+++ b/src/core/relay-node/settings.ts
@@ -0,0 +1,40 @@
+import { z } from 'zod';
+
+const listenerSchema = z.strictObject({
+  host: z.string().describe('IP number to listen on'),
+  port: z.int().min(0).max(65_535).describe('Port; 0 takes a free one'),
+});
+
+/** Settings of an instance that passes requests through. */
+export const relaySettingsSchema = z.strictObject({
+  instanceId: z.string().min(1),
+  region: z.string().min(1),
+  failureDomain: z.string().min(1),
+  regionOfDomain: z
+    .record(z.string(), z.string())
+    .describe('Region of each failure domain of the deployment'),
+  listeners: z.strictObject({
+    callers: listenerSchema,
+    peers: listenerSchema.describe('Membership of instances, over gRPC'),
+    forwarding: listenerSchema.describe('Requests that other instances send on'),
+  }),
+  forwardingPort: z
+    .int()
+    .min(0)
+    .describe('Port on which all instances take forwarded requests; 0 where each has its own'),
+  seedPeers: z
+    .array(z.string())
+    .describe('Addresses of instances to begin with; they may be stale'),
+  retryBudget: z.strictObject({
+    ratio: z.number().min(0).describe('Repeats per request, over all instances'),
+    slack: z.number().min(0).describe('Repeats beside that in one window, over all instances'),
+    windowMs: z.number().min(100),
+  }),
+  stopWithinMs: z
+    .number()
+    .min(1_000)
+    .describe('Time between the signal to stop and the end of the process by force, ms'),
+});
+
+/** Settings with their defaults filled in. */
+export type RelaySettings = z.output<typeof relaySettingsSchema>;
--- /dev/null
+++ b/src/core/server-registry/types.ts
@@ -0,0 +1,29 @@
+/** One backend server as it announces itself. */
+export interface ServerAnnouncement {
+  /** Names one start of the server; another start has another id. */
+  readonly serverId: string;
+  readonly service: string;
+  /** `HOST:PORT`; used again by another server some time after this one has gone. */
+  readonly address: string;
+  readonly failureDomain: string;
+  /** Requests that it processes at once. */
+  readonly slots: number;
+  readonly isDraining: boolean;
+  /** Time for which it is still cold, as of the announcement, ms. */
+  readonly coldForMs: number;
+  /** Time until it is gone whatever it runs, where it was told so at short notice, ms. */
+  readonly goneInMs: number | undefined;
+}
+
+/** One backend server as this instance holds it. */
+export interface KnownServer {
+  readonly serverId: string;
+  readonly service: string;
+  readonly address: string;
+  readonly failureDomain: string;
+  readonly region: string;
+  readonly slots: number;
+  readonly isDraining: boolean;
+  /** Monotonic time until which the server bears few requests only. */
+  readonly coldUntilMs: number;
+}
--- /dev/null
+++ b/src/core/state-sync/create-state-sync.ts
@@ -0,0 +1,258 @@
+import { sleepUntil } from '../clock';
+import type { Clock } from '../clock';
+import { errorText } from '../errors';
+import type { Logger } from '../events';
+import type { RouteTableStore } from '../host-routes';
+import type { RandomSource } from '../random';
+import type { ServerRegistry } from '../server-registry';
+import { STATE_SYNC_EVENTS } from './events';
+import type {
+  PublishedChange,
+  PublishedItem,
+  PublishedState,
+  StateSource,
+  UnreadableItem,
+} from './types';
+
+/** What the copy is kept with. */
+export interface StateSyncOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  readonly source: StateSource;
+  readonly routes: RouteTableStore;
+  readonly servers: ServerRegistry;
+  /** What another instance has, when the source does not answer; undefined when none answers either. */
+  readonly askPeer: (signal: AbortSignal) => Promise<PublishedState | undefined>;
+}
+
+/** A copy of what is published, kept up to date by a watch. */
+export interface StateSync extends AsyncDisposable {
+  start(): void;
+  /** Everything that is held here, for another instance that cannot reach the source. */
+  snapshot(): PublishedState;
+  /** Monotonic time of the last answer of the source; undefined before the first. */
+  lastAnswerAtMs(): number | undefined;
+}
+
+/** First rest after a failed call; doubles up to the longest. Short, since changes are due within seconds. */
+const FIRST_REST_MS = 100;
+/** Longest rest: a source that is back is noticed within this time, at one call a second and instance. */
+const LONGEST_REST_MS = 1_000;
+/** Calls that fail in a row before another instance is asked: one lost connection is no outage. */
+const FAILURES_BEFORE_PEERS = 2;
+/**
+ * How long entries may be missing after an outage of the source before they count as gone: servers that live
+ * announce themselves again within about two seconds of its return.
+ */
+const REAPPEAR_WITHIN_MS = 2_500;
+
+/** A copy that holds nothing yet. */
+export function createStateSync(options: StateSyncOptions): StateSync {
+  const { clock, random, logger, source, routes, servers } = options;
+  const stopping = new AbortController();
+  const tables = new Map<number, PublishedItem>();
+  const announcements = new Map<string, PublishedItem>();
+  let revision: number | undefined;
+  let failures = 0;
+  let lastAnswerAtMs: number | undefined;
+  let regainedAtMs = -Infinity;
+  const deferred = new Set<Disposable>();
+  let task: Promise<void> = Promise.resolve();
+
+  const report = (unreadable: readonly UnreadableItem[]): void => {
+    for (const { key, reason } of unreadable) {
+      logger.event(STATE_SYNC_EVENTS.itemUnreadable, { key, reason });
+    }
+  };
+
+  const putServer = (item: PublishedItem & { kind: 'server' }): void => {
+    const { announcement } = item;
+    const before = servers.get(announcement.serverId);
+    servers.put(announcement, clock.monotonicMs());
+    announcements.set(announcement.serverId, item);
+    const isNews = before === undefined || before.isDraining !== announcement.isDraining;
+    if (!isNews) return;
+    const { serverId, service, address, isDraining, coldForMs } = announcement;
+    const state = isDraining ? 'draining' : 'ready';
+    const fields = { server: serverId, service, address, state, coldForMs };
+    logger.event(STATE_SYNC_EVENTS.serverChanged, fields);
+  };
+
+  const setEvacuated = (failureDomain: string, isEvacuated: boolean): void => {
+    if (servers.evacuated().includes(failureDomain) === isEvacuated) return;
+    servers.setEvacuated(failureDomain, isEvacuated, clock.monotonicMs());
+    logger.event(STATE_SYNC_EVENTS.evacuationChanged, { failureDomain, isEvacuated });
+  };
+
+  const put = (item: PublishedItem): void => {
+    switch (item.kind) {
+      case 'routes':
+        if (!routes.offer(item.table)) return;
+        tables.clear();
+        tables.set(item.table.version, item);
+        logger.event(STATE_SYNC_EVENTS.routesInForce, {
+          version: item.table.version,
+          routes: item.table.routes.length,
+        });
+        return;
+      case 'server':
+        putServer(item);
+        return;
+      case 'evacuation':
+        setEvacuated(item.failureDomain, true);
+        return;
+      default:
+        item satisfies never;
+    }
+  };
+
+  const removeServer = (serverId: string): void => {
+    if (servers.get(serverId) === undefined) return;
+    servers.remove(serverId);
+    announcements.delete(serverId);
+    logger.event(STATE_SYNC_EVENTS.serverChanged, { server: serverId, state: 'gone' });
+  };
+
+  /**
+   * Entries lapse while the source is away, and their removal is told when it is back, although the servers
+   * live and announce themselves again at once. Taking all of them out of use for that moment would refuse
+   * every request; so right after an outage a removal waits for the server to come back.
+   */
+  const removeWhenSure = (serverId: string): void => {
+    const sureAtMs = regainedAtMs + REAPPEAR_WITHIN_MS;
+    const goneItem = announcements.get(serverId);
+    if (clock.monotonicMs() >= sureAtMs || goneItem === undefined) {
+      removeServer(serverId);
+      return;
+    }
+    const timer = clock.schedule(sureAtMs, () => {
+      deferred.delete(timer);
+      if (announcements.get(serverId) === goneItem) removeServer(serverId);
+    });
+    deferred.add(timer);
+  };
+
+  const apply = (change: PublishedChange): void => {
+    switch (change.kind) {
+      case 'put':
+        put(change.item);
+        return;
+      case 'serverGone':
+        removeWhenSure(change.serverId);
+        return;
+      case 'evacuationEnded':
+        setEvacuated(change.failureDomain, false);
+        return;
+      default:
+        change satisfies never;
+    }
+  };
+
+  const applyAll = (state: PublishedState): void => {
+    report(state.unreadable);
+    for (const item of state.items) put(item);
+    const evacuated = new Set(
+      state.items.flatMap((item) => (item.kind === 'evacuation' ? [item.failureDomain] : [])),
+    );
+    for (const domain of servers.evacuated()) {
+      if (!evacuated.has(domain)) setEvacuated(domain, false);
+    }
+  };
+
+  const removeMissing = (state: PublishedState): void => {
+    const listed = new Set(
+      state.items.flatMap((item) => (item.kind === 'server' ? [item.announcement.serverId] : [])),
+    );
+    for (const { serverId } of servers.all()) if (!listed.has(serverId)) removeServer(serverId);
+  };
+
+  const noteAnswer = (): void => {
+    lastAnswerAtMs = clock.monotonicMs();
+    if (failures > 0) regainedAtMs = clock.monotonicMs();
+    if (failures >= FAILURES_BEFORE_PEERS) logger.event(STATE_SYNC_EVENTS.sourceRegained);
+    failures = 0;
+  };
+
+  /** Reads everything, twice where entries have lapsed meanwhile, so that servers that live can come back. */
+  const readAgain = async (): Promise<void> => {
+    const wasLost = failures >= FAILURES_BEFORE_PEERS;
+    let state = await source.readAll(stopping.signal);
+    noteAnswer();
+    applyAll(state);
+    if (wasLost) {
+      await sleepUntil(clock, clock.monotonicMs() + REAPPEAR_WITHIN_MS, stopping.signal);
+      state = await source.readAll(stopping.signal);
+      applyAll(state);
+    }
+    removeMissing(state);
+    revision = state.revision;
+  };
+
+  const watchOnce = async (after: number): Promise<void> => {
+    const news = await source.watch(after, stopping.signal);
+    noteAnswer();
+    if (news.kind === 'historyGone') {
+      revision = undefined;
+      return;
+    }
+    report(news.unreadable);
+    for (const change of news.changes) apply(change);
+    revision = Math.max(after, news.revision);
+  };
+
+  const askPeer = async (): Promise<void> => {
+    const state = await options.askPeer(stopping.signal);
+    if (state === undefined) return;
+    if (revision !== undefined && state.revision <= revision) return;
+    applyAll(state);
+    logger.event(STATE_SYNC_EVENTS.takenFromPeer, { revision: state.revision });
+  };
+
+  const noteFailure = async (error: unknown): Promise<void> => {
+    failures += 1;
+    if (failures === FAILURES_BEFORE_PEERS) {
+      logger.event(STATE_SYNC_EVENTS.sourceLost, { reason: errorText(error) });
+    }
+    if (failures >= FAILURES_BEFORE_PEERS) await askPeer();
+    const longestMs = Math.min(LONGEST_REST_MS, FIRST_REST_MS * 2 ** Math.min(failures, 10));
+    // Instances that lost the source together must not come back to it in step.
+    const restMs = longestMs * (0.5 + random.next() / 2);
+    await sleepUntil(clock, clock.monotonicMs() + restMs, stopping.signal);
+  };
+
+  const run = async (): Promise<void> => {
+    while (!stopping.signal.aborted) {
+      try {
+        if (revision === undefined) await readAgain();
+        else await watchOnce(revision);
+      } catch (error) {
+        if (!stopping.signal.aborted) await noteFailure(error);
+      }
+    }
+  };
+
+  return {
+    start() {
+      task = run();
+    },
+    snapshot: () => ({
+      revision: revision ?? 0,
+      items: [
+        ...tables.values(),
+        ...announcements.values(),
+        ...servers.evacuated().map((failureDomain) => ({
+          kind: 'evacuation' as const,
+          failureDomain,
+        })),
+      ],
+      unreadable: [],
+    }),
+    lastAnswerAtMs: () => lastAnswerAtMs,
+    async [Symbol.asyncDispose]() {
+      stopping.abort();
+      for (const timer of deferred) timer[Symbol.dispose]();
+      await task;
+    },
+  };
+}
--- /dev/null
+++ b/src/core/state-sync/index.ts
@@ -0,0 +1,13 @@
+/** A copy of what operators and backend servers publish in a source that can only be read. */
+export { createStateSync } from './create-state-sync';
+export type { StateSync, StateSyncOptions } from './create-state-sync';
+export { STATE_SYNC_EVENTS } from './events';
+export { readSnapshot, writeSnapshot } from './snapshot-message';
+export type {
+  PublishedChange,
+  PublishedChanges,
+  PublishedItem,
+  PublishedState,
+  StateSource,
+  UnreadableItem,
+} from './types';
--- /dev/null
+++ b/src/core/state-sync/snapshot-message.ts
@@ -0,0 +1,110 @@
+import { z } from 'zod';
+import type { RoutedService } from '../host-routes';
+import type { PublishedItem, PublishedState } from './types';
+
+/** What one instance hands another that cannot reach the source of published state. */
+
+const targetSchema = z.object({ service: z.string(), weight: z.number() });
+
+const routeSchema = z.object({
+  name: z.string(),
+  host: z.string(),
+  pathPrefix: z.string(),
+  kind: z.enum(['idempotent', 'nonIdempotent', 'stream']),
+  isResumable: z.boolean(),
+  timeoutMs: z.number(),
+  objectiveMs: z.number(),
+  priority: z.number(),
+  maxAttempts: z.number(),
+  targets: z.array(targetSchema),
+  homeRegions: z.array(z.string()),
+});
+
+const serviceSchema = z.object({
+  name: z.string(),
+  maxConnections: z.number(),
+  coldStartMs: z.number(),
+  coldRequestsPerSecond: z.number(),
+  isModelService: z.boolean(),
+});
+
+const tableSchema = z.object({
+  version: z.number(),
+  routes: z.array(routeSchema),
+  services: z.array(serviceSchema),
+  limits: z.object({
+    headerBytes: z.number(),
+    bodyBytes: z.number(),
+    headerTimeoutMs: z.number(),
+    idleTimeoutMs: z.number(),
+  }),
+});
+
+const announcementSchema = z.object({
+  serverId: z.string(),
+  service: z.string(),
+  address: z.string(),
+  failureDomain: z.string(),
+  slots: z.number(),
+  isDraining: z.boolean(),
+  coldForMs: z.number(),
+  goneInMs: z.number().optional(),
+});
+
+const itemSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('routes'), table: tableSchema }),
+  z.object({ kind: z.literal('server'), announcement: announcementSchema }),
+  z.object({ kind: z.literal('evacuation'), failureDomain: z.string() }),
+]);
+
+const snapshotSchema = z.object({ revision: z.number(), items: z.array(itemSchema) });
+
+type SnapshotItem = z.input<typeof itemSchema>;
+
+function toMessageItem(item: PublishedItem): SnapshotItem {
+  if (item.kind !== 'routes') return item as SnapshotItem;
+  const { table } = item;
+  return {
+    kind: 'routes',
+    table: {
+      version: table.version,
+      limits: { ...table.limits },
+      services: [...table.services.values()],
+      routes: table.routes.map((route) => ({
+        ...route,
+        targets: [...route.targets],
+        homeRegions: [...route.homeRegions],
+      })),
+    },
+  };
+}
+
+function fromMessageItem(item: z.output<typeof itemSchema>): PublishedItem {
+  switch (item.kind) {
+    case 'routes': {
+      const services = new Map<string, RoutedService>(
+        item.table.services.map((service) => [service.name, service]),
+      );
+      return { kind: 'routes', table: { ...item.table, services } };
+    }
+    case 'server': {
+      const { goneInMs, ...announcement } = item.announcement;
+      return { kind: 'server', announcement: { ...announcement, goneInMs } };
+    }
+    case 'evacuation':
+      return item;
+    default:
+      return item satisfies never;
+  }
+}
+
+/** A snapshot as text. */
+export function writeSnapshot(state: PublishedState): string {
+  return JSON.stringify({ revision: state.revision, items: state.items.map(toMessageItem) });
+}
+
+/** A snapshot from text; throws where it is none. */
+export function readSnapshot(text: string): PublishedState {
+  const { revision, items } = snapshotSchema.parse(JSON.parse(text));
+  return { revision, items: items.map(fromMessageItem), unreadable: [] };
+}
--- /dev/null
+++ b/src/core/state-sync/types.ts
@@ -0,0 +1,46 @@
+import type { RouteTable } from '../host-routes';
+import type { ServerAnnouncement } from '../server-registry';
+
+/** One piece of what operators and backend servers publish. */
+export type PublishedItem =
+  | { readonly kind: 'routes'; readonly table: RouteTable }
+  | { readonly kind: 'server'; readonly announcement: ServerAnnouncement }
+  | { readonly kind: 'evacuation'; readonly failureDomain: string };
+
+/** One change of what is published. */
+export type PublishedChange =
+  | { readonly kind: 'put'; readonly item: PublishedItem }
+  | { readonly kind: 'serverGone'; readonly serverId: string }
+  | { readonly kind: 'evacuationEnded'; readonly failureDomain: string };
+
+/** A change or item that could not be read; it is logged and passed over. */
+export interface UnreadableItem {
+  readonly key: string;
+  readonly reason: string;
+}
+
+/** All that is published, as of `revision` or a little later. */
+export interface PublishedState {
+  readonly revision: number;
+  readonly items: readonly PublishedItem[];
+  readonly unreadable: readonly UnreadableItem[];
+}
+
+/** Changes after a revision. */
+export type PublishedChanges =
+  | {
+      readonly kind: 'changes';
+      readonly revision: number;
+      readonly changes: readonly PublishedChange[];
+      readonly unreadable: readonly UnreadableItem[];
+    }
+  /** The history that was asked for is no longer kept; everything has to be read again. */
+  | { readonly kind: 'historyGone' };
+
+/** The read-only source of published state. Calls reject when it does not answer or refuses. */
+export interface StateSource {
+  /** Everything that is published. */
+  readAll(signal: AbortSignal): Promise<PublishedState>;
+  /** Changes after `revision`, as soon as there is one, or none after the source's longest wait. */
+  watch(revision: number, signal: AbortSignal): Promise<PublishedChanges>;
+}
--- a/src/runtime/winston-logger.ts
+++ b/src/runtime/winston-logger.ts
@@ -19,9 +19,9 @@
   };
 }
 
-/** JSON lines on standard error, which leaves standard output to what a command prints. */
+/** JSON lines on standard output, where log collectors read. */
 export function createWinstonLogger(level: EventLevel, labels: EventFields = {}): Logger {
-  const stream = createBatchingStream((text) => process.stderr.write(text));
+  const stream = createBatchingStream((text) => process.stdout.write(text));
   const winston = createLogger({
     level,
     format: format.combine(format.timestamp(), format.json()),
--- /dev/null
+++ b/standins/published-store.ts
@@ -0,0 +1,116 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { openStandIn, sendJson } from './listen';
+import type { StandIn } from './listen';
+
+/** One change as the store keeps it. */
+interface StoredEvent {
+  readonly Key: string;
+  readonly Revision: number;
+  readonly Value?: string;
+  readonly Removed?: true;
+}
+
+/** How the stand-in behaves; may be changed while it runs. */
+export interface StoreBehaviour {
+  /** `busy` answers 503, `silent` never answers. */
+  mood: 'good' | 'busy' | 'silent';
+}
+
+/** A stand-in for the users' store: range reads and watches, as their pages describe them. */
+export interface StoreStandIn extends StandIn {
+  readonly behaviour: StoreBehaviour;
+  /** Range reads and watches that have come in. */
+  readonly calls: { range: number; watch: number };
+  put(key: string, value: unknown): void;
+  remove(key: string): void;
+  /** Drops all history, so that watches from before are answered 410. */
+  compact(): void;
+}
+
+function encode(value: unknown): string {
+  return Buffer.from(JSON.stringify(value)).toString('base64');
+}
+
+/** Opens a stand-in store that holds nothing. */
+export async function openStoreStandIn(): Promise<StoreStandIn> {
+  const items = new Map<string, StoredEvent>();
+  const behaviour: StoreBehaviour = { mood: 'good' };
+  const calls = { range: 0, watch: 0 };
+  const waiting = new Set<() => void>();
+  let history: StoredEvent[] = [];
+  let revision = 1;
+  let compactedAt = 0;
+
+  const append = (event: StoredEvent): void => {
+    history.push(event);
+    for (const wake of [...waiting]) wake();
+  };
+
+  const answerRange = (query: URLSearchParams, response: ServerResponse): void => {
+    const prefix = query.get('Prefix') ?? '';
+    const found = [...items.values()].filter((item) => item.Key.startsWith(prefix));
+    sendJson(response, 200, { items: found, MorePages: false, StoreRevision: revision });
+  };
+
+  const answerWatch = (query: URLSearchParams, response: ServerResponse): void => {
+    const after = Number(query.get('after') ?? 0);
+    const prefix = query.get('Prefix') ?? '';
+    if (after < compactedAt) {
+      sendJson(response, 410, {});
+      return;
+    }
+    const newer = () =>
+      history.filter((event) => event.Revision > after && event.Key.startsWith(prefix));
+    let timer: NodeJS.Timeout | undefined;
+    const finish = (): void => {
+      waiting.delete(finish);
+      clearTimeout(timer);
+      sendJson(response, 200, { events: newer(), StoreRevision: revision });
+    };
+    if (newer().length > 0) {
+      finish();
+      return;
+    }
+    waiting.add(finish);
+    timer = setTimeout(finish, Number(query.get('WaitMs') ?? 0));
+    response.on('close', () => {
+      waiting.delete(finish);
+      clearTimeout(timer);
+    });
+  };
+
+  const handler = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const url = new URL(incoming.url ?? '/', 'http://store');
+    if (url.pathname === '/kv-range') calls.range += 1;
+    else calls.watch += 1;
+    if (behaviour.mood === 'silent') return;
+    if (behaviour.mood === 'busy') {
+      sendJson(response, 503, {});
+      return;
+    }
+    if (url.pathname === '/kv-range') answerRange(url.searchParams, response);
+    else answerWatch(url.searchParams, response);
+  };
+
+  const standIn = await openStandIn(handler);
+  return {
+    ...standIn,
+    behaviour,
+    calls,
+    put(key, value) {
+      revision += 1;
+      const event = { Key: key, Revision: revision, Value: encode(value) };
+      items.set(key, event);
+      append(event);
+    },
+    remove(key) {
+      revision += 1;
+      items.delete(key);
+      append({ Key: key, Revision: revision, Removed: true });
+    },
+    compact() {
+      history = [];
+      compactedAt = revision;
+    },
+  };
+}
