--- a/src/core/exchanges/connection-pool.ts
+++ b/src/core/exchanges/connection-pool.ts
@@ -62,8 +62,9 @@
       nowMs,
       onClosed() {
         connections.delete(connection);
-        if (connections.size === 0 && byAddress.get(address) === connections)
+        if (connections.size === 0 && byAddress.get(address) === connections) {
           byAddress.delete(address);
+        }
       },
     });
     connections.add(connection);
--- a/src/core/exchanges/connection.ts
+++ b/src/core/exchanges/connection.ts
@@ -183,7 +183,7 @@
     client.dispatch(
       {
         path: request.path,
-        method: request.method as Dispatcher.HttpMethod,
+        method: request.method,
         headers: [...request.headers],
         body: request.body.length === 0 ? null : request.body,
       },
--- /dev/null
+++ b/src/core/host-routes/host-routes.test.ts
@@ -0,0 +1,83 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createRouteSelector, createRouteTableStore, pickTarget } from './index';
+import type { HostRoute, RouteTable } from './index';
+
+function route(name: string, host: string, pathPrefix: string): HostRoute {
+  return {
+    name,
+    host,
+    pathPrefix,
+    kind: 'idempotent',
+    isResumable: false,
+    timeoutMs: 1_000,
+    objectiveMs: 500,
+    priority: 0,
+    maxAttempts: 1,
+    targets: [{ service: name, weight: 1 }],
+    homeRegions: [],
+  };
+}
+
+function table(version: number, routes: readonly HostRoute[]): RouteTable {
+  return {
+    version,
+    routes,
+    services: new Map(),
+    limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  };
+}
+
+const ROUTES = [
+  route('all', 'a.example', '/'),
+  route('plans', 'a.example', '/plans/'),
+  route('long plans', 'a.example', '/plans/long/'),
+  route('other host', 'b.example', '/plans/'),
+];
+
+describe('the route of a request', () => {
+  const selector = createRouteSelector(table(1, ROUTES));
+  const cases: readonly (readonly [string, string, string | undefined])[] = [
+    ['a.example', '/plans/7', 'plans'],
+    ['a.example', '/plans/long/7', 'long plans'],
+    ['a.example', '/plans/longer', 'plans'],
+    ['a.example', '/plans', 'all'],
+    ['A.Example:8080', '/plans/7', 'plans'],
+    ['a.example', '/x?to=/plans/', 'all'],
+    ['b.example', '/plans/7', 'other host'],
+    ['b.example', '/other', undefined],
+    ['c.example', '/plans/7', undefined],
+  ];
+  for (const [host, path, expected] of cases) {
+    it(`for ${host}${path} is ${expected ?? 'none'}`, () => {
+      assert.equal(selector.select(host, path)?.name, expected);
+    });
+  }
+
+  it('shares its requests out by weight', () => {
+    const split: HostRoute = {
+      ...route('split', 'a.example', '/'),
+      targets: [
+        { service: 'old', weight: 90 },
+        { service: 'new', weight: 10 },
+      ],
+    };
+    assert.equal(pickTarget(split, 0), 'old');
+    assert.equal(pickTarget(split, 0.899), 'old');
+    assert.equal(pickTarget(split, 0.9), 'new');
+    assert.equal(pickTarget(split, 0.999), 'new');
+  });
+});
+
+describe('the version in force', () => {
+  // An older version comes last, by another way. Requests would go to services that were taken out of a route.
+  it('only ever rises', () => {
+    const store = createRouteTableStore();
+    assert.equal(store.offer(table(5, ROUTES)), true);
+    assert.equal(store.offer(table(4, [])), false);
+    assert.equal(store.offer(table(5, [])), false);
+    assert.equal(store.current()?.table.version, 5);
+    assert.equal(store.offer(table(9, [])), true);
+    assert.equal(store.current()?.table.version, 9);
+  });
+});
--- a/src/core/pass-through/answer-reader.ts
+++ b/src/core/pass-through/answer-reader.ts
@@ -17,8 +17,10 @@
 
 /** What is passed on of a stream, over all servers that served a part of it. */
 export interface StreamProgress {
-  lastEventId: string | undefined;
-  events: number;
+  readonly lastEventId: string | undefined;
+  readonly events: number;
+  /** Notes an event that has been passed on. */
+  note(eventId: string | undefined): void;
 }
 
 /**
@@ -65,16 +67,12 @@
     // A stream that goes on at another server keeps the head of the first.
     if (!answer.headSent) answer.sendHead(head.status, answerHeaders(head.headers, dropped));
   };
-  const note = (event: Buffer): void => {
-    progress.events += 1;
-    progress.lastEventId = readEventId(event) ?? progress.lastEventId;
-  };
   return {
     take(chunk) {
       const events = splitter.add(chunk);
       if (events.length === 0) return true;
       sendHead();
-      events.forEach(note);
+      for (const event of events) progress.note(readEventId(event));
       return answer.sendData(events.length === 1 ? (events[0] ?? chunk) : Buffer.concat(events));
     },
     finish() {
--- /dev/null
+++ b/src/core/pass-through/attempt.ts
@@ -0,0 +1,305 @@
+import type { Clock } from '../clock';
+import type { AnswerHead, ConnectionPool, Exchange, ExchangeEnd } from '../exchanges';
+import type { LossCause } from '../outcomes';
+import { createHeldAnswer, createStreamAnswer } from './answer-reader';
+import type { AnswerReader, StreamProgress } from './answer-reader';
+import type { Destination, Router } from './create-router';
+import { OUTCOME_HEADER, PLAN_HEADER, answerByMs, writePlan } from './forwarding';
+import { headerText, judgeAnswer } from './judge-answer';
+import type { ClientAnswer, HeaderDialect, InboundRequest, RequestPlan } from './types';
+
+/** A destination that a request can be sent to. */
+export type SendableDestination = Exclude<Destination, { kind: 'none' }>;
+
+/** What came of one try. */
+export type AttemptResult =
+  /** The whole answer has been passed on. */
+  | { readonly kind: 'answered'; readonly status: number }
+  /** No byte of the request has left this process. */
+  | { readonly kind: 'neverSent'; readonly reason: string }
+  /** The server says that it has not run the request. */
+  | { readonly kind: 'rejected' }
+  /** Another instance has refused it; it says whether the request may have run there. */
+  | { readonly kind: 'peerRefused'; readonly hasNotRun: boolean }
+  /** The server failed, and its answer says so; it can still be passed on. */
+  | { readonly kind: 'serverFailed'; readonly status: number; passOn(): void }
+  /** Nothing came that may be passed on, and the request may have run. */
+  | { readonly kind: 'lost'; readonly reason: string };
+
+/** One try under way. */
+export interface Attempt {
+  readonly to: SendableDestination;
+  readonly sentAtMs: number;
+  /** Gives the try up; its result still comes, unless `forget` was called. */
+  abort(cause: LossCause): void;
+  /** Drops the result: nobody waits for it any more. */
+  forget(): void;
+  /** When a byte of the answer last came, or else when the try began, monotonic ms. */
+  lastByteAtMs(): number;
+  hadFirstByte(): boolean;
+}
+
+/** What one try is made with. */
+export interface AttemptOptions {
+  readonly clock: Clock;
+  readonly dialect: HeaderDialect;
+  readonly pool: ConnectionPool;
+  readonly router: Router;
+  readonly request: InboundRequest;
+  readonly plan: RequestPlan;
+  readonly to: SendableDestination;
+  /** Backend servers that another instance may try. */
+  readonly attemptsLeft: number;
+  readonly answer: ClientAnswer;
+  readonly progress: StreamProgress;
+  readonly onResult: (result: AttemptResult) => void;
+}
+
+/** Time for a connection to a server of this region; several round trips within a region. */
+const CONNECT_TIMEOUT_MS = 500;
+/** Time for a connection to an instance of another region; several round trips of the longest links. */
+const PEER_CONNECT_TIMEOUT_MS = 800;
+/** Connections to one other instance: as many requests as its region is likely to take from here at once. */
+const PEER_MOST_CONNECTIONS = 128;
+/** Idle time within which a kept connection is trusted with a request that may not be repeated. */
+const TRUSTED_IDLE_MS = 1_500;
+/** Idle time within which a kept connection is used for anything else; the pool closes it before. */
+const ANY_IDLE_MS = 60_000;
+/** Lowest urgency that backend servers know. */
+const LEAST_URGENT = 9;
+/** Silence after which a server that owes answers counts as failed when a request runs out of time, ms. */
+const SILENT_SERVER_MS = 1_200;
+
+/** Name of a destination in log lines and among those that were tried. */
+export function destinationName(to: SendableDestination): string {
+  return to.kind === 'server' ? to.server.serverId : to.peer.instanceId;
+}
+
+function isEventStream({ kind }: RequestPlan, { status, headers }: AnswerHead): boolean {
+  const type = headerText(headers['content-type']) ?? '';
+  return kind === 'stream' && status === 200 && type.startsWith('text/event-stream');
+}
+
+function headersFor(options: AttemptOptions, nowMs: number): readonly string[] {
+  const { dialect, request, plan, to, progress, attemptsLeft } = options;
+  const leftMs = Math.max(1, Math.floor(answerByMs(plan) - nowMs));
+  const headers = [...request.headers, dialect.timeLeftMs, String(leftMs)];
+  if (progress.lastEventId !== undefined) headers.push('last-event-id', progress.lastEventId);
+  if (to.kind === 'peer') {
+    headers.push(PLAN_HEADER, writePlan(plan, attemptsLeft, nowMs));
+    return headers;
+  }
+  headers.push(dialect.targetServer, to.server.serverId);
+  if (request.demand !== undefined) {
+    headers.push(dialect.priority, String(Math.min(LEAST_URGENT, plan.priority)));
+  }
+  return headers;
+}
+
+/** Keeps what the router learns of a server in step with one try; does nothing for other instances. */
+function observeServer({ clock, router, plan, request, to }: AttemptOptions, sentAtMs: number) {
+  if (to.kind !== 'server') {
+    return {
+      noteLoad() {},
+      noteFirstByte() {},
+      noteHeard() {},
+      noteEnd() {},
+      isSilent: () => false,
+    };
+  }
+  const { server, tokens, predictedMs } = to;
+  const { serverId } = server;
+  const { loads, paces, prefixes } = router;
+  let hadFirstByte = false;
+  let isNoted = false;
+  loads.noteSent(serverId, tokens, sentAtMs);
+  return {
+    noteLoad(report: Parameters<typeof loads.noteReport>[1]): void {
+      loads.noteReport(serverId, report, clock.monotonicMs());
+    },
+    noteFirstByte(): void {
+      if (hadFirstByte) return;
+      hadFirstByte = true;
+      const nowMs = clock.monotonicMs();
+      const actualMs = nowMs - sentAtMs;
+      // On a busy server the wait for a place in the batch would count as reading.
+      const isRoomy = loads.load(serverId, nowMs) < server.slots / 2;
+      if (isRoomy) paces.notePrefill(plan.service, tokens, actualMs);
+      loads.noteFirstByte(serverId, { tokens, predictedMs, actualMs }, nowMs);
+      if (request.demand !== undefined) prefixes.noteRead(serverId, request.demand);
+    },
+    noteHeard(): void {
+      loads.noteHeard(serverId, clock.monotonicMs());
+    },
+    /** `isFailure` is undefined where the end says nothing about the server. */
+    noteEnd(isFailure: boolean | undefined): void {
+      if (isNoted) return;
+      isNoted = true;
+      const nowMs = clock.monotonicMs();
+      loads.noteEnded(serverId, { hadFirstByte, tokens, isFailure }, nowMs);
+      if (isFailure === false) paces.noteSlotTime(plan.service, nowMs - sentAtMs);
+    },
+    isSilent: () => loads.silentMs(serverId, clock.monotonicMs()) >= SILENT_SERVER_MS,
+  };
+}
+
+/** Sends a request once and passes its answer on as it comes, as far as it may be. */
+export function startAttempt(options: AttemptOptions): Attempt {
+  const { clock, dialect, pool, router, request, plan, to, answer, progress } = options;
+  const sentAtMs = clock.monotonicMs();
+  const server = observeServer(options, sentAtMs);
+  const droppedHeaders = new Set([dialect.notRun, OUTCOME_HEADER]);
+  let exchange: Exchange | undefined;
+  let reader: AnswerReader | undefined;
+  let head: AnswerHead | undefined;
+  /** What the head has shown already, where it decides the result whatever follows. */
+  let decided: AttemptResult | undefined;
+  let isFailure = false;
+  let firstByteCame = false;
+  let lastByteAtMs = sentAtMs;
+  let abortedBy: LossCause | undefined;
+  let isForgotten = false;
+
+  const abort = (cause: LossCause): void => {
+    abortedBy = cause;
+    exchange?.abort(cause);
+  };
+
+  const report = (result: AttemptResult, isServerFailure: boolean | undefined): void => {
+    server.noteEnd(isForgotten ? undefined : isServerFailure);
+    if (!isForgotten) options.onResult(result);
+  };
+
+  const noteFirstByte = (): void => {
+    firstByteCame = true;
+    server.noteFirstByte();
+  };
+
+  const decide = (result: AttemptResult): void => {
+    decided = result;
+    if (result.kind === 'lost') abort('malformed');
+  };
+
+  const openReader = (answerHead: AnswerHead): void => {
+    if (isEventStream(plan, answerHead)) {
+      reader = createStreamAnswer(answerHead, answer, progress, droppedHeaders);
+      return;
+    }
+    if (answer.headSent) {
+      // A stream that was to go on has come to something else; nothing of it may reach the caller.
+      decide({ kind: 'lost', reason: 'the stream could not be resumed' });
+      return;
+    }
+    noteFirstByte();
+    reader = createHeldAnswer(answerHead, answer, droppedHeaders);
+  };
+
+  const onHead = (answerHead: AnswerHead): void => {
+    if (isForgotten) return;
+    head = answerHead;
+    lastByteAtMs = clock.monotonicMs();
+    const load = dialect.readLoadReport(headerText(head.headers[dialect.load]) ?? '');
+    if (load !== undefined) server.noteLoad(load);
+    const outcome = headerText(head.headers[OUTCOME_HEADER]);
+    if (to.kind === 'peer' && outcome !== undefined) {
+      decide({ kind: 'peerRefused', hasNotRun: outcome === 'notRun' });
+      return;
+    }
+    const verdict = judgeAnswer(head, request.requestId, dialect);
+    switch (verdict.kind) {
+      case 'notRun':
+        decide({ kind: 'rejected' });
+        return;
+      case 'wrong':
+        decide({ kind: 'lost', reason: verdict.reason });
+        return;
+      case 'ran':
+        isFailure = verdict.isFailure;
+        openReader(head);
+        return;
+      default:
+        verdict satisfies never;
+    }
+  };
+
+  const onData = (chunk: Buffer): void => {
+    if (isForgotten || reader === undefined) return;
+    lastByteAtMs = clock.monotonicMs();
+    noteFirstByte();
+    server.noteHeard();
+    if (reader.take(chunk)) return;
+    exchange?.pause();
+    answer.onDrain(() => exchange?.resume());
+  };
+
+  const passOn = (): void => {
+    reader?.finish();
+  };
+
+  const onWhole = (): void => {
+    const status = head?.status ?? 0;
+    if (isFailure) {
+      report({ kind: 'serverFailed', status, passOn }, true);
+      return;
+    }
+    const problem = reader?.finish();
+    if (problem === undefined) report({ kind: 'answered', status }, false);
+    else report({ kind: 'lost', reason: problem }, true);
+  };
+
+  const onEnd = (end: ExchangeEnd): void => {
+    if (decided !== undefined) {
+      report(decided, decided.kind === 'lost' ? true : undefined);
+      return;
+    }
+    switch (end.kind) {
+      case 'whole':
+        onWhole();
+        return;
+      case 'neverSent':
+        if (to.kind === 'server' && abortedBy === undefined) {
+          router.loads.noteUnreachable(to.server.serverId, clock.monotonicMs());
+        }
+        report({ kind: 'neverSent', reason: end.reason }, undefined);
+        return;
+      case 'lost':
+        // A request that ran out of time says nothing of its server, unless that was silent to all.
+        report(
+          { kind: 'lost', reason: end.reason },
+          end.cause === 'timeout' && !server.isSilent() ? undefined : true,
+        );
+        return;
+      default:
+        end satisfies never;
+    }
+  };
+
+  const isServer = to.kind === 'server';
+  exchange = pool.send(
+    isServer ? to.server.address : to.peer.forwardAddress,
+    {
+      mostConnections: isServer ? to.mostConnections : PEER_MOST_CONNECTIONS,
+      connectTimeoutMs: isServer ? CONNECT_TIMEOUT_MS : PEER_CONNECT_TIMEOUT_MS,
+      mostIdleMs: plan.kind === 'nonIdempotent' ? TRUSTED_IDLE_MS : ANY_IDLE_MS,
+    },
+    {
+      method: request.method,
+      path: request.path,
+      headers: headersFor(options, sentAtMs),
+      body: request.body,
+    },
+    { onHead, onData, onEnd },
+  );
+  const attempt: Attempt = {
+    to,
+    sentAtMs,
+    abort,
+    forget() {
+      isForgotten = true;
+    },
+    lastByteAtMs: () => lastByteAtMs,
+    hadFirstByte: () => firstByteCame,
+  };
+  if (exchange === undefined) onEnd({ kind: 'neverSent', reason: 'no connection is free' });
+  return attempt;
+}
--- a/src/core/placement/server-load.ts
+++ b/src/core/placement/server-load.ts
@@ -108,11 +108,17 @@
     return load;
   };
 
-  const decay = (load: ServerLoad, nowMs: number): void => {
-    const factor = 0.5 ** (Math.max(0, nowMs - load.decayedAtMs) / HALF_LIFE_MS);
+  /** What is left of a figure of the last decay. */
+  const left = (load: ServerLoad, nowMs: number): number =>
+    0.5 ** (Math.max(0, nowMs - load.decayedAtMs) / HALF_LIFE_MS);
+
+  const decayed = (serverId: string, nowMs: number): ServerLoad => {
+    const load = at(serverId, nowMs);
+    const factor = left(load, nowMs);
     load.failureShare *= factor;
     load.latenessMs *= factor;
     load.decayedAtMs = nowMs;
+    return load;
   };
 
   const silentMs = (serverId: string, nowMs: number): number => {
@@ -133,8 +139,7 @@
       at(serverId, nowMs).lastHeardAtMs = nowMs;
     },
     noteFirstByte(serverId, { tokens, predictedMs, actualMs }, nowMs) {
-      const load = at(serverId, nowMs);
-      decay(load, nowMs);
+      const load = decayed(serverId, nowMs);
       load.awaiting -= 1;
       load.pendingTokens -= tokens;
       load.lastHeardAtMs = nowMs;
@@ -151,8 +156,8 @@
         load.pendingTokens -= tokens;
       }
       if (isFailure === undefined) return;
-      decay(load, nowMs);
-      load.failureShare += ((isFailure ? 1 : 0) - load.failureShare) * NEWEST_WEIGHT;
+      const { failureShare } = decayed(serverId, nowMs);
+      load.failureShare += ((isFailure ? 1 : 0) - failureShare) * NEWEST_WEIGHT;
     },
     noteReport(serverId, { running, waiting }, nowMs) {
       const load = at(serverId, nowMs);
@@ -176,9 +181,9 @@
     penaltyMs(serverId, failureCostMs, nowMs) {
       const load = loads.get(serverId);
       if (load === undefined) return 0;
-      decay(load, nowMs);
+      const factor = left(load, nowMs);
       const silenceMs = Math.max(0, silentMs(serverId, nowMs) - SILENCE_ALLOWED_MS);
-      return load.failureShare * failureCostMs + load.latenessMs + silenceMs;
+      return (load.failureShare * failureCostMs + load.latenessMs) * factor + silenceMs;
     },
     isBlocked: (serverId, nowMs) => (loads.get(serverId)?.blockedUntilMs ?? 0) > nowMs,
     silentMs,
--- a/src/core/relay-node/fetch-peer-state.ts
+++ b/src/core/relay-node/fetch-peer-state.ts
@@ -1,9 +1,8 @@
 import { request } from 'undici';
 import { errorText } from '../errors';
 import type { Logger } from '../events';
-import { readSnapshot } from '../state-sync';
+import { readSnapshot, STATE_SYNC_EVENTS } from '../state-sync';
 import type { PublishedState } from '../state-sync';
-import { STATE_SYNC_EVENTS } from '../state-sync';
 
 /** Path on the listener for other instances under which published state is handed out. */
 export const STATE_PATH = '/state';
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -12,7 +12,7 @@
 import { createMetrics } from '../metrics';
 import type { Metrics } from '../metrics';
 import { createRouter, openIngress } from '../pass-through';
-import type { ForwardPeer, HeaderDialect, ServedRequest } from '../pass-through';
+import type { ForwardPeer, HeaderDialect, Ingress, ServedRequest } from '../pass-through';
 import {
   channelCredentials,
   createExchangeTransport,
@@ -176,6 +176,9 @@
     else metrics.refused(result, plan.service);
   };
   const serving = { clock, logger, dialect, pool, router, retries, onDone: noteDone };
+  const listenersOpen: Ingress[] = [];
+  const openRequests = () =>
+    listenersOpen.reduce((sum, listener) => sum + listener.openRequests(), 0);
   const sinceSignalMs = () => nowMs() - (stoppingSinceMs ?? nowMs());
   const isLeaving = () => stoppingSinceMs !== undefined;
   const stopStep = () =>
@@ -216,7 +219,7 @@
     await openIngress({ ...shared, ...listeners.callers, from: 'callers' }),
   );
   callerAddress = `${listeners.callers.host}:${ingress.port}`;
-  const openRequests = () => ingress.openRequests() + forwarding.openRequests();
+  listenersOpen.push(ingress, forwarding);
 
   const upkeep = new AbortController();
   owned.defer(() => upkeep.abort());
--- a/src/core/state-sync/snapshot-message.ts
+++ b/src/core/state-sync/snapshot-message.ts
@@ -62,7 +62,7 @@
 type SnapshotItem = z.input<typeof itemSchema>;
 
 function toMessageItem(item: PublishedItem): SnapshotItem {
-  if (item.kind !== 'routes') return item as SnapshotItem;
+  if (item.kind !== 'routes') return item;
   const { table } = item;
   return {
     kind: 'routes',
--- a/standins/published-store.ts
+++ b/standins/published-store.ts
@@ -10,15 +10,12 @@
   readonly Removed?: true;
 }
 
-/** How the stand-in behaves; may be changed while it runs. */
-export interface StoreBehaviour {
-  /** `busy` answers 503, `silent` never answers. */
-  mood: 'good' | 'busy' | 'silent';
-}
+/** How the stand-in behaves: `busy` answers 503, `silent` never answers. */
+export type StoreMood = 'good' | 'busy' | 'silent';
 
 /** A stand-in for the users' store: range reads and watches, as their pages describe them. */
 export interface StoreStandIn extends StandIn {
-  readonly behaviour: StoreBehaviour;
+  setMood(mood: StoreMood): void;
   /** Range reads and watches that have come in. */
   readonly calls: { range: number; watch: number };
   put(key: string, value: unknown): void;
@@ -34,7 +31,7 @@
 /** Opens a stand-in store that holds nothing. */
 export async function openStoreStandIn(): Promise<StoreStandIn> {
   const items = new Map<string, StoredEvent>();
-  const behaviour: StoreBehaviour = { mood: 'good' };
+  let mood: StoreMood = 'good';
   const calls = { range: 0, watch: 0 };
   const waiting = new Set<() => void>();
   let history: StoredEvent[] = [];
@@ -83,8 +80,8 @@
     const url = new URL(incoming.url ?? '/', 'http://store');
     if (url.pathname === '/kv-range') calls.range += 1;
     else calls.watch += 1;
-    if (behaviour.mood === 'silent') return;
-    if (behaviour.mood === 'busy') {
+    if (mood === 'silent') return;
+    if (mood === 'busy') {
       sendJson(response, 503, {});
       return;
     }
@@ -95,7 +92,9 @@
   const standIn = await openStandIn(handler);
   return {
     ...standIn,
-    behaviour,
+    setMood(next) {
+      mood = next;
+    },
     calls,
     put(key, value) {
       revision += 1;
