--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -3,6 +3,7 @@
 import type { LossCause } from '../outcomes';
 import { createHeldAnswer, createStreamAnswer } from './answer-reader';
 import type { AnswerReader, StreamProgress } from './answer-reader';
+import { alikeKey } from './create-router';
 import type { Destination, Router } from './create-router';
 import { OUTCOME_HEADER, PLAN_HEADER, answerByMs, writePlan } from './forwarding';
 import { headerText, judgeAnswer } from './judge-answer';
@@ -53,6 +54,8 @@
   readonly attemptsLeft: number;
   readonly answer: ClientAnswer;
   readonly progress: StreamProgress;
+  /** Another server has answered at the address of this one. */
+  readonly onReplaced: (serverId: string) => void;
   readonly onResult: (result: AttemptResult) => void;
 }
 
@@ -110,7 +113,7 @@
   }
   const { server, tokens, predictedMs } = to;
   const { serverId } = server;
-  const { loads, paces, prefixes } = router;
+  const { loads, paces, prefixes, correction } = router;
   let hadFirstByte = false;
   let isNoted = false;
   loads.noteSent(serverId, tokens, sentAtMs);
@@ -126,6 +129,7 @@
       // On a busy server the wait for a place in the batch would count as reading.
       const isRoomy = loads.load(serverId, nowMs) < server.slots / 2;
       if (isRoomy) paces.notePrefill(plan.service, tokens, actualMs);
+      correction.note(alikeKey(plan), to.rawPredictedMs, actualMs);
       loads.noteFirstByte(serverId, { tokens, predictedMs, actualMs }, nowMs);
       if (request.demand !== undefined) prefixes.noteRead(serverId, request.demand);
     },
@@ -209,6 +213,9 @@
     const verdict = judgeAnswer(head, request.requestId, dialect);
     switch (verdict.kind) {
       case 'notRun':
+        if (verdict.isReplaced && to.kind === 'server') {
+          options.onReplaced(to.server.serverId);
+        }
         decide({ kind: 'rejected' });
         return;
       case 'wrong':
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -3,12 +3,14 @@
 import {
   chooseRegion,
   chooseServer,
+  createPredictionCorrection,
   createPrefixCacheView,
   createServerLoads,
   createServicePaces,
 } from '../placement';
 import type {
   Candidate,
+  PredictionCorrection,
   PrefixCacheView,
   RegionOption,
   ServerLoads,
@@ -32,7 +34,10 @@
   | {
       readonly kind: 'server';
       readonly server: KnownServer;
+      /** Predicted time to the first byte, corrected by earlier ones. */
       readonly predictedMs: number;
+      /** The same before it was corrected. */
+      readonly rawPredictedMs: number;
       /** Prompt tokens that it will probably have to read. */
       readonly tokens: number;
       readonly mostConnections: number;
@@ -55,6 +60,7 @@
   readonly loads: ServerLoads;
   readonly paces: ServicePaces;
   readonly prefixes: PrefixCacheView;
+  readonly correction: PredictionCorrection;
   /** Forgets servers that have gone. */
   forgetGone(): void;
 }
@@ -84,10 +90,11 @@
 /** Part of the prompt that a server reads again although all instances prefer it for the request's shared parts. */
 const UNSURE_READ_SHARE = 0.3;
 /**
- * Multiple of the latency objective after which callers are taken to have left: they wait for a first byte for
- * a few times what they count as good.
+ * Multiple of the latency objective that a request may be predicted to wait. Servers that are given more than
+ * they finish in time answer all of it late; what is refused at once can come back, and the rest is in time.
+ * Predictions are off by a third either way, so what is predicted to be a little late is still let in.
  */
-const PATIENCE_IN_OBJECTIVES = 4;
+const PATIENCE_IN_OBJECTIVES = 1.5;
 /** When to come back where no server is known: they announce themselves every second or so. */
 const NO_SERVER_RETRY_MS = 1_000;
 const SHORTEST_RETRY_MS = 200;
@@ -95,12 +102,18 @@
 
 const MODEL_REQUEST_WITHOUT_DEMAND = { parts: [], promptTokens: 0 };
 
+/** Requests that servers treat alike. */
+export function alikeKey({ service, priority }: RequestPlan): string {
+  return `${service}/${priority}`;
+}
+
 /** A router that has seen nothing yet. */
 export function createRouter(options: RouterOptions): Router {
   const { region, routes, servers, pool, coldGate, draw } = options;
   const loads = createServerLoads();
   const paces = createServicePaces();
   const prefixes = createPrefixCacheView();
+  const correction = createPredictionCorrection();
 
   const mostConnections = (service: RoutedService | undefined): number => {
     const all = service?.maxConnections ?? CONNECTIONS_UNSTATED;
@@ -194,6 +207,7 @@
     loads,
     paces,
     prefixes,
+    correction,
     choose(request, plan, tried, nowMs) {
       const service = routes.current()?.table.services.get(plan.service);
       const mayServeHere = plan.homeRegions.length === 0 || plan.homeRegions.includes(region);
@@ -205,10 +219,12 @@
         toCandidate(server, request, plan, preferred, nowMs),
       );
       const choice = chooseServer(candidates, paces.pace(plan.service));
+      const predictedMs =
+        choice === undefined ? undefined : correction.correct(alikeKey(plan), choice.predictedMs);
       const where = plan.isForwarded
         ? ({ kind: choice === undefined ? 'nowhere' : 'local' } as const)
         : chooseRegion({
-            localMs: choice?.predictedMs,
+            localMs: predictedMs,
             objectiveMs: plan.objectiveMs,
             others: regionOptions(plan),
           });
@@ -216,18 +232,18 @@
         const peer = pickPeer(where.region, tried);
         if (peer !== undefined) return { kind: 'peer', peer };
       }
-      if (choice === undefined) {
+      if (choice === undefined || predictedMs === undefined) {
         return { kind: 'none', reason: 'noServer', retryAfterMs: NO_SERVER_RETRY_MS };
       }
       const patienceMs = Math.min(
         plan.deadlineAtMs - nowMs,
         plan.objectiveMs * PATIENCE_IN_OBJECTIVES,
       );
-      if (choice.predictedMs > patienceMs) {
+      if (predictedMs > patienceMs) {
         return {
           kind: 'none',
           reason: 'overloaded',
-          retryAfterMs: retryAfterMs(choice.predictedMs, plan),
+          retryAfterMs: retryAfterMs(predictedMs, plan),
         };
       }
       const server = usable.find(({ serverId }) => serverId === choice.serverId);
@@ -239,7 +255,8 @@
       return {
         kind: 'server',
         server,
-        predictedMs: choice.predictedMs,
+        predictedMs,
+        rawPredictedMs: choice.predictedMs,
         tokens: candidate.uncachedTokens,
         mostConnections: mostConnections(service),
       };
--- a/src/core/pass-through/judge-answer.ts
+++ b/src/core/pass-through/judge-answer.ts
@@ -5,8 +5,8 @@
 export type AnswerVerdict =
   /** The answer of a server that ran the request; it is passed on. */
   | { readonly kind: 'ran'; readonly isFailure: boolean }
-  /** The server says that it has not run the request. */
-  | { readonly kind: 'notRun' }
+  /** The server says that it has not run the request; `isReplaced` where it is not the one that was asked for. */
+  | { readonly kind: 'notRun'; readonly isReplaced: boolean }
   /** No answer to this request, or none that may be passed on. */
   | { readonly kind: 'wrong'; readonly reason: string };
 
@@ -29,7 +29,8 @@
   requestId: string,
   dialect: HeaderDialect,
 ): AnswerVerdict {
-  if (headers[dialect.notRun] !== undefined || status === MISDIRECTED) return { kind: 'notRun' };
+  const isReplaced = status === MISDIRECTED;
+  if (headers[dialect.notRun] !== undefined || isReplaced) return { kind: 'notRun', isReplaced };
   const answeredId = headerText(headers[dialect.requestId]);
   if (answeredId !== undefined && answeredId !== requestId) {
     return { kind: 'wrong', reason: 'the answer belongs to another request' };
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -26,6 +26,8 @@
   readonly pool: ConnectionPool;
   readonly router: Router;
   readonly retries: RetryAllowance;
+  /** Another server has answered at the address of this one. */
+  readonly onReplaced: (serverId: string) => void;
   readonly onDone: (done: ServedRequest) => void;
 }
 
@@ -144,6 +146,11 @@
   const afterPeerRefusal = (hasNotRun: boolean): void => {
     if (hasNotRun) {
       lastFailure = 'overloaded';
+      // It may have tried servers of its own that rejected the request, so a next try is a repeat to those.
+      if (!isTimedOut && !retries.take(plan.service, clock.monotonicMs())) {
+        giveUp('overloaded', REJECTED_RETRY_MS);
+        return;
+      }
       afterUnsent();
       return;
     }
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -3,6 +3,8 @@
 export type { RegionChoice, RegionInput, RegionOption } from './choose-region';
 export { chooseServer, predictFirstByteMs } from './choose-server';
 export type { ServerChoice } from './choose-server';
+export { createPredictionCorrection } from './prediction-correction';
+export type { PredictionCorrection } from './prediction-correction';
 export { createPrefixCacheView } from './prefix-cache-view';
 export type { PrefixCacheView } from './prefix-cache-view';
 export { createServerLoads } from './server-load';
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -186,7 +186,16 @@
     else if (result === 'callerGone') metrics.callerGone(plan.route);
     else metrics.refused(result, plan.service);
   };
-  const serving = { clock, logger, dialect, pool, router, retries, onDone: noteDone };
+  const serving = {
+    clock,
+    logger,
+    dialect,
+    pool,
+    router,
+    retries,
+    onReplaced: servers.noteReplaced,
+    onDone: noteDone,
+  };
   const listenersOpen: Ingress[] = [];
   const openRequests = () =>
     listenersOpen.reduce((sum, listener) => sum + listener.openRequests(), 0);
--- a/src/core/server-registry/create-server-registry.ts
+++ b/src/core/server-registry/create-server-registry.ts
@@ -15,8 +15,8 @@
   all(): readonly KnownServer[];
   /** Servers of a service in a region that may be given new work. */
   usable(service: string, region: string): readonly KnownServer[];
-  /** Notes that a server has turned out to be cold for so long. */
-  noteCold(serverId: string, coldUntilMs: number): void;
+  /** Notes that another server has answered at a server's address: the one that was there has gone for good. */
+  noteReplaced(serverId: string): void;
 }
 
 /** What the registry is made from. */
@@ -97,10 +97,9 @@
       usableByPlace ??= index();
       return usableByPlace.get(place(service, region)) ?? [];
     },
-    noteCold(serverId, coldUntilMs) {
+    noteReplaced(serverId) {
       const server = servers.get(serverId);
-      if (server === undefined || server.coldUntilMs >= coldUntilMs) return;
-      set({ ...server, coldUntilMs });
+      if (server !== undefined) set({ ...server, isDraining: true });
     },
   };
 }
--- a/src/core/state-sync/create-state-sync.ts
+++ b/src/core/state-sync/create-state-sync.ts
@@ -80,7 +80,11 @@
     const before = servers.get(announcement.serverId);
     servers.put(announcement, clock.monotonicMs());
     announcements.set(announcement.serverId, item);
-    const isNews = before === undefined || before.isDraining !== announcement.isDraining;
+    const wasCold = (before?.coldUntilMs ?? 0) > clock.monotonicMs();
+    const isNews =
+      before === undefined ||
+      before.isDraining !== announcement.isDraining ||
+      wasCold !== announcement.coldForMs > 0;
     if (!isNews) return;
     const { serverId, service, address, isDraining, coldForMs } = announcement;
     const state = isDraining ? 'draining' : 'ready';
