--- a/src/core/pass-through/events.ts
+++ b/src/core/pass-through/events.ts
@@ -18,14 +18,14 @@
   },
   answered: {
     id: 4103,
-    name: 'request-answered',
+    name: 'answer-passed-on',
     level: 'info',
     text: 'The answer of a backend server was passed on whole.',
     action: 'Nothing.',
   },
   refused: {
     id: 4104,
-    name: 'request-refused',
+    name: 'pass-refused',
     level: 'warn',
     text: 'A request was refused.',
     action: 'The reason says why; see the page on operating.',
@@ -39,7 +39,7 @@
   },
   callerGone: {
     id: 4106,
-    name: 'caller-gone',
+    name: 'passed-caller-gone',
     level: 'info',
     text: 'A caller left before its answer was whole; the work was given up.',
     action: 'Nothing.',
