--- a/src/core/configuration-sync/choose-watchers.ts
+++ b/src/core/configuration-sync/choose-watchers.ts
@@ -11,7 +11,7 @@
 /** What the choice looks at: the live members of one failure domain, the asking instance included. */
 export interface WatchCandidate {
   readonly instanceId: string;
-  /** Whether it reads the service with success, by its own word. */
+  /** Whether it reads the service with success, as it says itself. */
   readonly watching: boolean;
 }
 
--- a/src/core/engine-orders/run-orders.test.ts
+++ b/src/core/engine-orders/run-orders.test.ts
@@ -148,7 +148,7 @@
     const [leaving] = [...region.engines].find(([id, engine]) =>
       engine.sight(id, region.clock.monotonicMs()).models.some(({ name }) => name === 'kit'),
     ) ?? [''];
-    region.standings.set(leaving, { kind: 'draining', cause: 'list' });
+    region.healthStates.set(leaving, { kind: 'draining', cause: 'list' });
     await region.timeUntil(() => region.servingCount('kit', 'v1') === ENGINES_WANTED + 1, LIMIT_MS);
     assert.equal(region.servingCount('kit', 'v1'), ENGINES_WANTED + 1);
   });
--- a/src/core/engine-orders/run-orders.ts
+++ b/src/core/engine-orders/run-orders.ts
@@ -27,7 +27,7 @@
   readonly logger: Logger;
   readonly region: string;
   readonly configuration: ConfigurationStore;
-  readonly health: Pick<ServerHealth, 'isOnDuty' | 'standing'>;
+  readonly health: Pick<ServerHealth, 'isOnDuty' | 'healthState'>;
   readonly pauses: Pick<PauseGuard, 'requireFresh' | 'pauseCount' | 'isStale'>;
   readonly client: EngineClient;
 }
@@ -95,7 +95,7 @@
     const nowMs = clock.monotonicMs();
     const unavailable = new Set<string>();
     for (const { id } of document.backendServers) {
-      const { kind } = health.standing(id);
+      const { kind } = health.healthState(id);
       if (kind === 'draining') unavailable.add(id);
       if (kind !== 'down') {
         downSinceMs.delete(id);
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -27,13 +27,8 @@
 } from '../peers';
 import type { RandomSource } from '../random';
 import { createConfigurationService, readInstanceList } from '../platform';
-import {
-  createServerHealth,
-  createServerProber,
-  observeSender,
-  watchServerLists,
-} from '../server-health';
-import { checkRequest, createServing } from '../serving';
+import { createServerHealth, createServerProber, watchServerLists } from '../server-health';
+import { checkRequest, createServing, observeSender } from '../serving';
 import type { GatewayRequest, ServingDependencies } from '../serving';
 import type { Settings } from '../settings';
 import { createSpillover } from '../spillover';
--- a/src/core/peers/forward.ts
+++ b/src/core/peers/forward.ts
@@ -74,7 +74,7 @@
     return lostForward(peer, errorText(error), { kind: 'lostAfterSending', cause }, error);
   };
 
-  /** Asks the peer about a lost attempt; only its own word turns the loss into `notRun`. */
+  /** Asks the peer about a lost attempt; only what it says itself turns the loss into `notRun`. */
   const settle = async (
     refusal: RefusalError,
     target: ForwardTarget,
--- a/src/core/server-health/create-server-health.ts
+++ b/src/core/server-health/create-server-health.ts
@@ -10,11 +10,11 @@
 import { chooseUsable } from './choose-usable';
 import { createDutyRoster } from './duty-roster';
 import { SERVER_HEALTH_EVENTS } from './events';
-import { createMarkTeller } from './mark-teller';
+import { createStatementPublisher } from './statement-publisher';
 import { fromEntry, markKey } from './marks';
 import type { ServerProbe } from './probe-server';
-import { createServerBook } from './server-book';
-import type { CheckedServer, ListStatus, ServerObservation, ServerStanding } from './types';
+import { createHealthTable } from './health-table';
+import type { CheckedServer, ListStatus, ServerObservation, HealthState } from './types';
 
 /** Which backend servers may be given work, as routing sees it. */
 export interface ServerAvailability {
@@ -46,9 +46,9 @@
   noteList(serverId: string, status: ListStatus): void;
   /** Servers of this region. */
   servers(): readonly CheckedServer[];
-  standing(serverId: string): ServerStanding;
-  /** Calls back whenever a server's standing changes, for whoever holds work queued for it. */
-  onChange(listener: (serverId: string, standing: ServerStanding) => void): Disposable;
+  healthState(serverId: string): HealthState;
+  /** Calls back whenever a server's health state changes, for whoever holds work queued for it. */
+  onChange(listener: (serverId: string, healthState: HealthState) => void): Disposable;
   /** Whether this instance is one of the `count` (two) that do `duty` for the region. */
   isOnDuty(duty: string, count?: number): boolean;
 }
@@ -78,11 +78,11 @@
   down: SERVER_HEALTH_EVENTS.serverDown,
 } as const;
 
-function logChange(logger: Logger, server: CheckedServer, standing: ServerStanding): void {
-  logger.event(STANDING_EVENTS[standing.kind], {
+function logChange(logger: Logger, server: CheckedServer, healthState: HealthState): void {
+  logger.event(STANDING_EVENTS[healthState.kind], {
     server: server.serverId,
     address: server.address,
-    cause: standing.kind === 'usable' ? undefined : standing.cause,
+    cause: healthState.kind === 'usable' ? undefined : healthState.cause,
   });
 }
 
@@ -91,21 +91,21 @@
   const { clock, random, logger, region, configuration, membership, gossip, probe } = options;
   const stopping = new AbortController();
   const tasks = new Set<Promise<void>>();
-  const listeners = new Set<(serverId: string, standing: ServerStanding) => void>();
+  const listeners = new Set<(serverId: string, healthState: HealthState) => void>();
   const checking = new Set<string>();
   const schedule = createCheckSchedule(random);
 
-  const book = createServerBook((server, standing) => {
-    logChange(logger, server, standing);
-    for (const listener of listeners) listener(server.serverId, standing);
+  const table = createHealthTable((server, healthState) => {
+    logChange(logger, server, healthState);
+    for (const listener of listeners) listener(server.serverId, healthState);
   });
-  const roster = createDutyRoster(membership, region, book.servers);
-  const teller = createMarkTeller({
+  const roster = createDutyRoster(membership, region, table.servers);
+  const publisher = createStatementPublisher({
     clock,
     logger,
     gossip,
     region,
-    book,
+    table,
     checkedCount: () => roster.servers().length,
   });
 
@@ -114,16 +114,16 @@
     const others = roster
       .servers()
       .filter(
-        (server) => server !== downServer && book.standing(server.serverId).kind === 'usable',
+        (server) => server !== downServer && table.healthState(server.serverId).kind === 'usable',
       );
     const other = others[pickIndex(random, others.length)];
     if (other !== undefined) schedule.bringForward(other.serverId, clock.monotonicMs());
   };
 
   const observe = (server: CheckedServer, observation: ServerObservation) => {
-    book.observe(server.serverId, observation, clock.monotonicMs());
-    if (teller.noteCheck(server, observation)) seekProof(server);
-    teller.tell(server);
+    table.observe(server.serverId, observation, clock.monotonicMs());
+    if (publisher.noteCheck(server, observation)) seekProof(server);
+    publisher.publish(server);
   };
 
   const check = async (server: CheckedServer): Promise<void> => {
@@ -142,22 +142,22 @@
 
   /** A server that is in question is checked by whoever questions it, on duty or not. */
   const startDueChecks = () => {
-    const questioned = book.concerned().filter(({ serverId }) => book.isQuestioned(serverId));
+    const questioned = table.concerned().filter(({ serverId }) => table.isQuestioned(serverId));
     const toCheck = new Set([...roster.servers(), ...questioned]);
-    schedule.takeDue(toCheck, book.isQuestioned, clock.monotonicMs()).forEach(startCheck);
+    schedule.takeDue(toCheck, table.isQuestioned, clock.monotonicMs()).forEach(startCheck);
   };
 
   const run = async (): Promise<void> => {
     while (!stopping.signal.aborted) {
-      book.refresh(clock.monotonicMs());
+      table.refresh(clock.monotonicMs());
       startDueChecks();
-      book.concerned().forEach(teller.tell);
+      table.concerned().forEach(publisher.publish);
       await sleepUntil(clock, clock.monotonicMs() + TICK_MS, stopping.signal);
     }
   };
 
   const takeIn = (entry: GossipEntry) => {
-    const server = book
+    const server = table
       .servers()
       .find(({ serverId, address }) => markKey(serverId, address) === entry.key);
     if (server === undefined) return;
@@ -169,11 +169,11 @@
     const nowMs = clock.monotonicMs();
     const expiresAtMs = nowMs + entry.expiresAtUnixMs - clock.unixMs();
     const received = { ...mark, origin: entry.origin, receivedAtMs: nowMs, expiresAtMs };
-    book.noteMark(server.serverId, received, nowMs);
+    table.noteMark(server.serverId, received, nowMs);
   };
 
   const replaceServers = (next: CompiledConfiguration) => {
-    book.replaceServers(checkedServers(next, region), clock.monotonicMs());
+    table.replaceServers(checkedServers(next, region), clock.monotonicMs());
     roster.reset();
     // The board holds this instance's own statements too; what it knows itself needs no statement.
     gossip
@@ -189,7 +189,7 @@
   const first = configuration.current();
   if (first !== undefined) replaceServers(first);
 
-  const shareOf = (serverId: string) => book.share(serverId, clock.monotonicMs());
+  const shareOf = (serverId: string) => table.share(serverId, clock.monotonicMs());
 
   return {
     start() {
@@ -202,11 +202,11 @@
       return share >= 1 || random.next() < share;
     },
     noteRequest(serverId, observation) {
-      const server = book.server(serverId);
+      const server = table.server(serverId);
       if (server === undefined) return;
       switch (observation.kind) {
         case 'healthy':
-          book.noteAnswer(serverId, clock.monotonicMs());
+          table.noteAnswer(serverId, clock.monotonicMs());
           return;
         case 'draining':
           observe(server, observation);
@@ -220,12 +220,12 @@
       }
     },
     noteList(serverId, status) {
-      book.noteList(serverId, status, clock.monotonicMs());
-      const server = book.server(serverId);
-      if (server !== undefined) teller.tell(server);
+      table.noteList(serverId, status, clock.monotonicMs());
+      const server = table.server(serverId);
+      if (server !== undefined) publisher.publish(server);
     },
-    servers: book.servers,
-    standing: book.standing,
+    servers: table.servers,
+    healthState: table.healthState,
     onChange(listener) {
       listeners.add(listener);
       return {
--- a/src/core/server-health/server-book.test.ts
+++ b/src/core/server-health/health-table.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { createServerBook } from './server-book';
+import { createHealthTable } from './health-table';
 import { SLOW_START_LEAST_SHARE } from './slow-start';
 import type { CheckedServer, ServerObservation } from './types';
 
@@ -70,45 +70,47 @@
   },
 ];
 
-describe('the book of backend servers', () => {
+describe('the table of backend servers', () => {
   for (const { name, steps } of cases) {
     it(name, () => {
-      const book = createServerBook(() => {});
-      book.replaceServers([server('engine-1')], 0);
+      const table = createHealthTable(() => {});
+      table.replaceServers([server('engine-1')], 0);
       for (const { atMs, observation, share } of steps) {
-        book.observe('engine-1', observation, atMs);
-        assert.equal(book.share('engine-1', atMs), share, `at ${atMs} ms`);
+        table.observe('engine-1', observation, atMs);
+        assert.equal(table.share('engine-1', atMs), share, `at ${atMs} ms`);
       }
     });
   }
 
   it('starts a server slowly that a later configuration adds or moves, and no other', () => {
-    const book = createServerBook(() => {});
-    book.replaceServers([server('engine-1'), server('engine-2')], 0);
-    book.replaceServers(
+    const table = createHealthTable(() => {});
+    table.replaceServers([server('engine-1'), server('engine-2')], 0);
+    table.replaceServers(
       [server('engine-1'), server('engine-2', '10.0.0.2:80'), server('engine-3')],
       5_000,
     );
-    const shares = ['engine-1', 'engine-2', 'engine-3'].map((id) => book.share(id, 5_000));
+    const shares = ['engine-1', 'engine-2', 'engine-3'].map((id) => table.share(id, 5_000));
     assert.deepEqual(shares, [1, SLOW_START_LEAST_SHARE, SLOW_START_LEAST_SHARE]);
   });
 
-  it('tells each change of standing once', () => {
+  it('tells each change of healthState once', () => {
     const changes: string[] = [];
-    const book = createServerBook(({ serverId }, { kind }) => changes.push(`${serverId} ${kind}`));
-    book.replaceServers([server('engine-1')], 0);
-    for (const atMs of [1, 2, 3]) book.observe('engine-1', failed, atMs);
-    for (const atMs of [4, 5, 6]) book.observe('engine-1', healthy(), atMs);
+    const table = createHealthTable(({ serverId }, { kind }) =>
+      changes.push(`${serverId} ${kind}`),
+    );
+    table.replaceServers([server('engine-1')], 0);
+    for (const atMs of [1, 2, 3]) table.observe('engine-1', failed, atMs);
+    for (const atMs of [4, 5, 6]) table.observe('engine-1', healthy(), atMs);
     assert.deepEqual(changes, ['engine-1 down', 'engine-1 usable']);
   });
 
   it('keeps only what is of concern to look after', () => {
-    const book = createServerBook(() => {});
-    book.replaceServers([server('engine-1'), server('engine-2')], 0);
-    book.observe('engine-1', healthy(), 1);
-    book.observe('engine-2', failed, 1);
+    const table = createHealthTable(() => {});
+    table.replaceServers([server('engine-1'), server('engine-2')], 0);
+    table.observe('engine-1', healthy(), 1);
+    table.observe('engine-2', failed, 1);
     assert.deepEqual(
-      book.concerned().map(({ serverId }) => serverId),
+      table.concerned().map(({ serverId }) => serverId),
       ['engine-2'],
     );
   });
--- a/src/core/server-health/server-book.ts
+++ b/src/core/server-health/health-table.ts
@@ -1,4 +1,4 @@
-import { judgeOwnStanding } from './judge-standing';
+import { judgeOwnHealth } from './judge-health';
 import {
   createRecord,
   isConcerned,
@@ -11,23 +11,17 @@
 } from './server-record';
 import type { ServerRecord } from './server-record';
 import { slowStartShare } from './slow-start';
-import type {
-  CheckedServer,
-  ListStatus,
-  PeerMark,
-  ServerObservation,
-  ServerStanding,
-} from './types';
+import type { CheckedServer, ListStatus, PeerMark, ServerObservation, HealthState } from './types';
 
 /** What is known of each server. It holds no timers and no connections: times are handed in. */
-export interface ServerBook {
+export interface HealthTable {
   /** Takes over the servers of a configuration; those that stay keep what is known of them. */
   replaceServers(servers: readonly CheckedServer[], nowMs: number): void;
   servers(): readonly CheckedServer[];
   server(serverId: string): CheckedServer | undefined;
   /** Servers of which anything but good is known; most of the time few, however many servers there are. */
   concerned(): readonly CheckedServer[];
-  /** Takes in a health check, or a server's own word on any answer. */
+  /** Takes in a health check, or what a server says of itself on any answer. */
   observe(serverId: string, observation: ServerObservation, nowMs: number): void;
   /** Takes in that a request had a good answer: no health check, but the server lives. */
   noteAnswer(serverId: string, nowMs: number): void;
@@ -35,28 +29,28 @@
   noteMark(serverId: string, mark: PeerMark, nowMs: number): void;
   /** Judges again what only time has changed: statements that have expired. */
   refresh(nowMs: number): void;
-  standing(serverId: string): ServerStanding;
+  healthState(serverId: string): HealthState;
   /** Whether this instance has reason of its own to check the server, beside its duties. */
   isQuestioned(serverId: string): boolean;
   /** What this instance vouches for, with the server's start that it holds for. */
-  ownStanding(serverId: string, nowMs: number): OwnStanding;
+  ownHealth(serverId: string, nowMs: number): OwnHealth;
   /** Share of its usual work that the server gets: 0 when unusable, less than 1 in its slow start. */
   share(serverId: string, nowMs: number): number;
 }
 
-/** A standing with the start of the server for which it holds. */
-export interface OwnStanding {
-  readonly standing: ServerStanding;
+/** A health state with the start of the server for which it holds. */
+export interface OwnHealth {
+  readonly healthState: HealthState;
   readonly incarnation: string | undefined;
 }
 
-/** Told each time a server's standing changes. */
-export type StandingListener = (server: CheckedServer, standing: ServerStanding) => void;
+/** Told each time a server's health state changes. */
+export type HealthListener = (server: CheckedServer, healthState: HealthState) => void;
 
-const USABLE: ServerStanding = { kind: 'usable' };
+const USABLE: HealthState = { kind: 'usable' };
 
-/** An empty book; `onChange` hears of each change of standing. */
-export function createServerBook(onChange: StandingListener): ServerBook {
+/** An empty table; `onChange` hears of each change of health state. */
+export function createHealthTable(onChange: HealthListener): HealthTable {
   let records = new Map<string, ServerRecord>();
   const concerned = new Set<string>();
   let isFirst = true;
@@ -72,7 +66,8 @@
     records.set(serverId, next);
     if (isConcerned(next)) concerned.add(serverId);
     else concerned.delete(serverId);
-    if (next.standing.kind !== previous.standing.kind) onChange(next.server, next.standing);
+    if (next.healthState.kind !== previous.healthState.kind)
+      {onChange(next.server, next.healthState);}
   };
 
   return {
@@ -105,21 +100,21 @@
     refresh(nowMs) {
       for (const serverId of [...concerned]) change(serverId, nowMs, (entry) => entry);
     },
-    standing: (serverId) => records.get(serverId)?.standing ?? USABLE,
+    healthState: (serverId) => records.get(serverId)?.healthState ?? USABLE,
     isQuestioned(serverId) {
       const entry = records.get(serverId);
       return entry !== undefined && isQuestioned(entry);
     },
-    ownStanding(serverId, nowMs) {
+    ownHealth(serverId, nowMs) {
       const entry = records.get(serverId);
-      if (entry === undefined) return { standing: USABLE, incarnation: undefined };
-      const standing = judgeOwnStanding(entry.evidence, nowMs);
-      return { standing, incarnation: entry.evidence.incarnation };
+      if (entry === undefined) return { healthState: USABLE, incarnation: undefined };
+      const healthState = judgeOwnHealth(entry.evidence, nowMs);
+      return { healthState, incarnation: entry.evidence.incarnation };
     },
     share(serverId, nowMs) {
       const entry = records.get(serverId);
       if (entry === undefined) return 1;
-      if (entry.standing.kind !== 'usable') return 0;
+      if (entry.healthState.kind !== 'usable') return 0;
       if (entry.slowStartAtMs === undefined) return 1;
       return slowStartShare(entry.slowStartAtMs, entry.server.rules.slowStartMs, nowMs);
     },
--- a/src/core/server-health/index.ts
+++ b/src/core/server-health/index.ts
@@ -1,10 +1,9 @@
-/** Which backend servers may be given new work: by their own word, the platform's list, checks and peers. */
+/** Which backend servers may be given new work: by what they say themselves, the platform's list, checks and peers. */
 export { createServerHealth } from './create-server-health';
 export type { ServerAvailability, ServerHealth, ServerHealthOptions } from './create-server-health';
 export { INCARNATION_HEADER, STATE_HEADER } from './classify-answer';
 export { SERVER_HEALTH_EVENTS } from './events';
-export { observeSender } from './observe-sender';
 export { createServerProber } from './probe-server';
 export type { ServerProbe } from './probe-server';
-export type { ServerObservation, ServerStanding } from './types';
+export type { ServerObservation, HealthState } from './types';
 export { watchServerLists } from './watch-server-list';
--- a/src/core/server-health/judge-standing.test.ts
+++ b/src/core/server-health/judge-health.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { failuresNeeded, judgeStanding } from './judge-standing';
-import type { PeerMark, ServerEvidence, ServerStanding } from './types';
+import { failuresNeeded, judgeHealth } from './judge-health';
+import type { PeerMark, ServerEvidence, HealthState } from './types';
 
 const NOW_MS = 10_000;
 
@@ -27,7 +27,7 @@
 interface Case {
   readonly name: string;
   readonly evidence: Partial<ServerEvidence>;
-  readonly expected: ServerStanding;
+  readonly expected: HealthState;
 }
 
 // The list lags and is wrong at times: callers would meet dead servers that it still has, and live ones that
@@ -60,9 +60,9 @@
     expected: { kind: 'usable' },
   },
   {
-    name: 'leaving by its own word',
+    name: 'leaving, as it says itself',
     evidence: { saysDraining: true, lastSuccessAtMs: 9_900 },
-    expected: { kind: 'draining', cause: 'ownWord' },
+    expected: { kind: 'draining', cause: 'selfReported' },
   },
   {
     name: 'leaving by a peer',
@@ -91,10 +91,10 @@
   },
 ];
 
-describe('the standing of a backend server', () => {
+describe('the healthState of a backend server', () => {
   for (const { name, evidence, expected } of cases) {
     it(name, () => {
-      assert.deepEqual(judgeStanding({ ...plain, ...evidence }, NOW_MS), expected);
+      assert.deepEqual(judgeHealth({ ...plain, ...evidence }, NOW_MS), expected);
     });
   }
 
--- a/src/core/server-health/judge-standing.ts
+++ b/src/core/server-health/judge-health.ts
@@ -1,4 +1,4 @@
-import type { ListStatus, PeerMark, ServerEvidence, ServerStanding } from './types';
+import type { ListStatus, PeerMark, ServerEvidence, HealthState } from './types';
 
 /**
  * Decides whether a server may be given new work, from evidence of unequal worth.
@@ -9,9 +9,9 @@
  * intention to leave counts from anybody at once, a failure counts only from whoever tried, and absence from
  * the list is no evidence by itself.
  */
-export function judgeStanding(evidence: ServerEvidence, nowMs: number): ServerStanding {
+export function judgeHealth(evidence: ServerEvidence, nowMs: number): HealthState {
   const marks = evidence.peerMarks.filter((mark) => holds(mark, evidence, nowMs));
-  if (evidence.saysDraining) return { kind: 'draining', cause: 'ownWord' };
+  if (evidence.saysDraining) return { kind: 'draining', cause: 'selfReported' };
   if (isLeavingByList(evidence)) return { kind: 'draining', cause: 'list' };
   if (marks.some((mark) => mark.kind === 'draining')) return { kind: 'draining', cause: 'peer' };
   if (evidence.failsChecks) return { kind: 'down', cause: 'checks' };
@@ -21,9 +21,9 @@
   return isDownByPeer ? { kind: 'down', cause: 'peer' } : { kind: 'usable' };
 }
 
-/** What this instance itself can vouch for; told to peers, who must not be told their own words again. */
-export function judgeOwnStanding(evidence: ServerEvidence, nowMs: number): ServerStanding {
-  return judgeStanding({ ...evidence, peerMarks: [] }, nowMs);
+/** What this instance itself can vouch for; told to peers, who must not hear again what they said themselves. */
+export function judgeOwnHealth(evidence: ServerEvidence, nowMs: number): HealthState {
+  return judgeHealth({ ...evidence, peerMarks: [] }, nowMs);
 }
 
 /** Failed checks in a row until a server counts as down: one is enough where the list has its doubts too. */
--- a/src/core/server-health/marks.ts
+++ b/src/core/server-health/marks.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import type { GossipEntry, GossipStatement } from '../gossip';
-import type { ServerStanding } from './types';
+import type { HealthState } from './types';
 
 /** Statements about servers on their way between the instances of a region. */
 
@@ -16,7 +16,7 @@
 
 /** One statement. */
 export interface ServerMark {
-  readonly kind: ServerStanding['kind'];
+  readonly kind: HealthState['kind'];
   readonly incarnation: string | undefined;
 }
 
--- a/src/core/server-health/server-record.ts
+++ b/src/core/server-health/server-record.ts
@@ -1,11 +1,11 @@
-import { failuresNeeded, judgeStanding } from './judge-standing';
+import { failuresNeeded, judgeHealth } from './judge-health';
 import type {
   CheckedServer,
   ListStatus,
   PeerMark,
   ServerEvidence,
   ServerObservation,
-  ServerStanding,
+  HealthState,
 } from './types';
 
 /** What is known of one server, as a value: each piece of news gives the next one. */
@@ -15,7 +15,7 @@
   /** Checks in a row that failed, and that were good. */
   readonly failures: number;
   readonly successes: number;
-  readonly standing: ServerStanding;
+  readonly healthState: HealthState;
   /** When the slow start began; undefined for a server that was there from the first. */
   readonly slowStartAtMs: number | undefined;
 }
@@ -38,7 +38,7 @@
     },
     failures: 0,
     successes: 0,
-    standing: { kind: 'usable' },
+    healthState: { kind: 'usable' },
     slowStartAtMs,
   };
 }
@@ -74,7 +74,7 @@
   return { ...renewed, slowStartAtMs: nowMs };
 }
 
-/** The record after a health check, or after a server's own word on any answer. */
+/** The record after a health check, or after what a server says of itself on any answer. */
 export function withObservation(
   entry: ServerRecord,
   observation: ServerObservation,
@@ -117,23 +117,23 @@
   return withEvidence(entry, { peerMarks });
 }
 
-/** The record with its standing judged anew and expired statements forgotten. */
+/** The record with its health state judged anew and expired statements forgotten. */
 export function judged(entry: ServerRecord, nowMs: number): ServerRecord {
   const peerMarks = entry.evidence.peerMarks.filter((mark) => mark.expiresAtMs > nowMs);
   const evidence = { ...entry.evidence, peerMarks };
-  const standing = judgeStanding(evidence, nowMs);
-  const cameBack = standing.kind === 'usable' && entry.standing.kind !== 'usable';
+  const healthState = judgeHealth(evidence, nowMs);
+  const cameBack = healthState.kind === 'usable' && entry.healthState.kind !== 'usable';
   return {
     ...entry,
     evidence,
-    standing,
+    healthState,
     slowStartAtMs: cameBack ? nowMs : entry.slowStartAtMs,
   };
 }
 
-/** Whether there is something to look after: a failure, a statement, or a standing that is not plainly good. */
-export function isConcerned({ failures, evidence, standing }: ServerRecord): boolean {
-  return failures > 0 || evidence.peerMarks.length > 0 || standing.kind !== 'usable';
+/** Whether there is something to look after: a failure, a statement, or a health state that is not plainly good. */
+export function isConcerned({ failures, evidence, healthState }: ServerRecord): boolean {
+  return failures > 0 || evidence.peerMarks.length > 0 || healthState.kind !== 'usable';
 }
 
 /** Whether this instance has reason of its own to check the server, beside its duties. */
--- a/src/core/server-health/mark-teller.ts
+++ b/src/core/server-health/statement-publisher.ts
@@ -4,24 +4,24 @@
 import { mayTellDown } from './choose-usable';
 import { SERVER_HEALTH_EVENTS } from './events';
 import { MARK_RENEWAL_MS, markKey, toStatement } from './marks';
-import type { ServerBook } from './server-book';
-import type { CheckedServer, ServerObservation, ServerStanding } from './types';
+import type { HealthTable } from './health-table';
+import type { CheckedServer, ServerObservation, HealthState } from './types';
 
 /** Tells the other instances of the region what this one vouches for. */
-export interface MarkTeller {
-  /** Tells the standing of a server where that is news, or due to be said again. */
-  tell(server: CheckedServer): void;
+export interface StatementPublisher {
+  /** Tells the health state of a server where that is news, or due to be said again. */
+  publish(server: CheckedServer): void;
   /** Notes the result of a check; true when the server has just gone down by it, and proof is wanted. */
   noteCheck(server: CheckedServer, observation: ServerObservation): boolean;
 }
 
 /** What telling needs. */
-export interface MarkTellerOptions {
+export interface StatementPublisherOptions {
   readonly clock: Clock;
   readonly logger: Logger;
   readonly gossip: GossipBoard;
   readonly region: string;
-  readonly book: ServerBook;
+  readonly table: HealthTable;
   /** How many servers this instance checks. */
   readonly checkedCount: () => number;
 }
@@ -29,15 +29,15 @@
 /** Time without any good check after which an instance says in its log that it doubts itself. */
 const DOUBT_AFTER_MS = 2_000;
 
-interface ToldMark {
-  readonly kind: ServerStanding['kind'];
+interface PublishedMark {
+  readonly kind: HealthState['kind'];
   readonly atMs: number;
 }
 
-/** A teller that has told nothing yet. */
-export function createMarkTeller(options: MarkTellerOptions): MarkTeller {
-  const { clock, logger, gossip, region, book, checkedCount } = options;
-  const told = new Map<string, ToldMark>();
+/** A publisher that has published nothing yet. */
+export function createStatementPublisher(options: StatementPublisherOptions): StatementPublisher {
+  const { clock, logger, gossip, region, table, checkedCount } = options;
+  const told = new Map<string, PublishedMark>();
   const downSinceMs = new Map<string, number>();
   let lastGoodCheckAtMs: number | undefined;
   let doubting = false;
@@ -55,17 +55,17 @@
   };
 
   return {
-    tell({ serverId, address }) {
+    publish({ serverId, address }) {
       const nowMs = clock.monotonicMs();
-      const { standing, incarnation } = book.ownStanding(serverId, nowMs);
+      const { healthState, incarnation } = table.ownHealth(serverId, nowMs);
       const previous = told.get(serverId);
-      const isNews = (previous?.kind ?? 'usable') !== standing.kind;
+      const isNews = (previous?.kind ?? 'usable') !== healthState.kind;
       const isRenewal =
-        standing.kind !== 'usable' && nowMs - (previous?.atMs ?? 0) >= MARK_RENEWAL_MS;
+        healthState.kind !== 'usable' && nowMs - (previous?.atMs ?? 0) >= MARK_RENEWAL_MS;
       if (!isNews && !isRenewal) return;
-      if (standing.kind === 'down' && !isProven(serverId)) return;
-      told.set(serverId, { kind: standing.kind, atMs: nowMs });
-      const mark = { kind: standing.kind, incarnation };
+      if (healthState.kind === 'down' && !isProven(serverId)) return;
+      told.set(serverId, { kind: healthState.kind, atMs: nowMs });
+      const mark = { kind: healthState.kind, incarnation };
       gossip.put(toStatement(markKey(serverId, address), mark, region, clock.unixMs()));
     },
     noteCheck({ serverId }, observation) {
@@ -74,8 +74,8 @@
         lastGoodCheckAtMs = nowMs;
         doubting = false;
       }
-      const { standing } = book.ownStanding(serverId, nowMs);
-      const isDown = standing.kind !== 'usable' && standing.cause === 'checks';
+      const { healthState } = table.ownHealth(serverId, nowMs);
+      const isDown = healthState.kind !== 'usable' && healthState.cause === 'checks';
       if (!isDown) {
         downSinceMs.delete(serverId);
         return false;
--- a/src/core/server-health/types.ts
+++ b/src/core/server-health/types.ts
@@ -9,24 +9,24 @@
 export type ListStatus = 'unknown' | 'passing' | 'failing' | 'leaving' | 'missing';
 
 /** How it is known that a server takes no new work. */
-export type StandingCause = 'ownWord' | 'list' | 'checks' | 'peer';
+export type HealthCause = 'selfReported' | 'list' | 'checks' | 'peer';
 
 /** Whether a server may be given new work. */
-export type ServerStanding =
+export type HealthState =
   | { readonly kind: 'usable' }
-  | { readonly kind: 'draining'; readonly cause: StandingCause }
-  | { readonly kind: 'down'; readonly cause: StandingCause };
+  | { readonly kind: 'draining'; readonly cause: HealthCause }
+  | { readonly kind: 'down'; readonly cause: HealthCause };
 
 /** What another instance says about a server, as it was taken in here. */
 export interface PeerMark {
   readonly origin: string;
-  readonly kind: ServerStanding['kind'];
+  readonly kind: HealthState['kind'];
   readonly incarnation: string | undefined;
   readonly receivedAtMs: number;
   readonly expiresAtMs: number;
 }
 
-/** Everything that a server's standing rests on. */
+/** Everything that a server's health state rests on. */
 export interface ServerEvidence {
   /** The start of the server that was last seen, where servers tell it. */
   readonly incarnation: string | undefined;
--- a/src/core/serving/index.ts
+++ b/src/core/serving/index.ts
@@ -14,3 +14,4 @@
 } from './types';
 export { explainRoute } from './explain-route';
 export type { RouteExplanation } from './explain-route';
+export { observeSender } from './observe-sender';
--- a/src/core/server-health/observe-sender.ts
+++ b/src/core/serving/observe-sender.ts
@@ -1,8 +1,8 @@
 import type { ServerSender } from '../backends';
 import { RefusalError } from '../refusals';
-import type { ResponseHead, ResponseSink } from '../serving';
-import { STATE_HEADER } from './classify-answer';
-import type { ServerHealth } from './create-server-health';
+import { STATE_HEADER } from '../server-health';
+import type { ServerHealth } from '../server-health';
+import type { ResponseHead, ResponseSink } from './types';
 
 function saysDraining({ headers }: ResponseHead): boolean {
   return headers.some(
--- a/src/testing/engine-region.ts
+++ b/src/testing/engine-region.ts
@@ -5,7 +5,7 @@
 import type { EngineClient } from '../core/engine-orders';
 import { createDisposableStore } from '../core/lifetime';
 import { createPauseGuard } from '../core/pauses';
-import type { ServerStanding } from '../core/server-health';
+import type { HealthState } from '../core/server-health';
 import { createEngineModels } from '../../standins/engine-orders';
 import type { EngineModels } from '../../standins/engine-orders';
 import { createWeightStore } from '../../standins/weight-store';
@@ -61,7 +61,7 @@
   readonly senders: readonly SenderInstance[];
   readonly engines: ReadonlyMap<string, EngineModels>;
   /** Standings as all instances see them; usable unless set. */
-  readonly standings: Map<string, ServerStanding>;
+  readonly healthStates: Map<string, HealthState>;
   configurationOf(version: number, wanted: readonly WantedName[]): Configuration;
   /** Engines that serve a name, in a version or in any. */
   servingCount(name: string, version?: string): number;
@@ -78,7 +78,7 @@
   const clock = createFakeClock();
   const owned = createDisposableStore();
   const weightStore = createWeightStore();
-  const standings = new Map<string, ServerStanding>();
+  const healthStates = new Map<string, HealthState>();
   const ids = Array.from({ length: engineCount }, (_unused, index) => `engine-${index}`);
   const engines = new Map(
     ids.map((id) => [id, createEngineModels({ fencing, slots, loadMs, weightStore })]),
@@ -180,7 +180,7 @@
         configuration,
         health: {
           isOnDuty: () => sender.isSender,
-          standing: (id) => standings.get(id) ?? { kind: 'usable' },
+          healthState: (id) => healthStates.get(id) ?? { kind: 'usable' },
         },
         pauses,
         client,
@@ -196,7 +196,7 @@
     weightStore,
     senders,
     engines,
-    standings,
+    healthStates,
     configurationOf,
     servingCount: (name, version) =>
       [...engines].filter(([id, engine]) =>
