--- a/src/core/membership/create-membership.ts
+++ b/src/core/membership/create-membership.ts
@@ -34,8 +34,6 @@
   /** Wall clock at the start of the process, which names it. */
   readonly incarnation: number;
   readonly seedPeers: readonly string[];
-  /** Peer addresses from the platform's list, which may be wrong; rejects when it can't be read. */
-  readonly listPeers?: () => Promise<readonly string[]>;
   /** This instance as it stands now. */
   readonly describeSelf: () => SelfDescription;
 }
@@ -47,9 +45,9 @@
   usablePeers(): readonly MemberRecord[];
   /** Addresses at which other instances may be found, whether they are known to live or not. */
   candidateAddresses(): readonly string[];
-  /** Resolves once the list has been read or given up and the first addresses have been tried. */
+  /** Resolves once the first addresses have been tried. */
   whenExplored(): Promise<void>;
-  /** Whether settings and list name nobody else; false while the list cannot be read. */
+  /** Whether the settings name nobody else and nobody else has been heard of. */
   isAlone(): boolean;
   /** Starts the tasks. */
   start(): void;
@@ -65,8 +63,6 @@
 
 /** Partners are chosen again this long after a change, so that many changes at once cost one choice. */
 const RECHOOSE_AFTER_MS = 50;
-/** Rest between two reads of the platform's list, which names the whole fleet and costs its bytes. */
-const LIST_INTERVAL_MS = 900_000;
 /** Addresses tried at once by an instance that knows nobody. */
 const FIRST_TRIES = 5;
 /** Times that a name must be taken back before two live processes are the likely cause. */
@@ -86,8 +82,6 @@
   const contactListeners = new Set<(record: MemberRecord) => void>();
   const stopping = new AbortController();
   const tasks: Promise<void>[] = [];
-  let listed: readonly string[] = [];
-  let isListRead = options.listPeers === undefined;
   let endFirstRound = () => {};
   const firstRound = new Promise<void>((resolve) => {
     endFirstRound = resolve;
@@ -213,16 +207,6 @@
     }
   };
 
-  const refreshList = async (): Promise<void> => {
-    if (options.listPeers === undefined) return;
-    try {
-      listed = await options.listPeers();
-      isListRead = true;
-    } catch (error) {
-      logger.event(MEMBERSHIP_EVENTS.instanceListUnavailable, { reason: errorText(error) });
-    }
-  };
-
   const tryAddress = async (peerAddress: string): Promise<void> => {
     try {
       await exchange(peerAddress);
@@ -235,7 +219,7 @@
   const exploreInput = () => ({
     self: self.current(),
     others: table.others(),
-    knownAddresses: [...seedPeers, ...listed],
+    knownAddresses: seedPeers,
   });
 
   const tryFirstAddresses = async (): Promise<void> => {
@@ -247,14 +231,8 @@
 
   const runExplorer = async (): Promise<void> => {
     const restedMs = () => EXPLORE_INTERVAL_MS * (0.5 + random.next());
-    let listAtMs = clock.monotonicMs();
     for (let turn = 0; !stopping.signal.aborted; turn += 1) {
       const isAlone = livingOthers().length === 0;
-      if (clock.monotonicMs() >= listAtMs) {
-        await refreshList();
-        const listRestMs = isAlone ? restedMs() : LIST_INTERVAL_MS * (0.5 + random.next());
-        listAtMs = clock.monotonicMs() + listRestMs;
-      }
       if (isAlone) await tryFirstAddresses();
       const address = chooseExplored({ ...exploreInput(), turn }, random);
       if (address !== undefined && !isAlone) await tryAddress(address);
@@ -277,8 +255,7 @@
       ...addressesOutside(exploreInput()),
     ],
     whenExplored: () => firstRound,
-    isAlone: () =>
-      isListRead && livingOthers().length + addressesOutside(exploreInput()).length === 0,
+    isAlone: () => livingOthers().length + addressesOutside(exploreInput()).length === 0,
     start() {
       started = true;
       observedAtMs = clock.monotonicMs();
--- a/src/core/membership/events.ts
+++ b/src/core/membership/events.ts
@@ -61,12 +61,4 @@
     text: 'An exchange with another instance failed.',
     action: 'None.',
   },
-  instanceListUnavailable: {
-    id: 508,
-    name: 'instance-list-unavailable',
-    level: 'info',
-    text: 'The platform list of instances could not be read; seeds and other instances are used.',
-    action:
-      'Look at the catalogue service; nothing here depends on it while other instances answer.',
-  },
 } as const satisfies Record<string, EventDefinition>;
--- a/src/core/membership/timing.ts
+++ b/src/core/membership/timing.ts
@@ -39,7 +39,7 @@
 /** How long the life of a forgotten instance is remembered, so that nothing stale brings it back. */
 export const REMEMBER_FORGOTTEN_MS = 86_400_000;
 
-/** Rest between two tries to reach someone outside the view: seeds, listed addresses, the dead. */
+/** Rest between two tries to reach someone outside the view: seeds, the dead. */
 export const EXPLORE_INTERVAL_MS = 5_000;
 
 /** Load is restated more rarely the more members a region has, so that its bytes do not grow with them. */
--- a/src/core/membership/view.ts
+++ b/src/core/membership/view.ts
@@ -74,6 +74,7 @@
   };
   let restatedAtMs = options.nowMs;
   let restatedLoadSequence = -1;
+  let wideLoadSequence = -1;
   let restatedCount = 0;
 
   const tips = (): Cursors => ({
@@ -174,15 +175,21 @@
       const own = self.current();
       const { intervalMs, wideEvery } = loadPace(own, table.others());
       const isDue = nowMs - restatedAtMs >= intervalMs;
-      if (!isDue || own.loadSequence === restatedLoadSequence) return;
+      const isNews = own.loadSequence !== restatedLoadSequence;
+      const isNewsElsewhere = own.loadSequence !== wideLoadSequence;
+      if (!isDue || (!isNews && !isNewsElsewhere)) return;
       restatedAtMs = nowMs;
-      restatedLoadSequence = own.loadSequence;
       restatedCount += 1;
+      const wide = restatedCount % wideEvery === 0;
+      // A load that stays as it is after one statement still has to reach the other regions, in its turn.
+      if (!isNews && !wide) return;
+      restatedLoadSequence = own.loadSequence;
+      if (wide) wideLoadSequence = own.loadSequence;
       table.loadLog.append(
         own.instanceId,
         {
           memberKey: memberKey(own),
-          wide: restatedCount % wideEvery === 0,
+          wide,
           loadSequence: own.loadSequence,
           inFlightRequests: own.inFlightRequests,
           configurationVersion: own.configurationVersion,
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -26,7 +26,7 @@
   serverCredentials,
 } from '../peers';
 import type { RandomSource } from '../random';
-import { createConfigurationService, readInstanceList } from '../platform';
+import { createConfigurationService } from '../platform';
 import { createServerHealth, createServerProber, watchServerLists } from '../server-health';
 import { checkRequest, createServing, observeSender } from '../serving';
 import type { GatewayRequest, ServingDependencies } from '../serving';
@@ -96,7 +96,7 @@
   let standing = () => NO_STANDING;
   let callerAddress = '';
   let peerAddress = '';
-  const { instanceListUrl, instanceListService: service } = settings.platform;
+  const { serverListUrl } = settings.platform;
 
   const membership = owned.add(
     createMembership({
@@ -107,9 +107,6 @@
       incarnation,
       transport: createExchangeTransport({ clock, connections, metadata }),
       seedPeers: settings.seedPeers,
-      ...(instanceListUrl === undefined
-        ? {}
-        : { listPeers: () => readInstanceList({ url: instanceListUrl, service }) }),
       describeSelf: () => ({
         instanceId,
         region,
@@ -297,8 +294,8 @@
       client: owned.add(createEngineClient()),
     }),
   );
-  if (instanceListUrl !== undefined) {
-    owned.add(watchServerLists({ clock, logger, health, url: instanceListUrl }));
+  if (serverListUrl !== undefined) {
+    owned.add(watchServerLists({ clock, logger, health, url: serverListUrl }));
   }
   const operatorAddress = addressOf(listeners.operators.host, operators.port);
   logger.event(NODE_EVENTS.started, {
--- a/src/core/relay-node/fetch-peer-state.ts
+++ b/src/core/relay-node/fetch-peer-state.ts
@@ -18,9 +18,8 @@
 ): Promise<PublishedState | undefined> {
   try {
     const response = await request(`http://${address}${STATE_PATH}`, {
-      signal,
-      headersTimeout: ANSWER_TIMEOUT_MS,
-      bodyTimeout: ANSWER_TIMEOUT_MS,
+      // The client's own timeouts do not cover the making of a connection, which hangs at a machine without power.
+      signal: AbortSignal.any([signal, AbortSignal.timeout(ANSWER_TIMEOUT_MS)]),
     });
     const text = await response.body.text();
     return response.statusCode === 200 ? readSnapshot(text) : undefined;
--- a/src/core/server-health/health-table.ts
+++ b/src/core/server-health/health-table.ts
@@ -66,8 +66,9 @@
     records.set(serverId, next);
     if (isConcerned(next)) concerned.add(serverId);
     else concerned.delete(serverId);
-    if (next.healthState.kind !== previous.healthState.kind)
-      {onChange(next.server, next.healthState);}
+    if (next.healthState.kind !== previous.healthState.kind) {
+      onChange(next.server, next.healthState);
+    }
   };
 
   return {
--- a/src/core/settings/schema.ts
+++ b/src/core/settings/schema.ts
@@ -84,16 +84,13 @@
       configurationUrl: httpUrl.describe(
         'Key-value service that holds the configuration (Consul KV HTTP API, read only)',
       ),
-      instanceListUrl: httpUrl
+      serverListUrl: httpUrl
         .optional()
-        .describe('Catalogue of live and leaving instances (Consul catalogue HTTP API)'),
+        .describe('Catalogue of live and leaving backend servers (Consul catalogue HTTP API)'),
       configurationKey: z
         .string()
         .default('coltsfootworks/configuration')
         .describe('Key of the configuration'),
-      instanceListService: name
-        .default('coltsfootworks')
-        .describe('Service under which the catalogue lists the instances, with their peer ports'),
       unconfirmedConfiguration: z
         .enum(['serve', 'refuse'])
         .default('serve')
--- a/src/core/state-sync/create-state-sync.ts
+++ b/src/core/state-sync/create-state-sync.ts
@@ -22,7 +22,7 @@
   readonly source: StateSource;
   readonly routes: RouteTableStore;
   readonly servers: ServerRegistry;
-  /** What another instance has, when the source does not answer; undefined when none answers either. */
+  /** What another instance has, when the source does not answer; undefined when it does not answer. Never rejects. */
   readonly askPeer: (signal: AbortSignal) => Promise<PublishedState | undefined>;
 }
 
@@ -66,6 +66,7 @@
   let failures = 0;
   let lastAnswerAtMs: number | undefined;
   let regainedAtMs = -Infinity;
+  let isAskingPeer = false;
   const deferred = new Set<Disposable>();
   let task: Promise<void> = Promise.resolve();
 
@@ -210,9 +211,16 @@
     revision = Math.max(after, news.revision);
   };
 
+  /**
+   * Takes over what another instance has. Nothing waits for this: an instance that does not answer must not keep
+   * this one from noticing that the source is back.
+   */
   const askPeer = async (): Promise<void> => {
+    if (isAskingPeer) return;
+    isAskingPeer = true;
     const state = await options.askPeer(stopping.signal);
-    if (state === undefined) return;
+    isAskingPeer = false;
+    if (state === undefined || failures === 0) return;
     if (revision !== undefined && state.revision <= revision) return;
     applyAll(state);
     logger.event(STATE_SYNC_EVENTS.takenFromPeer, { revision: state.revision });
@@ -223,7 +231,7 @@
     if (failures === FAILURES_TO_TELL) {
       logger.event(STATE_SYNC_EVENTS.sourceLost, { reason: errorText(error) });
     }
-    await askPeer();
+    void askPeer();
     const longestMs = Math.min(LONGEST_REST_MS, FIRST_REST_MS * 2 ** Math.min(failures, 10));
     // Instances that lost the source together must not come back to it in step.
     const restMs = longestMs * (0.5 + random.next() / 2);
--- a/src/testing/virtual-fleet.ts
+++ b/src/testing/virtual-fleet.ts
@@ -52,7 +52,6 @@
   /** How far its machine's clock is ahead. */
   readonly clockOffsetMs?: number;
   readonly seedPeers?: readonly string[];
-  readonly listPeers?: () => Promise<readonly string[]>;
   readonly whenUnconfirmed?: 'serve' | 'refuse';
 }
 
@@ -120,7 +119,6 @@
       gossip,
       incarnation: port.clock.unixMs(),
       seedPeers,
-      ...(options.listPeers === undefined ? {} : { listPeers: options.listPeers }),
       describeSelf: () => ({
         instanceId,
         region,
