--- a/src/core/relay-node/fetch-peer-state.ts
+++ b/src/core/relay-node/fetch-peer-state.ts
@@ -1,4 +1,6 @@
 import { request } from 'undici';
+import { createDeadlineSignal } from '../clock';
+import type { Clock } from '../clock';
 import { errorText } from '../errors';
 import type { Logger } from '../events';
 import { readSnapshot, STATE_SYNC_EVENTS } from '../state-sync';
@@ -10,16 +12,23 @@
 /** Time for an instance of another region to answer, ms. */
 const ANSWER_TIMEOUT_MS = 1_000;
 
+/** What fetching needs. */
+export interface FetchNeeds {
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
 /** Published state as the instance at `address` holds it; undefined where it does not answer. */
 export async function fetchPeerState(
+  { clock, logger }: FetchNeeds,
   address: string,
-  logger: Logger,
   signal: AbortSignal,
 ): Promise<PublishedState | undefined> {
+  using deadline = createDeadlineSignal(clock, signal, clock.monotonicMs() + ANSWER_TIMEOUT_MS);
   try {
     const response = await request(`http://${address}${STATE_PATH}`, {
       // The client's own timeouts do not cover the making of a connection, which hangs at a machine without power.
-      signal: AbortSignal.any([signal, AbortSignal.timeout(ANSWER_TIMEOUT_MS)]),
+      signal: deadline.signal,
     });
     const text = await response.body.text();
     return response.statusCode === 200 ? readSnapshot(text) : undefined;
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -175,7 +175,9 @@
       async askPeer(signal) {
         const others = peers();
         const peer = others[Math.floor(random.next() * others.length)];
-        return peer === undefined ? undefined : fetchPeerState(peer.forwardAddress, logger, signal);
+        return peer === undefined
+          ? undefined
+          : fetchPeerState({ clock, logger }, peer.forwardAddress, signal);
       },
     }),
   );
