--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,7 +8,7 @@
 ];
 
 export default [
-  { ignores: ['node_modules/', 'dist/', 'src/gen/'] },
+  { ignores: ['node_modules/', 'dist/', 'target/', 'src/gen/'] },
   plugins.stylistic,
   plugins.importX,
   plugins.typescriptEslint,
