--- a/src/core/backends/index.ts
+++ b/src/core/backends/index.ts
@@ -2,6 +2,6 @@
 export { createInFlight } from './in-flight';
 export type { InFlight } from './in-flight';
 export { evidenceAfterSending, evidenceOfFailure } from './evidence';
-export { isEndToEndHeader } from './read-answer';
+export { isEndToEndHeader } from '../pass-through/headers';
 export { createServerSender } from './send-to-server';
 export type { SendTarget, ServerSender } from './send-to-server';
--- a/src/core/backends/read-answer.ts
+++ b/src/core/backends/read-answer.ts
@@ -1,24 +1,9 @@
 import type { Dispatcher } from 'undici';
 import { createLengthCheck } from '../answers';
+import { isEndToEndHeader } from '../pass-through/headers';
 import { REFUSALS, RefusalError } from '../refusals';
 import type { GatewayRequest, Header, ResponseSink } from '../serving/types';
 
-/** Headers that belong to one connection and are not passed on (RFC 9110, section 7.6.1). */
-const CONNECTION_HEADERS = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
-
-/** Whether a header is passed between a server and a caller. */
-export function isEndToEndHeader(name: string): boolean {
-  return !CONNECTION_HEADERS.has(name.toLowerCase());
-}
-
 function toHeaders(raw: Record<string, string | string[] | undefined>): Header[] {
   return Object.entries(raw).flatMap(([name, value]) =>
     (Array.isArray(value) ? value : [value]).map((one) => ({ name, value: one ?? '' })),
--- a/src/core/pass-through/headers.ts
+++ b/src/core/pass-through/headers.ts
@@ -11,6 +11,11 @@
   'upgrade',
 ]);
 
+/** Whether a header is passed between a server and a caller. */
+export function isEndToEndHeader(name: string): boolean {
+  return !CONNECTION_HEADERS.has(name.toLowerCase());
+}
+
 /** Headers that the HTTP client writes itself, from the body that it is given. */
 const WRITTEN_BY_CLIENT = new Set(['content-length', 'expect']);
 
