--- a/demo/instance-process.ts
+++ b/demo/instance-process.ts
@@ -51,8 +51,8 @@
  */
 function readAddresses(child: ChildProcess, tail: string[]): Promise<InstanceAddresses> {
   return new Promise((resolve, reject) => {
-    if (child.stderr === null) throw new Error('the log is not piped');
-    createInterface({ input: child.stderr }).on('line', (line) => {
+    if (child.stdout === null) throw new Error('the log is not piped');
+    createInterface({ input: child.stdout }).on('line', (line) => {
       tail.push(line);
       if (tail.length > LOG_LINES_KEPT) tail.shift();
       const addresses = parseStarted(line);
@@ -67,7 +67,7 @@
   const child = spawn(
     process.execPath,
     ['--import', 'tsx', 'src/main.ts', 'serve', '--settings', '-'],
-    { stdio: ['pipe', 'ignore', 'pipe'] },
+    { stdio: ['pipe', 'pipe', 'ignore'] },
   );
   child.stdin.end(JSON.stringify(settings));
   const logTail: string[] = [];
--- a/src/cli/serve/run-serve.ts
+++ b/src/cli/serve/run-serve.ts
@@ -41,6 +41,10 @@
     ...(recordPath === undefined ? {} : { record: openRecording(recordPath, instanceId) }),
   });
 
+  // Without a listener this signal ends the process, and whatever reloads all services of a machine would cut
+  // every request that is open.
+  process.on('SIGHUP', () => logger.event(NODE_EVENTS.reloadAsked));
+
   await nextStopSignal();
   void nextStopSignal().then(() => {
     logger.event(NODE_EVENTS.cutShort, { ...node.openWork() });
--- a/src/cli/serve/second-signal.test.ts
+++ b/src/cli/serve/second-signal.test.ts
@@ -21,6 +21,19 @@
     assert.equal(lineOf(NODE_EVENTS.cutShort.id)?.callerRequests, 1);
   });
 
+  // Something on the machine sends every service the signal to reload. Requests that are open must go on.
+  it('goes on when it is asked to reload, and says that it does not', async () => {
+    await using serving = await startServeProcess();
+    const { child, lineOf } = serving;
+    child.kill('SIGHUP');
+    await waitFor(() => lineOf(NODE_EVENTS.reloadAsked.id) !== undefined, 'the line');
+    const answer = await serving.ask();
+    assert.equal(answer.statusCode, 200);
+    await answer.body.dump();
+    child.kill('SIGTERM');
+    assert.equal(await serving.ended, 0);
+  });
+
   // Somebody tunes the environment of all machines for another program. The calls that io_uring makes are
   // forbidden here, and the process would be ended in the middle of its work.
   it('does not start where the environment turns io_uring on', async () => {
--- a/src/core/node/events.ts
+++ b/src/core/node/events.ts
@@ -31,4 +31,11 @@
     action:
       'The counts say how many requests of callers and of peers were cut; their callers were told nothing.',
   },
+  reloadAsked: {
+    id: 104,
+    name: 'reload-asked',
+    level: 'warn',
+    text: 'A signal asked for the settings to be read again; they are read at the start alone.',
+    action: 'Replace the instance to change its settings; configuration changes need no signal.',
+  },
 } as const satisfies Record<string, EventDefinition>;
--- a/src/testing/serve-process.ts
+++ b/src/testing/serve-process.ts
@@ -90,7 +90,7 @@
   const child = spawn(process.execPath, [bundle, 'serve'], {
     // Without the loader that the test runner hands down: what runs is what ships.
     env: { ...process.env, NODE_OPTIONS: '', ...environment, COLTSFOOTWORKS_SETTINGS: settings },
-    stdio: ['ignore', 'ignore', 'pipe'],
+    stdio: ['ignore', 'pipe', 'ignore'],
   });
   owned.defer(() => {
     child.kill('SIGKILL');
@@ -99,7 +99,7 @@
     child.once('exit', resolve);
   });
   const lines: LogLine[] = [];
-  createInterface({ input: child.stderr }).on('line', (text) => {
+  createInterface({ input: child.stdout }).on('line', (text) => {
     if (text.startsWith('{')) lines.push(JSON.parse(text) as LogLine);
   });
   const lineOf = (event: number) => lines.find((line) => line.event === event);
