--- a/src/core/client-directory/index.ts
+++ b/src/core/client-directory/index.ts
@@ -1,3 +1,3 @@
 /** Tells callers which instances to use. */
 export { chooseAddresses } from './choose-addresses';
-export type { CallerPlace, DirectoryEntry } from './choose-addresses';
+export type { CallerPlace, DirectoryEntry, DirectoryView } from './choose-addresses';
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -270,8 +270,9 @@
     resolve(host, place) {
       const others = membership.usablePeers().filter((member) => member.configurationVersion > 0);
       const own = isReady() ? [membership.self()] : [];
+      const leaving = membership.members().filter((member) => member.status === 'leaving');
       const homeRegions = routes.current()?.selector.homeRegions(host) ?? [];
-      return chooseAddresses([...own, ...others], place, homeRegions);
+      return chooseAddresses({ alive: [...own, ...others], leaving, homeRegions }, place);
     },
     async stop() {
       stoppingSinceMs = nowMs();
