--- a/src/core/client-directory/choose-addresses.ts
+++ b/src/core/client-directory/choose-addresses.ts
@@ -19,7 +19,7 @@
   readonly alive: readonly DirectoryEntry[];
   /** Instances in a planned stop; they still answer, with a refusal at worst. */
   readonly leaving: readonly DirectoryEntry[];
-  /** Regions in which all that the host serves may be; empty where it is bound to none. */
+  /** Regions in which most of what the host serves may be; empty where it is bound to none. */
   readonly homeRegions: readonly string[];
 }
 
--- a/src/core/host-routes/host-routes.test.ts
+++ b/src/core/host-routes/host-routes.test.ts
@@ -54,18 +54,23 @@
     });
   }
 
-  it('tells to which regions all bound routes of its host are bound', () => {
+  // The routes of one host are bound to different regions, and no region may serve all of them.
+  it('tells in which regions the most bound routes of its host may be served', () => {
     const bound = createRouteSelector(
       table(1, [
         { ...route('free', 'a.example', '/'), homeRegions: [] },
         { ...route('one', 'a.example', '/one/'), homeRegions: ['north', 'south'] },
         { ...route('two', 'a.example', '/two/'), homeRegions: ['south', 'east'] },
         { ...route('other', 'b.example', '/'), homeRegions: ['east'] },
+        { ...route('three', 'd.example', '/'), homeRegions: ['north', 'south'] },
+        { ...route('four', 'd.example', '/4/'), homeRegions: ['north', 'south'] },
+        { ...route('five', 'd.example', '/5/'), homeRegions: ['east'] },
       ]),
     );
     assert.deepEqual(bound.homeRegions('a.example'), ['south']);
     assert.deepEqual(bound.homeRegions('b.example:80'), ['east']);
     assert.deepEqual(bound.homeRegions('c.example'), []);
+    assert.deepEqual(bound.homeRegions('d.example'), ['north', 'south']);
   });
 
   it('shares its requests out by weight', () => {
--- a/src/core/host-routes/select-route.ts
+++ b/src/core/host-routes/select-route.ts
@@ -4,7 +4,7 @@
 export interface RouteSelector {
   /** The route of the host whose prefix is the longest that begins the path; undefined where none does. */
   select(host: string, path: string): HostRoute | undefined;
-  /** Regions to which every bound route of the host is bound; empty where none is. */
+  /** Regions in which the most bound routes of the host may be served; empty where none is bound. */
   homeRegions(host: string): readonly string[];
 }
 
@@ -39,9 +39,12 @@
       const bound = (byHost.get(nameOf(host)) ?? []).filter(
         (route) => route.homeRegions.length > 0,
       );
-      const [first, ...rest] = bound;
-      const homes = first?.homeRegions ?? [];
-      return homes.filter((region) => rest.every((route) => route.homeRegions.includes(region)));
+      const counts = new Map<string, number>();
+      for (const region of bound.flatMap((route) => route.homeRegions)) {
+        counts.set(region, (counts.get(region) ?? 0) + 1);
+      }
+      const most = Math.max(0, ...counts.values());
+      return [...counts].filter(([, count]) => count === most).map(([region]) => region);
     },
   };
 }
