--- a/standins/published-store.ts
+++ b/standins/published-store.ts
@@ -28,8 +28,8 @@
   return Buffer.from(JSON.stringify(value)).toString('base64');
 }
 
-/** Opens a stand-in store that holds nothing. */
-export async function openStoreStandIn(): Promise<StoreStandIn> {
+/** Opens a stand-in store that holds nothing; its range reads give so many items at once. */
+export async function openStoreStandIn(itemsPerPage = 500): Promise<StoreStandIn> {
   const items = new Map<string, StoredEvent>();
   let mood: StoreMood = 'good';
   const calls = { range: 0, watch: 0 };
@@ -45,8 +45,13 @@
 
   const answerRange = (query: URLSearchParams, response: ServerResponse): void => {
     const prefix = query.get('Prefix') ?? '';
-    const found = [...items.values()].filter((item) => item.Key.startsWith(prefix));
-    sendJson(response, 200, { items: found, MorePages: false, StoreRevision: revision });
+    const after = query.get('after') ?? '';
+    const found = [...items.values()]
+      .filter((item) => item.Key.startsWith(prefix) && item.Key > after)
+      .sort((left, right) => (left.Key < right.Key ? -1 : 1));
+    const page = found.slice(0, itemsPerPage);
+    const hasMore = page.length < found.length;
+    sendJson(response, 200, { items: page, MorePages: hasMore, StoreRevision: revision });
   };
 
   const answerWatch = (query: URLSearchParams, response: ServerResponse): void => {
