Send other regions as much as answers in time, and no more

What is known of another region's load is one or two seconds old, so all instances sent their excess to the same region at once, were refused, and asked its next instance; servers that had crashed were given each request first (880 connections that could not be made), since one that cannot be reached was preferred to another region; and the cost of failures was counted as time, so that requests were refused at servers that were fast.

--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -3,15 +3,13 @@
 import type { LossCause } from '../outcomes';
 import { createHeldAnswer, createStreamAnswer } from './answer-reader';
 import type { AnswerReader, StreamProgress } from './answer-reader';
-import { alikeKey } from './create-router';
-import type { Destination, Router } from './create-router';
+import type { Router } from './create-router';
 import { OUTCOME_HEADER, PLAN_HEADER, answerByMs, writePlan } from './forwarding';
 import { headerText, judgeAnswer } from './judge-answer';
+import { observeDestination } from './observe-destination';
+import type { ObservedEnd, SendableDestination } from './observe-destination';
 import type { ClientAnswer, HeaderDialect, InboundRequest, RequestPlan } from './types';
 
-/** A destination that a request can be sent to. */
-export type SendableDestination = Exclude<Destination, { kind: 'none' }>;
-
 /** What came of one try. */
 export type AttemptResult =
   /** The whole answer has been passed on. */
@@ -71,8 +69,6 @@
 const ANY_IDLE_MS = 60_000;
 /** Lowest urgency that backend servers know. */
 const LEAST_URGENT = 9;
-/** Silence after which a server that owes answers counts as failed when a request runs out of time, ms. */
-const SILENT_SERVER_MS = 1_200;
 
 /** Name of a destination in log lines and among those that were tried. */
 export function destinationName(to: SendableDestination): string {
@@ -100,59 +96,11 @@
   return headers;
 }
 
-/** Keeps what the router learns of a server in step with one try; does nothing for other instances. */
-function observeServer({ clock, router, plan, request, to }: AttemptOptions, sentAtMs: number) {
-  if (to.kind !== 'server') {
-    return {
-      noteLoad() {},
-      noteFirstByte() {},
-      noteHeard() {},
-      noteEnd() {},
-      isSilent: () => false,
-    };
-  }
-  const { server, tokens, predictedMs } = to;
-  const { serverId } = server;
-  const { loads, paces, prefixes, correction } = router;
-  let hadFirstByte = false;
-  let isNoted = false;
-  loads.noteSent(serverId, tokens, sentAtMs);
-  return {
-    noteLoad(report: Parameters<typeof loads.noteReport>[1]): void {
-      loads.noteReport(serverId, report, clock.monotonicMs());
-    },
-    noteFirstByte(): void {
-      if (hadFirstByte) return;
-      hadFirstByte = true;
-      const nowMs = clock.monotonicMs();
-      const actualMs = nowMs - sentAtMs;
-      // On a busy server the wait for a place in the batch would count as reading.
-      const isRoomy = loads.load(serverId, nowMs) < server.slots / 2;
-      if (isRoomy) paces.notePrefill(plan.service, tokens, actualMs);
-      correction.note(alikeKey(plan), to.rawPredictedMs, actualMs);
-      loads.noteFirstByte(serverId, { tokens, predictedMs, actualMs }, nowMs);
-      if (request.demand !== undefined) prefixes.noteRead(serverId, request.demand);
-    },
-    noteHeard(): void {
-      loads.noteHeard(serverId, clock.monotonicMs());
-    },
-    /** `isFailure` is undefined where the end says nothing about the server. */
-    noteEnd(isFailure: boolean | undefined): void {
-      if (isNoted) return;
-      isNoted = true;
-      const nowMs = clock.monotonicMs();
-      loads.noteEnded(serverId, { hadFirstByte, tokens, isFailure }, nowMs);
-      if (isFailure === false) paces.noteSlotTime(plan.service, nowMs - sentAtMs);
-    },
-    isSilent: () => loads.silentMs(serverId, clock.monotonicMs()) >= SILENT_SERVER_MS,
-  };
-}
-
 /** Sends a request once and passes its answer on as it comes, as far as it may be. */
 export function startAttempt(options: AttemptOptions): Attempt {
   const { clock, dialect, pool, router, request, plan, to, answer, progress } = options;
   const sentAtMs = clock.monotonicMs();
-  const server = observeServer(options, sentAtMs);
+  const destination = observeDestination(options, to);
   const droppedHeaders = new Set([dialect.notRun, OUTCOME_HEADER]);
   let exchange: Exchange | undefined;
   let reader: AnswerReader | undefined;
@@ -170,14 +118,14 @@
     exchange?.abort(cause);
   };
 
-  const report = (result: AttemptResult, isServerFailure: boolean | undefined): void => {
-    server.noteEnd(isForgotten ? undefined : isServerFailure);
+  const report = (result: AttemptResult, end: ObservedEnd): void => {
+    destination.noteEnd(isForgotten ? 'untold' : end);
     if (!isForgotten) options.onResult(result);
   };
 
   const noteFirstByte = (): void => {
     firstByteAtMs ??= clock.monotonicMs();
-    server.noteFirstByte();
+    destination.noteFirstByte();
   };
 
   const decide = (result: AttemptResult): void => {
@@ -204,7 +152,7 @@
     head = answerHead;
     lastByteAtMs = clock.monotonicMs();
     const load = dialect.readLoadReport(headerText(head.headers[dialect.load]) ?? '');
-    if (load !== undefined) server.noteLoad(load);
+    if (load !== undefined) destination.noteLoad(load);
     const outcome = headerText(head.headers[OUTCOME_HEADER]);
     if (to.kind === 'peer' && outcome !== undefined) {
       decide({ kind: 'peerRefused', hasNotRun: outcome === 'notRun' });
@@ -234,7 +182,7 @@
     if (isForgotten || reader === undefined) return;
     lastByteAtMs = clock.monotonicMs();
     noteFirstByte();
-    server.noteHeard();
+    destination.noteHeard();
     if (reader.take(chunk)) return;
     exchange?.pause();
     answer.onDrain(() => exchange?.resume());
@@ -247,17 +195,17 @@
   const onWhole = (): void => {
     const status = head?.status ?? 0;
     if (isFailure) {
-      report({ kind: 'serverFailed', status, passOn }, true);
+      report({ kind: 'serverFailed', status, passOn }, 'failed');
       return;
     }
     const problem = reader?.finish();
-    if (problem === undefined) report({ kind: 'answered', status }, false);
-    else report({ kind: 'lost', reason: problem }, true);
+    if (problem === undefined) report({ kind: 'answered', status }, 'answered');
+    else report({ kind: 'lost', reason: problem }, 'failed');
   };
 
   const onEnd = (end: ExchangeEnd): void => {
     if (decided !== undefined) {
-      report(decided, decided.kind === 'lost' ? true : undefined);
+      report(decided, decided.kind === 'lost' ? 'failed' : 'refused');
       return;
     }
     switch (end.kind) {
@@ -268,13 +216,13 @@
         if (to.kind === 'server' && abortedBy === undefined) {
           router.loads.noteUnreachable(to.server.serverId, clock.monotonicMs());
         }
-        report({ kind: 'neverSent', reason: end.reason }, undefined);
+        report({ kind: 'neverSent', reason: end.reason }, 'refused');
         return;
       case 'lost':
         // A request that ran out of time says nothing of its server, unless that was silent to all.
         report(
           { kind: 'lost', reason: end.reason },
-          end.cause === 'timeout' && !server.isSilent() ? undefined : true,
+          end.cause === 'timeout' && !destination.isSilent() ? 'untold' : 'failed',
         );
         return;
       default:
--- /dev/null
+++ b/src/core/pass-through/create-router.test.ts
@@ -0,0 +1,173 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createRouteTableStore } from '../host-routes';
+import type { RouteTable } from '../host-routes';
+import { createServerRegistry } from '../server-registry';
+import { createRouter } from './create-router';
+import { observeDestination } from './observe-destination';
+import type { ForwardPeer } from './other-regions';
+import type { InboundRequest, RequestPlan, TriedDestinations } from './types';
+
+const CHAT = 'chat';
+const TABLE: RouteTable = {
+  version: 1,
+  routes: [],
+  services: new Map([
+    [
+      CHAT,
+      {
+        name: CHAT,
+        maxConnections: 500,
+        coldStartMs: 0,
+        coldRequestsPerSecond: 0,
+        isModelService: true,
+      },
+    ],
+  ]),
+  limits: { headerBytes: 8_192, bodyBytes: 8_192, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+};
+const PLAN: RequestPlan = {
+  route: 'chat',
+  service: CHAT,
+  kind: 'stream',
+  isResumable: false,
+  priority: 1,
+  objectiveMs: 600,
+  maxAttempts: 1,
+  homeRegions: [],
+  routesVersion: 1,
+  deadlineAtMs: 1_000_000,
+  timeoutAtMs: 1_000_000,
+  isForwarded: false,
+};
+const REQUEST: InboundRequest = {
+  requestId: 'r',
+  method: 'POST',
+  path: '/chat/1',
+  headers: [],
+  body: new Uint8Array(),
+  receivedAtMs: 0,
+  lastEventId: undefined,
+  demand: { parts: [{ partId: 'own', tokens: 800 }], promptTokens: 800 },
+};
+const NOTHING_TRIED: TriedDestinations = { ids: new Set(), refusingRegions: new Set() };
+
+/** An instance of the north beside two of the south, with a server in each region. */
+function north(peers: readonly ForwardPeer[]) {
+  let nowMs = 0;
+  const routes = createRouteTableStore();
+  routes.offer(TABLE);
+  const servers = createServerRegistry({
+    regionOf: (domain) => domain.split('-')[0],
+    coldStartMs: () => 0,
+  });
+  const announce = (serverId: string, failureDomain: string): void =>
+    servers.put(
+      {
+        serverId,
+        service: CHAT,
+        address: `${serverId}:1`,
+        failureDomain,
+        slots: 64,
+        isDraining: false,
+        coldForMs: 0,
+        goneInMs: undefined,
+      },
+      nowMs,
+    );
+  const router = createRouter({
+    region: 'north',
+    routes,
+    servers,
+    pool: { hasRoom: () => true },
+    coldGate: { isOpen: () => true, noteSent() {}, keepOnly() {} },
+    peers: () => peers,
+    instancesInRegion: () => 1,
+    draw: () => 0,
+  });
+  const clock = { monotonicMs: () => nowMs };
+  return {
+    router,
+    servers,
+    announce,
+    choose: (tried = NOTHING_TRIED) => router.choose(REQUEST, PLAN, tried, nowMs),
+    observe: (to: Parameters<typeof observeDestination>[1]) =>
+      observeDestination({ clock, router, request: REQUEST, plan: PLAN }, to),
+    passMs(ms: number) {
+      nowMs += ms;
+    },
+  };
+}
+
+function peer(instanceId: string): ForwardPeer {
+  return { instanceId, region: 'south', forwardAddress: `${instanceId}:1`, inFlightRequests: 0 };
+}
+
+const SOUTH = [peer('b-1'), peer('b-2')];
+
+describe('a region that has lost its servers', () => {
+  // All servers of the north go down at once. What is known of the south is from before: it looks idle for a
+  // second or two, whatever is sent there. Without a bound all callers of the north are sent there, wait for a
+  // long round trip, and most are refused there.
+  it('sends the other one a few requests first, and more as their first bytes come', () => {
+    const region = north(SOUTH);
+    region.announce('s-1', 'south-a');
+    const firstByteAfterMs = 250;
+    const arrivalEveryMs = 10;
+    const waiting: { readonly dueAtMs: number; noteFirstByte(): void }[] = [];
+    const sentBySecond = [0, 0, 0];
+    for (let atMs = 0; atMs < 3_000; atMs += arrivalEveryMs) {
+      while ((waiting[0]?.dueAtMs ?? Infinity) <= atMs) waiting.shift()?.noteFirstByte();
+      const to = region.choose();
+      if (to.kind === 'peer') {
+        const { noteFirstByte } = region.observe(to);
+        waiting.push({ dueAtMs: atMs + firstByteAfterMs, noteFirstByte });
+        const second = Math.floor(atMs / 1_000);
+        sentBySecond[second] = (sentBySecond[second] ?? 0) + 1;
+      }
+      if (atMs < firstByteAfterMs) assert.ok(waiting.length <= 8, 'too many before any answer');
+      region.passMs(arrivalEveryMs);
+    }
+    const [first = 0, second = 0, third = 0] = sentBySecond;
+    assert.ok(first < 80, `${first} in the first second`);
+    assert.ok(second > 60, `${second} in the second one`);
+    assert.ok(third > 90, `${third} in the third one`);
+  });
+
+  // The south refuses a request for want of room. Its other instances look at the same servers, so asking them
+  // too only costs the caller another round trip.
+  it('does not ask its next instance after a refusal there', () => {
+    const region = north(SOUTH);
+    region.announce('s-1', 'south-a');
+    const first = region.choose();
+    assert.equal(first.kind, 'peer');
+    if (first.kind !== 'peer') return;
+    region.observe(first).noteEnd('refused');
+    const next = region.choose({
+      ids: new Set([first.peer.instanceId]),
+      refusingRegions: new Set([first.peer.region]),
+    });
+    assert.equal(next.kind, 'none');
+    assert.equal(region.choose().kind, 'peer', 'the next request is sent there');
+  });
+});
+
+describe('a server that has crashed and is still announced', () => {
+  // Each request that is sent to it costs a connection that cannot be made, and one of the few tries that a request
+  // has, while the other region could have served it at once.
+  it('is passed over for another region after the first connection that could not be made', () => {
+    const region = north(SOUTH);
+    region.announce('n-1', 'north-a');
+    region.announce('s-1', 'south-a');
+    assert.equal(region.choose().kind, 'server');
+    region.router.loads.noteUnreachable('n-1', 0);
+    assert.equal(region.choose().kind, 'peer');
+  });
+
+  it('is still tried where no other region helps', () => {
+    const region = north([]);
+    region.announce('n-1', 'north-a');
+    region.router.loads.noteUnreachable('n-1', 0);
+    assert.equal(region.choose().kind, 'server');
+  });
+});
--- a/src/core/pass-through/forwarding.ts
+++ b/src/core/pass-through/forwarding.ts
@@ -55,6 +55,11 @@
   };
 }
 
+/** Requests that servers treat alike. */
+export function alikeKey({ service, priority }: RequestPlan): string {
+  return `${service}/${priority}`;
+}
+
 /** Whether a request may be sent again after it may have run. */
 export function isRepeatable({ kind, isResumable }: RequestPlan): boolean {
   return kind === 'idempotent' || (kind === 'stream' && isResumable);
--- /dev/null
+++ b/src/core/pass-through/local-servers.ts
@@ -0,0 +1,154 @@
+import type { ConnectionPool } from '../exchanges';
+import type { RouteTableStore, RoutedService } from '../host-routes';
+import { chooseServer } from '../placement';
+import type {
+  Candidate,
+  PredictionCorrection,
+  PrefixCacheView,
+  ServerLoads,
+  ServicePaces,
+} from '../placement';
+import type { KnownServer, ServerRegistry } from '../server-registry';
+import type { ColdGate } from '../shared-budget';
+import { alikeKey } from './forwarding';
+import type { InboundRequest, RequestPlan, TriedDestinations } from './types';
+
+/** The best server of this region for a request, with what is expected of it. */
+export interface LocalChoice {
+  readonly server: KnownServer;
+  /** Predicted time to the first byte, corrected by earlier ones. */
+  readonly predictedMs: number;
+  /** The same before it was corrected. */
+  readonly rawPredictedMs: number;
+  /** Prompt tokens that it will probably have to read. */
+  readonly tokens: number;
+  readonly mostConnections: number;
+}
+
+/** What is known of the servers of this region for one request. */
+export interface LocalOutlook {
+  /** Best of those that can be reached, as far as is known; undefined where there is none. */
+  readonly best: LocalChoice | undefined;
+  /** Best of those to which no connection could be made just now. */
+  readonly suspected: LocalChoice | undefined;
+}
+
+/** Judges the servers of this region. */
+export interface LocalServers {
+  outlook(
+    request: InboundRequest,
+    plan: RequestPlan,
+    tried: TriedDestinations,
+    nowMs: number,
+  ): LocalOutlook;
+}
+
+/** What the servers are judged by. */
+export interface LocalServersOptions {
+  readonly region: string;
+  readonly routes: RouteTableStore;
+  readonly servers: ServerRegistry;
+  readonly pool: Pick<ConnectionPool, 'hasRoom'>;
+  readonly coldGate: ColdGate;
+  /** Instances of this region, this one included. */
+  readonly instancesInRegion: () => number;
+  readonly loads: ServerLoads;
+  readonly paces: ServicePaces;
+  readonly prefixes: PrefixCacheView;
+  readonly correction: PredictionCorrection;
+}
+
+/**
+ * Part of a server's connections that instances use: what they know of one another's number is seconds old,
+ * and a connection too many is reset.
+ */
+const CONNECTIONS_USED = 0.85;
+/** Where the routes do not say how many connections a server takes. */
+const CONNECTIONS_UNSTATED = 32;
+/** Part of the prompt that a server reads again although all instances prefer it for the request's shared parts. */
+const UNSURE_READ_SHARE = 0.3;
+/** Stands for a request that says nothing of what it asks of a model. */
+const NO_DEMAND = { parts: [], promptTokens: 0 };
+
+/** Judges servers by what has been seen of them from here. */
+export function createLocalServers(options: LocalServersOptions): LocalServers {
+  const { region, routes, servers, pool, coldGate, loads, paces, prefixes, correction } = options;
+
+  const mostConnections = (service: RoutedService | undefined): number => {
+    const all = service?.maxConnections ?? CONNECTIONS_UNSTATED;
+    const share = (all * CONNECTIONS_USED) / Math.max(1, options.instancesInRegion());
+    return Math.max(1, Math.floor(share));
+  };
+
+  const mayBeSentTo = (
+    server: KnownServer,
+    service: RoutedService | undefined,
+    nowMs: number,
+  ): boolean => {
+    if (!pool.hasRoom(server.address, mostConnections(service))) return false;
+    if (server.coldUntilMs <= nowMs) return true;
+    return coldGate.isOpen(server.serverId, service?.coldRequestsPerSecond ?? 0, nowMs);
+  };
+
+  const toCandidate = (
+    server: KnownServer,
+    request: InboundRequest,
+    plan: RequestPlan,
+    preferred: string | undefined,
+    nowMs: number,
+  ): Candidate => {
+    const { serverId, slots } = server;
+    const demand = request.demand ?? NO_DEMAND;
+    const unread = prefixes.uncachedTokens(serverId, demand);
+    const own = demand.parts.at(-1)?.tokens ?? 0;
+    const shared = Math.max(0, unread - own);
+    return {
+      serverId,
+      slots,
+      load: loads.load(serverId, nowMs),
+      pendingTokens: loads.pendingTokens(serverId),
+      uncachedTokens: serverId === preferred ? unread - shared * (1 - UNSURE_READ_SHARE) : unread,
+      delayMs: loads.delayMs(serverId, nowMs),
+      // A failed request is tried elsewhere at best, which takes about as long as it may.
+      failureCostMs: loads.failureShare(serverId, nowMs) * plan.objectiveMs,
+    };
+  };
+
+  const bestOf = (
+    among: readonly KnownServer[],
+    request: InboundRequest,
+    plan: RequestPlan,
+    nowMs: number,
+  ): LocalChoice | undefined => {
+    const ids = among.map((server) => server.serverId);
+    const preferred =
+      request.demand === undefined ? undefined : prefixes.preferred(ids, request.demand);
+    const candidates = among.map((server) => toCandidate(server, request, plan, preferred, nowMs));
+    const choice = chooseServer(candidates, paces.pace(plan.service));
+    const server = among.find(({ serverId }) => serverId === choice?.serverId);
+    if (choice === undefined || server === undefined) return undefined;
+    return {
+      server,
+      predictedMs: correction.correct(alikeKey(plan), choice.predictedMs),
+      rawPredictedMs: choice.predictedMs,
+      tokens: choice.uncachedTokens,
+      mostConnections: mostConnections(routes.current()?.table.services.get(plan.service)),
+    };
+  };
+
+  return {
+    outlook(request, plan, tried, nowMs) {
+      const mayServeHere = plan.homeRegions.length === 0 || plan.homeRegions.includes(region);
+      if (!mayServeHere) return { best: undefined, suspected: undefined };
+      const service = routes.current()?.table.services.get(plan.service);
+      const open = servers
+        .usable(plan.service, region)
+        .filter((server) => !tried.ids.has(server.serverId) && mayBeSentTo(server, service, nowMs));
+      const reachable = open.filter((server) => !loads.isBlocked(server.serverId, nowMs));
+      if (reachable.length > 0) {
+        return { best: bestOf(reachable, request, plan, nowMs), suspected: undefined };
+      }
+      return { best: undefined, suspected: bestOf(open, request, plan, nowMs) };
+    },
+  };
+}
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -4,10 +4,11 @@
 import type { RetryAllowance } from '../shared-budget';
 import type { StreamProgress } from './answer-reader';
 import { destinationName, startAttempt } from './attempt';
-import type { Attempt, AttemptResult, SendableDestination } from './attempt';
+import type { Attempt, AttemptResult } from './attempt';
 import type { Router } from './create-router';
 import { PASS_THROUGH_EVENTS } from './events';
 import { answerByMs, isRepeatable, requestFields } from './forwarding';
+import type { SendableDestination } from './observe-destination';
 import { watchForSilence } from './silence-watch';
 import type {
   ClientAnswer,
@@ -16,6 +17,7 @@
   Refusal,
   RefusalReason,
   RequestPlan,
+  TriedDestinations,
 } from './types';
 
 /** What serving needs. */
@@ -62,7 +64,9 @@
   answer: ClientAnswer,
 ): ServedHandle {
   const { clock, logger, router, retries } = needs;
-  const tried = new Set<string>();
+  const triedIds = new Set<string>();
+  const refusingRegions = new Set<string>();
+  const tried: TriedDestinations = { ids: triedIds, refusingRegions };
   const progress: StreamProgress = createProgress(request.lastEventId);
   const mayRepeat = isRepeatable(plan);
   let current: Attempt | undefined;
@@ -206,6 +210,7 @@
         return;
       case 'peerRefused':
         logFailure(attempt, 'the other instance refused the request');
+        if (attempt.to.kind === 'peer') refusingRegions.add(attempt.to.peer.region);
         afterPeerRefusal(result.hasNotRun);
         return;
       case 'serverFailed':
@@ -223,7 +228,7 @@
 
   const send = (to: SendableDestination): void => {
     attempts += 1;
-    tried.add(destinationName(to));
+    triedIds.add(destinationName(to));
     const predicted =
       to.kind === 'server'
         ? { predictedMs: Math.round(to.predictedMs), tokens: Math.round(to.tokens) }
--- a/src/core/pass-through/types.ts
+++ b/src/core/pass-through/types.ts
@@ -61,6 +61,14 @@
   readonly isForwarded: boolean;
 }
 
+/** What one request has been through, so that it is not sent there again. */
+export interface TriedDestinations {
+  /** Backend servers, and instances of other regions. */
+  readonly ids: ReadonlySet<string>;
+  /** Regions that refused it: their other instances would look at the same servers. */
+  readonly refusingRegions: ReadonlySet<string>;
+}
+
 /** Where an answer is written to. */
 export interface ClientAnswer {
   readonly headSent: boolean;
--- a/src/core/placement/choose-server.ts
+++ b/src/core/placement/choose-server.ts
@@ -1,7 +1,7 @@
 import type { Candidate, ServicePace } from './types';
 
 /**
- * Chooses the server with the least predicted time to its first byte.
+ * Chooses the server with the least predicted time to its first byte, failures weighed in.
  *
  * Answers uneven load on servers that batch requests and cache prompts: sending each request to the least
  * loaded server reads shared prompts again on all of them, and sending it to the one that holds the prompt
@@ -9,6 +9,9 @@
  * the number of servers, the second by a queue at one server beside idle ones. Waiting and reading again are
  * both time here, so they are weighed against one another in one unit. A fleet of tens of servers is looked
  * at whole: drawing two at random finds the one that holds a prompt only by luck.
+ *
+ * Failures count in the choice and not in the predicted time, by which requests are let in: where all servers fail
+ * a part of their requests, the others are served as fast as ever, and refusing them too would double the harm.
  */
 
 /** Share of a request's prefill by which it delays others that decode beside it; they run in one batch. */
@@ -22,19 +25,21 @@
 
 /** Predicted time to the first byte at a server, ms. */
 export function predictFirstByteMs(candidate: Candidate, pace: ServicePace): number {
-  const { slots, load, pendingTokens, uncachedTokens, penaltyMs } = candidate;
+  const { slots, load, pendingTokens, uncachedTokens, delayMs } = candidate;
   const waiting = Math.max(0, load + 1 - slots);
   const waitMs = (waiting * pace.slotTimeMs) / Math.max(1, slots);
   const crowdingMs =
     (Math.min(load, slots) / Math.max(1, slots)) * pace.slotTimeMs * CROWDING_SHARE;
   const prefillMs = (uncachedTokens + pendingTokens * PENDING_WEIGHT) * pace.prefillMsPerToken;
-  return waitMs + crowdingMs + prefillMs + penaltyMs;
+  return waitMs + crowdingMs + prefillMs + delayMs;
 }
 
 /** A server with what it is expected to take. */
 export interface ServerChoice {
   readonly serverId: string;
   readonly predictedMs: number;
+  /** Prompt tokens that it will probably have to read. */
+  readonly uncachedTokens: number;
 }
 
 /** The best of the candidates; undefined where there are none. */
@@ -43,10 +48,14 @@
   pace: ServicePace,
 ): ServerChoice | undefined {
   let best: ServerChoice | undefined;
+  let leastCostMs = Infinity;
   for (const candidate of candidates) {
     const predictedMs = predictFirstByteMs(candidate, pace);
-    if (best === undefined || predictedMs < best.predictedMs) {
-      best = { serverId: candidate.serverId, predictedMs };
+    const costMs = predictedMs + candidate.failureCostMs;
+    if (costMs < leastCostMs) {
+      const { serverId, uncachedTokens } = candidate;
+      best = { serverId, predictedMs, uncachedTokens };
+      leastCostMs = costMs;
     }
   }
   return best;
--- a/src/core/placement/server-load.ts
+++ b/src/core/placement/server-load.ts
@@ -39,8 +39,10 @@
   load(serverId: string, nowMs: number): number;
   pendingTokens(serverId: string): number;
   ownInFlight(serverId: string): number;
-  /** Time that failures, silence and slowness there cost lately, ms. */
-  penaltyMs(serverId: string, failureCostMs: number, nowMs: number): number;
+  /** Time by which silence and slowness there will probably delay a first byte, ms. */
+  delayMs(serverId: string, nowMs: number): number;
+  /** Part of the requests there that failed lately, from 0 to 1. */
+  failureShare(serverId: string, nowMs: number): number;
   isBlocked(serverId: string, nowMs: number): boolean;
   /** Time since anything came from a server that owes first bytes, ms; 0 where it owes none. */
   silentMs(serverId: string, nowMs: number): number;
@@ -166,6 +168,8 @@
     },
     noteUnreachable(serverId, nowMs) {
       const load = at(serverId, nowMs);
+      // Requests that were sent together fail together, which says no more than one failure.
+      if (load.blockedUntilMs > nowMs) return;
       const restMs = Math.min(LONGEST_BLOCK_MS, FIRST_BLOCK_MS * 2 ** load.connectFailures);
       load.blockedUntilMs = nowMs + restMs;
       load.connectFailures += 1;
@@ -178,12 +182,15 @@
     },
     pendingTokens: (serverId) => loads.get(serverId)?.pendingTokens ?? 0,
     ownInFlight: (serverId) => loads.get(serverId)?.ownInFlight ?? 0,
-    penaltyMs(serverId, failureCostMs, nowMs) {
+    delayMs(serverId, nowMs) {
       const load = loads.get(serverId);
       if (load === undefined) return 0;
-      const factor = left(load, nowMs);
       const silenceMs = Math.max(0, silentMs(serverId, nowMs) - SILENCE_ALLOWED_MS);
-      return (load.failureShare * failureCostMs + load.latenessMs) * factor + silenceMs;
+      return load.latenessMs * left(load, nowMs) + silenceMs;
+    },
+    failureShare(serverId, nowMs) {
+      const load = loads.get(serverId);
+      return load === undefined ? 0 : load.failureShare * left(load, nowMs);
     },
     isBlocked: (serverId, nowMs) => (loads.get(serverId)?.blockedUntilMs ?? 0) > nowMs,
     silentMs,
--- a/src/core/placement/types.ts
+++ b/src/core/placement/types.ts
@@ -28,8 +28,10 @@
   readonly pendingTokens: number;
   /** Prompt tokens of this request that are not in its cache, as estimated. */
   readonly uncachedTokens: number;
-  /** Time that failures, silence and slowness there have lately cost, ms. */
-  readonly penaltyMs: number;
+  /** Time by which silence and slowness there will probably delay a first byte, ms. */
+  readonly delayMs: number;
+  /** Time that failures there would cost on average, ms; they make a server worse, not slower. */
+  readonly failureCostMs: number;
 }
 
 /** How fast the servers of a service are, as measured here. */
