Ask servers whether they are cold while the store is not followed

The operator's request is never seen, the servers are cold at its end, and the instances go on at the usual rate, 12 requests in a second where 6.4 are borne.

Now a request waits for the server's own answer to a health check while the store is not followed, and for as long after as a server stays cold. An instance that has just started does so too, since it does not know what it missed.

The field that told whether a service runs models was used by nothing and is gone.

--- a/src/core/host-routes/types.ts
+++ b/src/core/host-routes/types.ts
@@ -45,8 +45,8 @@
   readonly coldStartMs: number;
   /** Requests a second that a cold backend server bears from all instances together; 0 where unlimited. */
   readonly coldRequestsPerSecond: number;
-  /** Whether its backend servers batch requests of a model and cache prompt prefixes. */
-  readonly isModelService: boolean;
+  /** Path of the health check of its backend servers. */
+  readonly healthPath: string;
 }
 
 /** What a client may send, and how slowly. */
--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -8,7 +8,9 @@
 import { headerText, judgeAnswer } from './judge-answer';
 import { observeDestination } from './observe-destination';
 import type { ObservedEnd, SendableDestination } from './observe-destination';
+import { sendWhenWarm } from './send-when-warm';
 import type { ClientAnswer, HeaderDialect, InboundRequest, RequestPlan } from './types';
+import type { WarmCheck } from './warm-check';
 
 /** What came of one try. */
 export type AttemptResult =
@@ -45,6 +47,7 @@
   readonly dialect: HeaderDialect;
   readonly pool: ConnectionPool;
   readonly router: Router;
+  readonly warmCheck: WarmCheck;
   readonly request: InboundRequest;
   readonly plan: RequestPlan;
   readonly to: SendableDestination;
@@ -231,21 +234,31 @@
   };
 
   const isServer = to.kind === 'server';
-  exchange = pool.send(
-    isServer ? to.server.address : to.peer.forwardAddress,
-    {
-      mostConnections: isServer ? to.mostConnections : PEER_MOST_CONNECTIONS,
-      connectTimeoutMs: isServer ? CONNECT_TIMEOUT_MS : PEER_CONNECT_TIMEOUT_MS,
-      mostIdleMs: plan.kind === 'nonIdempotent' ? TRUSTED_IDLE_MS : ANY_IDLE_MS,
-    },
-    {
-      method: request.method,
-      path: request.path,
-      headers: headersFor(options, sentAtMs),
-      body: request.body,
-    },
-    { onHead, onData, onEnd },
-  );
+  const send = (): Exchange | undefined =>
+    pool.send(
+      isServer ? to.server.address : to.peer.forwardAddress,
+      {
+        mostConnections: isServer ? to.mostConnections : PEER_MOST_CONNECTIONS,
+        connectTimeoutMs: isServer ? CONNECT_TIMEOUT_MS : PEER_CONNECT_TIMEOUT_MS,
+        mostIdleMs: plan.kind === 'nonIdempotent' ? TRUSTED_IDLE_MS : ANY_IDLE_MS,
+      },
+      {
+        method: request.method,
+        path: request.path,
+        headers: headersFor(options, clock.monotonicMs()),
+        body: request.body,
+      },
+      { onHead, onData, onEnd },
+    );
+  if (isServer) {
+    const onCold = () => report({ kind: 'neverSent', reason: 'the server is cold' }, 'untold');
+    const { server, mostConnections } = to;
+    const check = options.warmCheck;
+    exchange = sendWhenWarm({ check, server, mostConnections, send, onEnd, onCold });
+  } else {
+    exchange = send();
+    if (exchange === undefined) onEnd({ kind: 'neverSent', reason: 'no connection is free' });
+  }
   const attempt: Attempt = {
     to,
     sentAtMs,
@@ -256,6 +269,5 @@
     lastByteAtMs: () => lastByteAtMs,
     firstByteAtMs: () => firstByteAtMs,
   };
-  if (exchange === undefined) onEnd({ kind: 'neverSent', reason: 'no connection is free' });
   return attempt;
 }
--- a/src/core/pass-through/create-router.test.ts
+++ b/src/core/pass-through/create-router.test.ts
@@ -20,7 +20,7 @@
         maxConnections: 500,
         coldStartMs: 0,
         coldRequestsPerSecond: 0,
-        isModelService: true,
+        healthPath: '/health',
       },
     ],
   ]),
--- a/src/core/pass-through/index.ts
+++ b/src/core/pass-through/index.ts
@@ -7,3 +7,4 @@
 export type { ForwardPeer } from './other-regions';
 export type { ServeDependencies, ServedRequest } from './serve-request';
 export type { HeaderDialect } from './types';
+export { createWarmCheck } from './warm-check';
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -19,6 +19,7 @@
   RequestPlan,
   TriedDestinations,
 } from './types';
+import type { WarmCheck } from './warm-check';
 
 /** What serving needs. */
 export interface ServeDependencies {
@@ -27,6 +28,7 @@
   readonly dialect: HeaderDialect;
   readonly pool: ConnectionPool;
   readonly router: Router;
+  readonly warmCheck: WarmCheck;
   readonly retries: RetryAllowance;
   /** Another server has answered at the address of this one. */
   readonly onReplaced: (serverId: string) => void;
--- a/src/core/pass-through/types.ts
+++ b/src/core/pass-through/types.ts
@@ -18,6 +18,8 @@
   readonly priority: string;
   /** A backend server's load. */
   readonly load: string;
+  /** Time for which a backend server is still cold, ms, in its answers to health checks. */
+  readonly coldForMs: string;
   /** Set by this system alone; dropped where a caller sends them. */
   readonly systemOnly: ReadonlySet<string>;
   /** What a request asks of a model; undefined where it does not say. */
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -11,7 +11,7 @@
 import type { MemberState } from '../membership';
 import { createMetrics } from '../metrics';
 import type { Metrics } from '../metrics';
-import { createRouter, openIngress } from '../pass-through';
+import { createRouter, createWarmCheck, openIngress } from '../pass-through';
 import type { ForwardPeer, HeaderDialect, Ingress, ServedRequest } from '../pass-through';
 import {
   channelCredentials,
@@ -194,6 +194,14 @@
     dialect,
     pool,
     router,
+    warmCheck: createWarmCheck({
+      clock,
+      dialect,
+      pool,
+      routes,
+      servers,
+      followedSinceMs: sync.followedSinceMs,
+    }),
     retries,
     onReplaced: servers.noteReplaced,
     onDone: noteDone,
--- a/src/core/server-registry/create-server-registry.ts
+++ b/src/core/server-registry/create-server-registry.ts
@@ -15,6 +15,8 @@
   all(): readonly KnownServer[];
   /** Servers of a service in a region that may be given new work. */
   usable(service: string, region: string): readonly KnownServer[];
+  /** Notes that a server has said of itself that it is cold. */
+  noteCold(serverId: string, coldUntilMs: number): void;
   /** Notes that another server has answered at a server's address: the one that was there has gone for good. */
   noteReplaced(serverId: string): void;
 }
@@ -97,6 +99,10 @@
       usableByPlace ??= index();
       return usableByPlace.get(place(service, region)) ?? [];
     },
+    noteCold(serverId, coldUntilMs) {
+      const server = servers.get(serverId);
+      if (server !== undefined) set({ ...server, coldUntilMs });
+    },
     noteReplaced(serverId) {
       const server = servers.get(serverId);
       if (server !== undefined) set({ ...server, isDraining: true });
--- a/src/core/state-sync/create-state-sync.ts
+++ b/src/core/state-sync/create-state-sync.ts
@@ -31,8 +31,10 @@
   start(): void;
   /** Everything that is held here, for another instance that cannot reach the source. */
   snapshot(): PublishedState;
-  /** Monotonic time of the last answer of the source; undefined before the first. */
-  lastAnswerAtMs(): number | undefined;
+  /**
+   * Monotonic time since which every change of what is published has been seen; undefined while changes may be missed.
+   */
+  followedSinceMs(): number | undefined;
 }
 
 /** First rest after a failed call; doubles up to the longest. Short, since changes are due within seconds. */
@@ -44,6 +46,8 @@
  * be well within the seconds in which a change has to be in force.
  */
 const WATCH_WAIT_MS = 2_500;
+/** Time beyond its wait after which a watch is overdue: a round trip of the longest links, ms. */
+const OVERDUE_AFTER_MS = 250;
 /** Wait of a watch that only has to show whether the source answers again. */
 const DOUBT_WAIT_MS = 100;
 /** Calls that fail in a row before an operator is told: one lost connection is no outage. */
@@ -64,7 +68,8 @@
   const announcements = new Map<string, ServerItem>();
   let revision: number | undefined;
   let failures = 0;
-  let lastAnswerAtMs: number | undefined;
+  let lastAnswerAtMs = -Infinity;
+  let followedSinceMs: number | undefined;
   let regainedAtMs = -Infinity;
   let isAskingPeer = false;
   const deferred = new Set<Disposable>();
@@ -188,6 +193,7 @@
     if (failures > 0) regainedAtMs = clock.monotonicMs();
     if (failures >= FAILURES_TO_TELL) logger.event(STATE_SYNC_EVENTS.sourceRegained);
     failures = 0;
+    followedSinceMs ??= clock.monotonicMs();
   };
 
   const readAgain = async (): Promise<void> => {
@@ -204,6 +210,7 @@
     noteAnswer();
     if (news.kind === 'historyGone') {
       revision = undefined;
+      followedSinceMs = undefined;
       return;
     }
     report(news.unreadable);
@@ -228,6 +235,7 @@
 
   const noteFailure = async (error: unknown): Promise<void> => {
     failures += 1;
+    followedSinceMs = undefined;
     if (failures === FAILURES_TO_TELL) {
       logger.event(STATE_SYNC_EVENTS.sourceLost, { reason: errorText(error) });
     }
@@ -272,7 +280,10 @@
       ],
       unreadable: [],
     }),
-    lastAnswerAtMs: () => lastAnswerAtMs,
+    followedSinceMs() {
+      const isOverdue = clock.monotonicMs() - lastAnswerAtMs > WATCH_WAIT_MS + OVERDUE_AFTER_MS;
+      return isOverdue ? undefined : followedSinceMs;
+    },
     async [Symbol.asyncDispose]() {
       stopping.abort();
       for (const timer of deferred) timer[Symbol.dispose]();
--- a/src/core/state-sync/snapshot-message.ts
+++ b/src/core/state-sync/snapshot-message.ts
@@ -25,7 +25,7 @@
   maxConnections: z.number(),
   coldStartMs: z.number(),
   coldRequestsPerSecond: z.number(),
-  isModelService: z.boolean(),
+  healthPath: z.string(),
 });
 
 const tableSchema = z.object({
--- a/src/core/state-sync/state-sync.test.ts
+++ b/src/core/state-sync/state-sync.test.ts
@@ -214,7 +214,7 @@
       maxConnections: 3,
       coldStartMs: 1,
       coldRequestsPerSecond: 2,
-      isModelService: true,
+      healthPath: '/health',
     };
     const table: PublishedItem = {
       kind: 'routes',
