Write log lines through a socket that never blocks, and count those that are lost

Cause: the runtime's writes to a pipe wait for its reader, so a collector of logs that hangs stops the instance with all requests. Shown by the new test on the code before (it does not come to its end: the program never says "through").

Lines wait in memory for a slow reader now, half a MiB for all and up to one MiB for lines about failures; others are left out and counted in an event of their own (4301).

--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -5,6 +5,7 @@
 import { ENGINE_ORDER_EVENTS } from '../engine-orders/events';
 import { HTTP_EDGE_EVENTS } from '../http-edge/events';
 import { LOAD_CONTROL_EVENTS } from '../load-control/events';
+import { LOG_FLOW_EVENTS } from '../log-flow/events';
 import { MEMBERSHIP_EVENTS } from '../membership/events';
 import { NODE_EVENTS } from '../node/events';
 import { OUTLIER_EVENTS } from '../outliers/events';
@@ -49,6 +50,7 @@
   STATE_SYNC_EVENTS,
   PASS_THROUGH_EVENTS,
   RELAY_NODE_EVENTS,
+  LOG_FLOW_EVENTS,
 ]
   .flatMap((events): EventDefinition[] => Object.values(events))
   .sort((left, right) => left.id - right.id);
--- a/src/runtime/batching-stream.ts
+++ b/src/runtime/batching-stream.ts
@@ -1,4 +1,5 @@
 import { Writable } from 'node:stream';
+import type { TextSink } from './standard-output';
 
 /** How long a line may wait for others, ms; what a crash can lose at the most. */
 const LONGEST_WAIT_MS = 10;
@@ -9,23 +10,27 @@
 /**
  * Gathers small writes into few large ones.
  *
- * Writing to a pipe blocks the process, and under load each request writes several log lines: one system
- * call a line was a sixth of the processor time of a short request. What is still waiting when the process
- * exits is written then.
+ * Under load each request writes several log lines: one system call a line was a sixth of the processor time of a
+ * short request. What is still waiting when the process exits is written then.
  */
-export function createBatchingStream(write: (text: string) => void): Writable {
+export function createBatchingStream(sink: Pick<TextSink, 'write' | 'writeAtExit'>): Writable {
   let waiting = '';
   let timer: NodeJS.Timeout | undefined;
 
-  const flush = () => {
+  const takeWaiting = (): string => {
     clearTimeout(timer);
     timer = undefined;
     const text = waiting;
     waiting = '';
-    if (text !== '') write(text);
+    return text;
   };
+  const flush = (): void => {
+    const text = takeWaiting();
+    if (text !== '') sink.write(text);
+  };
+  const flushAtExit = (): void => sink.writeAtExit(takeWaiting());
 
-  process.on('exit', flush);
+  process.on('exit', flushAtExit);
   return new Writable({
     decodeStrings: false,
     write(chunk: string | Buffer, _encoding, callback) {
@@ -35,7 +40,7 @@
       callback();
     },
     final(callback) {
-      process.off('exit', flush);
+      process.off('exit', flushAtExit);
       flush();
       callback();
     },
