Keep connections to other regions ready, and prefer those that stand

Ruled out: waiting at the listener there (the ways that used a kept connection took 62 ms).

Each instance opens three connections to two instances of each other region as soon as it knows them, and a request goes to an instance to which a connection stands. Requests that may not be repeated use such a connection too.

--- a/src/core/exchanges/connection-pool.ts
+++ b/src/core/exchanges/connection-pool.ts
@@ -15,6 +15,8 @@
 export interface ConnectionPool extends Disposable {
   /** Whether a request can be sent to the address without more connections than it may have. */
   hasRoom(address: string, mostConnections: number): boolean;
+  /** Whether a kept connection to the address can be used at once. */
+  hasIdle(address: string, mostIdleMs: number): boolean;
   /** Sends on the connection that was used last, or on a new one; undefined where there is no room. */
   send(
     address: string,
@@ -89,6 +91,10 @@
 
   return {
     hasRoom,
+    hasIdle(address, mostIdleMs) {
+      const connections = byAddress.get(address);
+      return connections !== undefined && findIdle(connections, mostIdleMs) !== undefined;
+    },
     send(address, options, request, listener) {
       const connections = connectionsTo(address);
       const idle = findIdle(connections, options.mostIdleMs);
--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -8,6 +8,7 @@
 import { headerText, judgeAnswer } from './judge-answer';
 import { observeDestination } from './observe-destination';
 import type { ObservedEnd, SendableDestination } from './observe-destination';
+import { PEER_IDLE_MS } from './other-regions';
 import { sendWhenWarm } from './send-when-warm';
 import type { ClientAnswer, HeaderDialect, InboundRequest, RequestPlan } from './types';
 import type { WarmCheck } from './warm-check';
@@ -66,8 +67,13 @@
 const PEER_CONNECT_TIMEOUT_MS = 800;
 /** Connections to one other instance: as many requests as its region is likely to take from here at once. */
 const PEER_MOST_CONNECTIONS = 128;
-/** Idle time within which a kept connection is trusted with a request that may not be repeated. */
+/** Idle time within which a kept connection to a server is trusted with a request that may not be repeated. */
 const TRUSTED_IDLE_MS = 1_500;
+/**
+ * The same for one to another instance, which does not close it before a minute is over. One that has gone silent is
+ * found by TCP's probes within some ten seconds.
+ */
+const PEER_TRUSTED_IDLE_MS = 12_000;
 /** Idle time within which a kept connection is used for anything else; the pool closes it before. */
 const ANY_IDLE_MS = 60_000;
 /** Lowest urgency that backend servers know. */
@@ -83,6 +89,11 @@
   return kind === 'stream' && status === 200 && type.startsWith('text/event-stream');
 }
 
+function mostIdleMs({ plan, to }: AttemptOptions): number {
+  if (plan.kind !== 'nonIdempotent') return to.kind === 'server' ? ANY_IDLE_MS : PEER_IDLE_MS;
+  return to.kind === 'server' ? TRUSTED_IDLE_MS : PEER_TRUSTED_IDLE_MS;
+}
+
 function headersFor(options: AttemptOptions, nowMs: number): readonly string[] {
   const { dialect, request, plan, to, progress, attemptsLeft } = options;
   const leftMs = Math.max(1, Math.floor(answerByMs(plan) - nowMs));
@@ -240,7 +251,7 @@
       {
         mostConnections: isServer ? to.mostConnections : PEER_MOST_CONNECTIONS,
         connectTimeoutMs: isServer ? CONNECT_TIMEOUT_MS : PEER_CONNECT_TIMEOUT_MS,
-        mostIdleMs: plan.kind === 'nonIdempotent' ? TRUSTED_IDLE_MS : ANY_IDLE_MS,
+        mostIdleMs: mostIdleMs(options),
       },
       {
         method: request.method,
--- a/src/core/pass-through/create-router.test.ts
+++ b/src/core/pass-through/create-router.test.ts
@@ -79,7 +79,7 @@
     region: 'north',
     routes,
     servers,
-    pool: { hasRoom: () => true },
+    pool: { hasRoom: () => true, hasIdle: () => false },
     coldGate: { isOpen: () => true, noteSent() {}, keepOnly() {} },
     peers: () => peers,
     instancesInRegion: () => 1,
--- a/src/core/pass-through/index.ts
+++ b/src/core/pass-through/index.ts
@@ -4,6 +4,8 @@
 export { PASS_THROUGH_EVENTS } from './events';
 export { openIngress } from './open-ingress';
 export type { Ingress } from './open-ingress';
+export { createReadyConnections } from './ready-connections';
+export type { ReadyConnections } from './ready-connections';
 export type { ForwardPeer } from './other-regions';
 export type { ServeDependencies, ServedRequest } from './serve-request';
 export type { HeaderDialect } from './types';
--- a/src/core/pass-through/open-ingress.ts
+++ b/src/core/pass-through/open-ingress.ts
@@ -49,7 +49,7 @@
 /** Largest header section that is read at all; the routes' own limit is checked on top. */
 const MOST_HEADER_BYTES = 131_072;
 /** How long another instance may keep a connection idle: longer than gaps between bursts. */
-const PEER_IDLE_MS = 60_000;
+const PEER_KEPT_MS = 60_000;
 /** Idle time of callers' connections until the routes say otherwise. */
 const FIRST_IDLE_MS = 15_000;
 /** Deadline of a request that states none, and the longest that one may state. */
@@ -261,7 +261,7 @@
   server.requestTimeout = 0;
   const applyLimits = () => {
     const limits = routes.current()?.table.limits;
-    server.keepAliveTimeout = isForPeer ? PEER_IDLE_MS : (limits?.idleTimeoutMs ?? FIRST_IDLE_MS);
+    server.keepAliveTimeout = isForPeer ? PEER_KEPT_MS : (limits?.idleTimeoutMs ?? FIRST_IDLE_MS);
     if (limits !== undefined) server.headersTimeout = limits.headerTimeoutMs;
   };
   applyLimits();
--- a/src/core/pass-through/other-regions.ts
+++ b/src/core/pass-through/other-regions.ts
@@ -1,3 +1,4 @@
+import type { ConnectionPool } from '../exchanges';
 import type { RegionOption, SpillWindows } from '../placement';
 import type { ServerRegistry } from '../server-registry';
 import type { RequestPlan, TriedDestinations } from './types';
@@ -17,7 +18,10 @@
   withServers(plan: RequestPlan): readonly string[];
   /** Those of them that may be sent more now. */
   options(plan: RequestPlan, tried: TriedDestinations): readonly RegionOption[];
-  /** One instance there that has not been tried; undefined where there is none. */
+  /**
+   * One instance there that has not been tried, best one to which a connection stands: making one takes two more ways
+   * over the long link. Undefined where there is none.
+   */
   pickPeer(region: string, tried: TriedDestinations): ForwardPeer | undefined;
 }
 
@@ -27,15 +31,22 @@
   readonly region: string;
   readonly servers: ServerRegistry;
   readonly windows: SpillWindows;
+  readonly pool: Pick<ConnectionPool, 'hasIdle'>;
   /** Other instances that may be given work. */
   readonly peers: () => readonly ForwardPeer[];
   /** A number from 0 up to 1. */
   readonly draw: () => number;
 }
 
+/**
+ * Idle time within which a kept connection to an instance is used, ms. Instances close theirs after a minute, and TCP
+ * probes them from the first second on, so that one that has gone silent is closed within some ten.
+ */
+export const PEER_IDLE_MS = 45_000;
+
 /** Judges other regions by what their instances tell and how they answer. */
 export function createOtherRegions(options: OtherRegionsOptions): OtherRegions {
-  const { region, servers, windows, draw } = options;
+  const { region, servers, windows, pool, draw } = options;
 
   const mayBeThere = ({ homeRegions }: RequestPlan, other: string): boolean =>
     homeRegions.length === 0 || homeRegions.includes(other);
@@ -72,7 +83,9 @@
       const peers = options
         .peers()
         .filter((peer) => peer.region === inRegion && !tried.ids.has(peer.instanceId));
-      return peers[Math.floor(draw() * peers.length)];
+      const connected = peers.filter((peer) => pool.hasIdle(peer.forwardAddress, PEER_IDLE_MS));
+      const among = connected.length > 0 ? connected : peers;
+      return among[Math.floor(draw() * among.length)];
     },
   };
 }
--- /dev/null
+++ b/src/core/pass-through/ready-connections.test.ts
@@ -0,0 +1,52 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import type { ForwardPeer } from './other-regions';
+import { createReadyConnections } from './ready-connections';
+
+function peersOf(region: string, count: number): ForwardPeer[] {
+  return Array.from({ length: count }, (_unused, index) => ({
+    instanceId: `${region}-${index}`,
+    region,
+    forwardAddress: `${region}-${index}:1`,
+    inFlightRequests: 0,
+  }));
+}
+
+/** Counts the connections that an instance of the north makes. */
+function opened(peers: readonly ForwardPeer[]): Map<string, number> {
+  const counts = new Map<string, number>();
+  const connections = createReadyConnections({
+    selfId: 'north-0',
+    region: 'north',
+    peers: () => peers,
+    path: '/here',
+    pool: {
+      count: (address) => counts.get(address) ?? 0,
+      send(address) {
+        counts.set(address, (counts.get(address) ?? 0) + 1);
+        return undefined;
+      },
+    },
+  });
+  connections.refill();
+  connections.refill();
+  return counts;
+}
+
+// A peak begins, and the first requests that leave the region each wait for a connection to be made over the long link
+// before they can even be sent. Callers of that region miss their objective although the other one is idle.
+describe('connections to other regions', () => {
+  const cases = [
+    { name: 'are kept to both instances of a small region', south: 2, expected: 6 },
+    { name: 'are kept to the one instance of a region', south: 1, expected: 3 },
+    { name: 'do not grow with the fleet', south: 40, expected: 6 },
+    { name: 'are none where there is no other region', south: 0, expected: 0 },
+  ];
+  for (const { name, south, expected } of cases) {
+    it(name, () => {
+      const counts = opened([...peersOf('north', 5), ...peersOf('south', south)]);
+      const total = [...counts.values()].reduce((sum, count) => sum + count, 0);
+      assert.equal(total, expected);
+    });
+  }
+});
--- a/src/core/relay-node/fetch-peer-state.ts
+++ b/src/core/relay-node/fetch-peer-state.ts
@@ -9,6 +9,9 @@
 /** Path on the listener for other instances under which published state is handed out. */
 export const STATE_PATH = '/state';
 
+/** Path on the same listener that answers at once, whatever the state. */
+export const HERE_PATH = '/here';
+
 /** Time for an instance of another region to answer, ms. */
 const ANSWER_TIMEOUT_MS = 1_000;
 
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -11,7 +11,12 @@
 import type { MemberState } from '../membership';
 import { createMetrics } from '../metrics';
 import type { Metrics } from '../metrics';
-import { createRouter, createWarmCheck, openIngress } from '../pass-through';
+import {
+  createReadyConnections,
+  createRouter,
+  createWarmCheck,
+  openIngress,
+} from '../pass-through';
 import type { ForwardPeer, HeaderDialect, Ingress, ServedRequest } from '../pass-through';
 import {
   channelCredentials,
@@ -27,7 +32,7 @@
 import { createStateSync, writeSnapshot } from '../state-sync';
 import type { StateSource } from '../state-sync';
 import { RELAY_NODE_EVENTS } from './events';
-import { STATE_PATH, fetchPeerState } from './fetch-peer-state';
+import { HERE_PATH, STATE_PATH, fetchPeerState } from './fetch-peer-state';
 import { planStop } from './plan-stop';
 import type { RelaySettings } from './settings';
 
@@ -61,6 +66,8 @@
 const STOP_LOOK_MS = 50;
 /** Rest between two rounds of forgetting servers that have gone, ms. */
 const FORGET_EVERY_MS = 5_000;
+/** Rest between two looks at the connections to other regions: an instance that comes back is met within it, ms. */
+const REFILL_EVERY_MS = 500;
 
 function hostOf(address: string): string {
   return address.slice(0, address.lastIndexOf(':'));
@@ -242,7 +249,10 @@
       ...shared,
       ...listeners.forwarding,
       from: 'peers',
-      documents: new Map([[STATE_PATH, () => writeSnapshot(sync.snapshot())]]),
+      documents: new Map([
+        [STATE_PATH, () => writeSnapshot(sync.snapshot())],
+        [HERE_PATH, () => '{}'],
+      ]),
     }),
   );
   const ingress = owned.add(
@@ -261,9 +271,24 @@
     }
   };
 
+  const readyConnections = createReadyConnections({
+    selfId: instanceId,
+    region,
+    pool,
+    peers,
+    path: HERE_PATH,
+  });
+  const keepConnectionsReady = async (): Promise<void> => {
+    while (!upkeep.signal.aborted) {
+      readyConnections.refill();
+      await sleepUntil(clock, nowMs() + REFILL_EVERY_MS, upkeep.signal);
+    }
+  };
+
   membership.start();
   sync.start();
   void runUpkeep();
+  void keepConnectionsReady();
   logger.event(RELAY_NODE_EVENTS.started, {
     callerAddress,
     peerAddress,
