--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -2,7 +2,6 @@
   chooseRegion,
   createPredictionCorrection,
   createPrefixCacheView,
-  createRegionPaces,
   createReturnSchedule,
   createServerLoads,
   createServicePaces,
@@ -11,7 +10,6 @@
 import type {
   PredictionCorrection,
   PrefixCacheView,
-  RegionPaces,
   ServerLoads,
   ServicePaces,
   SpillWindows,
@@ -26,12 +24,7 @@
 /** Where a request goes next. */
 export type Destination =
   | ({ readonly kind: 'server' } & LocalChoice)
-  | {
-      readonly kind: 'peer';
-      readonly peer: ForwardPeer;
-      /** Time that reading its prompt will probably take there, ms. */
-      readonly prefillMs: number;
-    }
+  | { readonly kind: 'peer'; readonly peer: ForwardPeer }
   | {
       readonly kind: 'none';
       readonly reason: 'noServer' | 'overloaded';
@@ -51,8 +44,6 @@
   readonly prefixes: PrefixCacheView;
   readonly correction: PredictionCorrection;
   readonly spillWindows: SpillWindows;
-  readonly regionPaces: RegionPaces;
-  readonly regionPrefixes: PrefixCacheView;
   /** Forgets servers that have gone. */
   forgetGone(): void;
 }
@@ -62,7 +53,7 @@
   LocalServersOptions,
   'loads' | 'paces' | 'prefixes' | 'correction'
 > &
-  Omit<OtherRegionsOptions, 'windows' | 'paces' | 'regionPaces' | 'regionPrefixes'>;
+  Omit<OtherRegionsOptions, 'windows'>;
 
 /**
  * Multiple of the latency objective that a request may be predicted to wait. Servers that are given more than
@@ -86,34 +77,21 @@
   const prefixes = createPrefixCacheView();
   const correction = createPredictionCorrection();
   const spillWindows = createSpillWindows();
-  const regionPaces = createRegionPaces();
-  const regionPrefixes = createPrefixCacheView();
   const returns = createReturnSchedule(LONGEST_RETRY_MS);
   const here = createLocalServers({ ...options, loads, paces, prefixes, correction });
-  const elsewhere = createOtherRegions({
-    ...options,
-    windows: spillWindows,
-    paces,
-    regionPaces,
-    regionPrefixes,
-  });
+  const elsewhere = createOtherRegions({ ...options, windows: spillWindows });
 
   /** An instance of another region, where the request is better served there. */
   const chooseElsewhere = (
-    request: InboundRequest,
     plan: RequestPlan,
     localMs: number | undefined,
     tried: TriedDestinations,
-    nowMs: number,
-  ): Destination | undefined => {
+  ): ForwardPeer | undefined => {
     // A request goes to another region once at most, so that it cannot circle.
     if (plan.isForwarded) return undefined;
-    const others = elsewhere.options(request, plan, tried, nowMs);
+    const others = elsewhere.options(plan, tried);
     const where = chooseRegion({ localMs, objectiveMs: plan.objectiveMs, others });
-    if (where.kind !== 'remote') return undefined;
-    const peer = elsewhere.pickPeer(where.region, tried);
-    if (peer === undefined) return undefined;
-    return { kind: 'peer', peer, prefillMs: elsewhere.prefillMs(where.region, request, plan) };
+    return where.kind === 'remote' ? elsewhere.pickPeer(where.region, tried) : undefined;
   };
 
   const refuse = (
@@ -141,12 +119,10 @@
     prefixes,
     correction,
     spillWindows,
-    regionPaces,
-    regionPrefixes,
     choose(request, plan, tried, nowMs) {
       const { best, suspected } = here.outlook(request, plan, tried, nowMs);
-      const there = chooseElsewhere(request, plan, best?.predictedMs, tried, nowMs);
-      if (there !== undefined) return there;
+      const peer = chooseElsewhere(plan, best?.predictedMs, tried);
+      if (peer !== undefined) return { kind: 'peer', peer };
       // Where none can be reached and no region helps, one that is only suspected is the best that there is.
       const choice = best ?? suspected;
       if (choice === undefined) return refuseWithoutServer(plan, nowMs);
--- a/src/core/pass-through/observe-destination.ts
+++ b/src/core/pass-through/observe-destination.ts
@@ -82,10 +82,10 @@
 }
 
 function observePeer(
-  { clock, router, request, plan }: ObserverOptions,
+  { clock, router, plan }: ObserverOptions,
   to: SendableDestination & { kind: 'peer' },
 ): DestinationObserver {
-  const { spillWindows, regionPaces, regionPrefixes } = router;
+  const { spillWindows } = router;
   const { region } = to.peer;
   const sentAtMs = clock.monotonicMs();
   let isWaiting = true;
@@ -96,12 +96,8 @@
     spillWindows.end(plan.service, region, seen, clock.monotonicMs());
   };
   const noteFirstByte = (): void => {
-    if (!isWaiting) return;
-    const nowMs = clock.monotonicMs();
-    const actualMs = nowMs - sentAtMs;
-    regionPaces.noteFirstByte({ service: plan.service, region }, to.prefillMs, actualMs, nowMs);
-    if (request.demand !== undefined) regionPrefixes.noteRead(region, request.demand);
-    end({ kind: 'firstByte', objectiveShare: actualMs / plan.objectiveMs });
+    const objectiveShare = (clock.monotonicMs() - sentAtMs) / plan.objectiveMs;
+    end({ kind: 'firstByte', objectiveShare });
   };
   return {
     noteLoad() {},
--- a/src/core/pass-through/other-regions.ts
+++ b/src/core/pass-through/other-regions.ts
@@ -1,13 +1,7 @@
 import type { ConnectionPool } from '../exchanges';
-import type {
-  PrefixCacheView,
-  RegionOption,
-  RegionPaces,
-  ServicePaces,
-  SpillWindows,
-} from '../placement';
+import type { RegionOption, SpillWindows } from '../placement';
 import type { ServerRegistry } from '../server-registry';
-import type { InboundRequest, RequestPlan, TriedDestinations } from './types';
+import type { RequestPlan, TriedDestinations } from './types';
 
 /** Another instance that can serve requests in its region. */
 export interface ForwardPeer {
@@ -23,14 +17,7 @@
   /** Regions that have servers for a request, whether they may be sent more now or not. */
   withServers(plan: RequestPlan): readonly string[];
   /** Those of them that may be sent more now. */
-  options(
-    request: InboundRequest,
-    plan: RequestPlan,
-    tried: TriedDestinations,
-    nowMs: number,
-  ): readonly RegionOption[];
-  /** Time that reading the request's prompt will probably take in a region, ms. */
-  prefillMs(region: string, request: InboundRequest, plan: RequestPlan): number;
+  options(plan: RequestPlan, tried: TriedDestinations): readonly RegionOption[];
   /**
    * One instance there that has not been tried, best one to which a connection stands: making one takes two more ways
    * over the long link. Undefined where there is none.
@@ -44,10 +31,6 @@
   readonly region: string;
   readonly servers: ServerRegistry;
   readonly windows: SpillWindows;
-  readonly paces: ServicePaces;
-  readonly regionPaces: RegionPaces;
-  /** What has been sent to regions from here, by region. */
-  readonly regionPrefixes: PrefixCacheView;
   readonly pool: Pick<ConnectionPool, 'hasIdle'>;
   /** Other instances that may be given work. */
   readonly peers: () => readonly ForwardPeer[];
@@ -63,7 +46,7 @@
 
 /** Judges other regions by what their instances tell and how they answer. */
 export function createOtherRegions(options: OtherRegionsOptions): OtherRegions {
-  const { region, servers, windows, pool, draw, paces, regionPaces, regionPrefixes } = options;
+  const { region, servers, windows, pool, draw } = options;
 
   const mayBeThere = ({ homeRegions }: RequestPlan, other: string): boolean =>
     homeRegions.length === 0 || homeRegions.includes(other);
@@ -80,15 +63,6 @@
     return inFlight / Math.max(1, slots);
   };
 
-  const prefillMs = (
-    other: string,
-    { demand }: InboundRequest,
-    { service }: RequestPlan,
-  ): number =>
-    demand === undefined
-      ? 0
-      : regionPrefixes.uncachedTokens(other, demand) * paces.pace(service).prefillMsPerToken;
-
   const withServers = (plan: RequestPlan): readonly string[] => {
     const regions = new Set(options.peers().map((peer) => peer.region));
     return [...regions]
@@ -98,21 +72,12 @@
 
   return {
     withServers,
-    prefillMs,
-    options(request, plan, tried, nowMs) {
+    options(plan, tried) {
       const peers = options.peers();
       return withServers(plan)
         .filter((other) => !tried.refusingRegions.has(other))
         .filter((other) => windows.hasRoom(plan.service, other))
-        .map((other) => ({
-          region: other,
-          utilization: utilization(other, peers),
-          predictedMs: regionPaces.predictMs(
-            { service: plan.service, region: other },
-            prefillMs(other, request, plan),
-            nowMs,
-          ),
-        }));
+        .map((other) => ({ region: other, utilization: utilization(other, peers) }));
     },
     pickPeer(inRegion, tried) {
       const peers = options
--- a/src/core/placement/choose-region.ts
+++ b/src/core/placement/choose-region.ts
@@ -3,8 +3,6 @@
   readonly region: string;
   /** Part of the slots of its usable servers that is taken, from 0 up. */
   readonly utilization: number;
-  /** Predicted time to the first byte there, the way there and back included, ms. */
-  readonly predictedMs: number;
 }
 
 /** What the choice between regions rests on. */
@@ -34,19 +32,13 @@
  */
 const SPILL_AT_OBJECTIVE_SHARE = 0.6;
 
-/**
- * Part of the time here that another region has to be predicted to take. A long prompt takes its time wherever it is
- * read; sent away without a gain, it is read there once more for caches that hold it here, before that region's own.
- */
-const WORTHWHILE_SHARE = 0.8;
-
 /** Fullest region that is used where none here can serve at all. */
 const FULLEST_OF_NEED = 1.5;
 
-function soonest(options: readonly RegionOption[], fullest: number): RegionOption | undefined {
+function emptiest(options: readonly RegionOption[], below: number): RegionOption | undefined {
   return options
-    .filter((option) => option.utilization < fullest)
-    .sort((left, right) => left.predictedMs - right.predictedMs)[0];
+    .filter((option) => option.utilization < below)
+    .sort((left, right) => left.utilization - right.utilization)[0];
 }
 
 /**
@@ -59,11 +51,10 @@
 export function chooseRegion(input: RegionInput): RegionChoice {
   const { localMs, objectiveMs, others } = input;
   if (localMs === undefined) {
-    const region = soonest(others, FULLEST_OF_NEED)?.region;
+    const region = emptiest(others, FULLEST_OF_NEED)?.region;
     return region === undefined ? { kind: 'nowhere' } : { kind: 'remote', region };
   }
   if (localMs <= objectiveMs * SPILL_AT_OBJECTIVE_SHARE) return { kind: 'local' };
-  const best = soonest(others, FULLEST_TO_SPILL_TO);
-  if (best === undefined || best.predictedMs > localMs * WORTHWHILE_SHARE) return { kind: 'local' };
-  return { kind: 'remote', region: best.region };
+  const region = emptiest(others, FULLEST_TO_SPILL_TO)?.region;
+  return region === undefined ? { kind: 'local' } : { kind: 'remote', region };
 }
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -7,8 +7,6 @@
 export type { PredictionCorrection } from './prediction-correction';
 export { createPrefixCacheView } from './prefix-cache-view';
 export type { PrefixCacheView } from './prefix-cache-view';
-export { createRegionPaces } from './region-paces';
-export type { RegionPaces, RegionPlace } from './region-paces';
 export { createReturnSchedule } from './return-schedule';
 export type { ReturnSchedule } from './return-schedule';
 export { createServerLoads } from './server-load';
