Refuse requests that crash each server that runs them, also where they are passed through

Cause: the guard against such requests stood only on the product's own path. On the platform's, the new test sent one request four times and took four servers down (it fails on the code before with 502 in place of 503).

The guard is used as it is. What is new is how a crash is told: a server that resets a connection may just have lost an answer, so it is asked for a sign of life, and only one that gives none has crashed. The third crash refuses rather than the second, since a domain that goes down takes a request and its repeat along.

--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -26,7 +26,12 @@
   /** The server failed, and its answer says so; it can still be passed on. */
   | { readonly kind: 'serverFailed'; readonly status: number; passOn(): void }
   /** Nothing came that may be passed on, and the request may have run. */
-  | { readonly kind: 'lost'; readonly reason: string };
+  | {
+      readonly kind: 'lost';
+      readonly reason: string;
+      /** Whether the connection was reset, as it is when a server crashes. */
+      readonly wasReset: boolean;
+    };
 
 /** One try under way. */
 export interface Attempt {
@@ -154,7 +159,7 @@
     }
     if (answer.headSent) {
       // A stream that was to go on has come to something else; nothing of it may reach the caller.
-      decide({ kind: 'lost', reason: 'the stream could not be resumed' });
+      decide({ kind: 'lost', reason: 'the stream could not be resumed', wasReset: false });
       return;
     }
     noteFirstByte();
@@ -181,7 +186,7 @@
         decide({ kind: 'rejected' });
         return;
       case 'wrong':
-        decide({ kind: 'lost', reason: verdict.reason });
+        decide({ kind: 'lost', reason: verdict.reason, wasReset: false });
         return;
       case 'ran':
         isFailure = verdict.isFailure;
@@ -214,7 +219,7 @@
     }
     const problem = reader?.finish();
     if (problem === undefined) report({ kind: 'answered', status }, 'answered');
-    else report({ kind: 'lost', reason: problem }, 'failed');
+    else report({ kind: 'lost', reason: problem, wasReset: false }, 'failed');
   };
 
   const onEnd = (end: ExchangeEnd): void => {
@@ -235,7 +240,7 @@
       case 'lost':
         // A request that ran out of time says nothing of its server, unless that was silent to all.
         report(
-          { kind: 'lost', reason: end.reason },
+          { kind: 'lost', reason: end.reason, wasReset: end.cause === 'reset' },
           end.cause === 'timeout' && !destination.isSilent() ? 'untold' : 'failed',
         );
         return;
--- a/src/core/pass-through/index.ts
+++ b/src/core/pass-through/index.ts
@@ -1,4 +1,5 @@
 /** Passes requests through to backend servers unchanged, here or in another region. */
+export { createCrashWatch } from './crash-watch';
 export { createRouter } from './create-router';
 export type { Router } from './create-router';
 export { PASS_THROUGH_EVENTS } from './events';
--- a/src/core/pass-through/judge-answer.ts
+++ b/src/core/pass-through/judge-answer.ts
@@ -11,7 +11,7 @@
   | { readonly kind: 'wrong'; readonly reason: string };
 
 /** Status of a server that is not the one that was asked for. */
-const MISDIRECTED = 421;
+export const MISDIRECTED = 421;
 
 /** The value of a header that comes once. */
 export function headerText(value: string | string[] | undefined): string | undefined {
--- a/src/core/pass-through/send-when-warm.ts
+++ b/src/core/pass-through/send-when-warm.ts
@@ -30,10 +30,27 @@
 
   if (check.isNeeded(server)) {
     current = check.ask(server, options.mostConnections, (result) => {
-      if (isGivenUp) onEnd({ kind: 'neverSent', reason: 'given up before it was sent' });
-      else if (result.kind === 'warm') sendNow();
-      else if (result.kind === 'cold') onCold();
-      else onEnd({ kind: 'neverSent', reason: `no word on whether it is cold: ${result.reason}` });
+      if (isGivenUp) {
+        onEnd({ kind: 'neverSent', reason: 'given up before it was sent' });
+        return;
+      }
+      switch (result.kind) {
+        case 'warm':
+          sendNow();
+          return;
+        case 'replaced':
+          // The one that has its address refuses the request, and is known for it from then on.
+          sendNow();
+          return;
+        case 'cold':
+          onCold();
+          return;
+        case 'unanswered':
+          onEnd({ kind: 'neverSent', reason: `no word on whether it is cold: ${result.reason}` });
+          return;
+        default:
+          result satisfies never;
+      }
     });
   } else {
     sendNow();
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -5,6 +5,7 @@
 import type { StreamProgress } from './answer-reader';
 import { destinationName, startAttempt } from './attempt';
 import type { Attempt, AttemptResult } from './attempt';
+import type { CrashWatch, CrashWatchedTry } from './crash-watch';
 import type { Router } from './create-router';
 import { PASS_THROUGH_EVENTS } from './events';
 import { answerByMs, isRepeatable, requestFields } from './forwarding';
@@ -29,6 +30,7 @@
   readonly pool: ConnectionPool;
   readonly router: Router;
   readonly warmCheck: WarmCheck;
+  readonly crashWatch: CrashWatch;
   readonly retries: RetryAllowance;
   /** Another server has answered at the address of this one. */
   readonly onReplaced: (serverId: string) => void;
@@ -72,6 +74,7 @@
   const progress: StreamProgress = createProgress(request.lastEventId);
   const mayRepeat = isRepeatable(plan);
   let current: Attempt | undefined;
+  let watched: CrashWatchedTry | undefined;
   /** Servers that the request has been sent to. */
   let attempts = 0;
   let unsent = 0;
@@ -194,8 +197,16 @@
       totalMs: elapsedMs(),
     });
 
+  const tellCrashWatch = (result: AttemptResult): void => {
+    if (result.kind === 'answered') watched?.answered();
+    else if (result.kind === 'lost' && result.wasReset) watched?.reset();
+    else watched?.ended();
+    watched = undefined;
+  };
+
   const onResult = (attempt: Attempt, result: AttemptResult): void => {
     current = undefined;
+    tellCrashWatch(result);
     firstByteAtMs ??= attempt.firstByteAtMs();
     switch (result.kind) {
       case 'answered':
@@ -241,6 +252,11 @@
       to: destinationName(to),
       timeLeftMs: Math.round(answerByMs(plan) - clock.monotonicMs()),
     });
+    if (to.kind === 'server') {
+      const { server, mostConnections } = to;
+      const target = { server, mostConnections, attempt: attempts };
+      watched = needs.crashWatch.watch(request, plan, target);
+    }
     let early: AttemptResult | undefined;
     const attempt: Attempt = startAttempt({
       ...needs,
@@ -261,6 +277,11 @@
   };
 
   function tryNext(): void {
+    const refusedUntilUnixMs = needs.crashWatch.refusedUntilUnixMs(request, plan);
+    if (refusedUntilUnixMs !== undefined) {
+      giveUp('suspectedOfCrashes', refusedUntilUnixMs - clock.unixMs());
+      return;
+    }
     const to = router.choose(request, plan, tried, clock.monotonicMs());
     if (to.kind === 'none') giveUp(mayHaveRun ? lastFailure : to.reason, to.retryAfterMs);
     else send(to);
@@ -293,6 +314,7 @@
       const { events } = progress;
       logger.event(PASS_THROUGH_EVENTS.callerGone, { ...fields(), events, totalMs: elapsedMs() });
       finish('callerGone');
+      watched?.ended();
       current?.forget();
       current?.abort('aborted');
     },
--- a/src/core/pass-through/warm-check.ts
+++ b/src/core/pass-through/warm-check.ts
@@ -2,7 +2,7 @@
 import type { AnswerHead, ConnectionPool, Exchange } from '../exchanges';
 import type { RouteTableStore } from '../host-routes';
 import type { KnownServer, ServerRegistry } from '../server-registry';
-import { headerText } from './judge-answer';
+import { MISDIRECTED, headerText } from './judge-answer';
 import type { HeaderDialect } from './types';
 
 /** Asks servers whether they are cold, where nothing that is published would tell. */
@@ -21,6 +21,8 @@
 export type WarmResult =
   | { readonly kind: 'warm' }
   | { readonly kind: 'cold' }
+  /** Another server has its address now. */
+  | { readonly kind: 'replaced' }
   /** Nothing came; nothing but the check has been sent. */
   | { readonly kind: 'unanswered'; readonly reason: string };
 
@@ -92,6 +94,10 @@
         },
         {
           onHead(head) {
+            if (head.status === MISDIRECTED) {
+              result = { kind: 'replaced' };
+              return;
+            }
             const forMs = coldForMs(head);
             if (forMs > 0) servers.noteCold(server.serverId, clock.monotonicMs() + forMs);
             // What else the answer says is not asked for: servers may be healthy and say otherwise.
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -2,16 +2,19 @@
 import { sleepUntil } from '../clock';
 import { chooseAddresses } from '../client-directory';
 import type { CallerPlace } from '../client-directory';
+import type { PoisonOptions } from '../configuration';
 import type { Logger } from '../events';
 import { createConnectionPool } from '../exchanges';
 import { createGossipBoard } from '../gossip';
 import { createRouteTableStore } from '../host-routes';
+import { createPoisonGuard, fingerprintKey } from '../poison';
 import { createDisposableStore } from '../lifetime';
 import { createMembership } from '../membership';
 import type { MemberState } from '../membership';
 import { createMetrics } from '../metrics';
 import type { Metrics } from '../metrics';
 import {
+  createCrashWatch,
   createReadyConnections,
   createRouter,
   createWarmCheck,
@@ -62,6 +65,16 @@
 
 /** Instances of one deployment trust the network between them; the platform hands out no secret. */
 const PEER_SECRET = 'coltsfootworks-peers';
+/**
+ * When a request that crashes servers is refused, and for how long. A third crash rather than the second one, since a
+ * whole domain may go down within the time in which a request that was cut off there is tried again at its neighbour.
+ */
+const CRASH_OPTIONS: PoisonOptions = {
+  crashesToRefuse: 3,
+  // As the product's own configuration has it: long enough for somebody to look, doubled with each further crash.
+  refuseForMs: 900_000,
+  refuseAtMostMs: 86_400_000,
+};
 /** Rest between two looks at whether a stop may end, ms. */
 const STOP_LOOK_MS = 50;
 /** Rest between two rounds of forgetting servers that have gone, ms. */
@@ -195,19 +208,34 @@
     else if (result === 'callerGone') metrics.callerGone(plan.route);
     else metrics.refused(result, plan.service);
   };
+  const warmCheck = createWarmCheck({
+    clock,
+    dialect,
+    pool,
+    routes,
+    servers,
+    followedSinceMs: sync.followedSinceMs,
+  });
+  const guard = owned.add(
+    createPoisonGuard({
+      clock,
+      logger,
+      gossip,
+      key: fingerprintKey(PEER_SECRET),
+      options: () => CRASH_OPTIONS,
+    }),
+  );
   const serving = {
     clock,
     logger,
     dialect,
     pool,
     router,
-    warmCheck: createWarmCheck({
-      clock,
-      dialect,
-      pool,
-      routes,
-      servers,
-      followedSinceMs: sync.followedSinceMs,
+    warmCheck,
+    crashWatch: createCrashWatch({
+      guard,
+      check: warmCheck,
+      regions: () => [...new Set(Object.values(settings.regionOfDomain))],
     }),
     retries,
     onReplaced: servers.noteReplaced,
