Part the starting of a pass-through instance into what it is put together from

startRelayNode had 290 lines in one function; the view of other instances, the serving, the state of a stop and the repeated tasks are modules of their own now. Limits of callers' connections follow a change of the routes within 1 s (was 5 s).

--- /dev/null
+++ b/src/core/relay-node/create-serving.ts
@@ -0,0 +1,103 @@
+import type { Clock } from '../clock';
+import type { PoisonOptions } from '../configuration';
+import type { Logger } from '../events';
+import type { ConnectionPool } from '../exchanges';
+import type { GossipBoard } from '../gossip';
+import type { RouteTableStore } from '../host-routes';
+import type { DisposableStore } from '../lifetime';
+import type { Metrics } from '../metrics';
+import { createCrashWatch, createRouter, createWarmCheck } from '../pass-through';
+import type { HeaderDialect, ServeDependencies, ServedRequest } from '../pass-through';
+import { createPoisonGuard, fingerprintKey } from '../poison';
+import type { RandomSource } from '../random';
+import type { ServerRegistry } from '../server-registry';
+import { createColdGate, createRetryAllowance } from '../shared-budget';
+import type { KnownInstances } from './known-instances';
+import type { RelaySettings } from './settings';
+
+/** What the serving of requests is put together from. */
+export interface ServingOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  readonly dialect: HeaderDialect;
+  readonly settings: () => RelaySettings;
+  readonly peerSecret: string;
+  readonly routes: RouteTableStore;
+  readonly servers: ServerRegistry;
+  readonly pool: ConnectionPool;
+  readonly gossip: GossipBoard;
+  readonly metrics: Metrics;
+  readonly instances: KnownInstances;
+  /** Monotonic time since which all that is published has been followed; undefined while it is not. */
+  readonly followedSinceMs: () => number | undefined;
+}
+
+/**
+ * When a request that crashes servers is refused, and for how long. A third crash rather than the second one, since a
+ * whole domain may go down within the time in which a request that was cut off there is tried again at its neighbour.
+ */
+const CRASH_OPTIONS: PoisonOptions = {
+  crashesToRefuse: 3,
+  // As the product's own configuration has it: long enough for somebody to look, doubled with each further crash.
+  refuseForMs: 900_000,
+  refuseAtMostMs: 86_400_000,
+};
+
+function countInto(metrics: Metrics) {
+  return ({ plan, result, firstByteMs, totalMs }: ServedRequest): void => {
+    if (result === 'answered') metrics.answered(plan.route, firstByteMs, totalMs);
+    else if (result === 'brokenOff') metrics.cutShort(plan.route);
+    else if (result === 'callerGone') metrics.callerGone(plan.route);
+    else metrics.refused(result, plan.service);
+  };
+}
+
+/** Puts together what serves requests; `owned` releases what must be released. */
+export function createServing(options: ServingOptions, owned: DisposableStore): ServeDependencies {
+  const { clock, random, logger, dialect, routes, servers, pool, gossip, instances } = options;
+  const { instanceId, region } = options.settings();
+  const router = createRouter({
+    region,
+    routes,
+    servers,
+    pool,
+    coldGate: createColdGate({
+      selfId: instanceId,
+      startedAtMs: clock.monotonicMs(),
+      instancesInRegion: instances.perhapsAliveInRegion,
+    }),
+    peers: instances.peers,
+    instancesInRegion: instances.countInRegion,
+    draw: () => random.next(),
+  });
+  const { followedSinceMs } = options;
+  const warmCheck = createWarmCheck({ clock, dialect, pool, routes, servers, followedSinceMs });
+  const guard = owned.add(
+    createPoisonGuard({
+      clock,
+      logger,
+      gossip,
+      key: fingerprintKey(options.peerSecret),
+      options: () => CRASH_OPTIONS,
+    }),
+  );
+  const crashWatch = createCrashWatch({
+    guard,
+    check: warmCheck,
+    regions: () => [...new Set(Object.values(options.settings().regionOfDomain))],
+  });
+  const retries = createRetryAllowance(() => options.settings().retryBudget, instances.count);
+  return {
+    clock,
+    logger,
+    dialect,
+    pool,
+    router,
+    warmCheck,
+    crashWatch,
+    retries,
+    onReplaced: servers.noteReplaced,
+    onDone: countInto(options.metrics),
+  };
+}
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -1,26 +1,17 @@
+import type { CallerPlace } from '../client-directory';
+import { chooseAddresses } from '../client-directory';
 import type { Clock } from '../clock';
 import { sleepUntil } from '../clock';
-import { chooseAddresses } from '../client-directory';
-import type { CallerPlace } from '../client-directory';
-import type { PoisonOptions } from '../configuration';
 import type { Logger } from '../events';
 import { createConnectionPool } from '../exchanges';
 import { createGossipBoard } from '../gossip';
 import { createRouteTableStore } from '../host-routes';
-import { createPoisonGuard, fingerprintKey } from '../poison';
 import { createDisposableStore } from '../lifetime';
 import { createMembership } from '../membership';
-import type { MemberState } from '../membership';
 import { createMetrics } from '../metrics';
 import type { Metrics } from '../metrics';
-import {
-  createCrashWatch,
-  createReadyConnections,
-  createRouter,
-  createWarmCheck,
-  openIngress,
-} from '../pass-through';
-import type { ForwardPeer, HeaderDialect, Ingress, ServedRequest } from '../pass-through';
+import { createReadyConnections, openIngress } from '../pass-through';
+import type { HeaderDialect, Ingress } from '../pass-through';
 import {
   channelCredentials,
   createExchangeTransport,
@@ -31,13 +22,15 @@
 } from '../peers';
 import type { RandomSource } from '../random';
 import { createServerRegistry } from '../server-registry';
-import { createColdGate, createRetryAllowance } from '../shared-budget';
 import { createStateSync, writeSnapshot } from '../state-sync';
 import type { StateSource } from '../state-sync';
+import { createServing } from './create-serving';
 import { RELAY_NODE_EVENTS } from './events';
 import { HERE_PATH, STATE_PATH, fetchPeerState } from './fetch-peer-state';
-import { planStop } from './plan-stop';
+import { createKnownInstances } from './known-instances';
+import { repeat } from './repeat';
 import type { RelaySettings } from './settings';
+import { createStopState } from './stop-state';
 
 /** What an instance is made from. */
 export interface RelayNodeOptions {
@@ -65,27 +58,15 @@
 
 /** Instances of one deployment trust the network between them; the platform hands out no secret. */
 const PEER_SECRET = 'coltsfootworks-peers';
-/**
- * When a request that crashes servers is refused, and for how long. A third crash rather than the second one, since a
- * whole domain may go down within the time in which a request that was cut off there is tried again at its neighbour.
- */
-const CRASH_OPTIONS: PoisonOptions = {
-  crashesToRefuse: 3,
-  // As the product's own configuration has it: long enough for somebody to look, doubled with each further crash.
-  refuseForMs: 900_000,
-  refuseAtMostMs: 86_400_000,
-};
 /** Rest between two looks at whether a stop may end, ms. */
 const STOP_LOOK_MS = 50;
 /** Rest between two rounds of forgetting servers that have gone, ms. */
 const FORGET_EVERY_MS = 5_000;
+/** Rest between two looks at the limits in force for callers' connections, ms; they change with the routes. */
+const LIMITS_EVERY_MS = 1_000;
 /** Rest between two looks at the connections to other regions: an instance that comes back is met within it, ms. */
 const REFILL_EVERY_MS = 500;
 
-function hostOf(address: string): string {
-  return address.slice(0, address.lastIndexOf(':'));
-}
-
 /** Starts an instance: its listeners, its membership and its copy of what is published. */
 export async function startRelayNode(options: RelayNodeOptions): Promise<RelayNode> {
   const { clock, random, logger, dialect } = options;
@@ -103,7 +84,6 @@
   const metrics = createMetrics();
   const gossip = createGossipBoard(instanceId, clock);
   const connections = owned.add(createPeerConnections(channelCredentials(undefined)));
-  let stoppingSinceMs: number | undefined;
   let inFlight = () => 0;
   let callerAddress = '';
   let peerAddress = '';
@@ -137,53 +117,11 @@
     }),
   );
 
-  const forwardAddressOf = (member: MemberState): string =>
-    `${hostOf(member.peerAddress)}:${settings.forwardingPort}`;
-  const peers = (): readonly ForwardPeer[] =>
-    membership
-      .usablePeers()
-      .filter((member) => member.configurationVersion > 0)
-      .map((member) => ({
-        instanceId: member.instanceId,
-        region: member.region,
-        forwardAddress: forwardAddressOf(member),
-        inFlightRequests: member.inFlightRequests,
-      }));
-  const idsInRegion = (): readonly string[] => [
-    instanceId,
-    ...membership
-      .usablePeers()
-      .filter((member) => member.region === region)
-      .map((member) => member.instanceId),
-  ];
-
-  const perhapsAliveInRegion = (): readonly string[] =>
-    membership
-      .members()
-      .filter((member) => member.region === region)
-      .filter((member) => member.status === 'alive' || member.status === 'suspect')
-      .map((member) => member.instanceId);
-
-  const retries = createRetryAllowance(
-    () => settings.retryBudget,
-    () => membership.usablePeers().length + 1,
-  );
-  const router = createRouter({
+  const instances = createKnownInstances({
+    membership,
     region,
-    routes,
-    servers,
-    pool,
-    coldGate: createColdGate({
-      selfId: instanceId,
-      startedAtMs: nowMs(),
-      instancesInRegion: perhapsAliveInRegion,
-    }),
-    peers,
-    instancesInRegion: () => idsInRegion().length,
-    draw: () => random.next(),
+    forwardingPort: () => settings.forwardingPort,
   });
-  inFlight = () => router.loads.totalInFlight();
-
   const sync = owned.add(
     createStateSync({
       clock,
@@ -193,7 +131,7 @@
       routes,
       servers,
       async askPeer(signal) {
-        const others = peers();
+        const others = instances.peers();
         const peer = others[Math.floor(random.next() * others.length)];
         return peer === undefined
           ? undefined
@@ -202,65 +140,43 @@
     }),
   );
 
-  const noteDone = ({ plan, result, firstByteMs, totalMs }: ServedRequest): void => {
-    if (result === 'answered') metrics.answered(plan.route, firstByteMs, totalMs);
-    else if (result === 'brokenOff') metrics.cutShort(plan.route);
-    else if (result === 'callerGone') metrics.callerGone(plan.route);
-    else metrics.refused(result, plan.service);
-  };
-  const warmCheck = createWarmCheck({
-    clock,
-    dialect,
-    pool,
-    routes,
-    servers,
-    followedSinceMs: sync.followedSinceMs,
-  });
-  const guard = owned.add(
-    createPoisonGuard({
+  const serving = createServing(
+    {
       clock,
+      random,
       logger,
+      dialect,
+      settings: () => settings,
+      peerSecret: PEER_SECRET,
+      routes,
+      servers,
+      pool,
       gossip,
-      key: fingerprintKey(PEER_SECRET),
-      options: () => CRASH_OPTIONS,
-    }),
+      metrics,
+      instances,
+      followedSinceMs: sync.followedSinceMs,
+    },
+    owned,
   );
-  const serving = {
-    clock,
-    logger,
-    dialect,
-    pool,
-    router,
-    warmCheck,
-    crashWatch: createCrashWatch({
-      guard,
-      check: warmCheck,
-      regions: () => [...new Set(Object.values(settings.regionOfDomain))],
-    }),
-    retries,
-    onReplaced: servers.noteReplaced,
-    onDone: noteDone,
-  };
+  const { router } = serving;
+  inFlight = () => router.loads.totalInFlight();
   const listenersOpen: Ingress[] = [];
   const openRequests = () =>
     listenersOpen.reduce((sum, listener) => sum + listener.openRequests(), 0);
-  const sinceSignalMs = () => nowMs() - (stoppingSinceMs ?? nowMs());
-  const isLeaving = () => stoppingSinceMs !== undefined;
-  const stopStep = () =>
-    planStop({
-      sinceSignalMs: sinceSignalMs(),
-      stopWithinMs: settings.stopWithinMs,
-      openRequests: openRequests(),
-    });
+  const stopState = createStopState({
+    nowMs,
+    stopWithinMs: () => settings.stopWithinMs,
+    openRequests,
+  });
   const shared = {
     clock,
     random,
     logger,
     routes,
-    retries,
+    retries: serving.retries,
     serving,
-    isLeaving,
-    isRefusing: () => isLeaving() && stopStep() !== 'serve',
+    isLeaving: stopState.isLeaving,
+    isRefusing: stopState.isRefusing,
   };
 
   const peerServer = owned.add(
@@ -289,41 +205,26 @@
   callerAddress = `${listeners.callers.host}:${ingress.port}`;
   listenersOpen.push(ingress, forwarding);
 
-  const upkeep = new AbortController();
-  owned.defer(() => upkeep.abort());
-  const runUpkeep = async (): Promise<void> => {
-    while (!upkeep.signal.aborted) {
-      router.forgetGone();
-      ingress.applyLimits();
-      await sleepUntil(clock, nowMs() + FORGET_EVERY_MS, upkeep.signal);
-    }
-  };
-
   const readyConnections = createReadyConnections({
     selfId: instanceId,
     region,
     pool,
-    peers,
+    peers: instances.peers,
     path: HERE_PATH,
   });
-  const keepConnectionsReady = async (): Promise<void> => {
-    while (!upkeep.signal.aborted) {
-      readyConnections.refill();
-      await sleepUntil(clock, nowMs() + REFILL_EVERY_MS, upkeep.signal);
-    }
-  };
 
   membership.start();
   sync.start();
-  void runUpkeep();
-  void keepConnectionsReady();
+  owned.add(repeat(clock, FORGET_EVERY_MS, router.forgetGone));
+  owned.add(repeat(clock, LIMITS_EVERY_MS, ingress.applyLimits));
+  owned.add(repeat(clock, REFILL_EVERY_MS, readyConnections.refill));
   logger.event(RELAY_NODE_EVENTS.started, {
     callerAddress,
     peerAddress,
     seeds: settings.seedPeers,
   });
 
-  const isReady = () => routes.current() !== undefined && !isLeaving();
+  const isReady = () => routes.current() !== undefined && !stopState.isLeaving();
   return {
     callerPort: ingress.port,
     metrics,
@@ -336,10 +237,10 @@
       return chooseAddresses({ alive: [...own, ...others], leaving, homeRegions }, place);
     },
     async stop() {
-      stoppingSinceMs = nowMs();
+      stopState.begin();
       membership.markLeaving();
       logger.event(RELAY_NODE_EVENTS.stopping, { openRequests: openRequests() });
-      while (stopStep() !== 'exit') await sleepUntil(clock, nowMs() + STOP_LOOK_MS);
+      while (stopState.step() !== 'exit') await sleepUntil(clock, nowMs() + STOP_LOOK_MS);
       logger.event(RELAY_NODE_EVENTS.stopped, { openRequests: openRequests() });
     },
     apply(changed) {
