Name liveness, ejection states and ranks by the field's terms

"Standing" meant four things: what is told of a member's liveness, the record of suspicions of one peer, the state of a server's ejection, and the rank among watchers. Each has its usual name now; the standing queue keeps its name, which is the field's.

--- a/src/core/configuration-sync/choose-watchers.ts
+++ b/src/core/configuration-sync/choose-watchers.ts
@@ -25,18 +25,18 @@
 export const STEP_IN_AFTER_MS = 10_000;
 
 /** How far behind the watchers an instance stands, and how many before it watch. */
-export interface WatchStanding {
+export interface WatchRank {
   /** 0 for those that are to watch, 1 for the first stand-in, and so on. */
   readonly placesBehind: number;
   readonly watchersBefore: number;
 }
 
 /** Where an instance stands in the order of its failure domain. */
-export function watchStanding(
+export function watchRank(
   ownId: string,
   failureDomain: string,
   candidates: readonly WatchCandidate[],
-): WatchStanding {
+): WatchRank {
   const rankOf = (instanceId: string) => hashText(`${failureDomain}\n${instanceId}`);
   const ownRank = rankOf(ownId);
   const before = candidates.filter((candidate) => {
@@ -51,11 +51,11 @@
 
 /** Whether to watch now; `shortSinceMs` is since when too few before this instance watch, undefined if enough do. */
 export function shouldWatch(
-  standing: WatchStanding,
+  rank: WatchRank,
   shortSinceMs: number | undefined,
   nowMs: number,
 ): boolean {
-  if (standing.placesBehind === 0) return true;
+  if (rank.placesBehind === 0) return true;
   if (shortSinceMs === undefined) return false;
-  return nowMs - shortSinceMs >= standing.placesBehind * STEP_IN_AFTER_MS;
+  return nowMs - shortSinceMs >= rank.placesBehind * STEP_IN_AFTER_MS;
 }
--- a/src/core/configuration-sync/configuration-sync.test.ts
+++ b/src/core/configuration-sync/configuration-sync.test.ts
@@ -101,12 +101,12 @@
     withFleet(async (fleet) => {
       await fleet.clock.runFor(30_000);
       const members = ofRegion(fleet, 'region-0');
-      const watching = members.filter(({ sync }) => sync?.standing().watching);
+      const watching = members.filter(({ sync }) => sync?.configurationState().watching);
       const cutOff = new Set(watching.map(({ place }) => place.address));
       assert.ok(cutOff.size > 0 && cutOff.size < members.length);
       fleet.service.setUnreachable((place) => cutOff.has(place.address));
       await fleet.clock.runFor(90_000);
-      const now = members.filter(({ sync }) => sync?.standing().watching);
+      const now = members.filter(({ sync }) => sync?.configurationState().watching);
       assert.ok(now.length > 0 && now.every(({ place }) => !cutOff.has(place.address)));
     }, 36));
 
@@ -174,7 +174,9 @@
       const fresh = await replace(fleet, ofRegion(fleet, 'region-0'));
       await fleet.clock.runFor(10_000);
       assert.deepEqual(versions(fleet), [3]);
-      assert.ok(fresh.every(({ sync }) => sync?.standing().configurationConfirmed === true));
+      assert.ok(
+        fresh.every(({ sync }) => sync?.configurationState().configurationConfirmed === true),
+      );
       const everInForce = fresh.flatMap(({ logger }) =>
         logger.lines
           .filter(({ definition }) => definition.id === CONFIGURATION_EVENTS.versionInForce.id)
@@ -203,7 +205,9 @@
       fleet.setCut(undefined);
       await fleet.clock.runFor(30_000);
       assert.deepEqual(versions(fleet), [3]);
-      assert.ok(fresh.every(({ sync }) => sync?.standing().configurationConfirmed === true));
+      assert.ok(
+        fresh.every(({ sync }) => sync?.configurationState().configurationConfirmed === true),
+      );
     }));
 
   it('serves nobody by an unconfirmed version where the settings say so', () =>
@@ -236,7 +240,7 @@
         seedPeers: ['late:7400'],
       });
       await fleet.clock.runFor(10_000);
-      assert.equal(fresh.sync?.standing().configurationConfirmed, false);
+      assert.equal(fresh.sync?.configurationState().configurationConfirmed, false);
       fleet.start({
         instanceId: 'late',
         region: 'region-0',
@@ -253,7 +257,7 @@
     fleet.service.publish(published.rootText, published.documents);
     const only = fleet.start({ instanceId: 'only', region: 'region-0', failureDomain: 'a' });
     await fleet.clock.runFor(3_000);
-    assert.equal(only.sync?.standing().configurationConfirmed, true);
+    assert.equal(only.sync?.configurationState().configurationConfirmed, true);
     assert.equal(only.sync?.isSettled(), true);
     await fleet[Symbol.asyncDispose]();
   });
--- a/src/core/configuration-sync/create-configuration-sync.ts
+++ b/src/core/configuration-sync/create-configuration-sync.ts
@@ -7,7 +7,7 @@
 import type { MemberRecord, Membership } from '../membership';
 import type { RandomSource } from '../random';
 import { answerConfigurationRequest } from './answer-peer';
-import { WATCHERS_PER_DOMAIN, shouldWatch, watchStanding } from './choose-watchers';
+import { WATCHERS_PER_DOMAIN, shouldWatch, watchRank } from './choose-watchers';
 import { askSome } from './ask-some';
 import { CONFIGURATION_SYNC_EVENTS } from './events';
 import { pullFromPeer } from './pull-from-peer';
@@ -36,7 +36,7 @@
 }
 
 /** What an instance tells the others of its configuration. */
-export interface ConfigurationStanding {
+export interface ConfigurationState {
   readonly configurationVersion: number;
   readonly configurationDigest: number;
   readonly configurationSinceUnixMs: number;
@@ -45,7 +45,7 @@
 }
 
 /** What an instance says that has no configuration yet. */
-export const NO_STANDING: ConfigurationStanding = {
+export const NO_CONFIGURATION: ConfigurationState = {
   configurationVersion: 0,
   configurationDigest: 0,
   configurationSinceUnixMs: 0,
@@ -59,7 +59,7 @@
   start(): void;
   /** Whether peers have been asked, so that callers may be served by what is in force. */
   isSettled(): boolean;
-  standing(): ConfigurationStanding;
+  configurationState(): ConfigurationState;
   answer(request: ConfigurationRequest): ConfigurationAnswer;
 }
 
@@ -173,10 +173,10 @@
       .filter((member) => member.status === 'alive' || member.instanceId === own.instanceId)
       .filter((member) => member.failureDomain === own.failureDomain);
     const nowMs = clock.monotonicMs();
-    const standing = watchStanding(own.instanceId, own.failureDomain, candidates);
-    const isShort = standing.watchersBefore < WATCHERS_PER_DOMAIN;
+    const rank = watchRank(own.instanceId, own.failureDomain, candidates);
+    const isShort = rank.watchersBefore < WATCHERS_PER_DOMAIN;
     shortSinceMs = isShort ? (shortSinceMs ?? nowMs) : undefined;
-    return shouldWatch(standing, shortSinceMs, nowMs);
+    return shouldWatch(rank, shortSinceMs, nowMs);
   };
 
   const noteServiceFailure = (error: unknown) => {
@@ -248,7 +248,7 @@
     },
     isSettled: () =>
       store.current() !== undefined && hasAsked && (isConfirmed || whenUnconfirmed === 'serve'),
-    standing: () => ({
+    configurationState: () => ({
       configurationVersion: ownVersion(),
       configurationDigest: ownDigest(),
       configurationSinceUnixMs: sinceUnixMs,
--- a/src/core/configuration-sync/index.ts
+++ b/src/core/configuration-sync/index.ts
@@ -1,9 +1,9 @@
 /** How a version reaches every instance: from the configuration service over a few, from peer to peer to all. */
 export { configurationStatus } from './configuration-status';
 export type { ConfigurationStatus, InstanceConfiguration } from './configuration-status';
-export { NO_STANDING, createConfigurationSync } from './create-configuration-sync';
+export { NO_CONFIGURATION, createConfigurationSync } from './create-configuration-sync';
 export type {
-  ConfigurationStanding,
+  ConfigurationState,
   ConfigurationSync,
   ConfigurationSyncOptions,
 } from './create-configuration-sync';
--- a/src/core/entry/choose-entry.test.ts
+++ b/src/core/entry/choose-entry.test.ts
@@ -97,13 +97,13 @@
     assert.equal(movedShare(entriesOf(fleet), entriesOf(uneven)), 0);
   });
 
-  const standing: readonly { readonly status: MemberStatus; readonly isNamed: boolean }[] = [
+  const cases: readonly { readonly status: MemberStatus; readonly isNamed: boolean }[] = [
     { status: 'alive', isNamed: true },
     { status: 'suspect', isNamed: false },
     { status: 'leaving', isNamed: false },
     { status: 'dead', isNamed: false },
   ];
-  for (const { status, isNamed } of standing) {
+  for (const { status, isNamed } of cases) {
     it(`${isNamed ? 'names' : 'does not name'} an instance that is ${status}`, () => {
       const members = fleet.map((one) =>
         one.instanceId === 'rundu-a-1' ? { ...one, status } : one,
--- a/src/core/membership/compose-message.ts
+++ b/src/core/membership/compose-message.ts
@@ -2,7 +2,7 @@
 import type { Change, ChangeLog } from '../change-log';
 import { LOAD_BYTES, memberBytes, statementBytes } from './messages';
 import type { Cursors, ExchangeMessage } from './messages';
-import { standingDigest } from './standing-digest';
+import { livenessDigest } from './liveness-digest';
 import type { SendBudget } from './send-budget';
 import {
   LOAD_BYTES_PER_MESSAGE,
@@ -35,8 +35,8 @@
   readonly nowUnixMs: number;
   /** Load goes with requests only: both sides ask one another, and once is enough. */
   readonly withLoads: boolean;
-  /** Hashes of standings that the recipient is known to have. */
-  readonly knownStandings: ReadonlySet<number>;
+  /** Hashes of liveness that the recipient is known to have. */
+  readonly knownLiveness: ReadonlySet<number>;
 }
 
 interface Cut<Value> {
@@ -81,7 +81,7 @@
   portion: Portion,
 ): Pick<ExchangeMessage, 'members' | 'loads' | 'statements' | 'upTo' | 'moreMembers'> {
   const { recipient, ownRegion, cursors, budget, nowMs, nowUnixMs } = portion;
-  const { withLoads, knownStandings } = portion;
+  const { withLoads, knownLiveness } = portion;
   const isNews = (change: Change<unknown>) =>
     change.learnedFrom === undefined || change.learnedFrom !== recipient.instanceId;
   const isNear = recipient.region === ownRegion;
@@ -98,7 +98,7 @@
     concerns: (change) =>
       isNews(change) &&
       change.key !== recipient.instanceId &&
-      !knownStandings.has(standingDigest(change.value)),
+      !knownLiveness.has(livenessDigest(change.value)),
   });
   const statements = cut({
     log: logs.statements,
--- a/src/core/membership/log-change.ts
+++ b/src/core/membership/log-change.ts
@@ -17,7 +17,7 @@
   }
 }
 
-/** Writes one line for each change of another instance's standing. */
+/** Writes one line for each change of another instance's liveness. */
 export function logChange(logger: Logger, change: MemberChange): void {
   const { member, previousStatus, isNewLife } = change;
   if (member.status === previousStatus && !isNewLife) return;
--- a/src/core/membership/member-table.ts
+++ b/src/core/membership/member-table.ts
@@ -1,8 +1,8 @@
 import { xorHashes } from '../hashing';
 import { createChangeLog } from '../change-log';
 import type { ChangeLog } from '../change-log';
-import { compareLoads, mergeRecords, sameStanding } from './merge';
-import { memberKey, standingDigest } from './standing-digest';
+import { compareLoads, mergeRecords, sameLiveness } from './merge';
+import { memberKey, livenessDigest } from './liveness-digest';
 import { FORGET_DEAD_AFTER_MS, REMEMBER_FORGOTTEN_MS, SUSPICION_MS } from './timing';
 import type { LoadState, LoadStatement, MemberChange, MemberRecord } from './types';
 
@@ -14,7 +14,7 @@
   get(instanceId: string): MemberRecord | undefined;
   /** All others, the dead that are not forgotten yet included. */
   others(): readonly MemberRecord[];
-  /** Takes in a record; true when it told something new about the member's standing. */
+  /** Takes in a record; true when it told something new about the member's liveness. */
   takeIn(record: MemberRecord, learnedFrom: string | undefined, nowMs: number): boolean;
   takeInLoad(statement: LoadStatement, learnedFrom: string | undefined): void;
   /** What a peer must be told that speaks as `record`: set when this table knows of worse or of a later life. */
@@ -24,7 +24,7 @@
   tick(nowMs: number): void;
   /** After a pause of this process: suspects get their whole time again, since their denials were not read. */
   restartSuspicions(nowMs: number): void;
-  /** Exclusive or over the standings of all that are not dead. */
+  /** Exclusive or over the liveness of all that are not dead. */
   digest(): number;
   readonly memberLog: ChangeLog<MemberRecord>;
   readonly loadLog: ChangeLog<LoadStatement>;
@@ -69,10 +69,10 @@
     const { record } = entry;
     const previous = entries.get(record.instanceId)?.record;
     if (previous !== undefined) {
-      digest = xorHashes(digest, standingDigest(previous));
+      digest = xorHashes(digest, livenessDigest(previous));
       idsByKey.delete(memberKey(previous));
     }
-    digest = xorHashes(digest, standingDigest(record));
+    digest = xorHashes(digest, livenessDigest(record));
     idsByKey.set(memberKey(record), record.instanceId);
     entries.set(record.instanceId, entry);
     memberLog.append(record.instanceId, record, learnedFrom);
@@ -94,7 +94,7 @@
     const entry = entries.get(record.instanceId);
     if (entry === undefined) return takeInNew(record, learnedFrom, nowMs);
     const merged = mergeRecords(entry.record, record);
-    if (sameStanding(merged, entry.record)) {
+    if (sameLiveness(merged, entry.record)) {
       entry.record = merged;
       return false;
     }
--- a/src/core/membership/membership.test.ts
+++ b/src/core/membership/membership.test.ts
@@ -178,7 +178,7 @@
         members: [stale],
         loads: [],
         statements: [],
-        knownStandings: [],
+        knownLiveness: [],
         moreMembers: false,
       });
       assert.equal(fleet.seen('i-0', 'i-5'), undefined);
--- a/src/core/membership/merge.test.ts
+++ b/src/core/membership/merge.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
-import { mergeRecords, sameStanding } from './merge';
+import { mergeRecords, sameLiveness } from './merge';
 import type { MemberRecord } from './types';
 
 /** Small ranges, so that ties and overtakings of every kind come up. */
@@ -111,11 +111,11 @@
   for (const { name, other, wins } of CASES) {
     it(`${wins ? 'takes' : 'leaves out'} ${name}`, () => {
       const merged = mergeRecords(base, { ...base, ...other });
-      assert.equal(sameStanding(merged, base), !wins);
+      assert.equal(sameLiveness(merged, base), !wins);
     });
   }
 
-  it('keeps the newer load when the standing is older', () => {
+  it('keeps the newer load when the liveness is older', () => {
     const busier = { ...base, sequence: 1, loadSequence: 8, inFlightRequests: 40 };
     assert.deepEqual(mergeRecords(base, busier), {
       ...base,
--- a/src/core/membership/merge.ts
+++ b/src/core/membership/merge.ts
@@ -5,7 +5,7 @@
  * unless every order gives the same result, two instances that heard the same things disagree for ever, and
  * one goes on sending work to an instance that the other knows to be gone.
  *
- * The later life wins whole. Within a life the standing and the load are merged apart, each by
+ * The later life wins whole. Within a life the liveness and the load are merged apart, each by
  * a total order, so the result is the least upper bound of a lexicographic product: commutative, associative
  * and idempotent.
  */
@@ -18,7 +18,7 @@
   dead: 3,
 };
 
-type Standing = Pick<
+type Liveness = Pick<
   MemberRecord,
   | 'instanceId'
   | 'incarnation'
@@ -32,7 +32,7 @@
   | 'processToken'
 >;
 
-function standingOf(record: MemberRecord): Standing {
+function livenessOf(record: MemberRecord): Liveness {
   const { instanceId, incarnation, life, sequence, region, failureDomain } = record;
   const { callerAddress, peerAddress, status, processToken } = record;
   return {
@@ -75,14 +75,14 @@
   return left.life - right.life || left.processToken - right.processToken;
 }
 
-function compareStandings(left: MemberRecord, right: MemberRecord): number {
+function compareLiveness(left: MemberRecord, right: MemberRecord): number {
   const deadLeft = left.status === 'dead' ? 1 : 0;
   const deadRight = right.status === 'dead' ? 1 : 0;
   return (
     deadLeft - deadRight ||
     left.sequence - right.sequence ||
     SEVERITY[left.status] - SEVERITY[right.status] ||
-    compareContent(standingOf(left), standingOf(right))
+    compareContent(livenessOf(left), livenessOf(right))
   );
 }
 
@@ -95,12 +95,12 @@
 export function mergeRecords(left: MemberRecord, right: MemberRecord): MemberRecord {
   const lives = compareLives(left, right);
   if (lives !== 0) return lives > 0 ? left : right;
-  const standing = compareStandings(left, right) >= 0 ? left : right;
+  const liveness = compareLiveness(left, right) >= 0 ? left : right;
   const load = compareLoads(left, right) >= 0 ? left : right;
-  return standing === load ? standing : { ...standing, ...loadOf(load) };
+  return liveness === load ? liveness : { ...liveness, ...loadOf(load) };
 }
 
-/** Whether two records say the same of the instance's standing. */
-export function sameStanding(left: MemberRecord, right: MemberRecord): boolean {
-  return compareLives(left, right) === 0 && compareStandings(left, right) === 0;
+/** Whether two records say the same of the instance's liveness. */
+export function sameLiveness(left: MemberRecord, right: MemberRecord): boolean {
+  return compareLives(left, right) === 0 && compareLiveness(left, right) === 0;
 }
--- a/src/core/membership/messages.ts
+++ b/src/core/membership/messages.ts
@@ -21,13 +21,13 @@
   readonly have: Cursors;
   /** How much of the sender's logs the receiver has read once it has this message. */
   readonly upTo: Cursors;
-  /** Digest of the sender's view of all standings. */
+  /** Digest of the sender's view of all liveness. */
   readonly viewDigest: number;
   readonly members: readonly MemberRecord[];
   readonly loads: readonly LoadStatement[];
   readonly statements: readonly GossipEntry[];
-  /** Hashes of standings that the sender knows and need not be sent; given while two instances catch up. */
-  readonly knownStandings: readonly number[];
+  /** Hashes of liveness that the sender knows and need not be sent; given while two instances catch up. */
+  readonly knownLiveness: readonly number[];
   /** Whether members were left over for want of room. */
   readonly moreMembers: boolean;
 }
@@ -41,7 +41,7 @@
 const MEMBER_FIXED_BYTES = 64;
 const STATEMENT_FIXED_BYTES = 24;
 
-/** Bytes of the hash of one standing. */
+/** Bytes of the hash of one liveness. */
 export const STANDING_HASH_BYTES = 4;
 
 /** Bytes of a load statement on the wire, at most. */
--- a/src/core/membership/peer-link.ts
+++ b/src/core/membership/peer-link.ts
@@ -16,7 +16,7 @@
   readonly sent: Cursors | undefined;
   /** Exchanges in a row after which the views still differed though nothing was left to send. */
   readonly differingCount: number;
-  /** Hashes of standings that the peer said it knows; they are not sent while it is caught up with. */
+  /** Hashes of liveness that the peer said it knows; they are not sent while it is caught up with. */
   readonly peerKnows: ReadonlySet<number>;
   /** Whether the peer still has members for this instance that had no room. */
   readonly isCatchingUp: boolean;
@@ -76,7 +76,7 @@
     have: answer.upTo,
     sent: { ...NO_CURSORS, members },
     differingCount: 0,
-    peerKnows: new Set(answer.knownStandings),
+    peerKnows: new Set(answer.knownLiveness),
     isCatchingUp: answer.moreMembers,
   };
 }
--- a/src/core/membership/suspicion-policy.ts
+++ b/src/core/membership/suspicion-policy.ts
@@ -22,7 +22,7 @@
   forget(instanceId: string): void;
 }
 
-interface Standing {
+interface SuspicionRecord {
   failures: number;
   hasSuspected: boolean;
   holdOffMs: number;
@@ -31,45 +31,45 @@
 
 /** A policy that has seen nothing yet. */
 export function createSuspicionPolicy(): SuspicionPolicy {
-  const standings = new Map<string, Standing>();
+  const records = new Map<string, SuspicionRecord>();
 
-  const of = (instanceId: string): Standing => {
-    const known = standings.get(instanceId);
+  const of = (instanceId: string): SuspicionRecord => {
+    const known = records.get(instanceId);
     if (known !== undefined) return known;
     const fresh = { failures: 0, hasSuspected: false, holdOffMs: 0, heldUntilMs: 0 };
-    standings.set(instanceId, fresh);
+    records.set(instanceId, fresh);
     return fresh;
   };
 
   return {
     noteFailure(instanceId, nowMs) {
-      const standing = of(instanceId);
-      standing.failures += 1;
-      if (standing.failures < SUSPECT_AFTER_FAILURES || nowMs < standing.heldUntilMs) return false;
-      standing.hasSuspected = true;
+      const record = of(instanceId);
+      record.failures += 1;
+      if (record.failures < SUSPECT_AFTER_FAILURES || nowMs < record.heldUntilMs) return false;
+      record.hasSuspected = true;
       return true;
     },
     noteAnswer(instanceId) {
-      const standing = standings.get(instanceId);
-      if (standing !== undefined) standing.failures = 0;
+      const record = records.get(instanceId);
+      if (record !== undefined) record.failures = 0;
     },
     noteDenial(instanceId, nowMs) {
-      const standing = of(instanceId);
-      if (!standing.hasSuspected) return;
-      standing.hasSuspected = false;
-      standing.holdOffMs = Math.min(
+      const record = of(instanceId);
+      if (!record.hasSuspected) return;
+      record.hasSuspected = false;
+      record.holdOffMs = Math.min(
         LONGEST_HOLD_OFF_MS,
-        Math.max(SUSPICION_MS, standing.holdOffMs * 2),
+        Math.max(SUSPICION_MS, record.holdOffMs * 2),
       );
-      standing.heldUntilMs = nowMs + standing.holdOffMs;
+      record.heldUntilMs = nowMs + record.holdOffMs;
     },
     isUnreachable: (instanceId) =>
-      (standings.get(instanceId)?.failures ?? 0) >= SUSPECT_AFTER_FAILURES,
+      (records.get(instanceId)?.failures ?? 0) >= SUSPECT_AFTER_FAILURES,
     clearFailures() {
-      for (const standing of standings.values()) standing.failures = 0;
+      for (const record of records.values()) record.failures = 0;
     },
     forget(instanceId) {
-      standings.delete(instanceId);
+      records.delete(instanceId);
     },
   };
 }
--- a/src/core/membership/types.ts
+++ b/src/core/membership/types.ts
@@ -6,7 +6,7 @@
   readonly instanceId: string;
   /** Names the process: the wall clock at its start, which stays the same while it runs. */
   readonly incarnation: number;
-  /** Rises with each statement of one life about its standing. */
+  /** Rises with each statement of one life about its liveness. */
   readonly sequence: number;
   readonly region: string;
   readonly failureDomain: string;
@@ -64,7 +64,7 @@
   usablePeers(): readonly MemberState[];
 }
 
-/** A change of another instance's standing. */
+/** A change of another instance's liveness. */
 export interface MemberChange {
   readonly member: MemberRecord;
   /** Undefined for an instance heard of for the first time. */
@@ -73,7 +73,7 @@
   readonly isNewLife: boolean;
 }
 
-/** Tells of changes of standing as they are learned. */
+/** Tells of changes of liveness as they are learned. */
 export interface MembershipChanges {
   onChange(listener: (change: MemberChange) => void): Disposable;
 }
--- a/src/core/membership/view.ts
+++ b/src/core/membership/view.ts
@@ -8,7 +8,7 @@
 import type { PeerLink, SentState } from './peer-link';
 import type { SelfRecord } from './self-record';
 import { createSendBudget } from './send-budget';
-import { memberKey, standingDigest } from './standing-digest';
+import { memberKey, livenessDigest } from './liveness-digest';
 import { LOAD_INTERVAL_PER_MEMBER_MS, SHORTEST_LOAD_INTERVAL_MS } from './timing';
 import type { MemberChange, MemberRecord } from './types';
 import type { GossipStore } from '../gossip';
@@ -82,10 +82,10 @@
     loads: logs.loads.tip(),
     statements: logs.statements.tip(),
   });
-  const viewDigest = () => xorHashes(table.digest(), standingDigest(self.current()));
+  const viewDigest = () => xorHashes(table.digest(), livenessDigest(self.current()));
 
-  const knownStandings = (): readonly number[] => {
-    const hashes = [self.current(), ...table.others()].map(standingDigest);
+  const knownLiveness = (): readonly number[] => {
+    const hashes = [self.current(), ...table.others()].map(livenessDigest);
     budget.spend(hashes.length * STANDING_HASH_BYTES);
     return hashes;
   };
@@ -122,7 +122,7 @@
         nowMs,
         nowUnixMs,
         withLoads: isKnown,
-        knownStandings: link.peerKnows,
+        knownLiveness: link.peerKnows,
       });
       const about = link.instanceId === undefined ? undefined : table.get(link.instanceId);
       const isDoubted = about?.status === 'suspect' || about?.status === 'dead';
@@ -133,7 +133,7 @@
         have: link.have,
         viewDigest: viewDigest(),
         members: isDoubted ? [about, ...portion.members] : portion.members,
-        knownStandings: link.isCatchingUp ? knownStandings() : [],
+        knownLiveness: link.isCatchingUp ? knownLiveness() : [],
       };
       return {
         message,
@@ -156,7 +156,7 @@
         nowMs,
         nowUnixMs,
         withLoads: false,
-        knownStandings: new Set(request.knownStandings),
+        knownLiveness: new Set(request.knownLiveness),
       });
       const contradiction = table.contradiction(from);
       const isFirst = !isOwnProcess && !isSameView;
@@ -166,7 +166,7 @@
         haveOfProcess: 0,
         have: NO_CURSORS,
         viewDigest: viewDigest(),
-        knownStandings: isFirst ? knownStandings() : [],
+        knownLiveness: isFirst ? knownLiveness() : [],
         members:
           contradiction === undefined ? portion.members : [contradiction, ...portion.members],
       };
--- a/src/core/node/create-node.ts
+++ b/src/core/node/create-node.ts
@@ -1,7 +1,7 @@
 import { createInFlight, createServerSender } from '../backends';
 import type { Clock } from '../clock';
 import { createConfigurationStore, currentResilience, weightsSchema } from '../configuration';
-import { NO_STANDING, createConfigurationSync } from '../configuration-sync';
+import { NO_CONFIGURATION, createConfigurationSync } from '../configuration-sync';
 import { countServing, createDraining, gateServing } from '../draining';
 import type { OpenWork } from '../draining';
 import { createEngineClient, runEngineOrders } from '../engine-orders';
@@ -93,7 +93,7 @@
   const inFlight = createInFlight();
   const sender = owned.add(createServerSender());
   const metrics = createMetrics();
-  let standing = () => NO_STANDING;
+  let configurationState = () => NO_CONFIGURATION;
   let callerAddress = '';
   let peerAddress = '';
   const { serverListUrl } = settings.platform;
@@ -113,7 +113,7 @@
         failureDomain,
         callerAddress,
         peerAddress,
-        ...standing(),
+        ...configurationState(),
         inFlightRequests: inFlight.totalRequests(),
       }),
     }),
@@ -132,7 +132,7 @@
       whenUnconfirmed: unconfirmedConfiguration,
     }),
   );
-  standing = sync.standing;
+  configurationState = sync.configurationState;
 
   const { probe } = owned.add(createServerProber());
   const health = owned.add(
--- a/src/core/outliers/ejection-schedule.ts
+++ b/src/core/outliers/ejection-schedule.ts
@@ -1,5 +1,5 @@
 import type { OutlierOptions } from '../configuration';
-import type { Standing } from './types';
+import type { EjectionState } from './types';
 
 /**
  * When an ejected server comes back, and how much it gets then. Each ejection in a row lasts twice as long as
@@ -39,11 +39,11 @@
 }
 
 /** How the server is used at `nowMs`. */
-export function standingAt(
+export function ejectionStateAt(
   { untilMs }: EjectionSchedule,
   nowMs: number,
   options: OutlierOptions,
-): Standing {
+): EjectionState {
   if (nowMs < untilMs) return 'ejected';
   return nowMs < untilMs + options.returnMs ? 'returning' : 'inUse';
 }
@@ -54,8 +54,8 @@
   nowMs: number,
   options: OutlierOptions,
 ): number {
-  const standing = standingAt(schedule, nowMs, options);
-  switch (standing) {
+  const ejectionState = ejectionStateAt(schedule, nowMs, options);
+  switch (ejectionState) {
     case 'ejected':
       return 0;
     case 'returning': {
@@ -65,6 +65,6 @@
     case 'inUse':
       return 1;
     default:
-      return standing satisfies never;
+      return ejectionState satisfies never;
   }
 }
--- a/src/core/outliers/index.ts
+++ b/src/core/outliers/index.ts
@@ -4,4 +4,4 @@
 export { createOutlierTracker } from './outlier-tracker';
 export type { OutlierTracker } from './outlier-tracker';
 export { createRecordedOutlierTracker } from './record-tries';
-export type { Ejection, EjectionReason, ObservedServer, ObservedTry, Standing } from './types';
+export type { Ejection, EjectionReason, ObservedServer, ObservedTry, EjectionState } from './types';
--- a/src/core/outliers/outlier-tracker.test.ts
+++ b/src/core/outliers/outlier-tracker.test.ts
@@ -29,14 +29,14 @@
   ) => {
     for (let time = 0; time < times; time += 1) begin(serverId, nowMs).failed(nowMs, failure);
   };
-  const standings = (nowMs: number) => serverIds.map((id) => tracker.standing(id, nowMs));
+  const ejectionStates = (nowMs: number) => serverIds.map((id) => tracker.ejectionState(id, nowMs));
   const warmUp = () => {
     for (let round = 0; round < 20; round += 1) {
       serverIds.forEach((id) => answer(id, round * 100, 50 + (round % 3) * 20));
     }
     return 2_000;
   };
-  return { tracker, ejections, serverIds, begin, answer, fail, standings, warmUp };
+  return { tracker, ejections, serverIds, begin, answer, fail, ejectionStates, warmUp };
 }
 
 // One server of a service refuses each connection within a millisecond. It always looks idle, so that most
@@ -46,12 +46,12 @@
     const { tracker, fail, warmUp, ejections } = fleet(3);
     let nowMs = warmUp();
     fail('engine-1', nowMs, OPTIONS.failuresInARow - 1);
-    assert.equal(tracker.standing('engine-1', nowMs), 'inUse');
+    assert.equal(tracker.ejectionState('engine-1', nowMs), 'inUse');
     fail('engine-1', nowMs, 1);
-    assert.equal(tracker.standing('engine-1', nowMs), 'ejected');
+    assert.equal(tracker.ejectionState('engine-1', nowMs), 'ejected');
 
     nowMs += OPTIONS.ejectForMs;
-    assert.equal(tracker.standing('engine-1', nowMs), 'returning');
+    assert.equal(tracker.ejectionState('engine-1', nowMs), 'returning');
     fail('engine-1', nowMs, 2);
     assert.deepEqual(
       ejections.map(({ reason, untilMs, ejections: inARow }) => ({ reason, untilMs, inARow })),
@@ -66,7 +66,7 @@
     const { tracker, fail, warmUp, ejections } = fleet(3);
     const nowMs = warmUp();
     fail('engine-1', nowMs, 1, 'unreachable');
-    assert.equal(tracker.standing('engine-1', nowMs), 'inUse');
+    assert.equal(tracker.ejectionState('engine-1', nowMs), 'inUse');
     fail('engine-1', nowMs, 1, 'unreachable');
     fail('engine-1', nowMs + 2_000, 1, 'unreachable');
     assert.deepEqual(
@@ -85,7 +85,7 @@
       fail('engine-1', nowMs + round, OPTIONS.failuresInARow - 1);
       answer('engine-1', nowMs + round, 50);
     }
-    assert.equal(tracker.standing('engine-1', nowMs + 5), 'inUse');
+    assert.equal(tracker.ejectionState('engine-1', nowMs + 5), 'inUse');
   });
 
   it('has its old ejections forgotten after long good order', () => {
@@ -112,8 +112,8 @@
       serverIds.forEach((id) => answer(id, nowMs, id === 'engine-1' ? 700 : 70));
     }
     const nowMs = startMs + 12 * 250;
-    assert.equal(tracker.standing('engine-1', nowMs), 'ejected');
-    assert.equal(tracker.standing('engine-2', nowMs), 'inUse');
+    assert.equal(tracker.ejectionState('engine-1', nowMs), 'ejected');
+    assert.equal(tracker.ejectionState('engine-2', nowMs), 'inUse');
   });
 
   it('is found out by requests that are still open', () => {
@@ -121,7 +121,7 @@
     const startMs = warmUp();
     for (let request = 0; request < 8; request += 1) begin('engine-1', startMs);
     answer('engine-2', startMs + 1_000, 70);
-    assert.equal(tracker.standing('engine-1', startMs + 1_100), 'ejected');
+    assert.equal(tracker.ejectionState('engine-1', startMs + 1_100), 'ejected');
   });
 
   it('is found out by the pace of its streams when their heads come in time', () => {
@@ -136,8 +136,8 @@
         stream.ended(nowMs + 70 + 50 * (id === 'engine-1' ? 200 : 20));
       });
     }
-    assert.equal(tracker.standing('engine-1', startMs + 4_000), 'ejected');
-    assert.equal(tracker.standing('engine-3', startMs + 4_000), 'inUse');
+    assert.equal(tracker.ejectionState('engine-1', startMs + 4_000), 'ejected');
+    assert.equal(tracker.ejectionState('engine-3', startMs + 4_000), 'inUse');
   });
 
   it('is not taken for slow because its work is larger', () => {
@@ -148,7 +148,7 @@
       begin('engine-1', nowMs, 10).headReceived(nowMs + 600, false);
       answer('engine-2', nowMs, 70);
     }
-    assert.equal(tracker.standing('engine-1', startMs + 5_000), 'inUse');
+    assert.equal(tracker.ejectionState('engine-1', startMs + 5_000), 'inUse');
   });
 
   it('gets little at first when it comes back, and a tenth of its old times shows it again', () => {
@@ -168,7 +168,7 @@
     begin('engine-1', backMs);
     begin('engine-1', backMs);
     begin('engine-2', backMs + 1_000);
-    assert.equal(tracker.standing('engine-1', backMs + 1_000), 'ejected');
+    assert.equal(tracker.ejectionState('engine-1', backMs + 1_000), 'ejected');
   });
 });
 
@@ -183,19 +183,24 @@
   ];
   for (const { servers, mostEjected } of cases) {
     it(`lets ${mostEjected} of ${servers} failing servers be ejected`, () => {
-      const { fail, serverIds, standings, warmUp } = fleet(servers);
+      const { fail, serverIds, ejectionStates, warmUp } = fleet(servers);
       const nowMs = warmUp();
       serverIds.forEach((id) => fail(id, nowMs, 20));
-      const ejected = standings(nowMs).filter((standing) => standing === 'ejected').length;
+      const ejected = ejectionStates(nowMs).filter(
+        (ejectionState) => ejectionState === 'ejected',
+      ).length;
       assert.equal(ejected, mostEjected);
     });
   }
 
   it('does not count servers that cannot be reached, but leaves one', () => {
-    const { fail, serverIds, standings, warmUp } = fleet(8);
+    const { fail, serverIds, ejectionStates, warmUp } = fleet(8);
     const nowMs = warmUp();
     serverIds.forEach((id) => fail(id, nowMs, 20, 'unreachable'));
-    assert.equal(standings(nowMs).filter((standing) => standing === 'ejected').length, 7);
+    assert.equal(
+      ejectionStates(nowMs).filter((ejectionState) => ejectionState === 'ejected').length,
+      7,
+    );
   });
 
   it('still offers a server when the only candidates are ejected', () => {
--- a/src/core/outliers/outlier-tracker.ts
+++ b/src/core/outliers/outlier-tracker.ts
@@ -5,13 +5,13 @@
   nextEjection,
   pauseUnreachable,
   shareAt,
-  standingAt,
+  ejectionStateAt,
 } from './ejection-schedule';
 import type { EjectionSchedule } from './ejection-schedule';
 import { medianLevel } from './latency-level';
 import { NO_TIMES, addEnd, addHead, addUnfinished } from './server-times';
 import type { OpenTry, ServerTimes } from './server-times';
-import type { Ejection, EjectionReason, ObservedServer, ObservedTry, Standing } from './types';
+import type { Ejection, EjectionReason, ObservedServer, ObservedTry, EjectionState } from './types';
 
 /**
  * Answers one bad server among good ones: it fails, or takes many times as long, and still gets its share of
@@ -33,7 +33,7 @@
   begin(server: ObservedServer, workUnits: number, nowMs: number): ObservedTry;
   /** Whether a request may go to the server; drawn by chance for one that is returning. */
   mayUse(serverId: string, nowMs: number, random: RandomSource): boolean;
-  standing(serverId: string, nowMs: number): Standing;
+  ejectionState(serverId: string, nowMs: number): EjectionState;
 }
 
 interface ServerRecord {
@@ -97,15 +97,15 @@
     return group;
   };
 
-  const standingOf = (serverId: string, nowMs: number): Standing =>
-    standingAt(recordOf(serverId).schedule, nowMs, options());
+  const ejectionStateOf = (serverId: string, nowMs: number): EjectionState =>
+    ejectionStateAt(recordOf(serverId).schedule, nowMs, options());
 
   const mayEjectOneMore = (
     { serverIds }: Group,
     reason: EjectionReason,
     nowMs: number,
   ): boolean => {
-    const ejected = [...serverIds].filter((id) => standingOf(id, nowMs) === 'ejected');
+    const ejected = [...serverIds].filter((id) => ejectionStateOf(id, nowMs) === 'ejected');
     if (ejected.length + 1 >= serverIds.size) return false;
     if (reason === 'unreachable') return true;
     const bad = ejected.filter((id) => recordOf(id).ejectedFor !== 'unreachable').length;
@@ -113,7 +113,7 @@
   };
 
   const eject = (name: string, serverId: string, reason: EjectionReason, nowMs: number): void => {
-    if (standingOf(serverId, nowMs) === 'ejected') return;
+    if (ejectionStateOf(serverId, nowMs) === 'ejected') return;
     if (!mayEjectOneMore(groupNamed(name, nowMs), reason, nowMs)) return;
     const { schedule: previous } = recordOf(serverId);
     const schedule =
@@ -146,7 +146,7 @@
     nowMs: number,
   ): boolean => {
     const level = timesNow(serverId, nowMs)[kind];
-    const isReturning = standingOf(serverId, nowMs) === 'returning';
+    const isReturning = ejectionStateOf(serverId, nowMs) === 'returning';
     if (level.samples < (isReturning ? LEAST_SAMPLES_RETURNING : LEAST_SAMPLES)) return false;
     const others = [...serverIds]
       .filter((other) => other !== serverId)
@@ -176,7 +176,7 @@
   const noteUnreachable = (name: string, serverId: string, nowMs: number): void => {
     const unreachableInARow = recordOf(serverId).unreachableInARow + 1;
     update(serverId, { unreachableInARow });
-    const isReturning = standingOf(serverId, nowMs) === 'returning';
+    const isReturning = ejectionStateOf(serverId, nowMs) === 'returning';
     const limit = isReturning ? 1 : UNREACHABLE_IN_A_ROW;
     if (unreachableInARow >= limit) eject(name, serverId, 'unreachable', nowMs);
   };
@@ -184,7 +184,7 @@
   const noteFailure = (name: string, serverId: string, nowMs: number): void => {
     const failuresInARow = recordOf(serverId).failuresInARow + 1;
     update(serverId, { failuresInARow });
-    const isReturning = standingOf(serverId, nowMs) === 'returning';
+    const isReturning = ejectionStateOf(serverId, nowMs) === 'returning';
     const limit = isReturning ? RETURNING_FAILURES : options().failuresInARow;
     if (failuresInARow >= limit) eject(name, serverId, 'failures', nowMs);
   };
@@ -232,6 +232,6 @@
       const share = shareAt(recordOf(serverId).schedule, nowMs, options());
       return share === 1 || random.next() < share;
     },
-    standing: standingOf,
+    ejectionState: ejectionStateOf,
   };
 }
--- a/src/core/outliers/record-tries.ts
+++ b/src/core/outliers/record-tries.ts
@@ -57,6 +57,6 @@
       };
     },
     mayUse: (serverId, nowMs, random) => tracker.mayUse(serverId, nowMs, random),
-    standing: (serverId, nowMs) => tracker.standing(serverId, nowMs),
+    ejectionState: (serverId, nowMs) => tracker.ejectionState(serverId, nowMs),
   };
 }
--- a/src/core/outliers/types.ts
+++ b/src/core/outliers/types.ts
@@ -6,7 +6,7 @@
 }
 
 /** How a server is used. */
-export type Standing = 'inUse' | 'ejected' | 'returning';
+export type EjectionState = 'inUse' | 'ejected' | 'returning';
 
 /** Why a server was ejected. */
 export type EjectionReason = 'failures' | 'slow' | 'unreachable';
--- a/src/core/pass-through/warm-check.ts
+++ b/src/core/pass-through/warm-check.ts
@@ -51,7 +51,7 @@
  * back cold, this instance knows nothing of it, and together the instances send each of them more than it bears: it
  * crashes with all that it runs. One notices servers that crash a moment after each outage of the source. So while
  * what is published is not followed, and until servers that became cold meanwhile are warm again, each request waits
- * for the server's own word first. That costs a round trip within the region, and no more checks than requests.
+ * for the server's own answer first. That costs a round trip within the region, and no more checks than requests.
  */
 export function createWarmCheck(options: WarmCheckOptions): WarmCheck {
   const { clock, dialect, pool, routes, servers } = options;
--- a/src/core/peers/exchange-messages.ts
+++ b/src/core/peers/exchange-messages.ts
@@ -70,7 +70,7 @@
     members: message.members.map(toWireMember),
     loads: message.loads.map(toWireLoad),
     statements: message.statements.map(toWireStatement),
-    knownStandings: [...message.knownStandings],
+    knownLiveness: [...message.knownLiveness],
     moreMembers: message.moreMembers,
   });
 }
@@ -87,7 +87,7 @@
     members: message.members.map(fromWireMember),
     loads: message.loads.map(fromWireLoad),
     statements: message.statements.flatMap(fromWireStatement),
-    knownStandings: message.knownStandings,
+    knownLiveness: message.knownLiveness,
     moreMembers: message.moreMembers,
   };
 }
--- a/src/core/placement/server-load.ts
+++ b/src/core/placement/server-load.ts
@@ -31,7 +31,7 @@
   noteFirstByte(serverId: string, seen: FirstByte, nowMs: number): void;
   /** The request is over, whatever became of it. */
   noteEnded(serverId: string, ended: EndedRequest, nowMs: number): void;
-  /** A server's own word, which counts the requests of all instances. */
+  /** A server's own report, which counts the requests of all instances. */
   noteReport(serverId: string, report: LoadReport, nowMs: number): void;
   /** No connection to it could be made. */
   noteUnreachable(serverId: string, nowMs: number): void;
--- a/src/core/placement/types.ts
+++ b/src/core/placement/types.ts
@@ -11,7 +11,7 @@
   readonly promptTokens: number;
 }
 
-/** A server's own word on its load. */
+/** A server's own report of its load. */
 export interface LoadReport {
   readonly running: number;
   readonly waiting: number;
--- a/src/testing/virtual-fleet.ts
+++ b/src/testing/virtual-fleet.ts
@@ -130,7 +130,7 @@
         configurationConfirmed: true,
         watching: false,
         ...says,
-        ...sync?.standing(),
+        ...sync?.configurationState(),
       }),
       transport: {
         async exchange(peerAddress, message) {
