Give refused requests of other regions no place in the line of returns

Callers of a full region with a busy neighbour were told to stay away for up to 2 s. The new test fails on the code before: 2,000 ms in place of 1,000 after 200 refused requests of another region.

--- a/src/core/pass-through/create-router.test.ts
+++ b/src/core/pass-through/create-router.test.ts
@@ -90,7 +90,8 @@
     router,
     servers,
     announce,
-    choose: (tried = NOTHING_TRIED) => router.choose(REQUEST, PLAN, tried, nowMs),
+    choose: (tried = NOTHING_TRIED, more: Partial<RequestPlan> = {}) =>
+      router.choose(REQUEST, { ...PLAN, ...more }, tried, nowMs),
     observe: (to: Parameters<typeof observeDestination>[1]) =>
       observeDestination({ clock, router, request: REQUEST, plan: PLAN }, to),
     passMs(ms: number) {
@@ -152,6 +153,21 @@
   });
 });
 
+describe('a request of another region that is refused here', () => {
+  // The south is full, and its neighbour asks for hundreds of requests. Did each of them take a place in the line of
+  // those who come back, callers of the south would be told to stay away for the longest time.
+  it('takes no place in line from the callers of this region', () => {
+    const region = north([]);
+    for (let count = 0; count < 200; count += 1) {
+      region.choose(NOTHING_TRIED, { isForwarded: true });
+    }
+    const first = region.choose();
+    const second = region.choose();
+    assert.equal(first.kind === 'none' ? first.retryAfterMs : 0, 1_000);
+    assert.ok(second.kind === 'none' && second.retryAfterMs < 1_200);
+  });
+});
+
 describe('a server that has crashed and is still announced', () => {
   // Each request that is sent to it costs a connection that cannot be made, and one of the few tries that a request
   // has, while the other region could have served it at once.
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -99,11 +99,13 @@
     plan: RequestPlan,
     leastMs: number,
     nowMs: number,
-  ): Destination => ({
-    kind: 'none',
-    reason,
-    retryAfterMs: returns.nextReturnMs(alikeKey(plan), leastMs, nowMs),
-  });
+  ): Destination => {
+    // The instance that sent it here answers its caller; a place in line would be taken from this region's own.
+    const retryAfterMs = plan.isForwarded
+      ? leastMs
+      : returns.nextReturnMs(alikeKey(plan), leastMs, nowMs);
+    return { kind: 'none', reason, retryAfterMs };
+  };
 
   /** Refuses what no server of this region may be given. */
   const refuseWithoutServer = (plan: RequestPlan, nowMs: number): Destination => {
