--- a/src/runtime/batching-stream.test.ts
+++ b/src/runtime/batching-stream.test.ts
@@ -6,7 +6,7 @@
   const write = (text: string) => {
     writes.push(text);
   };
-  return { write, writeAtExit: write };
+  return { write };
 }
 
 describe('a stream that gathers small writes', () => {
--- a/src/runtime/batching-stream.ts
+++ b/src/runtime/batching-stream.ts
@@ -13,24 +13,19 @@
  * Under load each request writes several log lines: one system call a line was a sixth of the processor time of a
  * short request. What is still waiting when the process exits is written then.
  */
-export function createBatchingStream(sink: Pick<TextSink, 'write' | 'writeAtExit'>): Writable {
+export function createBatchingStream(sink: Pick<TextSink, 'write'>): Writable {
   let waiting = '';
   let timer: NodeJS.Timeout | undefined;
 
-  const takeWaiting = (): string => {
+  const flush = (): void => {
     clearTimeout(timer);
     timer = undefined;
     const text = waiting;
     waiting = '';
-    return text;
-  };
-  const flush = (): void => {
-    const text = takeWaiting();
     if (text !== '') sink.write(text);
   };
-  const flushAtExit = (): void => sink.writeAtExit(takeWaiting());
 
-  process.on('exit', flushAtExit);
+  process.on('exit', flush);
   return new Writable({
     decodeStrings: false,
     write(chunk: string | Buffer, _encoding, callback) {
@@ -40,7 +35,7 @@
       callback();
     },
     final(callback) {
-      process.off('exit', flushAtExit);
+      process.off('exit', flush);
       flush();
       callback();
     },
