Keep what is learned of a server for one start of it, and use no entry that others wrote

Cause: what is learned of a server (load, failures, prompt cache, crashes, draining, cold) was kept by its id. A server may start again under the id that it had; isDraining and coldUntilMs of the first start then stuck to the next one, and the id in a request no longer kept requests away from a start that is cold. An entry was read with defaults: one with an unknown state counted as ready, one without slots got one slot, and one that could not be read any more left the one before it in use.

Now a start has a name of its own (id and time of start), under which everything is kept. Announcements of an earlier start are passed over, and idle connections to it are closed. A server that broke a connection is asked whether it is cold before the next request. An entry has to hold all that servers write, each of its type; one that does not ends the use of what it replaced, in the order of the changes, also in the first range read.

--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -84,9 +84,9 @@
 /** Lowest urgency that backend servers know. */
 const LEAST_URGENT = 9;
 
-/** Name of a destination in log lines and among those that were tried. */
+/** Name of a destination in log lines and among those that were tried: of one start of a server. */
 export function destinationName(to: SendableDestination): string {
-  return to.kind === 'server' ? to.server.serverId : to.peer.instanceId;
+  return to.kind === 'server' ? to.server.incarnationId : to.peer.instanceId;
 }
 
 function isEventStream({ kind }: RequestPlan, { status, headers }: AnswerHead): boolean {
@@ -233,11 +233,13 @@
         return;
       case 'neverSent':
         if (to.kind === 'server' && abortedBy === undefined) {
-          router.loads.noteUnreachable(to.server.serverId, clock.monotonicMs());
+          router.loads.noteUnreachable(to.server.incarnationId, clock.monotonicMs());
+          options.warmCheck.noteDoubt(to.server);
         }
         report({ kind: 'neverSent', reason: end.reason }, 'refused');
         return;
       case 'lost':
+        if (to.kind === 'server' && end.cause === 'reset') options.warmCheck.noteDoubt(to.server);
         // A request that ran out of time says nothing of its server, unless that was silent to all.
         report(
           { kind: 'lost', reason: end.reason, wasReset: end.cause === 'reset' },
--- a/src/core/pass-through/crash-watch.ts
+++ b/src/core/pass-through/crash-watch.ts
@@ -66,7 +66,7 @@
     watch(request, plan, target) {
       const mayKnow = plan.homeRegions.length === 0 ? regions() : plan.homeRegions;
       const asked = guarded(request, plan, target.attempt);
-      const watched = guard.watch(asked, target.server.serverId, mayKnow);
+      const watched = guard.watch(asked, target.server.incarnationId, mayKnow);
       return {
         answered: () => watched.answered(),
         reset: () => noteIfCrashed(watched, target),
--- a/src/core/pass-through/create-router.test.ts
+++ b/src/core/pass-through/create-router.test.ts
@@ -65,6 +65,7 @@
     servers.put(
       {
         serverId,
+        startedAtUnixMs: undefined,
         service: CHAT,
         address: `${serverId}:1`,
         failureDomain,
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -44,8 +44,8 @@
   readonly prefixes: PrefixCacheView;
   readonly correction: PredictionCorrection;
   readonly spillWindows: SpillWindows;
-  /** Forgets servers that have gone. */
-  forgetGone(): void;
+  /** Forgets the starts of servers that are not among those given. */
+  keepOnly(incarnationIds: ReadonlySet<string>): void;
 }
 
 /** What the router is made from. */
@@ -71,7 +71,7 @@
 
 /** A router that has seen nothing yet. */
 export function createRouter(options: RouterOptions): Router {
-  const { servers, coldGate } = options;
+  const { coldGate } = options;
   const loads = createServerLoads();
   const paces = createServicePaces();
   const prefixes = createPrefixCacheView();
@@ -137,12 +137,11 @@
         return refuse('overloaded', plan, leastMs, nowMs);
       }
       const { server } = choice;
-      if (server.coldUntilMs > nowMs) coldGate.noteSent(server.serverId, nowMs);
+      if (server.coldUntilMs > nowMs) coldGate.noteSent(server.incarnationId, nowMs);
       returns.noteAdmitted(alikeKey(plan), nowMs);
       return { kind: 'server', ...choice };
     },
-    forgetGone() {
-      const known = new Set(servers.all().map((server) => server.serverId));
+    keepOnly(known) {
       loads.keepOnly(known);
       prefixes.keepOnly(known);
       coldGate.keepOnly(known);
--- a/src/core/pass-through/local-servers.ts
+++ b/src/core/pass-through/local-servers.ts
@@ -87,7 +87,7 @@
   ): boolean => {
     if (!pool.hasRoom(server.address, mostConnections(service))) return false;
     if (server.coldUntilMs <= nowMs) return true;
-    return coldGate.isOpen(server.serverId, service?.coldRequestsPerSecond ?? 0, nowMs);
+    return coldGate.isOpen(server.incarnationId, service?.coldRequestsPerSecond ?? 0, nowMs);
   };
 
   const toCandidate = (
@@ -97,20 +97,21 @@
     preferred: string | undefined,
     nowMs: number,
   ): Candidate => {
-    const { serverId, slots } = server;
+    const { incarnationId, slots } = server;
     const demand = request.demand ?? NO_DEMAND;
-    const unread = prefixes.uncachedTokens(serverId, demand);
+    const unread = prefixes.uncachedTokens(incarnationId, demand);
     const own = demand.parts.at(-1)?.tokens ?? 0;
     const shared = Math.max(0, unread - own);
     return {
-      serverId,
+      incarnationId,
       slots,
-      load: loads.load(serverId, nowMs),
-      pendingTokens: loads.pendingTokens(serverId),
-      uncachedTokens: serverId === preferred ? unread - shared * (1 - UNSURE_READ_SHARE) : unread,
-      delayMs: loads.delayMs(serverId, nowMs),
+      load: loads.load(incarnationId, nowMs),
+      pendingTokens: loads.pendingTokens(incarnationId),
+      uncachedTokens:
+        incarnationId === preferred ? unread - shared * (1 - UNSURE_READ_SHARE) : unread,
+      delayMs: loads.delayMs(incarnationId, nowMs),
       // A failed request is tried elsewhere at best, which takes about as long as it may.
-      failureCostMs: loads.failureShare(serverId, nowMs) * plan.objectiveMs,
+      failureCostMs: loads.failureShare(incarnationId, nowMs) * plan.objectiveMs,
     };
   };
 
@@ -120,12 +121,12 @@
     plan: RequestPlan,
     nowMs: number,
   ): LocalChoice | undefined => {
-    const ids = among.map((server) => server.serverId);
+    const ids = among.map((server) => server.incarnationId);
     const preferred =
       request.demand === undefined ? undefined : prefixes.preferred(ids, request.demand);
     const candidates = among.map((server) => toCandidate(server, request, plan, preferred, nowMs));
     const choice = chooseServer(candidates, paces.pace(plan.service));
-    const server = among.find(({ serverId }) => serverId === choice?.serverId);
+    const server = among.find(({ incarnationId }) => incarnationId === choice?.incarnationId);
     if (choice === undefined || server === undefined) return undefined;
     return {
       server,
@@ -143,8 +144,10 @@
       const service = routes.current()?.table.services.get(plan.service);
       const open = servers
         .usable(plan.service, region)
-        .filter((server) => !tried.ids.has(server.serverId) && mayBeSentTo(server, service, nowMs));
-      const reachable = open.filter((server) => !loads.isBlocked(server.serverId, nowMs));
+        .filter(
+          (server) => !tried.ids.has(server.incarnationId) && mayBeSentTo(server, service, nowMs),
+        );
+      const reachable = open.filter((server) => !loads.isBlocked(server.incarnationId, nowMs));
       if (reachable.length > 0) {
         return { best: bestOf(reachable, request, plan, nowMs), suspected: undefined };
       }
--- a/src/core/pass-through/observe-destination.ts
+++ b/src/core/pass-through/observe-destination.ts
@@ -43,15 +43,15 @@
   to: SendableDestination & { kind: 'server' },
 ): DestinationObserver {
   const { server, tokens, predictedMs } = to;
-  const { serverId } = server;
+  const { incarnationId } = server;
   const { loads, paces, prefixes, correction } = router;
   const sentAtMs = clock.monotonicMs();
   let hadFirstByte = false;
   let isNoted = false;
-  loads.noteSent(serverId, tokens, sentAtMs);
+  loads.noteSent(incarnationId, tokens, sentAtMs);
   return {
     noteLoad(report) {
-      loads.noteReport(serverId, report, clock.monotonicMs());
+      loads.noteReport(incarnationId, report, clock.monotonicMs());
     },
     noteFirstByte() {
       if (hadFirstByte) return;
@@ -59,14 +59,14 @@
       const nowMs = clock.monotonicMs();
       const actualMs = nowMs - sentAtMs;
       // On a busy server the wait for a place in the batch would count as reading.
-      const isRoomy = loads.load(serverId, nowMs) < server.slots / 2;
+      const isRoomy = loads.load(incarnationId, nowMs) < server.slots / 2;
       if (isRoomy) paces.notePrefill(plan.service, tokens, actualMs);
       correction.note(alikeKey(plan), to.rawPredictedMs, actualMs);
-      loads.noteFirstByte(serverId, { tokens, predictedMs, actualMs }, nowMs);
-      if (request.demand !== undefined) prefixes.noteRead(serverId, request.demand);
+      loads.noteFirstByte(incarnationId, { tokens, predictedMs, actualMs }, nowMs);
+      if (request.demand !== undefined) prefixes.noteRead(incarnationId, request.demand);
     },
     noteHeard() {
-      loads.noteHeard(serverId, clock.monotonicMs());
+      loads.noteHeard(incarnationId, clock.monotonicMs());
     },
     noteEnd(end) {
       if (isNoted) return;
@@ -74,10 +74,10 @@
       const nowMs = clock.monotonicMs();
       const saysNothing = end === 'untold' || end === 'refused';
       const isFailure = saysNothing ? undefined : end === 'failed';
-      loads.noteEnded(serverId, { hadFirstByte, tokens, isFailure }, nowMs);
+      loads.noteEnded(incarnationId, { hadFirstByte, tokens, isFailure }, nowMs);
       if (end === 'answered') paces.noteSlotTime(plan.service, nowMs - sentAtMs);
     },
-    isSilent: () => loads.silentMs(serverId, clock.monotonicMs()) >= SILENT_SERVER_MS,
+    isSilent: () => loads.silentMs(incarnationId, clock.monotonicMs()) >= SILENT_SERVER_MS,
   };
 }
 
--- a/src/core/pass-through/silence-watch.ts
+++ b/src/core/pass-through/silence-watch.ts
@@ -23,7 +23,7 @@
   const ownMs = nowMs - lastByteAtMs();
   // Before the first byte a request may just be waiting its turn, at a server that answers others.
   if (to.kind === 'server' && firstByteAtMs() === undefined) {
-    return Math.min(ownMs, loads.silentMs(to.server.serverId, nowMs));
+    return Math.min(ownMs, loads.silentMs(to.server.incarnationId, nowMs));
   }
   return ownMs;
 }
--- a/src/core/pass-through/warm-check.ts
+++ b/src/core/pass-through/warm-check.ts
@@ -9,6 +9,10 @@
 export interface WarmCheck {
   /** Whether a server has to be asked before it is given a request. */
   isNeeded(server: KnownServer): boolean;
+  /** Notes that a server may have crashed: it may have started again since, cold, under the id that it had. */
+  noteDoubt(server: KnownServer): void;
+  /** Forgets the starts of servers that are not among those given. */
+  keepOnly(incarnationIds: ReadonlySet<string>): void;
   /** Asks a server; aborting ends the check, and its result still comes. */
   ask(
     server: KnownServer,
@@ -52,9 +56,13 @@
  * crashes with all that it runs. One notices servers that crash a moment after each outage of the source. So while
  * what is published is not followed, and until servers that became cold meanwhile are warm again, each request waits
  * for the server's own answer first. That costs a round trip within the region, and no more checks than requests.
+ *
+ * A server that crashed may be back under its id before its announcement says so. The id in a request no longer tells
+ * the two starts apart, so one that broke a connection is asked as well, once, before it is given a request.
  */
 export function createWarmCheck(options: WarmCheckOptions): WarmCheck {
   const { clock, dialect, pool, routes, servers } = options;
+  const doubted = new Set<string>();
   const serviceOf = ({ service }: KnownServer) => routes.current()?.table.services.get(service);
 
   const coldForMs = ({ headers }: AnswerHead): number => {
@@ -70,9 +78,16 @@
       if (service === undefined || service.coldRequestsPerSecond <= 0) return false;
       // One that is known to be cold is sent to at the rate that it bears already.
       if (server.coldUntilMs > nowMs) return false;
+      if (doubted.has(server.incarnationId)) return true;
       const sinceMs = options.followedSinceMs();
       return sinceMs === undefined || nowMs - sinceMs < service.coldStartMs;
     },
+    noteDoubt(server) {
+      doubted.add(server.incarnationId);
+    },
+    keepOnly(incarnationIds) {
+      for (const id of doubted) if (!incarnationIds.has(id)) doubted.delete(id);
+    },
     ask(server, mostConnections, onResult) {
       let result: WarmResult | undefined;
       let exchange: Exchange | undefined;
@@ -98,6 +113,7 @@
               result = { kind: 'replaced' };
               return;
             }
+            doubted.delete(server.incarnationId);
             const forMs = coldForMs(head);
             if (forMs > 0) servers.noteCold(server.serverId, clock.monotonicMs() + forMs);
             // What else the answer says is not asked for: servers may be healthy and say otherwise.
--- a/src/core/placement/choose-server.ts
+++ b/src/core/placement/choose-server.ts
@@ -36,7 +36,7 @@
 
 /** A server with what it is expected to take. */
 export interface ServerChoice {
-  readonly serverId: string;
+  readonly incarnationId: string;
   readonly predictedMs: number;
   /** Prompt tokens that it will probably have to read. */
   readonly uncachedTokens: number;
@@ -53,8 +53,8 @@
     const predictedMs = predictFirstByteMs(candidate, pace);
     const costMs = predictedMs + candidate.failureCostMs;
     if (costMs < leastCostMs) {
-      const { serverId, uncachedTokens } = candidate;
-      best = { serverId, predictedMs, uncachedTokens };
+      const { incarnationId, uncachedTokens } = candidate;
+      best = { incarnationId, predictedMs, uncachedTokens };
       leastCostMs = costMs;
     }
   }
--- a/src/core/placement/placement.test.ts
+++ b/src/core/placement/placement.test.ts
@@ -11,9 +11,9 @@
 
 const PACE = { prefillMsPerToken: 0.025, slotTimeMs: 1_000 };
 
-function candidate(serverId: string, more: Partial<Candidate> = {}): Candidate {
+function candidate(incarnationId: string, more: Partial<Candidate> = {}): Candidate {
   return {
-    serverId,
+    incarnationId,
     slots: 64,
     load: 0,
     pendingTokens: 0,
@@ -66,7 +66,7 @@
     },
   ];
   for (const { name, candidates, expected } of cases) {
-    it(name, () => assert.equal(chooseServer(candidates, PACE)?.serverId, expected));
+    it(name, () => assert.equal(chooseServer(candidates, PACE)?.incarnationId, expected));
   }
 
   // Many long prompts arrive within a moment, before any report could show where they went.
@@ -81,9 +81,9 @@
         ),
         PACE,
       );
-      const { serverId } = choice ?? { serverId: '' };
-      loads.noteSent(serverId, 6_000, 0);
-      counts.set(serverId, (counts.get(serverId) ?? 0) + 1);
+      const { incarnationId } = choice ?? { incarnationId: '' };
+      loads.noteSent(incarnationId, 6_000, 0);
+      counts.set(incarnationId, (counts.get(incarnationId) ?? 0) + 1);
     }
     assert.deepEqual([...counts.values()], [10, 10, 10, 10]);
   });
--- a/src/core/placement/prefix-cache-view.ts
+++ b/src/core/placement/prefix-cache-view.ts
@@ -4,13 +4,13 @@
 /** What the servers' prompt caches probably hold, by what was sent to them from here. */
 export interface PrefixCacheView {
   /** Prompt tokens of the request that a server probably has to read. */
-  uncachedTokens(serverId: string, demand: ModelDemand): number;
+  uncachedTokens(incarnationId: string, demand: ModelDemand): number;
   /** Notes that a server has read the request's prompt. */
-  noteRead(serverId: string, demand: ModelDemand): void;
+  noteRead(incarnationId: string, demand: ModelDemand): void;
   /** Forgets servers that have gone. */
-  keepOnly(serverIds: ReadonlySet<string>): void;
+  keepOnly(incarnationIds: ReadonlySet<string>): void;
   /** Which of the servers all instances prefer for the request's shared parts. */
-  preferred(serverIds: readonly string[], demand: ModelDemand): string | undefined;
+  preferred(incarnationIds: readonly string[], demand: ModelDemand): string | undefined;
 }
 
 /** Parts remembered for one server; more than a cache of some hundred thousand tokens holds. */
@@ -31,8 +31,8 @@
   };
 
   return {
-    uncachedTokens(serverId, demand) {
-      const held = partsAt.get(serverId);
+    uncachedTokens(incarnationId, demand) {
+      const held = partsAt.get(incarnationId);
       let cached = 0;
       for (const { partId, tokens } of demand.parts) {
         if (held?.has(partId) !== true) break;
@@ -40,9 +40,9 @@
       }
       return Math.max(0, demand.promptTokens - cached);
     },
-    noteRead(serverId, { parts }) {
-      const held = partsAt.get(serverId) ?? new Map<string, true>();
-      partsAt.set(serverId, held);
+    noteRead(incarnationId, { parts }) {
+      const held = partsAt.get(incarnationId) ?? new Map<string, true>();
+      partsAt.set(incarnationId, held);
       for (const { partId } of parts) {
         held.delete(partId);
         held.set(partId, true);
@@ -52,12 +52,14 @@
         held.delete(oldest);
       }
     },
-    keepOnly(serverIds) {
-      for (const serverId of partsAt.keys()) if (!serverIds.has(serverId)) partsAt.delete(serverId);
+    keepOnly(incarnationIds) {
+      for (const incarnationId of partsAt.keys()) {
+        if (!incarnationIds.has(incarnationId)) partsAt.delete(incarnationId);
+      }
     },
-    preferred(serverIds, demand) {
+    preferred(incarnationIds, demand) {
       const key = sharedKey(demand);
-      return key === undefined ? undefined : rankFor(key, serverIds)[0];
+      return key === undefined ? undefined : rankFor(key, incarnationIds)[0];
     },
   };
 }
--- a/src/core/placement/server-load.ts
+++ b/src/core/placement/server-load.ts
@@ -25,29 +25,29 @@
 
 /** Keeps what is seen of servers. */
 export interface ServerLoads {
-  noteSent(serverId: string, tokens: number, nowMs: number): void;
-  noteHeard(serverId: string, nowMs: number): void;
+  noteSent(incarnationId: string, tokens: number, nowMs: number): void;
+  noteHeard(incarnationId: string, nowMs: number): void;
   /** The first byte came. */
-  noteFirstByte(serverId: string, seen: FirstByte, nowMs: number): void;
+  noteFirstByte(incarnationId: string, seen: FirstByte, nowMs: number): void;
   /** The request is over, whatever became of it. */
-  noteEnded(serverId: string, ended: EndedRequest, nowMs: number): void;
+  noteEnded(incarnationId: string, ended: EndedRequest, nowMs: number): void;
   /** A server's own report, which counts the requests of all instances. */
-  noteReport(serverId: string, report: LoadReport, nowMs: number): void;
+  noteReport(incarnationId: string, report: LoadReport, nowMs: number): void;
   /** No connection to it could be made. */
-  noteUnreachable(serverId: string, nowMs: number): void;
+  noteUnreachable(incarnationId: string, nowMs: number): void;
   /** Requests running and waiting there, of all instances together, as estimated. */
-  load(serverId: string, nowMs: number): number;
-  pendingTokens(serverId: string): number;
-  ownInFlight(serverId: string): number;
+  load(incarnationId: string, nowMs: number): number;
+  pendingTokens(incarnationId: string): number;
+  ownInFlight(incarnationId: string): number;
   /** Time by which silence and slowness there will probably delay a first byte, ms. */
-  delayMs(serverId: string, nowMs: number): number;
+  delayMs(incarnationId: string, nowMs: number): number;
   /** Part of the requests there that failed lately, from 0 to 1. */
-  failureShare(serverId: string, nowMs: number): number;
-  isBlocked(serverId: string, nowMs: number): boolean;
+  failureShare(incarnationId: string, nowMs: number): number;
+  isBlocked(incarnationId: string, nowMs: number): boolean;
   /** Time since anything came from a server that owes first bytes, ms; 0 where it owes none. */
-  silentMs(serverId: string, nowMs: number): number;
+  silentMs(incarnationId: string, nowMs: number): number;
   totalInFlight(): number;
-  keepOnly(serverIds: ReadonlySet<string>): void;
+  keepOnly(incarnationIds: ReadonlySet<string>): void;
 }
 
 /** What a first byte shows. */
@@ -101,11 +101,11 @@
   const loads = new Map<string, ServerLoad>();
   let total = 0;
 
-  const at = (serverId: string, nowMs: number): ServerLoad => {
-    let load = loads.get(serverId);
+  const at = (incarnationId: string, nowMs: number): ServerLoad => {
+    let load = loads.get(incarnationId);
     if (load === undefined) {
       load = newLoad(nowMs);
-      loads.set(serverId, load);
+      loads.set(incarnationId, load);
     }
     return load;
   };
@@ -114,8 +114,8 @@
   const left = (load: ServerLoad, nowMs: number): number =>
     0.5 ** (Math.max(0, nowMs - load.decayedAtMs) / HALF_LIFE_MS);
 
-  const decayed = (serverId: string, nowMs: number): ServerLoad => {
-    const load = at(serverId, nowMs);
+  const decayed = (incarnationId: string, nowMs: number): ServerLoad => {
+    const load = at(incarnationId, nowMs);
     const factor = left(load, nowMs);
     load.failureShare *= factor;
     load.latenessMs *= factor;
@@ -123,25 +123,25 @@
     return load;
   };
 
-  const silentMs = (serverId: string, nowMs: number): number => {
-    const load = loads.get(serverId);
+  const silentMs = (incarnationId: string, nowMs: number): number => {
+    const load = loads.get(incarnationId);
     return load === undefined || load.awaiting === 0 ? 0 : nowMs - load.lastHeardAtMs;
   };
 
   return {
-    noteSent(serverId, tokens, nowMs) {
-      const load = at(serverId, nowMs);
+    noteSent(incarnationId, tokens, nowMs) {
+      const load = at(incarnationId, nowMs);
       if (load.awaiting === 0) load.lastHeardAtMs = Math.max(load.lastHeardAtMs, nowMs);
       load.ownInFlight += 1;
       load.awaiting += 1;
       load.pendingTokens += tokens;
       total += 1;
     },
-    noteHeard(serverId, nowMs) {
-      at(serverId, nowMs).lastHeardAtMs = nowMs;
+    noteHeard(incarnationId, nowMs) {
+      at(incarnationId, nowMs).lastHeardAtMs = nowMs;
     },
-    noteFirstByte(serverId, { tokens, predictedMs, actualMs }, nowMs) {
-      const load = decayed(serverId, nowMs);
+    noteFirstByte(incarnationId, { tokens, predictedMs, actualMs }, nowMs) {
+      const load = decayed(incarnationId, nowMs);
       load.awaiting -= 1;
       load.pendingTokens -= tokens;
       load.lastHeardAtMs = nowMs;
@@ -149,8 +149,8 @@
       const lateMs = Math.min(MOST_LATENESS_MS, Math.max(0, actualMs - predictedMs));
       load.latenessMs += (lateMs - load.latenessMs) * NEWEST_WEIGHT;
     },
-    noteEnded(serverId, { hadFirstByte, tokens, isFailure }, nowMs) {
-      const load = at(serverId, nowMs);
+    noteEnded(incarnationId, { hadFirstByte, tokens, isFailure }, nowMs) {
+      const load = at(incarnationId, nowMs);
       load.ownInFlight -= 1;
       total -= 1;
       if (!hadFirstByte) {
@@ -158,46 +158,48 @@
         load.pendingTokens -= tokens;
       }
       if (isFailure === undefined) return;
-      const { failureShare } = decayed(serverId, nowMs);
+      const { failureShare } = decayed(incarnationId, nowMs);
       load.failureShare += ((isFailure ? 1 : 0) - failureShare) * NEWEST_WEIGHT;
     },
-    noteReport(serverId, { running, waiting }, nowMs) {
-      const load = at(serverId, nowMs);
+    noteReport(incarnationId, { running, waiting }, nowMs) {
+      const load = at(incarnationId, nowMs);
       load.othersInFlight = Math.max(0, running + waiting - load.ownInFlight);
       load.reportedAtMs = nowMs;
     },
-    noteUnreachable(serverId, nowMs) {
-      const load = at(serverId, nowMs);
+    noteUnreachable(incarnationId, nowMs) {
+      const load = at(incarnationId, nowMs);
       // Requests that were sent together fail together, which says no more than one failure.
       if (load.blockedUntilMs > nowMs) return;
       const restMs = Math.min(LONGEST_BLOCK_MS, FIRST_BLOCK_MS * 2 ** load.connectFailures);
       load.blockedUntilMs = nowMs + restMs;
       load.connectFailures += 1;
     },
-    load(serverId, nowMs) {
-      const load = loads.get(serverId);
+    load(incarnationId, nowMs) {
+      const load = loads.get(incarnationId);
       if (load === undefined) return 0;
       const factor = 0.5 ** ((nowMs - load.reportedAtMs) / REPORT_HALF_LIFE_MS);
       return load.ownInFlight + load.othersInFlight * factor;
     },
-    pendingTokens: (serverId) => loads.get(serverId)?.pendingTokens ?? 0,
-    ownInFlight: (serverId) => loads.get(serverId)?.ownInFlight ?? 0,
-    delayMs(serverId, nowMs) {
-      const load = loads.get(serverId);
+    pendingTokens: (incarnationId) => loads.get(incarnationId)?.pendingTokens ?? 0,
+    ownInFlight: (incarnationId) => loads.get(incarnationId)?.ownInFlight ?? 0,
+    delayMs(incarnationId, nowMs) {
+      const load = loads.get(incarnationId);
       if (load === undefined) return 0;
-      const silenceMs = Math.max(0, silentMs(serverId, nowMs) - SILENCE_ALLOWED_MS);
+      const silenceMs = Math.max(0, silentMs(incarnationId, nowMs) - SILENCE_ALLOWED_MS);
       return load.latenessMs * left(load, nowMs) + silenceMs;
     },
-    failureShare(serverId, nowMs) {
-      const load = loads.get(serverId);
+    failureShare(incarnationId, nowMs) {
+      const load = loads.get(incarnationId);
       return load === undefined ? 0 : load.failureShare * left(load, nowMs);
     },
-    isBlocked: (serverId, nowMs) => (loads.get(serverId)?.blockedUntilMs ?? 0) > nowMs,
+    isBlocked: (incarnationId, nowMs) => (loads.get(incarnationId)?.blockedUntilMs ?? 0) > nowMs,
     silentMs,
     totalInFlight: () => total,
-    keepOnly(serverIds) {
-      for (const [serverId, load] of loads) {
-        if (!serverIds.has(serverId) && load.ownInFlight === 0) loads.delete(serverId);
+    keepOnly(incarnationIds) {
+      for (const [incarnationId, load] of loads) {
+        if (!incarnationIds.has(incarnationId) && load.ownInFlight === 0) {
+          loads.delete(incarnationId);
+        }
       }
     },
   };
--- a/src/core/placement/types.ts
+++ b/src/core/placement/types.ts
@@ -20,7 +20,7 @@
 
 /** One server that a request could be sent to, with what is known of it now. */
 export interface Candidate {
-  readonly serverId: string;
+  readonly incarnationId: string;
   readonly slots: number;
   /** Requests running and waiting there, of all instances together, as estimated. */
   readonly load: number;
--- a/src/core/relay-node/create-serving.ts
+++ b/src/core/relay-node/create-serving.ts
@@ -53,8 +53,14 @@
   };
 }
 
+/** What serves requests, and what keeps it from growing. */
+export interface Serving extends ServeDependencies {
+  /** Forgets servers that have gone. */
+  forgetGone(): void;
+}
+
 /** Puts together what serves requests; `owned` releases what must be released. */
-export function createServing(options: ServingOptions, owned: DisposableStore): ServeDependencies {
+export function createServing(options: ServingOptions, owned: DisposableStore): Serving {
   const { clock, random, logger, dialect, routes, servers, pool, gossip, instances } = options;
   const { instanceId, region } = options.settings();
   const router = createRouter({
@@ -99,5 +105,10 @@
     retries,
     onReplaced: servers.noteReplaced,
     onDone: countInto(options.metrics),
+    forgetGone() {
+      const known = new Set(servers.all().map((server) => server.incarnationId));
+      router.keepOnly(known);
+      warmCheck.keepOnly(known);
+    },
   };
 }
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -75,12 +75,14 @@
   const owned = createDisposableStore();
   const nowMs = () => clock.monotonicMs();
 
+  const pool = owned.add(createConnectionPool(nowMs));
   const routes = createRouteTableStore();
   const servers = createServerRegistry({
     regionOf: (domain) => settings.regionOfDomain[domain],
     coldStartMs: (service) => routes.current()?.table.services.get(service)?.coldStartMs ?? 0,
+    // Connections to a start that is over are reset, and with them whatever is sent there next.
+    onRestarted: ({ address }) => pool.forget(address),
   });
-  const pool = owned.add(createConnectionPool(nowMs));
   const metrics = createMetrics();
   const gossip = createGossipBoard(instanceId, clock);
   const connections = owned.add(createPeerConnections(channelCredentials(undefined)));
@@ -215,7 +217,7 @@
 
   membership.start();
   sync.start();
-  owned.add(repeat(clock, FORGET_EVERY_MS, router.forgetGone));
+  owned.add(repeat(clock, FORGET_EVERY_MS, serving.forgetGone));
   owned.add(repeat(clock, LIMITS_EVERY_MS, ingress.applyLimits));
   owned.add(repeat(clock, REFILL_EVERY_MS, readyConnections.refill));
   logger.event(RELAY_NODE_EVENTS.started, {
--- a/src/core/server-registry/create-server-registry.ts
+++ b/src/core/server-registry/create-server-registry.ts
@@ -27,6 +27,19 @@
   readonly regionOf: (failureDomain: string) => string | undefined;
   /** Time for which servers of a service count as cold after an evacuation of their domain, ms. */
   readonly coldStartMs: (service: string) => number;
+  /** A server has started again under the id that it had; nothing of what was known of it holds any more. */
+  readonly onRestarted?: (before: KnownServer) => void;
+}
+
+function incarnationName({ serverId, startedAtUnixMs }: ServerAnnouncement): string {
+  return startedAtUnixMs === undefined ? serverId : `${serverId}@${startedAtUnixMs}`;
+}
+
+/** Whether an announcement is of a start before the one that is known; such a server runs no more. */
+function isOfEarlierStart(announcement: ServerAnnouncement, known: KnownServer): boolean {
+  const { startedAtUnixMs } = announcement;
+  if (startedAtUnixMs === undefined || known.startedAtUnixMs === undefined) return false;
+  return startedAtUnixMs < known.startedAtUnixMs;
 }
 
 /** A registry that knows nobody. */
@@ -58,11 +71,18 @@
   return {
     put(announcement, nowMs) {
       const { coldForMs, goneInMs, ...announced } = announcement;
-      const known = servers.get(announcement.serverId);
+      const before = servers.get(announcement.serverId);
+      if (before !== undefined && isOfEarlierStart(announcement, before)) return;
+      const incarnationId = incarnationName(announcement);
+      const isRestarted = before !== undefined && before.incarnationId !== incarnationId;
+      // Draining and cold belong to one start: carried over to the next, they would keep a sound server out of use.
+      const known = isRestarted ? undefined : before;
+      if (isRestarted) options.onRestarted?.(before);
       const region = options.regionOf(announcement.failureDomain) ?? '';
       const coldUntilMs = coldForMs > 0 ? nowMs + coldForMs : 0;
       set({
         ...announced,
+        incarnationId,
         region,
         // A server that is about to be taken away gets no new work, whatever else it says.
         isDraining: announced.isDraining || goneInMs !== undefined || known?.isDraining === true,
--- a/src/core/server-registry/types.ts
+++ b/src/core/server-registry/types.ts
@@ -1,7 +1,9 @@
 /** One backend server as it announces itself. */
 export interface ServerAnnouncement {
-  /** Names one start of the server; another start has another id. */
+  /** Names the server. Another start usually has another id; one that has the same tells by `startedAtUnixMs`. */
   readonly serverId: string;
+  /** When it started by its own clock, Unix ms; undefined where it does not say. Tells starts under one id apart. */
+  readonly startedAtUnixMs: number | undefined;
   readonly service: string;
   /** `HOST:PORT`; used again by another server some time after this one has gone. */
   readonly address: string;
@@ -18,6 +20,9 @@
 /** One backend server as this instance holds it. */
 export interface KnownServer {
   readonly serverId: string;
+  /** Names one start of the server. Whatever is learned of a server is kept under this name, and ends with it. */
+  readonly incarnationId: string;
+  readonly startedAtUnixMs: number | undefined;
   readonly service: string;
   readonly address: string;
   readonly failureDomain: string;
--- a/src/core/state-sync/create-state-sync.ts
+++ b/src/core/state-sync/create-state-sync.ts
@@ -75,26 +75,23 @@
   const deferred = new Set<Disposable>();
   let task: Promise<void> = Promise.resolve();
 
-  const report = (unreadable: readonly UnreadableItem[]): void => {
-    for (const { key, reason } of unreadable) {
-      logger.event(STATE_SYNC_EVENTS.itemUnreadable, { key, reason });
-    }
-  };
-
   const putServer = (item: ServerItem): void => {
     const { announcement } = item;
     const before = servers.get(announcement.serverId);
     servers.put(announcement, clock.monotonicMs());
+    const after = servers.get(announcement.serverId);
+    const isOfEarlierStart = after?.startedAtUnixMs !== announcement.startedAtUnixMs;
+    if (isOfEarlierStart) return;
     announcements.set(announcement.serverId, item);
     const wasCold = (before?.coldUntilMs ?? 0) > clock.monotonicMs();
     const isNews =
-      before === undefined ||
-      before.isDraining !== announcement.isDraining ||
+      before?.incarnationId !== after?.incarnationId ||
+      before?.isDraining !== announcement.isDraining ||
       wasCold !== announcement.coldForMs > 0;
     if (!isNews) return;
     const { serverId, service, address, isDraining, coldForMs } = announcement;
     const state = isDraining ? 'draining' : 'ready';
-    const fields = { server: serverId, service, address, state, coldForMs };
+    const fields = { server: after?.incarnationId ?? serverId, service, address, state, coldForMs };
     logger.event(STATE_SYNC_EVENTS.serverChanged, fields);
   };
 
@@ -133,6 +130,15 @@
     logger.event(STATE_SYNC_EVENTS.serverChanged, { server: serverId, state: 'gone' });
   };
 
+  /**
+   * An entry that cannot be read ends what stood there before, at once: a server that is still sent to by its old
+   * entry may have left, or may be another one by now.
+   */
+  const noteUnreadable = ({ key, serverId, reason }: UnreadableItem): void => {
+    logger.event(STATE_SYNC_EVENTS.itemUnreadable, { key, reason });
+    if (serverId !== undefined) removeServer(serverId);
+  };
+
   /**
    * Entries lapse while the source is away, and their removal is told when it is back, although the servers
    * live and announce themselves again at once. Taking all of them out of use for that moment would refuse
@@ -163,13 +169,16 @@
       case 'evacuationEnded':
         setEvacuated(change.failureDomain, false);
         return;
+      case 'unreadable':
+        noteUnreadable(change.item);
+        return;
       default:
         change satisfies never;
     }
   };
 
   const applyAll = (state: PublishedState): void => {
-    report(state.unreadable);
+    for (const item of state.unreadable) noteUnreadable(item);
     for (const item of state.items) put(item);
     const evacuated = new Set(
       state.items.flatMap((item) => (item.kind === 'evacuation' ? [item.failureDomain] : [])),
@@ -213,7 +222,6 @@
       followedSinceMs = undefined;
       return;
     }
-    report(news.unreadable);
     for (const change of news.changes) apply(change);
     revision = Math.max(after, news.revision);
   };
--- a/src/core/state-sync/snapshot-message.ts
+++ b/src/core/state-sync/snapshot-message.ts
@@ -42,6 +42,7 @@
 
 const announcementSchema = z.object({
   serverId: z.string(),
+  startedAtUnixMs: z.number().optional(),
   service: z.string(),
   address: z.string(),
   failureDomain: z.string(),
@@ -88,8 +89,8 @@
       return { kind: 'routes', table: { ...item.table, services } };
     }
     case 'server': {
-      const { goneInMs, ...announcement } = item.announcement;
-      return { kind: 'server', announcement: { ...announcement, goneInMs } };
+      const { goneInMs, startedAtUnixMs, ...announcement } = item.announcement;
+      return { kind: 'server', announcement: { ...announcement, startedAtUnixMs, goneInMs } };
     }
     case 'evacuation':
       return item;
--- a/src/core/state-sync/state-sync.test.ts
+++ b/src/core/state-sync/state-sync.test.ts
@@ -13,6 +13,7 @@
     kind: 'server',
     announcement: {
       serverId,
+      startedAtUnixMs: undefined,
       service: 'app',
       address: '10.0.0.1:80',
       failureDomain: 'north-a',
@@ -70,7 +71,6 @@
     kind: 'changes',
     revision,
     changes: gone.map((serverId) => ({ kind: 'serverGone' as const, serverId })),
-    unreadable: [],
   };
 }
 
@@ -123,7 +123,6 @@
           kind: 'changes',
           revision: 10,
           changes: [{ kind: 'put', item: server('back') }],
-          unreadable: [],
         },
       ],
     );
@@ -146,7 +145,6 @@
           kind: 'changes',
           revision: 10,
           changes: [{ kind: 'put', item: routes(8) }],
-          unreadable: [],
         },
       ],
     );
@@ -182,7 +180,6 @@
       kind: 'changes',
       revision: 6,
       changes: [{ kind: 'put', item: routes(8) }],
-      unreadable: [],
     };
     const { source } = createSource([state(5, [routes(3)])], ['fails', put]);
     const { clock, table, sync } = setUp(source, () => new Promise(() => {}));
--- a/src/core/state-sync/types.ts
+++ b/src/core/state-sync/types.ts
@@ -11,11 +11,15 @@
 export type PublishedChange =
   | { readonly kind: 'put'; readonly item: PublishedItem }
   | { readonly kind: 'serverGone'; readonly serverId: string }
-  | { readonly kind: 'evacuationEnded'; readonly failureDomain: string };
+  | { readonly kind: 'evacuationEnded'; readonly failureDomain: string }
+  /** It stands among the others in the order in which they were made, since it ends what stood there before. */
+  | { readonly kind: 'unreadable'; readonly item: UnreadableItem };
 
-/** A change or item that could not be read; it is logged and passed over. */
+/** An item that could not be read: it is logged, and names no server to use. */
 export interface UnreadableItem {
   readonly key: string;
+  /** The server of which it should tell; undefined for an item of something else. */
+  readonly serverId: string | undefined;
   readonly reason: string;
 }
 
@@ -32,7 +36,6 @@
       readonly kind: 'changes';
       readonly revision: number;
       readonly changes: readonly PublishedChange[];
-      readonly unreadable: readonly UnreadableItem[];
     }
   /** The history that was asked for is no longer kept; everything has to be read again. */
   | { readonly kind: 'historyGone' };
--- a/standins/published-store.ts
+++ b/standins/published-store.ts
@@ -6,7 +6,7 @@
 interface StoredEvent {
   readonly Key: string;
   readonly Revision: number;
-  readonly Value?: string;
+  readonly Value?: unknown;
   readonly Removed?: true;
 }
 
@@ -19,6 +19,8 @@
   /** Range reads and watches that have come in. */
   readonly calls: { range: number; watch: number };
   put(key: string, value: unknown): void;
+  /** Puts an item whose value is not what it should be: other bytes, or no text at all. */
+  putRaw(key: string, value: unknown): void;
   remove(key: string): void;
   /** Drops all history, so that watches from before are answered 410. */
   compact(): void;
@@ -28,6 +30,21 @@
   return Buffer.from(JSON.stringify(value)).toString('base64');
 }
 
+/** A server's entry with all that servers write; `more` replaces parts of it. */
+export function serverEntry(address: string, more: object = {}): Readonly<Record<string, unknown>> {
+  return {
+    Service: 'app',
+    Address: address,
+    Zone: 'north-a',
+    Version: 'v1',
+    Slots: 8,
+    State: 'ready',
+    Seq: 1,
+    ColdRemainingMs: 0,
+    ...more,
+  };
+}
+
 /** Opens a stand-in store that holds nothing; its range reads give so many items at once. */
 export async function openStoreStandIn(itemsPerPage = 500): Promise<StoreStandIn> {
   const items = new Map<string, StoredEvent>();
@@ -43,6 +60,13 @@
     for (const wake of [...waiting]) wake();
   };
 
+  const putRaw = (key: string, value: unknown): void => {
+    revision += 1;
+    const event = { Key: key, Revision: revision, Value: value };
+    items.set(key, event);
+    append(event);
+  };
+
   const answerRange = (query: URLSearchParams, response: ServerResponse): void => {
     const prefix = query.get('Prefix') ?? '';
     const after = query.get('after') ?? '';
@@ -101,12 +125,8 @@
       mood = next;
     },
     calls,
-    put(key, value) {
-      revision += 1;
-      const event = { Key: key, Revision: revision, Value: encode(value) };
-      items.set(key, event);
-      append(event);
-    },
+    put: (key, value) => putRaw(key, encode(value)),
+    putRaw,
     remove(key) {
       revision += 1;
       items.delete(key);
