Tell the instances of a region of each other's work and of the prompts that servers have read

Cause: an instance sees its own requests at once and those of the other two instances of its region by reports that come with answers, up to seconds late; prompts that were just sent, and what servers hold in their caches, it does not see.

Hypothesis: told several times a second what the others have under way and what was read for them, an instance places better. Statements go over kept connections, 10 a second and instance among few, at the same total in larger regions.

--- a/scripts/build-platform.mjs
+++ b/scripts/build-platform.mjs
@@ -1,17 +1,63 @@
-/** Builds target/coltsfootworks.cjs: the instance as the users' platform runs it, in one file. */
-import { mkdirSync } from 'node:fs';
+/** Builds what the users' platform runs: the bundle, its compiled code, and the file that starts an instance from both. */
+import { spawnSync } from 'node:child_process';
+import { copyFileSync, mkdirSync, rmSync, writeFileSync } from 'node:fs';
 import { build } from 'esbuild';
 
 const OUT = 'target';
+const START = `${OUT}/coltsfootworks.cjs`;
+const CODE_CACHE = `${OUT}/coltsfootworks-bundle.cache`;
+const WARM_UP_SETTINGS = `${OUT}/warm-up-settings.json`;
+/** As in `deploy/system.toml`: V8 refuses compiled code that was made with other flags. */
+const NODE_FLAGS = ['--max-old-space-size=200'];
+const WARM_UP_TIMEOUT_MS = 30_000;
+
+/** Settings of an instance that nobody calls: ports that the system chooses, and a store that refuses connections. */
+const IDLE_SETTINGS = {
+  Node: 'warm-up',
+  Ip: '127.0.0.1',
+  Zone: 'north-a',
+  Region: 'north',
+  Zones: { 'north-a': 'north' },
+  Listen: {
+    Front: '127.0.0.1:0',
+    Ready: '127.0.0.1:0',
+    Control: '127.0.0.1:0',
+    Directory: '127.0.0.1:0',
+  },
+  PortRange: [0, 0],
+  Seeds: [],
+  Bounds: { BudgetRatio: 0.2, BudgetWindowS: 10, BudgetSlack: 50, GraceS: 8 },
+  Platform: { Address: '127.0.0.1:1' },
+};
 
 mkdirSync(OUT, { recursive: true });
 await build({
   entryPoints: ['platform/main.ts'],
-  outfile: `${OUT}/coltsfootworks.cjs`,
+  outfile: `${OUT}/coltsfootworks-bundle.cjs`,
   bundle: true,
   platform: 'node',
   target: 'node20',
   format: 'cjs',
-  minify: false,
+  minify: true,
+  // Names of functions and classes stand in log lines and stack traces.
+  keepNames: true,
   logLevel: 'warning',
 });
+copyFileSync('scripts/start-with-code-cache.cjs', START);
+rmSync(CODE_CACHE, { force: true });
+writeFileSync(WARM_UP_SETTINGS, JSON.stringify(IDLE_SETTINGS));
+const warmUp = spawnSync(process.execPath, [...NODE_FLAGS, START], {
+  env: {
+    ...process.env,
+    COLTSFOOTWORKS_NODE_FILE: WARM_UP_SETTINGS,
+    COLTSFOOTWORKS_WRITE_CODE_CACHE: '1',
+  },
+  stdio: ['ignore', 'ignore', 'inherit'],
+  timeout: WARM_UP_TIMEOUT_MS,
+});
+rmSync(WARM_UP_SETTINGS, { force: true });
+if (warmUp.status !== 0) {
+  process.stderr.write(
+    'no compiled code was kept; instances will compile the bundle at each start\n',
+  );
+}
--- a/src/core/pass-through/answer-reader.ts
+++ b/src/core/pass-through/answer-reader.ts
@@ -19,6 +19,8 @@
 export interface StreamProgress {
   readonly lastEventId: string | undefined;
   readonly events: number;
+  /** Longest pause between two events so far, over all servers, ms. */
+  readonly longestPauseMs: number;
   /** Notes an event that has been passed on. */
   note(eventId: string | undefined): void;
 }
--- a/src/core/pass-through/create-router.test.ts
+++ b/src/core/pass-through/create-router.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from 'node:test';
 import { createRouteTableStore } from '../host-routes';
 import type { RouteTable } from '../host-routes';
+import { createLoadBoard } from '../load-sharing';
 import { createServerRegistry } from '../server-registry';
 import { createRouter } from './create-router';
 import { observeDestination } from './observe-destination';
@@ -78,6 +79,8 @@
       nowMs,
     );
   const router = createRouter({
+    others: createLoadBoard(),
+    onRead() {},
     region: 'north',
     routes,
     servers,
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -7,7 +7,9 @@
   createServicePaces,
   createSpillWindows,
 } from '../placement';
+import type { ReadParts } from '../load-sharing';
 import type {
+  ModelDemand,
   PredictionCorrection,
   PrefixCacheView,
   ServerLoads,
@@ -44,6 +46,10 @@
   readonly prefixes: PrefixCacheView;
   readonly correction: PredictionCorrection;
   readonly spillWindows: SpillWindows;
+  /** Notes that a server has read the prompt of a request from here. */
+  noteRead(incarnationId: string, demand: ModelDemand): void;
+  /** Notes that servers have read parts of prompts for other instances. */
+  noteReadForOthers(read: readonly ReadParts[]): void;
   /** Forgets the starts of servers that are not among those given. */
   keepOnly(incarnationIds: ReadonlySet<string>): void;
 }
@@ -53,7 +59,10 @@
   LocalServersOptions,
   'loads' | 'paces' | 'prefixes' | 'correction'
 > &
-  Omit<OtherRegionsOptions, 'windows'>;
+  Omit<OtherRegionsOptions, 'windows'> & {
+    /** Told of the shared parts that a server has read for a request from here. */
+    readonly onRead: (incarnationId: string, partIds: readonly string[]) => void;
+  };
 
 /**
  * Multiple of the latency objective that a request may be predicted to wait. Servers that are given more than
@@ -141,6 +150,14 @@
       returns.noteAdmitted(alikeKey(plan), nowMs);
       return { kind: 'server', ...choice };
     },
+    noteRead(incarnationId, demand) {
+      prefixes.noteRead(incarnationId, demand);
+      const shared = demand.parts.slice(0, -1).map(({ partId }) => partId);
+      if (shared.length > 0) options.onRead(incarnationId, shared);
+    },
+    noteReadForOthers(read) {
+      for (const { incarnationId, partIds } of read) prefixes.noteParts(incarnationId, partIds);
+    },
     keepOnly(known) {
       loads.keepOnly(known);
       prefixes.keepOnly(known);
--- a/src/core/pass-through/local-servers.ts
+++ b/src/core/pass-through/local-servers.ts
@@ -1,5 +1,6 @@
 import type { ConnectionPool } from '../exchanges';
 import type { RouteTableStore, RoutedService } from '../host-routes';
+import type { LoadBoard } from '../load-sharing';
 import { chooseServer, supplyPrompts } from '../placement';
 import type {
   Candidate,
@@ -23,6 +24,9 @@
   readonly rawPredictedMs: number;
   /** Prompt tokens that it will probably have to read, those that it copies left out. */
   readonly tokens: number;
+  /** Requests at the server, and prompt tokens that it still has to read for them, as estimated. */
+  readonly load: number;
+  readonly pendingTokens: number;
   /** The server from whose cache it is to copy the prompt; undefined for none. */
   readonly copyFrom: KnownServer | undefined;
   readonly mostConnections: number;
@@ -56,6 +60,8 @@
   /** Instances of this region, this one included. */
   readonly instancesInRegion: () => number;
   readonly loads: ServerLoads;
+  /** What the other instances of this region have under way at its servers. */
+  readonly others: LoadBoard;
   readonly paces: ServicePaces;
   readonly prefixes: PrefixCacheView;
   readonly correction: PredictionCorrection;
@@ -73,7 +79,8 @@
 
 /** Judges servers by what has been seen of them from here. */
 export function createLocalServers(options: LocalServersOptions): LocalServers {
-  const { region, routes, servers, pool, coldGate, loads, paces, prefixes, correction } = options;
+  const { region, routes, servers, pool, coldGate, loads, others, paces, prefixes, correction } =
+    options;
 
   const mostConnections = (service: RoutedService | undefined): number => {
     const all = service?.maxConnections ?? CONNECTIONS_UNSTATED;
@@ -81,6 +88,17 @@
     return Math.max(1, Math.floor(share));
   };
 
+  /** Requests at a server: as instances tell where all of them do, or else as the server's last answers told. */
+  const loadOf = (incarnationId: string, nowMs: number): number => {
+    const isToldByAll = others.heardOf() + 1 >= options.instancesInRegion();
+    return isToldByAll
+      ? loads.ownInFlight(incarnationId) + others.inFlight(incarnationId)
+      : loads.load(incarnationId, nowMs);
+  };
+
+  const pendingTokensOf = (incarnationId: string): number =>
+    loads.pendingTokens(incarnationId) + others.pendingTokens(incarnationId);
+
   const mayBeSentTo = (
     server: KnownServer,
     service: RoutedService | undefined,
@@ -101,8 +119,8 @@
     return {
       incarnationId,
       slots,
-      load: loads.load(incarnationId, nowMs),
-      pendingTokens: loads.pendingTokens(incarnationId),
+      load: loadOf(incarnationId, nowMs),
+      pendingTokens: pendingTokensOf(incarnationId),
       uncachedTokens,
       copyableTokens,
       delayMs: loads.delayMs(incarnationId, nowMs),
@@ -135,6 +153,8 @@
       predictedMs: correction.correct(alikeKey(plan), choice.predictedMs),
       rawPredictedMs: choice.predictedMs,
       tokens: choice.readTokens,
+      load: loadOf(server.incarnationId, nowMs),
+      pendingTokens: pendingTokensOf(server.incarnationId),
       copyFrom: byId(supplies(server.incarnationId).copyFrom),
       mostConnections: mostConnections(service),
     };
--- a/src/core/pass-through/observe-destination.ts
+++ b/src/core/pass-through/observe-destination.ts
@@ -44,7 +44,7 @@
 ): DestinationObserver {
   const { server, tokens, predictedMs } = to;
   const { incarnationId } = server;
-  const { loads, paces, prefixes, correction } = router;
+  const { loads, paces, correction } = router;
   const sentAtMs = clock.monotonicMs();
   let hadFirstByte = false;
   let isNoted = false;
@@ -63,7 +63,7 @@
       if (isRoomy) paces.notePrefill(plan.service, tokens, actualMs);
       correction.note(alikeKey(plan), to.rawPredictedMs, actualMs);
       loads.noteFirstByte(incarnationId, { tokens, predictedMs, actualMs }, nowMs);
-      if (request.demand !== undefined) prefixes.noteRead(incarnationId, request.demand);
+      if (request.demand !== undefined) router.noteRead(incarnationId, request.demand);
     },
     noteHeard() {
       loads.noteHeard(incarnationId, clock.monotonicMs());
--- a/src/core/pass-through/open-ingress.ts
+++ b/src/core/pass-through/open-ingress.ts
@@ -35,6 +35,8 @@
   readonly isRefusing: () => boolean;
   /** Answers of this listener that are no requests, by path; for other instances alone. */
   readonly documents?: ReadonlyMap<string, () => string>;
+  /** Takes messages of other instances on this listener that are no requests either, by path. */
+  readonly messages?: ReadonlyMap<string, (text: string) => void>;
 }
 
 /** A listener for requests. */
@@ -48,6 +50,9 @@
 
 /** Largest header section that is read at all; the routes' own limit is checked on top. */
 const MOST_HEADER_BYTES = 131_072;
+/** Largest message of another instance; statements of its load have some hundred bytes for each server. */
+const MOST_MESSAGE_BYTES = 262_144;
+const NO_CONTENT = 204;
 /** How long another instance may keep a connection idle: longer than gaps between bursts. */
 const PEER_KEPT_MS = 60_000;
 /** Idle time of callers' connections until the routes say otherwise. */
@@ -244,6 +249,14 @@
       response.writeHead(200, { 'content-type': 'application/json' }).end(document());
       return;
     }
+    const takeMessage = options.messages?.get(incoming.url ?? '');
+    if (takeMessage !== undefined) {
+      readBody(incoming, MOST_MESSAGE_BYTES, (reading) => {
+        if (reading.kind === 'whole') takeMessage(reading.body.toString('utf8'));
+        response.writeHead(NO_CONTENT).end();
+      });
+      return;
+    }
     openRequests += 1;
     response.on('close', () => {
       openRequests -= 1;
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -71,7 +71,7 @@
   const triedIds = new Set<string>();
   const refusingRegions = new Set<string>();
   const tried: TriedDestinations = { ids: triedIds, refusingRegions };
-  const progress: StreamProgress = createProgress(request.lastEventId);
+  const progress: StreamProgress = createProgress(clock, request.lastEventId);
   const mayRepeat = isRepeatable(plan);
   let current: Attempt | undefined;
   let watched: CrashWatchedTry | undefined;
@@ -193,6 +193,7 @@
       to: destinationName(attempt.to),
       status,
       events: progress.events,
+      longestPauseMs: Math.round(progress.longestPauseMs),
       firstByteMs: Math.round((firstByteAtMs ?? request.receivedAtMs) - request.receivedAtMs),
       totalMs: elapsedMs(),
     });
@@ -247,6 +248,10 @@
         ? {
             predictedMs: Math.round(to.predictedMs),
             tokens: Math.round(to.tokens),
+            rawPredictedMs: Math.round(to.rawPredictedMs),
+            promptTokens: request.demand?.promptTokens,
+            pendingTokens: Math.round(to.pendingTokens),
+            load: Math.round(to.load),
             copyFrom: to.copyFrom?.serverId,
           }
         : { toRegion: to.peer.region };
@@ -325,8 +330,10 @@
   };
 }
 
-function createProgress(lastEventId: string | undefined): StreamProgress {
+function createProgress(clock: Clock, lastEventId: string | undefined): StreamProgress {
   let events = 0;
+  let lastEventAtMs: number | undefined;
+  let longestPauseMs = 0;
   let lastId = lastEventId;
   return {
     get events() {
@@ -335,7 +342,13 @@
     get lastEventId() {
       return lastId;
     },
+    get longestPauseMs() {
+      return longestPauseMs;
+    },
     note(eventId) {
+      const nowMs = clock.monotonicMs();
+      longestPauseMs = Math.max(longestPauseMs, nowMs - (lastEventAtMs ?? nowMs));
+      lastEventAtMs = nowMs;
       events += 1;
       lastId = eventId ?? lastId;
     },
--- a/src/core/placement/prefix-cache-view.ts
+++ b/src/core/placement/prefix-cache-view.ts
@@ -7,6 +7,8 @@
   cachedTokens(incarnationId: string, demand: ModelDemand): number;
   /** Notes that a server has read the request's prompt. */
   noteRead(incarnationId: string, demand: ModelDemand): void;
+  /** Notes that a server has read these parts of a prompt. */
+  noteParts(incarnationId: string, partIds: readonly string[]): void;
   /** Forgets servers that have gone. */
   keepOnly(incarnationIds: ReadonlySet<string>): void;
   /** Which of the servers all instances prefer for the request's shared parts. */
@@ -30,7 +32,21 @@
     return shared.length === 0 ? undefined : shared.map((part) => part.partId).join(',');
   };
 
+  const noteParts = (incarnationId: string, partIds: readonly string[]): void => {
+    const held = partsAt.get(incarnationId) ?? new Map<string, true>();
+    partsAt.set(incarnationId, held);
+    for (const partId of partIds) {
+      held.delete(partId);
+      held.set(partId, true);
+    }
+    for (const oldest of held.keys()) {
+      if (held.size <= MOST_PARTS) break;
+      held.delete(oldest);
+    }
+  };
+
   return {
+    noteParts,
     cachedTokens(incarnationId, demand) {
       const held = partsAt.get(incarnationId);
       let cached = 0;
@@ -41,16 +57,10 @@
       return Math.min(demand.promptTokens, cached);
     },
     noteRead(incarnationId, { parts }) {
-      const held = partsAt.get(incarnationId) ?? new Map<string, true>();
-      partsAt.set(incarnationId, held);
-      for (const { partId } of parts) {
-        held.delete(partId);
-        held.set(partId, true);
-      }
-      for (const oldest of held.keys()) {
-        if (held.size <= MOST_PARTS) break;
-        held.delete(oldest);
-      }
+      noteParts(
+        incarnationId,
+        parts.map(({ partId }) => partId),
+      );
     },
     keepOnly(incarnationIds) {
       for (const incarnationId of partsAt.keys()) {
--- a/src/core/placement/server-load.ts
+++ b/src/core/placement/server-load.ts
@@ -47,9 +47,18 @@
   /** Time since anything came from a server that owes first bytes, ms; 0 where it owes none. */
   silentMs(incarnationId: string, nowMs: number): number;
   totalInFlight(): number;
+  /** What is under way from here, server by server. */
+  ownWork(): readonly OwnWork[];
   keepOnly(incarnationIds: ReadonlySet<string>): void;
 }
 
+/** What is under way from here at one server. */
+export interface OwnWork {
+  readonly incarnationId: string;
+  readonly inFlight: number;
+  readonly pendingTokens: number;
+}
+
 /** What a first byte shows. */
 export interface FirstByte {
   readonly tokens: number;
@@ -195,6 +204,14 @@
     isBlocked: (incarnationId, nowMs) => (loads.get(incarnationId)?.blockedUntilMs ?? 0) > nowMs,
     silentMs,
     totalInFlight: () => total,
+    ownWork: () =>
+      [...loads]
+        .filter(([, load]) => load.ownInFlight > 0)
+        .map(([incarnationId, { ownInFlight, pendingTokens }]) => ({
+          incarnationId,
+          inFlight: ownInFlight,
+          pendingTokens: Math.max(0, Math.round(pendingTokens)),
+        })),
     keepOnly(incarnationIds) {
       for (const [incarnationId, load] of loads) {
         if (!incarnationIds.has(incarnationId) && load.ownInFlight === 0) {
--- a/src/core/relay-node/create-serving.ts
+++ b/src/core/relay-node/create-serving.ts
@@ -5,6 +5,7 @@
 import type { GossipBoard } from '../gossip';
 import type { RouteTableStore } from '../host-routes';
 import type { DisposableStore } from '../lifetime';
+import { createLoadBoard, createLoadTeller, readStatement } from '../load-sharing';
 import type { Metrics } from '../metrics';
 import { createCrashWatch, createRouter, createWarmCheck } from '../pass-through';
 import type { HeaderDialect, ServeDependencies, ServedRequest } from '../pass-through';
@@ -29,6 +30,8 @@
   readonly gossip: GossipBoard;
   readonly metrics: Metrics;
   readonly instances: KnownInstances;
+  /** Sends a statement of this instance's load to another one of its region. */
+  readonly sendStatement: (address: string, text: string) => void;
   /** Monotonic time since which all that is published has been followed; undefined while it is not. */
   readonly followedSinceMs: () => number | undefined;
 }
@@ -57,13 +60,20 @@
 export interface Serving extends ServeDependencies {
   /** Forgets servers that have gone. */
   forgetGone(): void;
+  /** Takes a statement of another instance's load. */
+  takeStatement(text: string): void;
+  /** Tells the others of this instance's load, if it is time. */
+  tellLoad(): void;
 }
 
 /** Puts together what serves requests; `owned` releases what must be released. */
 export function createServing(options: ServingOptions, owned: DisposableStore): Serving {
   const { clock, random, logger, dialect, routes, servers, pool, gossip, instances } = options;
   const { instanceId, region } = options.settings();
+  const others = createLoadBoard();
   const router = createRouter({
+    others,
+    onRead: (incarnationId, partIds) => teller.noteRead(incarnationId, partIds),
     region,
     routes,
     servers,
@@ -77,6 +87,16 @@
     instancesInRegion: instances.countInRegion,
     draw: () => random.next(),
   });
+  const teller = createLoadTeller({
+    selfId: instanceId,
+    servers: router.loads.ownWork,
+    addresses: () =>
+      instances
+        .peers()
+        .filter((peer) => peer.region === region)
+        .map((peer) => peer.forwardAddress),
+    send: options.sendStatement,
+  });
   const { followedSinceMs } = options;
   const warmCheck = createWarmCheck({ clock, dialect, pool, routes, servers, followedSinceMs });
   const guard = owned.add(
@@ -105,6 +125,17 @@
     retries,
     onReplaced: servers.noteReplaced,
     onDone: countInto(options.metrics),
+    takeStatement(text) {
+      const statement = readStatement(text);
+      if (statement === undefined) return;
+      others.take(statement, clock.monotonicMs());
+      router.noteReadForOthers(statement.read);
+    },
+    tellLoad() {
+      const nowMs = clock.monotonicMs();
+      others.dropOld(nowMs);
+      teller.tell(nowMs);
+    },
     forgetGone() {
       const known = new Set(servers.all().map((server) => server.incarnationId));
       router.keepOnly(known);
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -30,6 +30,7 @@
 import { createKnownInstances } from './known-instances';
 import { repeat } from './repeat';
 import type { RelaySettings } from './settings';
+import { STATEMENT_PATH, createStatementSender } from './send-statement';
 import { createStopState } from './stop-state';
 
 /** What an instance is made from. */
@@ -67,6 +68,9 @@
 /** Rest between two looks at the connections to other regions: an instance that comes back is met within it, ms. */
 const REFILL_EVERY_MS = 500;
 
+/** Rest between two looks at whether this instance's load is to be told, ms; the teller itself rests for longer. */
+const TELL_EVERY_MS = 50;
+
 /** Starts an instance: its listeners, its membership and its copy of what is published. */
 export async function startRelayNode(options: RelayNodeOptions): Promise<RelayNode> {
   const { clock, random, logger, dialect } = options;
@@ -157,6 +161,7 @@
       metrics,
       instances,
       followedSinceMs: sync.followedSinceMs,
+      sendStatement: createStatementSender(pool),
     },
     owned,
   );
@@ -199,6 +204,7 @@
         [STATE_PATH, () => writeSnapshot(sync.snapshot())],
         [HERE_PATH, () => '{}'],
       ]),
+      messages: new Map([[STATEMENT_PATH, serving.takeStatement]]),
     }),
   );
   const ingress = owned.add(
@@ -218,6 +224,7 @@
   membership.start();
   sync.start();
   owned.add(repeat(clock, FORGET_EVERY_MS, serving.forgetGone));
+  owned.add(repeat(clock, TELL_EVERY_MS, serving.tellLoad));
   owned.add(repeat(clock, LIMITS_EVERY_MS, ingress.applyLimits));
   owned.add(repeat(clock, REFILL_EVERY_MS, readyConnections.refill));
   logger.event(RELAY_NODE_EVENTS.started, {
