Trial: weigh what a prompt holds up, and how fast streams go on, in choosing a server

Hypothesis: servers read prompts in chunks between the steps of all their streams (56 ms between events at the median, 27 on a server that reads nothing). Prompts that come together at some servers and streams at the others should pause less.

--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -203,7 +203,10 @@
     lastByteAtMs = clock.monotonicMs();
     noteFirstByte();
     destination.noteHeard();
-    if (reader.take(chunk)) return;
+    const eventsBefore = progress.events;
+    const isFast = reader.take(chunk);
+    if (progress.events > eventsBefore) destination.noteEvents(progress.events - eventsBefore);
+    if (isFast) return;
     exchange?.pause();
     answer.onDrain(() => exchange?.resume());
   };
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -6,6 +6,7 @@
   createServerLoads,
   createServicePaces,
   createSpillWindows,
+  createStreamPaces,
 } from '../placement';
 import type { ReadParts } from '../load-sharing';
 import type {
@@ -15,6 +16,7 @@
   ServerLoads,
   ServicePaces,
   SpillWindows,
+  StreamPaces,
 } from '../placement';
 import { alikeKey } from './forwarding';
 import { createLocalServers } from './local-servers';
@@ -43,6 +45,7 @@
   ): Destination;
   readonly loads: ServerLoads;
   readonly paces: ServicePaces;
+  readonly streams: StreamPaces;
   readonly prefixes: PrefixCacheView;
   readonly correction: PredictionCorrection;
   readonly spillWindows: SpillWindows;
@@ -57,7 +60,7 @@
 /** What the router is made from. */
 export type RouterOptions = Omit<
   LocalServersOptions,
-  'loads' | 'paces' | 'prefixes' | 'correction'
+  'loads' | 'paces' | 'streams' | 'prefixes' | 'correction'
 > &
   Omit<OtherRegionsOptions, 'windows'> & {
     /** Told of the shared parts that a server has read for a request from here. */
@@ -83,11 +86,12 @@
   const { coldGate } = options;
   const loads = createServerLoads();
   const paces = createServicePaces();
+  const streams = createStreamPaces();
   const prefixes = createPrefixCacheView();
   const correction = createPredictionCorrection();
   const spillWindows = createSpillWindows();
   const returns = createReturnSchedule(LONGEST_RETRY_MS);
-  const here = createLocalServers({ ...options, loads, paces, prefixes, correction });
+  const here = createLocalServers({ ...options, loads, paces, streams, prefixes, correction });
   const elsewhere = createOtherRegions({ ...options, windows: spillWindows });
 
   /** An instance of another region, where the request is better served there. */
@@ -127,6 +131,7 @@
   return {
     loads,
     paces,
+    streams,
     prefixes,
     correction,
     spillWindows,
@@ -160,6 +165,7 @@
     },
     keepOnly(known) {
       loads.keepOnly(known);
+      streams.keepOnly(known);
       prefixes.keepOnly(known);
       coldGate.keepOnly(known);
     },
--- a/src/core/pass-through/local-servers.ts
+++ b/src/core/pass-through/local-servers.ts
@@ -9,6 +9,7 @@
   PromptSupply,
   ServerLoads,
   ServicePaces,
+  StreamPaces,
 } from '../placement';
 import type { KnownServer, ServerRegistry } from '../server-registry';
 import type { ColdGate } from '../shared-budget';
@@ -63,6 +64,7 @@
   /** What the other instances of this region have under way at its servers. */
   readonly others: LoadBoard;
   readonly paces: ServicePaces;
+  readonly streams: StreamPaces;
   readonly prefixes: PrefixCacheView;
   readonly correction: PredictionCorrection;
 }
@@ -79,8 +81,19 @@
 
 /** Judges servers by what has been seen of them from here. */
 export function createLocalServers(options: LocalServersOptions): LocalServers {
-  const { region, routes, servers, pool, coldGate, loads, others, paces, prefixes, correction } =
-    options;
+  const {
+    region,
+    routes,
+    servers,
+    pool,
+    coldGate,
+    loads,
+    others,
+    paces,
+    streams,
+    prefixes,
+    correction,
+  } = options;
 
   const mostConnections = (service: RoutedService | undefined): number => {
     const all = service?.maxConnections ?? CONNECTIONS_UNSTATED;
@@ -124,6 +137,7 @@
       uncachedTokens,
       copyableTokens,
       delayMs: loads.delayMs(incarnationId, nowMs),
+      streamMs: streams.gapMs(incarnationId, nowMs) * streams.expectedEvents(alikeKey(plan)),
       // A failed request is tried elsewhere at best, which takes about as long as it may.
       failureCostMs: loads.failureShare(incarnationId, nowMs) * plan.objectiveMs,
     };
--- a/src/core/pass-through/observe-destination.ts
+++ b/src/core/pass-through/observe-destination.ts
@@ -22,6 +22,8 @@
   noteLoad(report: LoadReport): void;
   noteFirstByte(): void;
   noteHeard(): void;
+  /** So many whole events of a stream have come. */
+  noteEvents(count: number): void;
   noteEnd(end: ObservedEnd): void;
   /** Whether the destination owes answers and has been silent to all for long. */
   isSilent(): boolean;
@@ -44,9 +46,11 @@
 ): DestinationObserver {
   const { server, tokens, predictedMs } = to;
   const { incarnationId } = server;
-  const { loads, paces, correction } = router;
+  const { loads, paces, streams, correction } = router;
   const sentAtMs = clock.monotonicMs();
   let hadFirstByte = false;
+  let lastEventAtMs: number | undefined;
+  let events = 0;
   let isNoted = false;
   loads.noteSent(incarnationId, tokens, sentAtMs);
   return {
@@ -68,6 +72,14 @@
     noteHeard() {
       loads.noteHeard(incarnationId, clock.monotonicMs());
     },
+    noteEvents(count) {
+      const nowMs = clock.monotonicMs();
+      if (lastEventAtMs !== undefined) {
+        streams.noteEvents(incarnationId, count, nowMs - lastEventAtMs, nowMs);
+      }
+      lastEventAtMs = nowMs;
+      events += count;
+    },
     noteEnd(end) {
       if (isNoted) return;
       isNoted = true;
@@ -75,7 +87,9 @@
       const saysNothing = end === 'untold' || end === 'refused';
       const isFailure = saysNothing ? undefined : end === 'failed';
       loads.noteEnded(incarnationId, { hadFirstByte, tokens, isFailure }, nowMs);
-      if (end === 'answered') paces.noteSlotTime(plan.service, nowMs - sentAtMs);
+      if (end !== 'answered') return;
+      paces.noteSlotTime(plan.service, nowMs - sentAtMs);
+      if (events > 0) streams.noteLength(alikeKey(plan), events);
     },
     isSilent: () => loads.silentMs(incarnationId, clock.monotonicMs()) >= SILENT_SERVER_MS,
   };
@@ -103,6 +117,7 @@
     noteLoad() {},
     noteFirstByte,
     noteHeard() {},
+    noteEvents() {},
     noteEnd(observed) {
       switch (observed) {
         case 'answered':
--- a/src/core/placement/choose-server.ts
+++ b/src/core/placement/choose-server.ts
@@ -42,6 +42,27 @@
   return waitMs + crowdingMs + prefillMs + copyMs(copyableTokens, pace) + delayMs;
 }
 
+/**
+ * What a ms of a stream that is under way weighs against a ms until a first byte. Streams are late by single pauses and
+ * by being cut off, which both grow with the time that they take; a first byte is late by each ms.
+ */
+const STREAM_WEIGHT = 0.05;
+
+/**
+ * What choosing a server costs beside the time to the first byte, ms of that time.
+ *
+ * Answers long prompts beside long answers in one batch: a server reads a prompt in chunks between the steps of all its
+ * streams, so that each of them waits for each chunk. Spread evenly, prompts hold up every stream of a region; one
+ * notices event gaps of two to five times those of a server that reads nothing. So a prompt weighs the streams that
+ * it would hold up, and a stream weighs how fast others went on there: prompts come together at some servers, and
+ * streams at the others, as far as there are several.
+ */
+function disturbanceMs(candidate: Candidate, pace: ServicePace): number {
+  const { load, uncachedTokens, copyableTokens, streamMs } = candidate;
+  const readMs = (uncachedTokens - copyableTokens) * pace.prefillMsPerToken;
+  return (readMs * load + streamMs) * STREAM_WEIGHT;
+}
+
 /** A server with what it is expected to take. */
 export interface ServerChoice {
   readonly incarnationId: string;
@@ -59,7 +80,7 @@
   let leastCostMs = Infinity;
   for (const candidate of candidates) {
     const predictedMs = predictFirstByteMs(candidate, pace);
-    const costMs = predictedMs + candidate.failureCostMs;
+    const costMs = predictedMs + candidate.failureCostMs + disturbanceMs(candidate, pace);
     if (costMs < leastCostMs) {
       const { incarnationId, uncachedTokens, copyableTokens } = candidate;
       best = { incarnationId, predictedMs, readTokens: uncachedTokens - copyableTokens };
