Trial: predict first bytes by a model of their parts

Hypothesis: predictions above 600 ms were twice what came (345 ms at the median), so that work left its region for nothing. Least squares over recent requests (constant, own tokens, tokens before it, queue) should keep it at home.

--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -1,6 +1,6 @@
 import {
   chooseRegion,
-  createPredictionCorrection,
+  createFirstByteModels,
   createPrefixCacheView,
   createReturnSchedule,
   createServerLoads,
@@ -10,8 +10,8 @@
 } from '../placement';
 import type { ReadParts } from '../load-sharing';
 import type {
+  FirstByteModels,
   ModelDemand,
-  PredictionCorrection,
   PrefixCacheView,
   ServerLoads,
   ServicePaces,
@@ -47,7 +47,7 @@
   readonly paces: ServicePaces;
   readonly streams: StreamPaces;
   readonly prefixes: PrefixCacheView;
-  readonly correction: PredictionCorrection;
+  readonly models: FirstByteModels;
   readonly spillWindows: SpillWindows;
   /** Notes that a server has read the prompt of a request from here. */
   noteRead(incarnationId: string, demand: ModelDemand): void;
@@ -60,7 +60,7 @@
 /** What the router is made from. */
 export type RouterOptions = Omit<
   LocalServersOptions,
-  'loads' | 'paces' | 'streams' | 'prefixes' | 'correction'
+  'loads' | 'paces' | 'streams' | 'prefixes' | 'models'
 > &
   Omit<OtherRegionsOptions, 'windows'> & {
     /** Told of the shared parts that a server has read for a request from here. */
@@ -88,10 +88,10 @@
   const paces = createServicePaces();
   const streams = createStreamPaces();
   const prefixes = createPrefixCacheView();
-  const correction = createPredictionCorrection();
+  const models = createFirstByteModels();
   const spillWindows = createSpillWindows();
   const returns = createReturnSchedule(LONGEST_RETRY_MS);
-  const here = createLocalServers({ ...options, loads, paces, streams, prefixes, correction });
+  const here = createLocalServers({ ...options, loads, paces, streams, prefixes, models });
   const elsewhere = createOtherRegions({ ...options, windows: spillWindows });
 
   /** An instance of another region, where the request is better served there. */
@@ -133,7 +133,7 @@
     paces,
     streams,
     prefixes,
-    correction,
+    models,
     spillWindows,
     choose(request, plan, tried, nowMs) {
       const { best, suspected } = here.outlook(request, plan, tried, nowMs);
--- a/src/core/pass-through/local-servers.ts
+++ b/src/core/pass-through/local-servers.ts
@@ -4,7 +4,8 @@
 import { chooseServer, supplyPrompts } from '../placement';
 import type {
   Candidate,
-  PredictionCorrection,
+  FirstByteInput,
+  FirstByteModels,
   PrefixCacheView,
   PromptSupply,
   ServerLoads,
@@ -19,15 +20,16 @@
 /** The best server of this region for a request, with what is expected of it. */
 export interface LocalChoice {
   readonly server: KnownServer;
-  /** Predicted time to the first byte, corrected by earlier ones. */
+  /** Predicted time to the first byte, ms. */
   readonly predictedMs: number;
-  /** The same before it was corrected. */
-  readonly rawPredictedMs: number;
-  /** Prompt tokens that it will probably have to read, those that it copies left out. */
-  readonly tokens: number;
-  /** Requests at the server, and prompt tokens that it still has to read for them, as estimated. */
+  /** The same without what the server itself was late by lately, ms. */
+  readonly usualMs: number;
+  /** What the prediction rests on. */
+  readonly input: FirstByteInput;
+  /** Part of it that is spent on copying from another cache, ms. */
+  readonly copyMs: number;
+  /** Requests at the server, as estimated. */
   readonly load: number;
-  readonly pendingTokens: number;
   /** The server from whose cache it is to copy the prompt; undefined for none. */
   readonly copyFrom: KnownServer | undefined;
   readonly mostConnections: number;
@@ -66,7 +68,7 @@
   readonly paces: ServicePaces;
   readonly streams: StreamPaces;
   readonly prefixes: PrefixCacheView;
-  readonly correction: PredictionCorrection;
+  readonly models: FirstByteModels;
 }
 
 /**
@@ -92,7 +94,7 @@
     paces,
     streams,
     prefixes,
-    correction,
+    models,
   } = options;
 
   const mostConnections = (service: RoutedService | undefined): number => {
@@ -158,17 +160,18 @@
       toCandidate(server, plan, supplies(server.incarnationId), nowMs),
     );
     const pace = { ...paces.pace(plan.service), copyMsPerToken };
-    const choice = chooseServer(candidates, pace);
+    const choice = chooseServer(candidates, { pace, model: models.model(alikeKey(plan)) });
     const byId = (id: string | undefined) => among.find((server) => server.incarnationId === id);
     const server = byId(choice?.incarnationId);
     if (choice === undefined || server === undefined) return undefined;
+    const { predictedMs, usualMs, input, copyMs } = choice;
     return {
       server,
-      predictedMs: correction.correct(alikeKey(plan), choice.predictedMs),
-      rawPredictedMs: choice.predictedMs,
-      tokens: choice.readTokens,
+      predictedMs,
+      usualMs,
+      input,
+      copyMs,
       load: loadOf(server.incarnationId, nowMs),
-      pendingTokens: pendingTokensOf(server.incarnationId),
       copyFrom: byId(supplies(server.incarnationId).copyFrom),
       mostConnections: mostConnections(service),
     };
--- a/src/core/pass-through/observe-destination.ts
+++ b/src/core/pass-through/observe-destination.ts
@@ -44,9 +44,10 @@
   { clock, router, plan, request }: ObserverOptions,
   to: SendableDestination & { kind: 'server' },
 ): DestinationObserver {
-  const { server, tokens, predictedMs } = to;
+  const { server, input, usualMs, copyMs } = to;
+  const tokens = input.readTokens;
   const { incarnationId } = server;
-  const { loads, paces, streams, correction } = router;
+  const { loads, paces, streams, models } = router;
   const sentAtMs = clock.monotonicMs();
   let hadFirstByte = false;
   let lastEventAtMs: number | undefined;
@@ -65,8 +66,8 @@
       // On a busy server the wait for a place in the batch would count as reading.
       const isRoomy = loads.load(incarnationId, nowMs) < server.slots / 2;
       if (isRoomy) paces.notePrefill(plan.service, tokens, actualMs);
-      correction.note(alikeKey(plan), to.rawPredictedMs, actualMs);
-      loads.noteFirstByte(incarnationId, { tokens, predictedMs, actualMs }, nowMs);
+      models.note(alikeKey(plan), input, Math.max(0, actualMs - copyMs));
+      loads.noteFirstByte(incarnationId, { tokens, usualMs, actualMs }, nowMs);
       if (request.demand !== undefined) router.noteRead(incarnationId, request.demand);
     },
     noteHeard() {
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -247,10 +247,9 @@
       to.kind === 'server'
         ? {
             predictedMs: Math.round(to.predictedMs),
-            tokens: Math.round(to.tokens),
-            rawPredictedMs: Math.round(to.rawPredictedMs),
+            tokens: Math.round(to.input.readTokens),
             promptTokens: request.demand?.promptTokens,
-            pendingTokens: Math.round(to.pendingTokens),
+            pendingTokens: Math.round(to.input.pendingTokens),
             load: Math.round(to.load),
             copyFrom: to.copyFrom?.serverId,
           }
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -1,10 +1,10 @@
 /** Decides which backend server, in which region, a request goes to. */
 export { chooseRegion } from './choose-region';
 export type { RegionChoice, RegionInput, RegionOption } from './choose-region';
-export { chooseServer, predictFirstByteMs } from './choose-server';
-export type { ServerChoice } from './choose-server';
-export { createPredictionCorrection } from './prediction-correction';
-export type { PredictionCorrection } from './prediction-correction';
+export { chooseServer } from './choose-server';
+export type { ChoiceBasis, ServerChoice } from './choose-server';
+export { createFirstByteModels, firstByteMs } from './first-byte-models';
+export type { FirstByteInput, FirstByteModel, FirstByteModels } from './first-byte-models';
 export { createPrefixCacheView } from './prefix-cache-view';
 export type { PrefixCacheView } from './prefix-cache-view';
 export { supplyPrompts } from './prompt-copies';
--- a/src/core/placement/placement.test.ts
+++ b/src/core/placement/placement.test.ts
@@ -9,7 +9,10 @@
 } from '.';
 import type { Candidate } from '.';
 
-const PACE = { prefillMsPerToken: 0.025, slotTimeMs: 1_000 };
+const PACE = {
+  pace: { prefillMsPerToken: 0.025, slotTimeMs: 1_000 },
+  model: { constantMs: 0, msPerReadToken: 0.025, msPerPendingToken: 0.0175, queueShare: 1 },
+};
 
 function candidate(incarnationId: string, more: Partial<Candidate> = {}): Candidate {
   return {
--- a/src/core/placement/server-load.ts
+++ b/src/core/placement/server-load.ts
@@ -15,7 +15,7 @@
   lastHeardAtMs: number;
   /** Part of the requests that failed lately, from 0 to 1. */
   failureShare: number;
-  /** By how much first bytes came later than predicted lately, ms. */
+  /** By how much first bytes lately came later than they usually do, ms; below 0 where they came sooner. */
   latenessMs: number;
   /** Until when no new connection is tried after one could not be made. */
   blockedUntilMs: number;
@@ -62,7 +62,8 @@
 /** What a first byte shows. */
 export interface FirstByte {
   readonly tokens: number;
-  readonly predictedMs: number;
+  /** Time that first bytes of such requests usually take, ms. */
+  readonly usualMs: number;
   readonly actualMs: number;
 }
 
@@ -149,13 +150,13 @@
     noteHeard(incarnationId, nowMs) {
       at(incarnationId, nowMs).lastHeardAtMs = nowMs;
     },
-    noteFirstByte(incarnationId, { tokens, predictedMs, actualMs }, nowMs) {
+    noteFirstByte(incarnationId, { tokens, usualMs, actualMs }, nowMs) {
       const load = decayed(incarnationId, nowMs);
       load.awaiting -= 1;
       load.pendingTokens -= tokens;
       load.lastHeardAtMs = nowMs;
       load.connectFailures = 0;
-      const lateMs = Math.min(MOST_LATENESS_MS, Math.max(0, actualMs - predictedMs));
+      const lateMs = Math.min(MOST_LATENESS_MS, actualMs - usualMs);
       load.latenessMs += (lateMs - load.latenessMs) * NEWEST_WEIGHT;
     },
     noteEnded(incarnationId, { hadFirstByte, tokens, isFailure }, nowMs) {
@@ -195,7 +196,7 @@
       const load = loads.get(incarnationId);
       if (load === undefined) return 0;
       const silenceMs = Math.max(0, silentMs(incarnationId, nowMs) - SILENCE_ALLOWED_MS);
-      return load.latenessMs * left(load, nowMs) + silenceMs;
+      return Math.max(0, load.latenessMs) * left(load, nowMs) + silenceMs;
     },
     failureShare(incarnationId, nowMs) {
       const load = loads.get(incarnationId);
