--- a/src/core/pass-through/answer-reader.ts
+++ b/src/core/pass-through/answer-reader.ts
@@ -1,6 +1,7 @@
 import type { AnswerHead } from '../exchanges';
 import { createEventSplitter } from '../streams';
 import { readEventId } from './read-event-id';
+import type { StreamProgress } from './stream-progress';
 import type { ClientAnswer } from './types';
 import { answerHeaders } from './headers';
 
@@ -15,16 +16,6 @@
 /** Larger answers are passed on while they come, at the price that a broken one cannot be tried again. */
 const MOST_HELD_BYTES = 262_144;
 
-/** What is passed on of a stream, over all servers that served a part of it. */
-export interface StreamProgress {
-  readonly lastEventId: string | undefined;
-  readonly events: number;
-  /** Longest pause between two events so far, over all servers, ms. */
-  readonly longestPauseMs: number;
-  /** Notes an event that has been passed on. */
-  note(eventId: string | undefined): void;
-}
-
 /**
  * Holds an answer until it is whole, so that one which breaks off can be tried again, and so that nothing of it
  * is ever taken for a whole answer.
--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -2,7 +2,7 @@
 import type { AnswerHead, ConnectionPool, Exchange, ExchangeEnd } from '../exchanges';
 import type { LossCause } from '../outcomes';
 import { createHeldAnswer, createStreamAnswer } from './answer-reader';
-import type { AnswerReader, StreamProgress } from './answer-reader';
+import type { AnswerReader } from './answer-reader';
 import type { Router } from './create-router';
 import { OUTCOME_HEADER, PLAN_HEADER, answerByMs, writePlan } from './forwarding';
 import { headerText, judgeAnswer } from './judge-answer';
@@ -10,6 +10,7 @@
 import type { ObservedEnd, SendableDestination } from './observe-destination';
 import { PEER_IDLE_MS } from './other-regions';
 import { sendWhenWarm } from './send-when-warm';
+import type { StreamProgress } from './stream-progress';
 import type { ClientAnswer, HeaderDialect, InboundRequest, RequestPlan } from './types';
 import type { WarmCheck } from './warm-check';
 
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -2,15 +2,16 @@
 import type { Logger } from '../events';
 import type { ConnectionPool } from '../exchanges';
 import type { RetryAllowance } from '../shared-budget';
-import type { StreamProgress } from './answer-reader';
 import { destinationName, startAttempt } from './attempt';
 import type { Attempt, AttemptResult } from './attempt';
 import type { CrashWatch, CrashWatchedTry } from './crash-watch';
 import type { Router } from './create-router';
-import { PASS_THROUGH_EVENTS } from './events';
-import { answerByMs, isRepeatable, requestFields } from './forwarding';
+import { answerByMs, isRepeatable } from './forwarding';
 import type { SendableDestination } from './observe-destination';
+import { createRequestLog } from './request-log';
 import { watchForSilence } from './silence-watch';
+import { createStreamProgress } from './stream-progress';
+import type { StreamProgress } from './stream-progress';
 import type {
   ClientAnswer,
   HeaderDialect,
@@ -67,11 +68,11 @@
   plan: RequestPlan,
   answer: ClientAnswer,
 ): ServedHandle {
-  const { clock, logger, router, retries } = needs;
+  const { clock, router, retries } = needs;
   const triedIds = new Set<string>();
   const refusingRegions = new Set<string>();
   const tried: TriedDestinations = { ids: triedIds, refusingRegions };
-  const progress: StreamProgress = createProgress(clock, request.lastEventId);
+  const progress: StreamProgress = createStreamProgress(clock, request.lastEventId);
   const mayRepeat = isRepeatable(plan);
   let current: Attempt | undefined;
   let watched: CrashWatchedTry | undefined;
@@ -84,8 +85,14 @@
   let firstByteAtMs: number | undefined;
   let lastFailure: RefusalReason = 'noServer';
 
-  const fields = () => ({ ...requestFields(request, plan), attempts });
-  const elapsedMs = () => Math.round(clock.monotonicMs() - request.receivedAtMs);
+  const log = createRequestLog({
+    clock,
+    logger: needs.logger,
+    request,
+    plan,
+    progress,
+    attempts: () => attempts,
+  });
 
   const finish = (result: ServedRequest['result']): void => {
     isOver = true;
@@ -103,11 +110,7 @@
       retryAfterMs: outcome === 'notRun' ? retryAfterMs : undefined,
     };
     answer.refuse(refusal);
-    logger.event(PASS_THROUGH_EVENTS.refused, {
-      ...fields(),
-      ...refusal,
-      totalMs: elapsedMs(),
-    });
+    log.refused(refusal);
     finish(reason);
   };
 
@@ -117,13 +120,7 @@
       return;
     }
     answer.breakOff();
-    const { events } = progress;
-    logger.event(PASS_THROUGH_EVENTS.brokenOff, {
-      ...fields(),
-      reason,
-      events,
-      totalMs: elapsedMs(),
-    });
+    log.brokenOff(reason);
     finish('brokenOff');
   };
 
@@ -168,28 +165,6 @@
     afterLoss();
   };
 
-  const logFailure = (attempt: Attempt, reason: string, status?: number): void =>
-    logger.event(PASS_THROUGH_EVENTS.attemptFailed, {
-      ...fields(),
-      to: destinationName(attempt.to),
-      reason,
-      status,
-      afterMs: Math.round(clock.monotonicMs() - attempt.sentAtMs),
-    });
-
-  const logAnswered = (attempt: Attempt, status: number): void =>
-    logger.event(PASS_THROUGH_EVENTS.answered, {
-      ...fields(),
-      to: destinationName(attempt.to),
-      status,
-      events: progress.events,
-      longestPauseMs: Math.round(progress.longestPauseMs),
-      objectiveMs: plan.objectiveMs,
-      pauseObjectiveMs: plan.pauseObjectiveMs,
-      firstByteMs: Math.round((firstByteAtMs ?? request.receivedAtMs) - request.receivedAtMs),
-      totalMs: elapsedMs(),
-    });
-
   const afterServerFailure = (
     attempt: Attempt,
     result: AttemptResult & { kind: 'serverFailed' },
@@ -200,7 +175,7 @@
       return;
     }
     result.passOn();
-    logAnswered(attempt, result.status);
+    log.answered(attempt, result.status, firstByteAtMs);
     finish('answered');
   };
 
@@ -217,28 +192,28 @@
     firstByteAtMs ??= attempt.firstByteAtMs();
     switch (result.kind) {
       case 'answered':
-        logAnswered(attempt, result.status);
+        log.answered(attempt, result.status, firstByteAtMs);
         finish('answered');
         return;
       case 'neverSent':
-        logFailure(attempt, result.reason);
+        log.attemptFailed(attempt, result.reason);
         afterUnsent();
         return;
       case 'rejected':
-        logFailure(attempt, 'the server says that it has not run the request');
+        log.attemptFailed(attempt, 'the server says that it has not run the request');
         afterRejection();
         return;
       case 'peerRefused':
-        logFailure(attempt, 'the other instance refused the request');
+        log.attemptFailed(attempt, 'the other instance refused the request');
         if (attempt.to.kind === 'peer') refusingRegions.add(attempt.to.peer.region);
         afterPeerRefusal(result.hasNotRun);
         return;
       case 'serverFailed':
-        logFailure(attempt, 'the server failed', result.status);
+        log.attemptFailed(attempt, 'the server failed', result.status);
         afterServerFailure(attempt, result);
         return;
       case 'lost':
-        logFailure(attempt, result.reason);
+        log.attemptFailed(attempt, result.reason);
         afterLoss();
         return;
       default:
@@ -249,23 +224,7 @@
   const send = (to: SendableDestination): void => {
     attempts += 1;
     triedIds.add(destinationName(to));
-    const predicted =
-      to.kind === 'server'
-        ? {
-            predictedMs: Math.round(to.predictedMs),
-            tokens: Math.round(to.tokens),
-            promptTokens: request.demand?.promptTokens,
-            pendingTokens: Math.round(to.pendingTokens),
-            load: Math.round(to.load),
-            copyFrom: to.copyFrom?.serverId,
-          }
-        : { toRegion: to.peer.region };
-    logger.event(PASS_THROUGH_EVENTS.placed, {
-      ...fields(),
-      ...predicted,
-      to: destinationName(to),
-      timeLeftMs: Math.round(answerByMs(plan) - clock.monotonicMs()),
-    });
+    log.placed(to);
     if (to.kind === 'server') {
       const { server, mostConnections } = to;
       const target = { server, mostConnections, attempt: attempts };
@@ -325,8 +284,7 @@
   return {
     cancel() {
       if (isOver) return;
-      const { events } = progress;
-      logger.event(PASS_THROUGH_EVENTS.callerGone, { ...fields(), events, totalMs: elapsedMs() });
+      log.callerGone();
       finish('callerGone');
       watched?.ended();
       current?.forget();
@@ -334,28 +292,3 @@
     },
   };
 }
-
-function createProgress(clock: Clock, lastEventId: string | undefined): StreamProgress {
-  let events = 0;
-  let lastEventAtMs: number | undefined;
-  let longestPauseMs = 0;
-  let lastId = lastEventId;
-  return {
-    get events() {
-      return events;
-    },
-    get lastEventId() {
-      return lastId;
-    },
-    get longestPauseMs() {
-      return longestPauseMs;
-    },
-    note(eventId) {
-      const nowMs = clock.monotonicMs();
-      longestPauseMs = Math.max(longestPauseMs, nowMs - (lastEventAtMs ?? nowMs));
-      lastEventAtMs = nowMs;
-      events += 1;
-      lastId = eventId ?? lastId;
-    },
-  };
-}
