--- /dev/null
+++ b/bench/day-causes/main.ts
@@ -0,0 +1,53 @@
+import { readFileSync } from 'node:fs';
+import { judgeRequest } from './judge-request';
+import type { JudgedRequest } from './judge-request';
+import { readRequests } from './read-log';
+
+/**
+ * Says of a day why requests were late, refused or failed: `npm run explain:day -- LOG`, where LOG is what
+ * `fleetbench run SITE DAY --log all` printed.
+ */
+
+const SLICE_S = 4;
+
+function countBy(
+  requests: readonly JudgedRequest[],
+  key: (request: JudgedRequest) => string,
+): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  for (const request of requests) counts.set(key(request), (counts.get(key(request)) ?? 0) + 1);
+  return counts;
+}
+
+function printTable(
+  title: string,
+  requests: readonly JudgedRequest[],
+  column: (request: JudgedRequest) => string,
+): void {
+  const columns = [...new Set(requests.map(column))].sort();
+  const causes = [...countBy(requests, ({ cause }) => cause)].sort(
+    (left, right) => right[1] - left[1],
+  );
+  const cells = countBy(requests, (request) => `${request.cause}/${column(request)}`);
+  console.log(`\n| ${title} | ${columns.join(' | ')} | all |`);
+  console.log(`| --- |${' ---: |'.repeat(columns.length + 1)}`);
+  for (const [cause, all] of causes) {
+    const row = columns.map((name) => cells.get(`${cause}/${name}`) ?? 0);
+    console.log(`| ${cause} | ${row.join(' | ')} | ${all} |`);
+  }
+}
+
+const path = process.argv[2];
+if (path === undefined) {
+  console.error('usage: npm run explain:day -- LOG');
+  process.exit(2);
+}
+const requests = [...readRequests(readFileSync(path, 'utf8')).values()].flatMap((lines) => {
+  const judged = judgeRequest(lines);
+  return judged === undefined ? [] : [judged];
+});
+printTable('cause by size', requests, ({ size }) => size);
+printTable('cause by region', requests, ({ region }) => region);
+printTable('cause by second', requests, ({ atS }) =>
+  String(Math.floor(atS / SLICE_S) * SLICE_S).padStart(2, '0'),
+);
--- a/scripts/build-platform.mjs
+++ b/scripts/build-platform.mjs
@@ -1,5 +1,6 @@
 /** Builds what the users' platform runs: the bundle, its compiled code, and the file that starts an instance from both. */
 import { spawnSync } from 'node:child_process';
+import process from 'node:process';
 import { copyFileSync, mkdirSync, rmSync, writeFileSync } from 'node:fs';
 import { build } from 'esbuild';
 
@@ -32,7 +33,7 @@
 
 mkdirSync(OUT, { recursive: true });
 await build({
-  entryPoints: ['platform/main.ts'],
+  entryPoints: ['platform/start.ts'],
   outfile: `${OUT}/coltsfootworks-bundle.cjs`,
   bundle: true,
   platform: 'node',
--- a/scripts/start-with-code-cache.cjs
+++ b/scripts/start-with-code-cache.cjs
@@ -8,10 +8,13 @@
 const { readFileSync, writeFileSync } = require('node:fs');
 const Module = require('node:module');
 const path = require('node:path');
+const process = require('node:process');
+const { setTimeout } = require('node:timers');
 const { Script } = require('node:vm');
 
-const BUNDLE = path.join(__dirname, 'coltsfootworks-bundle.cjs');
-const CODE_CACHE = path.join(__dirname, 'coltsfootworks-bundle.cache');
+const HERE = path.dirname(require.main.filename);
+const BUNDLE = path.join(HERE, 'coltsfootworks-bundle.cjs');
+const CODE_CACHE = path.join(HERE, 'coltsfootworks-bundle.cache');
 /** Set by the build alone: where it wants the compiled code written once the instance has run for a moment. */
 const WRITE_VARIABLE = 'COLTSFOOTWORKS_WRITE_CODE_CACHE';
 /** Time for an instance to start at the build, ms; functions that have run by then are kept compiled. */
@@ -31,7 +34,7 @@
   cachedData: readCodeCache(),
 });
 const main = { exports: {} };
-script.runInThisContext().call(main.exports, main.exports, require, main, BUNDLE, __dirname);
+script.runInThisContext().call(main.exports, main.exports, require, main, BUNDLE, HERE);
 
 if (process.env[WRITE_VARIABLE] !== undefined) {
   setTimeout(() => {
--- a/src/core/host-routes/host-routes.test.ts
+++ b/src/core/host-routes/host-routes.test.ts
@@ -12,6 +12,7 @@
     isResumable: false,
     timeoutMs: 1_000,
     objectiveMs: 500,
+    pauseObjectiveMs: undefined,
     priority: 0,
     maxAttempts: 1,
     targets: [{ service: name, weight: 1 }],
--- a/src/core/host-routes/types.ts
+++ b/src/core/host-routes/types.ts
@@ -27,6 +27,8 @@
   readonly timeoutMs: number;
   /** Latency objective: to the whole answer, or to the first event of a stream, ms. */
   readonly objectiveMs: number;
+  /** Longest pause between two events of a stream that is still in time, ms; undefined where any is. */
+  readonly pauseObjectiveMs: number | undefined;
   /** Rank among routes; 0 is the most urgent. */
   readonly priority: number;
   /** Backend servers to which one request may be sent. */
--- a/src/core/membership/membership.test.ts
+++ b/src/core/membership/membership.test.ts
@@ -237,4 +237,45 @@
     const [small, large] = [await bytesPerNode(32), await bytesPerNode(100)];
     assert.ok(large / small < 1.5, `${small} and ${large} bytes/s a node`);
   });
+
+  // All instances lose power and start again, the seeds last. One that tried them too early and rests for seconds knows
+  // no other region meanwhile, and refuses all requests that are bound to one.
+  it('meets a seed that starts after it within a third of a second', async () => {
+    const fleet = createVirtualFleet();
+    const seed = { region: 'region-1', failureDomain: 'region-1-1', instanceId: 'seed' };
+    fleet.start(seed);
+    await fleet.crash('seed', false);
+    fleet.start({
+      region: 'region-0',
+      failureDomain: 'region-0-1',
+      instanceId: 'early',
+      seedPeers: ['seed:7400'],
+    });
+    await fleet.clock.runFor(700);
+    fleet.start(seed);
+    await fleet.clock.runFor(330);
+    assert.equal(fleet.seen('early', 'seed')?.status, 'alive');
+    await fleet[Symbol.asyncDispose]();
+  });
+
+  // An instance is met before it has read its routes, and is given no work. That it has them now is told with its load,
+  // which reaches other regions seconds later; until then requests that only it could serve are refused.
+  it('tells all others at once that it has a configuration', () =>
+    withFleet(async (fleet) => {
+      const late = fleet.start({
+        instanceId: 'late',
+        region: 'region-0',
+        failureDomain: 'region-0-1',
+        seedPeers: ['i-0:7400'],
+      });
+      late.says.configurationVersion = 0;
+      await fleet.clock.runFor(3_000);
+      late.says.configurationVersion = 7;
+      late.membership.prompt(() => true);
+      await fleet.clock.runFor(600);
+      const versions = ids(fleet)
+        .filter((viewer) => viewer !== 'late')
+        .map((viewer) => fleet.seen(viewer, 'late')?.configurationVersion);
+      assert.deepEqual(versions, Array(SIZE).fill(7));
+    }));
 });
--- a/src/core/pass-through/create-router.test.ts
+++ b/src/core/pass-through/create-router.test.ts
@@ -35,6 +35,7 @@
   isResumable: false,
   priority: 1,
   objectiveMs: 600,
+  pauseObjectiveMs: undefined,
   maxAttempts: 1,
   homeRegions: [],
   routesVersion: 1,
--- a/src/core/pass-through/forwarding.ts
+++ b/src/core/pass-through/forwarding.ts
@@ -15,6 +15,7 @@
   isResumable: z.boolean(),
   priority: z.number(),
   objectiveMs: z.number(),
+  pauseObjectiveMs: z.number().optional(),
   maxAttempts: z.number(),
   homeRegions: z.array(z.string()),
   routesVersion: z.number(),
@@ -46,9 +47,10 @@
   }
   const reading = planSchema.safeParse(parsed);
   if (!reading.success) return undefined;
-  const { timeLeftMs, timeoutLeftMs, ...rest } = reading.data;
+  const { timeLeftMs, timeoutLeftMs, pauseObjectiveMs, ...rest } = reading.data;
   return {
     ...rest,
+    pauseObjectiveMs,
     deadlineAtMs: nowMs + timeLeftMs,
     timeoutAtMs: nowMs + timeoutLeftMs,
     isForwarded: true,
--- a/src/core/pass-through/open-ingress.ts
+++ b/src/core/pass-through/open-ingress.ts
@@ -136,6 +136,7 @@
       isResumable: route.isResumable,
       priority: route.priority,
       objectiveMs: route.objectiveMs,
+      pauseObjectiveMs: route.pauseObjectiveMs,
       maxAttempts: route.maxAttempts,
       homeRegions: route.homeRegions,
       routesVersion: table.version,
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -168,16 +168,6 @@
     afterLoss();
   };
 
-  const afterServerFailure = (result: AttemptResult & { kind: 'serverFailed' }): void => {
-    if (mayRepeat && mayTryAgain()) {
-      mayHaveRun = true;
-      tryNext();
-      return;
-    }
-    result.passOn();
-    finish('answered');
-  };
-
   const logFailure = (attempt: Attempt, reason: string, status?: number): void =>
     logger.event(PASS_THROUGH_EVENTS.attemptFailed, {
       ...fields(),
@@ -194,10 +184,26 @@
       status,
       events: progress.events,
       longestPauseMs: Math.round(progress.longestPauseMs),
+      objectiveMs: plan.objectiveMs,
+      pauseObjectiveMs: plan.pauseObjectiveMs,
       firstByteMs: Math.round((firstByteAtMs ?? request.receivedAtMs) - request.receivedAtMs),
       totalMs: elapsedMs(),
     });
 
+  const afterServerFailure = (
+    attempt: Attempt,
+    result: AttemptResult & { kind: 'serverFailed' },
+  ): void => {
+    if (mayRepeat && mayTryAgain()) {
+      mayHaveRun = true;
+      tryNext();
+      return;
+    }
+    result.passOn();
+    logAnswered(attempt, result.status);
+    finish('answered');
+  };
+
   const tellCrashWatch = (result: AttemptResult): void => {
     if (result.kind === 'answered') watched?.answered();
     else if (result.kind === 'lost' && result.wasReset) watched?.reset();
@@ -229,7 +235,7 @@
         return;
       case 'serverFailed':
         logFailure(attempt, 'the server failed', result.status);
-        afterServerFailure(result);
+        afterServerFailure(attempt, result);
         return;
       case 'lost':
         logFailure(attempt, result.reason);
@@ -248,7 +254,6 @@
         ? {
             predictedMs: Math.round(to.predictedMs),
             tokens: Math.round(to.tokens),
-            rawPredictedMs: Math.round(to.rawPredictedMs),
             promptTokens: request.demand?.promptTokens,
             pendingTokens: Math.round(to.pendingTokens),
             load: Math.round(to.load),
--- a/src/core/pass-through/types.ts
+++ b/src/core/pass-through/types.ts
@@ -52,6 +52,8 @@
   readonly isResumable: boolean;
   readonly priority: number;
   readonly objectiveMs: number;
+  /** Longest pause between two events of a stream that is still in time, ms; undefined where any is. */
+  readonly pauseObjectiveMs: number | undefined;
   /** Backend servers to which it may be sent. */
   readonly maxAttempts: number;
   readonly homeRegions: readonly string[];
--- a/src/core/placement/prompt-copies.ts
+++ b/src/core/placement/prompt-copies.ts
@@ -20,8 +20,8 @@
  */
 const FEWEST_COPIED = 256;
 /**
- * Part of the shared parts that a server probably holds although nothing is known of it, because all instances prefer
- * it for them.
+ * Part of the shared parts that the server which all instances prefer for them probably holds, where none is known to
+ * hold any: right after a start, or when they were read long ago.
  */
 const PROBABLY_HELD = 0.7;
 
@@ -43,14 +43,10 @@
   demand: ModelDemand,
   mayCopy: boolean,
 ): PromptSupplies {
-  const preferred = view.preferred(incarnationIds, demand);
-  const guess = sharedTokens(demand) * PROBABLY_HELD;
-  const held = new Map(
-    incarnationIds.map((id) => {
-      const known = view.cachedTokens(id, demand);
-      return [id, id === preferred ? Math.max(known, guess) : known];
-    }),
-  );
+  const held = new Map(incarnationIds.map((id) => [id, view.cachedTokens(id, demand)]));
+  const isUnknown = [...held.values()].every((tokens) => tokens === 0);
+  const preferred = isUnknown ? view.preferred(incarnationIds, demand) : undefined;
+  if (preferred !== undefined) held.set(preferred, sharedTokens(demand) * PROBABLY_HELD);
   const holders = [...held].sort(([, left], [, right]) => right - left);
 
   return (incarnationId) => {
--- a/src/core/relay-node/create-serving.ts
+++ b/src/core/relay-node/create-serving.ts
@@ -5,7 +5,7 @@
 import type { GossipBoard } from '../gossip';
 import type { RouteTableStore } from '../host-routes';
 import type { DisposableStore } from '../lifetime';
-import { createLoadBoard, createLoadTeller, readStatement } from '../load-sharing';
+import { createLoadBoard, createLoadTeller, createReadNotes, readStatement } from '../load-sharing';
 import type { Metrics } from '../metrics';
 import { createCrashWatch, createRouter, createWarmCheck } from '../pass-through';
 import type { HeaderDialect, ServeDependencies, ServedRequest } from '../pass-through';
@@ -71,9 +71,10 @@
   const { clock, random, logger, dialect, routes, servers, pool, gossip, instances } = options;
   const { instanceId, region } = options.settings();
   const others = createLoadBoard();
+  const read = createReadNotes();
   const router = createRouter({
     others,
-    onRead: (incarnationId, partIds) => teller.noteRead(incarnationId, partIds),
+    onRead: read.note,
     region,
     routes,
     servers,
@@ -90,6 +91,7 @@
   const teller = createLoadTeller({
     selfId: instanceId,
     servers: router.loads.ownWork,
+    read,
     addresses: () =>
       instances
         .peers()
--- a/src/core/state-sync/snapshot-message.ts
+++ b/src/core/state-sync/snapshot-message.ts
@@ -14,6 +14,7 @@
   isResumable: z.boolean(),
   timeoutMs: z.number(),
   objectiveMs: z.number(),
+  pauseObjectiveMs: z.number().optional(),
   priority: z.number(),
   maxAttempts: z.number(),
   targets: z.array(targetSchema),
@@ -90,7 +91,11 @@
           { ...service, copyMsPerToken },
         ]),
       );
-      return { kind: 'routes', table: { ...item.table, services } };
+      const routes = item.table.routes.map(({ pauseObjectiveMs, ...route }) => ({
+        ...route,
+        pauseObjectiveMs,
+      }));
+      return { kind: 'routes', table: { ...item.table, routes, services } };
     }
     case 'server': {
       const { goneInMs, startedAtUnixMs, ...announcement } = item.announcement;
--- a/src/core/state-sync/state-sync.test.ts
+++ b/src/core/state-sync/state-sync.test.ts
@@ -6,7 +6,13 @@
 import type { ServerAnnouncement } from '../server-registry';
 import { createFakeClock, createMemoryLogger } from '../../testing';
 import { STATE_SYNC_EVENTS, createStateSync, readSnapshot, writeSnapshot } from '.';
-import type { PublishedChanges, PublishedItem, PublishedState, StateSource } from '.';
+import type {
+  PublishedChange,
+  PublishedChanges,
+  PublishedItem,
+  PublishedState,
+  StateSource,
+} from '.';
 
 function server(serverId: string, more: Partial<ServerAnnouncement> = {}): PublishedItem {
   return {
@@ -111,6 +117,50 @@
   });
 
   // The store is away for some seconds and all entries lapse meanwhile. The servers live; without them in use
+  // Someone else overwrites the entry of a server with bytes that mean nothing, and the server sets it right. What came
+  // last decides, whatever came before it in the same answer.
+  const damaged: PublishedChange = {
+    kind: 'unreadable',
+    item: { key: 'servers/s-1', serverId: 's-1', reason: 'no JSON' },
+  };
+  const announced: PublishedChange = { kind: 'put', item: server('s-1') };
+  const orders = [
+    { name: 'a damaged entry after a good one', changes: [announced, damaged], left: [] },
+    { name: 'a good entry after a damaged one', changes: [damaged, announced], left: ['s-1'] },
+  ];
+  for (const { name, changes: inOrder, left } of orders) {
+    it(`goes by ${name}`, async () => {
+      const { source } = createSource(
+        [state(5, [server('s-1')])],
+        [{ kind: 'changes', revision: 7, changes: inOrder }],
+      );
+      const { clock, servers, sync } = setUp(source);
+      sync.start();
+      await clock.advanceByAsync(10);
+      assert.deepEqual(ids(servers.all()), left);
+    });
+  }
+
+  // After an outage a server's own entry is missing for a moment and it stays in use. An entry that is there and means
+  // nothing is no such gap.
+  it('ends the use of a server whose entry is damaged in a read after an outage', async () => {
+    const { source } = createSource(
+      [
+        state(5, [server('s-1'), server('s-2')]),
+        {
+          revision: 9,
+          items: [server('s-2')],
+          unreadable: [{ key: 'servers/s-1', serverId: 's-1', reason: 'no JSON' }],
+        },
+      ],
+      ['fails', { kind: 'historyGone' }],
+    );
+    const { clock, servers, sync } = setUp(source);
+    sync.start();
+    await clock.advanceByAsync(1_000);
+    assert.deepEqual(ids(servers.all()), ['s-2']);
+  });
+
   // every request is refused until they have announced themselves again.
   it('keeps servers whose entries lapsed in an outage until they had time to come back', async () => {
     const { source } = createSource(
@@ -229,6 +279,7 @@
             isResumable: true,
             timeoutMs: 1,
             objectiveMs: 2,
+            pauseObjectiveMs: 300,
             priority: 3,
             maxAttempts: 4,
             targets: [{ service: 'app', weight: 1 }],
