Tell how many servers another region tried, and what a refused request was refused for

A request that went through two regions was counted by each instance for itself, so no line held the servers that it had cost in all. Of a request that was refused before it was sent, no line held its size or the prediction that refused it.

Change: an instance tells the one that it serves how many servers it had tried when its answer began; that one logs it (4102, `serversTriedThere`, beside `mostAttempts` in 4101) and counts requests by attempts in the metrics. A refusal (4104) bears `predictedMs`, `objectiveMs` and `promptTokens`. Nothing is decided by it.

Conclusion: the log now tells apart refusals by size from late or lost requests, and attempts by one instance from those by two.

--- a/src/core/metrics/create-metrics.test.ts
+++ b/src/core/metrics/create-metrics.test.ts
@@ -24,4 +24,18 @@
     assert.match(text, /coltsfootworks_test 7/);
     assert.match(text, /refusals_total\{refusal="overloaded",outcome="notRun"\} 1/);
   });
+
+  it('counts requests by the servers that each was sent to, many of them under one label', async () => {
+    const metrics = createMetrics();
+    for (const count of [1, 1, 2, 6, 40]) metrics.attempts('stock', count);
+    const { text } = await metrics.export();
+    const name = 'coltsfootworks_requests_by_attempts_total';
+    for (const [attempts, requests] of [
+      ['1', 2],
+      ['2', 1],
+      ['over 5', 2],
+    ]) {
+      assert.ok(text.includes(`${name}{service="stock",attempts="${attempts}"} ${requests}`));
+    }
+  });
 });
--- a/src/core/metrics/create-metrics.ts
+++ b/src/core/metrics/create-metrics.ts
@@ -8,6 +8,8 @@
   answered(service: string, firstByteMs: number, totalMs: number): void;
   /** Notes a refusal by its kind and outcome. */
   refused(refusal: string, outcome: string): void;
+  /** Notes how many backend servers a request that is over has been sent to, at all instances together. */
+  attempts(service: string, count: number): void;
   /** Notes an answer that could not be finished. */
   cutShort(service: string): void;
   /** Notes a caller that left before the end. */
@@ -29,6 +31,8 @@
 /** An hour: longer than any deadline that the configuration lets callers state. */
 const HIGHEST_MS = 3_600_000;
 const SIGNIFICANT_DIGITS = 2;
+/** Counts of attempts above this share one label; routes allow two or three. */
+const MOST_ATTEMPTS_TOLD = 5;
 
 interface LatencyFamily {
   record(service: string, durationMs: number): void;
@@ -83,6 +87,11 @@
   const cuts = counter('coltsfootworks_answers_cut_short_total', 'Answers not finished', [
     'service',
   ]);
+  const attempts = counter(
+    'coltsfootworks_requests_by_attempts_total',
+    'Requests by the backend servers that each was sent to, at all instances together',
+    ['service', 'attempts'],
+  );
   const gone = counter('coltsfootworks_callers_gone_total', 'Callers that left early', ['service']);
   const firstByte = createLatencyFamily(
     registry,
@@ -104,6 +113,10 @@
     refused(refusal, outcome) {
       refusals.inc({ refusal, outcome });
     },
+    attempts(service, count) {
+      const told = count > MOST_ATTEMPTS_TOLD ? `over ${MOST_ATTEMPTS_TOLD}` : String(count);
+      attempts.inc({ service, attempts: told });
+    },
     cutShort(service) {
       cuts.inc({ service });
     },
--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -4,7 +4,7 @@
 import { createHeldAnswer, createStreamAnswer } from './answer-reader';
 import type { AnswerReader } from './answer-reader';
 import type { Router } from './create-router';
-import { OUTCOME_HEADER, PLAN_HEADER, answerByMs, writePlan } from './forwarding';
+import { ATTEMPTS_HEADER, OUTCOME_HEADER, PLAN_HEADER, answerByMs, writePlan } from './forwarding';
 import { headerText, judgeAnswer } from './judge-answer';
 import { observeDestination } from './observe-destination';
 import type { ObservedEnd, SendableDestination } from './observe-destination';
@@ -46,6 +46,8 @@
   lastByteAtMs(): number;
   /** When the first byte of a body came, monotonic ms; undefined before that. */
   firstByteAtMs(): number | undefined;
+  /** Backend servers that another instance had sent the request to when its answer began, as it says itself. */
+  serversTriedThere(): number | undefined;
 }
 
 /** What one try is made with. */
@@ -117,12 +119,19 @@
   return headers;
 }
 
+/** How many backend servers another instance says that it has sent a request to; undefined where it does not say. */
+function readServersTried({ headers }: AnswerHead): number | undefined {
+  const text = headerText(headers[ATTEMPTS_HEADER]);
+  const count = Number(text);
+  return text === undefined || !Number.isInteger(count) || count < 0 ? undefined : count;
+}
+
 /** Sends a request once and passes its answer on as it comes, as far as it may be. */
 export function startAttempt(options: AttemptOptions): Attempt {
   const { clock, dialect, pool, router, request, plan, to, answer, progress } = options;
   const sentAtMs = clock.monotonicMs();
   const destination = observeDestination(options, to);
-  const droppedHeaders = new Set([dialect.notRun, OUTCOME_HEADER]);
+  const droppedHeaders = new Set([dialect.notRun, OUTCOME_HEADER, ATTEMPTS_HEADER]);
   let exchange: Exchange | undefined;
   let reader: AnswerReader | undefined;
   let head: AnswerHead | undefined;
@@ -288,6 +297,7 @@
     },
     lastByteAtMs: () => lastByteAtMs,
     firstByteAtMs: () => firstByteAtMs,
+    serversTriedThere: () => (isServer || head === undefined ? undefined : readServersTried(head)),
   };
   return attempt;
 }
--- a/src/core/pass-through/client-answer.ts
+++ b/src/core/pass-through/client-answer.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import type { HeaderMap } from '../exchanges';
-import { OUTCOME_HEADER } from './forwarding';
+import { ATTEMPTS_HEADER, OUTCOME_HEADER } from './forwarding';
 import { retryAfterText, statusOf } from './refusals';
 import type { ClientAnswer, Refusal } from './types';
 
@@ -16,13 +16,17 @@
 /** An answer over an HTTP response. */
 export function createClientAnswer(options: ClientAnswerOptions): ClientAnswer {
   const { response, isLeaving, isForPeer } = options;
+  let attempts = 0;
   const leavingHeaders = (): HeaderMap => (isLeaving() ? { connection: 'close' } : {});
+  const attemptHeaders = (): HeaderMap =>
+    isForPeer ? { [ATTEMPTS_HEADER]: String(attempts) } : {};
 
   const refuse = (refusal: Refusal): void => {
     const body = JSON.stringify({ reason: refusal.reason, outcome: refusal.outcome });
     const { retryAfterMs } = refusal;
     response.writeHead(statusOf(refusal), {
       ...leavingHeaders(),
+      ...attemptHeaders(),
       ...(retryAfterMs === undefined ? {} : { 'retry-after': retryAfterText(retryAfterMs) }),
       ...(isForPeer ? { [OUTCOME_HEADER]: refusal.outcome } : {}),
       'content-type': 'application/json',
@@ -35,8 +39,11 @@
     get headSent() {
       return response.headersSent;
     },
+    noteAttempts(count) {
+      attempts = count;
+    },
     sendHead(status, headers) {
-      response.writeHead(status, { ...headers, ...leavingHeaders() });
+      response.writeHead(status, { ...headers, ...leavingHeaders(), ...attemptHeaders() });
     },
     sendData: (chunk) => response.write(chunk),
     end: () => response.end(),
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -31,6 +31,8 @@
       readonly kind: 'none';
       readonly reason: 'noServer' | 'overloaded';
       readonly retryAfterMs: number;
+      /** Time to the first byte at the best server here, for which it is refused; undefined where there is none. */
+      readonly predictedMs: number | undefined;
     };
 
 /** Chooses destinations, and learns from what becomes of requests. */
@@ -108,12 +110,13 @@
     plan: RequestPlan,
     leastMs: number,
     nowMs: number,
+    predictedMs?: number,
   ): Destination => {
     // The instance that sent it here answers its caller; a place in line would be taken from this region's own.
     const retryAfterMs = plan.isForwarded
       ? leastMs
       : returns.nextReturnMs(alikeKey(plan), leastMs, nowMs);
-    return { kind: 'none', reason, retryAfterMs };
+    return { kind: 'none', reason, retryAfterMs, predictedMs };
   };
 
   /** Refuses what no server of this region may be given. */
@@ -143,7 +146,7 @@
       );
       if (choice.predictedMs > patienceMs) {
         const leastMs = Math.max(SHORTEST_RETRY_MS, choice.predictedMs - plan.objectiveMs);
-        return refuse('overloaded', plan, leastMs, nowMs);
+        return refuse('overloaded', plan, leastMs, nowMs, choice.predictedMs);
       }
       const { server } = choice;
       if (server.coldUntilMs > nowMs) coldGate.noteSent(server.incarnationId, nowMs);
--- a/src/core/pass-through/forwarding.ts
+++ b/src/core/pass-through/forwarding.ts
@@ -7,6 +7,8 @@
 export const PLAN_HEADER = 'coltsfootworks-plan';
 /** Header of the other instance's refusals: what became of the request. */
 export const OUTCOME_HEADER = 'coltsfootworks-outcome';
+/** Header of the other instance's answers: backend servers that it had sent the request to when the answer began. */
+export const ATTEMPTS_HEADER = 'coltsfootworks-attempts';
 
 const planSchema = z.object({
   route: z.string(),
--- a/src/core/pass-through/request-log.ts
+++ b/src/core/pass-through/request-log.ts
@@ -14,7 +14,8 @@
   attemptFailed(attempt: Attempt, reason: string, status?: number): void;
   /** `firstByteAtMs` is undefined where the answer had no body. */
   answered(attempt: Attempt, status: number, firstByteAtMs: number | undefined): void;
-  refused(refusal: Refusal): void;
+  /** `predictedMs` is what was expected of the best server; undefined where none could take the request. */
+  refused(refusal: Refusal, predictedMs: number | undefined): void;
   brokenOff(reason: RefusalReason): void;
   callerGone(): void;
 }
@@ -55,6 +56,7 @@
       logger.event(PASS_THROUGH_EVENTS.placed, {
         ...fields(),
         ...basisOf(to, request),
+        mostAttempts: plan.maxAttempts,
         to: destinationName(to),
         timeLeftMs: Math.round(answerByMs(plan) - clock.monotonicMs()),
       }),
@@ -62,6 +64,7 @@
       logger.event(PASS_THROUGH_EVENTS.attemptFailed, {
         ...fields(),
         to: destinationName(attempt.to),
+        serversTriedThere: attempt.serversTriedThere(),
         reason,
         status,
         afterMs: Math.round(clock.monotonicMs() - attempt.sentAtMs),
@@ -78,10 +81,13 @@
         firstByteMs: sinceReceivedMs(firstByteAtMs ?? request.receivedAtMs),
         totalMs: totalMs(),
       }),
-    refused: (refusal) =>
+    refused: (refusal, predictedMs) =>
       logger.event(PASS_THROUGH_EVENTS.refused, {
         ...fields(),
         ...refusal,
+        predictedMs: predictedMs === undefined ? undefined : Math.round(predictedMs),
+        objectiveMs: plan.objectiveMs,
+        promptTokens: request.demand?.promptTokens,
         totalMs: totalMs(),
       }),
     brokenOff: (reason) =>
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -44,6 +44,8 @@
   readonly result: 'answered' | 'brokenOff' | 'callerGone' | RefusalReason;
   readonly firstByteMs: number;
   readonly totalMs: number;
+  /** Backend servers that it has been sent to, those that another instance told of included. */
+  readonly attempts: number;
 }
 
 /** A request that is being served. */
@@ -78,6 +80,8 @@
   let watched: CrashWatchedTry | undefined;
   /** Servers that the request has been sent to. */
   let attempts = 0;
+  /** Those that other instances have sent it to beyond the first, as far as they told. */
+  let attemptsElsewhere = 0;
   let unsent = 0;
   let mayHaveRun = false;
   let isOver = false;
@@ -99,24 +103,40 @@
     stopTimers();
     const nowMs = clock.monotonicMs();
     const firstByteMs = (firstByteAtMs ?? nowMs) - request.receivedAtMs;
-    needs.onDone({ plan, result, firstByteMs, totalMs: nowMs - request.receivedAtMs });
+    const totalMs = nowMs - request.receivedAtMs;
+    needs.onDone({
+      plan,
+      result,
+      firstByteMs,
+      totalMs,
+      attempts: attempts + attemptsElsewhere,
+    });
   };
 
-  const refuse = (reason: RefusalReason, retryAfterMs: number | undefined): void => {
+  const refuse = (
+    reason: RefusalReason,
+    retryAfterMs: number | undefined,
+    predictedMs?: number,
+  ): void => {
     const outcome = mayHaveRun ? 'unknown' : 'notRun';
     const refusal: Refusal = {
       reason,
       outcome,
       retryAfterMs: outcome === 'notRun' ? retryAfterMs : undefined,
     };
+    answer.noteAttempts(attempts);
     answer.refuse(refusal);
-    log.refused(refusal);
+    log.refused(refusal, predictedMs);
     finish(reason);
   };
 
-  const giveUp = (reason: RefusalReason, retryAfterMs: number | undefined): void => {
+  const giveUp = (
+    reason: RefusalReason,
+    retryAfterMs: number | undefined,
+    predictedMs?: number,
+  ): void => {
     if (!answer.headSent) {
-      refuse(reason, retryAfterMs);
+      refuse(reason, retryAfterMs, predictedMs);
       return;
     }
     answer.breakOff();
@@ -190,6 +210,7 @@
     current = undefined;
     tellCrashWatch(result);
     firstByteAtMs ??= attempt.firstByteAtMs();
+    attemptsElsewhere += Math.max(0, (attempt.serversTriedThere() ?? 1) - 1);
     switch (result.kind) {
       case 'answered':
         log.answered(attempt, result.status, firstByteAtMs);
@@ -223,6 +244,7 @@
 
   const send = (to: SendableDestination): void => {
     attempts += 1;
+    answer.noteAttempts(attempts);
     triedIds.add(destinationName(to));
     log.placed(to);
     if (to.kind === 'server') {
@@ -256,8 +278,11 @@
       return;
     }
     const to = router.choose(request, plan, tried, clock.monotonicMs());
-    if (to.kind === 'none') giveUp(mayHaveRun ? lastFailure : to.reason, to.retryAfterMs);
-    else send(to);
+    if (to.kind === 'none') {
+      giveUp(mayHaveRun ? lastFailure : to.reason, to.retryAfterMs, to.predictedMs);
+      return;
+    }
+    send(to);
   }
 
   /**
--- a/src/core/pass-through/types.ts
+++ b/src/core/pass-through/types.ts
@@ -78,6 +78,8 @@
 /** Where an answer is written to. */
 export interface ClientAnswer {
   readonly headSent: boolean;
+  /** Says how many backend servers the request has been sent to; another instance is told with the head. */
+  noteAttempts(count: number): void;
   sendHead(status: number, headers: HeaderMap): void;
   /** False when the reader is slow; `onDrain` is called when it has caught up. */
   sendData(chunk: Uint8Array): boolean;
--- a/src/core/relay-node/create-serving.ts
+++ b/src/core/relay-node/create-serving.ts
@@ -48,7 +48,9 @@
 };
 
 function countInto(metrics: Metrics) {
-  return ({ plan, result, firstByteMs, totalMs }: ServedRequest): void => {
+  return ({ plan, result, firstByteMs, totalMs, attempts }: ServedRequest): void => {
+    // One that another instance sent here is counted there, with what this one tells of it.
+    if (!plan.isForwarded) metrics.attempts(plan.route, attempts);
     if (result === 'answered') metrics.answered(plan.route, firstByteMs, totalMs);
     else if (result === 'brokenOff') metrics.cutShort(plan.route);
     else if (result === 'callerGone') metrics.callerGone(plan.route);
