Count what another region tries for a request, and what the parts of a stream have cost before

Cause: one limit for a request, kept by each layer for itself. An instance that handed a request to another region counted that as one attempt; the other one could make as many as the route allows, and the first then went on with its own. The same class on the OpenAI path: each part of a stream began to count its tries anew.

Change: attempts are lent. What is handed to another region is gone until that one tells how many servers it tried (with its answer's head, or its refusal), and stays gone where it is lost, falls silent or breaks off, since nobody can tell then. Of a request that may run again one attempt is kept back for that case. Parts of a stream on the OpenAI path share one count. A server's own failure that is ready is passed on where no other answer comes, in place of a 502.

Ruled out: to hand over all attempts and to count all as used without word ends each request whose instance in another region dies; to let each hop have its own count is the fault itself.

The fleet's budget of repeats is untouched; a request of two attempts now gets its second one in the region that the caller asked.

--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -60,8 +60,8 @@
   readonly request: InboundRequest;
   readonly plan: RequestPlan;
   readonly to: SendableDestination;
-  /** Backend servers that another instance may try. */
-  readonly attemptsLeft: number;
+  /** Backend servers that may get the request in this try. */
+  readonly attemptsLent: number;
   readonly answer: ClientAnswer;
   readonly progress: StreamProgress;
   /** Another server has answered at the address of this one. */
@@ -103,12 +103,12 @@
 }
 
 function headersFor(options: AttemptOptions, nowMs: number): readonly string[] {
-  const { dialect, request, plan, to, progress, attemptsLeft } = options;
+  const { dialect, request, plan, to, progress, attemptsLent } = options;
   const leftMs = Math.max(1, Math.floor(answerByMs(plan) - nowMs));
   const headers = [...request.headers, dialect.timeLeftMs, String(leftMs)];
   if (progress.lastEventId !== undefined) headers.push('last-event-id', progress.lastEventId);
   if (to.kind === 'peer') {
-    headers.push(PLAN_HEADER, writePlan(plan, attemptsLeft, nowMs));
+    headers.push(PLAN_HEADER, writePlan(plan, attemptsLent, nowMs));
     return headers;
   }
   headers.push(dialect.targetServer, to.server.serverId);
--- a/src/core/pass-through/index.ts
+++ b/src/core/pass-through/index.ts
@@ -8,6 +8,7 @@
 export { createReadyConnections } from './ready-connections';
 export type { ReadyConnections } from './ready-connections';
 export type { ForwardPeer } from './other-regions';
-export type { ServeDependencies, ServedRequest } from './serve-request';
+export type { ServedRequest } from './request-end';
+export type { ServeDependencies } from './serve-request';
 export type { HeaderDialect } from './types';
 export { createWarmCheck } from './warm-check';
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -4,10 +4,13 @@
 import type { RetryAllowance } from '../shared-budget';
 import { destinationName, startAttempt } from './attempt';
 import type { Attempt, AttemptResult } from './attempt';
+import { createAttemptAccount } from './attempt-account';
 import type { CrashWatch, CrashWatchedTry } from './crash-watch';
 import type { Router } from './create-router';
 import { answerByMs, isRepeatable } from './forwarding';
 import type { SendableDestination } from './observe-destination';
+import { createRequestEnd } from './request-end';
+import type { ServedRequest } from './request-end';
 import { createRequestLog } from './request-log';
 import { watchForSilence } from './silence-watch';
 import { createStreamProgress } from './stream-progress';
@@ -16,7 +19,6 @@
   ClientAnswer,
   HeaderDialect,
   InboundRequest,
-  Refusal,
   RefusalReason,
   RequestPlan,
   TriedDestinations,
@@ -38,16 +40,6 @@
   readonly onDone: (done: ServedRequest) => void;
 }
 
-/** How a request ended, for counts and latencies. */
-export interface ServedRequest {
-  readonly plan: RequestPlan;
-  readonly result: 'answered' | 'brokenOff' | 'callerGone' | RefusalReason;
-  readonly firstByteMs: number;
-  readonly totalMs: number;
-  /** Backend servers that it has been sent to, those that another instance told of included. */
-  readonly attempts: number;
-}
-
 /** A request that is being served. */
 export interface ServedHandle {
   /** The caller has left: work for it is given up. */
@@ -63,6 +55,14 @@
 /** When to come back after time ran out before anything was sent. */
 const TIMED_OUT_RETRY_MS = 1_000;
 
+/** Backend servers that got the request in one try; undefined where nobody can tell. */
+function serversUsed(attempt: Attempt, result: AttemptResult): number | undefined {
+  if (result.kind === 'neverSent') return 0;
+  if (attempt.to.kind === 'server') return 1;
+  // An instance that was lost midway may have gone on with the request after it last told.
+  return result.kind === 'lost' ? undefined : attempt.serversTriedThere();
+}
+
 /** Serves one request: sends it, passes its answer on, tries again where that is allowed and helps. */
 export function serveRequest(
   needs: ServeDependencies,
@@ -76,15 +76,10 @@
   const tried: TriedDestinations = { ids: triedIds, refusingRegions };
   const progress: StreamProgress = createStreamProgress(clock, request.lastEventId);
   const mayRepeat = isRepeatable(plan);
+  const account = createAttemptAccount(plan.maxAttempts, mayRepeat);
   let current: Attempt | undefined;
   let watched: CrashWatchedTry | undefined;
-  /** Servers that the request has been sent to. */
-  let attempts = 0;
-  /** Those that other instances have sent it to beyond the first, as far as they told. */
-  let attemptsElsewhere = 0;
   let unsent = 0;
-  let mayHaveRun = false;
-  let isOver = false;
   let isTimedOut = false;
   let firstByteAtMs: number | undefined;
   let lastFailure: RefusalReason = 'noServer';
@@ -95,108 +90,68 @@
     request,
     plan,
     progress,
-    attempts: () => attempts,
+    attempts: account.used,
+  });
+  const end = createRequestEnd({
+    clock,
+    request,
+    plan,
+    answer,
+    log,
+    attempts: account.used,
+    firstByteAtMs: () => firstByteAtMs,
+    onDone(done) {
+      stopTimers();
+      needs.onDone(done);
+    },
   });
-
-  const finish = (result: ServedRequest['result']): void => {
-    isOver = true;
-    stopTimers();
-    const nowMs = clock.monotonicMs();
-    const firstByteMs = (firstByteAtMs ?? nowMs) - request.receivedAtMs;
-    const totalMs = nowMs - request.receivedAtMs;
-    needs.onDone({
-      plan,
-      result,
-      firstByteMs,
-      totalMs,
-      attempts: attempts + attemptsElsewhere,
-    });
-  };
-
-  const refuse = (
-    reason: RefusalReason,
-    retryAfterMs: number | undefined,
-    predictedMs?: number,
-  ): void => {
-    const outcome = mayHaveRun ? 'unknown' : 'notRun';
-    const refusal: Refusal = {
-      reason,
-      outcome,
-      retryAfterMs: outcome === 'notRun' ? retryAfterMs : undefined,
-    };
-    answer.noteAttempts(attempts);
-    answer.refuse(refusal);
-    log.refused(refusal, predictedMs);
-    finish(reason);
-  };
-
-  const giveUp = (
-    reason: RefusalReason,
-    retryAfterMs: number | undefined,
-    predictedMs?: number,
-  ): void => {
-    if (!answer.headSent) {
-      refuse(reason, retryAfterMs, predictedMs);
-      return;
-    }
-    answer.breakOff();
-    log.brokenOff(reason);
-    finish('brokenOff');
-  };
 
   /** Whether the request may be sent to one more server; takes that out of the budget. */
   const mayTryAgain = (): boolean =>
-    !isTimedOut && attempts < plan.maxAttempts && retries.take(plan.service, clock.monotonicMs());
+    !isTimedOut && account.hasLeft() && retries.take(plan.service, clock.monotonicMs());
 
   const afterLoss = (): void => {
-    mayHaveRun = true;
+    end.noteMayHaveRun();
     lastFailure = 'serverFailed';
     if (mayRepeat && mayTryAgain()) tryNext();
-    else giveUp(isTimedOut ? 'timedOut' : 'serverFailed', undefined);
+    else end.giveUp(isTimedOut ? 'timedOut' : 'serverFailed', undefined);
   };
 
   const afterRejection = (): void => {
     lastFailure = 'serverRefused';
     if (mayTryAgain()) tryNext();
-    else giveUp('serverRefused', REJECTED_RETRY_MS);
+    else end.giveUp('serverRefused', REJECTED_RETRY_MS);
   };
 
   const afterUnsent = (): void => {
-    attempts -= 1;
     unsent += 1;
-    if (isTimedOut) giveUp('timedOut', TIMED_OUT_RETRY_MS);
+    if (isTimedOut) end.giveUp('timedOut', TIMED_OUT_RETRY_MS);
     else if (unsent < MOST_UNSENT) tryNext();
-    else giveUp('noServer', UNSENT_RETRY_MS);
+    else end.giveUp('noServer', UNSENT_RETRY_MS);
   };
 
   const afterPeerRefusal = (hasNotRun: boolean): void => {
-    if (hasNotRun) {
-      lastFailure = 'overloaded';
-      // It may have tried servers of its own that rejected the request, so a next try is a repeat to those.
-      if (!isTimedOut && !retries.take(plan.service, clock.monotonicMs())) {
-        giveUp('overloaded', REJECTED_RETRY_MS);
-        return;
-      }
-      afterUnsent();
+    if (!hasNotRun) {
+      afterLoss();
       return;
     }
-    // The other instance has used up all attempts that the request had left.
-    attempts = plan.maxAttempts;
-    afterLoss();
+    lastFailure = 'overloaded';
+    // It may have tried servers of its own that rejected the request, so a next try is a repeat to those.
+    if (isTimedOut || mayTryAgain()) afterUnsent();
+    else end.giveUp('overloaded', REJECTED_RETRY_MS);
   };
 
   const afterServerFailure = (
     attempt: Attempt,
     result: AttemptResult & { kind: 'serverFailed' },
   ): void => {
-    if (mayRepeat && mayTryAgain()) {
-      mayHaveRun = true;
-      tryNext();
-      return;
-    }
-    result.passOn();
-    log.answered(attempt, result.status, firstByteAtMs);
-    finish('answered');
+    end.keepFailure(() => {
+      result.passOn();
+      log.answered(attempt, result.status, firstByteAtMs);
+    });
+    lastFailure = 'serverFailed';
+    if (mayRepeat && mayTryAgain()) tryNext();
+    else end.giveUp('serverFailed', undefined);
   };
 
   const tellCrashWatch = (result: AttemptResult): void => {
@@ -210,11 +165,11 @@
     current = undefined;
     tellCrashWatch(result);
     firstByteAtMs ??= attempt.firstByteAtMs();
-    attemptsElsewhere += Math.max(0, (attempt.serversTriedThere() ?? 1) - 1);
+    account.settle(serversUsed(attempt, result));
     switch (result.kind) {
       case 'answered':
         log.answered(attempt, result.status, firstByteAtMs);
-        finish('answered');
+        end.answered();
         return;
       case 'neverSent':
         log.attemptFailed(attempt, result.reason);
@@ -243,13 +198,13 @@
   };
 
   const send = (to: SendableDestination): void => {
-    attempts += 1;
-    answer.noteAttempts(attempts);
+    const attemptsLent = to.kind === 'peer' ? account.lend() : account.take();
+    answer.noteAttempts(account.used());
     triedIds.add(destinationName(to));
     log.placed(to);
     if (to.kind === 'server') {
       const { server, mostConnections } = to;
-      const target = { server, mostConnections, attempt: attempts };
+      const target = { server, mostConnections, attempt: account.used() };
       watched = needs.crashWatch.watch(request, plan, target);
     }
     let early: AttemptResult | undefined;
@@ -260,7 +215,7 @@
       to,
       answer,
       progress,
-      attemptsLeft: Math.max(1, plan.maxAttempts - attempts + 1),
+      attemptsLent,
       onResult(result) {
         // A try that ends before it has begun has no name here yet.
         if (current === undefined) early = result;
@@ -274,12 +229,12 @@
   function tryNext(): void {
     const refusedUntilUnixMs = needs.crashWatch.refusedUntilUnixMs(request, plan);
     if (refusedUntilUnixMs !== undefined) {
-      giveUp('suspectedOfCrashes', refusedUntilUnixMs - clock.unixMs());
+      end.giveUp('suspectedOfCrashes', refusedUntilUnixMs - clock.unixMs());
       return;
     }
     const to = router.choose(request, plan, tried, clock.monotonicMs());
     if (to.kind === 'none') {
-      giveUp(mayHaveRun ? lastFailure : to.reason, to.retryAfterMs, to.predictedMs);
+      end.giveUp(end.mayHaveRun() ? lastFailure : to.reason, to.retryAfterMs, to.predictedMs);
       return;
     }
     send(to);
@@ -291,13 +246,13 @@
    */
   const deadline = clock.schedule(answerByMs(plan), () => {
     isTimedOut = true;
-    if (current === undefined) giveUp('timedOut', TIMED_OUT_RETRY_MS);
+    if (current === undefined) end.giveUp('timedOut', TIMED_OUT_RETRY_MS);
     else current.abort('timeout');
   });
   const silence = watchForSilence({
     clock,
     loads: router.loads,
-    current: () => (mayRepeat && attempts < plan.maxAttempts ? current : undefined),
+    current: () => (mayRepeat && account.hasLeft() ? current : undefined),
   });
 
   function stopTimers(): void {
@@ -308,9 +263,9 @@
   tryNext();
   return {
     cancel() {
-      if (isOver) return;
+      if (end.isOver()) return;
       log.callerGone();
-      finish('callerGone');
+      end.callerGone();
       watched?.ended();
       current?.forget();
       current?.abort('aborted');
--- a/src/core/serving/run-attempts.ts
+++ b/src/core/serving/run-attempts.ts
@@ -136,7 +136,8 @@
   const { clock, retryBudget, runAttempt } = dependencies;
   let current = request;
   let mayHaveRun: Evidence | undefined;
-  let triesThatMayHaveRun = 0;
+  // A stream that goes on at another engine is one request still: what it has cost before counts.
+  const costs = request.costs ?? { triesThatMayHaveRun: 0 };
   refuseIfPoison(dependencies, request, undefined);
   for (let tries = 1; ; tries += 1) {
     try {
@@ -146,11 +147,11 @@
     } catch (error) {
       if (!(error instanceof RefusalError)) throw error;
       if (judgeOutcome(error.evidence) === 'unknown') {
-        triesThatMayHaveRun += 1;
+        costs.triesThatMayHaveRun += 1;
         mayHaveRun ??= error.evidence;
       }
       if (!sink.headSent) refuseIfPoison(dependencies, current, mayHaveRun);
-      const counts = { tries, triesThatMayHaveRun };
+      const counts = { tries, triesThatMayHaveRun: costs.triesThatMayHaveRun };
       const decision = decide(dependencies, current, counts, error, sink, signal);
       logDecision(dependencies, current, error, decision);
       if (decision.kind === 'giveUp') throw refusalOfAll(error, mayHaveRun);
--- a/src/core/serving/types.ts
+++ b/src/core/serving/types.ts
@@ -27,6 +27,12 @@
   sendFailed(evidence: Evidence): void;
 }
 
+/** What one request has cost so far, over all parts of its answer. */
+export interface RequestCosts {
+  /** Tries that may have run. */
+  triesThatMayHaveRun: number;
+}
+
 /** A request that has been read, authenticated and matched to a service. */
 export interface GatewayRequest {
   readonly requestId: string;
@@ -49,6 +55,8 @@
   readonly deadlineAtMs: number;
   /** The version in force when the request came; it sees no other, save for a tightened residency. */
   readonly configuration: CompiledConfiguration;
+  /** Shared by the parts of an answer that several engines give; absent for answers of one part. */
+  readonly costs?: RequestCosts;
   /** Asked before each send; absent where a request may be sent at any time and repeated. */
   readonly guard?: SendGuard;
 }
--- a/src/core/streams/serve-stream.ts
+++ b/src/core/streams/serve-stream.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '../clock';
 import type { Logger } from '../events';
 import { RefusalError } from '../refusals';
-import type { GatewayRequest, ResponseSink } from '../serving/types';
+import type { GatewayRequest, RequestCosts, ResponseSink } from '../serving/types';
 import { continueRequest } from './continue-request';
 import { STREAM_EVENTS } from './events';
 import { createStreamRelay } from './stream-relay';
@@ -20,8 +20,11 @@
   readonly serveLeg: ServeLeg;
 }
 
-/** Engines that one answer may use up. Should a second fail as well, the prompt is as likely the cause as they are. */
-const MOST_LEGS = 2;
+/**
+ * Engines that one answer may use up, in all its parts together. Should a second fail as well, the prompt is as likely
+ * the cause as they are.
+ */
+const MOST_ENGINES = 2;
 
 function mayResume({ service }: GatewayRequest): boolean {
   return service.kind === 'model' && service.resumption === 'continueFinalMessage';
@@ -39,7 +42,8 @@
   signal: AbortSignal,
 ): Promise<void> {
   const relay = createStreamRelay(sink, mayResume(request));
-  let current = request;
+  const costs: RequestCosts = { triesThatMayHaveRun: 0 };
+  let current: GatewayRequest = { ...request, costs };
   for (let leg = 1; ; leg += 1) {
     try {
       await serveLeg(current, relay.startLeg(), signal);
@@ -51,7 +55,8 @@
       }
       const next = relay.isCutShort ? continueRequest(request, relay.progress) : undefined;
       const hasTime = clock.monotonicMs() < request.deadlineAtMs;
-      const goesOn = next !== undefined && leg < MOST_LEGS && hasTime && !signal.aborted;
+      const enginesUsed = Math.max(leg, costs.triesThatMayHaveRun);
+      const goesOn = next !== undefined && enginesUsed < MOST_ENGINES && hasTime && !signal.aborted;
       if (!goesOn || !mayResume(request) || !(error instanceof RefusalError)) throw error;
       logger.event(STREAM_EVENTS.resumed, {
         requestId: request.requestId,
@@ -62,7 +67,7 @@
       const avoid = [...(current.avoid ?? []), ...(error.peer === undefined ? [] : [error.peer])];
       // Far from the numbers of tries within a leg, so that no two attempts share one.
       const attempt = request.attempt + leg * 100;
-      current = { ...next, attempt, avoid };
+      current = { ...next, costs, attempt, avoid };
     }
   }
 }
