Let in each size of prompt about as often as the whole of its kind

Cause: a request is refused where its first byte is predicted late, and the longest prompt is the first of which that is predicted, whatever its turn; it is as long when it comes back.

Change: prompts are sorted into three classes of size by ranks learned as they come. Each class is owed three quarters of the rate at which its kind is let in; where it is behind, its next prompt is let in if it can be answered before its deadline.

--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -15,6 +15,8 @@
 export type { ServerLoads } from './server-load';
 export { createServicePaces } from './service-paces';
 export type { ServicePaces } from './service-paces';
+export { createSizeShares } from './size-shares';
+export type { SizeShares } from './size-shares';
 export { createSpillWindows } from './spill-windows';
 export type { SpillSeen, SpillWindows } from './spill-windows';
 export type { Candidate, LoadReport, ModelDemand, PromptPart, ServicePace } from './types';
