--- a/bench/day-causes/day-causes.test.ts
+++ b/bench/day-causes/day-causes.test.ts
@@ -52,6 +52,10 @@
       cause: 'refused: overloaded after another region refused',
     },
     { lines: [{ event: refused.id, reason: 'noServer' }], cause: 'refused: no server' },
+    {
+      lines: [{ event: refused.id, reason: 'instanceBehind' }],
+      cause: 'refused: instance behind',
+    },
     { lines: [SENT, { event: callerGone.id }], cause: 'caller left' },
     { lines: [SENT], cause: 'no end in the log' },
   ] as const;
--- a/bench/day-causes/judge-request.ts
+++ b/bench/day-causes/judge-request.ts
@@ -11,6 +11,7 @@
   | 'pause between events'
   | 'answered with a failure'
   | 'refused: no server'
+  | 'refused: instance behind'
   | 'refused: overloaded'
   | 'refused: overloaded after another region refused'
   | 'refused: other'
@@ -67,6 +68,8 @@
         : 'refused: overloaded';
     case 'noServer':
       return 'refused: no server';
+    case 'instanceBehind':
+      return 'refused: instance behind';
     default:
       return 'refused: other';
   }
--- a/bench/day-causes/main.ts
+++ b/bench/day-causes/main.ts
@@ -4,8 +4,8 @@
 import { readRequests } from './read-log';
 
 /**
- * Says of a day why requests were late, refused or failed: `npm run explain:day -- LOG`, where LOG is what
- * `fleetbench run SITE DAY --log all` printed.
+ * Says of a day why requests were late, refused or failed: `npm run explain:day -- LOG`, where LOG holds what
+ * all instances wrote, each line behind a time in seconds and the instance's name.
  */
 
 const SLICE_S = 4;
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -4,6 +4,7 @@
 import { DRAINING_EVENTS } from '../draining/events';
 import { ENGINE_ORDER_EVENTS } from '../engine-orders/events';
 import { HTTP_EDGE_EVENTS } from '../http-edge/events';
+import { INTAKE_EVENTS } from '../intake/events';
 import { LOAD_CONTROL_EVENTS } from '../load-control/events';
 import { LOG_FLOW_EVENTS } from '../log-flow/events';
 import { MEMBERSHIP_EVENTS } from '../membership/events';
@@ -51,6 +52,7 @@
   PASS_THROUGH_EVENTS,
   RELAY_NODE_EVENTS,
   LOG_FLOW_EVENTS,
+  INTAKE_EVENTS,
 ]
   .flatMap((events): EventDefinition[] => Object.values(events))
   .sort((left, right) => left.id - right.id);
--- /dev/null
+++ b/src/core/intake/events.ts
@@ -0,0 +1,19 @@
+import type { EventDefinition } from '../events';
+
+/** Events 4400 to 4499: requests that wait in the process itself. */
+export const INTAKE_EVENTS = {
+  began: {
+    id: 4401,
+    name: 'backlog-began',
+    level: 'warn',
+    text: 'More requests came than the process serves; they wait, and the newest go first.',
+    action: 'Nothing at once. Where it lasts for seconds, add instances or processor time.',
+  },
+  ended: {
+    id: 4402,
+    name: 'backlog-ended',
+    level: 'info',
+    text: 'No request waits in the process any more.',
+    action: 'Look at how long it lasted and how many were refused.',
+  },
+} as const satisfies Record<string, EventDefinition>;
--- a/src/core/pass-through/open-ingress.ts
+++ b/src/core/pass-through/open-ingress.ts
@@ -5,11 +5,12 @@
 import type { Logger } from '../events';
 import { pickTarget } from '../host-routes';
 import type { HostRoute, RouteTableStore, RoutesInForce } from '../host-routes';
+import type { Intake, LoopWatch } from '../intake';
 import type { RandomSource } from '../random';
 import type { RetryAllowance } from '../shared-budget';
 import { createClientAnswer } from './client-answer';
 import { PASS_THROUGH_EVENTS } from './events';
-import { PLAN_HEADER, readPlan } from './forwarding';
+import { PLAN_HEADER, answerByMs, readPlan } from './forwarding';
 import { headerText } from './judge-answer';
 import { headersToPassOn } from './headers';
 import { headerBytes, readBody } from './read-request';
@@ -29,6 +30,9 @@
   readonly routes: RouteTableStore;
   readonly retries: RetryAllowance;
   readonly serving: ServeDependencies;
+  /** Shared by all listeners of the process. */
+  readonly intake: Pick<Intake, 'enter' | 'noteConnection'>;
+  readonly watch: Pick<LoopWatch, 'waitedMs'>;
   /** Whether a planned stop has begun. */
   readonly isLeaving: () => boolean;
   /** Whether new requests are refused, because there is not enough time left to answer them. */
@@ -87,7 +91,8 @@
 
 /** Opens a listener that passes requests through to backend servers. */
 export async function openIngress(options: IngressOptions): Promise<Ingress> {
-  const { clock, random, logger, routes, retries, serving, isLeaving, isRefusing } = options;
+  const { clock, random, logger, routes, retries, serving, intake, watch } = options;
+  const { isLeaving, isRefusing } = options;
   const { dialect } = serving;
   const isForPeer = options.from === 'peers';
   let openRequests = 0;
@@ -120,11 +125,17 @@
     refuse(incoming, answer, reason);
   };
 
+  /** When a request came that is found in its socket now. */
+  const receivedNowMs = (): number => {
+    const nowMs = clock.monotonicMs();
+    return nowMs - watch.waitedMs(nowMs);
+  };
+
   const planFor = (
     incoming: IncomingMessage,
     route: HostRoute,
     { table }: RoutesInForce,
-    nowMs: number,
+    receivedAtMs: number,
   ): RequestPlan | undefined => {
     const service = pickTarget(route, random.next());
     if (service === undefined) return undefined;
@@ -140,8 +151,8 @@
       maxAttempts: route.maxAttempts,
       homeRegions: route.homeRegions,
       routesVersion: table.version,
-      deadlineAtMs: nowMs + timeLeftMs,
-      timeoutAtMs: nowMs + route.timeoutMs,
+      deadlineAtMs: receivedAtMs + timeLeftMs,
+      timeoutAtMs: receivedAtMs + route.timeoutMs,
       isForwarded: false,
     };
   };
@@ -170,14 +181,21 @@
     demand: dialect.readDemand(incoming.headers),
   });
 
+  const logDropped = ({ requestId, receivedAtMs }: InboundRequest): void =>
+    logger.event(PASS_THROUGH_EVENTS.callerGone, {
+      requestId,
+      attempts: 0,
+      totalMs: Math.round(clock.monotonicMs() - receivedAtMs),
+    });
+
   const serve = (
     incoming: IncomingMessage,
     response: ServerResponse,
     answer: ClientAnswer,
     plan: RequestPlan,
     mostBodyBytes: number,
+    receivedAtMs: number,
   ): void => {
-    const receivedAtMs = clock.monotonicMs();
     readBody(incoming, mostBodyBytes, (reading) => {
       switch (reading.kind) {
         case 'gone':
@@ -193,14 +211,18 @@
       }
       if (response.destroyed) return;
       if (!plan.isForwarded) retries.noteRequest(plan.service, receivedAtMs);
-      const handle = serveRequest(
-        serving,
-        toRequest(incoming, reading.body, receivedAtMs),
-        plan,
-        answer,
-      );
-      response.on('close', () => {
-        if (!response.writableFinished) handle.cancel();
+      const request = toRequest(incoming, reading.body, receivedAtMs);
+      intake.enter({
+        answerByMs: answerByMs(plan),
+        isGone: () => response.destroyed,
+        drop: () => logDropped(request),
+        refuse: (retryAfterMs) => refuse(incoming, answer, 'instanceBehind', retryAfterMs),
+        serve() {
+          const handle = serveRequest(serving, request, plan, answer);
+          response.on('close', () => {
+            if (!response.writableFinished) handle.cancel();
+          });
+        },
       });
     });
   };
@@ -221,13 +243,13 @@
       return;
     }
     const route = inForce.selector.select(incoming.headers.host ?? '', incoming.url ?? '/');
-    const plan =
-      route === undefined ? undefined : planFor(incoming, route, inForce, clock.monotonicMs());
+    const receivedAtMs = receivedNowMs();
+    const plan = route === undefined ? undefined : planFor(incoming, route, inForce, receivedAtMs);
     if (plan === undefined) {
       refuse(incoming, answer, 'noSuchRoute');
       return;
     }
-    serve(incoming, response, answer, plan, limits.bodyBytes);
+    serve(incoming, response, answer, plan, limits.bodyBytes, receivedAtMs);
   };
 
   const handlePeer = (
@@ -236,12 +258,13 @@
     answer: ClientAnswer,
   ): void => {
     const text = headerText(incoming.headers[PLAN_HEADER]);
-    const plan = text === undefined ? undefined : readPlan(text, clock.monotonicMs());
+    const receivedAtMs = receivedNowMs();
+    const plan = text === undefined ? undefined : readPlan(text, receivedAtMs);
     if (plan === undefined) {
       refuse(incoming, answer, 'malformedRequest');
       return;
     }
-    serve(incoming, response, answer, plan, Infinity);
+    serve(incoming, response, answer, plan, Infinity, receivedAtMs);
   };
 
   const handle = (incoming: IncomingMessage, response: ServerResponse): void => {
@@ -273,6 +296,7 @@
 
   const server = createServer({ maxHeaderSize: MOST_HEADER_BYTES, noDelay: true }, handle);
   server.requestTimeout = 0;
+  server.on('connection', intake.noteConnection);
   const applyLimits = () => {
     const limits = routes.current()?.table.limits;
     server.keepAliveTimeout = isForPeer ? PEER_KEPT_MS : (limits?.idleTimeoutMs ?? FIRST_IDLE_MS);
--- a/src/core/pass-through/request-log.ts
+++ b/src/core/pass-through/request-log.ts
@@ -57,6 +57,7 @@
         ...fields(),
         ...basisOf(to, request),
         mostAttempts: plan.maxAttempts,
+        sinceReceivedMs: totalMs(),
         to: destinationName(to),
         timeLeftMs: Math.round(answerByMs(plan) - clock.monotonicMs()),
       }),
--- a/src/core/pass-through/types.ts
+++ b/src/core/pass-through/types.ts
@@ -38,6 +38,7 @@
   /** Names and values by turns, those that concern one connection left out. */
   readonly headers: readonly string[];
   readonly body: Uint8Array;
+  /** When it came, monotonic ms: before it was read, where the process was behind. */
   readonly receivedAtMs: number;
   /** Last event that the caller has of a stream that it resumes. */
   readonly lastEventId: string | undefined;
@@ -100,6 +101,8 @@
   | 'malformedRequest'
   | 'noServer'
   | 'overloaded'
+  /** This instance itself has more to do than it gets processor time for. */
+  | 'instanceBehind'
   | 'stopping'
   | 'suspectedOfCrashes'
   | 'serverRefused'
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -7,6 +7,8 @@
 import { createGossipBoard } from '../gossip';
 import { createRouteTableStore } from '../host-routes';
 import { createDisposableStore } from '../lifetime';
+import { createIntake, createLoopWatch } from '../intake';
+import type { Turns } from '../intake';
 import { createMembership } from '../membership';
 import { createMetrics } from '../metrics';
 import type { Metrics } from '../metrics';
@@ -30,6 +32,7 @@
 import { createKnownInstances } from './known-instances';
 import { repeat } from './repeat';
 import type { RelaySettings } from './settings';
+import { startTicks } from './start-ticks';
 import { STATEMENT_PATH, createStatementSender } from './send-statement';
 import { createStopState } from './stop-state';
 
@@ -37,6 +40,7 @@
 export interface RelayNodeOptions {
   readonly settings: RelaySettings;
   readonly clock: Clock;
+  readonly turns: Turns;
   readonly random: RandomSource;
   readonly logger: Logger;
   readonly dialect: HeaderDialect;
@@ -68,8 +72,11 @@
 /** Rest between two looks at the connections to other regions: an instance that comes back is met within it, ms. */
 const REFILL_EVERY_MS = 500;
 
-/** Rest between two looks at whether this instance's load is to be told, ms; the teller itself rests for longer. */
-const TELL_EVERY_MS = 50;
+/**
+ * Rest between two ticks of the event loop, ms, which show how late it is; at each, this instance's load is told if it is
+ * time, which is a few times a second.
+ */
+const TICK_MS = 50;
 
 /** Starts an instance: its listeners, its membership and its copy of what is published. */
 export async function startRelayNode(options: RelayNodeOptions): Promise<RelayNode> {
@@ -169,6 +176,10 @@
   const { router } = serving;
   inFlight = () => router.loads.totalInFlight();
   const listenersOpen: Ingress[] = [];
+  const watch = createLoopWatch();
+  const intake = createIntake({ clock, turns: options.turns, random, logger, watch });
+  metrics.gauge('coltsfootworks_loop_lag_ms', 'Lateness of the event loop', watch.lagMs);
+  metrics.gauge('coltsfootworks_intake_waiting', 'Requests that wait in the process', intake.size);
   const openRequests = () =>
     listenersOpen.reduce((sum, listener) => sum + listener.openRequests(), 0);
   const stopState = createStopState({
@@ -183,6 +194,8 @@
     routes,
     retries: serving.retries,
     serving,
+    intake,
+    watch,
     isLeaving: stopState.isLeaving,
     isRefusing: stopState.isRefusing,
   };
@@ -225,7 +238,12 @@
   membership.start();
   sync.start();
   owned.add(repeat(clock, FORGET_EVERY_MS, serving.forgetGone));
-  owned.add(repeat(clock, TELL_EVERY_MS, serving.tellLoad));
+  owned.add(
+    startTicks(clock, TICK_MS, (dueAtMs, nextDueAtMs) => {
+      watch.noteTick(dueAtMs, nextDueAtMs, nowMs());
+      serving.tellLoad();
+    }),
+  );
   owned.add(repeat(clock, LIMITS_EVERY_MS, ingress.applyLimits));
   owned.add(repeat(clock, REFILL_EVERY_MS, readyConnections.refill));
   logger.event(RELAY_NODE_EVENTS.started, {
--- /dev/null
+++ b/src/runtime/system-turns.ts
@@ -0,0 +1,10 @@
+import type { Turns } from '../core/intake';
+
+/** The turns of Node's event loop: what is put off comes after the events of this turn, and before the next look. */
+export function createSystemTurns(): Turns {
+  return {
+    atEnd(callback) {
+      setImmediate(callback);
+    },
+  };
+}
