Exchange membership over kept HTTP connections, and load libraries in the parts that are used

Cause: after a loss of power an instance has a fraction of a core, and spends it on loading what its first requests do not need. A profile of a start showed the HTTP client with fetch and HTTP/2 (which loads TLS and cryptography), gRPC with its descriptors, the log formats of the histogram library, the default metrics and the check library's translations. Ruled out: reading the settings and the store (below 15 ms together).

Change: membership's exchanges are calls over HTTP, as rows of JSON; libraries are imported in parts; parts that no call reaches are left out of the bundle; the process's own metrics are read when asked for, without the timer that watched the event loop.

Tests: the list of modules that libraries may name lost prom-client's cluster, which is not bundled any more (stricter). The adapter may import the slices calls and events, which are plumbing.

--- a/scripts/build-platform.mjs
+++ b/scripts/build-platform.mjs
@@ -1,5 +1,6 @@
 /** Builds what the users' platform runs: the bundle, its compiled code, and the file that starts an instance from both. */
 import { spawnSync } from 'node:child_process';
+import { dirname } from 'node:path';
 import process from 'node:process';
 import { copyFileSync, mkdirSync, rmSync, writeFileSync } from 'node:fs';
 import { build } from 'esbuild';
@@ -31,6 +32,39 @@
   Platform: { Address: '127.0.0.1:1' },
 };
 
+/** A module that fails with a message as soon as anything of it is used. */
+function failing(what) {
+  return `
+    const fail = () => { throw new Error('${what} was left out of this build.'); };
+    module.exports = new Proxy(fail, { get: fail });
+  `;
+}
+
+/**
+ * Parts of libraries that no call on the platform reaches, with what stands in their place. An instance loads all of the
+ * bundle before it serves, and after a loss of power all callers wait for that: HTTP/2 alone brings in TLS and
+ * cryptography. A call that did reach one of them fails with a message that names it.
+ */
+const LEFT_OUT = [
+  { part: /undici\/lib\/dispatcher\/client-h2\.js$/, standIn: failing('HTTP/2') },
+  { part: /undici\/lib\/web\/fetch\/body\.js$/, standIn: failing('Bodies of fetch') },
+  // Messages of checks are written in English only.
+  {
+    part: /zod\/v4\/locales\/index\.js$/,
+    standIn: "export { default as en } from './en.js';",
+  },
+];
+
+/** Replaces the parts that are left out. */
+const leaveOut = {
+  name: 'leave-out',
+  setup({ onLoad }) {
+    for (const { part, standIn } of LEFT_OUT) {
+      onLoad({ filter: part }, ({ path }) => ({ contents: standIn, resolveDir: dirname(path) }));
+    }
+  },
+};
+
 mkdirSync(OUT, { recursive: true });
 await build({
   entryPoints: ['platform/start.ts'],
@@ -43,6 +77,7 @@
   // Names of functions and classes stand in log lines and stack traces.
   keepNames: true,
   logLevel: 'warning',
+  plugins: [leaveOut],
 });
 copyFileSync('scripts/start-with-code-cache.cjs', START);
 rmSync(CODE_CACHE, { force: true });
--- a/src/cli/serve/running-process.test.ts
+++ b/src/cli/serve/running-process.test.ts
@@ -72,10 +72,9 @@
 
 /**
  * Libraries that name such a module: undici reads from worker_threads whether it runs in one and has an unused
- * cache over sqlite; prom-client can merge the metrics of a cluster. None of it runs here, which the test above
- * shows; another name in this list is to be looked at.
+ * cache over sqlite. None of it runs here, which the test above shows; another name in this list is to be looked at.
  */
-const KNOWN_IN_LIBRARIES = ['cluster prom-client', 'sqlite undici', 'worker_threads undici'];
+const KNOWN_IN_LIBRARIES = ['sqlite undici', 'worker_threads undici'];
 
 /**
  * Sources that may reach files, none of them in the instance's own code: documents that an operator names, a
--- /dev/null
+++ b/src/core/calls/index.ts
@@ -0,0 +1,14 @@
+/** Calls between the processes of a deployment that are no requests of callers. */
+export { answerCall } from './answer-call';
+export { createCaller, openCaller } from './create-caller';
+export { CALL_EVENTS } from './events';
+export { openCallListener } from './open-call-listener';
+export type { CallListener } from './open-call-listener';
+export type {
+  CallAnswer,
+  CallHandler,
+  CallHandlers,
+  Caller,
+  IncomingCall,
+  OutgoingCall,
+} from './types';
--- /dev/null
+++ b/src/core/calls/open-call-listener.ts
@@ -0,0 +1,50 @@
+import { createServer } from 'node:http';
+import { ERRORS, errorText, gatewayError } from '../errors';
+import type { Logger } from '../events';
+import { answerCall } from './answer-call';
+import type { CallHandlers } from './types';
+
+/** What a listener for calls is opened with. */
+export interface CallListenerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly logger: Logger;
+  readonly handlers: CallHandlers;
+}
+
+/** A listener that answers calls of other instances and nothing else. */
+export interface CallListener extends AsyncDisposable {
+  readonly port: number;
+}
+
+/** How long another instance may keep a connection idle, ms: longer than the rest between two exchanges. */
+const KEPT_MS = 60_000;
+const NOT_FOUND = 404;
+
+/** Opens a listener. */
+export async function openCallListener(options: CallListenerOptions): Promise<CallListener> {
+  const { host, port, logger, handlers } = options;
+  const server = createServer({ noDelay: true }, (incoming, response) => {
+    if (answerCall(handlers, incoming, response, logger)) return;
+    response.writeHead(NOT_FOUND).end();
+  });
+  server.keepAliveTimeout = KEPT_MS;
+  server.requestTimeout = 0;
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', (error) => {
+      const place = { step: 'listen-calls' };
+      reject(
+        gatewayError(ERRORS.listenerFailed, [`${host}:${port}`, errorText(error)], place, error),
+      );
+    });
+    server.listen({ host, port }, resolve);
+  });
+  const address = server.address();
+  return {
+    port: typeof address === 'object' && address !== null ? address.port : port,
+    async [Symbol.asyncDispose]() {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
--- /dev/null
+++ b/src/core/calls/types.ts
@@ -0,0 +1,38 @@
+/** One small question to another process, which is answered by one small text. */
+export interface OutgoingCall {
+  readonly method: 'GET' | 'POST';
+  /** Path with its query. */
+  readonly path: string;
+  /** What is sent along; empty for nothing. */
+  readonly text?: string;
+  /** Monotonic time after which the call is given up. */
+  readonly answerByMs: number;
+}
+
+/** What came back. */
+export interface CallAnswer {
+  readonly status: number;
+  readonly text: string;
+  /** JSON where nothing is said. */
+  readonly contentType?: string;
+}
+
+/** Makes calls over kept connections. */
+export interface Caller {
+  /** Rejects where no whole answer comes in time, or when `signal` aborts. */
+  call(address: string, call: OutgoingCall, signal?: AbortSignal): Promise<CallAnswer>;
+}
+
+/** A call as the one that is asked sees it. */
+export interface IncomingCall {
+  readonly query: URLSearchParams;
+  readonly text: string;
+  /** Aborts when nobody waits for the answer any more. */
+  readonly gone: AbortSignal;
+}
+
+/** Answers calls to one path. */
+export type CallHandler = (call: IncomingCall) => CallAnswer | Promise<CallAnswer>;
+
+/** What a listener answers, by path. */
+export type CallHandlers = ReadonlyMap<string, CallHandler>;
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -1,3 +1,4 @@
+import { CALL_EVENTS } from '../calls/events';
 import { CALLER_LIMIT_EVENTS } from '../caller-limits/events';
 import { CONFIGURATION_EVENTS } from '../configuration/events';
 import { CONFIGURATION_SYNC_EVENTS } from '../configuration-sync/events';
@@ -53,6 +54,7 @@
   RELAY_NODE_EVENTS,
   LOG_FLOW_EVENTS,
   INTAKE_EVENTS,
+  CALL_EVENTS,
 ]
   .flatMap((events): EventDefinition[] => Object.values(events))
   .sort((left, right) => left.id - right.id);
--- a/src/core/exchanges/connection.ts
+++ b/src/core/exchanges/connection.ts
@@ -1,8 +1,8 @@
 import type { Socket } from 'node:net';
-import { Client, buildConnector } from 'undici';
 import type { Dispatcher } from 'undici';
 import { errorText } from '../errors';
 import type { LossCause } from '../outcomes';
+import { Client, buildConnector } from './http-client';
 import type { AnswerListener, Exchange, HeaderMap, OutgoingRequest } from './types';
 
 /**
--- /dev/null
+++ b/src/core/membership/exchange-text.ts
@@ -0,0 +1,128 @@
+import { z } from 'zod';
+import type { GossipEntry } from '../gossip';
+import type { ExchangeMessage } from './messages';
+import { createRowCodec } from './row-codec';
+
+/**
+ * Membership's messages as text, for instances whose calls to one another are plain HTTP.
+ *
+ * Members, loads, statements and cursors are rows without the names of their fields: with the names, these would be most
+ * of what an instance sends for its view.
+ */
+
+const members = createRowCodec(
+  z.object({
+    instanceId: z.string().min(1),
+    region: z.string(),
+    failureDomain: z.string(),
+    callerAddress: z.string(),
+    peerAddress: z.string(),
+    status: z.enum(['alive', 'suspect', 'leaving', 'dead']),
+    incarnation: z.number(),
+    life: z.number(),
+    sequence: z.number(),
+    processToken: z.number(),
+    loadSequence: z.number(),
+    inFlightRequests: z.number(),
+    configurationVersion: z.number(),
+    configurationDigest: z.number(),
+    configurationSinceUnixMs: z.number(),
+    configurationConfirmed: z.boolean(),
+    watching: z.boolean(),
+  }),
+);
+
+const loads = createRowCodec(
+  z.object({
+    memberKey: z.number(),
+    wide: z.boolean(),
+    loadSequence: z.number(),
+    inFlightRequests: z.number(),
+    configurationVersion: z.number(),
+    configurationDigest: z.number(),
+    configurationSinceUnixMs: z.number(),
+    configurationConfirmed: z.boolean(),
+    watching: z.boolean(),
+  }),
+);
+
+const cursors = createRowCodec(
+  z.object({ members: z.number(), loads: z.number(), statements: z.number() }),
+);
+
+const topicSchema = z.enum(['callerShares', 'poisonFingerprints', 'serverMarks']);
+
+const statements = createRowCodec(
+  z.object({
+    topic: topicSchema,
+    key: z.string(),
+    origin: z.string(),
+    version: z.number(),
+    // A row has no place for what is undefined.
+    regions: z.array(z.string()).nullable(),
+    expiresAtUnixMs: z.number(),
+    payload: z.string(),
+  }),
+);
+
+const rowSchema = z.array(z.unknown());
+const rowsSchema = z.array(rowSchema).default([]);
+
+const messageSchema = z.object({
+  from: rowSchema,
+  haveOfProcess: z.number(),
+  have: rowSchema,
+  upTo: rowSchema,
+  viewDigest: z.number(),
+  members: rowsSchema,
+  loads: rowsSchema,
+  statements: rowsSchema,
+  knownLiveness: z.array(z.number()).default([]),
+  moreMembers: z.boolean().default(false),
+});
+
+function writeStatement(entry: GossipEntry) {
+  return statements.write({ ...entry, regions: entry.regions ? [...entry.regions] : null });
+}
+
+/** A statement on a topic that this release does not know is left out: nothing here could read it. */
+function readStatement(row: readonly unknown[]): GossipEntry[] {
+  if (!topicSchema.safeParse(row[0]).success) return [];
+  const { regions, ...entry } = statements.read(row);
+  return [{ ...entry, regions: regions ?? undefined }];
+}
+
+/** Most lists are empty, and are not written then. */
+function unlessEmpty<Entry>(entries: readonly Entry[]): readonly Entry[] | undefined {
+  return entries.length === 0 ? undefined : entries;
+}
+
+/** A message as text. */
+export function writeExchange(message: ExchangeMessage): string {
+  return JSON.stringify({
+    from: members.write(message.from),
+    haveOfProcess: message.haveOfProcess,
+    have: cursors.write(message.have),
+    upTo: cursors.write(message.upTo),
+    viewDigest: message.viewDigest,
+    members: unlessEmpty(message.members.map(members.write)),
+    loads: unlessEmpty(message.loads.map(loads.write)),
+    statements: unlessEmpty(message.statements.map(writeStatement)),
+    knownLiveness: unlessEmpty(message.knownLiveness),
+    moreMembers: message.moreMembers || undefined,
+  });
+}
+
+/** A message from text; throws where it is none. */
+export function readExchange(text: string): ExchangeMessage {
+  const message = messageSchema.parse(JSON.parse(text));
+  return {
+    ...message,
+    from: members.read(message.from),
+    have: cursors.read(message.have),
+    upTo: cursors.read(message.upTo),
+    members: message.members.map(members.read),
+    loads: message.loads.map(loads.read),
+    statements: message.statements.flatMap(readStatement),
+  };
+}
--- a/src/core/membership/index.ts
+++ b/src/core/membership/index.ts
@@ -2,6 +2,7 @@
 export { createMembership } from './create-membership';
 export type { Membership, MembershipOptions } from './create-membership';
 export { MEMBERSHIP_EVENTS } from './events';
+export { readExchange, writeExchange } from './exchange-text';
 export type { Cursors, ExchangeMessage, MembershipTransport } from './messages';
 export type {
   LoadState,
--- a/src/core/metrics/create-metrics.ts
+++ b/src/core/metrics/create-metrics.ts
@@ -1,6 +1,8 @@
-import { build } from 'hdr-histogram-js';
 import type { Histogram } from 'hdr-histogram-js';
-import { Counter, Gauge, Registry, collectDefaultMetrics } from 'prom-client';
+import histogramModule from 'hdr-histogram-js/dist/Int32Histogram.js';
+import type { Registry as MetricsRegistry } from 'prom-client';
+import { addProcessMetrics } from './process-metrics';
+import { Counter, Gauge, Registry } from './prometheus';
 
 /** Counts and latencies of one instance, for the Prometheus text format. */
 export interface Metrics {
@@ -28,6 +30,10 @@
 
 /** The quantiles that are exported; the last two are what the deployments weigh most. */
 const QUANTILES = [0.5, 0.95, 0.99, 0.999];
+/** One kind of histogram by itself: the library's factory loads its log formats as well, which nobody reads here. */
+const { default: LatencyHistogram } = histogramModule;
+
+const LOWEST_MS = 1;
 /** An hour: longer than any deadline that the configuration lets callers state. */
 const HIGHEST_MS = 3_600_000;
 const SIGNIFICANT_DIGITS = 2;
@@ -42,7 +48,7 @@
  * Latencies kept in HDR histograms rather than in the exporter's own buckets: fixed buckets hide the tail,
  * which is what callers on the telephone notice.
  */
-function createLatencyFamily(registry: Registry, name: string, help: string): LatencyFamily {
+function createLatencyFamily(registry: MetricsRegistry, name: string, help: string): LatencyFamily {
   const histograms = new Map<string, Histogram>();
   const gauge = new Gauge({
     name,
@@ -62,11 +68,7 @@
     record(service, durationMs) {
       let histogram = histograms.get(service);
       if (histogram === undefined) {
-        histogram = build({
-          lowestDiscernibleValue: 1,
-          highestTrackableValue: HIGHEST_MS,
-          numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
-        });
+        histogram = new LatencyHistogram(LOWEST_MS, HIGHEST_MS, SIGNIFICANT_DIGITS);
         histograms.set(service, histogram);
       }
       histogram.recordValue(Math.min(HIGHEST_MS, Math.max(0, Math.round(durationMs))));
@@ -77,8 +79,7 @@
 /** Metrics that start at zero. */
 export function createMetrics(): Metrics {
   const registry = new Registry();
-  // Processor time, memory and event-loop delay of the process, under the names that dashboards know.
-  collectDefaultMetrics({ register: registry });
+  addProcessMetrics(registry);
   const counter = (name: string, help: string, labelNames: string[]) =>
     new Counter({ name, help, labelNames, registers: [registry] });
 
--- a/src/core/pass-through/open-ingress.ts
+++ b/src/core/pass-through/open-ingress.ts
@@ -1,5 +1,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { answerCall } from '../calls';
+import type { CallHandlers } from '../calls';
 import type { Clock } from '../clock';
 import { ERRORS, errorText, gatewayError } from '../errors';
 import type { Logger } from '../events';
@@ -37,10 +39,8 @@
   readonly isLeaving: () => boolean;
   /** Whether new requests are refused, because there is not enough time left to answer them. */
   readonly isRefusing: () => boolean;
-  /** Answers of this listener that are no requests, by path; for other instances alone. */
-  readonly documents?: ReadonlyMap<string, () => string>;
-  /** Takes messages of other instances on this listener that are no requests either, by path. */
-  readonly messages?: ReadonlyMap<string, (text: string) => void>;
+  /** Calls that this listener answers beside requests; for other instances alone. */
+  readonly calls?: CallHandlers;
 }
 
 /** A listener for requests. */
@@ -54,9 +54,6 @@
 
 /** Largest header section that is read at all; the routes' own limit is checked on top. */
 const MOST_HEADER_BYTES = 131_072;
-/** Largest message of another instance; statements of its load have some hundred bytes for each server. */
-const MOST_MESSAGE_BYTES = 262_144;
-const NO_CONTENT = 204;
 /** How long another instance may keep a connection idle: longer than gaps between bursts. */
 const PEER_KEPT_MS = 60_000;
 /** Idle time of callers' connections until the routes say otherwise. */
@@ -92,7 +89,7 @@
 /** Opens a listener that passes requests through to backend servers. */
 export async function openIngress(options: IngressOptions): Promise<Ingress> {
   const { clock, random, logger, routes, retries, serving, intake, watch } = options;
-  const { isLeaving, isRefusing } = options;
+  const { isLeaving, isRefusing, calls } = options;
   const { dialect } = serving;
   const isForPeer = options.from === 'peers';
   let openRequests = 0;
@@ -268,19 +265,7 @@
   };
 
   const handle = (incoming: IncomingMessage, response: ServerResponse): void => {
-    const document = options.documents?.get(incoming.url ?? '');
-    if (document !== undefined) {
-      response.writeHead(200, { 'content-type': 'application/json' }).end(document());
-      return;
-    }
-    const takeMessage = options.messages?.get(incoming.url ?? '');
-    if (takeMessage !== undefined) {
-      readBody(incoming, MOST_MESSAGE_BYTES, (reading) => {
-        if (reading.kind === 'whole') takeMessage(reading.body.toString('utf8'));
-        response.writeHead(NO_CONTENT).end();
-      });
-      return;
-    }
+    if (calls !== undefined && answerCall(calls, incoming, response, logger)) return;
     openRequests += 1;
     response.on('close', () => {
       openRequests -= 1;
--- /dev/null
+++ b/src/core/relay-node/exchange-calls.ts
@@ -0,0 +1,55 @@
+import type { CallHandler, Caller } from '../calls';
+import type { Clock } from '../clock';
+import { ERRORS, errorText, gatewayError } from '../errors';
+import { readExchange, writeExchange } from '../membership';
+import type { ExchangeMessage, MembershipTransport } from '../membership';
+
+/** Path on the listener for membership that takes exchanges. */
+export const EXCHANGE_PATH = '/exchange';
+
+/** Longest wait for the answer to an exchange, ms: several round trips between the farthest regions. */
+const EXCHANGE_TIMEOUT_MS = 1_000;
+const OK = 200;
+const BAD_REQUEST = 400;
+
+/** Membership's exchanges as calls. */
+export function createExchangeCalls(
+  clock: Clock,
+  caller: Caller,
+  stopping: AbortSignal,
+): MembershipTransport {
+  return {
+    async exchange(peerAddress, message) {
+      const answerByMs = clock.monotonicMs() + EXCHANGE_TIMEOUT_MS;
+      const call = {
+        method: 'POST',
+        path: EXCHANGE_PATH,
+        text: writeExchange(message),
+        answerByMs,
+      } as const;
+      try {
+        const { status, text } = await caller.call(peerAddress, call, stopping);
+        if (status !== OK) throw new Error(`status ${status}`);
+        return readExchange(text);
+      } catch (error) {
+        const place = { step: 'exchange', peer: peerAddress };
+        throw gatewayError(ERRORS.peerUnavailable, [errorText(error)], place, error);
+      }
+    },
+  };
+}
+
+/** Answers exchanges of others with what `receive` says. */
+export function answerExchanges(
+  receive: (message: ExchangeMessage) => ExchangeMessage,
+): CallHandler {
+  return ({ text }) => {
+    let message: ExchangeMessage;
+    try {
+      message = readExchange(text);
+    } catch (error) {
+      return { status: BAD_REQUEST, text: JSON.stringify({ reason: errorText(error) }) };
+    }
+    return { status: OK, text: writeExchange(receive(message)) };
+  };
+}
--- a/src/core/relay-node/fetch-peer-state.ts
+++ b/src/core/relay-node/fetch-peer-state.ts
@@ -1,5 +1,4 @@
-import { request } from 'undici';
-import { createDeadlineSignal } from '../clock';
+import type { Caller } from '../calls';
 import type { Clock } from '../clock';
 import { errorText } from '../errors';
 import type { Logger } from '../events';
@@ -14,27 +13,29 @@
 
 /** Time for an instance of another region to answer, ms. */
 const ANSWER_TIMEOUT_MS = 1_000;
+const OK = 200;
 
 /** What fetching needs. */
 export interface FetchNeeds {
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly caller: Caller;
 }
 
 /** Published state as the instance at `address` holds it; undefined where it does not answer. */
 export async function fetchPeerState(
-  { clock, logger }: FetchNeeds,
+  { clock, logger, caller }: FetchNeeds,
   address: string,
   signal: AbortSignal,
 ): Promise<PublishedState | undefined> {
-  using deadline = createDeadlineSignal(clock, signal, clock.monotonicMs() + ANSWER_TIMEOUT_MS);
+  const answerByMs = clock.monotonicMs() + ANSWER_TIMEOUT_MS;
   try {
-    const response = await request(`http://${address}${STATE_PATH}`, {
-      // The client's own timeouts do not cover the making of a connection, which hangs at a machine without power.
-      signal: deadline.signal,
-    });
-    const text = await response.body.text();
-    return response.statusCode === 200 ? readSnapshot(text) : undefined;
+    const { status, text } = await caller.call(
+      address,
+      { method: 'GET', path: STATE_PATH, answerByMs },
+      signal,
+    );
+    return status === OK ? readSnapshot(text) : undefined;
   } catch (error) {
     logger.event(STATE_SYNC_EVENTS.peerUnavailable, { peer: address, reason: errorText(error) });
     return undefined;
--- a/src/core/relay-node/send-statement.ts
+++ b/src/core/relay-node/send-statement.ts
@@ -1,3 +1,4 @@
+import type { CallHandler } from '../calls';
 import type { ConnectionPool } from '../exchanges';
 
 /** Path on the listener for other instances that takes statements of their load. */
@@ -34,3 +35,13 @@
     );
   };
 }
+
+const NO_CONTENT = 204;
+
+/** Hands on the statements of others. */
+export function answerStatements(take: (text: string) => void): CallHandler {
+  return ({ text }) => {
+    take(text);
+    return { status: NO_CONTENT, text: '' };
+  };
+}
--- a/src/core/relay-node/settings.ts
+++ b/src/core/relay-node/settings.ts
@@ -15,7 +15,7 @@
     .describe('Region of each failure domain of the deployment'),
   listeners: z.strictObject({
     callers: listenerSchema,
-    peers: listenerSchema.describe('Membership of instances, over gRPC'),
+    peers: listenerSchema.describe('Membership of instances'),
     forwarding: listenerSchema.describe('Requests that other instances send on'),
   }),
   forwardingPort: z
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -1,3 +1,5 @@
+import { createCaller, openCallListener } from '../calls';
+import type { CallHandler } from '../calls';
 import type { CallerPlace } from '../client-directory';
 import { chooseAddresses } from '../client-directory';
 import type { Clock } from '../clock';
@@ -14,26 +16,19 @@
 import type { Metrics } from '../metrics';
 import { createReadyConnections, openIngress } from '../pass-through';
 import type { HeaderDialect, Ingress } from '../pass-through';
-import {
-  channelCredentials,
-  createExchangeTransport,
-  createPeerConnections,
-  openPeerServer,
-  secretMetadata,
-  serverCredentials,
-} from '../peers';
 import type { RandomSource } from '../random';
 import { createServerRegistry } from '../server-registry';
 import { createStateSync, writeSnapshot } from '../state-sync';
 import type { StateSource } from '../state-sync';
 import { createServing } from './create-serving';
 import { RELAY_NODE_EVENTS } from './events';
+import { EXCHANGE_PATH, answerExchanges, createExchangeCalls } from './exchange-calls';
 import { HERE_PATH, STATE_PATH, fetchPeerState } from './fetch-peer-state';
 import { createKnownInstances } from './known-instances';
 import { repeat } from './repeat';
 import type { RelaySettings } from './settings';
 import { startTicks } from './start-ticks';
-import { STATEMENT_PATH, createStatementSender } from './send-statement';
+import { STATEMENT_PATH, answerStatements, createStatementSender } from './send-statement';
 import { createStopState } from './stop-state';
 
 /** What an instance is made from. */
@@ -61,7 +56,7 @@
   apply(settings: RelaySettings): void;
 }
 
-/** Instances of one deployment trust the network between them; the platform hands out no secret. */
+/** Key of the marks that instances of one deployment make of requests; the platform hands out no secret. */
 const PEER_SECRET = 'coltsfootworks-peers';
 /** Rest between two looks at whether a stop may end, ms. */
 const STOP_LOOK_MS = 50;
@@ -96,7 +91,9 @@
   });
   const metrics = createMetrics();
   const gossip = createGossipBoard(instanceId, clock);
-  const connections = owned.add(createPeerConnections(channelCredentials(undefined)));
+  const caller = createCaller({ clock, pool });
+  const stopping = new AbortController();
+  owned.defer(() => stopping.abort());
   let inFlight = () => 0;
   let callerAddress = '';
   let peerAddress = '';
@@ -108,11 +105,7 @@
       logger,
       gossip,
       incarnation: clock.unixMs(),
-      transport: createExchangeTransport({
-        clock,
-        connections,
-        metadata: secretMetadata(PEER_SECRET),
-      }),
+      transport: createExchangeCalls(clock, caller, stopping.signal),
       seedPeers: settings.seedPeers,
       describeSelf: () => ({
         instanceId,
@@ -149,7 +142,7 @@
         const peer = others[Math.floor(random.next() * others.length)];
         return peer === undefined
           ? undefined
-          : fetchPeerState({ clock, logger }, peer.forwardAddress, signal);
+          : fetchPeerState({ clock, logger, caller }, peer.forwardAddress, signal);
       },
     }),
   );
@@ -200,25 +193,24 @@
     isRefusing: stopState.isRefusing,
   };
 
-  const peerServer = owned.add(
-    await openPeerServer({
+  const peerListener = owned.add(
+    await openCallListener({
       ...listeners.peers,
-      credentials: serverCredentials(undefined),
-      peerSecret: PEER_SECRET,
-      handlers: { exchange: (message) => membership.receive(message) },
+      logger,
+      handlers: new Map([[EXCHANGE_PATH, answerExchanges(membership.receive)]]),
     }),
   );
-  peerAddress = `${listeners.peers.host}:${peerServer.port}`;
+  peerAddress = `${listeners.peers.host}:${peerListener.port}`;
   const forwarding = owned.add(
     await openIngress({
       ...shared,
       ...listeners.forwarding,
       from: 'peers',
-      documents: new Map([
-        [STATE_PATH, () => writeSnapshot(sync.snapshot())],
-        [HERE_PATH, () => '{}'],
+      calls: new Map<string, CallHandler>([
+        [STATE_PATH, () => ({ status: 200, text: writeSnapshot(sync.snapshot()) })],
+        [HERE_PATH, () => ({ status: 200, text: '{}' })],
+        [STATEMENT_PATH, answerStatements(serving.takeStatement)],
       ]),
-      messages: new Map([[STATEMENT_PATH, serving.takeStatement]]),
     }),
   );
   const ingress = owned.add(
