Let one instance of each failure domain watch the store, and the others follow it

Ruled out: longer waits alone, since a silent connection must be noticed within the time in which a change has to be in force; the order of stand-ins of the configuration service, which waits ten seconds.

Change: rendezvous hashing names a watcher in each failure domain; the others wait for changes at its listener by revision. Silence is noticed within 1.4 s, a watcher that has lost the store within 1.7 s; then the next in order and the store are asked. Changes by the dozen share an answer every 500 ms, the first three come at once. Calls between instances are read without streams of their own.

Tests: the store client's expectation gained the revision (stricter); relay.test.ts was run against a watcher that never says that it has lost the source (the run does not end) and one whose silence is noticed late (6 tests fail).

--- a/src/core/calls/answer-call.ts
+++ b/src/core/calls/answer-call.ts
@@ -2,29 +2,14 @@
 import { errorText } from '../errors';
 import type { Logger } from '../events';
 import { CALL_EVENTS } from './events';
-import type { CallAnswer, CallHandler, CallHandlers } from './types';
+import { readBody } from './read-body';
+import type { CallAnswer, CallHandler, CallHandlers, IncomingCall } from './types';
 
 /** Largest text of a call: the view of a whole fleet is some ten kilobytes. */
 const MOST_TEXT_BYTES = 4_194_304;
 const TOO_LARGE = 413;
 const FAILED = 500;
 
-interface ReadText {
-  readonly text: string;
-  readonly isTooLarge: boolean;
-}
-
-async function readText(incoming: IncomingMessage): Promise<ReadText> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of incoming) {
-    bytes += (chunk as Buffer).length;
-    if (bytes > MOST_TEXT_BYTES) return { text: '', isTooLarge: true };
-    chunks.push(chunk as Buffer);
-  }
-  return { text: Buffer.concat(chunks).toString('utf8'), isTooLarge: false };
-}
-
 function write(response: ServerResponse, answered: CallAnswer): void {
   if (response.destroyed) return;
   // Nobody reads the date, and it would be a quarter of most answers.
@@ -37,21 +22,24 @@
   response.end(bytes);
 }
 
-async function answer(
+function toCall(incoming: IncomingMessage, response: ServerResponse, text: string): IncomingCall {
+  return {
+    text,
+    query: new URLSearchParams((incoming.url ?? '').split('?')[1]),
+    // Most calls are answered at once; only those that wait need to know.
+    onGone(listener) {
+      if (response.destroyed) listener();
+      else response.once('close', listener);
+    },
+  };
+}
+
+async function answerWith(
   handler: CallHandler,
-  incoming: IncomingMessage,
-  response: ServerResponse,
+  call: IncomingCall,
+  writeAnswer: (answer: CallAnswer) => void,
 ): Promise<void> {
-  const gone = new AbortController();
-  response.on('close', () => gone.abort());
-  const { text, isTooLarge } = await readText(incoming);
-  if (isTooLarge) {
-    response.setHeader('connection', 'close');
-    write(response, { status: TOO_LARGE, text: '' });
-    return;
-  }
-  const query = new URL(incoming.url ?? '/', 'http://instance').searchParams;
-  write(response, await handler({ query, text, gone: gone.signal }));
+  writeAnswer(await handler(call));
 }
 
 /** Answers a call that `handlers` name; false where they do not name it. */
@@ -64,9 +52,26 @@
   const [path = ''] = (incoming.url ?? '').split('?');
   const handler = handlers.get(path);
   if (handler === undefined) return false;
-  answer(handler, incoming, response).catch((error: unknown) => {
+  const fail = (error: unknown): void => {
     logger.event(CALL_EVENTS.failed, { path, reason: errorText(error) });
     if (!response.headersSent) write(response, { status: FAILED, text: '' });
+  };
+  readBody(incoming, MOST_TEXT_BYTES, (reading) => {
+    switch (reading.kind) {
+      case 'gone':
+        return;
+      case 'tooLarge':
+        response.setHeader('connection', 'close');
+        write(response, { status: TOO_LARGE, text: '' });
+        return;
+      case 'whole':
+        answerWith(handler, toCall(incoming, response, reading.body.toString('utf8')), (answer) =>
+          write(response, answer),
+        ).catch(fail);
+        return;
+      default:
+        reading satisfies never;
+    }
   });
   return true;
 }
--- a/src/core/calls/index.ts
+++ b/src/core/calls/index.ts
@@ -3,6 +3,8 @@
 export { createCaller, openCaller } from './create-caller';
 export { CALL_EVENTS } from './events';
 export { openCallListener } from './open-call-listener';
+export { readBody } from './read-body';
+export type { BodyReading } from './read-body';
 export type { CallListener } from './open-call-listener';
 export type {
   CallAnswer,
--- a/src/core/calls/types.ts
+++ b/src/core/calls/types.ts
@@ -27,8 +27,8 @@
 export interface IncomingCall {
   readonly query: URLSearchParams;
   readonly text: string;
-  /** Aborts when nobody waits for the answer any more. */
-  readonly gone: AbortSignal;
+  /** Calls back when nobody waits for the answer any more. */
+  readonly onGone: (listener: () => void) => void;
 }
 
 /** Answers calls to one path. */
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -20,6 +20,7 @@
 import { SERVER_HEALTH_EVENTS } from '../server-health/events';
 import { SERVING_EVENTS } from '../serving/events';
 import { SPILLOVER_EVENTS } from '../spillover/events';
+import { STATE_RELAY_EVENTS } from '../state-relay/events';
 import { STATE_SYNC_EVENTS } from '../state-sync/events';
 import { STREAM_EVENTS } from '../streams/events';
 import { TICKET_EVENTS } from '../tickets/events';
@@ -55,6 +56,7 @@
   LOG_FLOW_EVENTS,
   INTAKE_EVENTS,
   CALL_EVENTS,
+  STATE_RELAY_EVENTS,
 ]
   .flatMap((events): EventDefinition[] => Object.values(events))
   .sort((left, right) => left.id - right.id);
--- a/src/core/pass-through/open-ingress.ts
+++ b/src/core/pass-through/open-ingress.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { answerCall } from '../calls';
+import { answerCall, readBody } from '../calls';
 import type { CallHandlers } from '../calls';
 import type { Clock } from '../clock';
 import { ERRORS, errorText, gatewayError } from '../errors';
@@ -13,9 +13,9 @@
 import { createClientAnswer } from './client-answer';
 import { PASS_THROUGH_EVENTS } from './events';
 import { PLAN_HEADER, answerByMs, readPlan } from './forwarding';
+import { headerBytes } from './header-bytes';
 import { headerText } from './judge-answer';
 import { headersToPassOn } from './headers';
-import { headerBytes, readBody } from './read-request';
 import { serveRequest } from './serve-request';
 import type { ServeDependencies } from './serve-request';
 import type { ClientAnswer, InboundRequest, Refusal, RefusalReason, RequestPlan } from './types';
--- a/src/core/relay-node/known-instances.ts
+++ b/src/core/relay-node/known-instances.ts
@@ -1,10 +1,13 @@
 import type { MemberState, Membership } from '../membership';
 import type { ForwardPeer } from '../pass-through';
+import type { RelayInstance } from '../state-relay';
 
 /** The other instances, as this one may use them. */
 export interface KnownInstances {
   /** Those that can serve requests that are sent on to them. */
   peers(): readonly ForwardPeer[];
+  /** Those that may watch the source of published state for this one. */
+  perhapsWatching(): readonly RelayInstance[];
   /** Those that are in use, this one included. */
   count(): number;
   /** Those of this region that are in use, this one included. */
@@ -28,10 +31,12 @@
 /** A view over the membership. */
 export function createKnownInstances(options: KnownInstancesOptions): KnownInstances {
   const { membership, region, forwardingPort } = options;
+  const forwardAddress = (member: MemberState) =>
+    `${hostOf(member.peerAddress)}:${forwardingPort()}`;
   const toPeer = (member: MemberState): ForwardPeer => ({
     instanceId: member.instanceId,
     region: member.region,
-    forwardAddress: `${hostOf(member.peerAddress)}:${forwardingPort()}`,
+    forwardAddress: forwardAddress(member),
     inFlightRequests: member.inFlightRequests,
   });
   return {
@@ -41,6 +46,15 @@
         .usablePeers()
         .filter((member) => member.configurationVersion > 0)
         .map(toPeer),
+    perhapsWatching: () =>
+      membership
+        .usablePeers()
+        .filter((member) => member.region === region && member.configurationVersion > 0)
+        .map((member) => ({
+          instanceId: member.instanceId,
+          failureDomain: member.failureDomain,
+          address: forwardAddress(member),
+        })),
     count: () => membership.usablePeers().length + 1,
     countInRegion: () =>
       membership.usablePeers().filter((member) => member.region === region).length + 1,
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -18,6 +18,7 @@
 import type { HeaderDialect, Ingress } from '../pass-through';
 import type { RandomSource } from '../random';
 import { createServerRegistry } from '../server-registry';
+import { answerWatches, createRelayedSource, createWatcherClient } from '../state-relay';
 import { createStateSync, writeSnapshot } from '../state-sync';
 import type { StateSource } from '../state-sync';
 import { createServing } from './create-serving';
@@ -95,6 +96,7 @@
   const stopping = new AbortController();
   owned.defer(() => stopping.abort());
   let inFlight = () => 0;
+  let isWatching = () => false;
   let callerAddress = '';
   let peerAddress = '';
 
@@ -118,7 +120,7 @@
         configurationDigest: 0,
         configurationSinceUnixMs: 0,
         configurationConfirmed: true,
-        watching: true,
+        watching: isWatching(),
       }),
     }),
   );
@@ -128,12 +130,21 @@
     region,
     forwardingPort: () => settings.forwardingPort,
   });
+  const relayed = createRelayedSource({
+    clock,
+    logger,
+    source: options.source,
+    watchers: createWatcherClient(clock, caller),
+    self: { instanceId, failureDomain },
+    others: instances.perhapsWatching,
+  });
+  isWatching = relayed.isWatching;
   const sync = owned.add(
     createStateSync({
       clock,
       random,
       logger,
-      source: options.source,
+      source: relayed,
       routes,
       servers,
       onRoutes: () => membership.prompt(() => true),
@@ -147,6 +158,8 @@
     }),
   );
 
+  const writeState = () => writeSnapshot(sync.snapshot());
+
   const serving = createServing(
     {
       clock,
@@ -173,6 +186,11 @@
   const intake = createIntake({ clock, turns: options.turns, random, logger, watch });
   metrics.gauge('coltsfootworks_loop_lag_ms', 'Lateness of the event loop', watch.lagMs);
   metrics.gauge('coltsfootworks_intake_waiting', 'Requests that wait in the process', intake.size);
+  metrics.gauge(
+    'coltsfootworks_watches_source',
+    'Whether this instance watches the source of published state itself',
+    () => Number(relayed.isWatching()),
+  );
   const openRequests = () =>
     listenersOpen.reduce((sum, listener) => sum + listener.openRequests(), 0);
   const stopState = createStopState({
@@ -207,9 +225,10 @@
       ...listeners.forwarding,
       from: 'peers',
       calls: new Map<string, CallHandler>([
-        [STATE_PATH, () => ({ status: 200, text: writeSnapshot(sync.snapshot()) })],
+        [STATE_PATH, () => ({ status: 200, text: writeState() })],
         [HERE_PATH, () => ({ status: 200, text: '{}' })],
         [STATEMENT_PATH, answerStatements(serving.takeStatement)],
+        ...answerWatches({ ...relayed, clock, writeState }),
       ]),
     }),
   );
--- /dev/null
+++ b/src/core/state-relay/ask-watcher.ts
@@ -0,0 +1,74 @@
+import type { CallAnswer, Caller } from '../calls';
+import type { Clock } from '../clock';
+import { readChanges, readSnapshot } from '../state-sync';
+import type { PublishedChanges, PublishedState } from '../state-sync';
+import { CHANGES_PATH, FOLLOWED_STATE_PATH } from './answer-watches';
+import type { WatcherFault } from './watcher-doubts';
+
+/** What came of asking another instance as a watcher. */
+export type WatcherAnswer<Value> =
+  | { readonly kind: 'answered'; readonly value: Value }
+  | { readonly kind: 'failed'; readonly fault: WatcherFault; readonly reason: string };
+
+/** Asks other instances what has changed. Never rejects. */
+export interface WatcherClient {
+  watch(
+    address: string,
+    after: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<WatcherAnswer<PublishedChanges>>;
+  readAll(address: string, signal: AbortSignal): Promise<WatcherAnswer<PublishedState>>;
+}
+
+/** Time beyond its wait after which a watch counts as lost, ms: a few round trips within a region. */
+const WATCH_GRACE_MS = 400;
+/** Time for the whole state, ms. */
+const READ_TIMEOUT_MS = 1_000;
+const OK = 200;
+const GONE = 410;
+const UNAVAILABLE = 503;
+
+/** A client for other instances. */
+export function createWatcherClient(clock: Clock, caller: Caller): WatcherClient {
+  const ask = async <Value>(
+    address: string,
+    path: string,
+    answerByMs: number,
+    signal: AbortSignal,
+    read: (answer: CallAnswer) => Value | undefined,
+  ): Promise<WatcherAnswer<Value>> => {
+    try {
+      const answer = await caller.call(address, { method: 'GET', path, answerByMs }, signal);
+      const value = read(answer);
+      if (value !== undefined) return { kind: 'answered', value };
+      const fault = answer.status === UNAVAILABLE ? 'notFollowing' : 'noAnswer';
+      return { kind: 'failed', fault, reason: `status ${answer.status}` };
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      return { kind: 'failed', fault: 'noAnswer', reason };
+    }
+  };
+
+  return {
+    watch: (address, after, waitMs, signal) =>
+      ask(
+        address,
+        `${CHANGES_PATH}?after=${after}&waitMs=${waitMs}`,
+        clock.monotonicMs() + waitMs + WATCH_GRACE_MS,
+        signal,
+        ({ status, text }): PublishedChanges | undefined => {
+          if (status === GONE) return { kind: 'historyGone' };
+          return status === OK ? readChanges(text) : undefined;
+        },
+      ),
+    readAll: (address, signal) =>
+      ask(
+        address,
+        FOLLOWED_STATE_PATH,
+        clock.monotonicMs() + READ_TIMEOUT_MS,
+        signal,
+        ({ status, text }) => (status === OK ? readSnapshot(text) : undefined),
+      ),
+  };
+}
--- a/src/core/state-sync/create-state-sync.ts
+++ b/src/core/state-sync/create-state-sync.ts
@@ -47,9 +47,9 @@
  * Longest wait of one watch. A connection that has gone silent is noticed a little later than this, which has to
  * be well within the seconds in which a change has to be in force.
  */
-const WATCH_WAIT_MS = 2_500;
-/** Time beyond its wait after which a watch is overdue: a round trip of the longest links, ms. */
-const OVERDUE_AFTER_MS = 250;
+const WATCH_WAIT_MS = 1_000;
+/** Time beyond its wait after which a watch is overdue, ms: the rest after news, and a round trip of the longest links. */
+const OVERDUE_AFTER_MS = 700;
 /** Wait of a watch that only has to show whether the source answers again. */
 const DOUBT_WAIT_MS = 100;
 /** Calls that fail in a row before an operator is told: one lost connection is no outage. */
@@ -74,7 +74,8 @@
   let followedSinceMs: number | undefined;
   let regainedAtMs = -Infinity;
   let isAskingPeer = false;
-  const deferred = new Set<Disposable>();
+  /** Timers of removals that wait for the server to come back, by server. */
+  const deferred = new Map<string, Disposable>();
   let task: Promise<void> = Promise.resolve();
 
   const putServer = (item: ServerItem): void => {
@@ -85,6 +86,8 @@
     const isOfEarlierStart = after?.startedAtUnixMs !== announcement.startedAtUnixMs;
     if (isOfEarlierStart) return;
     announcements.set(announcement.serverId, item);
+    deferred.get(announcement.serverId)?.[Symbol.dispose]();
+    deferred.delete(announcement.serverId);
     const wasCold = (before?.coldUntilMs ?? 0) > clock.monotonicMs();
     const isNews =
       before?.incarnationId !== after?.incarnationId ||
@@ -154,11 +157,12 @@
       removeServer(serverId);
       return;
     }
+    deferred.get(serverId)?.[Symbol.dispose]();
     const timer = clock.schedule(sureAtMs, () => {
-      deferred.delete(timer);
+      deferred.delete(serverId);
       if (announcements.get(serverId) === goneItem) removeServer(serverId);
     });
-    deferred.add(timer);
+    deferred.set(serverId, timer);
   };
 
   const apply = (change: PublishedChange): void => {
@@ -275,6 +279,13 @@
     return { ...item, announcement: { ...item.announcement, coldForMs } };
   };
 
+  /**
+   * Without servers whose removal is only waited out here: an instance that began with one of them would never hear
+   * of its removal, which came before the revision that it goes on from.
+   */
+  const listedAnnouncements = (): readonly ServerItem[] =>
+    [...announcements].flatMap(([serverId, item]) => (deferred.has(serverId) ? [] : [item]));
+
   return {
     start() {
       task = run();
@@ -283,7 +294,7 @@
       revision: revision ?? 0,
       items: [
         ...tables.values(),
-        ...[...announcements.values()].map(asOfNow),
+        ...listedAnnouncements().map(asOfNow),
         ...servers.evacuated().map((failureDomain) => ({
           kind: 'evacuation' as const,
           failureDomain,
@@ -297,7 +308,7 @@
     },
     async [Symbol.asyncDispose]() {
       stopping.abort();
-      for (const timer of deferred) timer[Symbol.dispose]();
+      for (const timer of deferred.values()) timer[Symbol.dispose]();
       await task;
     },
   };
--- a/src/core/state-sync/index.ts
+++ b/src/core/state-sync/index.ts
@@ -2,10 +2,12 @@
 export { createStateSync } from './create-state-sync';
 export type { StateSync, StateSyncOptions } from './create-state-sync';
 export { STATE_SYNC_EVENTS } from './events';
+export { readChanges, writeChanges } from './changes-message';
 export { readSnapshot, writeSnapshot } from './snapshot-message';
 export type {
   PublishedChange,
   PublishedChanges,
+  PublishedEffect,
   PublishedItem,
   PublishedState,
   StateSource,
--- a/src/core/state-sync/snapshot-message.ts
+++ b/src/core/state-sync/snapshot-message.ts
@@ -2,7 +2,7 @@
 import type { RoutedService } from '../host-routes';
 import type { PublishedItem, PublishedState } from './types';
 
-/** What one instance hands another that cannot reach the source of published state. */
+/** All that one instance holds of published state, as it hands it to another. */
 
 const targetSchema = z.object({ service: z.string(), weight: z.number() });
 
@@ -54,7 +54,8 @@
   goneInMs: z.number().optional(),
 });
 
-const itemSchema = z.discriminatedUnion('kind', [
+/** One published item, as instances hand it to one another. */
+export const itemSchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('routes'), table: tableSchema }),
   z.object({ kind: z.literal('server'), announcement: announcementSchema }),
   z.object({ kind: z.literal('evacuation'), failureDomain: z.string() }),
@@ -64,7 +65,8 @@
 
 type SnapshotItem = z.input<typeof itemSchema>;
 
-function toMessageItem(item: PublishedItem): SnapshotItem {
+/** An item as it is handed on. */
+export function toMessageItem(item: PublishedItem): SnapshotItem {
   if (item.kind !== 'routes') return item;
   const { table } = item;
   return {
@@ -82,7 +84,8 @@
   };
 }
 
-function fromMessageItem(item: z.output<typeof itemSchema>): PublishedItem {
+/** An item as it was handed on. */
+export function fromMessageItem(item: z.output<typeof itemSchema>): PublishedItem {
   switch (item.kind) {
     case 'routes': {
       const services = new Map<string, RoutedService>(
--- a/src/core/state-sync/state-sync.test.ts
+++ b/src/core/state-sync/state-sync.test.ts
@@ -76,7 +76,7 @@
   return {
     kind: 'changes',
     revision,
-    changes: gone.map((serverId) => ({ kind: 'serverGone' as const, serverId })),
+    changes: gone.map((serverId) => ({ kind: 'serverGone' as const, serverId, revision })),
   };
 }
 
@@ -121,9 +121,10 @@
   // last decides, whatever came before it in the same answer.
   const damaged: PublishedChange = {
     kind: 'unreadable',
+    revision: 7,
     item: { key: 'servers/s-1', serverId: 's-1', reason: 'no JSON' },
   };
-  const announced: PublishedChange = { kind: 'put', item: server('s-1') };
+  const announced: PublishedChange = { kind: 'put', revision: 7, item: server('s-1') };
   const orders = [
     { name: 'a damaged entry after a good one', changes: [announced, damaged], left: [] },
     { name: 'a good entry after a damaged one', changes: [damaged, announced], left: ['s-1'] },
@@ -172,7 +173,7 @@
         {
           kind: 'changes',
           revision: 10,
-          changes: [{ kind: 'put', item: server('back') }],
+          changes: [{ kind: 'put', revision: 10, item: server('back') }],
         },
       ],
     );
@@ -184,6 +185,32 @@
     assert.deepEqual(ids(servers.all()), ['back']);
   });
 
+  // An instance starts right after an outage and begins with what another one holds, of which some is waited for. It goes
+  // on from a revision after the removal and never hears of it, and sends to a server that is gone for as long as it runs.
+  it('hands on no server whose removal is only waited out', async () => {
+    const { source } = createSource(
+      [state(5, [server('back'), server('gone')])],
+      [
+        'fails',
+        'fails',
+        changes(9, ['back', 'gone']),
+        {
+          kind: 'changes',
+          revision: 10,
+          changes: [{ kind: 'put', revision: 10, item: server('back') }],
+        },
+      ],
+    );
+    const { clock, servers, sync } = setUp(source);
+    sync.start();
+    await clock.advanceByAsync(1_000);
+    assert.deepEqual(ids(servers.all()).sort(), ['back', 'gone']);
+    const handedOn = sync
+      .snapshot()
+      .items.flatMap((item) => (item.kind === 'server' ? [item.announcement.serverId] : []));
+    assert.deepEqual(handedOn, ['back']);
+  });
+
   // The same, where the history is gone too, so that everything is read again.
   it('goes on watching while it waits for servers to come back', async () => {
     const { source } = createSource(
@@ -194,7 +221,7 @@
         {
           kind: 'changes',
           revision: 10,
-          changes: [{ kind: 'put', item: routes(8) }],
+          changes: [{ kind: 'put', revision: 10, item: routes(8) }],
         },
       ],
     );
@@ -229,7 +256,7 @@
     const put: PublishedChanges = {
       kind: 'changes',
       revision: 6,
-      changes: [{ kind: 'put', item: routes(8) }],
+      changes: [{ kind: 'put', revision: 10, item: routes(8) }],
     };
     const { source } = createSource([state(5, [routes(3)])], ['fails', put]);
     const { clock, table, sync } = setUp(source, () => new Promise(() => {}));
--- a/src/core/state-sync/types.ts
+++ b/src/core/state-sync/types.ts
@@ -7,14 +7,17 @@
   | { readonly kind: 'server'; readonly announcement: ServerAnnouncement }
   | { readonly kind: 'evacuation'; readonly failureDomain: string };
 
-/** One change of what is published. */
-export type PublishedChange =
+/** What a change does. */
+export type PublishedEffect =
   | { readonly kind: 'put'; readonly item: PublishedItem }
   | { readonly kind: 'serverGone'; readonly serverId: string }
   | { readonly kind: 'evacuationEnded'; readonly failureDomain: string }
   /** It stands among the others in the order in which they were made, since it ends what stood there before. */
   | { readonly kind: 'unreadable'; readonly item: UnreadableItem };
 
+/** One change of what is published, and the revision that it made. */
+export type PublishedChange = PublishedEffect & { readonly revision: number };
+
 /** An item that could not be read: it is logged, and names no server to use. */
 export interface UnreadableItem {
   readonly key: string;
