Tell the load of instances by datagrams

Cause: statements of load are forty messages out and forty in each second at each instance; as HTTP requests they were most of the processor time of an instance without callers.

Change: one datagram each, as rows of JSON; larger ones go over a connection as before.

--- a/src/core/load-sharing/load-sharing.test.ts
+++ b/src/core/load-sharing/load-sharing.test.ts
@@ -96,7 +96,15 @@
   it('survives the way as text, and what is no statement is left out', () => {
     const told = { from: 'a', servers: [SHARE], read: [{ incarnationId: 's', partIds: ['p'] }] };
     assert.deepEqual(readStatement(writeStatement(told)), told);
-    for (const text of ['', '{', '[]', '{"from":""}', '{"from":"a","servers":[{}],"read":[]}']) {
+    for (const text of [
+      '',
+      '{',
+      '[]',
+      '{"from":"a"}',
+      '["",[],[]]',
+      '["a",[{}],[]]',
+      '["a",[["s"]],[]]',
+    ]) {
       assert.equal(readStatement(text), undefined);
     }
   });
--- a/src/core/load-sharing/statement-message.ts
+++ b/src/core/load-sharing/statement-message.ts
@@ -1,21 +1,30 @@
 import { z } from 'zod';
 import type { LoadStatement } from './types';
 
-const statementSchema = z.object({
-  from: z.string().min(1),
-  servers: z.array(
-    z.object({
-      incarnationId: z.string(),
-      inFlight: z.number().min(0),
-      pendingTokens: z.number().min(0),
-    }),
+/** Rows without the names of their fields, so that most statements fit into one datagram. */
+const statementSchema = z.tuple([
+  z.string().min(1).describe('from'),
+  z.array(
+    z.tuple([
+      z.string().describe('incarnationId'),
+      z.number().min(0).describe('inFlight'),
+      z.number().min(0).describe('pendingTokens'),
+    ]),
   ),
-  read: z.array(z.object({ incarnationId: z.string(), partIds: z.array(z.string()) })),
-});
+  z.array(z.tuple([z.string().describe('incarnationId'), z.array(z.string()).describe('partIds')])),
+]);
 
 /** A statement as text. */
-export function writeStatement(statement: LoadStatement): string {
-  return JSON.stringify(statement);
+export function writeStatement({ from, servers, read }: LoadStatement): string {
+  return JSON.stringify([
+    from,
+    servers.map(({ incarnationId, inFlight, pendingTokens }) => [
+      incarnationId,
+      inFlight,
+      pendingTokens,
+    ]),
+    read.map(({ incarnationId, partIds }) => [incarnationId, partIds]),
+  ]);
 }
 
 /** A statement from text; undefined where it is none. */
@@ -26,5 +35,16 @@
   } catch {
     return undefined;
   }
-  return statementSchema.safeParse(parsed).data;
+  const rows = statementSchema.safeParse(parsed).data;
+  if (rows === undefined) return undefined;
+  const [from, servers, read] = rows;
+  return {
+    from,
+    servers: servers.map(([incarnationId, inFlight, pendingTokens]) => ({
+      incarnationId,
+      inFlight,
+      pendingTokens,
+    })),
+    read: read.map(([incarnationId, partIds]) => ({ incarnationId, partIds })),
+  };
 }
--- a/src/core/relay-node/events.ts
+++ b/src/core/relay-node/events.ts
@@ -44,4 +44,11 @@
     text: 'This process stood still.',
     action: 'Look at the machine; nothing else is needed.',
   },
+  statementsFail: {
+    id: 4207,
+    name: 'relay-statements-fail',
+    level: 'warn',
+    text: 'The load of this instance could not be told to another one.',
+    action: 'Nothing, unless it goes on: others choose servers without knowing of its requests.',
+  },
 } as const satisfies Record<string, EventDefinition>;
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -30,6 +30,7 @@
 import type { RelaySettings } from './settings';
 import { startTicks } from './start-ticks';
 import { STATEMENT_PATH, answerStatements, createStatementSender } from './send-statement';
+import { openStatementSocket } from './statement-socket';
 import { createStopState } from './stop-state';
 
 /** What an instance is made from. */
@@ -158,6 +159,13 @@
     }),
   );
 
+  const statements = owned.add(
+    await openStatementSocket({
+      ...listeners.forwarding,
+      logger,
+      sendLarge: createStatementSender(pool),
+    }),
+  );
   const writeState = () => writeSnapshot(sync.snapshot());
 
   const serving = createServing(
@@ -175,11 +183,12 @@
       metrics,
       instances,
       followedSinceMs: sync.followedSinceMs,
-      sendStatement: createStatementSender(pool),
+      sendStatement: statements.send,
     },
     owned,
   );
   const { router } = serving;
+  statements.onStatement(serving.takeStatement);
   inFlight = () => router.loads.totalInFlight();
   const listenersOpen: Ingress[] = [];
   const watch = createLoopWatch();
