Keep the compiled code of an instance that has served requests

Cause: after a loss of power an instance placed its first request soon after it listened, and then passed on two or three answers a second. Its kept code came from a start without callers, so all that serves a request was compiled while the first of them waited. Ruled out: membership's exchanges (26 out and 22 in within the first second, some 100 ms of processor time on a busy machine).

Change: the build has four instances serve streams, whole answers, failures, repeats, requests of another region and changes of what is published, and keeps the code of one of them at that moment.

--- a/scripts/build-platform.mjs
+++ b/scripts/build-platform.mjs
@@ -2,36 +2,16 @@
 import { spawnSync } from 'node:child_process';
 import { dirname } from 'node:path';
 import process from 'node:process';
-import { copyFileSync, mkdirSync, rmSync, writeFileSync } from 'node:fs';
+import { copyFileSync, mkdirSync, rmSync } from 'node:fs';
 import { build } from 'esbuild';
 
 const OUT = 'target';
 const START = `${OUT}/coltsfootworks.cjs`;
 const CODE_CACHE = `${OUT}/coltsfootworks-bundle.cache`;
-const WARM_UP_SETTINGS = `${OUT}/warm-up-settings.json`;
 /** As in `deploy/system.toml`: V8 refuses compiled code that was made with other flags. */
 const NODE_FLAGS = ['--max-old-space-size=200'];
 const WARM_UP_TIMEOUT_MS = 30_000;
 
-/** Settings of an instance that nobody calls: ports that the system chooses, and a store that refuses connections. */
-const IDLE_SETTINGS = {
-  Node: 'warm-up',
-  Ip: '127.0.0.1',
-  Zone: 'north-a',
-  Region: 'north',
-  Zones: { 'north-a': 'north' },
-  Listen: {
-    Front: '127.0.0.1:0',
-    Ready: '127.0.0.1:0',
-    Control: '127.0.0.1:0',
-    Directory: '127.0.0.1:0',
-  },
-  PortRange: [0, 0],
-  Seeds: [],
-  Bounds: { BudgetRatio: 0.2, BudgetWindowS: 10, BudgetSlack: 50, GraceS: 8 },
-  Platform: { Address: '127.0.0.1:1' },
-};
-
 /** A module that fails with a message as soon as anything of it is used. */
 function failing(what) {
   return `
@@ -81,17 +61,11 @@
 });
 copyFileSync('scripts/start-with-code-cache.cjs', START);
 rmSync(CODE_CACHE, { force: true });
-writeFileSync(WARM_UP_SETTINGS, JSON.stringify(IDLE_SETTINGS));
-const warmUp = spawnSync(process.execPath, [...NODE_FLAGS, START], {
-  env: {
-    ...process.env,
-    COLTSFOOTWORKS_NODE_FILE: WARM_UP_SETTINGS,
-    COLTSFOOTWORKS_WRITE_CODE_CACHE: '1',
-  },
-  stdio: ['ignore', 'ignore', 'inherit'],
-  timeout: WARM_UP_TIMEOUT_MS,
-});
-rmSync(WARM_UP_SETTINGS, { force: true });
+const warmUp = spawnSync(
+  process.execPath,
+  ['--import', 'tsx', 'scripts/write-code-cache.ts', START, ...NODE_FLAGS],
+  { stdio: ['ignore', 'ignore', 'inherit'], timeout: WARM_UP_TIMEOUT_MS },
+);
 if (warmUp.status !== 0) {
   process.stderr.write(
     'no compiled code was kept; instances will compile the bundle at each start\n',
--- a/src/core/membership/timing.ts
+++ b/src/core/membership/timing.ts
@@ -44,8 +44,8 @@
 
 /**
  * The same while nobody is known, in the first seconds of a process: instances that start together again find one
- * another within a round trip of the last one's start. One that tried a second later left its callers without the other
- * regions for 1.6 s, measured from its start after a loss of power.
+ * another within a round trip of the last one's start. Until then callers whose requests belong to another region are
+ * refused.
  */
 export const ALONE_RETRY_MS = 150;
 /** Time for which such quick tries go on; whoever is not there by then is not about to start, ms. */
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -70,8 +70,6 @@
 /**
  * Multiple of the latency objective that a request may be predicted to wait. Servers that are given more than
  * they finish in time answer all of it late; what is refused at once can come back, and the rest is in time.
- * Of 0.8, 1, 1.5 and 4 objectives, each measured once on three heavy days, 1 was best by a little: with 0.8 up to
- * twice as many requests were refused and no more were in time; with 4 up to three times as many were late.
  */
 const PATIENCE_IN_OBJECTIVES = 1;
 /** When to come back where no server is known: they announce themselves every second or so. */
--- a/src/core/pass-through/ready-connections.ts
+++ b/src/core/pass-through/ready-connections.ts
@@ -30,9 +30,9 @@
 /**
  * Connections that are opened by the first refill.
  *
- * Making a connection to another region takes a round trip of some 110 ms before the request can leave. One notices
- * requests to other regions that take 185 ms for a way of 55, mostly in the first seconds of a peak or after a start,
- * when most of them need a new connection. Each instance has partners of its own, drawn by a hash, so that the number
+ * Making a connection to another region takes a round trip before the request can leave. One notices requests to other
+ * regions that take three times their way, mostly in the first seconds of a peak or after a start, when most of them
+ * need a new connection. Each instance has partners of its own, drawn by a hash, so that the number
  * of connections does not grow with the fleet.
  */
 export function createReadyConnections(options: ReadyConnectionsOptions): ReadyConnections {
--- a/src/core/placement/choose-server.ts
+++ b/src/core/placement/choose-server.ts
@@ -18,8 +18,7 @@
 const PENDING_WEIGHT = 0.7;
 
 /**
- * Part of the slot time by which a full batch delays a first byte: it comes after a step or two of the others,
- * and was measured at 80 to 220 ms on servers whose requests hold a slot for four seconds.
+ * Part of the slot time by which a full batch delays a first byte, which comes after a step or two of the others.
  */
 const CROWDING_SHARE = 0.05;
 
--- a/src/core/state-sync/state-sync.test.ts
+++ b/src/core/state-sync/state-sync.test.ts
@@ -80,6 +80,23 @@
   };
 }
 
+/** A source that was away while the entries of two servers lapsed, one of which is back. */
+function createSourceAfterOutage() {
+  return createSource(
+    [state(5, [server('back'), server('gone')])],
+    [
+      'fails',
+      'fails',
+      changes(9, ['back', 'gone']),
+      {
+        kind: 'changes',
+        revision: 10,
+        changes: [{ kind: 'put', revision: 10, item: server('back') }],
+      },
+    ],
+  );
+}
+
 function setUp(
   source: StateSource,
   askPeer: () => Promise<PublishedState | undefined> = async () => undefined,
@@ -116,7 +133,6 @@
     assert.deepEqual(ids(servers.all()), ['s-2']);
   });
 
-  // The store is away for some seconds and all entries lapse meanwhile. The servers live; without them in use
   // Someone else overwrites the entry of a server with bytes that mean nothing, and the server sets it right. What came
   // last decides, whatever came before it in the same answer.
   const damaged: PublishedChange = {
@@ -162,21 +178,10 @@
     assert.deepEqual(ids(servers.all()), ['s-2']);
   });
 
+  // The store is away for some seconds and all entries lapse meanwhile. The servers live; without them in use
   // every request is refused until they have announced themselves again.
   it('keeps servers whose entries lapsed in an outage until they had time to come back', async () => {
-    const { source } = createSource(
-      [state(5, [server('back'), server('gone')])],
-      [
-        'fails',
-        'fails',
-        changes(9, ['back', 'gone']),
-        {
-          kind: 'changes',
-          revision: 10,
-          changes: [{ kind: 'put', revision: 10, item: server('back') }],
-        },
-      ],
-    );
+    const { source } = createSourceAfterOutage();
     const { clock, servers, sync } = setUp(source);
     sync.start();
     await clock.advanceByAsync(1_000);
@@ -188,19 +193,7 @@
   // An instance starts right after an outage and begins with what another one holds, of which some is waited for. It goes
   // on from a revision after the removal and never hears of it, and sends to a server that is gone for as long as it runs.
   it('hands on no server whose removal is only waited out', async () => {
-    const { source } = createSource(
-      [state(5, [server('back'), server('gone')])],
-      [
-        'fails',
-        'fails',
-        changes(9, ['back', 'gone']),
-        {
-          kind: 'changes',
-          revision: 10,
-          changes: [{ kind: 'put', revision: 10, item: server('back') }],
-        },
-      ],
-    );
+    const { source } = createSourceAfterOutage();
     const { clock, servers, sync } = setUp(source);
     sync.start();
     await clock.advanceByAsync(1_000);
--- a/src/runtime/batching-stream.ts
+++ b/src/runtime/batching-stream.ts
@@ -10,8 +10,8 @@
 /**
  * Gathers small writes into few large ones.
  *
- * Under load each request writes several log lines: one system call a line was a sixth of the processor time of a
- * short request. What is still waiting when the process exits is written then.
+ * Under load each request writes several log lines, and a system call for each costs a short request as much as its
+ * own work. What is still waiting when the process exits is written then.
  */
 export function createBatchingStream(sink: Pick<TextSink, 'write'>): Writable {
   let waiting = '';
