Begin the soak: real processes under seeded faults, with promises checked from outside

Instances of the platform's bundle run as processes before a stand-in store, each through a proxy of its own, and before servers that keep a record of what they run. They are killed, stopped, paused, cut off from the store, and the servers leave, start again under their names, break answers off and have their entries overwritten, in overlapping series drawn from a seed, while callers keep their connections until the process is gone. Checked are: at most once, refusals that are true, whole and signed answers, streams without a piece missing or twice, servers for each request, service after the last fault.

Found on the way: a run that was ended by a signal left its instances running, as did the script that keeps compiled code when its time was over. The script also waits until its instance serves, in place of a fixed time.

Left: faults between instances, drains and cold servers, versions that go back, a report as JSON and a page.

--- a/bench/idle-instances/main.ts
+++ b/bench/idle-instances/main.ts
@@ -13,6 +13,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { TEST_CONFIGURATION } from '../../platform/testing/gateway';
 import { domainOf, processSettings } from '../../platform/testing/process-settings';
+import { endChildrenWithProcess } from '../../src/testing';
 import { openStoreStandIn, serverEntry } from '../../standins/published-store';
 import { processorTimeMs } from './processor-time';
 
@@ -69,6 +70,7 @@
     store.put(`servers/s-${index}`, entry);
   }
   const started: Started[] = [];
+  const ending = endChildrenWithProcess(() => started.map(({ child }) => child));
   try {
     // One after the other, so that the time until each listens is its own.
     for (let index = 0; index < count; index += 1) {
@@ -91,6 +93,7 @@
       'calls to the store, /s': perSecond(store.calls.watch - callsBefore),
     };
   } finally {
+    ending[Symbol.dispose]();
     for (const { child } of started) child.kill('SIGKILL');
     await Promise.all(
       started.map(async ({ child }) => {
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -71,7 +71,7 @@
     },
   },
   {
-    files: ['scripts/**', 'demo/**', 'bench/**', 'checks/**'],
+    files: ['scripts/**', 'demo/**', 'bench/**', 'checks/**', 'soak/**'],
     rules: { 'no-console': 'off' },
   },
 ];
--- a/scripts/source-tree.ts
+++ b/scripts/source-tree.ts
@@ -1,9 +1,16 @@
 import { existsSync, readdirSync } from 'node:fs';
 
 /** The folders that hold TypeScript, those of them that a checkout has: git keeps no empty ones. */
-const SOURCE_ROOTS = ['src', 'platform', 'standins', 'bench', 'checks', 'demo', 'scripts'].filter(
-  (root) => existsSync(root),
-);
+const SOURCE_ROOTS = [
+  'src',
+  'platform',
+  'standins',
+  'bench',
+  'checks',
+  'demo',
+  'scripts',
+  'soak',
+].filter((root) => existsSync(root));
 
 /** Paths of all TypeScript files, generated ones left out, in order. */
 export function listSourceFiles(): string[] {
--- a/scripts/write-code-cache.ts
+++ b/scripts/write-code-cache.ts
@@ -28,6 +28,7 @@
   wholeAnswer,
 } from '../standins/announced-server';
 import type { AnnouncedServer, ServerScript } from '../standins/announced-server';
+import { endChildrenWithProcess } from '../src/testing';
 import { openStoreStandIn, serverEntry } from '../standins/published-store';
 
 const [bundle = '', ...nodeFlags] = process.argv.slice(2);
@@ -40,8 +41,11 @@
 const EVENTS = 12;
 /** One answer in so many is a failure of the server. */
 const FAILURE_EVERY = 9;
-/** Time in which instances find one another, ms. */
-const SETTLING_MS = 1_500;
+/** Rest between two questions whether the instance serves, ms, and how often it is asked. */
+const ASK_AGAIN_MS = 100;
+const MOST_QUESTIONS = 200;
+/** Time in which instances find one another after that, ms. */
+const SETTLING_MS = 1_000;
 /** Each run has addresses of its own, since several may build on one machine. */
 const hostOf = (index: number) =>
   `127.${100 + (Math.floor(process.pid / 250) % 100)}.${1 + (process.pid % 250)}.${1 + index}`;
@@ -76,8 +80,8 @@
   };
 }
 
-/** One request of a caller; what becomes of it does not matter. */
-function ask(path: string, id: string): Promise<void> {
+/** One request of a caller; resolves with the status of its answer, 0 where there was none. */
+function ask(path: string, id: string): Promise<number> {
   const [host = '', port = ''] = callerAddress({ index: KEPT, hostOf }).split(':');
   return new Promise((resolve) => {
     const outgoing = request(
@@ -96,11 +100,12 @@
         },
       },
       (incoming) => {
-        incoming.on('end', resolve).on('error', () => resolve());
+        const end = () => resolve(incoming.statusCode ?? 0);
+        incoming.on('end', end).on('error', end);
         incoming.resume();
       },
     );
-    outgoing.on('error', () => resolve());
+    outgoing.on('error', () => resolve(0));
     outgoing.end('a question');
   });
 }
@@ -131,8 +136,13 @@
   announce(server, index);
 }
 const instances = Array.from({ length: INSTANCES }, (_, index) => start(index, store.address));
+endChildrenWithProcess(() => instances);
 const [kept] = instances;
 if (kept === undefined) throw new Error('no instance was started');
+for (let count = 0; (await ask('/stock/1', `w-${count}`)) !== 200; count += 1) {
+  if (count === MOST_QUESTIONS) throw new Error('the instance never served a request');
+  await sleep(ASK_AGAIN_MS);
+}
 await sleep(SETTLING_MS);
 for (let round = 0; round < ROUNDS; round += 1) {
   await Promise.all(PATHS.map((path, index) => ask(path, `r-${round}-${index}`)));
@@ -142,7 +152,6 @@
 }
 kept.kill('SIGUSR2');
 const [code] = await once(kept, 'exit');
-for (const instance of instances) instance.kill('SIGKILL');
 for (const server of servers) await server[Symbol.asyncDispose]();
 rmSync(folder, { recursive: true });
 process.exit(code === 0 ? 0 : 1);
--- /dev/null
+++ b/soak/promises.test.ts
@@ -0,0 +1,90 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { checkPromises, eventText, plainBody, streamBody } from './promises';
+import type { CallerAttempt } from './types';
+
+const ORDER: CallerAttempt = {
+  requestId: 'r-1',
+  kind: 'nonIdempotent',
+  maxAttempts: 1,
+  status: 200,
+  isWhole: true,
+  isSigned: true,
+  body: plainBody('r-1'),
+};
+const STREAM: CallerAttempt = {
+  ...ORDER,
+  kind: 'stream',
+  maxAttempts: 2,
+  body: streamBody('r-1'),
+};
+
+interface Case {
+  readonly name: string;
+  readonly attempt: CallerAttempt;
+  readonly servers: readonly string[];
+  readonly broken: readonly string[];
+}
+
+const CASES: readonly Case[] = [
+  { name: 'an order that ran once', attempt: ORDER, servers: ['s-1'], broken: [] },
+  {
+    name: 'an order that ran twice',
+    attempt: ORDER,
+    servers: ['s-1', 's-2'],
+    broken: ['ranTwice', 'tooManyServers'],
+  },
+  {
+    name: 'a refusal of an order that has run',
+    attempt: { ...ORDER, status: 503, body: '' },
+    servers: ['s-1'],
+    broken: ['refusedButRan'],
+  },
+  {
+    name: 'a connection that ended after an order had run',
+    attempt: { ...ORDER, status: undefined, body: '' },
+    servers: ['s-1'],
+    broken: [],
+  },
+  {
+    name: "another request's answer",
+    attempt: { ...ORDER, body: plainBody('r-2') },
+    servers: ['s-1'],
+    broken: ['wrongAnswer'],
+  },
+  {
+    name: 'an answer without a signature',
+    attempt: { ...ORDER, isSigned: false },
+    servers: ['s-1'],
+    broken: ['wrongAnswer'],
+  },
+  { name: 'a stream that went on elsewhere', attempt: STREAM, servers: ['s-1', 's-2'], broken: [] },
+  {
+    name: 'a stream with an event twice',
+    attempt: { ...STREAM, body: eventText('r-1', 1) + streamBody('r-1') },
+    servers: ['s-1'],
+    broken: ['tornStream'],
+  },
+  {
+    name: 'a stream that ends early and looks whole',
+    attempt: { ...STREAM, body: eventText('r-1', 1) },
+    servers: ['s-1'],
+    broken: ['tornStream'],
+  },
+  {
+    name: 'a stream that is broken off and looks it',
+    attempt: { ...STREAM, body: eventText('r-1', 1), isWhole: false },
+    servers: ['s-1'],
+    broken: [],
+  },
+];
+
+describe('the promises that a soak checks', () => {
+  for (const { name, attempt, servers, broken } of CASES) {
+    it(`${broken.length === 0 ? 'are kept' : 'are broken'} by ${name}`, () => {
+      const runs = servers.map((serverId) => ({ requestId: attempt.requestId, serverId }));
+      const found = checkPromises([attempt], runs).map(({ promise }) => promise);
+      assert.deepEqual(found, broken);
+    });
+  }
+});
--- /dev/null
+++ b/soak/promises.ts
@@ -0,0 +1,64 @@
+import type { BrokenPromise, CallerAttempt, ServerRun } from './types';
+
+/** Statuses with which an instance says that a request has not run and never will. */
+const NOT_RUN = new Set([408, 421, 429, 503]);
+const OK = 200;
+
+/** Body that a server gives to a request that is no stream. */
+export function plainBody(requestId: string): string {
+  return `answer to ${requestId}`;
+}
+
+/** One event of a stream. */
+export function eventText(requestId: string, eventId: number): string {
+  return `id: ${eventId}\ndata: ${requestId} ${eventId}\n\n`;
+}
+
+/** Events of each stream. */
+export const EVENTS_PER_STREAM = 8;
+
+/** The whole body of a stream. */
+export function streamBody(requestId: string): string {
+  return Array.from({ length: EVENTS_PER_STREAM }, (_, index) =>
+    eventText(requestId, index + 1),
+  ).join('');
+}
+
+function expectedBody({ requestId, kind }: CallerAttempt): string {
+  return kind === 'stream' ? streamBody(requestId) : plainBody(requestId);
+}
+
+/** What one call shows, with the servers that ran it. */
+function judge(attempt: CallerAttempt, serverIds: readonly string[]): BrokenPromise[] {
+  const { requestId, kind, status, maxAttempts } = attempt;
+  const broken: BrokenPromise[] = [];
+  const note = (promise: BrokenPromise['promise'], detail: string) =>
+    broken.push({ promise, requestId, detail });
+
+  if (kind === 'nonIdempotent' && serverIds.length > 1) note('ranTwice', serverIds.join(', '));
+  if (serverIds.length > maxAttempts) note('tooManyServers', serverIds.join(', '));
+  const isRefused = status !== undefined && NOT_RUN.has(status);
+  if (isRefused && kind === 'nonIdempotent' && serverIds.length > 0) {
+    note('refusedButRan', `${status} after ${serverIds.join(', ')}`);
+  }
+  if (status !== OK) return broken;
+  const expected = expectedBody(attempt);
+  const isRight = attempt.isWhole ? attempt.body === expected : expected.startsWith(attempt.body);
+  if (kind === 'stream' && !isRight) note('tornStream', JSON.stringify(attempt.body.slice(0, 200)));
+  if (kind !== 'stream' && attempt.isWhole && (!isRight || !attempt.isSigned)) {
+    note('wrongAnswer', JSON.stringify(attempt.body.slice(0, 200)));
+  }
+  return broken;
+}
+
+/** Compares what callers saw with what servers ran. */
+export function checkPromises(
+  attempts: readonly CallerAttempt[],
+  runs: readonly ServerRun[],
+): readonly BrokenPromise[] {
+  const serversOf = new Map<string, string[]>();
+  for (const { requestId, serverId } of runs) {
+    serversOf.set(requestId, [...(serversOf.get(requestId) ?? []), serverId]);
+  }
+  return attempts.flatMap((attempt) => judge(attempt, serversOf.get(attempt.requestId) ?? []));
+}
--- /dev/null
+++ b/soak/servers.ts
@@ -0,0 +1,147 @@
+import {
+  chunkOf,
+  openAnnouncedServer,
+  streamHead,
+  wholeAnswer,
+} from '../standins/announced-server';
+import type { AnnouncedServer, ReceivedRequest, ServerScript } from '../standins/announced-server';
+import { serverEntry } from '../standins/published-store';
+import type { StoreStandIn } from '../standins/published-store';
+import type { RandomSource } from '../src/core/random';
+import { domainOf } from '../platform/testing/process-settings';
+import { EVENTS_PER_STREAM, eventText, plainBody } from './promises';
+import type { ServerRun } from './types';
+
+/** Backend servers that keep a record of all that they run, and announce themselves. */
+export interface SoakServers extends AsyncDisposable {
+  readonly runs: readonly ServerRun[];
+  readonly count: number;
+  /** The server leaves as planned, and another one takes its place under a new id. */
+  replace(index: number): Promise<void>;
+  /** The server starts again under the id that it had, and knows nothing of before. */
+  startAgain(index: number): Promise<void>;
+  /** Somebody overwrites the server's entry with bytes that mean nothing, until it writes again. */
+  damageEntry(index: number): void;
+}
+
+interface Standing {
+  readonly server: AnnouncedServer;
+  readonly serverId: string;
+  readonly bornUnixMs: number;
+}
+
+const EVENT_GAP_MS = 15;
+/** Shares of requests of which the server answers with a failure, or ends the connection in the answer. */
+const FAILING_SHARE = 0.05;
+const BREAKING_SHARE = 0.03;
+/** Time that a leaving server goes on serving, ms: longer than it takes the instances to hear of it. */
+const LEAVING_MS = 4_000;
+
+const isStream = ({ path }: ReceivedRequest) =>
+  path.startsWith('/plans') || path.startsWith('/chat');
+
+/** Opens servers, one in each failure domain in turn. */
+export async function openSoakServers(
+  store: StoreStandIn,
+  random: RandomSource,
+  count: number,
+): Promise<SoakServers> {
+  const runs: ServerRun[] = [];
+  const standing: Standing[] = [];
+  const leaving = new Set<Promise<void>>();
+  let nextNumber = 1;
+
+  const createScript = (serverId: string): ServerScript => {
+    const streamTo: ServerScript = (request, socket) => {
+      const requestId = request.headers.get('x-request-id') ?? '';
+      const first = Number(request.headers.get('last-event-id') ?? 0) + 1;
+      const breaksAt = random.next() < BREAKING_SHARE ? first + 3 : Infinity;
+      let eventId = first;
+      socket.write(streamHead(request));
+      const timer = setInterval(() => {
+        if (eventId >= breaksAt) socket.resetAndDestroy();
+        if (socket.destroyed || eventId > EVENTS_PER_STREAM) {
+          clearInterval(timer);
+          if (!socket.destroyed) socket.write(chunkOf(''));
+          return;
+        }
+        socket.write(chunkOf(eventText(requestId, eventId)));
+        eventId += 1;
+      }, EVENT_GAP_MS);
+    };
+    return (request, socket) => {
+      if (request.path === '/health') {
+        socket.write(wholeAnswer(request, ''));
+        return;
+      }
+      const wanted = request.headers.get('x-target-instance');
+      if (wanted !== undefined && wanted !== serverId) {
+        socket.write(wholeAnswer(request, '', { status: 421 }));
+        return;
+      }
+      const requestId = request.headers.get('x-request-id') ?? '';
+      runs.push({ requestId, serverId });
+      if (random.next() < FAILING_SHARE) {
+        socket.write(wholeAnswer(request, 'failed', { status: 500 }));
+      } else if (isStream(request)) streamTo(request, socket);
+      else if (random.next() < BREAKING_SHARE) socket.resetAndDestroy();
+      else socket.write(wholeAnswer(request, plainBody(requestId)));
+    };
+  };
+
+  const announce = (index: number, more: object = {}): void => {
+    const { server, serverId, bornUnixMs } = standing[index] ?? {};
+    if (server === undefined) return;
+    const entry = { Zone: domainOf(index), born: bornUnixMs, ...more };
+    store.put(`servers/${serverId}`, serverEntry(server.address, entry));
+  };
+
+  const start = async (index: number, serverId: string): Promise<void> => {
+    const server = await openAnnouncedServer(createScript(serverId));
+    standing[index] = { server, serverId, bornUnixMs: Date.now() };
+    announce(index);
+  };
+
+  const newId = (): string => {
+    nextNumber += 1;
+    return `server-${nextNumber}`;
+  };
+
+  const leave = async ({ server, serverId }: Standing): Promise<void> => {
+    await new Promise((resolve) => {
+      setTimeout(resolve, LEAVING_MS);
+    });
+    store.remove(`servers/${serverId}`);
+    await server[Symbol.asyncDispose]();
+  };
+
+  for (let index = 0; index < count; index += 1) await start(index, newId());
+  return {
+    runs,
+    count,
+    async replace(index) {
+      const old = standing[index];
+      if (old === undefined) return;
+      announce(index, { State: 'draining' });
+      const left = leave(old).finally(() => leaving.delete(left));
+      leaving.add(left);
+      await start(index, newId());
+    },
+    async startAgain(index) {
+      const old = standing[index];
+      if (old === undefined) return;
+      await old.server[Symbol.asyncDispose]();
+      await start(index, old.serverId);
+    },
+    damageEntry(index) {
+      const { serverId } = standing[index] ?? {};
+      if (serverId === undefined) return;
+      store.putRaw(`servers/${serverId}`, 'bm90IGpzb24=');
+      setTimeout(() => announce(index), 500).unref();
+    },
+    async [Symbol.asyncDispose]() {
+      await Promise.all(leaving);
+      await Promise.all(standing.map(({ server }) => server[Symbol.asyncDispose]()));
+    },
+  };
+}
--- /dev/null
+++ b/soak/soak.test.ts
@@ -0,0 +1,34 @@
+import assert from 'node:assert/strict';
+import { spawnSync } from 'node:child_process';
+import { mkdtempSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import process from 'node:process';
+import { before, describe, it } from 'node:test';
+import { runSoak } from './run-soak';
+
+const SECONDS = 8;
+const INSTANCES = 3;
+/** Seeds of the short run, and each that ever showed a broken promise, with its cause. */
+const SEEDS: readonly { readonly seed: number; readonly cause: string }[] = [
+  { seed: 1, cause: 'none: the short run' },
+];
+
+// Instances are killed, stopped, paused and cut off from the store in overlapping series, while servers leave, start again
+// under their names and break answers off, and callers keep their connections until the process is gone. A caller notices an
+// order that ran twice, a refusal of one that had run, another's answer, or a stream with a piece missing or twice.
+describe('real processes under faults', () => {
+  before(() => {
+    const built = spawnSync(process.execPath, ['scripts/build-platform.mjs'], { stdio: 'inherit' });
+    assert.equal(built.status, 0, 'the bundle was built');
+  });
+
+  for (const { seed, cause } of SEEDS) {
+    it(`keep the promises to callers with seed ${seed} (${cause})`, async () => {
+      const logFolder = mkdtempSync(join(tmpdir(), 'soak-test-'));
+      const report = await runSoak({ seed, seconds: SECONDS, instances: INSTANCES, logFolder });
+      assert.ok(report.requests > 0, 'callers asked');
+      assert.deepEqual(report.broken, [], `logs in ${logFolder}`);
+    });
+  }
+});
--- /dev/null
+++ b/soak/types.ts
@@ -0,0 +1,54 @@
+import type { RouteKind } from '../src/core/host-routes';
+
+/** One call of a caller, with what came back. */
+export interface CallerAttempt {
+  readonly requestId: string;
+  readonly kind: RouteKind;
+  readonly maxAttempts: number;
+  /** Undefined where the connection ended without the head of an answer. */
+  readonly status: number | undefined;
+  /** Whether the answer ended as HTTP says that it should. */
+  readonly isWhole: boolean;
+  readonly isSigned: boolean;
+  readonly body: string;
+}
+
+/** One run of a request at a backend server. */
+export interface ServerRun {
+  readonly requestId: string;
+  readonly serverId: string;
+}
+
+/** A promise that was broken, in words for whoever reads the report. */
+export interface BrokenPromise {
+  readonly promise:
+    | 'ranTwice'
+    | 'refusedButRan'
+    | 'wrongAnswer'
+    | 'tornStream'
+    | 'tooManyServers'
+    | 'notServedAgain';
+  readonly requestId: string;
+  readonly detail: string;
+}
+
+/** What a run is made with. */
+export interface SoakOptions {
+  readonly seed: number;
+  readonly seconds: number;
+  readonly instances: number;
+  /** Where the instances' logs go. */
+  readonly logFolder: string;
+}
+
+/** What came of a run. */
+export interface SoakReport {
+  readonly seed: number;
+  readonly seconds: number;
+  readonly instances: number;
+  readonly faults: number;
+  readonly requests: number;
+  readonly answered: number;
+  readonly refused: number;
+  readonly broken: readonly BrokenPromise[];
+}
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -1,4 +1,5 @@
 /** Fakes that tests share. */
+export { endChildrenWithProcess } from './end-children';
 export { createFakeClock } from './fake-clock';
 export type { FakeClock } from './fake-clock';
 export { createMemoryLogger } from './memory-logger';
