--- a/scripts/stats.ts
+++ b/scripts/stats.ts
@@ -11,6 +11,7 @@
   'standins',
   'bench',
   'checks',
+  'soak',
   'demo',
   'scripts',
 ];
