--- a/src/core/metrics/process-metrics.ts
+++ b/src/core/metrics/process-metrics.ts
@@ -38,7 +38,7 @@
  *
  * They are read when metrics are asked for. The exporter's own set measures the delay of the event loop with a timer
  * that fires a hundred times a second in every process, which on a small machine shows as processor time of an
- * instance that has no request; `coltsfootworks_loop_lag_ms` tells the delay here.
+ * instance that has no request. Instances that pass requests through tell the delay as `coltsfootworks_loop_lag_ms`.
  */
 export function addProcessMetrics(registry: Registry): void {
   for (const { name, help, read } of PROCESS_METRICS) {
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -9,6 +9,7 @@
 import { createGossipBoard } from '../gossip';
 import { createRouteTableStore } from '../host-routes';
 import { createDisposableStore } from '../lifetime';
+import type { DisposableStore } from '../lifetime';
 import { createIntake, createLoopWatch } from '../intake';
 import type { Turns } from '../intake';
 import { createMembership } from '../membership';
@@ -75,12 +76,11 @@
  */
 const TICK_MS = 50;
 
-/** Starts an instance: its listeners, its membership and its copy of what is published. */
-export async function startRelayNode(options: RelayNodeOptions): Promise<RelayNode> {
+/** Starts an instance whose parts `owned` releases. */
+async function startOwned(options: RelayNodeOptions, owned: DisposableStore): Promise<RelayNode> {
   const { clock, random, logger, dialect } = options;
   let { settings } = options;
   const { instanceId, region, failureDomain, listeners } = settings;
-  const owned = createDisposableStore();
   const nowMs = () => clock.monotonicMs();
 
   const pool = owned.add(createConnectionPool(nowMs));
@@ -298,3 +298,17 @@
     [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose](),
   };
 }
+
+/**
+ * Starts an instance: its listeners, its membership and its copy of what is published. Where one of these cannot be
+ * opened, those before it are released: left open, they would keep the process from ending and its ports from the next.
+ */
+export async function startRelayNode(options: RelayNodeOptions): Promise<RelayNode> {
+  const owned = createDisposableStore();
+  try {
+    return await startOwned(options, owned);
+  } catch (error) {
+    await owned[Symbol.asyncDispose]();
+    throw error;
+  }
+}
