--- a/src/core/state-relay/relay.test.ts
+++ b/src/core/state-relay/relay.test.ts
@@ -8,6 +8,8 @@
  * operators give for taking a server out of use.
  */
 const IN_FORCE_MS = 3_000;
+/** Less than one wait for a silent watcher, ms. */
+const PASSED_OVER_MS = 800;
 /** Time for a fleet to settle who watches. */
 const SETTLED_MS = 8_000;
 
@@ -120,6 +122,18 @@
       }));
   }
 
+  // A watcher stays silent. Whoever asks it again before each watch learns of every change a second or two later than it could.
+  it('does not wait again for a watcher that has just been silent', () =>
+    withFleet(async (fleet) => {
+      spoilWatchers({ isSilent: true })(fleet);
+      await fleet.run(IN_FORCE_MS);
+      const version = fleet.publish();
+      await fleet.run(PASSED_OVER_MS);
+      for (const instance of fleet.instances.filter(isWell)) {
+        assert.equal(instance.version(), version, instance.instanceId);
+      }
+    }));
+
   // The source is away for some seconds and changes are made just when it is back. Instances that wait for one another
   // then learn of them late.
   it('is in force in time after the source was away', () =>
