--- a/src/core/relay-node/statement-socket.test.ts
+++ b/src/core/relay-node/statement-socket.test.ts
@@ -1,25 +1,11 @@
 import assert from 'node:assert/strict';
-import { createSocket } from 'node:dgram';
 import { describe, it } from 'node:test';
-import { createMemoryLogger, waitFor } from '../../testing';
+import { createMemoryLogger, freePort, waitFor } from '../../testing';
 import { RELAY_NODE_EVENTS } from './events';
 import { openStatementSocket } from './statement-socket';
 
 const HOST = '127.0.0.1';
 
-/** A port for datagrams that is free now. */
-async function freePort(): Promise<number> {
-  const socket = createSocket('udp4');
-  await new Promise<void>((resolve) => {
-    socket.bind(0, HOST, resolve);
-  });
-  const { port } = socket.address();
-  await new Promise<void>((resolve) => {
-    socket.close(() => resolve());
-  });
-  return port;
-}
-
 async function open(port: number, large: string[] = []) {
   const logger = createMemoryLogger();
   const sendLarge = (_address: string, text: string) => {
@@ -31,7 +17,7 @@
 
 describe('statements of load between instances', () => {
   it('arrive as they were sent', async () => {
-    const port = await freePort();
+    const port = await freePort([HOST]);
     const { socket: receiver } = await open(port);
     const { socket: sender } = await open(0);
     const received: string[] = [];
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -2,6 +2,7 @@
 export { endChildrenWithProcess } from './end-children';
 export { createFakeClock } from './fake-clock';
 export type { FakeClock } from './fake-clock';
+export { freePort } from './free-port';
 export { createMemoryLogger } from './memory-logger';
 export type { MemoryLogger } from './memory-logger';
 export { waitFor } from './wait-for';
