--- a/bench/day-causes/judge-request.ts
+++ b/bench/day-causes/judge-request.ts
@@ -25,6 +25,12 @@
   readonly atS: number;
   readonly region: string;
   readonly size: 'long prompt' | 'short prompt' | 'no prompt';
+  /** Tokens of its prompt; undefined where no line says. */
+  readonly promptTokens: number | undefined;
+  /** Requests with the same service and objective are of one kind; undefined where no line says both. */
+  readonly kind: string | undefined;
+  /** Whether its caller got an answer whole, in time or late. */
+  readonly isServed: boolean;
   readonly cause: Cause;
 }
 
@@ -33,8 +39,25 @@
 const LONG_PROMPT_TOKENS = 3_000;
 const FAILURE_STATUS = 500;
 
-function sizeOf(lines: readonly RequestLine[]): JudgedRequest['size'] {
-  const tokens = lines.find(({ event }) => event.promptTokens !== undefined)?.event.promptTokens;
+const SERVED: ReadonlySet<Cause> = new Set([
+  'in time',
+  'first byte late, not predicted',
+  'first byte late, as predicted',
+  'first byte late, sent to another region',
+  'pause between events',
+]);
+
+function promptTokensOf(lines: readonly RequestLine[]): number | undefined {
+  return lines.find(({ event }) => event.promptTokens !== undefined)?.event.promptTokens;
+}
+
+function kindOf(lines: readonly RequestLine[]): string | undefined {
+  const service = lines.find(({ event }) => event.service !== undefined)?.event.service;
+  const objective = lines.find(({ event }) => event.objectiveMs !== undefined)?.event.objectiveMs;
+  return service === undefined || objective === undefined ? undefined : `${service} ${objective}`;
+}
+
+function sizeOf(tokens: number | undefined): JudgedRequest['size'] {
   if (tokens === undefined) return 'no prompt';
   return tokens > LONG_PROMPT_TOKENS ? 'long prompt' : 'short prompt';
 }
@@ -99,10 +122,15 @@
   if (first === undefined) return undefined;
   const own = lines.filter((line) => line.instance === first.instance);
   const last = own.at(-1) ?? first;
+  const promptTokens = promptTokensOf(lines);
+  const cause = causeOf(own, last);
   return {
     atS: first.atS,
     region: first.event.region,
-    size: sizeOf(lines),
-    cause: causeOf(own, last),
+    size: sizeOf(promptTokens),
+    promptTokens,
+    kind: kindOf(lines),
+    isServed: SERVED.has(cause),
+    cause,
   };
 }
--- a/bench/day-causes/main.ts
+++ b/bench/day-causes/main.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { judgeRequest } from './judge-request';
 import type { JudgedRequest } from './judge-request';
+import { rankBySize } from './rank-by-size';
 import { readRequests } from './read-log';
 
 /**
@@ -10,19 +11,24 @@
 
 const SLICE_S = 4;
 
-function countBy(
-  requests: readonly JudgedRequest[],
-  key: (request: JudgedRequest) => string,
+function countBy<Request>(
+  requests: readonly Request[],
+  key: (request: Request) => string,
 ): ReadonlyMap<string, number> {
   const counts = new Map<string, number>();
   for (const request of requests) counts.set(key(request), (counts.get(key(request)) ?? 0) + 1);
   return counts;
 }
 
-function printTable(
+function servedShare(requests: readonly JudgedRequest[]): string {
+  const served = requests.filter(({ isServed }) => isServed).length;
+  return (served / Math.max(1, requests.length)).toFixed(2);
+}
+
+function printTable<Request extends JudgedRequest>(
   title: string,
-  requests: readonly JudgedRequest[],
-  column: (request: JudgedRequest) => string,
+  requests: readonly Request[],
+  column: (request: Request) => string,
 ): void {
   const columns = [...new Set(requests.map(column))].sort();
   const causes = [...countBy(requests, ({ cause }) => cause)].sort(
@@ -35,6 +41,10 @@
     const row = columns.map((name) => cells.get(`${cause}/${name}`) ?? 0);
     console.log(`| ${cause} | ${row.join(' | ')} | ${all} |`);
   }
+  const served = columns.map((name) =>
+    servedShare(requests.filter((request) => column(request) === name)),
+  );
+  console.log(`| share that was served | ${served.join(' | ')} | ${servedShare(requests)} |`);
 }
 
 const path = process.argv[2];
@@ -51,3 +61,6 @@
 printTable('cause by second', requests, ({ atS }) =>
   String(Math.floor(atS / SLICE_S) * SLICE_S).padStart(2, '0'),
 );
+for (const { kind, ranked } of rankBySize(requests)) {
+  printTable(`${kind}: cause by rank of size`, ranked, ({ rank }) => rank);
+}
