Log of a refused request what its best server had to do

A refusal named its prompt and the prediction it was refused for, and not what that prediction rested on. The line now names the best server, the tokens it had to read of the prompt, and the tokens and requests under way there.

--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -32,8 +32,8 @@
       readonly kind: 'none';
       readonly reason: 'noServer' | 'overloaded';
       readonly retryAfterMs: number;
-      /** Time to the first byte at the best server here, for which it is refused; undefined where there is none. */
-      readonly predictedMs: number | undefined;
+      /** The best server here, whose first byte would come too late; undefined where there is none. */
+      readonly best: LocalChoice | undefined;
     };
 
 /** Chooses destinations, and learns from what becomes of requests. */
@@ -125,13 +125,13 @@
     plan: RequestPlan,
     leastMs: number,
     nowMs: number,
-    predictedMs?: number,
+    best?: LocalChoice,
   ): Destination => {
     // The instance that sent it here answers its caller; a place in line would be taken from this region's own.
     const retryAfterMs = plan.isForwarded
       ? leastMs
       : returns.nextReturnMs(alikeKey(plan), leastMs, nowMs);
-    return { kind: 'none', reason, retryAfterMs, predictedMs };
+    return { kind: 'none', reason, retryAfterMs, best };
   };
 
   /** Refuses what no server of this region may be given. */
@@ -164,7 +164,7 @@
       if (choice.predictedMs > Math.min(leftMs, patienceMs)) {
         share.noteDecided(false);
         const leastMs = Math.max(SHORTEST_RETRY_MS, choice.predictedMs - plan.objectiveMs);
-        return refuse('overloaded', plan, leastMs, nowMs, choice.predictedMs);
+        return refuse('overloaded', plan, leastMs, nowMs, choice);
       }
       share.noteDecided(true);
       const { server } = choice;
--- a/src/core/pass-through/request-end.ts
+++ b/src/core/pass-through/request-end.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../clock';
+import type { LocalChoice } from './local-servers';
 import type { RequestLog } from './request-log';
 import type { ClientAnswer, InboundRequest, Refusal, RefusalReason, RequestPlan } from './types';
 
@@ -25,9 +26,9 @@
   callerGone(): void;
   /**
    * Nothing more is tried. The caller gets the failure of a server that was kept, or else is refused; an answer that has
-   * begun is broken off. `predictedMs` is what was expected of the best server, where that is the reason.
+   * begun is broken off. `best` is the best server, where what was expected of it is the reason.
    */
-  giveUp(reason: RefusalReason, retryAfterMs: number | undefined, predictedMs?: number): void;
+  giveUp(reason: RefusalReason, retryAfterMs: number | undefined, best?: LocalChoice): void;
 }
 
 /** What the end of a request is made with. */
@@ -58,7 +59,7 @@
     onDone({ plan, result, firstByteMs, totalMs, attempts: attempts() });
   };
 
-  const refuse: RequestEnd['giveUp'] = (reason, retryAfterMs, predictedMs) => {
+  const refuse: RequestEnd['giveUp'] = (reason, retryAfterMs, best) => {
     const outcome = mayHaveRun ? 'unknown' : 'notRun';
     const refusal: Refusal = {
       reason,
@@ -67,7 +68,7 @@
     };
     answer.noteAttempts(attempts());
     answer.refuse(refusal);
-    log.refused(refusal, predictedMs);
+    log.refused(refusal, best);
     finish(reason);
   };
 
@@ -83,7 +84,7 @@
     },
     answered: () => finish('answered'),
     callerGone: () => finish('callerGone'),
-    giveUp(reason, retryAfterMs, predictedMs) {
+    giveUp(reason, retryAfterMs, best) {
       if (answer.headSent) {
         answer.breakOff();
         log.brokenOff(reason);
@@ -91,7 +92,7 @@
         return;
       }
       if (passFailureOn === undefined) {
-        refuse(reason, retryAfterMs, predictedMs);
+        refuse(reason, retryAfterMs, best);
         return;
       }
       // A server's own answer says more than a refusal, and names the server to whoever looks for the cause.
--- a/src/core/pass-through/request-log.ts
+++ b/src/core/pass-through/request-log.ts
@@ -4,6 +4,7 @@
 import type { Attempt } from './attempt';
 import { PASS_THROUGH_EVENTS } from './events';
 import { answerByMs, requestFields } from './forwarding';
+import type { LocalChoice } from './local-servers';
 import type { SendableDestination } from './observe-destination';
 import type { StreamProgress } from './stream-progress';
 import type { InboundRequest, Refusal, RefusalReason, RequestPlan } from './types';
@@ -14,8 +15,8 @@
   attemptFailed(attempt: Attempt, reason: string, status?: number): void;
   /** `firstByteAtMs` is undefined where the answer had no body. */
   answered(attempt: Attempt, status: number, firstByteAtMs: number | undefined): void;
-  /** `predictedMs` is what was expected of the best server; undefined where none could take the request. */
-  refused(refusal: Refusal, predictedMs: number | undefined): void;
+  /** `best` is the server that was judged too slow; undefined where none could take the request. */
+  refused(refusal: Refusal, best: LocalChoice | undefined): void;
   brokenOff(reason: RefusalReason): void;
   callerGone(): void;
 }
@@ -31,19 +32,22 @@
   readonly attempts: () => number;
 }
 
-/** What a choice of a destination rested on. */
-function basisOf(to: SendableDestination, request: InboundRequest) {
-  if (to.kind === 'peer') return { toRegion: to.peer.region };
+/** What was expected of a server, and why. */
+function outlookOf({ predictedMs, tokens, pendingTokens, load, copyFrom }: LocalChoice) {
   return {
-    predictedMs: Math.round(to.predictedMs),
-    tokens: Math.round(to.tokens),
-    promptTokens: request.demand?.promptTokens,
-    pendingTokens: Math.round(to.pendingTokens),
-    load: Math.round(to.load),
-    copyFrom: to.copyFrom?.serverId,
+    predictedMs: Math.round(predictedMs),
+    tokens: Math.round(tokens),
+    pendingTokens: Math.round(pendingTokens),
+    load: Math.round(load),
+    copyFrom: copyFrom?.serverId,
   };
 }
 
+/** What a choice of a destination rested on. */
+function basisOf(to: SendableDestination) {
+  return to.kind === 'peer' ? { toRegion: to.peer.region } : outlookOf(to);
+}
+
 /** A log for one request. */
 export function createRequestLog(options: RequestLogOptions): RequestLog {
   const { clock, logger, request, plan, progress } = options;
@@ -55,7 +59,8 @@
     placed: (to) =>
       logger.event(PASS_THROUGH_EVENTS.placed, {
         ...fields(),
-        ...basisOf(to, request),
+        ...basisOf(to),
+        promptTokens: request.demand?.promptTokens,
         mostAttempts: plan.maxAttempts,
         sinceReceivedMs: totalMs(),
         to: destinationName(to),
@@ -82,11 +87,12 @@
         firstByteMs: sinceReceivedMs(firstByteAtMs ?? request.receivedAtMs),
         totalMs: totalMs(),
       }),
-    refused: (refusal, predictedMs) =>
+    refused: (refusal, best) =>
       logger.event(PASS_THROUGH_EVENTS.refused, {
         ...fields(),
         ...refusal,
-        predictedMs: predictedMs === undefined ? undefined : Math.round(predictedMs),
+        ...(best === undefined ? {} : outlookOf(best)),
+        bestServer: best?.server.incarnationId,
         objectiveMs: plan.objectiveMs,
         promptTokens: request.demand?.promptTokens,
         totalMs: totalMs(),
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -234,7 +234,7 @@
     }
     const to = router.choose(request, plan, tried, clock.monotonicMs());
     if (to.kind === 'none') {
-      end.giveUp(end.mayHaveRun() ? lastFailure : to.reason, to.retryAfterMs, to.predictedMs);
+      end.giveUp(end.mayHaveRun() ? lastFailure : to.reason, to.retryAfterMs, to.best);
       return;
     }
     send(to);
