--- a/src/core/pass-through/admission-by-size.test.ts
+++ b/src/core/pass-through/admission-by-size.test.ts
@@ -1,155 +1,10 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { createRouteTableStore } from '../host-routes';
-import { createLoadBoard } from '../load-sharing';
-import { createSeededRandom } from '../random';
-import { createServerRegistry } from '../server-registry';
-import { createRouter } from './create-router';
-import { observeDestination } from './observe-destination';
-import type { InboundRequest, RequestPlan } from './types';
+import { bySize, idleFirstByteMs, playAdmission, shareLetIn } from './testing/play-admission';
 
-const REVIEW = 'review';
-const PLAN: RequestPlan = {
-  route: REVIEW,
-  service: REVIEW,
-  kind: 'stream',
-  isResumable: true,
-  priority: 1,
-  objectiveMs: 800,
-  pauseObjectiveMs: 300,
-  maxAttempts: 2,
-  homeRegions: [],
-  routesVersion: 1,
-  deadlineAtMs: 1_000_000,
-  timeoutAtMs: 1_000_000,
-  isForwarded: false,
-};
-const SERVERS = ['n-1', 'n-2', 'n-3', 'n-4'];
-/** Reading of one prompt token, ms, as fast as large accelerators do it. */
-const READ_MS_PER_TOKEN = 0.02;
-/** What each first byte takes besides: the way there and back, a step of the batch, a slow instance, ms. */
-const FIXED_MS = 250;
-/** Time that an answer goes on after its first byte, ms. */
-const ANSWER_MS = 1_000;
+const SERVERS = 4;
 const DURATION_MS = 30_000;
-const STEP_MS = 5;
-/** Sizes of prompts: log-normal, as documents are, within 4,000 to 36,000 tokens. */
-const MEDIAN_TOKENS = 9_000;
-const SPREAD = 0.45;
-
-/** A number with the normal distribution. */
-function normal(random: { next(): number }): number {
-  const radius = Math.sqrt(-2 * Math.log(1 - random.next()));
-  return radius * Math.cos(2 * Math.PI * random.next());
-}
-
-interface Arrival {
-  readonly tokens: number;
-  wasLetIn: boolean;
-}
-
-/**
- * Plays callers that come at `perSecond` to servers which read one prompt after the other, and returns who was let in.
- * Time is counted in steps; nothing is measured.
- */
-function play(seed: number, perSecond: number): readonly Arrival[] {
-  const random = createSeededRandom(seed);
-  const routes = createRouteTableStore();
-  const service = {
-    name: REVIEW,
-    maxConnections: 5_000,
-    coldStartMs: 0,
-    coldRequestsPerSecond: 0,
-    healthPath: '/health',
-    copyMsPerToken: undefined,
-  };
-  routes.offer({
-    version: 1,
-    routes: [],
-    services: new Map([[REVIEW, service]]),
-    limits: { headerBytes: 8_192, bodyBytes: 8_192, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
-  });
-  const servers = createServerRegistry({ regionOf: () => 'north', coldStartMs: () => 0 });
-  for (const serverId of SERVERS) {
-    servers.put(
-      {
-        serverId,
-        startedAtUnixMs: undefined,
-        service: REVIEW,
-        address: `${serverId}:1`,
-        failureDomain: 'north-a',
-        slots: 64,
-        isDraining: false,
-        coldForMs: 0,
-        goneInMs: undefined,
-      },
-      0,
-    );
-  }
-  const router = createRouter({
-    onRead() {},
-    region: 'north',
-    routes,
-    servers,
-    others: createLoadBoard(),
-    pool: { hasRoom: () => true, hasIdle: () => true },
-    coldGate: { isOpen: () => true, noteSent() {}, keepOnly() {} },
-    peers: () => [],
-    instancesInRegion: () => 1,
-    draw: () => random.next(),
-  });
-  let nowMs = 0;
-  const clock = { monotonicMs: () => nowMs };
-  const readUntilMs = new Map<string, number>();
-  const due: { atMs: number; run(): void }[] = [];
-  const arrivals: Arrival[] = [];
-  let nextAtMs = 0;
-  for (; nowMs < DURATION_MS; nowMs += STEP_MS) {
-    for (const task of due.filter(({ atMs }) => atMs <= nowMs)) {
-      due.splice(due.indexOf(task), 1);
-      task.run();
-    }
-    while (nextAtMs <= nowMs) {
-      nextAtMs += (-Math.log(1 - random.next()) * 1_000) / perSecond;
-      const drawn = MEDIAN_TOKENS * Math.exp(SPREAD * normal(random));
-      const tokens = Math.round(Math.min(36_000, Math.max(4_000, drawn)));
-      const request: InboundRequest = {
-        requestId: `r-${arrivals.length}`,
-        method: 'POST',
-        path: '/review',
-        headers: [],
-        body: new Uint8Array(),
-        receivedAtMs: nowMs,
-        lastEventId: undefined,
-        demand: { parts: [{ partId: `own-${arrivals.length}`, tokens }], promptTokens: tokens },
-      };
-      const plan = { ...PLAN, deadlineAtMs: nowMs + 5_000, timeoutAtMs: nowMs + 5_000 };
-      const to = router.choose(
-        request,
-        plan,
-        { ids: new Set(), refusingRegions: new Set() },
-        nowMs,
-      );
-      arrivals.push({ tokens, wasLetIn: to.kind === 'server' });
-      if (to.kind !== 'server') continue;
-      const { serverId } = to.server;
-      const readMs = tokens * READ_MS_PER_TOKEN;
-      const readAtMs = Math.max(nowMs, readUntilMs.get(serverId) ?? 0) + readMs;
-      readUntilMs.set(serverId, readAtMs);
-      const observer = observeDestination({ clock, router, request, plan }, to);
-      due.push({ atMs: readAtMs + FIXED_MS, run: () => observer.noteFirstByte() });
-      due.push({
-        atMs: readAtMs + FIXED_MS + ANSWER_MS,
-        run: () => observer.noteEnd('answered'),
-      });
-    }
-  }
-  return arrivals;
-}
-
-function shareLetIn(arrivals: readonly Arrival[]): number {
-  return arrivals.filter(({ wasLetIn }) => wasLetIn).length / Math.max(1, arrivals.length);
-}
+const SEEDS = [1, 2, 3];
 
 /** Share of the whole that its largest tenth has to be served at: the operator's least. */
 const LEAST_OF_THE_WHOLE = 0.5;
@@ -169,16 +24,40 @@
     { name: 'at servers with half as much again', perSecond: 30 },
   ];
   for (const { name, perSecond } of loads) {
-    for (const seed of [1, 2, 3]) {
+    for (const seed of SEEDS) {
       it(`is let in at least half as often as all ${name} (seed ${seed})`, () => {
-        const arrivals = play(seed, perSecond);
-        const largest = [...arrivals]
-          .sort((left, right) => right.tokens - left.tokens)
-          .slice(0, Math.ceil(arrivals.length / 10));
-        const [all, large] = [shareLetIn(arrivals), shareLetIn(largest)];
+        const load = { seed, perSecond, instances: 1, servers: SERVERS, durationMs: DURATION_MS };
+        const arrivals = playAdmission(load);
+        const { largestTenth } = bySize(arrivals);
+        const [all, large] = [shareLetIn(arrivals), shareLetIn(largestTenth)];
         assert.ok(all > 0.1, `${all} of all`);
         assert.ok(large >= all * LEAST_OF_THE_WHOLE, `${large} of the largest, ${all} of all`);
       });
     }
   }
 });
+
+/** Prompts whose first byte comes at an idle server between these times are long, and still in time with room to spare, ms. */
+const LONG_MS = 450;
+const ROOMY_MS = 600;
+/** Least share of them that is let in where servers are idle. */
+const LEAST_LET_IN = 0.95;
+
+/** Guards against fixed costs of a first byte that are learned as time for reading, so that long prompts look late. */
+describe('prompts that an idle server reads in time', () => {
+  const short = { medianTokens: 4_000, spread: 0.8, fewestTokens: 1_000, mostTokens: 36_000 };
+  for (const perSecond of [2, 4]) {
+    for (const seed of SEEDS) {
+      it(`are let in after many short ones, ${perSecond} a second (seed ${seed})`, () => {
+        const load = { seed, perSecond, instances: 1, servers: 8, durationMs: 60_000 };
+        const arrivals = playAdmission({ ...load, sizes: short });
+        const long = arrivals.filter(({ tokens }) => {
+          const idleMs = idleFirstByteMs(tokens);
+          return idleMs > LONG_MS && idleMs <= ROOMY_MS;
+        });
+        const share = shareLetIn(long);
+        assert.ok(share >= LEAST_LET_IN, `${share} of ${long.length}`);
+      });
+    }
+  }
+});
--- a/src/core/pass-through/testing/play-admission.ts
+++ b/src/core/pass-through/testing/play-admission.ts
@@ -31,9 +31,19 @@
   readonly durationMs: number;
   /** Each instance is started anew this often, and knows nothing then; undefined for never. */
   readonly restartEveryMs?: number;
+  /** Sizes of prompts; documents of some 9,000 tokens where none is given. */
+  readonly sizes?: PromptSizes;
 }
 
-export const OBJECTIVE_MS = 800;
+/** Sizes of prompts: log-normal, within bounds. */
+export interface PromptSizes {
+  readonly medianTokens: number;
+  readonly spread: number;
+  readonly fewestTokens: number;
+  readonly mostTokens: number;
+}
+
+const OBJECTIVE_MS = 800;
 
 const REVIEW = 'review';
 const PLAN: RequestPlan = {
@@ -61,11 +71,12 @@
 const STEP_MS = 5;
 /** Rest between two statements of the instances to one another, ms. */
 const TELL_EVERY_MS = 100;
-/** Sizes of prompts: log-normal, as documents are, within bounds. */
-const MEDIAN_TOKENS = 9_000;
-const SPREAD = 0.45;
-const FEWEST_TOKENS = 4_000;
-const MOST_TOKENS = 36_000;
+const DOCUMENTS: PromptSizes = {
+  medianTokens: 9_000,
+  spread: 0.45,
+  fewestTokens: 4_000,
+  mostTokens: 36_000,
+};
 const MS_PER_S = 1_000;
 
 type Random = ReturnType<typeof createSeededRandom>;
@@ -76,9 +87,14 @@
   return radius * Math.cos(2 * Math.PI * random.next());
 }
 
-function drawTokens(random: Random): number {
-  const drawn = MEDIAN_TOKENS * Math.exp(SPREAD * normal(random));
-  return Math.round(Math.min(MOST_TOKENS, Math.max(FEWEST_TOKENS, drawn)));
+function drawTokens(sizes: PromptSizes, random: Random): number {
+  const drawn = sizes.medianTokens * Math.exp(sizes.spread * normal(random));
+  return Math.round(Math.min(sizes.mostTokens, Math.max(sizes.fewestTokens, drawn)));
+}
+
+/** Time to the first byte of such a prompt at a server that has nothing else to do, ms. */
+export function idleFirstByteMs(tokens: number): number {
+  return FIXED_MS + tokens * READ_MS_PER_TOKEN;
 }
 
 function createServers(count: number) {
@@ -211,7 +227,7 @@
   };
 
   const arrive = (): void => {
-    const tokens = drawTokens(random);
+    const tokens = drawTokens(load.sizes ?? DOCUMENTS, random);
     const request = requestOf(arrivals.length, tokens, nowMs);
     const plan = { ...PLAN, deadlineAtMs: nowMs + PATIENCE_MS, timeoutAtMs: nowMs + PATIENCE_MS };
     const index = load.instances > 1 ? Math.floor(random.next() * load.instances) : 0;
@@ -256,3 +272,9 @@
 export function shareLetIn(arrivals: readonly Arrival[]): number {
   return arrivals.filter(({ wasLetIn }) => wasLetIn).length / Math.max(1, arrivals.length);
 }
+
+/** Share of arrivals whose first byte came within the objective. */
+export function shareInTime(arrivals: readonly Arrival[]): number {
+  const inTime = arrivals.filter(({ firstByteMs = Infinity }) => firstByteMs <= OBJECTIVE_MS);
+  return inTime.length / Math.max(1, arrivals.length);
+}
