Let in prompts that only their own size makes late, without learning sizes first

Callers with the largest prompts were refused each time. What each class of size was owed was learned by each instance from its own requests: ranks of size move by a twentieth of themselves with each prompt, and one request is owed after two of its class. An instance of 62 sees some ten between two starts. Class of fault: an estimate that needs so many samples of each instance, the worse the more instances there are and the more often they start.

Now nothing is learned of sizes but the mean reading time of what is in time, which holds from the first request on. A request that is predicted late, while one of that mean would be in time at the same server, is late for its size alone; three quarters of those are let in, drawn by chance, so that no instance has to keep an account. Requests that another region sends are decided in the same way: there the largest were refused always, since the account was kept where the caller had asked.

Ruled out on the way: half of the mean of all that is asked as the measure; where that is over the objective itself none of the largest is let in (the old test's row of 3,000, and one request each).

--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -5,7 +5,7 @@
   createReturnSchedule,
   createServerLoads,
   createServicePaces,
-  createSizeShares,
+  createSizeAdmission,
   createSpillWindows,
 } from '../placement';
 import type { ReadParts } from '../load-sharing';
@@ -87,7 +87,7 @@
   const prefixes = createPrefixCacheView();
   const correction = createPredictionCorrection();
   const spillWindows = createSpillWindows();
-  const shares = createSizeShares();
+  const sizes = createSizeAdmission(options.draw);
   const returns = createReturnSchedule(LONGEST_RETRY_MS);
   const here = createLocalServers({ ...options, loads, paces, prefixes, correction });
   const elsewhere = createOtherRegions({ ...options, windows: spillWindows });
@@ -105,19 +105,17 @@
     return where.kind === 'remote' ? elsewhere.pickPeer(where.region, tried) : undefined;
   };
 
-  /** The share of requests of this size in those that are let in; another region's own instances see to theirs. */
-  const shareOf = ({ demand }: InboundRequest, plan: RequestPlan, tried: TriedDestinations) => {
-    if (demand === undefined || plan.isForwarded) {
-      return { isDue: () => false, noteDecided() {} };
-    }
+  /** Whether a request may go to a server, by when its first byte is predicted there. */
+  const isLetIn = (choice: LocalChoice, plan: RequestPlan, nowMs: number): boolean => {
+    const { predictedMs, ownReadMs } = choice;
+    const { objectiveMs } = plan;
+    if (predictedMs > plan.deadlineAtMs - nowMs) return false;
     const kind = alikeKey(plan);
-    const tokens = demand.promptTokens;
-    if (tried.ids.size === 0) shares.noteAsked(kind, tokens);
-    else if (tried.refusingRegions.size > 0) shares.noteReturned(kind, tokens);
-    return {
-      isDue: () => shares.isDue(kind, tokens),
-      noteDecided: (wasLetIn: boolean) => shares.noteDecided(kind, tokens, wasLetIn),
-    };
+    if (predictedMs > objectiveMs * PATIENCE_IN_OBJECTIVES) {
+      return sizes.letsIn({ kind, predictedMs, ownReadMs, objectiveMs });
+    }
+    sizes.noteInTime(kind, ownReadMs);
+    return true;
   };
 
   const refuse = (
@@ -149,24 +147,16 @@
     correction,
     spillWindows,
     choose(request, plan, tried, nowMs) {
-      const share = shareOf(request, plan, tried);
       const { best, suspected } = here.outlook(request, plan, tried, nowMs);
       const peer = chooseElsewhere(plan, best?.predictedMs, tried);
-      if (peer !== undefined) {
-        share.noteDecided(true);
-        return { kind: 'peer', peer };
-      }
+      if (peer !== undefined) return { kind: 'peer', peer };
       // Where none can be reached and no region helps, one that is only suspected is the best that there is.
       const choice = best ?? suspected;
       if (choice === undefined) return refuseWithoutServer(plan, nowMs);
-      const leftMs = plan.deadlineAtMs - nowMs;
-      const patienceMs = share.isDue() ? leftMs : plan.objectiveMs * PATIENCE_IN_OBJECTIVES;
-      if (choice.predictedMs > Math.min(leftMs, patienceMs)) {
-        share.noteDecided(false);
+      if (!isLetIn(choice, plan, nowMs)) {
         const leastMs = Math.max(SHORTEST_RETRY_MS, choice.predictedMs - plan.objectiveMs);
         return refuse('overloaded', plan, leastMs, nowMs, choice);
       }
-      share.noteDecided(true);
       const { server } = choice;
       if (server.coldUntilMs > nowMs) coldGate.noteSent(server.incarnationId, nowMs);
       returns.noteAdmitted(alikeKey(plan), nowMs);
--- a/src/core/pass-through/local-servers.ts
+++ b/src/core/pass-through/local-servers.ts
@@ -22,6 +22,8 @@
   readonly predictedMs: number;
   /** The same before it was corrected. */
   readonly rawPredictedMs: number;
+  /** Part of `predictedMs` in which the request's own prompt is read. */
+  readonly ownReadMs: number;
   /** Prompt tokens that it will probably have to read, those that it copies left out. */
   readonly tokens: number;
   /** Requests at the server, and prompt tokens that it still has to read for them, as estimated. */
@@ -148,10 +150,12 @@
     const byId = (id: string | undefined) => among.find((server) => server.incarnationId === id);
     const server = byId(choice?.incarnationId);
     if (choice === undefined || server === undefined) return undefined;
+    const kind = alikeKey(plan);
     return {
       server,
-      predictedMs: correction.correct(alikeKey(plan), choice.predictedMs),
+      predictedMs: correction.correct(kind, choice.predictedMs),
       rawPredictedMs: choice.predictedMs,
+      ownReadMs: correction.correct(kind, choice.readTokens * pace.prefillMsPerToken),
       tokens: choice.readTokens,
       load: loadOf(server.incarnationId, nowMs),
       pendingTokens: pendingTokensOf(server.incarnationId),
