Let each choice look at a few drawn servers, so that instances do not all choose the same one

Callers waited behind one another at one server beside servers that read nothing. All instances of a region know nearly the same of its servers, some hundred ms late, and each sent its request to the best of all: so within that time all sent to the same one, the first of the list where all are idle. Late first bytes then teach every instance that servers are slow, and long prompts are refused beside idle servers. Class of fault: many decide alike on the same late news; the worse, the more instances.

Each choice now looks at three drawn servers of those that hold a part of the prompt, and three of the others; more where a few instances share many servers, and all where there is one instance.

--- a/src/core/pass-through/local-servers.ts
+++ b/src/core/pass-through/local-servers.ts
@@ -1,11 +1,12 @@
 import type { ConnectionPool } from '../exchanges';
 import type { RouteTableStore, RoutedService } from '../host-routes';
 import type { LoadBoard } from '../load-sharing';
-import { chooseServer, supplyPrompts } from '../placement';
+import { chooseServer, countToLookAt, sampleServers, supplyPrompts } from '../placement';
 import type {
   Candidate,
   PredictionCorrection,
   PrefixCacheView,
+  PromptSupplies,
   PromptSupply,
   ServerLoads,
   ServicePaces,
@@ -67,6 +68,8 @@
   readonly paces: ServicePaces;
   readonly prefixes: PrefixCacheView;
   readonly correction: PredictionCorrection;
+  /** A number from 0 up to 1. */
+  readonly draw: () => number;
 }
 
 /**
@@ -131,6 +134,23 @@
     };
   };
 
+  /** Some of the servers that hold a part of the prompt, and some of the others. */
+  const toLookAt = (
+    among: readonly KnownServer[],
+    request: InboundRequest,
+    supplies: PromptSupplies,
+  ): readonly KnownServer[] => {
+    const promptTokens = request.demand?.promptTokens ?? 0;
+    const isHolder = ({ incarnationId }: KnownServer) =>
+      supplies(incarnationId).uncachedTokens < promptTokens;
+    const count = countToLookAt(among.length, options.instancesInRegion());
+    const sample = (some: readonly KnownServer[]) => sampleServers(some, count, options.draw);
+    return [
+      ...sample(among.filter(isHolder)),
+      ...sample(among.filter((server) => !isHolder(server))),
+    ];
+  };
+
   const bestOf = (
     among: readonly KnownServer[],
     request: InboundRequest,
@@ -142,7 +162,7 @@
     const copyMsPerToken = service?.copyMsPerToken;
     const mayCopy = copyMsPerToken !== undefined;
     const supplies = supplyPrompts(prefixes, ids, request.demand ?? NO_DEMAND, mayCopy);
-    const candidates = among.map((server) =>
+    const candidates = toLookAt(among, request, supplies).map((server) =>
       toCandidate(server, plan, supplies(server.incarnationId), nowMs),
     );
     const pace = { ...paces.pace(plan.service), copyMsPerToken };
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -11,6 +11,7 @@
 export type { PromptSupplies, PromptSupply } from './prompt-copies';
 export { createReturnSchedule } from './return-schedule';
 export type { ReturnSchedule } from './return-schedule';
+export { countToLookAt, sampleServers } from './sample-servers';
 export { createServerLoads } from './server-load';
 export type { ServerLoads } from './server-load';
 export { createServicePaces } from './service-paces';
