Do not pay for a refusal by another region that has asked no server

Callers with long prompts were refused as overloaded although a server of their own region would have had them in time. A long prompt is predicted late at home for its own reading, sent to another region, and refused there for the same reading. The more instances, the smaller each one's part. Class of fault: a limit paid for what did not happen, which only shows where each one's part of the limit is small.

The other region says with its refusal how many servers it has asked. Where that is none, the next try is the first that reaches a server, so nothing is taken from the budget, which counts arrivals at servers beyond the first of each request. Where it says nothing, as instances of a release before may, a repeat is paid as before.

Ruled out: the account of attempts (what was lent is settled at none); a higher budget, which would let real repeats through.

--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -130,14 +130,15 @@
     else end.giveUp('noServer', UNSENT_RETRY_MS);
   };
 
-  const afterPeerRefusal = (hasNotRun: boolean): void => {
+  const afterPeerRefusal = (hasNotRun: boolean, serversTried: number | undefined): void => {
     if (!hasNotRun) {
       afterLoss();
       return;
     }
     lastFailure = 'overloaded';
-    // It may have tried servers of its own that rejected the request, so a next try is a repeat to those.
-    if (isTimedOut || mayTryAgain()) afterUnsent();
+    // Where servers there have rejected the request, a next try is a repeat to those; otherwise it is the first one.
+    const isFree = isTimedOut || serversTried === 0;
+    if (isFree || mayTryAgain()) afterUnsent();
     else end.giveUp('overloaded', REJECTED_RETRY_MS);
   };
 
@@ -182,7 +183,7 @@
       case 'peerRefused':
         log.attemptFailed(attempt, 'the other instance refused the request');
         if (attempt.to.kind === 'peer') refusingRegions.add(attempt.to.peer.region);
-        afterPeerRefusal(result.hasNotRun);
+        afterPeerRefusal(result.hasNotRun, attempt.serversTriedThere());
         return;
       case 'serverFailed':
         log.attemptFailed(attempt, 'the server failed', result.status);
