Take back that only waiting sends a request to another region

Long prompts then stay where they are asked, and what they hold up there are the streams beside them.

--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -95,14 +95,12 @@
   /** An instance of another region, where the request is better served there. */
   const chooseElsewhere = (
     plan: RequestPlan,
-    best: LocalChoice | undefined,
+    localMs: number | undefined,
     tried: TriedDestinations,
   ): ForwardPeer | undefined => {
     // A request goes to another region once at most, so that it cannot circle.
     if (plan.isForwarded) return undefined;
     const others = elsewhere.options(plan, tried);
-    // Its own length makes a request as late elsewhere, so only what it waits for here sends it away.
-    const localMs = best && sizes.asUsualMs({ kind: alikeKey(plan), ...best });
     const where = chooseRegion({ localMs, objectiveMs: plan.objectiveMs, others });
     return where.kind === 'remote' ? elsewhere.pickPeer(where.region, tried) : undefined;
   };
@@ -150,7 +148,7 @@
     spillWindows,
     choose(request, plan, tried, nowMs) {
       const { best, suspected } = here.outlook(request, plan, tried, nowMs);
-      const peer = chooseElsewhere(plan, best, tried);
+      const peer = chooseElsewhere(plan, best?.predictedMs, tried);
       if (peer !== undefined) return { kind: 'peer', peer };
       // Where none can be reached and no region helps, one that is only suspected is the best that there is.
       const choice = best ?? suspected;
--- a/src/core/placement/size-admission.ts
+++ b/src/core/placement/size-admission.ts
@@ -1,14 +1,10 @@
-/** What is predicted of a request at a server. */
-export interface PredictedRequest {
+/** A request whose first byte is predicted too late. */
+export interface LateRequest {
   /** Requests that servers treat alike. */
   readonly kind: string;
   /** Time to its first byte, and the part of it in which its own prompt is read, ms. */
   readonly predictedMs: number;
   readonly ownReadMs: number;
-}
-
-/** One whose first byte is predicted too late. */
-export interface LateRequest extends PredictedRequest {
   readonly objectiveMs: number;
 }
 
@@ -16,8 +12,6 @@
 export interface SizeAdmission {
   /** Notes that a request is predicted in time, and the time in which its own prompt is read, ms. */
   noteInTime(kind: string, ownReadMs: number): void;
-  /** Time to the first byte of the request, were its prompt no longer than those that are in time, ms. */
-  asUsualMs(request: PredictedRequest): number;
   /** Whether a request that is predicted late is let in all the same, since only its own size makes it late. */
   letsIn(request: LateRequest): boolean;
 }
@@ -48,11 +42,6 @@
 export function createSizeAdmission(draw: () => number): SizeAdmission {
   const means = new Map<string, Mean>();
 
-  const asUsualMs = ({ kind, predictedMs, ownReadMs }: PredictedRequest): number => {
-    const usualReadMs = means.get(kind)?.ms ?? 0;
-    return predictedMs - ownReadMs + Math.min(ownReadMs, usualReadMs);
-  };
-
   return {
     noteInTime(kind, ownReadMs) {
       const mean = means.get(kind) ?? { samples: 0, ms: 0 };
@@ -60,9 +49,9 @@
       mean.samples = Math.min(MOST_SAMPLES, mean.samples + 1);
       mean.ms += (ownReadMs - mean.ms) / mean.samples;
     },
-    asUsualMs,
-    letsIn(request) {
-      const isLateForItsSize = asUsualMs(request) <= request.objectiveMs;
+    letsIn({ kind, predictedMs, ownReadMs, objectiveMs }) {
+      const usualReadMs = Math.min(ownReadMs, means.get(kind)?.ms ?? 0);
+      const isLateForItsSize = predictedMs - ownReadMs + usualReadMs <= objectiveMs;
       return isLateForItsSize && draw() < LET_IN;
     },
   };
