Let in three of five prompts that are late for their size, in place of three of four

What is let in late for its size holds up the streams beside it. The floor is half of what the whole is served at, and whoever is refused comes back once.

--- a/src/core/placement/size-admission.ts
+++ b/src/core/placement/size-admission.ts
@@ -20,7 +20,7 @@
  * Part of those that are late for their size alone which is let in. Operators hold the largest to half of what the whole
  * is served at; a part of those let in is lost on the way, most of the largest, which take longest.
  */
-const LET_IN = 0.75;
+const LET_IN = 0.6;
 /** Samples after which the mean follows the newest ones. */
 const MOST_SAMPLES = 100;
 
