Draw servers among the sound ones

Three drawn servers are all failing ones where most of a service fail, while a sound one beside them is not drawn.

Servers that have failed more than a fifth of their latest requests are passed over while another one is sound, as the best of all was before. Ruled out: to weigh failures more in the choice, which changes nothing where none of the drawn ones is sound.

Test: of twenty servers nineteen fail; failed before (the first drawn one was used), passes now.

--- a/src/core/pass-through/create-router.test.ts
+++ b/src/core/pass-through/create-router.test.ts
@@ -88,7 +88,7 @@
     pool: { hasRoom: () => true, hasIdle: () => false },
     coldGate: { isOpen: () => true, noteSent() {}, keepOnly() {} },
     peers: () => peers,
-    instancesInRegion: () => 1,
+    instancesInRegion: () => 20,
     draw: () => 0,
   });
   const clock = { monotonicMs: () => nowMs };
@@ -159,6 +159,23 @@
   });
 });
 
+/** Guards against a draw of failing servers beside a sound one that is not drawn. */
+describe('servers of which most fail', () => {
+  it('get nothing while one of them is sound', () => {
+    const region = north([]);
+    for (let index = 1; index <= 20; index += 1) region.announce(`n-${index}`, 'north-a');
+    for (let index = 1; index <= 19; index += 1) {
+      for (let failures = 0; failures < 3; failures += 1) {
+        region.router.loads.noteSent(`n-${index}`, 0, 0);
+        const ended = { hadFirstByte: false, tokens: 0, isFailure: true };
+        region.router.loads.noteEnded(`n-${index}`, ended, 0);
+      }
+    }
+    const to = region.choose();
+    assert.equal(to.kind === 'server' && to.server.serverId, 'n-20');
+  });
+});
+
 describe('a request of another region that is refused here', () => {
   // The south is full, and its neighbour asks for hundreds of requests. Did each of them take a place in the line of
   // those who come back, callers of the south would be told to stay away for the longest time.
--- a/src/core/pass-through/local-servers.ts
+++ b/src/core/pass-through/local-servers.ts
@@ -77,6 +77,8 @@
  * and a connection too many is reset.
  */
 const CONNECTIONS_USED = 0.85;
+/** Part of its latest requests that a server fails, above which it is passed over where another one is sound. */
+const OFTEN_FAILING = 0.2;
 /** Where the routes do not say how many connections a server takes. */
 const CONNECTIONS_UNSTATED = 32;
 /** Stands for a request that says nothing of what it asks of a model. */
@@ -134,20 +136,27 @@
     };
   };
 
+  /** Where most servers fail, few drawn ones would all be failing beside sound ones. */
+  const failsOften = ({ incarnationId }: KnownServer, nowMs: number): boolean =>
+    loads.failureShare(incarnationId, nowMs) > OFTEN_FAILING;
+
   /** Some of the servers that hold a part of the prompt, and some of the others. */
   const toLookAt = (
     among: readonly KnownServer[],
     request: InboundRequest,
     supplies: PromptSupplies,
+    nowMs: number,
   ): readonly KnownServer[] => {
     const promptTokens = request.demand?.promptTokens ?? 0;
     const isHolder = ({ incarnationId }: KnownServer) =>
       supplies(incarnationId).uncachedTokens < promptTokens;
     const count = countToLookAt(among.length, options.instancesInRegion());
     const sample = (some: readonly KnownServer[]) => sampleServers(some, count, options.draw);
+    const sound = among.filter((server) => !failsOften(server, nowMs));
+    const usable = sound.length > 0 ? sound : among;
     return [
-      ...sample(among.filter(isHolder)),
-      ...sample(among.filter((server) => !isHolder(server))),
+      ...sample(usable.filter(isHolder)),
+      ...sample(usable.filter((server) => !isHolder(server))),
     ];
   };
 
@@ -162,7 +171,7 @@
     const copyMsPerToken = service?.copyMsPerToken;
     const mayCopy = copyMsPerToken !== undefined;
     const supplies = supplyPrompts(prefixes, ids, request.demand ?? NO_DEMAND, mayCopy);
-    const candidates = toLookAt(among, request, supplies).map((server) =>
+    const candidates = toLookAt(among, request, supplies, nowMs).map((server) =>
       toCandidate(server, plan, supplies(server.incarnationId), nowMs),
     );
     const pace = { ...paces.pace(plan.service), copyMsPerToken };
