--- a/standins/published-store.ts
+++ b/standins/published-store.ts
@@ -10,6 +10,13 @@
   readonly Removed?: true;
 }
 
+/** All that the store held at one moment. */
+export interface StoreCopy {
+  readonly items: ReadonlyMap<string, StoredEvent>;
+  readonly history: readonly StoredEvent[];
+  readonly revision: number;
+}
+
 /** How the stand-in behaves: `busy` answers 503, `silent` never answers. */
 export type StoreMood = 'good' | 'busy' | 'silent';
 
@@ -24,8 +31,19 @@
   remove(key: string): void;
   /** Drops all history, so that watches from before are answered 410. */
   compact(): void;
+  saveCopy(): StoreCopy;
+  /** Runs a task once, right after the next page of a range read has been answered. */
+  afterNextPage(task: () => void): void;
+  /**
+   * Goes on from a copy: what was written since is gone, and its revisions are given out again. Watches that wait are cut
+   * off where the store is away meanwhile, and answered without news where it is not.
+   */
+  restore(copy: StoreCopy): void;
 }
 
+/** In all answers: rises by one with each return from a copy. */
+const ERA_HEADER = 'Store-Era';
+
 function encode(value: unknown): string {
   return Buffer.from(JSON.stringify(value)).toString('base64');
 }
@@ -50,10 +68,13 @@
   const items = new Map<string, StoredEvent>();
   let mood: StoreMood = 'good';
   const calls = { range: 0, watch: 0 };
+  let afterPage: (() => void) | undefined;
   const waiting = new Set<() => void>();
   let history: StoredEvent[] = [];
   let revision = 1;
   let compactedAt = 0;
+  /** How often the store has come back from a copy, and once. */
+  let era = 1;
 
   const append = (event: StoredEvent): void => {
     history.push(event);
@@ -76,12 +97,15 @@
     const page = found.slice(0, itemsPerPage);
     const hasMore = page.length < found.length;
     sendJson(response, 200, { items: page, MorePages: hasMore, StoreRevision: revision });
+    const task = afterPage;
+    afterPage = undefined;
+    task?.();
   };
 
   const answerWatch = (query: URLSearchParams, response: ServerResponse): void => {
     const after = Number(query.get('after') ?? 0);
     const prefix = query.get('Prefix') ?? '';
-    if (after < compactedAt) {
+    if (after < compactedAt || after > revision) {
       sendJson(response, 410, {});
       return;
     }
@@ -91,6 +115,11 @@
     const finish = (): void => {
       waiting.delete(finish);
       clearTimeout(timer);
+      if (mood !== 'good') {
+        response.destroy();
+        return;
+      }
+      response.setHeader(ERA_HEADER, era);
       sendJson(response, 200, { events: newer(), StoreRevision: revision });
     };
     if (newer().length > 0) {
@@ -110,6 +139,7 @@
     if (url.pathname === '/kv-range') calls.range += 1;
     else calls.watch += 1;
     if (mood === 'silent') return;
+    response.setHeader(ERA_HEADER, era);
     if (mood === 'busy') {
       sendJson(response, 503, {});
       return;
@@ -136,5 +166,17 @@
       history = [];
       compactedAt = revision;
     },
+    afterNextPage(task) {
+      afterPage = task;
+    },
+    saveCopy: () => ({ items: new Map(items), history: [...history], revision }),
+    restore(copy) {
+      items.clear();
+      for (const [key, item] of copy.items) items.set(key, item);
+      history = [...copy.history];
+      revision = copy.revision;
+      era += 1;
+      for (const finish of [...waiting]) finish();
+    },
   };
 }
