Follow a store that comes back from an older copy, by era and revision

What operators saw: after a drill a version was in force at one instance and never at its neighbour, for good, and servers that had been announced were never used. A revision was compared as a number wherever it came from. A watch kept the larger of two, the feed of changes told a follower that was ahead of it that nothing was new and passed over revisions that it had had, and the state of a neighbour with a lower revision was refused; pages of one read could be of two lives of the store.

A later era has everything read again by whoever watches; followers are told so by their watcher, and one that is an era behind is passed over as a watcher.

The copy is applied without harm. Routes never go back, and the later era's contents go before others under the same version; one that started with the copy takes the version that its neighbours have in force. Servers and evacuations that the copy lacks hold for 2.5 s, as after an outage. An evacuation that it still holds is in force.

Ruled out: to read all at each reconnect (misses a return between two answers), and to compare contents.

--- a/src/core/calls/create-caller.ts
+++ b/src/core/calls/create-caller.ts
@@ -1,7 +1,7 @@
 import { createDeadlineSignal } from '../clock';
 import type { Clock } from '../clock';
 import { createConnectionPool } from '../exchanges';
-import type { ConnectionPool } from '../exchanges';
+import type { AnswerHead, ConnectionPool } from '../exchanges';
 import type { CallAnswer, Caller, OutgoingCall } from './types';
 
 /** What calls are made with. */
@@ -21,18 +21,24 @@
 const EMPTY = new Uint8Array();
 
 /** Collects one answer as it comes. */
-function collectAnswer() {
+function collectAnswer(wantedHeader: string | undefined) {
   const chunks: Buffer[] = [];
   let status = 0;
+  let header: string | undefined;
   return {
-    onHead(head: { readonly status: number }) {
+    onHead(head: AnswerHead) {
       status = head.status;
+      if (wantedHeader !== undefined) [header] = [head.headers[wantedHeader]].flat();
     },
     // The bytes are only valid during the call.
     onData(chunk: Buffer) {
       chunks.push(Buffer.from(chunk));
     },
-    answer: (): CallAnswer => ({ status, text: Buffer.concat(chunks).toString('utf8') }),
+    answer: (): CallAnswer => ({
+      status,
+      text: Buffer.concat(chunks).toString('utf8'),
+      ...(header === undefined ? {} : { header }),
+    }),
   };
 }
 
@@ -40,7 +46,7 @@
 export function createCaller({ clock, pool }: CallerOptions): Caller {
   const send = (address: string, call: OutgoingCall, signal: AbortSignal): Promise<CallAnswer> =>
     new Promise((resolve, reject) => {
-      const collected = collectAnswer();
+      const collected = collectAnswer(call.wantedHeader);
       const text = call.text ?? '';
       const exchange = pool.send(
         address,
--- a/src/core/calls/types.ts
+++ b/src/core/calls/types.ts
@@ -7,6 +7,8 @@
   readonly text?: string;
   /** Monotonic time after which the call is given up. */
   readonly answerByMs: number;
+  /** Name of one header of the answer that is wanted, in lower case. */
+  readonly wantedHeader?: string;
 }
 
 /** What came back. */
@@ -15,6 +17,8 @@
   readonly text: string;
   /** JSON where nothing is said. */
   readonly contentType?: string;
+  /** Value of the header that was wanted, where the answer has it. */
+  readonly header?: string;
 }
 
 /** Makes calls over kept connections. */
--- a/src/core/clock/index.ts
+++ b/src/core/clock/index.ts
@@ -5,3 +5,5 @@
 export type { DeadlineSignal } from './deadline-signal';
 export { createWakeUp } from './wake-up';
 export type { WakeUp } from './wake-up';
+export { createKeyedTimers } from './keyed-timers';
+export type { KeyedTimers } from './keyed-timers';
--- a/src/core/host-routes/route-table-store.ts
+++ b/src/core/host-routes/route-table-store.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from 'node:util';
 import { createRouteSelector } from './select-route';
 import type { RouteSelector } from './select-route';
 import type { RouteTable } from './types';
@@ -13,6 +14,8 @@
   current(): RoutesInForce | undefined;
   /** Puts a version in force unless it is older than the one that is; says whether it did. */
   offer(table: RouteTable): boolean;
+  /** The same, for a version that was written anew: its contents go before others under the same number. */
+  offerAgain(table: RouteTable): boolean;
 }
 
 /**
@@ -24,12 +27,19 @@
  */
 export function createRouteTableStore(): RouteTableStore {
   let inForce: RoutesInForce | undefined;
+  const putInForce = (table: RouteTable): true => {
+    inForce = { table, selector: createRouteSelector(table) };
+    return true;
+  };
   return {
     current: () => inForce,
-    offer(table) {
-      if (inForce !== undefined && table.version <= inForce.table.version) return false;
-      inForce = { table, selector: createRouteSelector(table) };
-      return true;
+    offer: (table) =>
+      inForce === undefined || table.version > inForce.table.version ? putInForce(table) : false,
+    offerAgain(table) {
+      if (inForce === undefined || table.version > inForce.table.version) return putInForce(table);
+      const isAnother =
+        table.version === inForce.table.version && !isDeepStrictEqual(table, inForce.table);
+      return isAnother ? putInForce(table) : false;
     },
   };
 }
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -149,6 +149,10 @@
       routes,
       servers,
       onRoutes: () => membership.prompt(() => true),
+      latestElsewhere: () =>
+        membership
+          .usablePeers()
+          .reduce((latest, peer) => Math.max(latest, peer.configurationVersion), 0),
       async askPeer(signal) {
         const others = instances.peers();
         const peer = others[Math.floor(random.next() * others.length)];
--- a/src/core/state-relay/answer-watches.ts
+++ b/src/core/state-relay/answer-watches.ts
@@ -2,6 +2,7 @@
 import { createWakeUp } from '../clock';
 import type { Clock } from '../clock';
 import { writeChanges } from '../state-sync';
+import type { Position } from '../state-sync';
 import type { ChangeFeed } from './change-feed';
 
 /** Path on the listener for other instances that tells of changes of what is published. */
@@ -12,7 +13,7 @@
 /** What the answers are made from. */
 export interface AnswerWatchesOptions {
   readonly clock: Clock;
-  readonly feed: Pick<ChangeFeed, 'since' | 'onNews'>;
+  readonly feed: Pick<ChangeFeed, 'since' | 'onNews' | 'era'>;
   /** Monotonic time until which what is known here counts as up to date, without a further answer of the source. */
   readonly freshUntilMs: () => number;
   /** All that is published, as text. */
@@ -29,15 +30,17 @@
 const NOT_FOLLOWING: CallAnswer = { status: UNAVAILABLE, text: '{}' };
 
 interface WatchQuery {
-  readonly after: number;
+  readonly after: Position;
   readonly waitMs: number;
 }
 
 function readQuery({ query }: IncomingCall): WatchQuery | undefined {
-  const after = Number(query.get('after') ?? NaN);
+  const era = Number(query.get('era') ?? NaN);
+  const revision = Number(query.get('after') ?? NaN);
   const waitMs = Number(query.get('waitMs') ?? NaN);
-  if (!Number.isSafeInteger(after) || !Number.isFinite(waitMs)) return undefined;
-  return { after, waitMs: Math.min(LONGEST_WAIT_MS, Math.max(0, waitMs)) };
+  const isPosition = Number.isSafeInteger(era) && Number.isSafeInteger(revision);
+  if (!isPosition || !Number.isFinite(waitMs)) return undefined;
+  return { after: { era, revision }, waitMs: Math.min(LONGEST_WAIT_MS, Math.max(0, waitMs)) };
 }
 
 /**
@@ -51,16 +54,19 @@
   const { clock, feed, freshUntilMs } = options;
   const isFresh = () => clock.monotonicMs() < freshUntilMs();
 
-  const current = (after: number): CallAnswer | undefined => {
-    if (!isFresh()) return NOT_FOLLOWING;
+  /** Whether whoever asks has heard of a return of the source that is not known here yet. */
+  const isBehind = (after: Position) => after.era > (feed.era() ?? -Infinity);
+
+  const current = (after: Position): CallAnswer | undefined => {
+    if (!isFresh() || isBehind(after)) return NOT_FOLLOWING;
     const news = feed.since(after);
     if (news.kind === 'historyGone') return { status: GONE, text: '{}' };
     return news.changes.length === 0 ? undefined : { status: OK, text: writeChanges(news) };
   };
 
-  const nothingNew = (after: number): CallAnswer => ({
+  const nothingNew = (after: Position): CallAnswer => ({
     status: OK,
-    text: writeChanges({ kind: 'changes', revision: after, changes: [] }),
+    text: writeChanges({ kind: 'changes', position: after, changes: [] }),
   });
 
   const watch: CallHandler = async (call) => {
--- a/src/core/state-relay/ask-watcher.ts
+++ b/src/core/state-relay/ask-watcher.ts
@@ -1,7 +1,7 @@
 import type { CallAnswer, Caller } from '../calls';
 import type { Clock } from '../clock';
 import { readChanges, readSnapshot } from '../state-sync';
-import type { PublishedChanges, PublishedState } from '../state-sync';
+import type { Position, PublishedChanges, PublishedState } from '../state-sync';
 import { CHANGES_PATH, FOLLOWED_STATE_PATH } from './answer-watches';
 import type { WatcherFault } from './watcher-doubts';
 
@@ -14,7 +14,7 @@
 export interface WatcherClient {
   watch(
     address: string,
-    after: number,
+    after: Position,
     waitMs: number,
     signal: AbortSignal,
   ): Promise<WatcherAnswer<PublishedChanges>>;
@@ -54,7 +54,7 @@
     watch: (address, after, waitMs, signal) =>
       ask(
         address,
-        `${CHANGES_PATH}?after=${after}&waitMs=${waitMs}`,
+        `${CHANGES_PATH}?era=${after.era}&after=${after.revision}&waitMs=${waitMs}`,
         clock.monotonicMs() + waitMs + WATCH_GRACE_MS,
         signal,
         ({ status, text }): PublishedChanges | undefined => {
--- a/src/core/state-relay/create-relayed-source.ts
+++ b/src/core/state-relay/create-relayed-source.ts
@@ -1,7 +1,7 @@
 import { sleepUntil } from '../clock';
 import type { Clock } from '../clock';
 import type { Logger } from '../events';
-import type { PublishedChanges, PublishedState, StateSource } from '../state-sync';
+import type { Position, PublishedChanges, PublishedState, StateSource } from '../state-sync';
 import type { WatcherAnswer, WatcherClient } from './ask-watcher';
 import { createChangeFeed } from './change-feed';
 import type { ChangeFeed } from './change-feed';
@@ -91,13 +91,24 @@
     return { kind: 'none' };
   };
 
+  /** What a watcher holds; of no use where it has not heard yet of a return of the source that is known here. */
+  const readFrom = async (
+    watcher: RelayInstance,
+    signal: AbortSignal,
+  ): Promise<WatcherAnswer<PublishedState>> => {
+    const answer = await watchers.readAll(watcher.address, signal);
+    const isBehind =
+      answer.kind === 'answered' && answer.value.position.era < (feed.era() ?? -Infinity);
+    return isBehind ? { kind: 'failed', fault: 'notFollowing', reason: 'an era behind' } : answer;
+  };
+
   const noteSourceAnswer = (): void => {
     freshUntilMs = clock.monotonicMs() + FRESH_FOR_MS;
     noteFollowed(undefined);
   };
 
   const watchSource = async (
-    after: number,
+    after: Position,
     waitMs: number,
     signal: AbortSignal,
   ): Promise<PublishedChanges> => {
@@ -127,11 +138,11 @@
     async readAll(signal) {
       // The first read of the source is under way before anything else is known.
       const asked = hasRead
-        ? await askWatchers((watcher) => watchers.readAll(watcher.address, signal))
+        ? await askWatchers((watcher) => readFrom(watcher, signal))
         : ({ kind: 'none' } as const);
       const state = asked.kind === 'answered' ? asked.value : await readSource(signal);
       hasRead = true;
-      feed.restart(state.revision);
+      feed.restart(state.position);
       return state;
     },
     async watch(after, waitMs, signal) {
--- a/src/core/state-relay/relay.test.ts
+++ b/src/core/state-relay/relay.test.ts
@@ -16,6 +16,9 @@
 /** Moments of a watch at which a fault may come, ms after the fleet has settled. */
 const MOMENTS_MS = [0, 150, 400, 650, 900, 1_150];
 
+/** Of a fleet in two domains within two seconds: of each watcher the watch that was cut, a read, and some watches. */
+const MOST_CALLS_AT_A_RETURN = 16;
+
 const watchersOf = (fleet: RelayFleet) =>
   fleet.instances.filter(({ relayed }) => relayed.isWatching());
 
@@ -144,6 +147,66 @@
       await checkChanges(fleet);
     }));
 
+  // The source comes back from an older copy, and its revisions are given out again. Whoever compares them with those of
+  // before passes over what is new, and goes on with old routes for good.
+  for (const momentMs of MOMENTS_MS) {
+    it(`is in force in time after the source came back from an older copy, from ${momentMs} ms on`, () =>
+      withFleet(async (fleet) => {
+        for (let change = 0; change < 6; change += 1) fleet.publish();
+        await fleet.run(1_000 + momentMs);
+        fleet.restore(5);
+        await checkChanges(fleet);
+      }));
+
+    it(`is in force in time after it was away and came back so, from ${momentMs} ms on`, () =>
+      withFleet(async (fleet) => {
+        for (let change = 0; change < 6; change += 1) fleet.publish();
+        await fleet.run(1_000 + momentMs);
+        fleet.setSourceUp(false);
+        await fleet.run(60);
+        fleet.restore(5);
+        for (let change = 0; change < 8; change += 1) fleet.publish();
+        fleet.setSourceUp(true);
+        await checkChanges(fleet);
+      }));
+  }
+
+  it('is in force in time after the source came back from an older copy twice within a second', () =>
+    withFleet(async (fleet) => {
+      for (let change = 0; change < 6; change += 1) fleet.publish();
+      await fleet.run(1_000);
+      fleet.restore(3);
+      await fleet.run(400);
+      fleet.publish();
+      fleet.restore(2);
+      await checkChanges(fleet);
+    }));
+
+  it('is in force in time after a return of the source that the watchers cannot see', () =>
+    withFleet(async (fleet) => {
+      for (let change = 0; change < 6; change += 1) fleet.publish();
+      await fleet.run(1_000);
+      spoilWatchers({ isCutFromSource: true })(fleet);
+      fleet.restore(5);
+      await checkChanges(fleet);
+    }));
+
+  // Were each instance to read everything when the source is back, a fleet of hundreds would ask for hundreds of times all
+  // that it holds, just when it has come back.
+  for (const instancesPerDomain of [4, 15, 150]) {
+    it(`costs ${2 * instancesPerDomain} instances few calls when the source comes back from a copy`, () =>
+      withFleet(async (fleet) => {
+        for (let change = 0; change < 6; change += 1) fleet.publish();
+        await fleet.run(1_000);
+        const before = fleet.sourceCalls();
+        fleet.restore(5);
+        await fleet.run(2_000);
+        const calls = fleet.sourceCalls() - before;
+        assert.ok(calls <= MOST_CALLS_AT_A_RETURN, `${calls} calls`);
+        await checkChanges(fleet);
+      }, instancesPerDomain));
+  }
+
   // Configurations follow one another within fractions of a second. A follower that takes an older one after a newer one
   // serves requests by routes that are gone.
   it('never goes back in a storm of changes', () =>
--- a/src/core/state-sync/changes-message.ts
+++ b/src/core/state-sync/changes-message.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { positionSchema } from './position';
 import { fromMessageItem, itemSchema, toMessageItem } from './snapshot-message';
 import type { PublishedChange, PublishedChanges } from './types';
 
@@ -17,7 +18,7 @@
   }),
 ]);
 
-const changesSchema = z.object({ revision, changes: z.array(changeSchema) });
+const changesSchema = z.object({ position: positionSchema, changes: z.array(changeSchema) });
 
 function fromMessage(change: z.output<typeof changeSchema>): PublishedChange {
   switch (change.kind) {
@@ -39,11 +40,11 @@
 
 /** Changes as text. */
 export function writeChanges(news: Extract<PublishedChanges, { kind: 'changes' }>): string {
-  return JSON.stringify({ revision: news.revision, changes: news.changes.map(toMessage) });
+  return JSON.stringify({ position: news.position, changes: news.changes.map(toMessage) });
 }
 
 /** Changes from text; throws where they are none. */
 export function readChanges(text: string): PublishedChanges {
   const news = changesSchema.parse(JSON.parse(text));
-  return { kind: 'changes', revision: news.revision, changes: news.changes.map(fromMessage) };
+  return { kind: 'changes', position: news.position, changes: news.changes.map(fromMessage) };
 }
--- a/src/core/state-sync/create-state-sync.ts
+++ b/src/core/state-sync/create-state-sync.ts
@@ -1,15 +1,21 @@
-import { sleepUntil } from '../clock';
+import { createKeyedTimers, sleepUntil } from '../clock';
 import type { Clock } from '../clock';
 import { errorText } from '../errors';
 import type { Logger } from '../events';
 import type { RouteTableStore } from '../host-routes';
 import type { RandomSource } from '../random';
 import type { ServerRegistry } from '../server-registry';
+import { createDoubtedEntries } from './doubted-entries';
 import { STATE_SYNC_EVENTS } from './events';
+import { createLaterRoutes } from './later-routes';
+import { isLater } from './position';
+import type { Position } from './position';
 import type {
   PublishedChange,
   PublishedItem,
   PublishedState,
+  RoutesItem,
+  ServerItem,
   StateSource,
   UnreadableItem,
 } from './types';
@@ -26,6 +32,8 @@
   readonly onRoutes?: () => void;
   /** What another instance has, when the source does not answer; undefined when it does not answer. Never rejects. */
   readonly askPeer: (signal: AbortSignal) => Promise<PublishedState | undefined>;
+  /** Highest version of the routes that another instance has in force, as far as is known; 0 for none. */
+  readonly latestElsewhere: () => number;
 }
 
 /** A copy of what is published, kept up to date by a watch. */
@@ -60,7 +68,8 @@
  */
 const REAPPEAR_WITHIN_MS = 2_500;
 
-type ServerItem = PublishedItem & { readonly kind: 'server' };
+/** Position of whoever has read nothing. */
+const NOWHERE: Position = { era: 0, revision: 0 };
 
 /** A copy that holds nothing yet. */
 export function createStateSync(options: StateSyncOptions): StateSync {
@@ -68,26 +77,36 @@
   const stopping = new AbortController();
   const tables = new Map<number, PublishedItem>();
   const announcements = new Map<string, ServerItem>();
-  let revision: number | undefined;
+  let position: Position | undefined;
   let failures = 0;
   let lastAnswerAtMs = -Infinity;
   let followedSinceMs: number | undefined;
   let regainedAtMs = -Infinity;
+  /** When the source was first heard after it came back from an older copy, monotonic ms. */
+  let restoredAtMs = -Infinity;
   let isAskingPeer = false;
+  /** What was read last, whether it still holds or not. */
+  let lastRead: Position | undefined;
+  /** Era in which the routes in force were written. */
+  let routesEra = 0;
   /** Timers of removals that wait for the server to come back, by server. */
-  const deferred = new Map<string, Disposable>();
+  const deferred = createKeyedTimers(clock);
+  /** Timers of evacuations that wait to be published again, by failure domain. */
+  const endingEvacuations = createKeyedTimers(clock);
   let task: Promise<void> = Promise.resolve();
 
-  const putServer = (item: ServerItem): void => {
+  const doubted = createDoubtedEntries(clock, putServer);
+
+  function putServer(item: ServerItem): void {
     const { announcement } = item;
+    doubted.drop(announcement.serverId);
     const before = servers.get(announcement.serverId);
     servers.put(announcement, clock.monotonicMs());
     const after = servers.get(announcement.serverId);
     const isOfEarlierStart = after?.startedAtUnixMs !== announcement.startedAtUnixMs;
     if (isOfEarlierStart) return;
     announcements.set(announcement.serverId, item);
-    deferred.get(announcement.serverId)?.[Symbol.dispose]();
-    deferred.delete(announcement.serverId);
+    deferred.cancel(announcement.serverId);
     const wasCold = (before?.coldUntilMs ?? 0) > clock.monotonicMs();
     const isNews =
       before?.incarnationId !== after?.incarnationId ||
@@ -98,25 +117,38 @@
     const state = isDraining ? 'draining' : 'ready';
     const fields = { server: after?.incarnationId ?? serverId, service, address, state, coldForMs };
     logger.event(STATE_SYNC_EVENTS.serverChanged, fields);
-  };
+  }
 
   const setEvacuated = (failureDomain: string, isEvacuated: boolean): void => {
+    endingEvacuations.cancel(failureDomain);
     if (servers.evacuated().includes(failureDomain) === isEvacuated) return;
     servers.setEvacuated(failureDomain, isEvacuated, clock.monotonicMs());
     logger.event(STATE_SYNC_EVENTS.evacuationChanged, { failureDomain, isEvacuated });
   };
 
-  const put = (item: PublishedItem): void => {
+  /** What is written in a later era goes before what stood under the same version in one that is lost. */
+  const putRoutes = (item: RoutesItem, era: number): void => {
+    const { table } = item;
+    const inForce = routes.current()?.table.version;
+    if (inForce !== undefined && table.version < inForce) {
+      logger.event(STATE_SYNC_EVENTS.olderRoutesPassedOver, { version: table.version, inForce });
+    }
+    const isOffered = era > routesEra ? routes.offerAgain(table) : routes.offer(table);
+    if (!isOffered) return;
+    routesEra = era;
+    tables.clear();
+    tables.set(table.version, item);
+    logger.event(STATE_SYNC_EVENTS.routesInForce, {
+      version: table.version,
+      routes: table.routes.length,
+    });
+    options.onRoutes?.();
+  };
+
+  const put = (item: PublishedItem, era: number): void => {
     switch (item.kind) {
       case 'routes':
-        if (!routes.offer(item.table)) return;
-        tables.clear();
-        tables.set(item.table.version, item);
-        logger.event(STATE_SYNC_EVENTS.routesInForce, {
-          version: item.table.version,
-          routes: item.table.routes.length,
-        });
-        options.onRoutes?.();
+        putRoutes(item, era);
         return;
       case 'server':
         putServer(item);
@@ -133,6 +165,7 @@
     if (servers.get(serverId) === undefined) return;
     servers.remove(serverId);
     announcements.delete(serverId);
+    doubted.noteGone(serverId);
     logger.event(STATE_SYNC_EVENTS.serverChanged, { server: serverId, state: 'gone' });
   };
 
@@ -157,20 +190,18 @@
       removeServer(serverId);
       return;
     }
-    deferred.get(serverId)?.[Symbol.dispose]();
-    const timer = clock.schedule(sureAtMs, () => {
-      deferred.delete(serverId);
+    deferred.set(serverId, sureAtMs, () => {
       if (announcements.get(serverId) === goneItem) removeServer(serverId);
     });
-    deferred.set(serverId, timer);
   };
 
-  const apply = (change: PublishedChange): void => {
+  const apply = (change: PublishedChange, era: number): void => {
     switch (change.kind) {
       case 'put':
-        put(change.item);
+        put(change.item, era);
         return;
       case 'serverGone':
+        doubted.noteGone(change.serverId);
         removeWhenSure(change.serverId);
         return;
       case 'evacuationEnded':
@@ -184,14 +215,32 @@
     }
   };
 
+  /**
+   * An evacuation that an older copy does not hold is published again within the time in which servers are back. Ended
+   * meanwhile, it would let requests in where operators are at work.
+   */
+  const endEvacuationWhenSure = (failureDomain: string): void => {
+    const sureAtMs = restoredAtMs + REAPPEAR_WITHIN_MS;
+    if (clock.monotonicMs() >= sureAtMs) {
+      setEvacuated(failureDomain, false);
+      return;
+    }
+    endingEvacuations.set(failureDomain, sureAtMs, () => setEvacuated(failureDomain, false));
+  };
+
   const applyAll = (state: PublishedState): void => {
+    const { era } = state.position;
+    const isOlderCopy = lastRead !== undefined && era > lastRead.era;
     for (const item of state.unreadable) noteUnreadable(item);
-    for (const item of state.items) put(item);
+    for (const item of state.items) {
+      const isHeld = isOlderCopy && item.kind === 'server' && doubted.hold(item);
+      if (!isHeld) put(item, era);
+    }
     const evacuated = new Set(
       state.items.flatMap((item) => (item.kind === 'evacuation' ? [item.failureDomain] : [])),
     );
     for (const domain of servers.evacuated()) {
-      if (!evacuated.has(domain)) setEvacuated(domain, false);
+      if (!evacuated.has(domain)) endEvacuationWhenSure(domain);
     }
   };
 
@@ -212,25 +261,50 @@
     followedSinceMs ??= clock.monotonicMs();
   };
 
+  /** The source has come back from an older copy where the era is a later one. */
+  const noteEra = (after: Position): void => {
+    if (lastRead === undefined || after.era <= lastRead.era) return;
+    regainedAtMs = clock.monotonicMs();
+    restoredAtMs = regainedAtMs;
+    logger.event(STATE_SYNC_EVENTS.sourceRestored, {
+      era: after.era,
+      revision: after.revision,
+      eraBefore: lastRead.era,
+      revisionBefore: lastRead.revision,
+    });
+  };
+
   const readAgain = async (): Promise<void> => {
     const state = await source.readAll(stopping.signal);
     noteAnswer();
+    noteEra(state.position);
     applyAll(state);
     removeMissing(state);
-    revision = state.revision;
+    position = state.position;
+    lastRead = position;
   };
 
-  const watchOnce = async (after: number): Promise<void> => {
+  const laterRoutes = createLaterRoutes({
+    clock,
+    routes,
+    latestElsewhere: options.latestElsewhere,
+    askPeer: () => options.askPeer(stopping.signal),
+    take: (item) => putRoutes(item, routesEra),
+  });
+
+  const watchOnce = async (after: Position): Promise<void> => {
     const waitMs = failures === 0 ? WATCH_WAIT_MS : DOUBT_WAIT_MS;
     const news = await source.watch(after, waitMs, stopping.signal);
     noteAnswer();
     if (news.kind === 'historyGone') {
-      revision = undefined;
+      position = undefined;
       followedSinceMs = undefined;
       return;
     }
-    for (const change of news.changes) apply(change);
-    revision = Math.max(after, news.revision);
+    for (const change of news.changes) apply(change, news.position.era);
+    position = news.position;
+    lastRead = position;
+    laterRoutes.look();
   };
 
   /**
@@ -243,9 +317,10 @@
     const state = await options.askPeer(stopping.signal);
     isAskingPeer = false;
     if (state === undefined || failures === 0) return;
-    if (revision !== undefined && state.revision <= revision) return;
+    if (position !== undefined && !isLater(state.position, position)) return;
+    noteEra(state.position);
     applyAll(state);
-    logger.event(STATE_SYNC_EVENTS.takenFromPeer, { revision: state.revision });
+    logger.event(STATE_SYNC_EVENTS.takenFromPeer, { ...state.position });
   };
 
   const noteFailure = async (error: unknown): Promise<void> => {
@@ -264,8 +339,8 @@
   const run = async (): Promise<void> => {
     while (!stopping.signal.aborted) {
       try {
-        if (revision === undefined) await readAgain();
-        else await watchOnce(revision);
+        if (position === undefined) await readAgain();
+        else await watchOnce(position);
       } catch (error) {
         if (!stopping.signal.aborted) await noteFailure(error);
       }
@@ -291,10 +366,11 @@
       task = run();
     },
     snapshot: () => ({
-      revision: revision ?? 0,
+      position: position ?? NOWHERE,
       items: [
         ...tables.values(),
         ...listedAnnouncements().map(asOfNow),
+        ...doubted.items(),
         ...servers.evacuated().map((failureDomain) => ({
           kind: 'evacuation' as const,
           failureDomain,
@@ -308,7 +384,9 @@
     },
     async [Symbol.asyncDispose]() {
       stopping.abort();
-      for (const timer of deferred.values()) timer[Symbol.dispose]();
+      deferred[Symbol.dispose]();
+      endingEvacuations[Symbol.dispose]();
+      doubted[Symbol.dispose]();
       await task;
     },
   };
--- a/src/core/state-sync/events.ts
+++ b/src/core/state-sync/events.ts
@@ -51,6 +51,21 @@
     text: 'Published state was taken over from another instance.',
     action: 'Nothing.',
   },
+  sourceRestored: {
+    id: 4009,
+    name: 'state-source-restored',
+    level: 'warn',
+    text: 'The source of published state has come back from an older copy; everything was read again.',
+    action:
+      'Publish again what was published since that copy; until then what instances hold stays in force.',
+  },
+  olderRoutesPassedOver: {
+    id: 4010,
+    name: 'older-routes-passed-over',
+    level: 'info',
+    text: 'The source holds an older version of the routes than the one in force, which stays.',
+    action: 'Publish the newer version again if the source has come back from an older copy.',
+  },
   peerUnavailable: {
     id: 4008,
     name: 'peer-state-unavailable',
--- a/src/core/state-sync/index.ts
+++ b/src/core/state-sync/index.ts
@@ -2,6 +2,8 @@
 export { createStateSync } from './create-state-sync';
 export type { StateSync, StateSyncOptions } from './create-state-sync';
 export { STATE_SYNC_EVENTS } from './events';
+export { isLater } from './position';
+export type { Position } from './position';
 export { readChanges, writeChanges } from './changes-message';
 export { readSnapshot, writeSnapshot } from './snapshot-message';
 export type {
--- a/src/core/state-sync/snapshot-message.ts
+++ b/src/core/state-sync/snapshot-message.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
 import type { RoutedService } from '../host-routes';
+import { positionSchema } from './position';
 import type { PublishedItem, PublishedState } from './types';
 
 /** All that one instance holds of published state, as it hands it to another. */
@@ -61,7 +62,7 @@
   z.object({ kind: z.literal('evacuation'), failureDomain: z.string() }),
 ]);
 
-const snapshotSchema = z.object({ revision: z.number(), items: z.array(itemSchema) });
+const snapshotSchema = z.object({ position: positionSchema, items: z.array(itemSchema) });
 
 type SnapshotItem = z.input<typeof itemSchema>;
 
@@ -113,11 +114,11 @@
 
 /** A snapshot as text. */
 export function writeSnapshot(state: PublishedState): string {
-  return JSON.stringify({ revision: state.revision, items: state.items.map(toMessageItem) });
+  return JSON.stringify({ position: state.position, items: state.items.map(toMessageItem) });
 }
 
 /** A snapshot from text; throws where it is none. */
 export function readSnapshot(text: string): PublishedState {
-  const { revision, items } = snapshotSchema.parse(JSON.parse(text));
-  return { revision, items: items.map(fromMessageItem), unreadable: [] };
+  const { position, items } = snapshotSchema.parse(JSON.parse(text));
+  return { position, items: items.map(fromMessageItem), unreadable: [] };
 }
--- a/src/core/state-sync/state-sync.test.ts
+++ b/src/core/state-sync/state-sync.test.ts
@@ -7,6 +7,7 @@
 import { createFakeClock, createMemoryLogger } from '../../testing';
 import { STATE_SYNC_EVENTS, createStateSync, readSnapshot, writeSnapshot } from '.';
 import type {
+  Position,
   PublishedChange,
   PublishedChanges,
   PublishedItem,
@@ -68,14 +69,18 @@
   return { source, waitsMs };
 }
 
-function state(revision: number, items: readonly PublishedItem[]): PublishedState {
-  return { revision, items, unreadable: [] };
+function at(revision: number, era = 1): Position {
+  return { era, revision };
+}
+
+function state(revision: number, items: readonly PublishedItem[], era?: number): PublishedState {
+  return { position: at(revision, era), items, unreadable: [] };
 }
 
 function changes(revision: number, gone: readonly string[]): PublishedChanges {
   return {
     kind: 'changes',
-    revision,
+    position: at(revision),
     changes: gone.map((serverId) => ({ kind: 'serverGone' as const, serverId, revision })),
   };
 }
@@ -90,7 +95,7 @@
       changes(9, ['back', 'gone']),
       {
         kind: 'changes',
-        revision: 10,
+        position: at(10),
         changes: [{ kind: 'put', revision: 10, item: server('back') }],
       },
     ],
@@ -100,6 +105,7 @@
 function setUp(
   source: StateSource,
   askPeer: () => Promise<PublishedState | undefined> = async () => undefined,
+  latestElsewhere = 0,
 ) {
   const clock = createFakeClock();
   const logger = createMemoryLogger();
@@ -113,6 +119,7 @@
     routes: table,
     random: { next: () => 0 },
     askPeer,
+    latestElsewhere: () => latestElsewhere,
   });
   return { clock, logger, table, servers, sync };
 }
@@ -149,7 +156,7 @@
     it(`goes by ${name}`, async () => {
       const { source } = createSource(
         [state(5, [server('s-1')])],
-        [{ kind: 'changes', revision: 7, changes: inOrder }],
+        [{ kind: 'changes', position: at(7), changes: inOrder }],
       );
       const { clock, servers, sync } = setUp(source);
       sync.start();
@@ -165,7 +172,7 @@
       [
         state(5, [server('s-1'), server('s-2')]),
         {
-          revision: 9,
+          position: at(9),
           items: [server('s-2')],
           unreadable: [{ key: 'servers/s-1', serverId: 's-1', reason: 'no JSON' }],
         },
@@ -213,7 +220,7 @@
         { kind: 'historyGone' },
         {
           kind: 'changes',
-          revision: 10,
+          position: at(10),
           changes: [{ kind: 'put', revision: 10, item: routes(8) }],
         },
       ],
@@ -248,7 +255,7 @@
   it('does not wait for an instance that does not answer', async () => {
     const put: PublishedChanges = {
       kind: 'changes',
-      revision: 6,
+      position: at(6),
       changes: [{ kind: 'put', revision: 10, item: routes(8) }],
     };
     const { source } = createSource([state(5, [routes(3)])], ['fails', put]);
--- a/src/core/state-sync/types.ts
+++ b/src/core/state-sync/types.ts
@@ -1,5 +1,6 @@
 import type { RouteTable } from '../host-routes';
 import type { ServerAnnouncement } from '../server-registry';
+import type { Position } from './position';
 
 /** One piece of what operators and backend servers publish. */
 export type PublishedItem =
@@ -7,6 +8,12 @@
   | { readonly kind: 'server'; readonly announcement: ServerAnnouncement }
   | { readonly kind: 'evacuation'; readonly failureDomain: string };
 
+/** An item that holds routes. */
+export type RoutesItem = PublishedItem & { readonly kind: 'routes' };
+
+/** An item that tells of a server. */
+export type ServerItem = PublishedItem & { readonly kind: 'server' };
+
 /** What a change does. */
 export type PublishedEffect =
   | { readonly kind: 'put'; readonly item: PublishedItem }
@@ -15,7 +22,7 @@
   /** It stands among the others in the order in which they were made, since it ends what stood there before. */
   | { readonly kind: 'unreadable'; readonly item: UnreadableItem };
 
-/** One change of what is published, and the revision that it made. */
+/** One change of what is published, and the revision that it made in the era of the answer that holds it. */
 export type PublishedChange = PublishedEffect & { readonly revision: number };
 
 /** An item that could not be read: it is logged, and names no server to use. */
@@ -26,27 +33,27 @@
   readonly reason: string;
 }
 
-/** All that is published, as of `revision` or a little later. */
+/** All that is published, as of `position` or a little later. */
 export interface PublishedState {
-  readonly revision: number;
+  readonly position: Position;
   readonly items: readonly PublishedItem[];
   readonly unreadable: readonly UnreadableItem[];
 }
 
-/** Changes after a revision. */
+/** Changes after a position. */
 export type PublishedChanges =
   | {
       readonly kind: 'changes';
-      readonly revision: number;
+      readonly position: Position;
       readonly changes: readonly PublishedChange[];
     }
-  /** The history that was asked for is no longer kept; everything has to be read again. */
+  /** The history that was asked for is not kept, or is of an era before; everything has to be read again. */
   | { readonly kind: 'historyGone' };
 
 /** The read-only source of published state. Calls reject when it does not answer or refuses. */
 export interface StateSource {
   /** Everything that is published. */
   readAll(signal: AbortSignal): Promise<PublishedState>;
-  /** Changes after `revision`, as soon as there is one, or none after `waitMs`. */
-  watch(revision: number, waitMs: number, signal: AbortSignal): Promise<PublishedChanges>;
+  /** Changes after `position`, as soon as there is one, or none after `waitMs`. */
+  watch(position: Position, waitMs: number, signal: AbortSignal): Promise<PublishedChanges>;
 }
--- a/src/testing/relay-fleet.ts
+++ b/src/testing/relay-fleet.ts
@@ -58,6 +58,8 @@
   publish(): number;
   /** The source drops its history. */
   forgetHistory(): void;
+  /** The source comes back from a copy that lacks the latest changes; their revisions are given out again. */
+  restore(changesLost: number): void;
   /** Whether the source answers anybody. */
   setSourceUp(isUp: boolean): void;
   /** Instances that are held to be dead by all others. */
@@ -85,7 +87,9 @@
 }
 
 function createFakeSource(clock: FakeClock) {
+  let era = 1;
   let revision = 1;
+  let version = 0;
   let forgottenUpTo = 0;
   let isUp = true;
   let calls = 0;
@@ -123,24 +127,26 @@
     return {
       async readAll() {
         await reach(0);
-        const version = history.length;
+        const latest = history.at(-1);
         return {
-          revision,
-          items: version === 0 ? [] : [{ kind: 'routes', table: routes(version) }],
+          position: { era, revision },
+          items: latest?.kind === 'put' ? [latest.item] : [],
           unreadable: [],
         };
       },
       async watch(after, waitMs) {
         await reach(waitMs);
-        if (after < forgottenUpTo) return { kind: 'historyGone' };
+        const isOfThisEra = () => after.era === era;
+        if (!isOfThisEra() || after.revision < forgottenUpTo) return { kind: 'historyGone' };
         const untilMs = clock.monotonicMs() + waitMs;
-        await waitForNews(after, untilMs);
+        await waitForNews(after.revision, untilMs);
         const isLost = !isUp || faults.isCutFromSource || faults.isSilent || faults.hearsNobody;
         if (isLost) {
           await sleepUntil(clock, untilMs + SOURCE_GRACE_MS);
           throw new Error('no answer');
         }
-        return { kind: 'changes', revision, changes: newer(after) };
+        if (!isOfThisEra()) return { kind: 'historyGone' };
+        return { kind: 'changes', position: { era, revision }, changes: newer(after.revision) };
       },
     };
   };
@@ -150,7 +156,7 @@
     calls: () => calls,
     publish(): number {
       revision += 1;
-      const version = history.length + 1;
+      version += 1;
       history.push({ kind: 'put', revision, item: { kind: 'routes', table: routes(version) } });
       for (const wake of [...waiting]) wake();
       return version;
@@ -158,6 +164,12 @@
     forgetHistory() {
       forgottenUpTo = revision;
     },
+    restore(changesLost: number) {
+      era += 1;
+      revision -= changesLost;
+      history.splice(history.length - changesLost);
+      for (const wake of [...waiting]) wake();
+    },
     setUp(next: boolean) {
       isUp = next;
     },
@@ -242,6 +254,7 @@
         highest = Math.max(highest, version());
       },
       askPeer: async () => undefined,
+      latestElsewhere: () => 0,
     });
     const handlers = answerWatches({
       clock,
@@ -269,6 +282,7 @@
     sourceCalls: source.calls,
     publish: source.publish,
     forgetHistory: source.forgetHistory,
+    restore: source.restore,
     setSourceUp: source.setUp,
     setDead(ids) {
       dead = new Set(ids);
