Draw returns of the store from an older copy in the soak, and check versions by the logs

The soak's store saves a copy each second, and a new fault brings it back from one of some four seconds before: away for up to a second, then operators and servers write again what is lost. Two promises more, by the logs of the instances: no version of the routes goes back within a life of a process, and the last one is in force everywhere when all is over.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -2,7 +2,7 @@
 import { TEST_CONFIGURATION } from '../platform/testing/gateway';
 import { pickIndex } from '../src/core/random';
 import type { RandomSource } from '../src/core/random';
-import type { StoreStandIn } from '../standins/published-store';
+import type { StoreCopy, StoreStandIn } from '../standins/published-store';
 import type { SoakInstances } from './instances';
 import type { SoakServers } from './servers';
 
@@ -13,7 +13,7 @@
   | { readonly kind: 'cutFromStore'; readonly instance: number; readonly forMs: number }
   | { readonly kind: 'silenceStore' | 'resetStore'; readonly instance: number }
   | { readonly kind: 'delayStore'; readonly instance: number; readonly forMs: number }
-  | { readonly kind: 'storeBusy' | 'storeSilent'; readonly forMs: number }
+  | { readonly kind: 'storeBusy' | 'storeSilent' | 'storeRestored'; readonly forMs: number }
   | { readonly kind: 'forgetHistory' | 'changeRoutes' }
   | { readonly kind: 'replaceServer' | 'restartServer' | 'damageEntry'; readonly server: number };
 
@@ -35,10 +35,13 @@
   'replaceServer',
   'restartServer',
   'damageEntry',
+  'storeRestored',
 ];
 const SHORTEST_MS = 300;
 const LONGEST_MS = 4_000;
 const DELAY_MS = 400;
+/** Time after the store's return from an older copy in which all is written again, ms. */
+const WRITTEN_AGAIN_AFTER_MS = 1_000;
 
 /** Draws a fault. */
 export function drawFault(random: RandomSource, instances: number, servers: number): Fault {
@@ -59,6 +62,7 @@
       return { kind, instance, forMs };
     case 'storeBusy':
     case 'storeSilent':
+    case 'storeRestored':
       return { kind, forMs };
     case 'forgetHistory':
     case 'changeRoutes':
@@ -79,6 +83,10 @@
   readonly servers: SoakServers;
   /** Publishes the next version of the routes. */
   readonly changeRoutes: () => void;
+  /** Publishes again what an older copy may lack. */
+  readonly publishAgain: () => void;
+  /** What the store held some seconds ago. */
+  readonly oldestCopy: () => StoreCopy;
 }
 
 /** The routes under test, in a version. */
@@ -126,6 +134,14 @@
       await sleep(fault.forMs);
       store.setMood('good');
       return;
+    case 'storeRestored':
+      store.setMood('busy');
+      store.restore(targets.oldestCopy());
+      await sleep(fault.forMs / 4);
+      store.setMood('good');
+      await sleep(WRITTEN_AGAIN_AFTER_MS);
+      targets.publishAgain();
+      return;
     case 'forgetHistory':
       store.compact();
       return;
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -3,10 +3,12 @@
 import { createDisposableStore } from '../src/core/lifetime';
 import { createSeededRandom } from '../src/core/random';
 import { openStoreStandIn } from '../standins/published-store';
+import type { StoreCopy } from '../standins/published-store';
 import { startCallers } from './callers';
 import { bringAbout, configurationOf, drawFault } from './faults';
 import { startSoakInstances } from './instances';
 import { checkPromises } from './promises';
+import { checkVersions } from './routes-in-force';
 import { openSoakServers } from './servers';
 import type { BrokenPromise, CallerAttempt, SoakOptions, SoakReport } from './types';
 
@@ -17,6 +19,9 @@
 const SETTLING_MS = 3_000;
 /** Mean rest between two faults, ms; they last longer than that, so that they overlap. */
 const FAULT_REST_MS = 700;
+/** The store comes back from a copy of some seconds before. */
+const COPY_EVERY_MS = 1_000;
+const MOST_COPIES = 4;
 /** Time after the last fault in which all is to be well again, ms. */
 const RECOVERY_MS = 12_000;
 /** Time in which callers are looked at after that, ms. */
@@ -65,7 +70,23 @@
       ),
       restMs: CALLER_REST_MS,
     });
-    const targets = { store, instances, servers, changeRoutes };
+    const copies: StoreCopy[] = [];
+    const saving = setInterval(() => {
+      copies.push(store.saveCopy());
+      if (copies.length > MOST_COPIES) copies.shift();
+    }, COPY_EVERY_MS);
+    owned.add({ [Symbol.dispose]: () => clearInterval(saving) });
+    const targets = {
+      store,
+      instances,
+      servers,
+      changeRoutes,
+      publishAgain() {
+        store.put('op/config', configurationOf(version));
+        servers.publishAgain();
+      },
+      oldestCopy: () => copies[0] ?? store.saveCopy(),
+    };
     const underWay: Promise<void>[] = [];
     const untilMs = performance.now() + seconds * 1_000;
     while (performance.now() < untilMs) {
@@ -73,6 +94,8 @@
       await sleep(FAULT_REST_MS * 2 * faultRandom.next());
     }
     await Promise.all(underWay);
+    clearInterval(saving);
+    targets.publishAgain();
     await sleep(RECOVERY_MS);
     const before = callers.attempts.length;
     await sleep(LOOK_MS);
@@ -89,6 +112,7 @@
       broken: [
         ...checkPromises(attempts, servers.runs),
         ...checkServedAgain(attempts.slice(before)),
+        ...checkVersions(logFolder, options.instances, version),
       ],
     };
   } finally {
--- a/soak/servers.ts
+++ b/soak/servers.ts
@@ -22,6 +22,8 @@
   startAgain(index: number): Promise<void>;
   /** Somebody overwrites the server's entry with bytes that mean nothing, until it writes again. */
   damageEntry(index: number): void;
+  /** All write again what the store may have lost, and what is left of others is removed. */
+  publishAgain(): void;
 }
 
 interface Standing {
@@ -49,6 +51,8 @@
   const runs: ServerRun[] = [];
   const standing: Standing[] = [];
   const leaving = new Set<Promise<void>>();
+  /** Ids of all servers that ever were. */
+  const started = new Set<string>();
   let nextNumber = 1;
 
   const createScript = (serverId: string): ServerScript => {
@@ -99,6 +103,7 @@
   const start = async (index: number, serverId: string): Promise<void> => {
     const server = await openAnnouncedServer(createScript(serverId));
     standing[index] = { server, serverId, bornUnixMs: Date.now() };
+    started.add(serverId);
     announce(index);
   };
 
@@ -133,6 +138,12 @@
       await old.server[Symbol.asyncDispose]();
       await start(index, old.serverId);
     },
+    publishAgain() {
+      standing.forEach((_, index) => announce(index));
+      // Entries of servers that have gone lapse.
+      const alive = new Set(standing.map(({ serverId }) => serverId));
+      for (const serverId of started) if (!alive.has(serverId)) store.remove(`servers/${serverId}`);
+    },
     damageEntry(index) {
       const { serverId } = standing[index] ?? {};
       if (serverId === undefined) return;
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -27,7 +27,9 @@
     | 'wrongAnswer'
     | 'tornStream'
     | 'tooManyServers'
-    | 'notServedAgain';
+    | 'notServedAgain'
+    | 'routesWentBack'
+    | 'routesBehind';
   readonly requestId: string;
   readonly detail: string;
 }
