Ask for later routes only where an instance does not get on by itself

In a series of versions each instance is a step behind some other one all the time, and would have asked another one for all that it holds with each change after the first 1.5 s. Time behind now begins anew with each version that comes into force. Found in reading the change; the test fails before (a series of versions one after the other) and passes now.

--- a/src/core/state-sync/later-routes.ts
+++ b/src/core/state-sync/later-routes.ts
@@ -30,7 +30,8 @@
  */
 export function createLaterRoutes(options: LaterRoutesOptions): LaterRoutes {
   const { clock, routes } = options;
-  let behindSinceMs: number | undefined;
+  /** Version that was in force here, and since when another instance has had a later one. */
+  let behind: { readonly inForce: number; readonly sinceMs: number } | undefined;
   let isAsking = false;
 
   const ask = async (): Promise<void> => {
@@ -45,11 +46,12 @@
       const nowMs = clock.monotonicMs();
       const inForce = routes.current()?.table.version ?? 0;
       if (options.latestElsewhere() <= inForce) {
-        behindSinceMs = undefined;
+        behind = undefined;
         return;
       }
-      behindSinceMs ??= nowMs;
-      if (nowMs - behindSinceMs >= BEHIND_FOR_MS && !isAsking) void ask();
+      // Whoever gets on is only a step behind, as in a series of versions.
+      if (behind?.inForce !== inForce) behind = { inForce, sinceMs: nowMs };
+      if (nowMs - behind.sinceMs >= BEHIND_FOR_MS && !isAsking) void ask();
     },
   };
 }
