--- a/src/core/state-sync/restored-source.test.ts
+++ b/src/core/state-sync/restored-source.test.ts
@@ -1,10 +1,9 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { createRouteTableStore } from '../host-routes';
-import type { RouteTable } from '../host-routes';
 import { createServerRegistry } from '../server-registry';
-import type { ServerAnnouncement } from '../server-registry';
 import { createFakeClock, createMemoryLogger } from '../../testing';
+import { routesItem, serverItem } from './testing/published-items';
 import { STATE_SYNC_EVENTS, createStateSync } from '.';
 import type {
   Position,
@@ -21,32 +20,6 @@
 /** A little more than the time in which servers are back. */
 const SURE_MS = 2_600;
 
-function server(serverId: string, more: Partial<ServerAnnouncement> = {}): PublishedItem {
-  const announcement = {
-    serverId,
-    startedAtUnixMs: undefined,
-    service: 'app',
-    address: '10.0.0.1:80',
-    failureDomain: 'north-a',
-    slots: 8,
-    isDraining: false,
-    coldForMs: 0,
-    goneInMs: undefined,
-    ...more,
-  };
-  return { kind: 'server', announcement };
-}
-
-function routes(version: number, timeoutMs = 1_000): PublishedItem {
-  const table: RouteTable = {
-    version,
-    routes: [],
-    services: new Map(),
-    limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: timeoutMs, idleTimeoutMs: 1 },
-  };
-  return { kind: 'routes', table };
-}
-
 const EVACUATION: PublishedItem = { kind: 'evacuation', failureDomain: 'south-a' };
 
 const state = (position: Position, items: readonly PublishedItem[]): PublishedState => ({
@@ -132,7 +105,7 @@
 /** Guards against routes that go back, or stay behind for good, when the source comes back from an older copy. */
 describe('routes, when the source comes back from an older copy', () => {
   it('stay as they are in force, and the older version is logged', async () => {
-    const played = play({ before: [routes(5)], copy: [routes(4)] });
+    const played = play({ before: [routesItem(5)], copy: [routesItem(4)] });
     await played.run(100);
     assert.equal(played.version(), 5);
     assert.equal(played.logger.of(STATE_SYNC_EVENTS.olderRoutesPassedOver).length, 1);
@@ -144,14 +117,19 @@
   });
 
   const writtenAgain = [
-    { name: 'the next version', item: routes(6, 7), version: 6, timeoutMs: 7 },
-    { name: 'the same version with other contents', item: routes(5, 8), version: 5, timeoutMs: 8 },
-    { name: 'the same version as it was', item: routes(5), version: 5, timeoutMs: 1_000 },
+    { name: 'the next version', item: routesItem(6, 7), version: 6, timeoutMs: 7 },
+    {
+      name: 'the same version with other contents',
+      item: routesItem(5, 8),
+      version: 5,
+      timeoutMs: 8,
+    },
+    { name: 'the same version as it was', item: routesItem(5), version: 5, timeoutMs: 1_000 },
   ];
   for (const { name, item, version, timeoutMs } of writtenAgain) {
     it(`are those of ${name} once it is written`, async () => {
       const written = [{ afterMs: 300, change: put(item) }];
-      const played = play({ before: [routes(5)], copy: [routes(4)], written });
+      const played = play({ before: [routesItem(5)], copy: [routesItem(4)], written });
       await played.run(500);
       assert.equal(played.version(), version);
       assert.equal(played.headerTimeoutMs(), timeoutMs);
@@ -159,8 +137,13 @@
   }
 
   it('are taken from another instance where one has started with the copy', async () => {
-    const elsewhere = state(BEFORE, [routes(5)]);
-    const played = play({ before: [routes(4)], copy: [routes(4)], latestElsewhere: 5, elsewhere });
+    const elsewhere = state(BEFORE, [routesItem(5)]);
+    const played = play({
+      before: [routesItem(4)],
+      copy: [routesItem(4)],
+      latestElsewhere: 5,
+      elsewhere,
+    });
     await played.run(1_000);
     assert.equal(played.version(), 4);
     await played.run(3_000);
@@ -179,16 +162,16 @@
   }[] = [
     {
       name: 'that the copy lacks are used until they had time to come back',
-      story: { before: [server('s-1'), server('s-2')], copy: [server('s-2')] },
+      story: { before: [serverItem('s-1'), serverItem('s-2')], copy: [serverItem('s-2')] },
       atOnce: ['s-1', 's-2'],
       later: ['s-2'],
     },
     {
       name: 'that the copy lacks and that come back are used throughout',
       story: {
-        before: [server('s-1')],
+        before: [serverItem('s-1')],
         copy: [],
-        written: [{ afterMs: 1_500, change: put(server('s-1')) }],
+        written: [{ afterMs: 1_500, change: put(serverItem('s-1')) }],
       },
       atOnce: ['s-1'],
       later: ['s-1'],
@@ -196,9 +179,9 @@
     {
       name: 'that have gone are not used again because the copy lists them',
       story: {
-        before: [server('s-1'), server('s-2')],
+        before: [serverItem('s-1'), serverItem('s-2')],
         changed: [gone],
-        copy: [server('s-1'), server('s-2')],
+        copy: [serverItem('s-1'), serverItem('s-2')],
         written: [{ afterMs: 3_000, change: gone }],
       },
       atOnce: ['s-2'],
@@ -207,31 +190,31 @@
     {
       name: 'that had gone are used as soon as they announce themselves',
       story: {
-        before: [server('s-1')],
+        before: [serverItem('s-1')],
         changed: [gone],
-        copy: [server('s-1')],
-        written: [{ afterMs: 50, change: put(server('s-1')) }],
+        copy: [serverItem('s-1')],
+        written: [{ afterMs: 50, change: put(serverItem('s-1')) }],
       },
       atOnce: ['s-1'],
       later: ['s-1'],
     },
     {
       name: 'that had gone are used when they are still listed after dead ones have lapsed',
-      story: { before: [server('s-1')], changed: [gone], copy: [server('s-1')] },
+      story: { before: [serverItem('s-1')], changed: [gone], copy: [serverItem('s-1')] },
       atOnce: [],
       later: ['s-1'],
     },
     {
       name: 'that were draining get no new work because the copy calls them ready',
-      story: { before: [server('s-1', { isDraining: true })], copy: [server('s-1')] },
+      story: { before: [serverItem('s-1', { isDraining: true })], copy: [serverItem('s-1')] },
       atOnce: [],
       later: [],
     },
     {
       name: 'of an earlier start do not take the place of the one that runs',
       story: {
-        before: [server('s-1', { startedAtUnixMs: 2_000, address: '10.0.0.2:80' })],
-        copy: [server('s-1', { startedAtUnixMs: 1_000 })],
+        before: [serverItem('s-1', { startedAtUnixMs: 2_000, address: '10.0.0.2:80' })],
+        copy: [serverItem('s-1', { startedAtUnixMs: 1_000 })],
       },
       atOnce: ['s-1'],
       later: ['s-1'],
--- a/src/core/state-sync/state-sync.test.ts
+++ b/src/core/state-sync/state-sync.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { createRouteTableStore } from '../host-routes';
-import type { RouteTable } from '../host-routes';
 import { createServerRegistry } from '../server-registry';
 import type { ServerAnnouncement } from '../server-registry';
 import { createFakeClock, createMemoryLogger } from '../../testing';
+import { routesItem, serverItem } from './testing/published-items';
 import { STATE_SYNC_EVENTS, createStateSync, readSnapshot, writeSnapshot } from '.';
 import type {
   Position,
@@ -15,34 +15,6 @@
   StateSource,
 } from '.';
 
-function server(serverId: string, more: Partial<ServerAnnouncement> = {}): PublishedItem {
-  return {
-    kind: 'server',
-    announcement: {
-      serverId,
-      startedAtUnixMs: undefined,
-      service: 'app',
-      address: '10.0.0.1:80',
-      failureDomain: 'north-a',
-      slots: 8,
-      isDraining: false,
-      coldForMs: 0,
-      goneInMs: undefined,
-      ...more,
-    },
-  };
-}
-
-function routes(version: number): PublishedItem {
-  const table: RouteTable = {
-    version,
-    routes: [],
-    services: new Map(),
-    limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-  };
-  return { kind: 'routes', table };
-}
-
 type Answer<Value> = Value | 'fails';
 
 /** A source that gives the answers of a list, and then waits for ever. */
@@ -88,7 +60,7 @@
 /** A source that was away while the entries of two servers lapsed, one of which is back. */
 function createSourceAfterOutage() {
   return createSource(
-    [state(5, [server('back'), server('gone')])],
+    [state(5, [serverItem('back'), serverItem('gone')])],
     [
       'fails',
       'fails',
@@ -96,7 +68,7 @@
       {
         kind: 'changes',
         position: at(10),
-        changes: [{ kind: 'put', revision: 10, item: server('back') }],
+        changes: [{ kind: 'put', revision: 10, item: serverItem('back') }],
       },
     ],
   );
@@ -130,7 +102,7 @@
 describe('the copy of what is published', () => {
   it('holds what was read, and what changed since', async () => {
     const { source } = createSource(
-      [state(5, [routes(3), server('s-1'), server('s-2')])],
+      [state(5, [routesItem(3), serverItem('s-1'), serverItem('s-2')])],
       [changes(6, ['s-1'])],
     );
     const { clock, table, servers, sync } = setUp(source);
@@ -147,7 +119,7 @@
     revision: 7,
     item: { key: 'servers/s-1', serverId: 's-1', reason: 'no JSON' },
   };
-  const announced: PublishedChange = { kind: 'put', revision: 7, item: server('s-1') };
+  const announced: PublishedChange = { kind: 'put', revision: 7, item: serverItem('s-1') };
   const orders = [
     { name: 'a damaged entry after a good one', changes: [announced, damaged], left: [] },
     { name: 'a good entry after a damaged one', changes: [damaged, announced], left: ['s-1'] },
@@ -155,7 +127,7 @@
   for (const { name, changes: inOrder, left } of orders) {
     it(`goes by ${name}`, async () => {
       const { source } = createSource(
-        [state(5, [server('s-1')])],
+        [state(5, [serverItem('s-1')])],
         [{ kind: 'changes', position: at(7), changes: inOrder }],
       );
       const { clock, servers, sync } = setUp(source);
@@ -170,10 +142,10 @@
   it('ends the use of a server whose entry is damaged in a read after an outage', async () => {
     const { source } = createSource(
       [
-        state(5, [server('s-1'), server('s-2')]),
+        state(5, [serverItem('s-1'), serverItem('s-2')]),
         {
           position: at(9),
-          items: [server('s-2')],
+          items: [serverItem('s-2')],
           unreadable: [{ key: 'servers/s-1', serverId: 's-1', reason: 'no JSON' }],
         },
       ],
@@ -214,14 +186,14 @@
   // The same, where the history is gone too, so that everything is read again.
   it('goes on watching while it waits for servers to come back', async () => {
     const { source } = createSource(
-      [state(5, [server('gone')]), state(9, [])],
+      [state(5, [serverItem('gone')]), state(9, [])],
       [
         'fails',
         { kind: 'historyGone' },
         {
           kind: 'changes',
           position: at(10),
-          changes: [{ kind: 'put', revision: 10, item: routes(8) }],
+          changes: [{ kind: 'put', revision: 10, item: routesItem(8) }],
         },
       ],
     );
@@ -237,10 +209,10 @@
   // The store turns one instance away and serves the others. An evacuation that it misses would let it send to
   // servers that operators are working on.
   it('asks another instance as soon as the source fails', async () => {
-    const { source, waitsMs } = createSource([state(5, [server('s-1')])], ['fails', 'fails']);
+    const { source, waitsMs } = createSource([state(5, [serverItem('s-1')])], ['fails', 'fails']);
     const evacuation: PublishedItem = { kind: 'evacuation', failureDomain: 'north-a' };
     const { clock, servers, sync, logger } = setUp(source, async () =>
-      state(7, [server('s-1'), evacuation]),
+      state(7, [serverItem('s-1'), evacuation]),
     );
     sync.start();
     await clock.advanceByAsync(50);
@@ -256,9 +228,9 @@
     const put: PublishedChanges = {
       kind: 'changes',
       position: at(6),
-      changes: [{ kind: 'put', revision: 10, item: routes(8) }],
+      changes: [{ kind: 'put', revision: 10, item: routesItem(8) }],
     };
-    const { source } = createSource([state(5, [routes(3)])], ['fails', put]);
+    const { source } = createSource([state(5, [routesItem(3)])], ['fails', put]);
     const { clock, table, sync } = setUp(source, () => new Promise(() => {}));
     sync.start();
     await clock.advanceByAsync(1_000);
@@ -266,15 +238,15 @@
   });
 
   it('takes nothing from an instance that knows less', async () => {
-    const { source } = createSource([state(5, [server('s-1')])], ['fails']);
-    const { clock, servers, sync } = setUp(source, async () => state(5, [server('s-0')]));
+    const { source } = createSource([state(5, [serverItem('s-1')])], ['fails']);
+    const { clock, servers, sync } = setUp(source, async () => state(5, [serverItem('s-0')]));
     sync.start();
     await clock.advanceByAsync(2_000);
     assert.deepEqual(ids(servers.all()), ['s-1']);
   });
 
   it('hands out how cold servers are now, not when they said so', async () => {
-    const { source } = createSource([state(5, [server('s-1', { coldForMs: 3_000 })])], []);
+    const { source } = createSource([state(5, [serverItem('s-1', { coldForMs: 3_000 })])], []);
     const { clock, sync } = setUp(source);
     sync.start();
     await clock.advanceByAsync(2_000);
@@ -315,7 +287,7 @@
         ],
       },
     };
-    const whole = state(7, [table, server('s-1'), { kind: 'evacuation', failureDomain: 'x' }]);
+    const whole = state(7, [table, serverItem('s-1'), { kind: 'evacuation', failureDomain: 'x' }]);
     assert.deepEqual(readSnapshot(writeSnapshot(whole)), whole);
   });
 });
@@ -324,7 +296,7 @@
   const registry = () =>
     createServerRegistry({ regionOf: () => 'north', coldStartMs: () => 3_000 });
   const announcement = (serverId: string, more: Partial<ServerAnnouncement> = {}) => {
-    const item = server(serverId, more);
+    const item = serverItem(serverId, more);
     if (item.kind !== 'server') throw new Error('not a server');
     return item.announcement;
   };
--- /dev/null
+++ b/src/core/state-sync/testing/published-items.ts
@@ -0,0 +1,35 @@
+import type { RouteTable } from '../../host-routes';
+import type { ServerAnnouncement } from '../../server-registry';
+import type { RoutesItem, ServerItem } from '../types';
+
+/** Published items for tests. */
+
+/** A ready server of the north; `more` replaces parts of what it announces. */
+export function serverItem(serverId: string, more: Partial<ServerAnnouncement> = {}): ServerItem {
+  return {
+    kind: 'server',
+    announcement: {
+      serverId,
+      startedAtUnixMs: undefined,
+      service: 'app',
+      address: '10.0.0.1:80',
+      failureDomain: 'north-a',
+      slots: 8,
+      isDraining: false,
+      coldForMs: 0,
+      goneInMs: undefined,
+      ...more,
+    },
+  };
+}
+
+/** A version without routes, whose limits tell it from others under the same number. */
+export function routesItem(version: number, headerTimeoutMs = 1_000): RoutesItem {
+  const table: RouteTable = {
+    version,
+    routes: [],
+    services: new Map(),
+    limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs, idleTimeoutMs: 1 },
+  };
+  return { kind: 'routes', table };
+}
