--- a/src/core/access/index.ts
+++ b/src/core/access/index.ts
@@ -1,5 +1,8 @@
 import { createHash, timingSafeEqual } from 'node:crypto';
 import type { Caller, CompiledConfiguration } from '../configuration';
+import { keyDigest } from '../key-digest';
+
+export { keyDigest } from '../key-digest';
 
 /** Who may come in. */
 
@@ -10,11 +13,6 @@
   return authorization === undefined ? undefined : BEARER.exec(authorization)?.[1];
 }
 
-/** The SHA-256 digest of a key, as the configuration holds it. */
-export function keyDigest(key: string): string {
-  return createHash('sha256').update(key).digest('hex');
-}
-
 /** Compares two secrets in a time that tells nothing about where they differ. */
 export function sameSecret(given: string, expected: string): boolean {
   const givenDigest = createHash('sha256').update(given).digest();
--- a/src/core/host-routes/host-routes.test.ts
+++ b/src/core/host-routes/host-routes.test.ts
@@ -17,6 +17,7 @@
     maxAttempts: 1,
     targets: [{ service: name, weight: 1 }],
     homeRegions: [],
+    isPublic: false,
   };
 }
 
@@ -26,6 +27,7 @@
     routes,
     services: new Map(),
     limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    accounts: undefined,
   };
 }
 
--- a/src/core/host-routes/route-table-store.ts
+++ b/src/core/host-routes/route-table-store.ts
@@ -1,4 +1,6 @@
 import { isDeepStrictEqual } from 'node:util';
+import { createAccountIndex } from '../client-accounts';
+import type { AccountIndex } from '../client-accounts';
 import { createRouteSelector } from './select-route';
 import type { RouteSelector } from './select-route';
 import type { RouteTable } from './types';
@@ -7,6 +9,8 @@
 export interface RoutesInForce {
   readonly table: RouteTable;
   readonly selector: RouteSelector;
+  /** Undefined where requests need no key. */
+  readonly accounts: AccountIndex | undefined;
 }
 
 /** Holds the version in force. */
@@ -28,7 +32,8 @@
 export function createRouteTableStore(): RouteTableStore {
   let inForce: RoutesInForce | undefined;
   const putInForce = (table: RouteTable): true => {
-    inForce = { table, selector: createRouteSelector(table) };
+    const accounts = table.accounts === undefined ? undefined : createAccountIndex(table.accounts);
+    inForce = { table, selector: createRouteSelector(table), accounts };
     return true;
   };
   return {
--- a/src/core/host-routes/types.ts
+++ b/src/core/host-routes/types.ts
@@ -1,3 +1,5 @@
+import type { ClientAccount } from '../client-accounts';
+
 /** Routes that are chosen by host and path, as one numbered configuration holds them. */
 
 /**
@@ -36,6 +38,8 @@
   readonly targets: readonly RouteTarget[];
   /** Regions to which the request is bound; empty where it is bound to none. */
   readonly homeRegions: readonly string[];
+  /** Whether it takes requests without a key, where the configuration has accounts. */
+  readonly isPublic: boolean;
 }
 
 /** One service with what its backend servers bear. */
@@ -71,4 +75,8 @@
   readonly routes: readonly HostRoute[];
   readonly services: ReadonlyMap<string, RoutedService>;
   readonly limits: ClientLimits;
+  /** Undefined where requests need no key. */
+  readonly accounts: readonly ClientAccount[] | undefined;
+  /** Accounts that could not be read, each with the reason; their keys are held by nobody. */
+  readonly damagedAccounts?: readonly string[];
 }
--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -112,6 +112,7 @@
     return headers;
   }
   headers.push(dialect.targetServer, to.server.serverId);
+  if (plan.account !== undefined) headers.push(dialect.accountName, plan.account);
   if (to.copyFrom !== undefined) headers.push(dialect.copyPromptFrom, to.copyFrom.address);
   if (request.demand !== undefined) {
     headers.push(dialect.priority, String(Math.min(LEAST_URGENT, plan.priority)));
--- a/src/core/pass-through/crash-watch.ts
+++ b/src/core/pass-through/crash-watch.ts
@@ -36,10 +36,10 @@
   readonly regions: () => readonly string[];
 }
 
-function guarded(request: InboundRequest, { service }: RequestPlan, attempt: number) {
+function guarded(request: InboundRequest, { service, account = '' }: RequestPlan, attempt: number) {
   const { requestId, method, path, body } = request;
-  // Callers are not known by a key here; the path and the body tell their requests apart.
-  return { requestId, attempt, service: { name: service }, caller: { id: '' }, method, path, body };
+  const caller = { id: account };
+  return { requestId, attempt, service: { name: service }, caller, method, path, body };
 }
 
 /**
--- a/src/core/pass-through/create-router.test.ts
+++ b/src/core/pass-through/create-router.test.ts
@@ -27,6 +27,7 @@
     ],
   ]),
   limits: { headerBytes: 8_192, bodyBytes: 8_192, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+  accounts: undefined,
 };
 const PLAN: RequestPlan = {
   route: 'chat',
@@ -42,6 +43,7 @@
   deadlineAtMs: 1_000_000,
   timeoutAtMs: 1_000_000,
   isForwarded: false,
+  account: undefined,
 };
 const REQUEST: InboundRequest = {
   requestId: 'r',
--- a/src/core/pass-through/forwarding.ts
+++ b/src/core/pass-through/forwarding.ts
@@ -12,6 +12,7 @@
 
 const planSchema = z.object({
   route: z.string(),
+  account: z.string().optional(),
   service: z.string(),
   kind: z.enum(['idempotent', 'nonIdempotent', 'stream']),
   isResumable: z.boolean(),
@@ -49,9 +50,10 @@
   }
   const reading = planSchema.safeParse(parsed);
   if (!reading.success) return undefined;
-  const { timeLeftMs, timeoutLeftMs, pauseObjectiveMs, ...rest } = reading.data;
+  const { timeLeftMs, timeoutLeftMs, pauseObjectiveMs, account, ...rest } = reading.data;
   return {
     ...rest,
+    account,
     pauseObjectiveMs,
     deadlineAtMs: nowMs + timeLeftMs,
     timeoutAtMs: nowMs + timeoutLeftMs,
@@ -60,8 +62,8 @@
 }
 
 /** Requests that servers treat alike. */
-export function alikeKey({ service, priority }: RequestPlan): string {
-  return `${service}/${priority}`;
+export function alikeKey({ service, priority, objectiveMs }: RequestPlan): string {
+  return `${service}/${priority}/${objectiveMs}`;
 }
 
 /** Whether a request may be sent again after it may have run. */
@@ -78,6 +80,7 @@
 export function requestFields(request: InboundRequest, plan: RequestPlan) {
   return {
     requestId: request.requestId,
+    account: plan.account,
     route: plan.route,
     service: plan.service,
     routesVersion: plan.routesVersion,
--- a/src/core/pass-through/open-ingress.ts
+++ b/src/core/pass-through/open-ingress.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { answerCall, readBody } from '../calls';
 import type { CallHandlers } from '../calls';
+import { handlingRegions, identify } from '../client-accounts';
 import type { Clock } from '../clock';
 import { ERRORS, errorText, gatewayError } from '../errors';
 import type { Logger } from '../events';
@@ -43,6 +44,11 @@
   readonly calls?: CallHandlers;
 }
 
+/** Why no plan could be made for a request. */
+interface RefusedPlan {
+  readonly refused: RefusalReason;
+}
+
 /** A listener for requests. */
 export interface Ingress extends AsyncDisposable {
   readonly port: number;
@@ -131,22 +137,29 @@
   const planFor = (
     incoming: IncomingMessage,
     route: HostRoute,
-    { table }: RoutesInForce,
+    { table, accounts }: RoutesInForce,
     receivedAtMs: number,
-  ): RequestPlan | undefined => {
+  ): RequestPlan | RefusedPlan => {
     const service = pickTarget(route, random.next());
-    if (service === undefined) return undefined;
+    if (service === undefined) return { refused: 'noSuchRoute' };
+    const key = headerText(incoming.headers[dialect.accountKey]);
+    const identity = identify({ accounts, isPublicRoute: route.isPublic, key });
+    if (identity.kind === 'unknown') return { refused: 'unknownKey' };
+    const account = identity.kind === 'account' ? identity.account : undefined;
+    const handled = handlingRegions(route.homeRegions, account?.homeRegions ?? []);
+    if (handled.kind === 'nowhere') return { refused: 'noRegion' };
     const timeLeftMs = statedTimeLeftMs(headerText(incoming.headers[dialect.timeLeftMs]));
     return {
       route: route.name,
+      account: account?.name,
       service,
       kind: route.kind,
       isResumable: route.isResumable,
-      priority: route.priority,
+      priority: account?.priority ?? route.priority,
       objectiveMs: route.objectiveMs,
       pauseObjectiveMs: route.pauseObjectiveMs,
       maxAttempts: route.maxAttempts,
-      homeRegions: route.homeRegions,
+      homeRegions: handled.kind === 'only' ? handled.regions : [],
       routesVersion: table.version,
       deadlineAtMs: receivedAtMs + timeLeftMs,
       timeoutAtMs: receivedAtMs + route.timeoutMs,
@@ -156,6 +169,7 @@
 
   const droppedHeaders = new Set([
     ...dialect.systemOnly,
+    dialect.accountKey,
     dialect.timeLeftMs,
     dialect.targetServer,
     dialect.priority,
@@ -241,9 +255,12 @@
     }
     const route = inForce.selector.select(incoming.headers.host ?? '', incoming.url ?? '/');
     const receivedAtMs = receivedNowMs();
-    const plan = route === undefined ? undefined : planFor(incoming, route, inForce, receivedAtMs);
-    if (plan === undefined) {
-      refuse(incoming, answer, 'noSuchRoute');
+    const plan: RequestPlan | RefusedPlan =
+      route === undefined
+        ? { refused: 'noSuchRoute' }
+        : planFor(incoming, route, inForce, receivedAtMs);
+    if ('refused' in plan) {
+      refuse(incoming, answer, plan.refused);
       return;
     }
     serve(incoming, response, answer, plan, limits.bodyBytes, receivedAtMs);
--- a/src/core/pass-through/refusals.ts
+++ b/src/core/pass-through/refusals.ts
@@ -3,6 +3,7 @@
 /** Refusals that no waiting mends. */
 const STATUS_BY_FINAL_REASON: Partial<Record<RefusalReason, number>> = {
   noSuchRoute: 404,
+  unknownKey: 401,
   headersTooLarge: 431,
   bodyTooLarge: 413,
   malformedRequest: 400,
--- a/src/core/pass-through/testing/play-admission.ts
+++ b/src/core/pass-through/testing/play-admission.ts
@@ -60,6 +60,7 @@
   deadlineAtMs: 1_000_000,
   timeoutAtMs: 1_000_000,
   isForwarded: false,
+  account: undefined,
 };
 /** Reading of one prompt token, ms, as fast as large accelerators do it. */
 const READ_MS_PER_TOKEN = 0.02;
@@ -133,6 +134,7 @@
     routes: [],
     services: new Map([[REVIEW, service]]),
     limits: { headerBytes: 8_192, bodyBytes: 8_192, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+    accounts: undefined,
   });
   return routes;
 }
--- a/src/core/pass-through/types.ts
+++ b/src/core/pass-through/types.ts
@@ -6,6 +6,10 @@
 export interface HeaderDialect {
   /** Names a request; backend servers repeat it in their answer. */
   readonly requestId: string;
+  /** A caller's key, which is never passed on. */
+  readonly accountKey: string;
+  /** Tells a backend server whose request it runs. */
+  readonly accountName: string;
   /** Time that the caller still waits, ms. */
   readonly timeLeftMs: string;
   /** The backend server that alone may run the request. */
@@ -48,6 +52,8 @@
 /** What the route in force says of one request. It goes along when another instance serves the request. */
 export interface RequestPlan {
   readonly route: string;
+  /** Name of the account that sent it; undefined where nobody has to be known. */
+  readonly account: string | undefined;
   readonly service: string;
   readonly kind: RouteKind;
   readonly isResumable: boolean;
@@ -96,6 +102,9 @@
 export type RefusalReason =
   | 'noRoutesYet'
   | 'noSuchRoute'
+  | 'unknownKey'
+  /** Its route and its account may be handled in no region in common. */
+  | 'noRegion'
   | 'headersTooLarge'
   | 'bodyTooLarge'
   | 'malformedRequest'
--- a/src/core/state-sync/create-state-sync.ts
+++ b/src/core/state-sync/create-state-sync.ts
@@ -141,6 +141,9 @@
     logger.event(STATE_SYNC_EVENTS.routesInForce, {
       version: table.version,
       routes: table.routes.length,
+      accounts: table.accounts?.length,
+      damagedAccounts: table.damagedAccounts,
+      accountsSharingKeys: routes.current()?.accounts?.sharingKeys,
     });
     options.onRoutes?.();
   };
--- a/src/core/state-sync/later-routes.test.ts
+++ b/src/core/state-sync/later-routes.test.ts
@@ -25,7 +25,13 @@
     take() {},
   });
   for (const { here, elsewhere } of versions) {
-    routes.offer({ version: here, routes: [], services: new Map(), limits: LIMITS });
+    routes.offer({
+      version: here,
+      routes: [],
+      services: new Map(),
+      limits: LIMITS,
+      accounts: undefined,
+    });
     latest = elsewhere;
     later.look();
     await Promise.resolve();
--- a/src/core/state-sync/snapshot-message.ts
+++ b/src/core/state-sync/snapshot-message.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import type { ClientAccount } from '../client-accounts';
 import type { RoutedService } from '../host-routes';
 import { positionSchema } from './position';
 import type { PublishedItem, PublishedState } from './types';
@@ -20,6 +21,7 @@
   maxAttempts: z.number(),
   targets: z.array(targetSchema),
   homeRegions: z.array(z.string()),
+  isPublic: z.boolean(),
 });
 
 const serviceSchema = z.object({
@@ -31,6 +33,21 @@
   copyMsPerToken: z.number().optional(),
 });
 
+const accountSchema = z.object({
+  name: z.string(),
+  keyDigests: z.array(z.string()),
+  priority: z.number().optional(),
+  homeRegions: z.array(z.string()),
+  quota: z
+    .object({
+      unit: z.enum(['requests', 'tokens']),
+      plainCost: z.number(),
+      perSecond: z.number(),
+      burst: z.number(),
+    })
+    .optional(),
+});
+
 const tableSchema = z.object({
   version: z.number(),
   routes: z.array(routeSchema),
@@ -41,6 +58,8 @@
     headerTimeoutMs: z.number(),
     idleTimeoutMs: z.number(),
   }),
+  /** Null where requests need no key. Left out, a table that needs keys could be taken for one that needs none. */
+  accounts: z.array(accountSchema).nullable(),
 });
 
 const announcementSchema = z.object({
@@ -66,6 +85,11 @@
 
 type SnapshotItem = z.input<typeof itemSchema>;
 
+function toMessageAccount(account: ClientAccount): z.input<typeof accountSchema> {
+  const { keyDigests, homeRegions } = account;
+  return { ...account, keyDigests: [...keyDigests], homeRegions: [...homeRegions] };
+}
+
 /** An item as it is handed on. */
 export function toMessageItem(item: PublishedItem): SnapshotItem {
   if (item.kind !== 'routes') return item;
@@ -75,6 +99,7 @@
     table: {
       version: table.version,
       limits: { ...table.limits },
+      accounts: table.accounts?.map(toMessageAccount) ?? null,
       services: [...table.services.values()],
       routes: table.routes.map((route) => ({
         ...route,
@@ -99,7 +124,12 @@
         ...route,
         pauseObjectiveMs,
       }));
-      return { kind: 'routes', table: { ...item.table, routes, services } };
+      const accounts = item.table.accounts?.map(({ priority, quota, ...account }) => ({
+        ...account,
+        priority,
+        quota,
+      }));
+      return { kind: 'routes', table: { ...item.table, routes, services, accounts } };
     }
     case 'server': {
       const { goneInMs, startedAtUnixMs, ...announcement } = item.announcement;
--- a/src/core/state-sync/state-sync.test.ts
+++ b/src/core/state-sync/state-sync.test.ts
@@ -269,6 +269,7 @@
         version: 4,
         services: new Map([['app', service]]),
         limits: { headerBytes: 1, bodyBytes: 2, headerTimeoutMs: 3, idleTimeoutMs: 4 },
+        accounts: undefined,
         routes: [
           {
             name: 'r',
@@ -283,6 +284,7 @@
             maxAttempts: 4,
             targets: [{ service: 'app', weight: 1 }],
             homeRegions: ['north'],
+            isPublic: false,
           },
         ],
       },
--- a/src/core/state-sync/testing/published-items.ts
+++ b/src/core/state-sync/testing/published-items.ts
@@ -30,6 +30,7 @@
     routes: [],
     services: new Map(),
     limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs, idleTimeoutMs: 1 },
+    accounts: undefined,
   };
   return { kind: 'routes', table };
 }
--- a/src/testing/relay-fleet.ts
+++ b/src/testing/relay-fleet.ts
@@ -83,6 +83,7 @@
     routes: [],
     services: new Map(),
     limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    accounts: undefined,
   };
 }
 
