--- a/src/core/pass-through/index.ts
+++ b/src/core/pass-through/index.ts
@@ -10,5 +10,5 @@
 export type { ForwardPeer } from './other-regions';
 export type { ServedRequest } from './request-end';
 export type { ServeDependencies } from './serve-request';
-export type { HeaderDialect } from './types';
+export type { HeaderDialect, TokenCount } from './types';
 export { createWarmCheck } from './warm-check';
--- a/src/core/pass-through/open-ingress.ts
+++ b/src/core/pass-through/open-ingress.ts
@@ -2,12 +2,11 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { answerCall, readBody } from '../calls';
 import type { CallHandlers } from '../calls';
-import { handlingRegions, identify } from '../client-accounts';
+import type { AccountQuotas, QuotaDecision } from '../account-quotas';
 import type { Clock } from '../clock';
 import { ERRORS, errorText, gatewayError } from '../errors';
 import type { Logger } from '../events';
-import { pickTarget } from '../host-routes';
-import type { HostRoute, RouteTableStore, RoutesInForce } from '../host-routes';
+import type { RouteTableStore } from '../host-routes';
 import type { Intake, LoopWatch } from '../intake';
 import type { RandomSource } from '../random';
 import type { RetryAllowance } from '../shared-budget';
@@ -17,6 +16,10 @@
 import { headerBytes } from './header-bytes';
 import { headerText } from './judge-answer';
 import { headersToPassOn } from './headers';
+import { createRequestPlanner } from './plan-request';
+import type { ChargedPlan, RefusedPlan } from './plan-request';
+import { passQuota } from './quota-gate';
+import type { ServedRequest } from './request-end';
 import { serveRequest } from './serve-request';
 import type { ServeDependencies } from './serve-request';
 import type { ClientAnswer, InboundRequest, Refusal, RefusalReason, RequestPlan } from './types';
@@ -33,6 +36,7 @@
   readonly routes: RouteTableStore;
   readonly retries: RetryAllowance;
   readonly serving: ServeDependencies;
+  readonly quotas: Pick<AccountQuotas, 'require' | 'giveBack'>;
   /** Shared by all listeners of the process. */
   readonly intake: Pick<Intake, 'enter' | 'noteConnection'>;
   readonly watch: Pick<LoopWatch, 'waitedMs'>;
@@ -44,11 +48,6 @@
   readonly calls?: CallHandlers;
 }
 
-/** Why no plan could be made for a request. */
-interface RefusedPlan {
-  readonly refused: RefusalReason;
-}
-
 /** A listener for requests. */
 export interface Ingress extends AsyncDisposable {
   readonly port: number;
@@ -64,19 +63,11 @@
 const PEER_KEPT_MS = 60_000;
 /** Idle time of callers' connections until the routes say otherwise. */
 const FIRST_IDLE_MS = 15_000;
-/** Deadline of a request that states none, and the longest that one may state. */
-const LONGEST_DEADLINE_MS = 600_000;
 /** When to come back to an instance that has no routes yet: it reads them within a second or so. */
 const NO_ROUTES_RETRY_MS = 500;
 /** When to come back after an instance that is stopping: at once, since another one takes the request. */
 const STOPPING_RETRY_MS = 50;
 
-function statedTimeLeftMs(text: string | undefined): number {
-  const value = Number(text);
-  if (text === undefined || !Number.isFinite(value) || value < 0) return LONGEST_DEADLINE_MS;
-  return Math.min(LONGEST_DEADLINE_MS, value);
-}
-
 function listen(server: Server, host: string, port: number): Promise<number> {
   return new Promise((resolve, reject) => {
     server.once('error', (error) => {
@@ -94,7 +85,7 @@
 
 /** Opens a listener that passes requests through to backend servers. */
 export async function openIngress(options: IngressOptions): Promise<Ingress> {
-  const { clock, random, logger, routes, retries, serving, intake, watch } = options;
+  const { clock, random, logger, routes, retries, serving, quotas, intake, watch } = options;
   const { isLeaving, isRefusing, calls } = options;
   const { dialect } = serving;
   const isForPeer = options.from === 'peers';
@@ -105,6 +96,7 @@
     answer: ClientAnswer,
     reason: RefusalReason,
     retryAfterMs?: number,
+    more: Readonly<Record<string, unknown>> = {},
   ): void => {
     const refusal: Refusal = { reason, outcome: 'notRun', retryAfterMs };
     answer.refuse(refusal);
@@ -114,6 +106,7 @@
       outcome: refusal.outcome,
       retryAfterMs,
       routesVersion: routes.current()?.table.version,
+      ...more,
     });
   };
 
@@ -134,38 +127,7 @@
     return nowMs - watch.waitedMs(nowMs);
   };
 
-  const planFor = (
-    incoming: IncomingMessage,
-    route: HostRoute,
-    { table, accounts }: RoutesInForce,
-    receivedAtMs: number,
-  ): RequestPlan | RefusedPlan => {
-    const service = pickTarget(route, random.next());
-    if (service === undefined) return { refused: 'noSuchRoute' };
-    const key = headerText(incoming.headers[dialect.accountKey]);
-    const identity = identify({ accounts, isPublicRoute: route.isPublic, key });
-    if (identity.kind === 'unknown') return { refused: 'unknownKey' };
-    const account = identity.kind === 'account' ? identity.account : undefined;
-    const handled = handlingRegions(route.homeRegions, account?.homeRegions ?? []);
-    if (handled.kind === 'nowhere') return { refused: 'noRegion' };
-    const timeLeftMs = statedTimeLeftMs(headerText(incoming.headers[dialect.timeLeftMs]));
-    return {
-      route: route.name,
-      account: account?.name,
-      service,
-      kind: route.kind,
-      isResumable: route.isResumable,
-      priority: account?.priority ?? route.priority,
-      objectiveMs: route.objectiveMs,
-      pauseObjectiveMs: route.pauseObjectiveMs,
-      maxAttempts: route.maxAttempts,
-      homeRegions: handled.kind === 'only' ? handled.regions : [],
-      routesVersion: table.version,
-      deadlineAtMs: receivedAtMs + timeLeftMs,
-      timeoutAtMs: receivedAtMs + route.timeoutMs,
-      isForwarded: false,
-    };
-  };
+  const planFor = createRequestPlanner(dialect, random);
 
   const droppedHeaders = new Set([
     ...dialect.systemOnly,
@@ -199,11 +161,44 @@
       totalMs: Math.round(clock.monotonicMs() - receivedAtMs),
     });
 
-  const serve = (
+  const refuseForQuota = (
     incoming: IncomingMessage,
+    answer: ClientAnswer,
+    { account, service }: RequestPlan,
+    decision: Exclude<QuotaDecision, { kind: 'granted' }>,
+  ): void => {
+    const reason = decision.kind === 'spent' ? 'overQuota' : 'quotaUnknown';
+    const standing = decision.kind === 'spent' ? decision.standing : undefined;
+    refuse(incoming, answer, reason, decision.retryAfterMs, {
+      account,
+      quotaLeft: standing?.left,
+      quotaUnheardRegions: standing?.unheardRegions,
+    });
+    serving.onRefused(reason, service);
+  };
+
+  const serveNow = (
     response: ServerResponse,
     answer: ClientAnswer,
+    request: InboundRequest,
     plan: RequestPlan,
+    giveBack: () => void,
+  ): void => {
+    const onDone = (done: ServedRequest): void => {
+      if (done.hasNotRun) giveBack();
+      serving.onDone(done);
+    };
+    const handle = serveRequest({ ...serving, onDone }, request, plan, answer);
+    response.on('close', () => {
+      if (!response.writableFinished) handle.cancel();
+    });
+  };
+
+  const serve = (
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    answer: ClientAnswer,
+    { plan, charge }: ChargedPlan,
     mostBodyBytes: number,
     receivedAtMs: number,
   ): void => {
@@ -229,9 +224,12 @@
         drop: () => logDropped(request),
         refuse: (retryAfterMs) => refuse(incoming, answer, 'instanceBehind', retryAfterMs),
         serve() {
-          const handle = serveRequest(serving, request, plan, answer);
-          response.on('close', () => {
-            if (!response.writableFinished) handle.cancel();
+          passQuota(quotas, {
+            charge,
+            isGone: () => response.destroyed,
+            drop: () => logDropped(request),
+            refuse: (decision) => refuseForQuota(incoming, answer, plan, decision),
+            serve: (giveBack) => serveNow(response, answer, request, plan, giveBack),
           });
         },
       });
@@ -255,15 +253,15 @@
     }
     const route = inForce.selector.select(incoming.headers.host ?? '', incoming.url ?? '/');
     const receivedAtMs = receivedNowMs();
-    const plan: RequestPlan | RefusedPlan =
+    const planned: ChargedPlan | RefusedPlan =
       route === undefined
         ? { refused: 'noSuchRoute' }
-        : planFor(incoming, route, inForce, receivedAtMs);
-    if ('refused' in plan) {
-      refuse(incoming, answer, plan.refused);
+        : planFor(incoming.headers, route, inForce, receivedAtMs);
+    if ('refused' in planned) {
+      refuse(incoming, answer, planned.refused);
       return;
     }
-    serve(incoming, response, answer, plan, limits.bodyBytes, receivedAtMs);
+    serve(incoming, response, answer, planned, limits.bodyBytes, receivedAtMs);
   };
 
   const handlePeer = (
@@ -278,7 +276,8 @@
       refuse(incoming, answer, 'malformedRequest');
       return;
     }
-    serve(incoming, response, answer, plan, Infinity, receivedAtMs);
+    // The instance where it was sent has charged its account.
+    serve(incoming, response, answer, { plan, charge: { kind: 'free' } }, Infinity, receivedAtMs);
   };
 
   const handle = (incoming: IncomingMessage, response: ServerResponse): void => {
--- a/src/core/pass-through/refusals.ts
+++ b/src/core/pass-through/refusals.ts
@@ -16,7 +16,7 @@
 export function statusOf({ reason, outcome }: Refusal): number {
   const final = STATUS_BY_FINAL_REASON[reason];
   if (final !== undefined) return final;
-  if (outcome === 'notRun') return 503;
+  if (outcome === 'notRun') return reason === 'overQuota' ? 429 : 503;
   return reason === 'timedOut' ? 504 : 502;
 }
 
--- a/src/core/pass-through/request-end.ts
+++ b/src/core/pass-through/request-end.ts
@@ -11,6 +11,8 @@
   readonly totalMs: number;
   /** Backend servers that it has been sent to, those that another instance told of included. */
   readonly attempts: number;
+  /** Whether no server has run it, and none will. */
+  readonly hasNotRun: boolean;
 }
 
 /** Ends one request, in one of the ways that there are. */
@@ -51,12 +53,12 @@
   let mayHaveRun = false;
   let passFailureOn: (() => void) | undefined;
 
-  const finish = (result: ServedRequest['result']): void => {
+  const finish = (result: ServedRequest['result'], hasNotRun = false): void => {
     isOver = true;
     const nowMs = clock.monotonicMs();
     const firstByteMs = (options.firstByteAtMs() ?? nowMs) - request.receivedAtMs;
     const totalMs = nowMs - request.receivedAtMs;
-    onDone({ plan, result, firstByteMs, totalMs, attempts: attempts() });
+    onDone({ plan, result, firstByteMs, totalMs, attempts: attempts(), hasNotRun });
   };
 
   const refuse: RequestEnd['giveUp'] = (reason, retryAfterMs, best) => {
@@ -69,7 +71,7 @@
     answer.noteAttempts(attempts());
     answer.refuse(refusal);
     log.refused(refusal, best);
-    finish(reason);
+    finish(reason, outcome === 'notRun');
   };
 
   return {
@@ -83,7 +85,7 @@
       passFailureOn = passOn;
     },
     answered: () => finish('answered'),
-    callerGone: () => finish('callerGone'),
+    callerGone: () => finish('callerGone', attempts() === 0),
     giveUp(reason, retryAfterMs, best) {
       if (answer.headSent) {
         answer.breakOff();
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -38,6 +38,8 @@
   /** Another server has answered at the address of this one. */
   readonly onReplaced: (serverId: string) => void;
   readonly onDone: (done: ServedRequest) => void;
+  /** A request was refused before anything was done for it. */
+  readonly onRefused: (reason: RefusalReason, service: string) => void;
 }
 
 /** A request that is being served. */
--- a/src/core/pass-through/types.ts
+++ b/src/core/pass-through/types.ts
@@ -30,9 +30,17 @@
   readonly systemOnly: ReadonlySet<string>;
   /** What a request asks of a model; undefined where it does not say. */
   readDemand(headers: HeaderMap): ModelDemand | undefined;
+  /** Tokens of a request's prompt and of the longest answer that it asks for, together. */
+  readTokenCount(headers: HeaderMap): TokenCount;
   readLoadReport(text: string): LoadReport | undefined;
 }
 
+/** How many tokens a request says that it asks for. */
+export type TokenCount =
+  | { readonly kind: 'unstated' }
+  | { readonly kind: 'stated'; readonly tokens: number }
+  | { readonly kind: 'malformed' };
+
 /** A request that has been read whole. */
 export interface InboundRequest {
   readonly requestId: string;
@@ -105,6 +113,10 @@
   | 'unknownKey'
   /** Its route and its account may be handled in no region in common. */
   | 'noRegion'
+  /** Its account has spent its quota. */
+  | 'overQuota'
+  /** Nobody who counts what its account spends can be reached. */
+  | 'quotaUnknown'
   | 'headersTooLarge'
   | 'bodyTooLarge'
   | 'malformedRequest'
--- a/src/core/relay-node/create-serving.ts
+++ b/src/core/relay-node/create-serving.ts
@@ -129,6 +129,7 @@
     retries,
     onReplaced: servers.noteReplaced,
     onDone: countInto(options.metrics),
+    onRefused: (reason, service) => options.metrics.refused(reason, service),
     takeStatement(text) {
       const statement = readStatement(text);
       if (statement === undefined) return;
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -1,3 +1,4 @@
+import { createAccountQuotas } from '../account-quotas';
 import { createCaller, openCallListener } from '../calls';
 import type { CallHandler } from '../calls';
 import type { CallerPlace } from '../client-directory';
@@ -192,7 +193,27 @@
     owned,
   );
   const { router } = serving;
-  statements.onStatement(serving.takeStatement);
+  const quotas = createAccountQuotas({
+    clock,
+    self: () => ({
+      instanceId,
+      region,
+      address: `${listeners.forwarding.host}:${settings.forwardingPort}`,
+    }),
+    peers: () =>
+      instances
+        .peers()
+        .map(({ forwardAddress, ...peer }) => ({ ...peer, address: forwardAddress })),
+    regions: () => [...new Set(Object.values(settings.regionOfDomain))],
+    quotaOf: (account) => routes.current()?.accounts?.byName(account)?.quota,
+    send: statements.send,
+  });
+  /** Statements of load are rows, messages about quotas objects. */
+  const takeStatement = (text: string): void => {
+    if (text.startsWith('{')) quotas.take(text);
+    else serving.takeStatement(text);
+  };
+  statements.onStatement(takeStatement);
   inFlight = () => router.loads.totalInFlight();
   const listenersOpen: Ingress[] = [];
   const watch = createLoopWatch();
@@ -218,6 +239,7 @@
     routes,
     retries: serving.retries,
     serving,
+    quotas,
     intake,
     watch,
     isLeaving: stopState.isLeaving,
@@ -240,7 +262,7 @@
       calls: new Map<string, CallHandler>([
         [STATE_PATH, () => ({ status: 200, text: writeState() })],
         [HERE_PATH, () => ({ status: 200, text: '{}' })],
-        [STATEMENT_PATH, answerStatements(serving.takeStatement)],
+        [STATEMENT_PATH, answerStatements(takeStatement)],
         ...answerWatches({ ...relayed, clock, writeState }),
       ]),
     }),
@@ -266,6 +288,7 @@
     startTicks(clock, TICK_MS, (dueAtMs, nextDueAtMs) => {
       watch.noteTick(dueAtMs, nextDueAtMs, nowMs());
       serving.tellLoad();
+      quotas.tell();
     }),
   );
   owned.add(repeat(clock, LIMITS_EVERY_MS, ingress.applyLimits));
