--- a/scripts/write-code-cache.ts
+++ b/scripts/write-code-cache.ts
@@ -55,8 +55,14 @@
   Routes: [
     ...TEST_CONFIGURATION.Routes,
     { ...TEST_CONFIGURATION.Routes[1], Name: 'far', Prefix: '/far/', HomeRegions: [regionOf(1)] },
+  ].map((route) => ({ ...route, Public: route.Name === 'stock' })),
+  // One account that never spends its quota, and one that always has spent it.
+  Tenants: [
+    { Name: 'large', ApiKeys: ['k-large'], Unit: 'tokens', RatePerS: 200_000, Burst: 200_000 },
+    { Name: 'small', ApiKeys: ['k-small'], Unit: 'tokens', RatePerS: 500, Burst: 500, Priority: 1 },
   ],
 };
+const KEYS = ['k-large', 'k-large', 'k-small', 'k-unknown'];
 
 const PATHS = ['/stock/1', '/orders/1', '/plans/1', '/chat/1', '/far/1', '/nowhere'];
 
@@ -81,7 +87,7 @@
 }
 
 /** One request of a caller; resolves with the status of its answer, 0 where there was none. */
-function ask(path: string, id: string): Promise<number> {
+function ask(path: string, id: string, key = 'k-large'): Promise<number> {
   const [host = '', port = ''] = callerAddress({ index: KEPT, hostOf }).split(':');
   return new Promise((resolve) => {
     const outgoing = request(
@@ -93,6 +99,7 @@
         headers: {
           host: HOST,
           'x-request-id': id,
+          'x-api-key': key,
           'x-deadline-ms': '3000',
           'x-model': 'm',
           'x-token-count': '1460,80',
@@ -145,7 +152,11 @@
 }
 await sleep(SETTLING_MS);
 for (let round = 0; round < ROUNDS; round += 1) {
-  await Promise.all(PATHS.map((path, index) => ask(path, `r-${round}-${index}`)));
+  await Promise.all(
+    PATHS.map((path, index) =>
+      ask(path, `r-${round}-${index}`, KEYS[(round + index) % KEYS.length]),
+    ),
+  );
   const [server] = servers;
   // What is published changes as well: a server leaves, and is back.
   if (server !== undefined) announce(server, 0, { State: round % 2 === 0 ? 'draining' : 'ready' });
