--- a/src/core/account-quotas/account-count.ts
+++ b/src/core/account-quotas/account-count.ts
@@ -6,7 +6,7 @@
 
 /** What a count says to a request. */
 export type CountVerdict =
-  | { readonly kind: 'granted' }
+  | { readonly kind: 'granted'; readonly left: number }
   | { readonly kind: 'spent'; readonly retryAfterMs: number; readonly standing: QuotaStanding };
 
 /** Counts what one account spends, at the instance that does so for its region. */
@@ -19,6 +19,8 @@
   /** Whether other regions are to be told. */
   isToBeTold(quota: AccountQuota, nowMs: number): boolean;
   tell(account: string, quota: AccountQuota, nowMs: number): ToldCount;
+  /** What may be spent now. */
+  left(quota: AccountQuota, nowMs: number): number;
   /** When something was last spent here or told. */
   lastUsedAtMs(): number;
 }
@@ -139,6 +141,13 @@
       (other) => other !== region && nowMs - (heardAtMs.get(other) ?? -Infinity) > UNHEARD_AFTER_MS,
     );
 
+  /** Where others of this region may count as well, what the other regions tell says nothing of those. */
+  const hearsAll = (nowMs: number): boolean =>
+    unheardRegions(nowMs).length === 0 && (regions.length > 1 || partOfShare() === 1);
+
+  const leftNow = (nowMs: number): number =>
+    Math.floor(hearsAll(nowMs) ? pool.left : Math.min(pool.left, share.left));
+
   /** Follows what each region uses, for as long as all are heard; in a cut all sides go by what stood before it. */
   const updateShares = (nowMs: number): void => {
     if (unheardRegions(nowMs).length > 0) return;
@@ -170,12 +179,10 @@
   return {
     ask(cost, quota, nowMs) {
       refill(quota, nowMs);
-      // Where others of this region may count as well, what the other regions tell says nothing of those.
-      const isAllHeard =
-        unheardRegions(nowMs).length === 0 && (regions.length > 1 || partOfShare() === 1);
+      const isAllHeard = hearsAll(nowMs);
       if (pool.left > 0 && (isAllHeard || share.left > 0)) {
         spend(cost, nowMs);
-        return { kind: 'granted' };
+        return { kind: 'granted', left: leftNow(nowMs) };
       }
       return refuse(cost, quota, nowMs);
     },
@@ -221,6 +228,10 @@
         isSettled: isSettled(nowMs),
       };
     },
+    left(quota, nowMs) {
+      refill(quota, nowMs);
+      return leftNow(nowMs);
+    },
     lastUsedAtMs: () => usedAtMs,
   };
 }
--- a/src/core/account-quotas/account-quotas.test.ts
+++ b/src/core/account-quotas/account-quotas.test.ts
@@ -127,6 +127,29 @@
   }
 });
 
+/** Guards against instances that go by an old word while all of them are asked at once. */
+describe('a burst at all instances that follows calm requests', () => {
+  for (const account of [SMALL, LARGE]) {
+    for (const instances of FLEETS) {
+      it(`keeps to the quota, ${account}, at ${instances} instances`, () => {
+        const count = account === SMALL ? 300 : 3_000;
+        const atMs = START_MS + 6_000;
+        const burst = Array.from({ length: count }, (_unused, index) => ({
+          atMs: atMs + (index * 100) / count,
+          account,
+          cost: 9_250,
+          instance: index % instances,
+        }));
+        const perSecond = (RATES[account] ?? 0) * USUAL_PART;
+        const at = EVENLY(instances);
+        const calm = drawArrivals({ account, perSecond, fromMs: START_MS, toMs: atMs, at }, 1);
+        const arrivals = [...calm, ...burst];
+        assertInBound(playQuotas({ quotaOf, arrivals, instances, durationMs: 20_000 }), account);
+      });
+    }
+  }
+});
+
 /** Guards against a quota that is spent once on each side of a cut. */
 describe('regions that are cut from one another', () => {
   const cuts = [
--- a/src/core/account-quotas/count-book.ts
+++ b/src/core/account-quotas/count-book.ts
@@ -10,6 +10,8 @@
 export interface CountBook {
   ask(account: string, cost: number, nowMs: number): AskVerdict;
   noteSpent(account: string, cost: number, nowMs: number): void;
+  /** What is left of an account; undefined where it is not counted here. */
+  left(account: string, nowMs: number): number | undefined;
   take(counts: readonly ToldCount[], from: CountTeller, nowMs: number): void;
   /** The counts of these accounts, as far as they are kept here. */
   counts(accounts: readonly string[], nowMs: number): ToldCount[];
@@ -121,6 +123,10 @@
       const quota = quotaOf(account);
       if (quota !== undefined) countOf(account, nowMs).noteSpent(cost, quota, nowMs);
     },
+    left(account, nowMs) {
+      const quota = quotaOf(account);
+      return quota === undefined ? undefined : counts.get(account)?.left(quota, nowMs);
+    },
     take(told, from, nowMs) {
       for (const count of told) {
         const quota = quotaOf(count.account);
--- a/src/core/account-quotas/create-account-quotas.ts
+++ b/src/core/account-quotas/create-account-quotas.ts
@@ -3,6 +3,7 @@
 import type { CountBookOptions } from './count-book';
 import { createCounters } from './counters';
 import { createLocalReserve } from './local-reserve';
+import { createStandings } from './standings';
 import { readQuotaMessage, writeQuotaMessage } from './messages';
 import type { AskVerdict, QuotaMessage } from './messages';
 import type { QuotaDecision, QuotaPeer, QuotaRequest } from './types';
@@ -64,6 +65,12 @@
   const send = (address: string, message: QuotaMessage): void =>
     options.send(address, writeQuotaMessage(message));
   const counters = createCounters({ ...options, nowMs });
+  let mostSeen = 1;
+  /** The most that have been there: some of those that are not seen may be there all the same. */
+  const mostInstances = (): number => {
+    mostSeen = Math.max(mostSeen, counters.instances().length);
+    return mostSeen;
+  };
   const book = createCountBook({
     ...options,
     counters,
@@ -71,7 +78,8 @@
     startedAtMs: nowMs(),
     countId: clock.unixMs(),
   });
-  const reserve = createLocalReserve(() => counters.instances().length);
+  const reserve = createLocalReserve(() => mostInstances(), nowMs());
+  const standings = createStandings();
   const waiting = new Map<number, Waiting>();
   /** Asks whose time is over: a grant that comes late is given back. */
   const overdue = new Map<
@@ -99,7 +107,7 @@
     const { request, decide } = ask;
     switch (verdict.kind) {
       case 'granted':
-        decide(verdict);
+        decide({ kind: 'granted' });
         return;
       case 'spent':
         if (ask.wasHeld || verdict.retryAfterMs > MOST_HELD_MS) {
@@ -155,10 +163,15 @@
     overdue.delete(askId);
     if (late !== undefined && verdict.kind === 'granted') {
       const { account, cost } = late.request;
-      send(late.counter.address, { kind: 'spent', costs: [{ account, cost: -cost }] });
+      send(late.counter.address, {
+        kind: 'spent',
+        from: self(),
+        costs: [{ account, cost: -cost }],
+      });
     }
     const ask = waiting.get(askId);
     if (ask === undefined) return;
+    if (verdict.kind === 'granted') standings.note(ask.request.account, verdict.left, nowMs());
     waiting.delete(askId);
     ask.timer[Symbol.dispose]();
     settle(ask, verdict);
@@ -179,13 +192,14 @@
       }
     }
     unpaid.clear();
-    for (const [address, costs] of byAddress) send(address, { kind: 'spent', costs });
+    for (const [address, costs] of byAddress) send(address, { kind: 'spent', from: self(), costs });
   };
 
   const forget = (): void => {
     if (nowMs() < forgetAtMs) return;
     forgetAtMs = nowMs() + FORGET_EVERY_MS;
     reserve.dropQuiet(nowMs());
+    standings.dropOld(nowMs());
     overdue.clear();
   };
 
@@ -201,6 +215,15 @@
     return verdict;
   };
 
+  const replyToSpent = ({ from, costs }: Extract<QuotaMessage, { kind: 'spent' }>): void => {
+    for (const { account, cost } of costs) book.noteSpent(account, cost, nowMs());
+    const left = costs.flatMap(({ account }) => {
+      const now = book.left(account, nowMs());
+      return now === undefined ? [] : [{ account, left: now }];
+    });
+    send(from.address, { kind: 'standings', standings: left });
+  };
+
   const takeMessage = (message: QuotaMessage): void => {
     switch (message.kind) {
       case 'ask': {
@@ -213,7 +236,10 @@
         takeAnswer(message.askId, message.verdict);
         return;
       case 'spent':
-        for (const { account, cost } of message.costs) book.noteSpent(account, cost, nowMs());
+        replyToSpent(message);
+        return;
+      case 'standings':
+        for (const { account, left } of message.standings) standings.note(account, left, nowMs());
         return;
       case 'counts': {
         const { from, counts, wantsReply } = message;
@@ -232,7 +258,10 @@
   return {
     require(request, decide) {
       const { account, cost, quota } = request;
-      if (reserve.take(account, cost, quota, nowMs())) {
+      const isFree =
+        standings.allows({ cost, quota, unpaid: unpaid.get(account) ?? 0 }, account, nowMs()) ||
+        reserve.take(account, cost, quota, nowMs());
+      if (isFree) {
         noteUnpaid(account, cost);
         decide({ kind: 'granted' });
         return;
--- a/src/core/account-quotas/messages.ts
+++ b/src/core/account-quotas/messages.ts
@@ -30,7 +30,7 @@
     kind: z.literal('answer'),
     askId: z.number(),
     verdict: z.discriminatedUnion('kind', [
-      z.object({ kind: z.literal('granted') }),
+      z.object({ kind: z.literal('granted'), left: z.number() }),
       z.object({
         kind: z.literal('spent'),
         retryAfterMs: z.number().min(0),
@@ -43,8 +43,14 @@
   /** What was spent without asking, or given back where it is negative. */
   z.object({
     kind: z.literal('spent'),
+    from: peerSchema,
     costs: z.array(z.object({ account: z.string(), cost: z.number() })),
   }),
+  /** What is left of accounts, as the reply to what was spent of them. */
+  z.object({
+    kind: z.literal('standings'),
+    standings: z.array(z.object({ account: z.string(), left: z.number() })),
+  }),
   /** Counts of one instance, for those that count the same accounts. */
   z.object({
     kind: z.literal('counts'),
--- a/src/core/account-quotas/testing/quota-fleet.ts
+++ b/src/core/account-quotas/testing/quota-fleet.ts
@@ -106,13 +106,17 @@
   const instances: PlayedInstance[] = [];
   const regions = QUOTA_REGIONS.slice(0, options.instances);
 
+  const isOff = (instance: number, atMs: number): boolean =>
+    options.isAlone?.(instance, atMs) === true;
+  const isAnyoneCut = options.isAlone !== undefined || options.isCut !== undefined;
+
   const isLost = (from: number, to: number): boolean => {
     const [fromRegion, toRegion] = [regionOf(from), regionOf(to)];
     if (fromRegion !== toRegion && options.isCut?.(fromRegion, toRegion, nowMs()) === true) {
       return true;
     }
-    const isOff = (instance: number) => options.isAlone?.(instance, nowMs()) === true;
-    return isOff(from) || isOff(to) || random.next() < (options.lostShare ?? 0);
+    const isAlone = isOff(from, nowMs()) || isOff(to, nowMs());
+    return isAlone || random.next() < (options.lostShare ?? 0);
   };
 
   const deliver = (from: number, to: number, text: string): void => {
@@ -129,10 +133,10 @@
   };
 
   const wasReachable = (from: number, to: number, atMs: number): boolean => {
-    const isOff = (instance: number) => options.isAlone?.(instance, atMs) === true;
+    if (!isAnyoneCut) return true;
     const [fromRegion, toRegion] = [regionOf(from), regionOf(to)];
     const isCut = fromRegion !== toRegion && options.isCut?.(fromRegion, toRegion, atMs) === true;
-    return !isOff(from) && !isOff(to) && !isCut;
+    return !isOff(from, atMs) && !isOff(to, atMs) && !isCut;
   };
 
   const knownTo = (from: number): readonly QuotaPeer[] =>
