--- a/src/core/account-quotas/testing/quota-fleet.ts
+++ b/src/core/account-quotas/testing/quota-fleet.ts
@@ -39,6 +39,8 @@
   readonly lostShare?: number;
   readonly repeatedShare?: number;
   readonly arrivals: readonly QuotaArrival[];
+  /** Told of each message from one instance to another. */
+  readonly onSent?: (from: number, to: number, text: string) => void;
   readonly durationMs: number;
 }
 
@@ -120,6 +122,7 @@
   };
 
   const deliver = (from: number, to: number, text: string): void => {
+    options.onSent?.(from, to, text);
     const times = random.next() < (options.repeatedShare ?? 0) ? 2 : 1;
     const delayMs = regionOf(from) === regionOf(to) ? NEAR_MS : FAR_MS;
     const target = instances[to];
