--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -2,6 +2,7 @@
 import { pickIndex } from '../src/core/random';
 import type { RandomSource } from '../src/core/random';
 import type { RouteKind } from '../src/core/host-routes';
+import { keyOfCaller } from './accounts';
 import type { CallerAttempt } from './types';
 
 /** What callers ask for; the routes of the configuration under test. */
@@ -45,16 +46,17 @@
   address: string,
   route: AskedRoute,
   requestId: string,
-  options: { readonly agent: Agent; readonly leavesAfterMs: number },
+  options: { readonly agent: Agent; readonly key: string; readonly leavesAfterMs: number },
 ): Promise<CallerAttempt> {
   const [host = '', port = ''] = address.split(':');
+  const { key } = options;
   return new Promise((resolve) => {
     let status: number | undefined;
     let isSigned = false;
     let body = '';
     const end = (isWhole: boolean) => {
       const { kind, maxAttempts } = route;
-      resolve({ requestId, kind, maxAttempts, status, isWhole, isSigned, body });
+      resolve({ requestId, kind, maxAttempts, key, status, isWhole, isSigned, body });
     };
     const outgoing = request(
       {
@@ -66,6 +68,7 @@
         headers: {
           host: HOST,
           'x-request-id': requestId,
+          'x-api-key': key,
           'x-deadline-ms': String(DEADLINE_MS),
         },
       },
@@ -104,14 +107,18 @@
       setTimeout(resolve, restMs * (0.5 + random.next()));
     });
 
-  const run = async (): Promise<void> => {
+  const run = async (key: string): Promise<void> => {
     const agent = new Agent({ keepAlive: true, maxSockets: 1 });
     let address = pick(addresses);
     while (!isStopping) {
       const requestId = `r-${nextRequest}`;
       nextRequest += 1;
       const leavesAfterMs = random.next() < LEAVING_SHARE ? 40 : GIVE_UP_MS;
-      const attempt = await askOnce(address, pick(ROUTES), requestId, { agent, leavesAfterMs });
+      const attempt = await askOnce(address, pick(ROUTES), requestId, {
+        agent,
+        key,
+        leavesAfterMs,
+      });
       attempts.push(attempt);
       // The connection is kept until it ends; then the caller looks for another instance.
       if (attempt.status === undefined || !attempt.isWhole) address = pick(addresses);
@@ -120,7 +127,7 @@
     agent.destroy();
   };
 
-  const running = Array.from({ length: count }, run);
+  const running = Array.from({ length: count }, (_, index) => run(keyOfCaller(index)));
   return {
     attempts,
     async stop() {
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
+import { SOAK_ACCOUNTS } from './accounts';
 import { TEST_CONFIGURATION } from '../platform/testing/gateway';
 import { pickIndex } from '../src/core/random';
 import type { RandomSource } from '../src/core/random';
@@ -91,7 +92,7 @@
 
 /** The routes under test, in a version. */
 export function configurationOf(version: number): object {
-  return { ...TEST_CONFIGURATION, Version: version };
+  return { ...TEST_CONFIGURATION, Version: version, Tenants: SOAK_ACCOUNTS };
 }
 
 /** Brings one fault about, and ends it. */
--- a/soak/promises.ts
+++ b/soak/promises.ts
@@ -1,3 +1,4 @@
+import { STRANGE_KEY, accountOfKey } from './accounts';
 import type { BrokenPromise, CallerAttempt, ServerRun } from './types';
 
 /** Statuses with which an instance says that a request has not run and never will. */
@@ -28,6 +29,24 @@
   return kind === 'stream' ? streamBody(requestId) : plainBody(requestId);
 }
 
+/** Whether the request was run for whoever sent it, and for nobody else. */
+function judgeAccount(
+  { requestId, key, status }: CallerAttempt,
+  runs: readonly ServerRun[],
+): BrokenPromise[] {
+  const broken: BrokenPromise[] = [];
+  const note = (promise: BrokenPromise['promise'], detail: string) =>
+    broken.push({ promise, requestId, detail });
+  if (key === STRANGE_KEY && (runs.length > 0 || status === OK)) {
+    note('strangerServed', `${status} after ${runs.length} runs`);
+  }
+  const wrong = runs.find(({ account }) => account !== accountOfKey(key));
+  if (wrong !== undefined) note('wrongAccount', `${wrong.account} at ${wrong.serverId}`);
+  const seeing = runs.find(({ sawKey }) => sawKey);
+  if (seeing !== undefined) note('keyPassedOn', seeing.serverId);
+  return broken;
+}
+
 /** What one call shows, with the servers that ran it. */
 function judge(attempt: CallerAttempt, serverIds: readonly string[]): BrokenPromise[] {
   const { requestId, kind, status, maxAttempts } = attempt;
@@ -56,9 +75,15 @@
   attempts: readonly CallerAttempt[],
   runs: readonly ServerRun[],
 ): readonly BrokenPromise[] {
-  const serversOf = new Map<string, string[]>();
-  for (const { requestId, serverId } of runs) {
-    serversOf.set(requestId, [...(serversOf.get(requestId) ?? []), serverId]);
+  const runsOf = new Map<string, ServerRun[]>();
+  for (const run of runs) {
+    const some = runsOf.get(run.requestId) ?? [];
+    some.push(run);
+    runsOf.set(run.requestId, some);
   }
-  return attempts.flatMap((attempt) => judge(attempt, serversOf.get(attempt.requestId) ?? []));
+  return attempts.flatMap((attempt) => {
+    const some = runsOf.get(attempt.requestId) ?? [];
+    const serverIds = some.map(({ serverId }) => serverId);
+    return [...judge(attempt, serverIds), ...judgeAccount(attempt, some)];
+  });
 }
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -4,6 +4,7 @@
 import { createSeededRandom } from '../src/core/random';
 import { openStoreStandIn } from '../standins/published-store';
 import type { StoreCopy } from '../standins/published-store';
+import { isOwed } from './accounts';
 import { startCallers } from './callers';
 import { bringAbout, configurationOf, drawFault } from './faults';
 import { startSoakInstances } from './instances';
@@ -111,7 +112,7 @@
       refused: attempts.filter(({ status }) => status === 503 || status === 429).length,
       broken: [
         ...checkPromises(attempts, servers.runs),
-        ...checkServedAgain(attempts.slice(before)),
+        ...checkServedAgain(attempts.slice(before).filter(({ key }) => isOwed(key))),
         ...checkVersions(logFolder, options.instances, version),
       ],
     };
--- a/soak/servers.ts
+++ b/soak/servers.ts
@@ -84,7 +84,9 @@
         return;
       }
       const requestId = request.headers.get('x-request-id') ?? '';
-      runs.push({ requestId, serverId });
+      const account = request.headers.get('x-tenant-id');
+      const sawKey = request.headers.get('x-api-key') !== undefined;
+      runs.push({ requestId, serverId, account, sawKey });
       if (random.next() < FAILING_SHARE) {
         socket.write(wholeAnswer(request, 'failed', { status: 500 }));
       } else if (isStream(request)) streamTo(request, socket);
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -5,6 +5,8 @@
   readonly requestId: string;
   readonly kind: RouteKind;
   readonly maxAttempts: number;
+  /** The key that was sent. */
+  readonly key: string;
   /** Undefined where the connection ended without the head of an answer. */
   readonly status: number | undefined;
   /** Whether the answer ended as HTTP says that it should. */
@@ -17,6 +19,10 @@
 export interface ServerRun {
   readonly requestId: string;
   readonly serverId: string;
+  /** The account that the server was told; undefined for none. */
+  readonly account: string | undefined;
+  /** Whether the server saw a key. */
+  readonly sawKey: boolean;
 }
 
 /** A promise that was broken, in words for whoever reads the report. */
@@ -28,6 +34,9 @@
     | 'tornStream'
     | 'tooManyServers'
     | 'notServedAgain'
+    | 'wrongAccount'
+    | 'keyPassedOn'
+    | 'strangerServed'
     | 'routesWentBack'
     | 'routesBehind';
   readonly requestId: string;
--- a/src/core/pass-through/observe-destination.ts
+++ b/src/core/pass-through/observe-destination.ts
@@ -58,9 +58,10 @@
       hadFirstByte = true;
       const nowMs = clock.monotonicMs();
       const actualMs = nowMs - sentAtMs;
-      // On a busy server the wait for other prompts or for a place in the batch would count as reading.
-      const isAlone = to.pendingTokens === 0 && to.load < server.slots / 2;
-      if (isAlone) paces.noteFirstByte(plan.service, tokens, actualMs);
+      // On a busy server the wait for a place in the batch would count as reading.
+      const isRoomy = loads.load(incarnationId, nowMs) < server.slots / 2;
+      const wasAlone = to.pendingTokens === 0;
+      if (isRoomy) paces.noteFirstByte(plan.service, { tokens, durationMs: actualMs, wasAlone });
       correction.note(alikeKey(plan), to.rawPredictedMs, actualMs);
       loads.noteFirstByte(incarnationId, { tokens, predictedMs, actualMs }, nowMs);
       if (request.demand !== undefined) router.noteRead(incarnationId, request.demand);
--- a/src/core/placement/service-paces.ts
+++ b/src/core/placement/service-paces.ts
@@ -5,14 +5,23 @@
   pace(service: string): ServicePace;
   /** A request held its slot for so long. */
   noteSlotTime(service: string, durationMs: number): void;
-  /** A prompt of so many uncached tokens took so long to its first byte at a server with nothing else to read. */
-  noteFirstByte(service: string, tokens: number, durationMs: number): void;
+  /** The first byte of a prompt came, at a server with room. */
+  noteFirstByte(service: string, seen: FirstByteSeen): void;
 }
 
-/** Until something is measured: an accelerator reads some tens of tokens a ms, and an answer takes a second. */
-const FIRST_SLOT_TIME_MS = 1_000;
-/** Weight of the newest slot time. */
+/** What a first byte shows. */
+export interface FirstByteSeen {
+  /** Prompt tokens that were read for it, those in a cache left out. */
+  readonly tokens: number;
+  readonly durationMs: number;
+  /** Whether the server had nothing else to read when the request was sent. */
+  readonly wasAlone: boolean;
+}
+
+/** Weight of the newest sample. */
 const NEWEST_WEIGHT = 0.05;
+/** Shorter prompts say little of the pace of reading. */
+const FEWEST_TOKENS = 1_000;
 /** Part of the sums that one more first byte leaves; some fifty requests decide. */
 const KEPT = 0.98;
 /** Weight of what is assumed, in first bytes that are seen; a dozen of those decide. */
@@ -65,20 +74,27 @@
   NO_SUMS,
 );
 
-/** The line that fits what was seen best, with what is assumed beside it. */
-function fitLine(seen: LineSums): Pick<ServicePace, 'prefillMsPerToken' | 'fixedMs'> {
+function boundedPace(msPerToken: number): number {
+  return Math.min(SLOWEST_MS_PER_TOKEN, Math.max(FASTEST_MS_PER_TOKEN, msPerToken));
+}
+
+/** Where the line that fits what was seen best begins, with what is assumed beside it, ms. */
+function fixedMsOf(seen: LineSums): number {
   const count = seen.count + ASSUMED_SUMS.count;
   const tokens = seen.tokens + ASSUMED_SUMS.tokens;
   const ms = seen.ms + ASSUMED_SUMS.ms;
   const tokensSquared = seen.tokensSquared + ASSUMED_SUMS.tokensSquared;
   const tokensMs = seen.tokensMs + ASSUMED_SUMS.tokensMs;
   const slope = (count * tokensMs - tokens * ms) / (count * tokensSquared - tokens * tokens);
-  const prefillMsPerToken = Math.min(SLOWEST_MS_PER_TOKEN, Math.max(FASTEST_MS_PER_TOKEN, slope));
-  const fixedMs = Math.max(0, (ms - prefillMsPerToken * tokens) / count);
-  return { prefillMsPerToken, fixedMs };
+  return Math.max(0, (ms - boundedPace(slope) * tokens) / count);
 }
 
-const FIRST_PACE: ServicePace = { ...fitLine(NO_SUMS), slotTimeMs: FIRST_SLOT_TIME_MS };
+/** Until something is measured: an accelerator reads some tens of tokens a ms, and an answer takes a second. */
+const FIRST_PACE: ServicePace = {
+  prefillMsPerToken: 0.025,
+  fixedMs: fixedMsOf(NO_SUMS),
+  slotTimeMs: 1_000,
+};
 
 interface Learned {
   readonly pace: ServicePace;
@@ -93,26 +109,34 @@
  *
  * Answers prompts of very different sizes. Each first byte takes some time that has nothing to do with its prompt: the way,
  * a step of the batch. Learned as time for reading, it makes long prompts look late at servers that would read them in
- * time; one notices refusals of long prompts beside idle servers. So both are told apart by prompts of several lengths.
+ * time; one notices refusals of long prompts beside idle servers. So the fixed time is found by prompts of several lengths at
+ * servers that have nothing else to read. The pace of reading follows all servers with room: what prompts wait for one
+ * another is part of it, and without that more would be let in than servers bear.
  */
 export function createServicePaces(): ServicePaces {
   const services = new Map<string, Learned>();
+  const blend = (before: number, sample: number) => before + (sample - before) * NEWEST_WEIGHT;
   const of = (service: string) => services.get(service) ?? NOTHING_LEARNED;
   return {
     pace: (service) => of(service).pace,
     noteSlotTime(service, durationMs) {
       const { pace, hasSlotTime, ...rest } = of(service);
-      const slotTimeMs = hasSlotTime
-        ? pace.slotTimeMs + (durationMs - pace.slotTimeMs) * NEWEST_WEIGHT
-        : durationMs;
+      const slotTimeMs = hasSlotTime ? blend(pace.slotTimeMs, durationMs) : durationMs;
       services.set(service, { ...rest, pace: { ...pace, slotTimeMs }, hasSlotTime: true });
     },
-    noteFirstByte(service, tokens, durationMs) {
+    noteFirstByte(service, { tokens, durationMs, wasAlone }) {
       const before = of(service);
       const sample = { tokens, durationMs: Math.min(LONGEST_SAMPLE_MS, durationMs) };
-      const firstBytes = addSample(before.firstBytes, sample, { kept: KEPT, added: 1 });
-      const pace = { ...before.pace, ...fitLine(firstBytes) };
-      services.set(service, { ...before, firstBytes, pace });
+      const firstBytes = wasAlone
+        ? addSample(before.firstBytes, sample, { kept: KEPT, added: 1 })
+        : before.firstBytes;
+      const fixedMs = wasAlone ? fixedMsOf(firstBytes) : before.pace.fixedMs;
+      const pace = { ...before.pace, fixedMs };
+      const prefillMsPerToken =
+        tokens < FEWEST_TOKENS
+          ? pace.prefillMsPerToken
+          : blend(pace.prefillMsPerToken, boundedPace((durationMs - fixedMs) / tokens));
+      services.set(service, { ...before, firstBytes, pace: { ...pace, prefillMsPerToken } });
     },
   };
 }
