--- a/src/core/pass-through/observe-destination.ts
+++ b/src/core/pass-through/observe-destination.ts
@@ -60,8 +60,7 @@
       const actualMs = nowMs - sentAtMs;
       // On a busy server the wait for a place in the batch would count as reading.
       const isRoomy = loads.load(incarnationId, nowMs) < server.slots / 2;
-      const wasAlone = to.pendingTokens === 0;
-      if (isRoomy) paces.noteFirstByte(plan.service, { tokens, durationMs: actualMs, wasAlone });
+      if (isRoomy) paces.notePrefill(plan.service, tokens, actualMs);
       correction.note(alikeKey(plan), to.rawPredictedMs, actualMs);
       loads.noteFirstByte(incarnationId, { tokens, predictedMs, actualMs }, nowMs);
       if (request.demand !== undefined) router.noteRead(incarnationId, request.demand);
--- a/src/core/placement/choose-server.ts
+++ b/src/core/placement/choose-server.ts
@@ -38,7 +38,7 @@
     (Math.min(load, slots) / Math.max(1, slots)) * pace.slotTimeMs * CROWDING_SHARE;
   const readTokens = uncachedTokens - copyableTokens + pendingTokens * PENDING_WEIGHT;
   const prefillMs = readTokens * pace.prefillMsPerToken;
-  return pace.fixedMs + waitMs + crowdingMs + prefillMs + copyMs(copyableTokens, pace) + delayMs;
+  return waitMs + crowdingMs + prefillMs + copyMs(copyableTokens, pace) + delayMs;
 }
 
 /** A server with what it is expected to take. */
--- a/src/core/placement/placement.test.ts
+++ b/src/core/placement/placement.test.ts
@@ -9,7 +9,7 @@
 } from '.';
 import type { Candidate } from '.';
 
-const PACE = { prefillMsPerToken: 0.025, fixedMs: 0, slotTimeMs: 1_000 };
+const PACE = { prefillMsPerToken: 0.025, slotTimeMs: 1_000 };
 
 function candidate(incarnationId: string, more: Partial<Candidate> = {}): Candidate {
   return {
@@ -234,18 +234,12 @@
   it('follows what is measured, within bounds', () => {
     const paces = createServicePaces();
     for (let count = 0; count < 200; count += 1) {
-      paces.noteFirstByte('llm', { tokens: 2_000, durationMs: 150, wasAlone: true });
-      paces.noteFirstByte('llm', { tokens: 8_000, durationMs: 450, wasAlone: true });
+      paces.notePrefill('llm', 5_000, 250);
       paces.noteSlotTime('llm', 400);
     }
-    const { prefillMsPerToken, fixedMs, slotTimeMs } = paces.pace('llm');
-    assert.ok(Math.abs(prefillMsPerToken - 0.05) < 0.002);
-    assert.ok(Math.abs(fixedMs - 50) < 5);
-    assert.ok(Math.abs(slotTimeMs - 400) < 5);
-    for (let count = 0; count < 500; count += 1) {
-      paces.noteFirstByte('llm', { tokens: 5_000, durationMs: 60_000, wasAlone: true });
-      paces.noteFirstByte('llm', { tokens: 10_000, durationMs: 600_000, wasAlone: true });
-    }
+    assert.ok(Math.abs(paces.pace('llm').prefillMsPerToken - 0.05) < 0.002);
+    assert.ok(Math.abs(paces.pace('llm').slotTimeMs - 400) < 5);
+    for (let count = 0; count < 500; count += 1) paces.notePrefill('llm', 5_000, 60_000);
     assert.ok(paces.pace('llm').prefillMsPerToken <= 0.2);
   });
 });
--- a/src/core/placement/prompt-copies.test.ts
+++ b/src/core/placement/prompt-copies.test.ts
@@ -3,7 +3,7 @@
 import { chooseServer, createPrefixCacheView, supplyPrompts } from '.';
 import type { Candidate, ModelDemand } from '.';
 
-const PACE = { prefillMsPerToken: 0.03, fixedMs: 0, slotTimeMs: 1_000, copyMsPerToken: 0.004 };
+const PACE = { prefillMsPerToken: 0.03, slotTimeMs: 1_000, copyMsPerToken: 0.004 };
 
 function candidate(incarnationId: string, more: Partial<Candidate> = {}): Candidate {
   return {
--- a/src/core/placement/types.ts
+++ b/src/core/placement/types.ts
@@ -40,8 +40,6 @@
 export interface ServicePace {
   /** Time for one prompt token that is not cached, ms. */
   readonly prefillMsPerToken: number;
-  /** Time to the first byte that does not depend on the prompt, ms. */
-  readonly fixedMs: number;
   /** Time for which a request holds its slot, ms. */
   readonly slotTimeMs: number;
   /** Time to copy one prompt token from another cache, ms; undefined where servers cannot. */
