--- a/src/core/account-quotas/create-account-quotas.ts
+++ b/src/core/account-quotas/create-account-quotas.ts
@@ -32,7 +32,7 @@
 }
 
 /** Time for an answer of an instance of this region, after which it is asked again, ms: far more than the way there. */
-const ANSWER_WITHIN_MS = 70;
+const ANSWER_WITHIN_MS = 120;
 /** Times that one instance is asked before the next one is: a message may be lost. */
 const MOST_TRIES = 2;
 /** Time for which answers are kept, so that an ask that comes twice is not counted twice, ms. */
@@ -79,7 +79,7 @@
     countId: clock.unixMs(),
   });
   const reserve = createLocalReserve(() => mostInstances(), nowMs());
-  const standings = createStandings();
+  const standings = createStandings({ instances: () => counters.instances().length });
   const waiting = new Map<number, Waiting>();
   /** Asks whose time is over: a grant that comes late is given back. */
   const overdue = new Map<
@@ -171,7 +171,9 @@
     }
     const ask = waiting.get(askId);
     if (ask === undefined) return;
-    if (verdict.kind === 'granted') standings.note(ask.request.account, verdict.left, nowMs());
+    const { account } = ask.request;
+    if (verdict.kind === 'granted') standings.note(account, verdict.left, nowMs());
+    if (verdict.kind === 'spent') standings.note(account, verdict.standing.left, nowMs());
     waiting.delete(askId);
     ask.timer[Symbol.dispose]();
     settle(ask, verdict);
@@ -258,14 +260,18 @@
   return {
     require(request, decide) {
       const { account, cost, quota } = request;
-      const isFree =
-        standings.allows({ cost, quota, unpaid: unpaid.get(account) ?? 0 }, account, nowMs()) ||
-        reserve.take(account, cost, quota, nowMs());
-      if (isFree) {
+      const spending = { cost, quota, unpaid: unpaid.get(account) ?? 0 };
+      const known = standings.judge(account, spending, nowMs());
+      if (known.kind === 'granted' || reserve.take(account, cost, quota, nowMs())) {
         noteUnpaid(account, cost);
         decide({ kind: 'granted' });
         return;
       }
+      if (known.kind === 'spent') {
+        const { retryAfterMs, left } = known;
+        decide({ kind: 'spent', retryAfterMs, standing: { left, unheardRegions: [] } });
+        return;
+      }
       askNext({ request, decide, asked: [], wasHeld: false });
     },
     giveBack: ({ account, cost }) => noteUnpaid(account, -cost),
