--- a/src/core/account-quotas/region-view.ts
+++ b/src/core/account-quotas/region-view.ts
@@ -1,7 +1,7 @@
 import type { Counters } from './counters';
 import type { QuotaPeer } from './types';
 
-/** Remembers how many instances there have been, to know which part of a region this one is in touch with. */
+/** Remembers how many instances there have been, to know how much of its region this one still reaches. */
 export interface RegionView {
   /** Notes who is there now; to be called all the time, also where nothing is counted yet. */
   look(nowMs: number): void;
