Log and count the limits that servers name in their answers

Events 4901 to 4904 say when a limit is learned, changed, ended or malformed, with the source and the age of what was known before; coltsfootworks_limited_servers counts the servers that name one; placements say whether the request was forwarded by another region. Nothing goes by the limits yet.

--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -18,6 +18,7 @@
 import { RETRY_EVENTS } from '../retries/events';
 import { ROUTING_EVENTS } from '../routing/events';
 import { SERVER_HEALTH_EVENTS } from '../server-health/events';
+import { SERVER_LIMIT_EVENTS } from '../server-limits/events';
 import { SERVING_EVENTS } from '../serving/events';
 import { SPILLOVER_EVENTS } from '../spillover/events';
 import { STATE_RELAY_EVENTS } from '../state-relay/events';
@@ -57,6 +58,7 @@
   INTAKE_EVENTS,
   CALL_EVENTS,
   STATE_RELAY_EVENTS,
+  SERVER_LIMIT_EVENTS,
 ]
   .flatMap((events): EventDefinition[] => Object.values(events))
   .sort((left, right) => left.id - right.id);
--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../clock';
 import type { AnswerHead, ConnectionPool, Exchange, ExchangeEnd } from '../exchanges';
 import type { LossCause } from '../outcomes';
+import type { KnownLimits } from '../server-limits';
 import { createBufferedReader, createStreamReader } from './answer-reader';
 import type { AnswerReader } from './answer-reader';
 import type { Router } from './create-router';
@@ -12,6 +13,7 @@
   writePlan,
 } from './forwarding';
 import { classifyAnswer, headerText } from './classify-answer';
+import type { AnswerClassification } from './classify-answer';
 import { observeDestination } from './observe-destination';
 import type { ObservedEnd, SendableDestination } from './observe-destination';
 import { PEER_IDLE_MS } from './other-regions';
@@ -66,6 +68,7 @@
   readonly pool: ConnectionPool;
   readonly router: Router;
   readonly warmCheck: WarmCheck;
+  readonly limits: Pick<KnownLimits, 'observe'>;
   readonly request: InboundRequest;
   readonly plan: RequestPlan;
   readonly to: SendableDestination;
@@ -202,6 +205,18 @@
     reader = createBufferedReader(answerHead, answer, droppedHeaders);
   };
 
+  /** Records the limit that an answer names, unless the answer is of another server or of an earlier request. */
+  const observeLimit = ({ headers }: AnswerHead, classification: AnswerClassification): void => {
+    if (to.kind === 'peer' || classification.kind === 'wrong') return;
+    if (classification.kind === 'notRun' && classification.isReplaced) return;
+    options.limits.observe({
+      server: to.server,
+      named: dialect.readLimit(headers),
+      observedAtMs: clock.monotonicMs(),
+      source: 'answer',
+    });
+  };
+
   const onHead = (answerHead: AnswerHead): void => {
     if (isForgotten) return;
     head = answerHead;
@@ -214,6 +229,7 @@
       return;
     }
     const classification = classifyAnswer(head, request.requestId, dialect);
+    observeLimit(head, classification);
     switch (classification.kind) {
       case 'notRun':
         if (classification.isReplaced && to.kind === 'server') {
--- a/src/core/pass-through/index.ts
+++ b/src/core/pass-through/index.ts
@@ -11,4 +11,5 @@
 export type { ServedRequest } from './request-end';
 export type { ServeDependencies } from './serve-request';
 export type { HeaderDialect, TokenCount } from './types';
+export type { NamedLimit } from '../server-limits';
 export { createWarmCheck } from './warm-check';
--- a/src/core/pass-through/request-log.ts
+++ b/src/core/pass-through/request-log.ts
@@ -65,6 +65,7 @@
         ...placementFields(to),
         promptTokens: request.demand?.promptTokens,
         mostAttempts: plan.maxAttempts,
+        isForwarded: plan.isForwarded,
         sinceReceivedMs: totalMs(),
         to: destinationName(to),
         timeLeftMs: Math.round(answerDeadlineMs(plan) - clock.monotonicMs()),
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../clock';
 import type { Logger } from '../events';
 import type { ConnectionPool } from '../exchanges';
+import type { KnownLimits } from '../server-limits';
 import type { RetryAllowance } from '../shared-budget';
 import { destinationName, startAttempt } from './attempt';
 import type { Attempt, AttemptResult } from './attempt';
@@ -35,6 +36,8 @@
   readonly warmCheck: WarmCheck;
   readonly crashWatch: CrashWatch;
   readonly retries: RetryAllowance;
+  /** Limits that backend servers name in their answers. */
+  readonly limits: KnownLimits;
   /** Called when a server other than `serverId` has answered at its address. */
   readonly onReplaced: (serverId: string) => void;
   readonly onDone: (done: ServedRequest) => void;
--- a/src/core/pass-through/types.ts
+++ b/src/core/pass-through/types.ts
@@ -1,6 +1,7 @@
 import type { HeaderMap } from '../exchanges';
 import type { RouteKind } from '../host-routes';
 import type { LoadReport, ModelDemand } from '../placement';
+import type { NamedLimit } from '../server-limits';
 
 /**
  * Names of the headers that callers and backend servers use, and parsers for the headers whose
@@ -42,6 +43,8 @@
    */
   readTokenCount(headers: HeaderMap): TokenCount;
   readLoadReport(text: string): LoadReport | undefined;
+  /** Returns the limit on its requests that a backend server names in an answer. */
+  readLimit(headers: HeaderMap): NamedLimit;
 }
 
 /** Number of tokens that a request states. */
--- a/src/core/pass-through/warm-check.ts
+++ b/src/core/pass-through/warm-check.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../clock';
 import type { AnswerHead, ConnectionPool, Exchange } from '../exchanges';
 import type { RouteTableStore } from '../host-routes';
+import type { KnownLimits } from '../server-limits';
 import type { KnownServer, ServerRegistry } from '../server-registry';
 import { MISDIRECTED_STATUS, headerText } from './classify-answer';
 import type { HeaderDialect } from './types';
@@ -37,6 +38,7 @@
   readonly pool: ConnectionPool;
   readonly routes: RouteTableStore;
   readonly servers: ServerRegistry;
+  readonly limits: Pick<KnownLimits, 'observe'>;
   /**
    * Returns the monotonic time since which all published state has been followed; undefined while
    * it is not.
@@ -125,6 +127,12 @@
               return;
             }
             suspectIds.delete(server.incarnationId);
+            options.limits.observe({
+              server,
+              named: dialect.readLimit(head.headers),
+              observedAtMs: clock.monotonicMs(),
+              source: 'healthCheck',
+            });
             const coldMs = coldForMs(head);
             if (coldMs > 0) servers.markCold(server.serverId, clock.monotonicMs() + coldMs);
             // The rest of the answer is ignored: a server may be healthy although its answer says
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -16,6 +16,7 @@
 import type { HeaderDialect, ServeDependencies, ServedRequest } from '../pass-through';
 import { createPoisonGuard, fingerprintKey } from '../poison';
 import type { RandomSource } from '../random';
+import { createKnownLimits } from '../server-limits';
 import type { ServerRegistry } from '../server-registry';
 import { createColdServerLimiter, createRetryAllowance } from '../shared-budget';
 import type { KnownInstances } from './known-instances';
@@ -111,7 +112,21 @@
     send: options.sendStatement,
   });
   const { followedSinceMs } = options;
-  const warmCheck = createWarmCheck({ clock, dialect, pool, routes, servers, followedSinceMs });
+  const limits = createKnownLimits(logger);
+  options.metrics.gauge(
+    'coltsfootworks_limited_servers',
+    'Backend servers that name a limit on their requests',
+    () => limits.limited().length,
+  );
+  const warmCheck = createWarmCheck({
+    clock,
+    dialect,
+    pool,
+    routes,
+    servers,
+    limits,
+    followedSinceMs,
+  });
   const guard = owned.add(
     createPoisonGuard({
       clock,
@@ -136,6 +151,7 @@
     warmCheck,
     crashWatch,
     retries,
+    limits,
     onReplaced: servers.markReplaced,
     onDone: createRequestCounter(options.metrics),
     onRefused: (reason, service) => options.metrics.refused(reason, service),
@@ -154,6 +170,7 @@
       const knownIds = new Set(servers.all().map((server) => server.incarnationId));
       router.keepOnly(knownIds);
       warmCheck.keepOnly(knownIds);
+      limits.keepOnly(knownIds);
     },
   };
 }
--- /dev/null
+++ b/src/core/server-limits/types.ts
@@ -0,0 +1,21 @@
+/** What one answer of a backend server says about the limit on its requests. */
+export type NamedLimit =
+  /** The server takes requests without a limit. */
+  | { readonly kind: 'none' }
+  /** The server takes `perSecond` requests a second from all instances together; with 0 it takes none. */
+  | { readonly kind: 'limit'; readonly perSecond: number }
+  /** The value is not a number that can be applied. */
+  | { readonly kind: 'malformed'; readonly text: string };
+
+/**
+ * How an instance learned of a limit: from the answer to a request, from the answer to a health check, or from another
+ * instance.
+ */
+export type LimitSource = 'answer' | 'healthCheck' | 'instance';
+
+/** Server that named a limit. */
+export interface LimitedServer {
+  /** Identifies one start of the server; a limit ends with it. */
+  readonly incarnationId: string;
+  readonly service: string;
+}
