Share what counts a limit for all instances, and the clock of simulations

The bucket, the selection of the counting instance, the cache of answers to repeated messages and the stepped clock were parts of the account quotas; the limits that servers name need the same. Moved or taken out as they are; QuotaPeer is now CounterPeer. No change of behaviour.

--- a/src/core/account-quotas/account-count.ts
+++ b/src/core/account-quotas/account-count.ts
@@ -1,6 +1,6 @@
 import type { AccountQuota } from '../client-accounts';
-import { refilled, timeUntilPositiveMs, withdraw } from './bucket';
-import type { Bucket } from './bucket';
+import { refilled, timeUntilPositiveMs, withdraw } from '../shared-budget';
+import type { Bucket } from '../shared-budget';
 import { regionShares } from './region-shares';
 import type { CountReport, QuotaStanding } from './types';
 
--- a/src/core/account-quotas/create-account-quotas.ts
+++ b/src/core/account-quotas/create-account-quotas.ts
@@ -1,12 +1,13 @@
 import type { Clock } from '../clock';
+import { createAnswerCache, createCounterSelector } from '../shared-budget';
+import type { CounterPeer } from '../shared-budget';
 import { createRegionalCounts } from './regional-counts';
 import type { RegionalCountsOptions } from './regional-counts';
-import { createCounterSelector } from './counter-selector';
 import { createLocalReserve } from './local-reserve';
 import { createStandings } from './standings';
 import { parseQuotaMessage, serializeQuotaMessage } from './messages';
 import type { AskVerdict, QuotaMessage } from './messages';
-import type { QuotaDecision, QuotaPeer, QuotaRequest } from './types';
+import type { QuotaDecision, QuotaRequest } from './types';
 
 /** Enforces the quotas of accounts over all instances. */
 export interface AccountQuotas {
@@ -27,7 +28,7 @@
 > {
   readonly clock: Clock;
   /** Returns the other usable instances. */
-  readonly peers: () => readonly QuotaPeer[];
+  readonly peers: () => readonly CounterPeer[];
   readonly send: (address: string, text: string) => void;
 }
 
@@ -85,13 +86,10 @@
   /** Asks that have timed out: a grant that arrives late is refunded. */
   const timedOutAsks = new Map<
     number,
-    { readonly request: QuotaRequest; readonly counter: QuotaPeer }
+    { readonly request: QuotaRequest; readonly counter: CounterPeer }
   >();
   const unreportedCosts = new Map<string, number>();
-  /** Answers by instance and ask id: the current generation and the previous one. */
-  let answers = new Map<string, AskVerdict>();
-  let previousAnswers = answers;
-  let answersSinceMs = 0;
+  const answers = createAnswerCache<AskVerdict>(ANSWER_TTL_MS);
   // Ask ids start at the current time, so that a process restarted under the same name does not reuse earlier ids.
   let lastAskId = clock.unixMs() * MAX_ASKS_PER_MS;
   let nextSpentReportAtMs = 0;
@@ -127,7 +125,7 @@
     }
   };
 
-  const sendAsk = (counter: QuotaPeer, ask: Omit<PendingAsk, 'timer'>): void => {
+  const sendAsk = (counter: CounterPeer, ask: Omit<PendingAsk, 'timer'>): void => {
     lastAskId += 1;
     const askId = lastAskId;
     const { account, cost } = ask.request;
@@ -206,19 +204,6 @@
     timedOutAsks.clear();
   };
 
-  /** Returns the answer to an ask; an ask that was received before gets the same answer again. */
-  const getOrCreateAnswer = (askKey: string, account: string, cost: number): AskVerdict => {
-    if (nowMs() - answersSinceMs >= ANSWER_TTL_MS) {
-      previousAnswers = answers;
-      answers = new Map();
-      answersSinceMs = nowMs();
-    }
-    const verdict =
-      answers.get(askKey) ?? previousAnswers.get(askKey) ?? ownCounts.ask(account, cost, nowMs());
-    answers.set(askKey, verdict);
-    return verdict;
-  };
-
   const replyToSpent = ({ from, costs }: Extract<QuotaMessage, { kind: 'spent' }>): void => {
     for (const { account, cost } of costs) ownCounts.recordSpent(account, cost, nowMs());
     const remainingQuotas = costs.flatMap(({ account }) => {
@@ -232,7 +217,9 @@
     switch (message.kind) {
       case 'ask': {
         const { from, askId, account, cost } = message;
-        const verdict = getOrCreateAnswer(`${from.instanceId} ${askId}`, account, cost);
+        const verdict = answers.getOrCreate(`${from.instanceId} ${askId}`, nowMs(), () =>
+          ownCounts.ask(account, cost, nowMs()),
+        );
         send(from.address, { kind: 'answer', askId, verdict });
         return;
       }
--- a/src/core/account-quotas/local-reserve.ts
+++ b/src/core/account-quotas/local-reserve.ts
@@ -1,6 +1,6 @@
 import type { AccountQuota } from '../client-accounts';
-import { refilled, withdraw } from './bucket';
-import type { Bucket } from './bucket';
+import { refilled, withdraw } from '../shared-budget';
+import type { Bucket } from '../shared-budget';
 
 /** Holds a small part of each quota, which an instance spends without asking the instance that counts the account. */
 export interface LocalReserve {
--- a/src/core/account-quotas/region-view.ts
+++ b/src/core/account-quotas/region-view.ts
@@ -1,5 +1,4 @@
-import type { CounterSelector } from './counter-selector';
-import type { QuotaPeer } from './types';
+import type { CounterPeer, CounterSelector } from '../shared-budget';
 
 /** Tracks the instances seen recently, to estimate how much of its region this instance still reaches. */
 export interface RegionView {
@@ -11,7 +10,7 @@
 
 /** Options of the region view. */
 export interface RegionViewOptions {
-  readonly self: () => QuotaPeer;
+  readonly self: () => CounterPeer;
   readonly counters: Pick<CounterSelector, 'instances'>;
   /** Returns all regions, including this one. */
   readonly regions: () => readonly string[];
--- a/src/core/account-quotas/regional-counts.ts
+++ b/src/core/account-quotas/regional-counts.ts
@@ -1,10 +1,10 @@
 import type { AccountQuota } from '../client-accounts';
+import type { CounterPeer, CounterSelector } from '../shared-budget';
 import { createAccountCount } from './account-count';
 import type { AccountCount, CountSender } from './account-count';
-import type { CounterSelector } from './counter-selector';
 import type { AskVerdict, QuotaMessage } from './messages';
 import { createRegionView } from './region-view';
-import type { CountReport, QuotaPeer } from './types';
+import type { CountReport } from './types';
 
 /** The account counts that this instance keeps for its region. */
 export interface RegionalCounts {
@@ -24,7 +24,7 @@
 
 /** Options of the regional counts. */
 export interface RegionalCountsOptions {
-  readonly self: () => QuotaPeer;
+  readonly self: () => CounterPeer;
   readonly counters: CounterSelector;
   /** Returns all regions, including this one. */
   readonly regions: () => readonly string[];
@@ -72,7 +72,7 @@
   };
 
   /** Returns the counter of the account in each other region, and the other one (counter or backup) in this region. */
-  const recipientsOf = (account: string): readonly QuotaPeer[] => {
+  const recipientsOf = (account: string): readonly CounterPeer[] => {
     const { instanceId } = self();
     return regions().flatMap((region) => {
       const selected = counters.select(account, region);
@@ -87,7 +87,7 @@
   };
 
   const sendReports = (accounts: readonly string[], nowMs: number): void => {
-    const byAddress = new Map<string, { peer: QuotaPeer; counts: CountReport[] }>();
+    const byAddress = new Map<string, { peer: CounterPeer; counts: CountReport[] }>();
     for (const account of accounts) {
       const quota = quotaOf(account);
       const report =
--- a/src/core/account-quotas/testing/quota-fleet.ts
+++ b/src/core/account-quotas/testing/quota-fleet.ts
@@ -1,9 +1,9 @@
-import type { Clock } from '../../clock';
 import type { AccountQuota } from '../../client-accounts';
+import { createSteppedClock } from '../../../testing';
 import { createSeededRandom } from '../../random';
+import type { CounterPeer } from '../../shared-budget';
 import { createAccountQuotas } from '../create-account-quotas';
 import type { AccountQuotas } from '../create-account-quotas';
-import type { QuotaPeer } from '../types';
 
 /** Simulates a fleet of instances that enforce quotas, on a stepped clock and with message delays. */
 
@@ -48,7 +48,6 @@
 /** Regions of the fleet; instances are assigned to them in turn. */
 export const QUOTA_REGIONS = ['north', 'east', 'south'];
 
-const EPOCH_UNIX_MS = 1_767_225_600_000;
 const STEP_MS = 5;
 /** Interval between two calls by which an instance sends its reports, ms. */
 const TICK_MS = 50;
@@ -60,37 +59,8 @@
 /** Time for which an unreachable instance is still considered alive, ms. */
 const FAILURE_DETECTION_MS = 2_000;
 
-/** Creates a clock that moves in steps. A scheduled callback runs at the first step at or after its time. */
-function createSteppedClock() {
-  let atMs = 0;
-  const due = new Map<number, { run: (() => void) | undefined }[]>();
-  const clock: Clock = {
-    monotonicMs: () => atMs,
-    unixMs: () => EPOCH_UNIX_MS + atMs,
-    schedule(dueAtMs, callback) {
-      const step = Math.max(atMs + STEP_MS, Math.ceil(dueAtMs / STEP_MS) * STEP_MS);
-      const task: { run: (() => void) | undefined } = { run: callback };
-      const tasks = due.get(step) ?? [];
-      tasks.push(task);
-      due.set(step, tasks);
-      return {
-        [Symbol.dispose]() {
-          task.run = undefined;
-        },
-      };
-    },
-  };
-  const advanceTo = (nextMs: number): void => {
-    atMs = nextMs;
-    const tasks = due.get(nextMs) ?? [];
-    due.delete(nextMs);
-    for (const { run } of tasks) run?.();
-  };
-  return { clock, advanceTo };
-}
-
 interface SimulatedInstance {
-  readonly peer: QuotaPeer;
+  readonly peer: CounterPeer;
   quotas: AccountQuotas;
   startedAtMs: number;
   life: number;
@@ -103,7 +73,7 @@
 
 /** Simulates arrivals at a fleet. The same seed gives the same outcomes. */
 export function simulateQuotas(options: QuotaFleetOptions): readonly QuotaOutcome[] {
-  const { clock, advanceTo } = createSteppedClock();
+  const { clock, advanceTo } = createSteppedClock(STEP_MS);
   const random = createSeededRandom(options.seed ?? 1);
   const nowMs = () => clock.monotonicMs();
   const outcomes: QuotaOutcome[] = [];
@@ -148,7 +118,7 @@
     return !isInstanceIsolated(from, atMs) && !isInstanceIsolated(to, atMs) && !isPartitioned;
   };
 
-  const peersKnownTo = (from: number): readonly QuotaPeer[] =>
+  const peersKnownTo = (from: number): readonly CounterPeer[] =>
     instances.flatMap(({ peer, startedAtMs }, to) => {
       const knowsSinceMs = Math.max(startedAtMs, instances[from]?.startedAtMs ?? 0);
       const isKnown = nowMs() - knowsSinceMs >= DISCOVERY_DELAY_MS;
--- a/src/core/account-quotas/types.ts
+++ b/src/core/account-quotas/types.ts
@@ -1,13 +1,5 @@
 import type { AccountQuota } from '../client-accounts';
 
-/** Identity and address of an instance that takes part in counting quotas. */
-export interface QuotaPeer {
-  readonly instanceId: string;
-  readonly region: string;
-  /** Address at which it receives messages. */
-  readonly address: string;
-}
-
 /** Quota and cost of one request of an account. */
 export interface QuotaRequest {
   readonly account: string;
--- a/src/core/account-quotas/counter-selector.ts
+++ b/src/core/shared-budget/counter-selector.ts
@@ -1,36 +1,36 @@
 import { hashPair } from '../rendezvous';
-import type { QuotaPeer } from './types';
+import type { CounterPeer } from './types';
 
 /**
- * Selects the counters of each account from the fleet as this instance sees it. The counter of an account in a region
- * is the instance that counts its spending there.
+ * Selects the counters of each subject, such as a client account or a server, from the fleet as this instance sees it.
+ * The counter of a subject in a region is the instance that counts its spending there.
  */
 export interface CounterSelector {
   /** Returns all usable instances, including this one. */
-  instances(): readonly QuotaPeer[];
-  /** Returns the counter of an account in a region, followed by its backup. */
-  select(account: string, region: string): readonly QuotaPeer[];
+  instances(): readonly CounterPeer[];
+  /** Returns the counter of a subject in a region, followed by its backup. */
+  select(subjectId: string, region: string): readonly CounterPeer[];
 }
 
 /** Options of the counter selector. */
 export interface CounterSelectorOptions {
   /** Returns this instance. */
-  readonly self: () => QuotaPeer;
+  readonly self: () => CounterPeer;
   /** Returns the other usable instances. */
-  readonly peers: () => readonly QuotaPeer[];
+  readonly peers: () => readonly CounterPeer[];
   readonly nowMs: () => number;
 }
 
 /** Interval between two refreshes of the view of the fleet, ms: shorter than the time that detecting a change takes. */
 const REFRESH_INTERVAL_MS = 100;
 
-/** Returns the two instances with the highest rendezvous scores for the account. */
-function highestTwo(account: string, inRegion: readonly QuotaPeer[]): readonly QuotaPeer[] {
+/** Returns the two instances with the highest rendezvous scores for the subject. */
+function highestTwo(subjectId: string, inRegion: readonly CounterPeer[]): readonly CounterPeer[] {
   let [firstScore, secondScore] = [-1, -1];
-  let first: QuotaPeer | undefined;
-  let second: QuotaPeer | undefined;
+  let first: CounterPeer | undefined;
+  let second: CounterPeer | undefined;
   for (const peer of inRegion) {
-    const score = hashPair(account, peer.instanceId);
+    const score = hashPair(subjectId, peer.instanceId);
     if (score > firstScore) {
       [second, secondScore] = [first, firstScore];
       [first, firstScore] = [peer, score];
@@ -52,9 +52,9 @@
   nowMs,
 }: CounterSelectorOptions): CounterSelector {
   let refreshedAtMs = -Infinity;
-  let all: readonly QuotaPeer[] = [];
-  let byRegion = new Map<string, QuotaPeer[]>();
-  const selectedCounters = new Map<string, readonly QuotaPeer[]>();
+  let all: readonly CounterPeer[] = [];
+  let byRegion = new Map<string, CounterPeer[]>();
+  const selectedCounters = new Map<string, readonly CounterPeer[]>();
 
   const refresh = (): void => {
     if (nowMs() - refreshedAtMs < REFRESH_INTERVAL_MS) return;
@@ -74,12 +74,12 @@
       refresh();
       return all;
     },
-    select(account, region) {
+    select(subjectId, region) {
       refresh();
-      const key = `${region} ${account}`;
+      const key = `${region} ${subjectId}`;
       const cached = selectedCounters.get(key);
       if (cached !== undefined) return cached;
-      const selected = highestTwo(account, byRegion.get(region) ?? []);
+      const selected = highestTwo(subjectId, byRegion.get(region) ?? []);
       selectedCounters.set(key, selected);
       return selected;
     },
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -5,4 +5,6 @@
 export { freePort } from './free-port';
 export { createMemoryLogger } from './memory-logger';
 export type { MemoryLogger } from './memory-logger';
+export { createSteppedClock } from './stepped-clock';
+export type { SteppedClock } from './stepped-clock';
 export { waitFor } from './wait-for';
