Select counters again only when the fleet has changed

The selection was dropped every 100 ms. With 300 instances and 100 subjects that are looked at each tick, that is 300,000 scores a second. An instance that does not count is left out, which the limits of servers need for one that leaves.

--- a/src/core/shared-budget/counter-selector.ts
+++ b/src/core/shared-budget/counter-selector.ts
@@ -6,7 +6,7 @@
  * The counter of a subject in a region is the instance that counts its spending there.
  */
 export interface CounterSelector {
-  /** Returns all usable instances, including this one. */
+  /** Returns all usable instances, including this one if it counts. */
   instances(): readonly CounterPeer[];
   /** Returns the counter of a subject in a region, followed by its backup. */
   select(subjectId: string, region: string): readonly CounterPeer[];
@@ -14,8 +14,8 @@
 
 /** Options of the counter selector. */
 export interface CounterSelectorOptions {
-  /** Returns this instance. */
-  readonly self: () => CounterPeer;
+  /** Returns this instance; undefined while it does not count. */
+  readonly self: () => CounterPeer | undefined;
   /** Returns the other usable instances. */
   readonly peers: () => readonly CounterPeer[];
   readonly nowMs: () => number;
@@ -41,6 +41,16 @@
   return [first, second].flatMap((peer) => peer ?? []);
 }
 
+function isSameFleet(before: readonly CounterPeer[], after: readonly CounterPeer[]): boolean {
+  return (
+    before.length === after.length &&
+    before.every((peer, index) => {
+      const other = after[index];
+      return peer.instanceId === other?.instanceId && peer.address === other.address;
+    })
+  );
+}
+
 /**
  * Creates a selector that chooses counters by rendezvous hashing. All instances with the same view of the fleet select
  * the same ones. No instance is reserved for counting, and one that leaves is replaced by the one with the next highest
@@ -59,7 +69,11 @@
   const refresh = (): void => {
     if (nowMs() - refreshedAtMs < REFRESH_INTERVAL_MS) return;
     refreshedAtMs = nowMs();
-    all = [...peers(), self()];
+    const ownPeer = self();
+    const visible = ownPeer === undefined ? peers() : [...peers(), ownPeer];
+    // Scoring a fleet of hundreds for each subject takes far more time than comparing it with the previous view.
+    if (isSameFleet(all, visible)) return;
+    all = visible;
     byRegion = new Map();
     for (const peer of all) {
       const inRegion = byRegion.get(peer.region) ?? [];
