Keep all instances of a region together to the limits that servers name

What callers saw: a server that had asked for 1.1 requests a second got 32 in 4 s and fell behind, so its chats ended late while other servers had room.

Cause: no instance went by the limit. The class is a limit that belongs to all instances but is known or kept by none, or by each alone.

Change: instances that observe a limit report it to one instance of the region, chosen by rendezvous hashing, which counts the requests to the server and announces the limit to all. Each request to a limited server needs a permit from it, retries, resumed streams and requests forwarded by other regions included. A request that gets none goes to another server or region, or is refused at once (serversLimited) with a time to return. A backup grants a quarter of the rate while the counter does not answer, and each side of a partition the share that it reaches. A limit ends with the newest answer that names none; the counter asks silent servers by health checks, and the rate rises from the former limit within 1.5 s.

--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '../clock';
 import type { AnswerHead, ConnectionPool, Exchange, ExchangeEnd } from '../exchanges';
 import type { LossCause } from '../outcomes';
-import type { KnownLimits } from '../server-limits';
+import type { ServerLimits } from '../server-limits';
 import { createBufferedReader, createStreamReader } from './answer-reader';
 import type { AnswerReader } from './answer-reader';
 import type { Router } from './create-router';
@@ -68,7 +68,7 @@
   readonly pool: ConnectionPool;
   readonly router: Router;
   readonly warmCheck: WarmCheck;
-  readonly limits: Pick<KnownLimits, 'observe'>;
+  readonly limits: Pick<ServerLimits, 'observe'>;
   readonly request: InboundRequest;
   readonly plan: RequestPlan;
   readonly to: SendableDestination;
@@ -210,7 +210,7 @@
     if (to.kind === 'peer' || classification.kind === 'wrong') return;
     if (classification.kind === 'notRun' && classification.isReplaced) return;
     options.limits.observe({
-      server: to.server,
+      incarnationId: to.server.incarnationId,
       named: dialect.readLimit(headers),
       observedAtMs: clock.monotonicMs(),
       source: 'answer',
--- a/src/core/pass-through/create-router.test.ts
+++ b/src/core/pass-through/create-router.test.ts
@@ -89,6 +89,7 @@
     servers,
     pool: { hasCapacity: () => true, hasIdleConnection: () => false },
     coldServerLimiter: { maySend: () => true, recordSent() {}, keepOnly() {} },
+    limits: { waitMs: () => 0 },
     peers: () => peers,
     instancesInRegion: () => 20,
     draw: () => 0,
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -30,7 +30,7 @@
   | { readonly kind: 'peer'; readonly peer: ForwardPeer }
   | {
       readonly kind: 'none';
-      readonly reason: 'noServer' | 'overloaded';
+      readonly reason: 'noServer' | 'overloaded' | 'serversLimited';
       readonly retryAfterMs: number;
       /**
        * The best server of this region, if its first byte would come too late; undefined if there
@@ -52,6 +52,8 @@
   readonly prefixes: PrefixCacheView;
   readonly correction: PredictionCorrection;
   readonly spillWindows: SpillWindows;
+  /** Records that a request is sent to a server; callers that are refused are told to return at the rate of these. */
+  recordAdmitted(plan: RequestPlan, nowMs: number): void;
   /** Records that a server has cached the prompt of a request from this instance. */
   recordPrompt(incarnationId: string, demand: ModelDemand): void;
   /** Records that servers have cached parts of prompts for other instances. */
@@ -136,7 +138,7 @@
   };
 
   const refuse = (
-    reason: 'noServer' | 'overloaded',
+    reason: (Destination & { kind: 'none' })['reason'],
     plan: RequestPlan,
     minDelayMs: number,
     nowMs: number,
@@ -151,7 +153,14 @@
   };
 
   /** Refuses a request that cannot be sent to any server of this region. */
-  const refuseWithoutServer = (plan: RequestPlan, nowMs: number): Destination => {
+  const refuseWithoutServer = (
+    plan: RequestPlan,
+    limitedForMs: number | undefined,
+    nowMs: number,
+  ): Destination => {
+    if (limitedForMs !== undefined) {
+      return refuse('serversLimited', plan, Math.max(MIN_RETRY_MS, limitedForMs), nowMs);
+    }
     const hasServersElsewhere =
       !plan.isForwarded && otherRegions.regionsWithServers(plan).length > 0;
     return hasServersElsewhere
@@ -166,22 +175,24 @@
     correction,
     spillWindows,
     choose(request, plan, tried, nowMs) {
-      const { best, unreachable } = localServers.outlook(request, plan, tried, nowMs);
+      const { best, unreachable, limitedForMs } = localServers.outlook(request, plan, tried, nowMs);
       const peer = choosePeer(plan, best?.predictedMs, tried);
       if (peer !== undefined) return { kind: 'peer', peer };
       // If no server is reachable and no other region helps, a server that is only suspected to be
       // unreachable is the best choice.
       const choice = best ?? unreachable;
-      if (choice === undefined) return refuseWithoutServer(plan, nowMs);
+      if (choice === undefined) return refuseWithoutServer(plan, limitedForMs, nowMs);
       if (!isAdmitted(choice, plan, nowMs)) {
         const minDelayMs = Math.max(MIN_RETRY_MS, choice.predictedMs - plan.objectiveMs);
         return refuse('overloaded', plan, minDelayMs, nowMs, choice);
       }
       const { server } = choice;
       if (server.coldUntilMs > nowMs) coldServerLimiter.recordSent(server.incarnationId, nowMs);
-      retrySchedule.recordAdmitted(requestClassKey(plan), nowMs);
       return { kind: 'server', ...choice };
     },
+    recordAdmitted(plan, nowMs) {
+      retrySchedule.recordAdmitted(requestClassKey(plan), nowMs);
+    },
     recordPrompt(incarnationId, demand) {
       prefixes.recordPrompt(incarnationId, demand);
       const shared = demand.parts.slice(0, -1).map(({ partId }) => partId);
--- a/src/core/pass-through/local-servers.ts
+++ b/src/core/pass-through/local-servers.ts
@@ -11,6 +11,7 @@
   ServerLoads,
   ServiceSpeeds,
 } from '../placement';
+import type { ServerLimits } from '../server-limits';
 import type { KnownServer, ServerRegistry } from '../server-registry';
 import type { ColdServerLimiter } from '../shared-budget';
 import { requestClassKey } from './forwarding';
@@ -45,6 +46,11 @@
    * usable.
    */
   readonly unreachable: LocalChoice | undefined;
+  /**
+   * Time until a permit may be asked for a server that only its limit keeps from receiving the
+   * request, ms, and for the first of them if there are several; undefined if there is none.
+   */
+  readonly limitedForMs: number | undefined;
 }
 
 /** Chooses among the servers of this region. */
@@ -65,6 +71,7 @@
   readonly servers: ServerRegistry;
   readonly pool: Pick<ConnectionPool, 'hasCapacity'>;
   readonly coldServerLimiter: ColdServerLimiter;
+  readonly limits: Pick<ServerLimits, 'waitMs'>;
   /** Number of instances of this region, including this one. */
   readonly instancesInRegion: () => number;
   readonly loads: ServerLoads;
@@ -104,6 +111,7 @@
     servers,
     pool,
     coldServerLimiter,
+    limits,
     loads,
     otherLoads,
     speeds,
@@ -229,20 +237,30 @@
   return {
     outlook(request, plan, tried, nowMs) {
       const mayServeHere = plan.homeRegions.length === 0 || plan.homeRegions.includes(region);
-      if (!mayServeHere) return { best: undefined, unreachable: undefined };
+      if (!mayServeHere) {
+        return { best: undefined, unreachable: undefined, limitedForMs: undefined };
+      }
       const service = routes.current()?.table.services.get(plan.service);
-      const eligible = servers
+      const unrestricted = servers
         .usable(plan.service, region)
         .filter(
           (server) => !tried.ids.has(server.incarnationId) && canReceive(server, service, nowMs),
         );
+      const waitsMs = unrestricted.map(({ incarnationId }) => limits.waitMs(incarnationId));
+      const eligible = unrestricted.filter((_unused, index) => waitsMs[index] === 0);
+      const limitedForMs =
+        eligible.length < unrestricted.length
+          ? Math.min(...waitsMs.filter((waitMs) => waitMs > 0))
+          : undefined;
       const reachable = eligible.filter(
         (server) => !loads.isBackingOff(server.incarnationId, nowMs),
       );
       if (reachable.length > 0) {
-        return { best: chooseBest(reachable, request, plan, nowMs), unreachable: undefined };
+        const best = chooseBest(reachable, request, plan, nowMs);
+        return { best, unreachable: undefined, limitedForMs };
       }
-      return { best: undefined, unreachable: chooseBest(eligible, request, plan, nowMs) };
+      const unreachable = chooseBest(eligible, request, plan, nowMs);
+      return { best: undefined, unreachable, limitedForMs };
     },
   };
 }
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '../clock';
 import type { Logger } from '../events';
 import type { ConnectionPool } from '../exchanges';
-import type { KnownLimits } from '../server-limits';
+import type { PermitVerdict, ServerLimits } from '../server-limits';
 import type { RetryAllowance } from '../shared-budget';
 import { destinationName, startAttempt } from './attempt';
 import type { Attempt, AttemptResult } from './attempt';
@@ -37,7 +37,7 @@
   readonly crashWatch: CrashWatch;
   readonly retries: RetryAllowance;
   /** Limits that backend servers name in their answers. */
-  readonly limits: KnownLimits;
+  readonly limits: ServerLimits;
   /** Called when a server other than `serverId` has answered at its address. */
   readonly onReplaced: (serverId: string) => void;
   readonly onDone: (done: ServedRequest) => void;
@@ -215,6 +215,7 @@
     log.placed(to);
     if (to.kind === 'server') {
       const { server, maxConnections } = to;
+      router.recordAdmitted(plan, clock.monotonicMs());
       const target = { server, maxConnections, attempt: attemptBudget.used() };
       crashWatchedAttempt = dependencies.crashWatch.watch(request, plan, target);
     }
@@ -248,7 +249,18 @@
       end.giveUp(end.mayHaveRun() ? lastFailure : to.reason, to.retryAfterMs, to.best);
       return;
     }
-    send(to);
+    if (to.kind === 'server') sendWithPermit(to);
+    else send(to);
+  }
+
+  /** Sends to a server if its limit allows it, and otherwise chooses another destination. */
+  function sendWithPermit(to: SendableDestination & { kind: 'server' }): void {
+    const decide = (verdict: PermitVerdict): void => {
+      if (end.isOver()) return;
+      if (verdict.kind === 'granted') send(to);
+      else tryNext();
+    };
+    dependencies.limits.requestPermit(to.server.incarnationId, decide);
   }
 
   /**
--- a/src/core/pass-through/testing/simulate-admission.ts
+++ b/src/core/pass-through/testing/simulate-admission.ts
@@ -163,6 +163,7 @@
       otherLoads,
       pool: { hasCapacity: () => true, hasIdleConnection: () => true },
       coldServerLimiter: { maySend: () => true, recordSent() {}, keepOnly() {} },
+      limits: { waitMs: () => 0 },
       peers: () => [],
       instancesInRegion: () => load.instances,
       draw: () => random.next(),
--- a/src/core/pass-through/types.ts
+++ b/src/core/pass-through/types.ts
@@ -148,6 +148,8 @@
   | 'malformedRequest'
   | 'noServer'
   | 'overloaded'
+  /** The limits that the servers name leave no room for the request now. */
+  | 'serversLimited'
   /** This instance gets too little processor time for its requests. */
   | 'instanceBehind'
   | 'stopping'
--- a/src/core/pass-through/warm-check.ts
+++ b/src/core/pass-through/warm-check.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '../clock';
 import type { AnswerHead, ConnectionPool, Exchange } from '../exchanges';
 import type { RouteTableStore } from '../host-routes';
-import type { KnownLimits } from '../server-limits';
+import type { ServerLimits } from '../server-limits';
 import type { KnownServer, ServerRegistry } from '../server-registry';
 import { MISDIRECTED_STATUS, headerText } from './classify-answer';
 import type { HeaderDialect } from './types';
@@ -38,7 +38,7 @@
   readonly pool: ConnectionPool;
   readonly routes: RouteTableStore;
   readonly servers: ServerRegistry;
-  readonly limits: Pick<KnownLimits, 'observe'>;
+  readonly limits: Pick<ServerLimits, 'observe'>;
   /**
    * Returns the monotonic time since which all published state has been followed; undefined while
    * it is not.
@@ -128,7 +128,7 @@
             }
             suspectIds.delete(server.incarnationId);
             options.limits.observe({
-              server,
+              incarnationId: server.incarnationId,
               named: dialect.readLimit(head.headers),
               observedAtMs: clock.monotonicMs(),
               source: 'healthCheck',
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -16,7 +16,8 @@
 import type { HeaderDialect, ServeDependencies, ServedRequest } from '../pass-through';
 import { createPoisonGuard, fingerprintKey } from '../poison';
 import type { RandomSource } from '../random';
-import { createKnownLimits } from '../server-limits';
+import { createServerLimits } from '../server-limits';
+import type { ServerLimits } from '../server-limits';
 import type { ServerRegistry } from '../server-registry';
 import { createColdServerLimiter, createRetryAllowance } from '../shared-budget';
 import type { KnownInstances } from './known-instances';
@@ -38,6 +39,8 @@
   readonly instances: KnownInstances;
   /** Sends a load update of this instance to another instance of its region. */
   readonly sendStatement: (address: string, text: string) => void;
+  /** Whether this instance counts limits for others; false once it is leaving. */
+  readonly isCounting: () => boolean;
   /** Monotonic time since which the published state has been followed without a gap; undefined while it is not. */
   readonly followedSinceMs: () => number | undefined;
 }
@@ -54,6 +57,9 @@
   refuseAtMostMs: 86_400_000,
 };
 
+/** Connections that a health check of a limited server may use in addition to those in use. */
+const MAX_CHECK_CONNECTIONS = 64;
+
 function createRequestCounter(metrics: Metrics) {
   return ({ plan, result, firstByteMs, totalMs, attempts }: ServedRequest): void => {
     // The instance that forwarded a request counts its attempts, including those that this one reports to it.
@@ -69,6 +75,10 @@
 export interface ServingContext extends ServeDependencies {
   /** Drops the state of servers that are no longer registered, which would otherwise accumulate. */
   forgetRemovedServers(): void;
+  /** Processes a message on the limits of servers; returns whether the text was a valid one. */
+  receiveLimitMessage(text: string): boolean;
+  /** Sends what is due on the limits of servers to the other instances of the region. */
+  sendLimits(): void;
   /** Applies a load update received from another instance. */
   receiveLoadUpdate(text: string): void;
   /** Sends this instance's load to the other instances of its region if it is due. */
@@ -82,6 +92,20 @@
 ): ServingContext {
   const { clock, random, logger, dialect, routes, servers, pool, gossip, instances } = options;
   const { instanceId, region } = options.settings();
+  const ownAddress = () => {
+    const { listeners, forwardingPort } = options.settings();
+    return `${listeners.forwarding.host}:${forwardingPort}`;
+  };
+  const limits: ServerLimits = createServerLimits({
+    clock,
+    logger,
+    self: () => ({ instanceId, region, address: ownAddress() }),
+    isCounting: options.isCounting,
+    peers: instances.possiblyAlivePeers,
+    reachableShare: instances.reachableShare,
+    send: options.sendStatement,
+    checkHealth,
+  });
   const peerLoads = createPeerLoads();
   const cachedParts = createCachedPartsBuffer();
   const router = createRouter({
@@ -91,6 +115,7 @@
     routes,
     servers,
     pool,
+    limits,
     coldServerLimiter: createColdServerLimiter({
       selfId: instanceId,
       startedAtMs: clock.monotonicMs(),
@@ -112,12 +137,6 @@
     send: options.sendStatement,
   });
   const { followedSinceMs } = options;
-  const limits = createKnownLimits(logger);
-  options.metrics.gauge(
-    'coltsfootworks_limited_servers',
-    'Backend servers that name a limit on their requests',
-    () => limits.limited().length,
-  );
   const warmCheck = createWarmCheck({
     clock,
     dialect,
@@ -127,6 +146,16 @@
     limits,
     followedSinceMs,
   });
+  options.metrics.gauge(
+    'coltsfootworks_limited_servers',
+    'Backend servers that name a limit on their requests',
+    limits.limitedCount,
+  );
+  options.metrics.gauge(
+    'coltsfootworks_denied_permits_total',
+    'Permits for requests to limited servers that were denied',
+    limits.deniedCount,
+  );
   const guard = owned.add(
     createPoisonGuard({
       clock,
@@ -141,6 +170,11 @@
     warmCheck,
     regions: () => [...new Set(Object.values(options.settings().regionOfDomain))],
   });
+  function checkHealth(incarnationId: string): void {
+    const server = servers.all().find((known) => known.incarnationId === incarnationId);
+    if (server !== undefined) warmCheck.ask(server, MAX_CHECK_CONNECTIONS, () => {});
+  }
+
   const retries = createRetryAllowance(() => options.settings().retryBudget, instances.count);
   return {
     clock,
@@ -155,6 +189,8 @@
     onReplaced: servers.markReplaced,
     onDone: createRequestCounter(options.metrics),
     onRefused: (reason, service) => options.metrics.refused(reason, service),
+    receiveLimitMessage: limits.receive,
+    sendLimits: limits.runDue,
     receiveLoadUpdate(text) {
       const update = parseLoadUpdate(text);
       if (update === undefined) return;
--- a/src/core/relay-node/known-instances.ts
+++ b/src/core/relay-node/known-instances.ts
@@ -1,5 +1,6 @@
 import type { MemberState, Membership } from '../membership';
 import type { ForwardPeer } from '../pass-through';
+import type { CounterPeer } from '../shared-budget';
 import type { RelayInstance } from '../state-relay';
 
 /** The known instances, filtered by the purposes for which this instance may use them. */
@@ -14,6 +15,10 @@
   countInRegion(): number;
   /** Ids of the instances in this region that may be alive, including this one and suspected ones. */
   possiblyAliveInRegion(): readonly string[];
+  /** Other instances in this region that may be alive, including suspected ones, with their addresses for statements. */
+  possiblyAlivePeers(): readonly CounterPeer[];
+  /** Share of this region's instances that this one reaches, itself included; instances that have left do not count. */
+  reachableShare(): number;
 }
 
 /** Options of {@link createKnownInstances}. */
@@ -39,6 +44,8 @@
     forwardAddress: forwardAddress(member),
     inFlightRequests: member.inFlightRequests,
   });
+  const inRegion = () => membership.members().filter((member) => member.region === region);
+  const mayBeAlive = ({ status }: MemberState) => status === 'alive' || status === 'suspect';
   return {
     // An instance that has no routes yet would refuse forwarded requests.
     peers: () =>
@@ -59,10 +66,23 @@
     countInRegion: () =>
       membership.usablePeers().filter((member) => member.region === region).length + 1,
     possiblyAliveInRegion: () =>
-      membership
-        .members()
-        .filter((member) => member.region === region)
-        .filter((member) => member.status === 'alive' || member.status === 'suspect')
-        .map((member) => member.instanceId),
+      inRegion()
+        .filter(mayBeAlive)
+        .map(({ instanceId }) => instanceId),
+    possiblyAlivePeers() {
+      const { instanceId: ownId } = membership.self();
+      return inRegion()
+        .filter((member) => mayBeAlive(member) && member.instanceId !== ownId)
+        .map((member) => ({
+          instanceId: member.instanceId,
+          region,
+          address: forwardAddress(member),
+        }));
+    },
+    reachableShare() {
+      const running = inRegion().filter(({ status }) => status !== 'leaving');
+      const reachable = running.filter(({ status }) => status === 'alive');
+      return reachable.length / Math.max(1, running.length);
+    },
   };
 }
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -195,6 +195,7 @@
       metrics,
       instances,
       followedSinceMs: sync.followedSinceMs,
+      isCounting: () => membership.self().status !== 'leaving',
       sendStatement: statements.send,
     },
     owned,
@@ -215,10 +216,10 @@
     quotaOf: (account) => routes.current()?.accounts?.byName(account)?.quota,
     send: statements.send,
   });
-  /** Dispatches a received statement: load updates are JSON arrays, quota messages JSON objects. */
+  /** Dispatches a received statement: load updates are JSON arrays, messages on quotas and on limits JSON objects. */
   const receiveStatement = (text: string): void => {
-    if (text.startsWith('{')) quotas.receive(text);
-    else serving.receiveLoadUpdate(text);
+    if (!text.startsWith('{')) serving.receiveLoadUpdate(text);
+    else if (!quotas.receive(text)) serving.receiveLimitMessage(text);
   };
   statements.onStatement(receiveStatement);
   inFlightCount = () => router.loads.totalInFlight();
@@ -295,6 +296,7 @@
     startTicks(clock, TICK_INTERVAL_MS, (dueAtMs, nextDueAtMs) => {
       loopWatch.recordTick(dueAtMs, nextDueAtMs, nowMs());
       serving.sendLoad();
+      serving.sendLimits();
       quotas.sendDueReports();
     }),
   );
--- a/src/core/server-limits/index.ts
+++ b/src/core/server-limits/index.ts
@@ -1,4 +1,4 @@
-/** Limits that backend servers name in their answers, for all instances together. */
-export { createKnownLimits } from './known-limits';
-export type { KnownLimit, KnownLimits } from './known-limits';
-export type { NamedLimit } from './types';
+/** Keeps all instances of a region together to the limits that its backend servers name in their answers. */
+export { createServerLimits } from './create-server-limits';
+export type { ServerLimits, ServerLimitsOptions } from './create-server-limits';
+export type { LimitObservation, NamedLimit, PermitVerdict } from './types';
--- a/src/core/server-limits/known-limits.ts
+++ b/src/core/server-limits/known-limits.ts
@@ -1,31 +1,31 @@
 import type { Logger } from '../events';
 import { SERVER_LIMIT_EVENTS } from './events';
-import type { LimitSource, LimitedServer, NamedLimit } from './types';
+import type { LimitObservation, LimitSource } from './types';
 
 /** What is known of the limit of one server. */
-export interface KnownLimit extends LimitedServer {
+export interface KnownLimit {
+  /** Identifies one start of the server. */
+  readonly incarnationId: string;
   /** Requests per second that all instances together may send; undefined if the server has no limit any more. */
   readonly perSecond: number | undefined;
-  /** When the server sent the answer that says so, monotonic ms. */
+  /** When the answer arrived that says so, monotonic ms. */
   readonly observedAtMs: number;
-}
-
-/** An answer of a server, as far as it concerns its limit. */
-export interface LimitObservation {
-  readonly server: LimitedServer;
-  readonly named: NamedLimit;
-  readonly observedAtMs: number;
-  readonly source: LimitSource;
+  /** Whether this instance has received that answer itself. */
+  readonly isObservedHere: boolean;
+  /** When the limit took its current value here, monotonic ms. */
+  readonly changedAtMs: number;
+  /** The limit before the current value; undefined for none. */
+  readonly previousPerSecond: number | undefined;
 }
 
 /** The limits that backend servers have named. */
 export interface KnownLimits {
   /** Applies an observation unless a newer one is known. Returns whether it changed the limit. */
-  observe(observation: LimitObservation): boolean;
+  observe(observation: LimitObservation, nowMs: number): boolean;
   /** Returns what is known of a server; undefined if it has never named a limit. */
   get(incarnationId: string): KnownLimit | undefined;
-  /** Returns the servers that have a limit now. */
-  limited(): readonly KnownLimit[];
+  /** Returns the servers that name a limit or have named one. */
+  all(): readonly KnownLimit[];
   /** Removes what is known of all servers but these. */
   keepOnly(incarnationIds: ReadonlySet<string>): void;
 }
@@ -34,75 +34,95 @@
 const CHANGE_LOG_INTERVAL_MS = 1_000;
 /** Maximum length of a malformed value in a log line, characters. */
 const MAX_LOGGED_CHARACTERS = 40;
+/**
+ * Time by which an observation of another instance has to be newer to change a limit, ms. Its age does not include the
+ * time for which the message waited to be read.
+ */
+const MIN_NEWER_BY_MS = 200;
 
 /** Creates an empty record of limits. */
 export function createKnownLimits(logger: Logger): KnownLimits {
   const known = new Map<string, KnownLimit>();
   const changeLoggedAtMs = new Map<string, number>();
   const malformedIds = new Set<string>();
+  /** Servers that have named a limit in the answer to a health check; of others, such an answer says nothing. */
+  const namingInHealthChecks = new Set<string>();
 
-  const logMalformed = (server: LimitedServer, text: string): void => {
+  const logMalformed = (server: string, text: string): void => {
     // Once for each start of a server: it may name the same value in every answer.
-    if (malformedIds.has(server.incarnationId)) return;
-    malformedIds.add(server.incarnationId);
-    logger.event(SERVER_LIMIT_EVENTS.malformed, {
-      server: server.incarnationId,
-      service: server.service,
-      value: text.slice(0, MAX_LOGGED_CHARACTERS),
-    });
+    if (malformedIds.has(server)) return;
+    malformedIds.add(server);
+    const value = text.slice(0, MAX_LOGGED_CHARACTERS);
+    logger.event(SERVER_LIMIT_EVENTS.malformed, { server, value });
   };
 
-  const logChange = (
-    before: number | undefined,
-    after: KnownLimit,
-    source: LimitSource,
-    sinceMs: number,
-  ): void => {
-    const { incarnationId, service, perSecond, observedAtMs } = after;
+  const logChange = (after: KnownLimit, source: LimitSource, previousAgeMs: number): void => {
+    const { incarnationId, perSecond, previousPerSecond, changedAtMs } = after;
     const fields = {
       server: incarnationId,
-      service,
       perSecond,
-      before,
+      previousPerSecond,
       source,
-      previousAgeMs: Math.round(sinceMs),
+      ageMs: Math.round(changedAtMs - after.observedAtMs),
+      previousAgeMs: Math.round(previousAgeMs),
     };
-    if (before === undefined) logger.event(SERVER_LIMIT_EVENTS.learned, fields);
+    if (previousPerSecond === undefined) logger.event(SERVER_LIMIT_EVENTS.learned, fields);
     else if (perSecond === undefined) logger.event(SERVER_LIMIT_EVENTS.ended, fields);
     else {
       const loggedAtMs = changeLoggedAtMs.get(incarnationId) ?? -Infinity;
-      if (observedAtMs - loggedAtMs < CHANGE_LOG_INTERVAL_MS) return;
+      if (changedAtMs - loggedAtMs < CHANGE_LOG_INTERVAL_MS) return;
       logger.event(SERVER_LIMIT_EVENTS.changed, fields);
     }
-    changeLoggedAtMs.set(incarnationId, observedAtMs);
+    changeLoggedAtMs.set(incarnationId, changedAtMs);
+  };
+
+  /** Returns whether an observation says more than what is known. */
+  const isNewer = (
+    before: KnownLimit,
+    { observedAtMs, source }: LimitObservation,
+    isSameValue: boolean,
+  ): boolean => {
+    const minNewerByMs = source === 'instance' && !isSameValue ? MIN_NEWER_BY_MS : 0;
+    return observedAtMs >= before.observedAtMs + minNewerByMs;
   };
 
   return {
-    observe({ server, named, observedAtMs, source }) {
+    observe(observation, nowMs) {
+      const { incarnationId, named, observedAtMs, source } = observation;
       if (named.kind === 'malformed') {
-        logMalformed(server, named.text);
+        logMalformed(incarnationId, named.text);
         return false;
       }
-      const { incarnationId, service } = server;
-      const before = known.get(incarnationId);
-      if (before === undefined && named.kind === 'none') return false;
-      if (before !== undefined && before.observedAtMs > observedAtMs) return false;
+      if (source === 'healthCheck') {
+        if (named.kind === 'limit') namingInHealthChecks.add(incarnationId);
+        else if (!namingInHealthChecks.has(incarnationId)) return false;
+      }
       const perSecond = named.kind === 'limit' ? named.perSecond : undefined;
-      const after = { incarnationId, service, perSecond, observedAtMs };
+      const before = known.get(incarnationId);
+      if (before === undefined && perSecond === undefined) return false;
+      const isSameValue = before !== undefined && before.perSecond === perSecond;
+      if (before !== undefined && !isNewer(before, observation, isSameValue)) return false;
+      const isObservedHere = source !== 'instance';
+      if (isSameValue) {
+        known.set(incarnationId, { ...before, observedAtMs, isObservedHere });
+        return false;
+      }
+      const after = {
+        incarnationId,
+        perSecond,
+        observedAtMs,
+        isObservedHere,
+        changedAtMs: nowMs,
+        previousPerSecond: before?.perSecond,
+      };
       known.set(incarnationId, after);
-      if (before?.perSecond === perSecond) return false;
-      logChange(
-        before?.perSecond,
-        after,
-        source,
-        observedAtMs - (before?.observedAtMs ?? observedAtMs),
-      );
+      logChange(after, source, nowMs - (before?.observedAtMs ?? nowMs));
       return true;
     },
     get: (incarnationId) => known.get(incarnationId),
-    limited: () => [...known.values()].filter(({ perSecond }) => perSecond !== undefined),
+    all: () => [...known.values()],
     keepOnly(incarnationIds) {
-      for (const ids of [known, changeLoggedAtMs, malformedIds]) {
+      for (const ids of [known, changeLoggedAtMs, malformedIds, namingInHealthChecks]) {
         for (const id of ids.keys()) if (!incarnationIds.has(id)) ids.delete(id);
       }
     },
--- a/src/core/server-limits/types.ts
+++ b/src/core/server-limits/types.ts
@@ -13,9 +13,16 @@
  */
 export type LimitSource = 'answer' | 'healthCheck' | 'instance';
 
-/** Server that named a limit. */
-export interface LimitedServer {
+/** An answer of a server, as far as it concerns its limit. */
+export interface LimitObservation {
   /** Identifies one start of the server; a limit ends with it. */
   readonly incarnationId: string;
-  readonly service: string;
+  readonly named: NamedLimit;
+  /** When the answer arrived at the instance that observed it, monotonic ms. */
+  readonly observedAtMs: number;
+  readonly source: LimitSource;
 }
+
+/** Whether an instance may send one request to a server. */
+export type PermitVerdict =
+  { readonly kind: 'granted' } | { readonly kind: 'denied'; readonly retryAfterMs: number };
