--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -19,11 +19,18 @@
 } from '../placement';
 import { requestClassKey } from './forwarding';
 import { createLocalServers } from './local-servers';
-import type { LocalChoice, LocalServersOptions } from './local-servers';
+import type { LimitedServer, LocalChoice, LocalServersOptions } from './local-servers';
 import { createOtherRegions } from './other-regions';
 import type { ForwardPeer, OtherRegionsOptions } from './other-regions';
 import type { InboundRequest, RequestPlan, TriedDestinations } from './types';
 
+/** The server because of which a request is refused. */
+export type RefusalBasis =
+  /** The best server of this region; its first byte would come too late. */
+  | { readonly kind: 'tooSlow'; readonly best: LocalChoice }
+  /** The limited server that may be asked first again. */
+  | { readonly kind: 'limited'; readonly server: LimitedServer };
+
 /** Next destination of a request. */
 export type Destination =
   | ({ readonly kind: 'server' } & LocalChoice)
@@ -32,11 +39,8 @@
       readonly kind: 'none';
       readonly reason: 'noServer' | 'overloaded' | 'serversLimited';
       readonly retryAfterMs: number;
-      /**
-       * The best server of this region, if its first byte would come too late; undefined if there
-       * is none.
-       */
-      readonly best: LocalChoice | undefined;
+      /** The server because of which the request is refused; undefined if there is none. */
+      readonly basis: RefusalBasis | undefined;
     };
 
 /** Chooses destinations for requests, and records their results for later choices. */
@@ -142,24 +146,28 @@
     plan: RequestPlan,
     minDelayMs: number,
     nowMs: number,
-    best?: LocalChoice,
+    basis?: RefusalBasis,
   ): Destination => {
     // The instance that forwarded the request answers its caller. A place in the retry schedule
     // here would delay the callers of this region.
     const retryAfterMs = plan.isForwarded
       ? minDelayMs
       : retrySchedule.nextRetryAfterMs(requestClassKey(plan), minDelayMs, nowMs);
-    return { kind: 'none', reason, retryAfterMs, best };
+    return { kind: 'none', reason, retryAfterMs, basis };
   };
 
   /** Refuses a request that cannot be sent to any server of this region. */
   const refuseWithoutServer = (
     plan: RequestPlan,
-    limitedForMs: number | undefined,
+    limited: LimitedServer | undefined,
     nowMs: number,
   ): Destination => {
-    if (limitedForMs !== undefined) {
-      return refuse('serversLimited', plan, Math.max(MIN_RETRY_MS, limitedForMs), nowMs);
+    if (limited !== undefined) {
+      const minDelayMs = Math.max(MIN_RETRY_MS, limited.waitMs);
+      return refuse('serversLimited', plan, minDelayMs, nowMs, {
+        kind: 'limited',
+        server: limited,
+      });
     }
     const hasServersElsewhere =
       !plan.isForwarded && otherRegions.regionsWithServers(plan).length > 0;
@@ -175,16 +183,16 @@
     correction,
     spillWindows,
     choose(request, plan, tried, nowMs) {
-      const { best, unreachable, limitedForMs } = localServers.outlook(request, plan, tried, nowMs);
+      const { best, unreachable, limited } = localServers.outlook(request, plan, tried, nowMs);
       const peer = choosePeer(plan, best?.predictedMs, tried);
       if (peer !== undefined) return { kind: 'peer', peer };
       // If no server is reachable and no other region helps, a server that is only suspected to be
       // unreachable is the best choice.
       const choice = best ?? unreachable;
-      if (choice === undefined) return refuseWithoutServer(plan, limitedForMs, nowMs);
+      if (choice === undefined) return refuseWithoutServer(plan, limited, nowMs);
       if (!isAdmitted(choice, plan, nowMs)) {
         const minDelayMs = Math.max(MIN_RETRY_MS, choice.predictedMs - plan.objectiveMs);
-        return refuse('overloaded', plan, minDelayMs, nowMs, choice);
+        return refuse('overloaded', plan, minDelayMs, nowMs, { kind: 'tooSlow', best: choice });
       }
       const { server } = choice;
       if (server.coldUntilMs > nowMs) coldServerLimiter.recordSent(server.incarnationId, nowMs);
--- a/src/core/pass-through/local-servers.ts
+++ b/src/core/pass-through/local-servers.ts
@@ -47,10 +47,17 @@
    */
   readonly unreachable: LocalChoice | undefined;
   /**
-   * Time until a permit may be asked for a server that only its limit keeps from receiving the
-   * request, ms, and for the first of them if there are several; undefined if there is none.
+   * The server that only its limit keeps from receiving the request; the first that may be asked
+   * again if there are several, undefined if there is none.
    */
-  readonly limitedForMs: number | undefined;
+  readonly limited: LimitedServer | undefined;
+}
+
+/** A server for which no permit may be asked at the moment. */
+export interface LimitedServer {
+  readonly incarnationId: string;
+  /** Time until a permit may be asked again, ms. */
+  readonly waitMs: number;
 }
 
 /** Chooses among the servers of this region. */
@@ -154,6 +161,13 @@
     );
   };
 
+  /** Returns the server for which a permit may be asked first, of those that must wait for it. */
+  const firstLimited = (unrestricted: readonly KnownServer[]): LimitedServer | undefined =>
+    unrestricted
+      .map(({ incarnationId }) => ({ incarnationId, waitMs: limits.waitMs(incarnationId) }))
+      .filter(({ waitMs }) => waitMs > 0)
+      .sort((left, right) => left.waitMs - right.waitMs)[0];
+
   const toCandidate = (
     server: KnownServer,
     plan: RequestPlan,
@@ -238,7 +252,7 @@
     outlook(request, plan, tried, nowMs) {
       const mayServeHere = plan.homeRegions.length === 0 || plan.homeRegions.includes(region);
       if (!mayServeHere) {
-        return { best: undefined, unreachable: undefined, limitedForMs: undefined };
+        return { best: undefined, unreachable: undefined, limited: undefined };
       }
       const service = routes.current()?.table.services.get(plan.service);
       const unrestricted = servers
@@ -246,21 +260,20 @@
         .filter(
           (server) => !tried.ids.has(server.incarnationId) && canReceive(server, service, nowMs),
         );
-      const waitsMs = unrestricted.map(({ incarnationId }) => limits.waitMs(incarnationId));
-      const eligible = unrestricted.filter((_unused, index) => waitsMs[index] === 0);
-      const limitedForMs =
-        eligible.length < unrestricted.length
-          ? Math.min(...waitsMs.filter((waitMs) => waitMs > 0))
-          : undefined;
+      const eligible = unrestricted.filter(
+        ({ incarnationId }) => limits.waitMs(incarnationId) === 0,
+      );
+      const limited =
+        eligible.length < unrestricted.length ? firstLimited(unrestricted) : undefined;
       const reachable = eligible.filter(
         (server) => !loads.isBackingOff(server.incarnationId, nowMs),
       );
       if (reachable.length > 0) {
         const best = chooseBest(reachable, request, plan, nowMs);
-        return { best, unreachable: undefined, limitedForMs };
+        return { best, unreachable: undefined, limited };
       }
       const unreachable = chooseBest(eligible, request, plan, nowMs);
-      return { best: undefined, unreachable, limitedForMs };
+      return { best: undefined, unreachable, limited };
     },
   };
 }
--- a/src/core/pass-through/request-end.ts
+++ b/src/core/pass-through/request-end.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../clock';
-import type { LocalChoice } from './local-servers';
+import type { RefusalBasis } from './create-router';
 import type { RequestLog } from './request-log';
 import type { ClientAnswer, InboundRequest, Refusal, RefusalReason, RequestPlan } from './types';
 
@@ -31,10 +31,10 @@
   callerGone(): void;
   /**
    * Ends the request without further attempts. The caller gets the kept failure answer of a server,
-   * or else a refusal; an answer that has begun is closed incomplete. `best` is the server that was
-   * predicted to be too slow, if that is the reason.
+   * or else a refusal; an answer that has begun is closed incomplete. `basis` is the
+   * server that is the reason, if there is one.
    */
-  giveUp(reason: RefusalReason, retryAfterMs: number | undefined, best?: LocalChoice): void;
+  giveUp(reason: RefusalReason, retryAfterMs: number | undefined, basis?: RefusalBasis): void;
 }
 
 /** Options of `createRequestEnd`. */
@@ -65,7 +65,7 @@
     onDone({ plan, result, firstByteMs, totalMs, attempts: attempts(), hasNotRun });
   };
 
-  const refuse: RequestEnd['giveUp'] = (reason, retryAfterMs, best) => {
+  const refuse: RequestEnd['giveUp'] = (reason, retryAfterMs, basis) => {
     const outcome = mayHaveRun ? 'unknown' : 'notRun';
     const refusal: Refusal = {
       reason,
@@ -74,7 +74,7 @@
     };
     answer.recordAttempts(attempts());
     answer.refuse(refusal);
-    log.refused(refusal, best);
+    log.refused(refusal, basis);
     finish(reason, outcome === 'notRun');
   };
 
@@ -90,7 +90,7 @@
     },
     answered: () => finish('answered'),
     callerGone: () => finish('callerGone', attempts() === 0),
-    giveUp(reason, retryAfterMs, best) {
+    giveUp(reason, retryAfterMs, basis) {
       if (answer.headSent) {
         answer.closeIncomplete();
         log.brokenOff(reason);
@@ -98,7 +98,7 @@
         return;
       }
       if (passOnKeptFailure === undefined) {
-        refuse(reason, retryAfterMs, best);
+        refuse(reason, retryAfterMs, basis);
         return;
       }
       // A server's own answer carries more information than a refusal, and identifies the server
--- a/src/core/pass-through/request-log.ts
+++ b/src/core/pass-through/request-log.ts
@@ -4,6 +4,7 @@
 import type { Attempt } from './attempt';
 import { PASS_THROUGH_EVENTS } from './events';
 import { answerDeadlineMs, requestFields } from './forwarding';
+import type { RefusalBasis } from './create-router';
 import type { LocalChoice } from './local-servers';
 import type { SendableDestination } from './observe-destination';
 import type { StreamProgress } from './stream-progress';
@@ -16,10 +17,10 @@
   /** Logs a complete answer; `firstByteAtMs` is undefined if the answer had no body. */
   answered(attempt: Attempt, status: number, firstByteAtMs: number | undefined): void;
   /**
-   * Logs a refusal; `best` is the best server, which was predicted to be too slow, and undefined if
-   * no server could accept the request.
+   * Logs a refusal; `basis` is the server that is the reason, and undefined if no server could accept
+   * the request.
    */
-  refused(refusal: Refusal, best: LocalChoice | undefined): void;
+  refused(refusal: Refusal, basis: RefusalBasis | undefined): void;
   brokenOff(reason: RefusalReason): void;
   callerGone(): void;
 }
@@ -46,6 +47,20 @@
   };
 }
 
+/** Returns the server that is the reason for a refusal as log fields. */
+function basisFields(basis: RefusalBasis | undefined) {
+  switch (basis?.kind) {
+    case undefined:
+      return {};
+    case 'tooSlow':
+      return { ...predictionFields(basis.best), bestServer: basis.best.server.incarnationId };
+    case 'limited':
+      return { limitedServer: basis.server.incarnationId };
+    default:
+      return basis satisfies never;
+  }
+}
+
 /** Returns the basis of the choice of a destination as log fields. */
 function placementFields(to: SendableDestination) {
   return to.kind === 'peer' ? { toRegion: to.peer.region } : predictionFields(to);
@@ -91,12 +106,11 @@
         firstByteMs: sinceReceivedMs(firstByteAtMs ?? request.receivedAtMs),
         totalMs: totalMs(),
       }),
-    refused: (refusal, best) =>
+    refused: (refusal, basis) =>
       logger.event(PASS_THROUGH_EVENTS.refused, {
         ...fields(),
         ...refusal,
-        ...(best === undefined ? {} : predictionFields(best)),
-        bestServer: best?.server.incarnationId,
+        ...basisFields(basis),
         objectiveMs: plan.objectiveMs,
         promptTokens: request.demand?.promptTokens,
         totalMs: totalMs(),
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -246,7 +246,7 @@
     }
     const to = router.choose(request, plan, tried, clock.monotonicMs());
     if (to.kind === 'none') {
-      end.giveUp(end.mayHaveRun() ? lastFailure : to.reason, to.retryAfterMs, to.best);
+      end.giveUp(end.mayHaveRun() ? lastFailure : to.reason, to.retryAfterMs, to.basis);
       return;
     }
     if (to.kind === 'server') sendWithPermit(to);
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -152,7 +152,7 @@
     limits.limitedCount,
   );
   options.metrics.gauge(
-    'coltsfootworks_denied_permits_total',
+    'coltsfootworks_denied_permits',
     'Permits for requests to limited servers that were denied',
     limits.deniedCount,
   );
--- a/src/core/server-limits/limit-counts.ts
+++ b/src/core/server-limits/limit-counts.ts
@@ -76,9 +76,9 @@
       }
       const atMs = retryAtMs(count, nowMs);
       const perSecond = grantedPerSecond(rate);
-      const nextRetryAtMs = perSecond > 0 ? atMs + MS_PER_S / perSecond : atMs;
+      const nextRetryAtMs = Math.min(nowMs + MAX_WAIT_MS, atMs + MS_PER_S / perSecond);
       counts.set(serverId, { ...count, nextRetryAtMs });
-      return { kind: 'denied', retryAfterMs: Math.ceil(atMs - nowMs) };
+      return { kind: 'denied', retryAfterMs: Math.max(1, Math.ceil(atMs - nowMs)) };
     },
     keepOnly(serverIds) {
       for (const id of counts.keys()) if (!serverIds.has(id)) counts.delete(id);
