Draw limits of servers in the soak, and check what they get

Servers of the soak name limits of 0 to 20 requests a second for 9 to 13 s: one of them, all of them, or one that changes twice a second.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -16,7 +16,13 @@
   | { readonly kind: 'delayStore'; readonly instance: number; readonly forMs: number }
   | { readonly kind: 'storeBusy' | 'storeSilent' | 'storeRestored'; readonly forMs: number }
   | { readonly kind: 'forgetHistory' | 'changeRoutes' }
-  | { readonly kind: 'replaceServer' | 'restartServer' | 'damageEntry'; readonly server: number };
+  | { readonly kind: 'replaceServer' | 'restartServer' | 'damageEntry'; readonly server: number }
+  | {
+      readonly kind: 'limitServer' | 'limitAllServers' | 'changeLimit';
+      readonly server: number;
+      readonly perSecond: number;
+      readonly forMs: number;
+    };
 
 type Kind = Fault['kind'];
 
@@ -37,10 +43,20 @@
   'restartServer',
   'damageEntry',
   'storeRestored',
+  'limitServer',
+  'limitAllServers',
+  'changeLimit',
 ];
 const SHORTEST_MS = 300;
 const LONGEST_MS = 4_000;
 const DELAY_MS = 400;
+/** Limits that servers name, requests a second. */
+const LIMITS = [0, 0.25, 1, 4, 20];
+/** Time for which a server names limits, ms: the bound holds from 5 s on, in spans of 4 s. */
+const SHORTEST_LIMIT_MS = 9_000;
+const LONGEST_LIMIT_MS = 13_000;
+/** Interval between two changes of a limit that changes, ms. */
+const CHANGE_EVERY_MS = 500;
 /** Time after the store's return from an older copy in which all is written again, ms. */
 const WRITTEN_AGAIN_AFTER_MS = 1_000;
 
@@ -72,6 +88,13 @@
     case 'restartServer':
     case 'damageEntry':
       return { kind, server };
+    case 'limitServer':
+    case 'limitAllServers':
+    case 'changeLimit': {
+      const perSecond = LIMITS[pickIndex(random, LIMITS.length)] ?? 1;
+      const limitMs = SHORTEST_LIMIT_MS + random.next() * (LONGEST_LIMIT_MS - SHORTEST_LIMIT_MS);
+      return { kind, server, perSecond, forMs: limitMs };
+    }
     default:
       return kind satisfies never;
   }
@@ -95,6 +118,10 @@
   return { ...TEST_CONFIGURATION, Version: version, Tenants: SOAK_ACCOUNTS };
 }
 
+function setAllLimits(servers: SoakServers, perSecond: number | undefined): void {
+  for (let index = 0; index < servers.count; index += 1) servers.setLimit(index, perSecond);
+}
+
 /** Brings one fault about, and ends it. */
 export async function bringAbout(fault: Fault, targets: FaultTargets): Promise<void> {
   const { store, instances, servers } = targets;
@@ -158,6 +185,23 @@
     case 'damageEntry':
       servers.damageEntry(fault.server);
       return;
+    case 'limitServer':
+      servers.setLimit(fault.server, fault.perSecond);
+      await sleep(fault.forMs);
+      servers.setLimit(fault.server, undefined);
+      return;
+    case 'limitAllServers':
+      setAllLimits(servers, fault.perSecond);
+      await sleep(fault.forMs);
+      setAllLimits(servers, undefined);
+      return;
+    case 'changeLimit':
+      for (let spentMs = 0; spentMs < fault.forMs; spentMs += CHANGE_EVERY_MS) {
+        servers.setLimit(fault.server, fault.perSecond + ((spentMs / CHANGE_EVERY_MS) % 3));
+        await sleep(CHANGE_EVERY_MS);
+      }
+      servers.setLimit(fault.server, undefined);
+      return;
     default:
       fault satisfies never;
   }
--- a/soak/promises.test.ts
+++ b/soak/promises.test.ts
@@ -120,7 +120,7 @@
   for (const { name, attempt, servers, seen, broken } of CASES) {
     it(`${broken.length === 0 ? 'are kept' : 'are broken'} by ${name}`, () => {
       const { requestId } = attempt;
-      const told = { account: 'farm', sawKey: false, ...seen };
+      const told = { server: 's-1@1', atMs: 0, account: 'farm', sawKey: false, ...seen };
       const runs = servers.map((serverId) => ({ requestId, serverId, ...told }));
       const found = checkPromises([attempt], runs).map(({ promise }) => promise);
       assert.deepEqual(found, broken);
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -10,6 +10,7 @@
 import { startSoakInstances } from './instances';
 import { checkPromises } from './promises';
 import { checkVersions } from './routes-in-force';
+import { checkLimits, readKnownSince } from './server-limits';
 import { openSoakServers } from './servers';
 import type { BrokenPromise, CallerAttempt, SoakOptions, SoakReport } from './types';
 
@@ -114,6 +115,11 @@
         ...checkPromises(attempts, servers.runs),
         ...checkServedAgain(attempts.slice(before).filter(({ key }) => isOwed(key))),
         ...checkVersions(logFolder, options.instances, version),
+        ...checkLimits(
+          servers.runs,
+          servers.limitChanges,
+          readKnownSince(logFolder, options.instances),
+        ),
       ],
     };
   } finally {
--- a/soak/servers.ts
+++ b/soak/servers.ts
@@ -10,11 +10,13 @@
 import type { RandomSource } from '../src/core/random';
 import { domainOf } from '../platform/testing/process-settings';
 import { EVENTS_PER_STREAM, eventText, plainBody } from './promises';
-import type { ServerRun } from './types';
+import type { NamedLimitChange, ServerRun } from './types';
 
 /** Backend servers that keep a record of all that they run, and announce themselves. */
 export interface SoakServers extends AsyncDisposable {
   readonly runs: readonly ServerRun[];
+  /** Changes of the limits that servers name, in order of time. */
+  readonly limitChanges: readonly NamedLimitChange[];
   readonly count: number;
   /** The server leaves as planned, and another one takes its place under a new id. */
   replace(index: number): Promise<void>;
@@ -22,12 +24,16 @@
   startAgain(index: number): Promise<void>;
   /** Somebody overwrites the server's entry with bytes that mean nothing, until it writes again. */
   damageEntry(index: number): void;
+  /** The server names a limit in all answers from now on; undefined for none. */
+  setLimit(index: number, perSecond: number | undefined): void;
   /** All write again what the store may have lost, and what is left of others is removed. */
   publishAgain(): void;
 }
 
 interface Standing {
   readonly server: AnnouncedServer;
+  /** Identifies this start of the server, as the instances' logs do. */
+  readonly startId: string;
   readonly serverId: string;
   readonly bornUnixMs: number;
 }
@@ -55,13 +61,23 @@
   const started = new Set<string>();
   let nextNumber = 1;
 
-  const createScript = (serverId: string): ServerScript => {
+  const limits = new Map<string, number>();
+  const limitChanges: NamedLimitChange[] = [];
+
+  /** Adds the header of a limit to the head of an answer. */
+  const withLimit = (startId: string, head: string): string => {
+    const perSecond = limits.get(startId);
+    if (perSecond === undefined) return head;
+    return head.replace('\r\n', `\r\nServer-Limit: ${perSecond}\r\n`);
+  };
+
+  const createScript = (serverId: string, startId: string): ServerScript => {
     const streamTo: ServerScript = (request, socket) => {
       const requestId = request.headers.get('x-request-id') ?? '';
       const first = Number(request.headers.get('last-event-id') ?? 0) + 1;
       const breaksAt = random.next() < BREAKING_SHARE ? first + 3 : Infinity;
       let eventId = first;
-      socket.write(streamHead(request));
+      socket.write(withLimit(startId, streamHead(request)));
       const timer = setInterval(() => {
         if (eventId >= breaksAt) socket.resetAndDestroy();
         if (socket.destroyed || eventId > EVENTS_PER_STREAM) {
@@ -75,7 +91,7 @@
     };
     return (request, socket) => {
       if (request.path === '/health') {
-        socket.write(wholeAnswer(request, ''));
+        socket.write(withLimit(startId, wholeAnswer(request, '')));
         return;
       }
       const wanted = request.headers.get('x-target-instance');
@@ -86,12 +102,12 @@
       const requestId = request.headers.get('x-request-id') ?? '';
       const account = request.headers.get('x-tenant-id');
       const sawKey = request.headers.get('x-api-key') !== undefined;
-      runs.push({ requestId, serverId, account, sawKey });
+      runs.push({ requestId, serverId, server: startId, atMs: Date.now(), account, sawKey });
       if (random.next() < FAILING_SHARE) {
-        socket.write(wholeAnswer(request, 'failed', { status: 500 }));
+        socket.write(withLimit(startId, wholeAnswer(request, 'failed', { status: 500 })));
       } else if (isStream(request)) streamTo(request, socket);
       else if (random.next() < BREAKING_SHARE) socket.resetAndDestroy();
-      else socket.write(wholeAnswer(request, plainBody(requestId)));
+      else socket.write(withLimit(startId, wholeAnswer(request, plainBody(requestId))));
     };
   };
 
@@ -103,8 +119,10 @@
   };
 
   const start = async (index: number, serverId: string): Promise<void> => {
-    const server = await openAnnouncedServer(createScript(serverId));
-    standing[index] = { server, serverId, bornUnixMs: Date.now() };
+    const bornUnixMs = Date.now();
+    const startId = `${serverId}@${bornUnixMs}`;
+    const server = await openAnnouncedServer(createScript(serverId, startId));
+    standing[index] = { server, startId, serverId, bornUnixMs };
     started.add(serverId);
     announce(index);
   };
@@ -125,7 +143,15 @@
   for (let index = 0; index < count; index += 1) await start(index, newId());
   return {
     runs,
+    limitChanges,
     count,
+    setLimit(index, perSecond) {
+      const { startId } = standing[index] ?? {};
+      if (startId === undefined) return;
+      if (perSecond === undefined) limits.delete(startId);
+      else limits.set(startId, perSecond);
+      limitChanges.push({ server: startId, atMs: Date.now(), perSecond });
+    },
     async replace(index) {
       const old = standing[index];
       if (old === undefined) return;
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -19,12 +19,25 @@
 export interface ServerRun {
   readonly requestId: string;
   readonly serverId: string;
+  /** Identifies the start of the server that ran it, as the instances' logs do. */
+  readonly server: string;
+  /** When the request arrived, Unix ms. */
+  readonly atMs: number;
   /** The account that the server was told; undefined for none. */
   readonly account: string | undefined;
   /** Whether the server saw a key. */
   readonly sawKey: boolean;
 }
 
+/** A change of the limit that a server names. */
+export interface NamedLimitChange {
+  /** Identifies the start of the server. */
+  readonly server: string;
+  readonly atMs: number;
+  /** Requests per second; undefined if it names none from now on. */
+  readonly perSecond: number | undefined;
+}
+
 /** A promise that was broken, in words for whoever reads the report. */
 export interface BrokenPromise {
   readonly promise:
@@ -38,7 +51,8 @@
     | 'keyPassedOn'
     | 'strangerServed'
     | 'routesWentBack'
-    | 'routesBehind';
+    | 'routesBehind'
+    | 'limitExceeded';
   readonly requestId: string;
   readonly detail: string;
 }
