Plain wording in the soak

Comments and names that were figurative or private to the project: strangerServed is now unknownKeyServed, tornStream corruptStream, storeWay storeProxy, Standing RunningServer, and others.

--- a/soak/accounts.ts
+++ b/soak/accounts.ts
@@ -1,9 +1,9 @@
-/** The client accounts of a soak, and which of them each caller belongs to. */
+/** Client accounts of a soak, and the account of each caller. */
 
-/** A key that no configuration ever holds. */
-export const STRANGE_KEY = 'k-of-nobody';
+/** A key of no account. */
+export const UNKNOWN_KEY = 'k-of-nobody';
 
-/** As operators publish them; one asks more than it may. */
+/** Accounts as operators publish them. The callers of one of them exceed its quota. */
 export const SOAK_ACCOUNTS = [
   { Name: 'farm', ApiKeys: ['k-farm'], Priority: 1 },
   { Name: 'dealer', ApiKeys: ['k-dealer'], Unit: 'tokens', RatePerS: 1_000_000, Burst: 1_000_000 },
@@ -17,21 +17,21 @@
   },
 ];
 
-/** Keys of accounts that ask more than they may. */
-const TIGHT_KEYS = ['k-yard'];
-const KEYS = [...SOAK_ACCOUNTS.flatMap(({ ApiKeys }) => ApiKeys), STRANGE_KEY];
+/** Keys of accounts whose callers exceed the quota. */
+const OVERLOADED_KEYS = ['k-yard'];
+const KEYS = [...SOAK_ACCOUNTS.flatMap(({ ApiKeys }) => ApiKeys), UNKNOWN_KEY];
 
-/** Whether callers with a key are owed answers: they are known, and ask no more than they may. */
-export function isOwed(key: string): boolean {
-  return key !== STRANGE_KEY && !TIGHT_KEYS.includes(key);
+/** Returns whether callers with a key must be served: their account is known, and they stay within its quota. */
+export function isWithinQuota(key: string): boolean {
+  return key !== UNKNOWN_KEY && !OVERLOADED_KEYS.includes(key);
 }
 
-/** The key that a caller sends. */
+/** Returns the key that a caller sends. */
 export function keyOfCaller(index: number): string {
-  return KEYS[index % KEYS.length] ?? STRANGE_KEY;
+  return KEYS[index % KEYS.length] ?? UNKNOWN_KEY;
 }
 
-/** The account that holds a key; undefined where none does. */
+/** Returns the account of a key; undefined if there is none. */
 export function accountOfKey(key: string): string | undefined {
   return SOAK_ACCOUNTS.find(({ ApiKeys }) => ApiKeys.includes(key))?.Name;
 }
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -5,14 +5,14 @@
 import { keyOfCaller } from './accounts';
 import type { CallerAttempt } from './types';
 
-/** What callers ask for; the routes of the configuration under test. */
-interface AskedRoute {
+/** A route of the tested configuration. */
+interface RequestedRoute {
   readonly path: string;
   readonly kind: RouteKind;
   readonly maxAttempts: number;
 }
 
-const ROUTES: readonly AskedRoute[] = [
+const ROUTES: readonly RequestedRoute[] = [
   { path: '/orders/1', kind: 'nonIdempotent', maxAttempts: 1 },
   { path: '/stock/1', kind: 'idempotent', maxAttempts: 2 },
   { path: '/plans/1', kind: 'stream', maxAttempts: 2 },
@@ -20,31 +20,31 @@
 ];
 const HOST = 'kits.example';
 const DEADLINE_MS = 4_000;
-/** A caller gives an attempt up when its deadline is well past, ms. */
+/** Time after which a caller gives up an attempt, ms: well after its deadline. */
 const GIVE_UP_MS = 6_000;
-/** One caller in so many leaves before the end of its answer. */
+/** Share of the requests whose caller disconnects before the end of the answer. */
 const LEAVING_SHARE = 0.03;
 
-/** Callers that ask again and again, on connections that they keep as long as these stand. */
+/** Callers that send one request after another, on connections that they keep open as long as possible. */
 export interface Callers {
   readonly attempts: readonly CallerAttempt[];
-  /** Ends the asking, and resolves once nothing is under way. */
+  /** Stops sending, and resolves once no request is open. */
   stop(): Promise<void>;
 }
 
-/** What callers are started with. */
+/** Options of `startCallers`. */
 export interface CallersOptions {
   readonly random: RandomSource;
   readonly count: number;
   readonly addresses: readonly string[];
-  /** Rest between two requests of one caller, ms. */
-  readonly restMs: number;
+  /** Mean pause between two requests of one caller, ms. */
+  readonly pauseMs: number;
 }
 
-/** One attempt; never rejects. */
-export function askOnce(
+/** Sends one request and resolves with its result; never rejects. */
+export function sendRequest(
   address: string,
-  route: AskedRoute,
+  route: RequestedRoute,
   requestId: string,
   options: { readonly agent: Agent; readonly key: string; readonly leavesAfterMs: number },
 ): Promise<CallerAttempt> {
@@ -91,20 +91,20 @@
 }
 
 /** Starts callers. */
-export function startCallers({ random, count, addresses, restMs }: CallersOptions): Callers {
+export function startCallers({ random, count, addresses, pauseMs }: CallersOptions): Callers {
   const attempts: CallerAttempt[] = [];
   let isStopping = false;
   let nextRequest = 1;
 
   const pick = <Item>(items: readonly Item[]): Item => {
     const item = items[pickIndex(random, items.length)];
-    if (item === undefined) throw new RangeError('there is nothing to pick from');
+    if (item === undefined) throw new RangeError('cannot pick from an empty list');
     return item;
   };
 
   const rest = () =>
     new Promise((resolve) => {
-      setTimeout(resolve, restMs * (0.5 + random.next()));
+      setTimeout(resolve, pauseMs * (0.5 + random.next()));
     });
 
   const run = async (key: string): Promise<void> => {
@@ -114,13 +114,13 @@
       const requestId = `r-${nextRequest}`;
       nextRequest += 1;
       const leavesAfterMs = random.next() < LEAVING_SHARE ? 40 : GIVE_UP_MS;
-      const attempt = await askOnce(address, pick(ROUTES), requestId, {
+      const attempt = await sendRequest(address, pick(ROUTES), requestId, {
         agent,
         key,
         leavesAfterMs,
       });
       attempts.push(attempt);
-      // The connection is kept until it ends; then the caller looks for another instance.
+      // The caller stays with an instance until the connection to it ends.
       if (attempt.status === undefined || !attempt.isWhole) address = pick(addresses);
       await rest();
     }
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -7,7 +7,7 @@
 import type { SoakInstances } from './instances';
 import type { SoakServers } from './servers';
 
-/** One fault, with all that chance decides about it. */
+/** A fault with its randomly drawn parameters. */
 export type Fault =
   | { readonly kind: 'kill' | 'term' | 'hup'; readonly instance: number }
   | { readonly kind: 'pause'; readonly instance: number; readonly forMs: number }
@@ -47,17 +47,17 @@
   'limitAllServers',
   'changeLimit',
 ];
-const SHORTEST_MS = 300;
-const LONGEST_MS = 4_000;
+const MIN_FAULT_MS = 300;
+const MAX_FAULT_MS = 4_000;
 const DELAY_MS = 400;
 /** Limits that servers name, requests a second. */
 const LIMITS = [0, 0.25, 1, 4, 20];
 /** Time for which a server names limits, ms: the bound holds from 5 s on, in spans of 4 s. */
-const SHORTEST_LIMIT_MS = 9_000;
-const LONGEST_LIMIT_MS = 13_000;
+const MIN_LIMIT_MS = 9_000;
+const MAX_LIMIT_MS = 13_000;
 /** Interval between two changes of a limit that changes, ms. */
-const CHANGE_EVERY_MS = 500;
-/** Time after the store's return from an older copy in which all is written again, ms. */
+const CHANGE_INTERVAL_MS = 500;
+/** Time after the store was restored from an older copy until everything is published again, ms. */
 const WRITTEN_AGAIN_AFTER_MS = 1_000;
 
 /** Draws a fault. */
@@ -65,7 +65,7 @@
   const kind = KINDS[pickIndex(random, KINDS.length)] ?? 'kill';
   const instance = pickIndex(random, instances);
   const server = pickIndex(random, servers);
-  const forMs = SHORTEST_MS + random.next() * (LONGEST_MS - SHORTEST_MS);
+  const forMs = MIN_FAULT_MS + random.next() * (MAX_FAULT_MS - MIN_FAULT_MS);
   switch (kind) {
     case 'kill':
     case 'term':
@@ -92,7 +92,7 @@
     case 'limitAllServers':
     case 'changeLimit': {
       const perSecond = LIMITS[pickIndex(random, LIMITS.length)] ?? 1;
-      const limitMs = SHORTEST_LIMIT_MS + random.next() * (LONGEST_LIMIT_MS - SHORTEST_LIMIT_MS);
+      const limitMs = MIN_LIMIT_MS + random.next() * (MAX_LIMIT_MS - MIN_LIMIT_MS);
       return { kind, server, perSecond, forMs: limitMs };
     }
     default:
@@ -100,20 +100,20 @@
   }
 }
 
-/** What faults are brought about on. */
+/** Targets of faults. */
 export interface FaultTargets {
   readonly store: StoreStandIn;
   readonly instances: SoakInstances;
   readonly servers: SoakServers;
   /** Publishes the next version of the routes. */
   readonly changeRoutes: () => void;
-  /** Publishes again what an older copy may lack. */
+  /** Publishes everything again, since an older copy may lack some of it. */
   readonly publishAgain: () => void;
-  /** What the store held some seconds ago. */
+  /** Returns a copy of the store's contents of some seconds ago. */
   readonly oldestCopy: () => StoreCopy;
 }
 
-/** The routes under test, in a version. */
+/** Returns a version of the tested configuration. */
 export function configurationOf(version: number): object {
   return { ...TEST_CONFIGURATION, Version: version, Tenants: SOAK_ACCOUNTS };
 }
@@ -122,8 +122,8 @@
   for (let index = 0; index < servers.count; index += 1) servers.setLimit(index, perSecond);
 }
 
-/** Brings one fault about, and ends it. */
-export async function bringAbout(fault: Fault, targets: FaultTargets): Promise<void> {
+/** Injects a fault, and resolves after its end. */
+export async function injectFault(fault: Fault, targets: FaultTargets): Promise<void> {
   const { store, instances, servers } = targets;
   switch (fault.kind) {
     case 'kill':
@@ -141,20 +141,20 @@
       instances.signal(fault.instance, 'SIGCONT');
       return;
     case 'cutFromStore':
-      instances.storeWay(fault.instance).freeze();
+      instances.storeProxy(fault.instance).freeze();
       await sleep(fault.forMs);
-      instances.storeWay(fault.instance).thaw();
+      instances.storeProxy(fault.instance).thaw();
       return;
     case 'silenceStore':
-      instances.storeWay(fault.instance).silenceOpen();
+      instances.storeProxy(fault.instance).silenceOpen();
       return;
     case 'resetStore':
-      instances.storeWay(fault.instance).resetOpen();
+      instances.storeProxy(fault.instance).resetOpen();
       return;
     case 'delayStore':
-      instances.storeWay(fault.instance).setDelayMs(DELAY_MS);
+      instances.storeProxy(fault.instance).setDelayMs(DELAY_MS);
       await sleep(fault.forMs);
-      instances.storeWay(fault.instance).setDelayMs(0);
+      instances.storeProxy(fault.instance).setDelayMs(0);
       return;
     case 'storeBusy':
     case 'storeSilent':
@@ -180,7 +180,7 @@
       await servers.replace(fault.server);
       return;
     case 'restartServer':
-      await servers.startAgain(fault.server);
+      await servers.restartInPlace(fault.server);
       return;
     case 'damageEntry':
       servers.damageEntry(fault.server);
@@ -196,9 +196,9 @@
       setAllLimits(servers, undefined);
       return;
     case 'changeLimit':
-      for (let spentMs = 0; spentMs < fault.forMs; spentMs += CHANGE_EVERY_MS) {
-        servers.setLimit(fault.server, fault.perSecond + ((spentMs / CHANGE_EVERY_MS) % 3));
-        await sleep(CHANGE_EVERY_MS);
+      for (let spentMs = 0; spentMs < fault.forMs; spentMs += CHANGE_INTERVAL_MS) {
+        servers.setLimit(fault.server, fault.perSecond + ((spentMs / CHANGE_INTERVAL_MS) % 3));
+        await sleep(CHANGE_INTERVAL_MS);
       }
       servers.setLimit(fault.server, undefined);
       return;
--- a/soak/instances.ts
+++ b/soak/instances.ts
@@ -10,17 +10,17 @@
 import { openFaultProxy } from '../standins/fault-proxy';
 import type { FaultProxy } from '../standins/fault-proxy';
 
-/** Instances as processes of their own, each with a proxy of its own before the store. */
+/** Instances that run as processes, each with its own proxy to the store. */
 export interface SoakInstances extends AsyncDisposable {
   readonly count: number;
   callerAddress(index: number): string;
-  /** The way between an instance and the store. */
-  storeWay(index: number): FaultProxy;
-  /** Sends a signal to the process, if it runs. */
+  /** Returns the proxy between an instance and the store. */
+  storeProxy(index: number): FaultProxy;
+  /** Sends a signal to the process of an instance if it runs. */
   signal(index: number, signal: NodeJS.Signals): void;
 }
 
-/** What they are started with. */
+/** Options of `startSoakInstances`. */
 export interface SoakInstancesOptions {
   readonly count: number;
   readonly storeAddress: string;
@@ -28,18 +28,18 @@
 }
 
 const BUNDLE = 'target/coltsfootworks.cjs';
-/** Rest before a process that has ended is started again, ms. */
-const RESTART_AFTER_MS = 300;
-/** Each run has addresses of its own, since several may run on one machine. */
+/** Delay before a process that has exited is restarted, ms. */
+const RESTART_DELAY_MS = 300;
+/** Loopback network of this run; several runs may be in progress on one machine. */
 const NET = `127.${20 + (Math.floor(process.pid / 250) % 60)}.${1 + (process.pid % 250)}`;
 const hostOf = (index: number) => `${NET}.${1 + index}`;
 
-/** Starts instances, and starts each again whenever it ends. */
+/** Starts instances, and restarts each whenever it exits. */
 export async function startSoakInstances(options: SoakInstancesOptions): Promise<SoakInstances> {
   const { count, storeAddress, logFolder } = options;
   const folder = mkdtempSync(join(tmpdir(), 'soak-'));
   const running = new Map<number, ChildProcess>();
-  const ways: FaultProxy[] = [];
+  const storeProxies: FaultProxy[] = [];
   const ending = endChildrenWithProcess(() => running.values());
   let isEnding = false;
 
@@ -54,14 +54,14 @@
     running.set(index, child);
     child.once('exit', () => {
       running.delete(index);
-      setTimeout(() => start(index), RESTART_AFTER_MS).unref();
+      setTimeout(() => start(index), RESTART_DELAY_MS).unref();
     });
   };
 
   for (let index = 0; index < count; index += 1) {
-    const way = await openFaultProxy(storeAddress);
-    ways.push(way);
-    const settings = processSettings({ index, hostOf, storeAddress: way.address });
+    const proxy = await openFaultProxy(storeAddress);
+    storeProxies.push(proxy);
+    const settings = processSettings({ index, hostOf, storeAddress: proxy.address });
     writeFileSync(join(folder, `${index}.json`), JSON.stringify(settings));
     start(index);
   }
@@ -69,10 +69,10 @@
   return {
     count,
     callerAddress: (index) => callerAddress({ index, hostOf }),
-    storeWay(index) {
-      const way = ways[index];
-      if (way === undefined) throw new RangeError(`there is no instance ${index}`);
-      return way;
+    storeProxy(index) {
+      const proxy = storeProxies[index];
+      if (proxy === undefined) throw new RangeError(`there is no instance ${index}`);
+      return proxy;
     },
     signal(index, signal) {
       running.get(index)?.kill(signal);
@@ -81,10 +81,10 @@
       isEnding = true;
       ending[Symbol.dispose]();
       const ended = [...running.values()].map((child) => once(child, 'exit'));
-      // One that stands still ends at this as well.
+      // SIGKILL also ends a stopped process.
       for (const child of running.values()) child.kill('SIGKILL');
       await Promise.all(ended);
-      await Promise.all(ways.map((way) => way[Symbol.asyncDispose]()));
+      await Promise.all(storeProxies.map((proxy) => proxy[Symbol.asyncDispose]()));
       rmSync(folder, { recursive: true });
     },
   };
--- a/soak/promises.test.ts
+++ b/soak/promises.test.ts
@@ -25,7 +25,7 @@
   readonly attempt: CallerAttempt;
   readonly servers: readonly string[];
   readonly broken: readonly string[];
-  /** What the servers were told, where that is not the account of the key alone. */
+  /** What the servers received, if it is not just the account of the key. */
   readonly seen?: { readonly account?: string | undefined; readonly sawKey?: boolean };
 }
 
@@ -56,7 +56,7 @@
     attempt: { ...ORDER, key: 'k-of-nobody' },
     servers: ['s-1'],
     seen: { account: undefined },
-    broken: ['strangerServed'],
+    broken: ['unknownKeyServed'],
   },
   {
     name: 'a key of nobody that was refused',
@@ -100,13 +100,13 @@
     name: 'a stream with an event twice',
     attempt: { ...STREAM, body: eventText('r-1', 1) + streamBody('r-1') },
     servers: ['s-1'],
-    broken: ['tornStream'],
+    broken: ['corruptStream'],
   },
   {
     name: 'a stream that ends early and looks whole',
     attempt: { ...STREAM, body: eventText('r-1', 1) },
     servers: ['s-1'],
-    broken: ['tornStream'],
+    broken: ['corruptStream'],
   },
   {
     name: 'a stream that is broken off and looks it',
--- a/soak/promises.ts
+++ b/soak/promises.ts
@@ -1,24 +1,24 @@
-import { STRANGE_KEY, accountOfKey } from './accounts';
+import { UNKNOWN_KEY, accountOfKey } from './accounts';
 import type { BrokenPromise, CallerAttempt, ServerRun } from './types';
 
-/** Statuses with which an instance says that a request has not run and never will. */
+/** Statuses that promise that a request has not run and never will. */
 const NOT_RUN = new Set([408, 421, 429, 503]);
 const OK = 200;
 
-/** Body that a server gives to a request that is no stream. */
+/** Returns the body that a server sends for a request without a stream. */
 export function plainBody(requestId: string): string {
   return `answer to ${requestId}`;
 }
 
-/** One event of a stream. */
+/** Returns the text of one event of a stream. */
 export function eventText(requestId: string, eventId: number): string {
   return `id: ${eventId}\ndata: ${requestId} ${eventId}\n\n`;
 }
 
-/** Events of each stream. */
+/** Number of events of each stream. */
 export const EVENTS_PER_STREAM = 8;
 
-/** The whole body of a stream. */
+/** Returns the complete body of a stream. */
 export function streamBody(requestId: string): string {
   return Array.from({ length: EVENTS_PER_STREAM }, (_, index) =>
     eventText(requestId, index + 1),
@@ -29,7 +29,7 @@
   return kind === 'stream' ? streamBody(requestId) : plainBody(requestId);
 }
 
-/** Whether the request was run for whoever sent it, and for nobody else. */
+/** Checks that a request ran for the account of its caller and for no other one. */
 function judgeAccount(
   { requestId, key, status }: CallerAttempt,
   runs: readonly ServerRun[],
@@ -37,8 +37,8 @@
   const broken: BrokenPromise[] = [];
   const note = (promise: BrokenPromise['promise'], detail: string) =>
     broken.push({ promise, requestId, detail });
-  if (key === STRANGE_KEY && (runs.length > 0 || status === OK)) {
-    note('strangerServed', `${status} after ${runs.length} runs`);
+  if (key === UNKNOWN_KEY && (runs.length > 0 || status === OK)) {
+    note('unknownKeyServed', `${status} after ${runs.length} runs`);
   }
   const wrong = runs.find(({ account }) => account !== accountOfKey(key));
   if (wrong !== undefined) note('wrongAccount', `${wrong.account} at ${wrong.serverId}`);
@@ -47,7 +47,7 @@
   return broken;
 }
 
-/** What one call shows, with the servers that ran it. */
+/** Checks the result of one request against the servers that ran it. */
 function judge(attempt: CallerAttempt, serverIds: readonly string[]): BrokenPromise[] {
   const { requestId, kind, status, maxAttempts } = attempt;
   const broken: BrokenPromise[] = [];
@@ -63,14 +63,16 @@
   if (status !== OK) return broken;
   const expected = expectedBody(attempt);
   const isRight = attempt.isWhole ? attempt.body === expected : expected.startsWith(attempt.body);
-  if (kind === 'stream' && !isRight) note('tornStream', JSON.stringify(attempt.body.slice(0, 200)));
+  if (kind === 'stream' && !isRight) {
+    note('corruptStream', JSON.stringify(attempt.body.slice(0, 200)));
+  }
   if (kind !== 'stream' && attempt.isWhole && (!isRight || !attempt.isSigned)) {
     note('wrongAnswer', JSON.stringify(attempt.body.slice(0, 200)));
   }
   return broken;
 }
 
-/** Compares what callers saw with what servers ran. */
+/** Compares the results that callers received with the requests that servers ran. */
 export function checkPromises(
   attempts: readonly CallerAttempt[],
   runs: readonly ServerRun[],
--- a/soak/routes-in-force.ts
+++ b/soak/routes-in-force.ts
@@ -5,7 +5,7 @@
 import { STATE_SYNC_EVENTS } from '../src/core/state-sync';
 import type { BrokenPromise } from './types';
 
-/** Checks by the instances' logs that versions of the routes come into force everywhere and never go back. */
+/** Checks by the logs of the instances that each version of the routes takes effect everywhere, and that no older one follows. */
 
 const lineSchema = z.object({ event: z.number(), version: z.number().optional() });
 
@@ -14,12 +14,12 @@
     const reading = lineSchema.safeParse(JSON.parse(text));
     return reading.success ? reading.data : undefined;
   } catch {
-    // Whatever a process writes beside its log, or a line that it did not finish, is no event.
+    // Other output of the process, or a line that it did not finish.
     return undefined;
   }
 }
 
-/** Versions in the order in which they came into force, for each life of a process. */
+/** Returns the versions in the order in which they took effect, for each start of the process. */
 export function versionsByLife(log: string): readonly (readonly number[])[] {
   const lives: number[][] = [[]];
   for (const text of log.split('\n')) {
@@ -32,7 +32,7 @@
   return lives;
 }
 
-/** Judges one instance by its log; `version` is what was published last. */
+/** Checks the log of one instance; `version` is the latest published one. */
 export function judgeVersions(name: string, log: string, version: number): BrokenPromise[] {
   const lives = versionsByLife(log);
   const broken: BrokenPromise[] = [];
@@ -47,7 +47,7 @@
   return broken;
 }
 
-/** Judges all instances by the logs in a folder. */
+/** Checks the logs of all instances in a folder. */
 export function checkVersions(
   logFolder: string,
   instances: number,
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -4,9 +4,9 @@
 import { createSeededRandom } from '../src/core/random';
 import { openStoreStandIn } from '../standins/published-store';
 import type { StoreCopy } from '../standins/published-store';
-import { isOwed } from './accounts';
+import { isWithinQuota } from './accounts';
 import { startCallers } from './callers';
-import { bringAbout, configurationOf, drawFault } from './faults';
+import { injectFault, configurationOf, drawFault } from './faults';
 import { startSoakInstances } from './instances';
 import { checkPromises } from './promises';
 import { checkVersions } from './routes-in-force';
@@ -16,31 +16,31 @@
 
 const SERVERS = 6;
 const CALLERS_PER_INSTANCE = 4;
-const CALLER_REST_MS = 60;
-/** Time in which the instances find one another before the first fault, ms. */
+const CALLER_PAUSE_MS = 60;
+/** Time for the instances to discover one another before the first fault, ms. */
 const SETTLING_MS = 3_000;
-/** Mean rest between two faults, ms; they last longer than that, so that they overlap. */
-const FAULT_REST_MS = 700;
-/** The store comes back from a copy of some seconds before. */
-const COPY_EVERY_MS = 1_000;
-const MOST_COPIES = 4;
-/** Time after the last fault in which all is to be well again, ms. */
+/** Mean time between the starts of two faults, ms. It is shorter than most faults, so that they overlap. */
+const MEAN_FAULT_GAP_MS = 700;
+/** Interval at which the store is copied, ms, and number of copies that are kept; it is restored from the oldest. */
+const COPY_INTERVAL_MS = 1_000;
+const MAX_COPIES = 4;
+/** Time to recover after the last fault, ms. */
 const RECOVERY_MS = 12_000;
-/** Time in which callers are looked at after that, ms. */
-const LOOK_MS = 2_000;
-/** Least share of requests that are answered whole once all is well; the servers themselves fail some. */
-const LEAST_SERVED_SHARE = 0.5;
+/** Time after the recovery in which requests must be answered, ms. */
+const OBSERVATION_MS = 2_000;
+/** Minimum share of requests with a complete answer after the recovery; the servers themselves fail some. */
+const MIN_ANSWERED_SHARE = 0.5;
 
 const isAnswered = ({ status, isWhole }: CallerAttempt) => status === 200 && isWhole;
 
 function checkServedAgain(attempts: readonly CallerAttempt[]): readonly BrokenPromise[] {
   const served = attempts.filter(isAnswered).length;
-  if (attempts.length > 0 && served >= attempts.length * LEAST_SERVED_SHARE) return [];
+  if (attempts.length > 0 && served >= attempts.length * MIN_ANSWERED_SHARE) return [];
   const detail = `${served} of ${attempts.length} after the last fault`;
   return [{ promise: 'notServedAgain', requestId: '', detail }];
 }
 
-/** One run: faults overlap while callers ask, and what they and the servers saw is compared. */
+/** Runs one soak: injects overlapping faults while callers send requests, and checks the results. */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
   const { seed, seconds, logFolder } = options;
   const random = createSeededRandom(seed);
@@ -70,13 +70,13 @@
       addresses: Array.from({ length: options.instances }, (_, index) =>
         instances.callerAddress(index),
       ),
-      restMs: CALLER_REST_MS,
+      pauseMs: CALLER_PAUSE_MS,
     });
     const copies: StoreCopy[] = [];
     const saving = setInterval(() => {
       copies.push(store.saveCopy());
-      if (copies.length > MOST_COPIES) copies.shift();
-    }, COPY_EVERY_MS);
+      if (copies.length > MAX_COPIES) copies.shift();
+    }, COPY_INTERVAL_MS);
     owned.add({ [Symbol.dispose]: () => clearInterval(saving) });
     const targets = {
       store,
@@ -89,31 +89,31 @@
       },
       oldestCopy: () => copies[0] ?? store.saveCopy(),
     };
-    const underWay: Promise<void>[] = [];
+    const pendingFaults: Promise<void>[] = [];
     const untilMs = performance.now() + seconds * 1_000;
     while (performance.now() < untilMs) {
-      underWay.push(bringAbout(drawFault(faultRandom, options.instances, SERVERS), targets));
-      await sleep(FAULT_REST_MS * 2 * faultRandom.next());
+      pendingFaults.push(injectFault(drawFault(faultRandom, options.instances, SERVERS), targets));
+      await sleep(MEAN_FAULT_GAP_MS * 2 * faultRandom.next());
     }
-    await Promise.all(underWay);
+    await Promise.all(pendingFaults);
     clearInterval(saving);
     targets.publishAgain();
     await sleep(RECOVERY_MS);
     const before = callers.attempts.length;
-    await sleep(LOOK_MS);
+    await sleep(OBSERVATION_MS);
     await callers.stop();
     const { attempts } = callers;
     return {
       seed,
       seconds,
       instances: options.instances,
-      faults: underWay.length,
+      faults: pendingFaults.length,
       requests: attempts.length,
       answered: attempts.filter(isAnswered).length,
       refused: attempts.filter(({ status }) => status === 503 || status === 429).length,
       broken: [
         ...checkPromises(attempts, servers.runs),
-        ...checkServedAgain(attempts.slice(before).filter(({ key }) => isOwed(key))),
+        ...checkServedAgain(attempts.slice(before).filter(({ key }) => isWithinQuota(key))),
         ...checkVersions(logFolder, options.instances, version),
         ...checkLimits(
           servers.runs,
--- a/soak/servers.ts
+++ b/soak/servers.ts
@@ -12,25 +12,25 @@
 import { EVENTS_PER_STREAM, eventText, plainBody } from './promises';
 import type { NamedLimitChange, ServerRun } from './types';
 
-/** Backend servers that keep a record of all that they run, and announce themselves. */
+/** Backend servers that announce themselves and record the requests that they run. */
 export interface SoakServers extends AsyncDisposable {
   readonly runs: readonly ServerRun[];
   /** Changes of the limits that servers name, in order of time. */
   readonly limitChanges: readonly NamedLimitChange[];
   readonly count: number;
-  /** The server leaves as planned, and another one takes its place under a new id. */
+  /** Stops a server as planned, and starts another one with a new id in its place. */
   replace(index: number): Promise<void>;
-  /** The server starts again under the id that it had, and knows nothing of before. */
-  startAgain(index: number): Promise<void>;
-  /** Somebody overwrites the server's entry with bytes that mean nothing, until it writes again. */
+  /** Restarts a server under the same id, without its former state. */
+  restartInPlace(index: number): Promise<void>;
+  /** Overwrites the entry of a server with invalid bytes, until the server writes it again. */
   damageEntry(index: number): void;
-  /** The server names a limit in all answers from now on; undefined for none. */
+  /** Sets the limit that a server names in its answers from now on; undefined for none. */
   setLimit(index: number, perSecond: number | undefined): void;
-  /** All write again what the store may have lost, and what is left of others is removed. */
+  /** Writes the entries of all servers again, and removes those of servers that have gone. */
   publishAgain(): void;
 }
 
-interface Standing {
+interface RunningServer {
   readonly server: AnnouncedServer;
   /** Identifies this start of the server, as the instances' logs do. */
   readonly startId: string;
@@ -39,25 +39,25 @@
 }
 
 const EVENT_GAP_MS = 15;
-/** Shares of requests of which the server answers with a failure, or ends the connection in the answer. */
+/** Shares of the requests that a server answers with a failure, and whose connection it resets. */
 const FAILING_SHARE = 0.05;
 const BREAKING_SHARE = 0.03;
-/** Time that a leaving server goes on serving, ms: longer than it takes the instances to hear of it. */
+/** Time for which a leaving server continues to serve, ms: longer than the instances take to learn of it. */
 const LEAVING_MS = 4_000;
 
 const isStream = ({ path }: ReceivedRequest) =>
   path.startsWith('/plans') || path.startsWith('/chat');
 
-/** Opens servers, one in each failure domain in turn. */
+/** Starts servers, and assigns them to the failure domains in turn. */
 export async function openSoakServers(
   store: StoreStandIn,
   random: RandomSource,
   count: number,
 ): Promise<SoakServers> {
   const runs: ServerRun[] = [];
-  const standing: Standing[] = [];
+  const running: RunningServer[] = [];
   const leaving = new Set<Promise<void>>();
-  /** Ids of all servers that ever were. */
+  /** Ids of all servers that have been started. */
   const started = new Set<string>();
   let nextNumber = 1;
 
@@ -112,7 +112,7 @@
   };
 
   const announce = (index: number, more: object = {}): void => {
-    const { server, serverId, bornUnixMs } = standing[index] ?? {};
+    const { server, serverId, bornUnixMs } = running[index] ?? {};
     if (server === undefined) return;
     const entry = { Zone: domainOf(index), born: bornUnixMs, ...more };
     store.put(`servers/${serverId}`, serverEntry(server.address, entry));
@@ -122,7 +122,7 @@
     const bornUnixMs = Date.now();
     const startId = `${serverId}@${bornUnixMs}`;
     const server = await openAnnouncedServer(createScript(serverId, startId));
-    standing[index] = { server, startId, serverId, bornUnixMs };
+    running[index] = { server, startId, serverId, bornUnixMs };
     started.add(serverId);
     announce(index);
   };
@@ -132,7 +132,7 @@
     return `server-${nextNumber}`;
   };
 
-  const leave = async ({ server, serverId }: Standing): Promise<void> => {
+  const leave = async ({ server, serverId }: RunningServer): Promise<void> => {
     await new Promise((resolve) => {
       setTimeout(resolve, LEAVING_MS);
     });
@@ -146,41 +146,40 @@
     limitChanges,
     count,
     setLimit(index, perSecond) {
-      const { startId } = standing[index] ?? {};
+      const { startId } = running[index] ?? {};
       if (startId === undefined) return;
       if (perSecond === undefined) limits.delete(startId);
       else limits.set(startId, perSecond);
       limitChanges.push({ server: startId, atMs: Date.now(), perSecond });
     },
     async replace(index) {
-      const old = standing[index];
+      const old = running[index];
       if (old === undefined) return;
       announce(index, { State: 'draining' });
       const left = leave(old).finally(() => leaving.delete(left));
       leaving.add(left);
       await start(index, newId());
     },
-    async startAgain(index) {
-      const old = standing[index];
+    async restartInPlace(index) {
+      const old = running[index];
       if (old === undefined) return;
       await old.server[Symbol.asyncDispose]();
       await start(index, old.serverId);
     },
     publishAgain() {
-      standing.forEach((_, index) => announce(index));
-      // Entries of servers that have gone lapse.
-      const alive = new Set(standing.map(({ serverId }) => serverId));
+      running.forEach((_, index) => announce(index));
+      const alive = new Set(running.map(({ serverId }) => serverId));
       for (const serverId of started) if (!alive.has(serverId)) store.remove(`servers/${serverId}`);
     },
     damageEntry(index) {
-      const { serverId } = standing[index] ?? {};
+      const { serverId } = running[index] ?? {};
       if (serverId === undefined) return;
       store.putRaw(`servers/${serverId}`, 'bm90IGpzb24=');
       setTimeout(() => announce(index), 500).unref();
     },
     async [Symbol.asyncDispose]() {
       await Promise.all(leaving);
-      await Promise.all(standing.map(({ server }) => server[Symbol.asyncDispose]()));
+      await Promise.all(running.map(({ server }) => server[Symbol.asyncDispose]()));
     },
   };
 }
--- a/soak/soak.test.ts
+++ b/soak/soak.test.ts
@@ -9,14 +9,15 @@
 
 const SECONDS = 8;
 const INSTANCES = 3;
-/** Seeds of the short run, and each that ever showed a broken promise, with its cause. */
+/** Seeds of the short run, and those that have shown a broken promise, with its cause. */
 const SEEDS: readonly { readonly seed: number; readonly cause: string }[] = [
   { seed: 1, cause: 'none: the short run' },
 ];
 
-// Instances are killed, stopped, paused and cut off from the store in overlapping series, while servers leave, start again
-// under their names and break answers off, and callers keep their connections until the process is gone. A caller notices an
-// order that ran twice, a refusal of one that had run, another's answer, or a stream with a piece missing or twice.
+// Instances are killed, stopped, paused and cut off from the store while servers leave, restart under their ids, break off
+// answers and name limits; the faults overlap, and callers keep their connections until the process is gone. A caller may then
+// see an order that ran twice, a refusal of one that ran, an answer to another request, or a stream with a missing or repeated
+// event.
 describe('real processes under faults', () => {
   before(() => {
     const built = spawnSync(process.execPath, ['scripts/build-platform.mjs'], { stdio: 'inherit' });
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -1,15 +1,15 @@
 import type { RouteKind } from '../src/core/host-routes';
 
-/** One call of a caller, with what came back. */
+/** One request of a caller, with its result. */
 export interface CallerAttempt {
   readonly requestId: string;
   readonly kind: RouteKind;
   readonly maxAttempts: number;
-  /** The key that was sent. */
+  /** Key that the caller sent. */
   readonly key: string;
-  /** Undefined where the connection ended without the head of an answer. */
+  /** Undefined if the connection ended before the head of an answer. */
   readonly status: number | undefined;
-  /** Whether the answer ended as HTTP says that it should. */
+  /** Whether the answer was complete, as HTTP defines it. */
   readonly isWhole: boolean;
   readonly isSigned: boolean;
   readonly body: string;
@@ -23,9 +23,9 @@
   readonly server: string;
   /** When the request arrived, Unix ms. */
   readonly atMs: number;
-  /** The account that the server was told; undefined for none. */
+  /** Account that the instance named to the server; undefined for none. */
   readonly account: string | undefined;
-  /** Whether the server saw a key. */
+  /** Whether the request contained the key of the caller. */
   readonly sawKey: boolean;
 }
 
@@ -38,18 +38,18 @@
   readonly perSecond: number | undefined;
 }
 
-/** A promise that was broken, in words for whoever reads the report. */
+/** A broken promise, as it is reported. */
 export interface BrokenPromise {
   readonly promise:
     | 'ranTwice'
     | 'refusedButRan'
     | 'wrongAnswer'
-    | 'tornStream'
+    | 'corruptStream'
     | 'tooManyServers'
     | 'notServedAgain'
     | 'wrongAccount'
     | 'keyPassedOn'
-    | 'strangerServed'
+    | 'unknownKeyServed'
     | 'routesWentBack'
     | 'routesBehind'
     | 'limitExceeded';
@@ -57,16 +57,16 @@
   readonly detail: string;
 }
 
-/** What a run is made with. */
+/** Options of a run. */
 export interface SoakOptions {
   readonly seed: number;
   readonly seconds: number;
   readonly instances: number;
-  /** Where the instances' logs go. */
+  /** Folder for the logs of the instances. */
   readonly logFolder: string;
 }
 
-/** What came of a run. */
+/** Result of a run. */
 export interface SoakReport {
   readonly seed: number;
   readonly seconds: number;
