--- a/checks/invariants/caller.ts
+++ b/checks/invariants/caller.ts
@@ -3,7 +3,7 @@
 import { createSimProcess } from './process';
 import type { CallerReply } from './sim-instance';
 
-/** What a caller was told at one time. */
+/** Answer that a caller received, with the time. */
 export interface Told {
   readonly order: string;
   /** The ticket that was presented; undefined for a first call without one. */
@@ -12,14 +12,14 @@
   readonly atMs: number;
 }
 
-/** Time after which a caller takes its request for lost, ms. */
+/** Timeout of a request, ms. */
 const PATIENCE_MS = [300, 4_000] as const;
-/** Requests that a caller makes for one order at the most. */
+/** Maximum number of requests of a caller for one order. */
 const MOST_REQUESTS = 10;
 
 /**
- * Places one order as a caller does that trusts the answers: it asks again with the same ticket while it does
- * not know, at whichever instance, and places the order anew only where it was told `notRun`.
+ * Places one order like a caller that trusts the answers: while the outcome is unknown it retries with the same ticket at
+ * any instance, and it places a new order only after `notRun`.
  */
 export function placeOrder(
   fleet: Fleet,
--- a/checks/invariants/fleet.ts
+++ b/checks/invariants/fleet.ts
@@ -13,13 +13,13 @@
 import type { FirstByte, ReadEnd } from './sim-sender';
 import type { World } from './world';
 
-/** One request on its way from an instance, with what that instance had in force. */
+/** A request in transit from an instance, with the configuration version in force there. */
 export interface SendNote extends FirstByte {
   readonly from: SimProcess;
   readonly configuration: CompiledConfiguration;
 }
 
-/** One forward between instances. */
+/** A request forwarded from one instance to another. */
 export interface ForwardNote {
   readonly from: SimProcess;
   readonly to: SimProcess;
@@ -27,7 +27,7 @@
   readonly configuration: CompiledConfiguration;
 }
 
-/** Instances and servers of one schedule, and what the checkers read of them. */
+/** Instances and servers of one schedule, and the records that the checks read. */
 export interface Fleet {
   readonly world: World;
   readonly mutant: Mutant;
@@ -37,7 +37,7 @@
   readonly firstBytes: readonly SendNote[];
   readonly forwards: readonly ForwardNote[];
   readonly faults: readonly string[];
-  /** Bytes of answers that each instance may hold. */
+  /** Maximum bytes of answers that each instance holds. */
   readonly heldBytes: number;
   readonly readEnd: ReadEnd;
   readonly emptyStore: ConfigurationStore;
@@ -47,13 +47,13 @@
   noteFirstByte(note: SendNote): void;
   noteForward(note: ForwardNote): void;
   noteFault(text: string): void;
-  /** Kills an instance and starts its successor under the same name after a while. */
+  /** Kills an instance, and later starts another one with the same name. */
   replace(name: string, afterMs: number): void;
-  /** Gives every instance, one after the other, a version in which the dealer's data may be at home alone. */
+  /** Publishes a version to one instance after another that restricts the dealer's data to its home region. */
   tighten(): void;
 }
 
-/** Instances by name, with their regions; data of the dealer may never be in Kolkata. */
+/** Instances by name, with their regions. Data of the dealer must never be in Kolkata. */
 export const INSTANCE_REGIONS: Readonly<Record<string, string>> = {
   'windhoek-a': 'windhoek',
   'windhoek-b': 'windhoek',
@@ -61,9 +61,9 @@
   'kolkata-a': 'kolkata',
 };
 
-/** The caller of the searched world. */
+/** The simulated caller. */
 export const DEALER = 'dealer';
-/** How long its tickets are valid, ms. */
+/** Validity of its tickets, ms. */
 export const TICKET_VALID_MS = 4_000;
 
 function describe(version: number, regions: readonly string[]): CompiledConfiguration {
@@ -96,7 +96,7 @@
   throw new Error('The searched world has no use for this.');
 };
 
-/** Starts the fleet of one schedule. */
+/** Creates the fleet of one schedule. */
 export function startFleet(world: World, mutant: Mutant): Fleet {
   const ledger: LedgerLine[] = [];
   const firstBytes: SendNote[] = [];
@@ -120,7 +120,7 @@
     incarnations += 1;
     const region = INSTANCE_REGIONS[name] ?? '';
     const process = createSimProcess(world.clock, name, region, incarnations);
-    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the two know each other
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the two refer to each other
     instances.set(name, startSimInstance(fleet, process));
     world.note(`${name} starts as process ${incarnations}`);
   };
--- a/checks/invariants/invariants.test.ts
+++ b/checks/invariants/invariants.test.ts
@@ -3,14 +3,14 @@
 import { MUTANTS } from './mutants';
 import { runSchedule } from './run-schedule';
 
-/** Fixed, so that every run gives the same verdict; `npm run check:invariants` searches further. */
+/** Fixed seeds, so that every run has the same result; `npm run check:invariants` searches more. */
 const SCHEDULES = 400;
 
-/** Seeds that once broke a promise; they stay, so that the same fault is found at once. */
+/** Seeds that broke a promise once; kept as regression tests. */
 const SEEDS_THAT_BROKE = [
-  // A peer vouched for an attempt whose last try could not connect, though an earlier one had been sent.
+  // A peer reported an attempt as not run because its last try could not connect, although an earlier one had been sent.
   5,
-  // A request was forwarded to a region that was barred while its connection was being proved.
+  // A request was forwarded to a region that became forbidden while its connection was being checked.
   216,
 ];
 
@@ -23,9 +23,9 @@
 
 describe('random orders of faults', () => {
   it('break no promise, and leave orders placed, refused and unknown', async () => {
-    // Messages are lost, late, repeated and crossed; instances and servers are killed, stopped and woken, cut
-    // off from one another, all at once and twice. Callers trust what they are told: had an order run twice, or
-    // run after "not run", the yard would have cut the pack again.
+    // Messages are lost, delayed, repeated and reordered while instances and servers are killed, paused and partitioned from
+    // one another, repeatedly and at the same time. Callers trust their answers, so an order that runs twice, or that runs
+    // after "not run", is delivered twice.
     let runs = 0;
     let answers = 0;
     let notRun = 0;
@@ -37,7 +37,7 @@
       notRun += result.notRun;
       unknown += result.unknown;
     }
-    // A search in which nothing ever happens would hold as well.
+    // A search in which nothing happens would also pass.
     for (const count of [runs, answers, notRun, unknown]) assert.ok(count > SCHEDULES / 4);
   });
 
@@ -54,8 +54,8 @@
 });
 
 describe('the checkers', () => {
-  // A checker that never fails proves nothing. Each of these breaks one part on purpose, in a way that real
-  // gateways have been broken, and must be noticed.
+  // A check that cannot fail shows nothing. Each mutant breaks one part in a way that occurs in real gateways, and has to
+  // be detected.
   for (const mutant of MUTANTS) {
     it(`catch this broken part: ${mutant.name}`, async () => {
       let caught = false;
--- a/checks/invariants/invariants.ts
+++ b/checks/invariants/invariants.ts
@@ -4,7 +4,7 @@
 import { readTicket } from '../../src/core/tickets';
 import type { Told } from './caller';
 
-/** What must hold of one schedule, looked at when it is over and nothing can happen any more. */
+/** Invariants of one schedule, checked after its end, when nothing can happen any more. */
 
 function count<Item>(items: readonly Item[], keyOf: (item: Item) => string): Map<string, number> {
   const counts = new Map<string, number>();
@@ -27,7 +27,7 @@
   return [...byOrder, ...byTicket];
 }
 
-/** A call of which a caller was told `notRun` is in no server's books, then or later; one that `ran` is. */
+/** A call answered `notRun` was run by no server, then or later; one that `ran` was. */
 function outcomesAreTrue({ ledger }: Fleet, told: readonly Told[]): string[] {
   const ran = new Set(ledger.map(({ idempotencyKey }) => idempotencyKey));
   return told.flatMap(({ order, ticket, reply }) => {
@@ -39,7 +39,7 @@
   });
 }
 
-/** An answer is whole, belongs to its order, and is the same each time. */
+/** An answer is complete, belongs to its order, and is the same each time. */
 function answersAreRight({ ledger }: Fleet, told: readonly Told[]): string[] {
   return told.flatMap(({ order, reply }) => {
     if (reply.kind !== 'answer' || !reply.isWhole) return [];
@@ -49,7 +49,7 @@
   });
 }
 
-/** No request is forwarded by an instance that it was forwarded to. */
+/** No instance forwards a request that was forwarded to it. */
 function noLoops({ forwards }: Fleet): string[] {
   const key = (name: string, requestId: string) => `${name} ${requestId}`;
   const received = new Set(forwards.map(({ to, message }) => key(to.name, message.requestId)));
@@ -58,7 +58,7 @@
     .map(({ from, message }) => `${from.name} forwarded ${message.requestId} again`);
 }
 
-/** Nothing is sent to a region that the configuration in force at its sender bars. */
+/** Nothing is sent to a region that the configuration in force at the sender forbids. */
 function dataStaysHome({ forwards, firstBytes }: Fleet): string[] {
   const allowed = (note: { configuration: Fleet['forwards'][number]['configuration'] }) =>
     currentlyAllowedRegions(note.configuration, DEALER, 'orders');
@@ -83,7 +83,7 @@
   });
 }
 
-/** All violations of a schedule that is over. */
+/** Returns all violations in a schedule that has ended. */
 export function findViolations(fleet: Fleet, told: readonly Told[]): string[] {
   const tickets = [
     ...new Set(told.flatMap(({ ticket }) => (ticket === undefined ? [] : [ticket]))),
--- a/checks/invariants/mutants.ts
+++ b/checks/invariants/mutants.ts
@@ -4,12 +4,12 @@
 import type { Fleet } from './fleet';
 import type { ReadEnd } from './sim-sender';
 
-/** A broken part in place of a right one, by which the checkers are shown to notice. */
+/** Broken parts that replace correct ones, to show that the checks detect them. */
 export interface Mutant {
   readonly name: string;
-  /** A wrong reading of how a send ended. */
+  /** Misinterprets how a send ended. */
   readonly readEnd?: ReadEnd;
-  /** Secrets and name of the process outlive it. */
+  /** Secrets and name of a process are kept by its successor. */
   readonly keepsSecrets?: boolean;
   readonly ignoresRegions?: boolean;
   readonly forwardsAgain?: boolean;
@@ -18,10 +18,10 @@
   readonly sendRequest?: (request: GatewayRequest) => GatewayRequest;
 }
 
-/** Nothing broken. */
+/** No mutation. */
 export const NO_MUTANT: Mutant = { name: 'none' };
 
-/** A guard that lets everything out, and believes that nothing left. */
+/** A guard that allows every send and records none. */
 function withoutGuard(request: GatewayRequest): GatewayRequest {
   const { guard } = request;
   if (guard === undefined) return request;
@@ -31,7 +31,7 @@
   };
 }
 
-/** Forwards a call again when the first one broke, as a transport with retries of its own does. */
+/** Forwards a call again after the first one failed, like a transport with built-in retries. */
 function retryingTransport(right: ForwardTransport): ForwardTransport {
   return {
     ...right,
@@ -53,7 +53,7 @@
   };
 }
 
-/** Takes every event for the one that was asked for. */
+/** Accepts every event as part of the requested answer. */
 function acceptingTransport(right: ForwardTransport): ForwardTransport {
   return {
     ...right,
@@ -70,7 +70,7 @@
   };
 }
 
-/** The broken variants; the checkers must catch each of them. */
+/** All mutants; the checks have to detect each of them. */
 export const MUTANTS: readonly Mutant[] = [
   { name: 'retry after a reset', sendRequest: withoutGuard },
   { name: 'ticket kept over a restart', keepsSecrets: true },
--- a/checks/invariants/order-server.ts
+++ b/checks/invariants/order-server.ts
@@ -1,7 +1,7 @@
 import type { SimProcess } from './process';
 import type { World } from './world';
 
-/** One run of a call, as the application's own books have it. */
+/** One run of a call, as recorded by the application. */
 export interface LedgerLine {
   readonly idempotencyKey: string;
   readonly body: string;
@@ -9,26 +9,26 @@
   readonly atMs: number;
 }
 
-/** What the application sends back. */
+/** Answer of the application. */
 export type ServerReply =
   | { readonly kind: 'answer'; readonly text: string }
   | { readonly kind: 'refused'; readonly status: number }
   | { readonly kind: 'reset' };
 
-/** A fake application that places orders and knows nothing of idempotency keys. */
+/** A fake application that places orders and has no idempotency keys. */
 export interface OrderServer {
   readonly process: SimProcess;
-  /** A call arrives; `reply` may be called late or never. */
+  /** Receives a call; `reply` may be called late or never. */
   receive(idempotencyKey: string, body: string, reply: (reply: ServerReply) => void): void;
 }
 
-/** Status that the configuration declares as "did not run". */
+/** Status that means "not run" according to the configuration. */
 export const NOT_RUN_STATUS = 429;
 
-/** Time that an order takes, ms. */
+/** Duration of an order, ms. */
 const RUN_MS = [1, 400] as const;
 
-/** An application whose books are `ledger`; `trouble` is the share of calls that go wrong there. */
+/** Creates an application that records its runs in `ledger`; `trouble` is the share of calls that fail. */
 export function createOrderServer(
   world: World,
   process: SimProcess,
--- a/checks/invariants/process.ts
+++ b/checks/invariants/process.ts
@@ -2,30 +2,30 @@
 import type { FakeClock } from '../../src/testing/fake-clock';
 
 /**
- * A process of the searched world. What happens to it (timers, messages) reaches it through here, so that it
- * can be paused, as by SIGSTOP, and killed between any two of its steps.
+ * A simulated process. Its timers and messages are delivered through this object, so that it can be paused, as by SIGSTOP,
+ * and killed between any two steps.
  */
 export interface SimProcess {
   readonly name: string;
   readonly region: string;
   readonly incarnation: number;
   readonly alive: boolean;
-  /** The process's own clock; while it is paused nothing that was scheduled on it happens. */
+  /** Clock of the process; its callbacks wait while the process is paused. */
   readonly clock: Clock;
-  /** Hands something to the process: now, on waking, or never. */
+  /** Runs a task in the process: now, after its pause, or never. */
   deliver(event: () => void): void;
   pause(): void;
   resume(): void;
   kill(): void;
 }
 
-/** Stops a process for a while, as by SIGSTOP and SIGCONT. */
+/** Pauses a process for a time, as by SIGSTOP and SIGCONT. */
 export function sleep(world: FakeClock, process: SimProcess, forMs: number): void {
   process.pause();
   world.schedule(world.monotonicMs() + forMs, () => process.resume());
 }
 
-/** A running process. */
+/** Creates a running process. */
 export function createSimProcess(
   world: FakeClock,
   name: string,
--- a/checks/invariants/run-schedule.ts
+++ b/checks/invariants/run-schedule.ts
@@ -10,21 +10,21 @@
 import { createWorld } from './world';
 import type { World } from './world';
 
-/** What one schedule came to. */
+/** Result of one schedule. */
 export interface ScheduleResult {
   readonly seed: number;
   readonly violations: readonly string[];
   readonly history: readonly string[];
-  /** Orders that some server ran. */
+  /** Orders that at least one server ran. */
   readonly runs: number;
   readonly answers: number;
   /** Orders that ran more than once. */
   readonly doubled: number;
-  /** Orders of which a caller got an answer. */
+  /** Orders whose caller received an answer. */
   readonly ordersAnswered: number;
-  /** Orders without an answer of which the caller knows that they did not run, or that they ran. */
+  /** Orders without an answer whose outcome the caller knows. */
   readonly ordersKnown: number;
-  /** Refusals by what they said, those that only hand out a ticket left out. */
+  /** Refusals by outcome, except those that only issue a ticket. */
   readonly notRun: number;
   readonly ran: number;
   readonly unknown: number;
@@ -33,12 +33,12 @@
 /** Orders in each schedule. */
 export const ORDERS = 4;
 const MOST_FAULTS = 7;
-/** Faults begin within this time, ms. */
+/** Time in which faults begin, ms. */
 export const FAULTS_WITHIN_MS = 5_000;
-/** By then every caller has given up and every late message has arrived, ms. */
+/** Time by which every caller has given up and every delayed message has arrived, ms. */
 const SCHEDULE_MS = 60_000;
 
-/** What faults happen to. */
+/** Targets of faults. */
 export interface FaultTarget {
   readonly instances: ReadonlyMap<string, { readonly process: SimProcess }>;
   readonly servers: Fleet['servers'];
@@ -46,7 +46,7 @@
   tighten(): void;
 }
 
-/** Brings one fault about. */
+/** Injects one fault. */
 function drawFault(world: World, fleet: FaultTarget): void {
   const names = Object.keys(INSTANCE_REGIONS);
   const regions = ['windhoek', 'rundu', 'kolkata'];
@@ -103,13 +103,13 @@
   await world.clock.advanceByAsync(SCHEDULE_MS);
 }
 
-/** What a schedule leaves out, so that ways that know nothing of it can be compared with. */
+/** Parts that a schedule omits, so that variants without support for them can be compared. */
 export interface ScheduleOptions {
-  /** Callers ask instances of barred regions too, and versions bar regions on the way. */
+  /** Callers also use instances of forbidden regions, and new versions forbid regions during the schedule. */
   readonly withBarredRegions: boolean;
 }
 
-/** Runs the schedule of `seed` to its end and looks at what came of it. */
+/** Runs the schedule of `seed` to its end and checks the result. */
 export async function runSchedule(
   seed: number,
   mutant: Mutant = NO_MUTANT,
--- a/checks/invariants/sim-instance.ts
+++ b/checks/invariants/sim-instance.ts
@@ -22,7 +22,7 @@
 import { createSimTransport } from './sim-transport';
 import type { OpenCalls } from './sim-transport';
 
-/** What a caller sends to an instance. */
+/** Request of a caller to an instance. */
 export interface CallerRequest {
   readonly requestId: string;
   readonly callerId: string;
@@ -30,7 +30,7 @@
   readonly ticket: string | undefined;
 }
 
-/** What a caller reads back. */
+/** Answer to a caller. */
 export type CallerReply =
   | { readonly kind: 'answer'; readonly text: string; readonly isWhole: boolean }
   | {
@@ -40,17 +40,17 @@
       readonly ticket: string | undefined;
     };
 
-/** An instance in the searched world: the real tickets, forwarding and outcomes over a fake network. */
+/** A simulated instance: the real tickets, forwarding and outcomes over a fake network. */
 export interface SimInstance {
   readonly process: SimProcess;
   readonly handlers: ForwardedHandlers;
   readonly tickets: Tickets;
   configuration: CompiledConfiguration;
-  /** Takes a caller's request, as the HTTP edge does. */
+  /** Receives a request of a caller, as the HTTP edge does. */
   receive(request: CallerRequest, reply: (reply: CallerReply) => void, gone: AbortSignal): void;
 }
 
-/** Time for a whole answer, ms. */
+/** Timeout for a complete answer, ms. */
 export const REQUEST_DEADLINE_MS = 2_500;
 
 function memberOf({ process, configuration }: SimInstance): MemberState {
@@ -79,7 +79,7 @@
     ...fleet.emptyStore,
     current: () => configuration,
   };
-  /** What this process believes of the others; it is told of a replacement only after a while. */
+  /** This process's view of the others; it learns of a replacement with a delay. */
   const believed = new Map<string, MemberState>();
   const membership: MembershipView = {
     ...fleet.emptyMembership,
--- a/checks/invariants/sim-sender.ts
+++ b/checks/invariants/sim-sender.ts
@@ -16,7 +16,7 @@
   lastCheck: () => void,
 ) => Promise<void>;
 
-/** What the sender tells the checkers. */
+/** Records of the sender that the checks read. */
 export interface FirstByte {
   readonly idempotencyKey: string;
   readonly toRegion: string;
@@ -32,10 +32,10 @@
   return new RefusalError(REFUSALS.serverFailed, { detail, step: 'sim-send', evidence });
 }
 
-/** What a reply proves; the mutants replace it by something that believes too much. */
+/** Interprets a reply; the mutants replace it with a function that infers too much. */
 export type ReadEnd = (end: Exclude<End, { kind: 'answer' }>) => Evidence;
 
-/** As the real sender judges. */
+/** The interpretation of the real sender. */
 export const readEnd: ReadEnd = (end) => {
   switch (end.kind) {
     case 'refused':
@@ -49,7 +49,7 @@
   }
 };
 
-/** A sender of one process. */
+/** Creates the sender of a process. */
 export function createSimSender(
   world: World,
   process: SimProcess,
@@ -76,7 +76,7 @@
     new Promise((resolve) => {
       within(ANSWER_TIMEOUT_MS, () => resolve({ kind: 'timeout' }));
       const reset = () => {
-        // Of a lost message the sender sees a reset or nothing at all.
+        // If a message is lost, the sender sees a reset or nothing.
         if (world.chance(0.5)) within(world.between(1, 100), () => resolve({ kind: 'reset' }));
       };
       const body = Buffer.from(request.body).toString('utf8');
--- a/checks/invariants/sim-serving.ts
+++ b/checks/invariants/sim-serving.ts
@@ -8,7 +8,7 @@
 import type { SimSender } from './sim-sender';
 import type { World } from './world';
 
-/** What the fake serving needs. */
+/** Dependencies of the simulated serving. */
 export interface SimServingOptions {
   readonly world: World;
   readonly process: SimProcess;
@@ -16,7 +16,7 @@
   readonly sender: SimSender;
   readonly forwarder: PeerForwarder;
   readonly membership: MembershipView;
-  /** Throws where the data may not be here. */
+  /** Throws if the data must not be in this region. */
   readonly regionsOf: (request: GatewayRequest) => readonly string[];
   readonly mutant: Mutant;
 }
@@ -24,9 +24,9 @@
 const MOST_TRIES = 3;
 
 /**
- * Serving as reckless as code above the guard could ever be: it believes other regions to be better, retries
- * after every failure whatever its outcome, and now and then sends a second attempt beside the first. The
- * promises must hold nonetheless, since they rest on the guard and the ledger below it.
+ * Worst-case behaviour of the code above the guard: it always prefers other regions, retries after every failure regardless
+ * of the outcome, and sometimes sends a second attempt while the first is in progress. The invariants must hold all the same,
+ * since the guard and the ledger below it enforce them.
  */
 export function createSimServing(options: SimServingOptions): Serving {
   const { world, process, servers, sender, forwarder, membership, regionsOf, mutant } = options;
--- a/checks/invariants/sim-transport.ts
+++ b/checks/invariants/sim-transport.ts
@@ -7,9 +7,9 @@
 import type { SimProcess } from './process';
 import type { World } from './world';
 
-/** Calls between simulated instances, over links that lose, delay, repeat and cross what they carry. */
+/** Calls between simulated instances, over links that lose, delay, repeat and reorder messages. */
 
-/** The calls that a process has open, so that an event can be delivered to the wrong one. */
+/** Open calls of a process, so that an event can be delivered to the wrong one. */
 export type OpenCalls = Set<SimCall>;
 
 /** The receiving end of one call. */
@@ -20,7 +20,7 @@
 }
 
 const TIMEOUT_ERROR = 'the time was up';
-/** Time after which a broken connection is noticed, ms. */
+/** Time after which a broken connection is detected, ms. */
 const NOTICE_MS = [1, 800] as const;
 
 function createCall(onCancel: () => void): SimCall {
@@ -67,17 +67,17 @@
   };
 }
 
-/** What the transport of a process needs. */
+/** Dependencies of the transport of a process. */
 export interface SimTransportOptions {
   readonly world: World;
   readonly process: SimProcess;
   readonly openCalls: OpenCalls;
-  /** The process that listens at an address now. */
+  /** Returns the process that listens at an address now. */
   readonly instanceAt: (address: string) => SimInstance | undefined;
   readonly noteForward: (to: SimProcess, message: ForwardRequest) => void;
 }
 
-/** A transport of one process. */
+/** Creates the transport of a process. */
 export function createSimTransport(options: SimTransportOptions): ForwardTransport {
   const { world, process, openCalls, instanceAt, noteForward } = options;
   const { clock } = process;
@@ -88,7 +88,7 @@
       clock.schedule(clock.monotonicMs() + world.between(...NOTICE_MS), () => call.fail('reset'));
     };
     let lastArrivalMs = 0;
-    // All of a late answer comes where another one is waited for, as on a connection that is used again.
+    // A late answer is delivered in full to a call that expects another one, as on a reused connection.
     let crossing = world.chance(world.mood.crossed);
     let target = call;
     const chooseTarget = () => {
@@ -104,7 +104,7 @@
         to.process,
         process,
         () => {
-          // A connection keeps the order of what it carries.
+          // A connection preserves the order of its messages.
           lastArrivalMs = Math.max(lastArrivalMs, clock.monotonicMs()) + 1;
           clock.schedule(lastArrivalMs, () => {
             chooseTarget();
@@ -157,7 +157,7 @@
       }
       noteForward(to.process, message);
       world.note(`${process.name} forwards ${message.requestId} to ${to.process.name}`);
-      // Whichever process listens there when the bytes arrive gets them.
+      // The bytes are delivered to the process that listens there when they arrive.
       const arrive = () => serve(instanceAt(address) ?? to, message, call, gone.signal);
       const lost = () => {
         clock.schedule(clock.monotonicMs() + world.between(...NOTICE_MS), () => call.fail('reset'));
--- a/checks/invariants/world.ts
+++ b/checks/invariants/world.ts
@@ -3,53 +3,53 @@
 import type { FakeClock } from '../../src/testing/fake-clock';
 import type { SimProcess } from './process';
 
-/** How messages and their senders fare in one schedule; drawn from its seed. */
+/** Faults of messages and senders in one schedule; drawn from its seed. */
 export interface NetworkMood {
   /** Shares of messages, from 0 to 1. */
   readonly lost: number;
   readonly repeated: number;
   readonly late: number;
   readonly crossed: number;
-  /** Share of sends in the midst of which the sender's process is stopped for a while. */
+  /** Share of sends during which the sender's process is paused. */
   readonly sleepy: number;
 }
 
-/** A virtual world: one clock, one source of chance, links that fail, and a history of what happened. */
+/** A simulated world: one clock, one source of random numbers, unreliable links, and a history of events. */
 export interface World {
   readonly clock: FakeClock;
-  /** From 0 up to, but not including, 1. */
+  /** Returns a number from 0 (inclusive) to 1 (exclusive). */
   draw(): number;
-  /** True with the given chance. */
+  /** Returns true with the given probability. */
   chance(share: number): boolean;
   pick<Item>(items: readonly Item[]): Item;
   between(least: number, most: number): number;
   readonly mood: NetworkMood;
   note(text: string): void;
   readonly history: readonly string[];
-  /** Cuts all messages between two places, named by process or region. */
+  /** Blocks all messages between two places, each a process or a region. */
   cut(one: string, other: string): void;
   mend(one: string, other: string): void;
-  /** Carries a message; `lost` runs at once when it will not arrive. Bytes of one connection never repeat. */
+  /** Delivers a message; `lost` runs at once if it will not arrive. Bytes of one connection are never repeated. */
   carry(from: SimProcess, to: SimProcess, arrive: () => void, how?: Carriage): void;
 }
 
-/** How one message travels. */
+/** Delivery of one message. */
 export interface Carriage {
   readonly lost?: () => void;
   readonly mayRepeat?: boolean;
 }
 
-/** Time that a message takes within and between regions, ms. */
+/** Delay of a message within and between regions, ms. */
 const NEAR_MS = [1, 3] as const;
 const FAR_MS = [20, 60] as const;
-/** A message that something on the way held back, ms. */
+/** Delay of a message that is held up on its way, ms. */
 const LATE_MS = [500, 6_000] as const;
 
 function linkName(one: string, other: string): string {
   return [one, other].sort().join('~');
 }
 
-/** A world drawn from `seed`. */
+/** Creates a world from `seed`. */
 export function createWorld(seed: number): World {
   const clock = createFakeClock();
   const random = createSeededRandom(seed);
