--- a/src/core/server-limits/create-server-limits.ts
+++ b/src/core/server-limits/create-server-limits.ts
@@ -42,7 +42,7 @@
   readonly isCounting: () => boolean;
   /** Returns the other instances of the region that may be alive, suspected ones included. */
   readonly peers: () => readonly CounterPeer[];
-  /** Returns the share of the region's instances that this one reaches, itself included; above 0, up to 1. */
+  /** Returns the share of the region's instances that this one reaches, itself included; from 0 to 1. */
   readonly reachableShare: () => number;
   readonly send: (address: string, text: string) => void;
   /** Sends a health check to a server; its answer is passed to `observe`. */
--- a/src/core/server-limits/limit-counts.ts
+++ b/src/core/server-limits/limit-counts.ts
@@ -14,7 +14,7 @@
 export interface GrantedRate {
   /** Requests per second that the server takes from all instances. */
   readonly perSecond: number;
-  /** Share of them that is granted here; above 0, up to 1. */
+  /** Share of them that is granted here; from 0 to 1. */
   readonly share: number;
 }
 
