--- a/src/core/server-limits/limit-counts.test.ts
+++ b/src/core/server-limits/limit-counts.test.ts
@@ -39,8 +39,9 @@
     const counts = createLimitCounts();
     counts.take('s-1', { perSecond: 10, share: WHOLE }, 0);
     let granted = 0;
-    while (counts.take('s-1', { perSecond: 10, share: WHOLE }, 60_000).kind === 'granted')
-      {granted += 1;}
+    while (counts.take('s-1', { perSecond: 10, share: WHOLE }, 60_000).kind === 'granted') {
+      granted += 1;
+    }
     assert.ok(granted <= 5, `${granted} at once`);
   });
 });
