Log and count departures and pauses that servers state in their answers

Logs could not tell an unread statement from one that was read and undone or ended early. Lines 5001 to 5004 say when a departure or a pause is stated, ends, or is malformed, once for each change; line 4102 has the status and the pause of a refusal; two gauges count the servers. Placement is unchanged.

A Retry-After is read as seconds, fractions of them, or an HTTP date, on 429 and 503 only.

--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -19,6 +19,7 @@
 import { ROUTING_EVENTS } from '../routing/events';
 import { SERVER_HEALTH_EVENTS } from '../server-health/events';
 import { SERVER_LIMIT_EVENTS } from '../server-limits/events';
+import { SERVER_NOTICE_EVENTS } from '../server-notices/events';
 import { SERVING_EVENTS } from '../serving/events';
 import { SPILLOVER_EVENTS } from '../spillover/events';
 import { STATE_RELAY_EVENTS } from '../state-relay/events';
@@ -59,6 +60,7 @@
   CALL_EVENTS,
   STATE_RELAY_EVENTS,
   SERVER_LIMIT_EVENTS,
+  SERVER_NOTICE_EVENTS,
 ]
   .flatMap((events): EventDefinition[] => Object.values(events))
   .sort((left, right) => left.id - right.id);
--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -2,6 +2,7 @@
 import type { AnswerHead, ConnectionPool, Exchange, ExchangeEnd } from '../exchanges';
 import type { LossCause } from '../outcomes';
 import type { ServerLimits } from '../server-limits';
+import type { ServerNotices } from '../server-notices';
 import { createBufferedReader, createStreamReader } from './answer-reader';
 import type { AnswerReader } from './answer-reader';
 import type { Router } from './create-router';
@@ -16,6 +17,7 @@
 import type { AnswerClassification } from './classify-answer';
 import { observeDestination } from './observe-destination';
 import type { ObservedEnd, SendableDestination } from './observe-destination';
+import { observeStatements, readPause } from './observe-statements';
 import { PEER_IDLE_MS } from './other-regions';
 import { sendWhenWarm } from './send-when-warm';
 import type { StreamProgress } from './stream-progress';
@@ -29,7 +31,12 @@
   /** No byte of the request has left this process. */
   | { readonly kind: 'neverSent'; readonly reason: string }
   /** The server states that it has not run the request. */
-  | { readonly kind: 'rejected' }
+  | {
+      readonly kind: 'rejected';
+      readonly status: number;
+      /** Time for which the server asks to send nothing, ms; undefined if it states none. */
+      readonly pauseMs: number | undefined;
+    }
   /** Another instance has refused the request, and states whether it may have run there. */
   | { readonly kind: 'peerRefused'; readonly hasNotRun: boolean }
   /** The server answered with a failure, which can still be passed on. */
@@ -69,6 +76,7 @@
   readonly router: Router;
   readonly warmCheck: WarmCheck;
   readonly limits: Pick<ServerLimits, 'observe'>;
+  readonly notices: Pick<ServerNotices, 'observe'>;
   readonly request: InboundRequest;
   readonly plan: RequestPlan;
   readonly to: SendableDestination;
@@ -205,16 +213,17 @@
     reader = createBufferedReader(answerHead, answer, droppedHeaders);
   };
 
-  /** Records the limit that an answer names, unless the answer is of another server or of an earlier request. */
-  const observeLimit = ({ headers }: AnswerHead, classification: AnswerClassification): void => {
+  const rejection = (answerHead: AnswerHead): AttemptResult => {
+    const pause = readPause(answerHead, options);
+    const pauseMs = pause.kind === 'pause' ? pause.waitMs : undefined;
+    return { kind: 'rejected', status: answerHead.status, pauseMs };
+  };
+
+  /** Records what an answer states, unless it is of another server or of an earlier request. */
+  const observeAnswer = (answerHead: AnswerHead, classification: AnswerClassification): void => {
     if (to.kind === 'peer' || classification.kind === 'wrong') return;
     if (classification.kind === 'notRun' && classification.isReplaced) return;
-    options.limits.observe({
-      incarnationId: to.server.incarnationId,
-      named: dialect.readLimit(headers),
-      observedAtMs: clock.monotonicMs(),
-      source: 'answer',
-    });
+    observeStatements(options, to.server.incarnationId, answerHead, 'answer');
   };
 
   const onHead = (answerHead: AnswerHead): void => {
@@ -229,13 +238,13 @@
       return;
     }
     const classification = classifyAnswer(head, request.requestId, dialect);
-    observeLimit(head, classification);
+    observeAnswer(head, classification);
     switch (classification.kind) {
       case 'notRun':
         if (classification.isReplaced && to.kind === 'server') {
           options.onReplaced(to.server.serverId);
         }
-        decide({ kind: 'rejected' });
+        decide(rejection(head));
         return;
       case 'wrong':
         decide({ kind: 'lost', reason: classification.reason, wasReset: false });
--- a/src/core/pass-through/index.ts
+++ b/src/core/pass-through/index.ts
@@ -12,4 +12,5 @@
 export type { ServeDependencies } from './serve-request';
 export type { HeaderDialect, TokenCount } from './types';
 export type { NamedLimit } from '../server-limits';
+export type { StatedDeparture } from '../server-notices';
 export { createWarmCheck } from './warm-check';
--- a/src/core/pass-through/request-log.ts
+++ b/src/core/pass-through/request-log.ts
@@ -14,6 +14,8 @@
 export interface RequestLog {
   placed(to: SendableDestination): void;
   attemptFailed(attempt: Attempt, reason: string, status?: number): void;
+  /** Logs that a server has not run the request; `pauseMs` is the pause that it asks for, ms. */
+  rejected(attempt: Attempt, status: number, pauseMs: number | undefined): void;
   /** Logs a complete answer; `firstByteAtMs` is undefined if the answer had no body. */
   answered(attempt: Attempt, status: number, firstByteAtMs: number | undefined): void;
   /**
@@ -72,6 +74,12 @@
   const fields = () => ({ ...requestFields(request, plan), attempts: options.attempts() });
   const sinceReceivedMs = (atMs: number) => Math.round(atMs - request.receivedAtMs);
   const totalMs = () => sinceReceivedMs(clock.monotonicMs());
+  const attemptFields = (attempt: Attempt) => ({
+    ...fields(),
+    to: destinationName(attempt.to),
+    serversTriedThere: attempt.serversTriedThere(),
+    afterMs: Math.round(clock.monotonicMs() - attempt.sentAtMs),
+  });
 
   return {
     placed: (to) =>
@@ -87,12 +95,16 @@
       }),
     attemptFailed: (attempt, reason, status) =>
       logger.event(PASS_THROUGH_EVENTS.attemptFailed, {
-        ...fields(),
-        to: destinationName(attempt.to),
-        serversTriedThere: attempt.serversTriedThere(),
+        ...attemptFields(attempt),
         reason,
         status,
-        afterMs: Math.round(clock.monotonicMs() - attempt.sentAtMs),
+      }),
+    rejected: (attempt, status, pauseMs) =>
+      logger.event(PASS_THROUGH_EVENTS.attemptFailed, {
+        ...attemptFields(attempt),
+        reason: 'the server states that it has not run the request',
+        status,
+        pauseMs,
       }),
     answered: (attempt, status, firstByteAtMs) =>
       logger.event(PASS_THROUGH_EVENTS.answered, {
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -2,6 +2,7 @@
 import type { Logger } from '../events';
 import type { ConnectionPool } from '../exchanges';
 import type { PermitVerdict, ServerLimits } from '../server-limits';
+import type { ServerNotices } from '../server-notices';
 import type { RetryAllowance } from '../shared-budget';
 import { destinationName, startAttempt } from './attempt';
 import type { Attempt, AttemptResult } from './attempt';
@@ -38,6 +39,8 @@
   readonly retries: RetryAllowance;
   /** Limits that backend servers name in their answers. */
   readonly limits: ServerLimits;
+  /** What backend servers state in their answers about the requests after them. */
+  readonly notices: ServerNotices;
   /** Called when a server other than `serverId` has answered at its address. */
   readonly onReplaced: (serverId: string) => void;
   readonly onDone: (done: ServedRequest) => void;
@@ -186,7 +189,7 @@
         afterUnsent();
         return;
       case 'rejected':
-        log.attemptFailed(attempt, 'the server states that it has not run the request');
+        log.rejected(attempt, result.status, result.pauseMs);
         afterRejection();
         return;
       case 'peerRefused':
--- a/src/core/pass-through/types.ts
+++ b/src/core/pass-through/types.ts
@@ -2,6 +2,7 @@
 import type { RouteKind } from '../host-routes';
 import type { LoadReport, ModelDemand } from '../placement';
 import type { NamedLimit } from '../server-limits';
+import type { StatedDeparture } from '../server-notices';
 
 /**
  * Names of the headers that callers and backend servers use, and parsers for the headers whose
@@ -31,6 +32,8 @@
    * cold for a while after its start; while cold, it handles few requests per second.
    */
   readonly coldForMs: string;
+  /** Time for which a refusal asks to send nothing, in the format of HTTP. */
+  readonly retryAfter: string;
   /** Address of the backend server from whose cache the receiving server copies the prompt. */
   readonly copyPromptFrom: string;
   /** Headers that only the gateway sets; they are dropped from callers' requests. */
@@ -45,6 +48,8 @@
   readLoadReport(text: string): LoadReport | undefined;
   /** Returns the limit on its requests that a backend server names in an answer. */
   readLimit(headers: HeaderMap): NamedLimit;
+  /** Returns whether a backend server states in an answer that it is leaving. */
+  readDeparture(headers: HeaderMap): StatedDeparture;
 }
 
 /** Number of tokens that a request states. */
--- a/src/core/pass-through/warm-check.ts
+++ b/src/core/pass-through/warm-check.ts
@@ -2,8 +2,10 @@
 import type { AnswerHead, ConnectionPool, Exchange } from '../exchanges';
 import type { RouteTableStore } from '../host-routes';
 import type { ServerLimits } from '../server-limits';
+import type { ServerNotices } from '../server-notices';
 import type { KnownServer, ServerRegistry } from '../server-registry';
 import { MISDIRECTED_STATUS, headerText } from './classify-answer';
+import { observeStatements } from './observe-statements';
 import type { HeaderDialect } from './types';
 
 /** Checks with servers themselves whether they are cold, when the published state may not show it. */
@@ -39,6 +41,7 @@
   readonly routes: RouteTableStore;
   readonly servers: ServerRegistry;
   readonly limits: Pick<ServerLimits, 'observe'>;
+  readonly notices: Pick<ServerNotices, 'observe'>;
   /**
    * Returns the monotonic time since which all published state has been followed; undefined while
    * it is not.
@@ -127,12 +130,7 @@
               return;
             }
             suspectIds.delete(server.incarnationId);
-            options.limits.observe({
-              incarnationId: server.incarnationId,
-              named: dialect.readLimit(head.headers),
-              observedAtMs: clock.monotonicMs(),
-              source: 'healthCheck',
-            });
+            observeStatements(options, server.incarnationId, head, 'healthCheck');
             const coldMs = coldForMs(head);
             if (coldMs > 0) servers.markCold(server.serverId, clock.monotonicMs() + coldMs);
             // The rest of the answer is ignored: a server may be healthy although its answer says
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -18,6 +18,7 @@
 import type { RandomSource } from '../random';
 import { createServerLimits } from '../server-limits';
 import type { ServerLimits } from '../server-limits';
+import { createServerNotices } from '../server-notices';
 import type { ServerRegistry } from '../server-registry';
 import { createColdServerLimiter, createRetryAllowance } from '../shared-budget';
 import type { KnownInstances } from './known-instances';
@@ -106,6 +107,7 @@
     send: options.sendStatement,
     checkHealth,
   });
+  const notices = createServerNotices({ clock, logger });
   const peerLoads = createPeerLoads();
   const cachedParts = createCachedPartsBuffer();
   const router = createRouter({
@@ -144,6 +146,7 @@
     routes,
     servers,
     limits,
+    notices,
     followedSinceMs,
   });
   options.metrics.gauge(
@@ -156,6 +159,16 @@
     'Permits for requests to limited servers that were denied',
     limits.deniedCount,
   );
+  options.metrics.gauge(
+    'coltsfootworks_servers_leaving_by_answer',
+    'Backend servers that stated in an answer that they are leaving',
+    notices.leavingCount,
+  );
+  options.metrics.gauge(
+    'coltsfootworks_paused_servers',
+    'Backend servers in a pause that they asked for',
+    notices.pausedCount,
+  );
   const guard = owned.add(
     createPoisonGuard({
       clock,
@@ -186,6 +199,7 @@
     crashWatch,
     retries,
     limits,
+    notices,
     onReplaced: servers.markReplaced,
     onDone: createRequestCounter(options.metrics),
     onRefused: (reason, service) => options.metrics.refused(reason, service),
@@ -207,6 +221,7 @@
       router.keepOnly(knownIds);
       warmCheck.keepOnly(knownIds);
       limits.keepOnly(knownIds);
+      notices.keepOnly(knownIds);
     },
   };
 }
--- /dev/null
+++ b/src/core/server-notices/index.ts
@@ -0,0 +1,5 @@
+/** What backend servers state in their answers about the requests after them. */
+export { createServerNotices } from './create-server-notices';
+export type { ServerNotices, ServerNoticesOptions } from './create-server-notices';
+export { parseRetryAfter } from './parse-retry-after';
+export type { AnswerNotice, StatedDeparture, StatedPause } from './types';
--- /dev/null
+++ b/src/core/server-notices/types.ts
@@ -0,0 +1,25 @@
+/** Whether an answer states that its server is leaving, that is, will end soon and takes no new requests. */
+export type StatedDeparture =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'leaving' }
+  /** The value cannot be interpreted. */
+  | { readonly kind: 'malformed'; readonly text: string };
+
+/** For how long a refusal asks the receiving instance to send nothing. */
+export type StatedPause =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'pause'; readonly waitMs: number }
+  /** The value cannot be interpreted. */
+  | { readonly kind: 'malformed'; readonly text: string };
+
+/** Whether an answer came in response to a request or to a health check. */
+export type AnswerSource = 'answer' | 'healthCheck';
+
+/** An answer of a server, as far as it concerns the requests after it. */
+export interface AnswerNotice {
+  /** Identifies one start of the server; what it states ends with that start. */
+  readonly incarnationId: string;
+  readonly departure: StatedDeparture;
+  readonly pause: StatedPause;
+  readonly source: AnswerSource;
+}
