Let reports between instances of a region carry any fact about a server

What instances learn from a server and tell one another through the instance that counts it was tied to limits. Departures that servers state need the same, so the reports take what a fact says and how long it is told as options.

--- a/src/core/server-limits/create-server-limits.ts
+++ b/src/core/server-limits/create-server-limits.ts
@@ -1,12 +1,12 @@
 import type { Clock } from '../clock';
 import type { Logger } from '../events';
-import { createAnswerCache, createCounterSelector } from '../shared-budget';
+import { createAnswerCache, createCounterSelector, createRegionReports } from '../shared-budget';
 import type { CounterPeer } from '../shared-budget';
 import { createKnownLimits } from './known-limits';
+import type { KnownLimit } from './known-limits';
 import { createLimitCounts } from './limit-counts';
 import { parseLimitMessage, serializeLimitMessage } from './limit-messages';
 import type { AskVerdict, LimitMessage, ToldLimit } from './limit-messages';
-import { createLimitReports, toldLimit } from './limit-reports';
 import { createPermitAsks } from './permit-asks';
 import { rateInForce } from './rate-in-force';
 import type { LimitObservation, PermitVerdict } from './types';
@@ -64,6 +64,18 @@
  */
 const SILENCE_BEFORE_CHECK_MS = 2_000;
 
+/** Time for which the end of a limit is still told, ms: a message may be lost. */
+const TELL_END_MS = 8_000;
+
+/** Returns what another instance is told of a limit. */
+function toldLimit(known: KnownLimit, nowMs: number): ToldLimit {
+  return {
+    server: known.incarnationId,
+    perSecond: known.perSecond ?? null,
+    ageMs: Math.max(0, Math.round(nowMs - known.observedAtMs)),
+  };
+}
+
 /**
  * Creates the limits of the servers of a region.
  *
@@ -138,14 +150,22 @@
   };
 
   const asks = createPermitAsks({ clock, self, countersOf, told, takeHere, send });
-  const reports = createLimitReports({
+  const forMs = ({ perSecond }: KnownLimit) => (perSecond === undefined ? TELL_END_MS : Infinity);
+  const reports = createRegionReports<KnownLimit>({
     counterAddress(serverId) {
       const [counter] = countersOf(serverId);
       return counter?.instanceId === self().instanceId ? undefined : counter?.address;
     },
     isCounter,
     addresses: () => options.peers().map(({ address }) => address),
-    send,
+    valueOf: ({ perSecond }) => perSecond,
+    reportForMs: forMs,
+    announceForMs: forMs,
+    send: (address, limits, atMs) =>
+      send(address, {
+        kind: 'serverLimits',
+        limits: limits.map((limit) => toldLimit(limit, atMs)),
+      }),
   });
 
   const receiveMessage = (message: LimitMessage): void => {
--- a/src/core/shared-budget/index.ts
+++ b/src/core/shared-budget/index.ts
@@ -6,6 +6,8 @@
 export type { ColdServerLimiter } from './cold-server-limiter';
 export { createCounterSelector } from './counter-selector';
 export type { CounterSelector } from './counter-selector';
+export { createRegionReports } from './region-reports';
+export type { RegionReports, ReportedFact } from './region-reports';
 export { createRetryAllowance } from './retry-budget';
 export type { FleetRetryBudget, RetryAllowance } from './retry-budget';
 export type { CounterPeer } from './types';
