Send nothing more to a server that has stated in an answer that it leaves

What callers saw: a look-up was served by a server that had long said it was leaving, and another was cut off at its deadline when such a server took it and did not finish.

Cause: only the published state took a server out of use.

Now each answer of the server itself, also to a health check, takes that start of the server out of use. The registry remembers it for ten minutes even if the entry expires and returns, so that a published state from before the departure does not undo it; a new start, or another server at the address, is free of it. A request that waited for a permit or a health check meanwhile is placed again. The instance that counts the server by rendezvous hashing tells all instances of the region, so those that have had no such answer do not go on. Values other than 0 and 1 are ignored with one log line.

--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -3,6 +3,7 @@
 import type { LossCause } from '../outcomes';
 import type { ServerLimits } from '../server-limits';
 import type { ServerNotices } from '../server-notices';
+import type { ServerRegistry } from '../server-registry';
 import { createBufferedReader, createStreamReader } from './answer-reader';
 import type { AnswerReader } from './answer-reader';
 import type { Router } from './create-router';
@@ -77,6 +78,7 @@
   readonly warmCheck: WarmCheck;
   readonly limits: Pick<ServerLimits, 'observe'>;
   readonly notices: Pick<ServerNotices, 'observe'>;
+  readonly servers: Pick<ServerRegistry, 'isUsable'>;
   readonly request: InboundRequest;
   readonly plan: RequestPlan;
   readonly to: SendableDestination;
@@ -330,11 +332,10 @@
       { onHead, onData, onEnd },
     );
   if (isServer) {
-    const onCold = () =>
-      report({ kind: 'neverSent', reason: 'the server is cold' }, 'inconclusive');
+    const onUnusable = (reason: string) => report({ kind: 'neverSent', reason }, 'inconclusive');
     const { server, maxConnections } = to;
-    const check = options.warmCheck;
-    exchange = sendWhenWarm({ check, server, maxConnections, send, onEnd, onCold });
+    const { warmCheck: check, servers } = options;
+    exchange = sendWhenWarm({ check, servers, server, maxConnections, send, onEnd, onUnusable });
   } else {
     exchange = send();
     if (exchange === undefined) onEnd({ kind: 'neverSent', reason: 'no connection is free' });
--- a/src/core/pass-through/send-when-warm.ts
+++ b/src/core/pass-through/send-when-warm.ts
@@ -1,18 +1,19 @@
 import type { AnswerListener, Exchange } from '../exchanges';
-import type { KnownServer } from '../server-registry';
+import type { KnownServer, ServerRegistry } from '../server-registry';
 import type { WarmCheck } from './warm-check';
 
 /** Options of `sendWhenWarm`. */
 export interface SendWhenWarmOptions {
   readonly check: WarmCheck;
+  readonly servers: Pick<ServerRegistry, 'isUsable'>;
   readonly server: KnownServer;
   /** Maximum number of open connections to the server. */
   readonly maxConnections: number;
   /** Sends the request; returns undefined if no connection is free. */
   readonly send: () => Exchange | undefined;
   readonly onEnd: AnswerListener['onEnd'];
-  /** Called if the server has become cold; nothing was sent to it. */
-  readonly onCold: () => void;
+  /** Called if the server may get no request any more, for example because it is cold; none was sent to it. */
+  readonly onUnusable: (reason: string) => void;
 }
 
 /**
@@ -20,7 +21,7 @@
  * aborts the check or the request, whichever is in progress.
  */
 export function sendWhenWarm(options: SendWhenWarmOptions): Exchange {
-  const { check, server, send, onEnd, onCold } = options;
+  const { check, servers, server, send, onEnd, onUnusable } = options;
   let current: Pick<Exchange, 'abort'> | undefined;
   let sent: Exchange | undefined;
   let isAborted = false;
@@ -39,14 +40,15 @@
       }
       switch (result.kind) {
         case 'warm':
-          sendNow();
+          if (servers.isUsable(server)) sendNow();
+          else onUnusable('the server went out of use before the request was sent');
           return;
         case 'replaced':
           // The server that now has the address rejects the request, which reveals the replacement.
           sendNow();
           return;
         case 'cold':
-          onCold();
+          onUnusable('the server is cold');
           return;
         case 'unanswered':
           onEnd({
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -3,6 +3,7 @@
 import type { ConnectionPool } from '../exchanges';
 import type { PermitVerdict, ServerLimits } from '../server-limits';
 import type { ServerNotices } from '../server-notices';
+import type { ServerRegistry } from '../server-registry';
 import type { RetryAllowance } from '../shared-budget';
 import { destinationName, startAttempt } from './attempt';
 import type { Attempt, AttemptResult } from './attempt';
@@ -41,6 +42,7 @@
   readonly limits: ServerLimits;
   /** What backend servers state in their answers about the requests after them. */
   readonly notices: ServerNotices;
+  readonly servers: Pick<ServerRegistry, 'isUsable'>;
   /** Called when a server other than `serverId` has answered at its address. */
   readonly onReplaced: (serverId: string) => void;
   readonly onDone: (done: ServedRequest) => void;
@@ -256,11 +258,14 @@
     else send(to);
   }
 
-  /** Sends to a server if its limit allows it, and otherwise chooses another destination. */
+  /**
+   * Sends to a server if its limit allows it, and otherwise chooses another destination. Also chooses again if the
+   * server has gone out of use while the permit was on its way.
+   */
   function sendWithPermit(to: SendableDestination & { kind: 'server' }): void {
     const decide = (verdict: PermitVerdict): void => {
       if (end.isOver()) return;
-      if (verdict.kind === 'granted') send(to);
+      if (verdict.kind === 'granted' && dependencies.servers.isUsable(to.server)) send(to);
       else tryNext();
     };
     dependencies.limits.requestPermit(to.server.incarnationId, decide);
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -76,10 +76,10 @@
 export interface ServingContext extends ServeDependencies {
   /** Drops the state of servers that are no longer registered, which would otherwise accumulate. */
   forgetRemovedServers(): void;
-  /** Processes a message on the limits of servers; returns whether the text was a valid one. */
-  receiveLimitMessage(text: string): boolean;
-  /** Sends what is due on the limits of servers to the other instances of the region. */
-  sendLimits(): void;
+  /** Processes a message on what servers state in their answers; returns whether the text was a valid one. */
+  receiveServerMessage(text: string): boolean;
+  /** Sends what is due on what servers state in their answers to the other instances of the region. */
+  sendServerMessages(): void;
   /** Applies a load update received from another instance. */
   receiveLoadUpdate(text: string): void;
   /** Sends this instance's load to the other instances of its region if it is due. */
@@ -97,17 +97,25 @@
     const { listeners, forwardingPort } = options.settings();
     return `${listeners.forwarding.host}:${forwardingPort}`;
   };
+  const self = () => ({ instanceId, region, address: ownAddress() });
+  const notices = createServerNotices({
+    clock,
+    logger,
+    self,
+    peers: instances.possiblyAlivePeers,
+    send: options.sendStatement,
+    onDeparture: (incarnationId) => servers.markLeaving(incarnationId, clock.monotonicMs()),
+  });
   const limits: ServerLimits = createServerLimits({
     clock,
     logger,
-    self: () => ({ instanceId, region, address: ownAddress() }),
+    self,
     isCounting: options.isCounting,
     peers: instances.possiblyAlivePeers,
     reachableShare: instances.reachableShare,
     send: options.sendStatement,
     checkHealth,
   });
-  const notices = createServerNotices({ clock, logger });
   const peerLoads = createPeerLoads();
   const cachedParts = createCachedPartsBuffer();
   const router = createRouter({
@@ -185,7 +193,8 @@
   });
   function checkHealth(incarnationId: string): void {
     const server = servers.all().find((known) => known.incarnationId === incarnationId);
-    if (server !== undefined) warmCheck.ask(server, MAX_CHECK_CONNECTIONS, () => {});
+    if (server === undefined || server.isDraining) return;
+    warmCheck.ask(server, MAX_CHECK_CONNECTIONS, () => {});
   }
 
   const retries = createRetryAllowance(() => options.settings().retryBudget, instances.count);
@@ -200,11 +209,15 @@
     retries,
     limits,
     notices,
+    servers,
     onReplaced: servers.markReplaced,
     onDone: createRequestCounter(options.metrics),
     onRefused: (reason, service) => options.metrics.refused(reason, service),
-    receiveLimitMessage: limits.receive,
-    sendLimits: limits.runDue,
+    receiveServerMessage: (text) => limits.receive(text) || notices.receive(text),
+    sendServerMessages() {
+      limits.runDue();
+      notices.runDue();
+    },
     receiveLoadUpdate(text) {
       const update = parseLoadUpdate(text);
       if (update === undefined) return;
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -216,10 +216,10 @@
     quotaOf: (account) => routes.current()?.accounts?.byName(account)?.quota,
     send: statements.send,
   });
-  /** Dispatches a received statement: load updates are JSON arrays, messages on quotas and on limits JSON objects. */
+  /** Dispatches a received statement: load updates are JSON arrays, others JSON objects. */
   const receiveStatement = (text: string): void => {
     if (!text.startsWith('{')) serving.receiveLoadUpdate(text);
-    else if (!quotas.receive(text)) serving.receiveLimitMessage(text);
+    else if (!quotas.receive(text)) serving.receiveServerMessage(text);
   };
   statements.onStatement(receiveStatement);
   inFlightCount = () => router.loads.totalInFlight();
@@ -296,7 +296,7 @@
     startTicks(clock, TICK_INTERVAL_MS, (dueAtMs, nextDueAtMs) => {
       loopWatch.recordTick(dueAtMs, nextDueAtMs, nowMs());
       serving.sendLoad();
-      serving.sendLimits();
+      serving.sendServerMessages();
       quotas.sendDueReports();
     }),
   );
--- a/src/core/server-limits/create-server-limits.ts
+++ b/src/core/server-limits/create-server-limits.ts
@@ -64,6 +64,8 @@
  */
 const SILENCE_BEFORE_CHECK_MS = 2_000;
 
+/** Interval between two announcements of an unchanged limit, ms. */
+const ANNOUNCE_INTERVAL_MS = 3_000;
 /** Time for which the end of a limit is still told, ms: a message may be lost. */
 const TELL_END_MS = 8_000;
 
@@ -161,6 +163,7 @@
     valueOf: ({ perSecond }) => perSecond,
     reportForMs: forMs,
     announceForMs: forMs,
+    announceIntervalMs: () => ANNOUNCE_INTERVAL_MS,
     send: (address, limits, atMs) =>
       send(address, {
         kind: 'serverLimits',
--- a/src/core/server-notices/create-server-notices.ts
+++ b/src/core/server-notices/create-server-notices.ts
@@ -1,5 +1,7 @@
 import type { Clock } from '../clock';
 import type { Logger } from '../events';
+import { createDepartures } from './departures';
+import type { DeparturesOptions } from './departures';
 import { SERVER_NOTICE_EVENTS } from './events';
 import type { AnswerNotice, StatedDeparture, StatedPause } from './types';
 
@@ -7,6 +9,10 @@
 export interface ServerNotices {
   /** Applies what an answer states. */
   observe(notice: AnswerNotice): void;
+  /** Processes a message of another instance. Returns whether the text was a valid one. */
+  receive(text: string): boolean;
+  /** Sends what is due to other instances. Must be called regularly. */
+  runDue(): void;
   /** Number of servers that have stated their departure. */
   leavingCount(): number;
   /** Number of servers in a pause that they asked for. */
@@ -16,9 +22,11 @@
 }
 
 /** Options of {@link createServerNotices}. */
-export interface ServerNoticesOptions {
+export interface ServerNoticesOptions extends Pick<DeparturesOptions, 'self' | 'peers' | 'send'> {
   readonly clock: Pick<Clock, 'monotonicMs'>;
   readonly logger: Logger;
+  /** Called once for each server that has stated its departure, to this instance or to another one. */
+  readonly onDeparture: (incarnationId: string) => void;
 }
 
 /** Maximum length of a malformed value in a log line, characters. */
@@ -27,10 +35,18 @@
 /** Creates an empty record. */
 export function createServerNotices(options: ServerNoticesOptions): ServerNotices {
   const { clock, logger } = options;
-  const leavingIds = new Set<string>();
   const pausedUntilMs = new Map<string, number>();
   const malformedIds = new Set<string>();
 
+  const departures = createDepartures({
+    ...options,
+    nowMs: () => clock.monotonicMs(),
+    onDeparture(incarnationId, source) {
+      logger.event(SERVER_NOTICE_EVENTS.leaving, { server: incarnationId, source });
+      options.onDeparture(incarnationId);
+    },
+  });
+
   const logMalformed = (server: string, statement: StatedDeparture | StatedPause): void => {
     // Once for each start of a server: it may send the same value in every answer.
     if (statement.kind !== 'malformed' || malformedIds.has(server)) return;
@@ -39,12 +55,6 @@
     logger.event(SERVER_NOTICE_EVENTS.malformed, { server, value });
   };
 
-  const recordDeparture = ({ incarnationId, source }: AnswerNotice): void => {
-    if (leavingIds.has(incarnationId)) return;
-    leavingIds.add(incarnationId);
-    logger.event(SERVER_NOTICE_EVENTS.leaving, { server: incarnationId, source });
-  };
-
   const recordPause = ({ incarnationId, source }: AnswerNotice, waitMs: number): void => {
     const nowMs = clock.monotonicMs();
     const previousUntilMs = pausedUntilMs.get(incarnationId) ?? 0;
@@ -66,15 +76,18 @@
       const { incarnationId, departure, pause } = notice;
       logMalformed(incarnationId, departure);
       logMalformed(incarnationId, pause);
-      if (departure.kind === 'leaving') recordDeparture(notice);
+      if (departure.kind === 'leaving') departures.record(incarnationId, notice.source);
       if (pause.kind === 'pause') recordPause(notice, pause.waitMs);
       else recordNoPause(notice);
     },
-    leavingCount: () => leavingIds.size,
+    receive: departures.receive,
+    runDue: departures.runDue,
+    leavingCount: departures.count,
     pausedCount: () =>
       [...pausedUntilMs.values()].filter((untilMs) => untilMs > clock.monotonicMs()).length,
     keepOnly(incarnationIds) {
-      for (const ids of [leavingIds, pausedUntilMs, malformedIds]) {
+      departures.keepOnly(incarnationIds);
+      for (const ids of [pausedUntilMs, malformedIds]) {
         for (const id of ids.keys()) if (!incarnationIds.has(id)) ids.delete(id);
       }
     },
--- a/src/core/server-notices/types.ts
+++ b/src/core/server-notices/types.ts
@@ -12,8 +12,8 @@
   /** The value cannot be interpreted. */
   | { readonly kind: 'malformed'; readonly text: string };
 
-/** Whether an answer came in response to a request or to a health check. */
-export type AnswerSource = 'answer' | 'healthCheck';
+/** How an instance learned what a server states: from the answer to a request or to a health check, or from another instance. */
+export type NoticeSource = 'answer' | 'healthCheck' | 'instance';
 
 /** An answer of a server, as far as it concerns the requests after it. */
 export interface AnswerNotice {
@@ -21,5 +21,5 @@
   readonly incarnationId: string;
   readonly departure: StatedDeparture;
   readonly pause: StatedPause;
-  readonly source: AnswerSource;
+  readonly source: Exclude<NoticeSource, 'instance'>;
 }
--- a/src/core/server-registry/create-server-registry.ts
+++ b/src/core/server-registry/create-server-registry.ts
@@ -17,6 +17,10 @@
   usable(service: string, region: string): readonly KnownServer[];
   /** Marks a server as cold until the given monotonic time, as the server itself reported. */
   markCold(serverId: string, coldUntilMs: number): void;
+  /** Marks one start of a server as leaving, as it stated in an answer; its entry may not be known yet, or no more. */
+  markLeaving(incarnationId: string, nowMs: number): void;
+  /** Whether a server that was chosen a moment ago may still be given new work. */
+  isUsable(server: KnownServer): boolean;
   /** Marks a server as replaced: another one answered at its address, so it is gone for good. */
   markReplaced(serverId: string): void;
 }
@@ -31,6 +35,12 @@
   readonly onRestarted?: (before: KnownServer) => void;
 }
 
+/**
+ * Time for which a stated departure is remembered although the entry of the server has gone, ms. Entries that expired
+ * while their source was away return for a while, and may show a state from before the departure.
+ */
+const DEPARTURE_RETENTION_MS = 600_000;
+
 function incarnationIdOf({ serverId, startedAtUnixMs }: ServerAnnouncement): string {
   return startedAtUnixMs === undefined ? serverId : `${serverId}@${startedAtUnixMs}`;
 }
@@ -46,15 +56,23 @@
 export function createServerRegistry(options: ServerRegistryOptions): ServerRegistry {
   const servers = new Map<string, KnownServer>();
   const evacuatedDomains = new Set<string>();
+  /** Time at which each start of a server was marked as leaving, monotonic ms. */
+  const leavingSinceMs = new Map<string, number>();
   /** Usable servers by service and region, rebuilt after a change; read on every request. */
   let usableIndex: Map<string, KnownServer[]> | undefined;
 
   const indexKey = (service: string, region: string) => `${region}/${service}`;
 
+  const isAvailable = ({ isDraining, failureDomain }: KnownServer): boolean =>
+    !isDraining && !evacuatedDomains.has(failureDomain);
+
+  const hasStatedDeparture = (incarnationId: string, nowMs: number): boolean =>
+    nowMs - (leavingSinceMs.get(incarnationId) ?? -Infinity) <= DEPARTURE_RETENTION_MS;
+
   const buildUsableIndex = (): Map<string, KnownServer[]> => {
     const index = new Map<string, KnownServer[]>();
     for (const server of servers.values()) {
-      if (server.isDraining || evacuatedDomains.has(server.failureDomain)) continue;
+      if (!isAvailable(server)) continue;
       const key = indexKey(server.service, server.region);
       const list = index.get(key) ?? [];
       list.push(server);
@@ -85,9 +103,12 @@
         ...announced,
         incarnationId,
         region,
-        // A server that is about to be stopped gets no new work, whatever else it announces.
+        // A server that is about to be stopped, or that has stated its departure, gets no new work, whatever it announces.
         isDraining:
-          announced.isDraining || goneInMs !== undefined || sameIncarnation?.isDraining === true,
+          announced.isDraining ||
+          goneInMs !== undefined ||
+          sameIncarnation?.isDraining === true ||
+          hasStatedDeparture(incarnationId, nowMs),
         coldUntilMs: Math.max(coldUntilMs, sameIncarnation?.coldUntilMs ?? 0),
       });
     },
@@ -125,6 +146,18 @@
       const server = servers.get(serverId);
       if (server !== undefined) set({ ...server, coldUntilMs });
     },
+    markLeaving(incarnationId, nowMs) {
+      for (const id of leavingSinceMs.keys()) {
+        if (!hasStatedDeparture(id, nowMs)) leavingSinceMs.delete(id);
+      }
+      leavingSinceMs.set(incarnationId, nowMs);
+      const server = [...servers.values()].find((known) => known.incarnationId === incarnationId);
+      if (server !== undefined) set({ ...server, isDraining: true });
+    },
+    isUsable({ serverId, incarnationId }) {
+      const server = servers.get(serverId);
+      return server !== undefined && server.incarnationId === incarnationId && isAvailable(server);
+    },
     markReplaced(serverId) {
       const server = servers.get(serverId);
       if (server !== undefined) set({ ...server, isDraining: true });
--- a/src/core/server-registry/server-registry.test.ts
+++ b/src/core/server-registry/server-registry.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { createServerRegistry } from '.';
-import type { KnownServer, ServerAnnouncement } from '.';
+import type { KnownServer, ServerAnnouncement, ServerRegistry } from '.';
 
 const FIRST_START_UNIX_MS = 1_000;
 const NEXT_START_UNIX_MS = 9_000;
@@ -31,6 +31,65 @@
   return { servers, restarted };
 }
 
+// Guards against requests at a leaving server whose published entry was written before it stated its departure.
+describe('a server that has stated its departure', () => {
+  const leave = () => {
+    const { servers } = setUp();
+    servers.put(announcement(), 0);
+    const [before] = servers.usable('app', 'north');
+    assert.ok(before !== undefined);
+    servers.markLeaving(before.incarnationId, 10);
+    return { servers, before };
+  };
+
+  const LATER: readonly {
+    readonly name: string;
+    readonly run: (servers: ServerRegistry) => void;
+  }[] = [
+    { name: 'at once', run() {} },
+    { name: 'when it is announced as ready', run: (servers) => servers.put(announcement(), 20) },
+    {
+      name: 'when its entry expires and returns',
+      run(servers) {
+        servers.remove('s-1');
+        servers.put(announcement(), 20);
+      },
+    },
+  ];
+  for (const { name, run } of LATER) {
+    it(`is not used any more: ${name}`, () => {
+      const { servers, before } = leave();
+      run(servers);
+      assert.deepEqual(servers.usable('app', 'north'), []);
+      assert.equal(servers.isUsable(before), false);
+    });
+  }
+
+  it('is used again after a new start under the same id', () => {
+    const { servers, before } = leave();
+    servers.put(announcement({ startedAtUnixMs: NEXT_START_UNIX_MS }), 20);
+    const [after] = servers.usable('app', 'north');
+    assert.ok(after !== undefined && servers.isUsable(after));
+    assert.equal(servers.isUsable(before), false);
+  });
+
+  it('does not affect another server at the same address', () => {
+    const { servers } = leave();
+    servers.put(announcement({ serverId: 's-2' }), 20);
+    assert.deepEqual(
+      servers.usable('app', 'north').map(({ serverId }) => serverId),
+      ['s-2'],
+    );
+  });
+
+  it('is not used if the departure was told before the server was announced', () => {
+    const { servers } = setUp();
+    servers.markLeaving(`s-1@${FIRST_START_UNIX_MS}`, 0);
+    servers.put(announcement(), 10);
+    assert.deepEqual(servers.usable('app', 'north'), []);
+  });
+});
+
 describe('a server that restarts under the same id', () => {
   // A server crashes and restarts before its entry expires. The state of the previous start must not carry over: a
   // server that was draining would never get work again, and one that was cold would be kept at a low rate.
--- a/src/core/shared-budget/region-reports.ts
+++ b/src/core/shared-budget/region-reports.ts
@@ -29,14 +29,14 @@
   readonly reportForMs: (fact: Fact) => number;
   /** Returns how long a fact is announced to all instances, ms. */
   readonly announceForMs: (fact: Fact) => number;
+  /** Returns the interval between two announcements of an unchanged fact, ms; new instances learn of it by them. */
+  readonly announceIntervalMs: (fact: Fact, nowMs: number) => number;
   /** Sends a few facts, which fit into one datagram. */
   readonly send: (address: string, facts: readonly Fact[], nowMs: number) => void;
 }
 
 /** Interval between two reports of an unchanged fact to the instance that counts the server, ms. */
 const REPORT_INTERVAL_MS = 1_000;
-/** Interval between two announcements of an unchanged fact to all instances, ms; new instances learn of it by them. */
-const ANNOUNCE_INTERVAL_MS = 3_000;
 /** Minimum interval between two announcements, ms, and its growth with each recipient. */
 const MIN_ANNOUNCE_INTERVAL_MS = 250;
 const ANNOUNCE_INTERVAL_PER_RECIPIENT_MS = 5;
@@ -104,7 +104,10 @@
   const announce = (known: readonly Fact[], nowMs: number): void => {
     if (nowMs < nextAnnouncementAtMs) return;
     const due = known.filter((fact) => {
-      const times = { intervalMs: ANNOUNCE_INTERVAL_MS, forMs: options.announceForMs(fact) };
+      const times = {
+        intervalMs: options.announceIntervalMs(fact, nowMs),
+        forMs: options.announceForMs(fact),
+      };
       const { incarnationId } = fact;
       return (
         options.isCounter(incarnationId) && isDue(fact, announced.get(incarnationId), times, nowMs)
