Send nothing to a server within a pause that it has asked for in a refusal

What callers saw: chats were refused with 503 beside idle servers, 14 to 37 of 21 to 41 a second for eight seconds, because two servers that refused everything got most of the requests.

Cause: no instance read the pause that a refusal states, and a refusal, which ends within a millisecond, told the placement nothing.

Now a server gets nothing from an instance until the longest pause that it has stated is over, whether the request is new, a retry, forwarded, or was chosen and waits for a permit or a health check. If all servers that could run a request have asked for a pause, it is refused at once with the reason serversPaused, to return after the first pause has ended.

--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -3,7 +3,7 @@
 import type { LossCause } from '../outcomes';
 import type { ServerLimits } from '../server-limits';
 import type { ServerNotices } from '../server-notices';
-import type { ServerRegistry } from '../server-registry';
+import type { KnownServer } from '../server-registry';
 import { createBufferedReader, createStreamReader } from './answer-reader';
 import type { AnswerReader } from './answer-reader';
 import type { Router } from './create-router';
@@ -77,8 +77,9 @@
   readonly router: Router;
   readonly warmCheck: WarmCheck;
   readonly limits: Pick<ServerLimits, 'observe'>;
-  readonly notices: Pick<ServerNotices, 'observe'>;
-  readonly servers: Pick<ServerRegistry, 'isUsable'>;
+  readonly notices: Pick<ServerNotices, 'observe' | 'recordSent'>;
+  /** Whether a server that was chosen a moment ago may still get a request. */
+  readonly mayReceive: (server: KnownServer) => boolean;
   readonly request: InboundRequest;
   readonly plan: RequestPlan;
   readonly to: SendableDestination;
@@ -315,8 +316,9 @@
   };
 
   const isServer = to.kind === 'server';
-  const send = (): Exchange | undefined =>
-    pool.send(
+  const send = (): Exchange | undefined => {
+    if (isServer) options.notices.recordSent(to.server.incarnationId);
+    return pool.send(
       isServer ? to.server.address : to.peer.forwardAddress,
       {
         maxConnections: isServer ? to.maxConnections : PEER_MAX_CONNECTIONS,
@@ -331,11 +333,20 @@
       },
       { onHead, onData, onEnd },
     );
+  };
   if (isServer) {
     const onUnusable = (reason: string) => report({ kind: 'neverSent', reason }, 'inconclusive');
     const { server, maxConnections } = to;
-    const { warmCheck: check, servers } = options;
-    exchange = sendWhenWarm({ check, servers, server, maxConnections, send, onEnd, onUnusable });
+    const { warmCheck: check, mayReceive } = options;
+    exchange = sendWhenWarm({
+      check,
+      mayReceive,
+      server,
+      maxConnections,
+      send,
+      onEnd,
+      onUnusable,
+    });
   } else {
     exchange = send();
     if (exchange === undefined) onEnd({ kind: 'neverSent', reason: 'no connection is free' });
--- a/src/core/pass-through/create-router.test.ts
+++ b/src/core/pass-through/create-router.test.ts
@@ -90,6 +90,7 @@
     pool: { hasCapacity: () => true, hasIdleConnection: () => false },
     coldServerLimiter: { maySend: () => true, recordSent() {}, keepOnly() {} },
     limits: { waitMs: () => 0 },
+    notices: { waitMs: () => 0 },
     peers: () => peers,
     instancesInRegion: () => 20,
     draw: () => 0,
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -19,7 +19,7 @@
 } from '../placement';
 import { requestClassKey } from './forwarding';
 import { createLocalServers } from './local-servers';
-import type { LimitedServer, LocalChoice, LocalServersOptions } from './local-servers';
+import type { LocalChoice, LocalServersOptions, RestrictedServer } from './local-servers';
 import { createOtherRegions } from './other-regions';
 import type { ForwardPeer, OtherRegionsOptions } from './other-regions';
 import type { InboundRequest, RequestPlan, TriedDestinations } from './types';
@@ -28,8 +28,8 @@
 export type RefusalBasis =
   /** The best server of this region; its first byte would come too late. */
   | { readonly kind: 'tooSlow'; readonly best: LocalChoice }
-  /** The limited server that may be asked first again. */
-  | { readonly kind: 'limited'; readonly server: LimitedServer };
+  /** The server that may be asked first again, of those that may not be asked now. */
+  | { readonly kind: 'restricted'; readonly server: RestrictedServer };
 
 /** Next destination of a request. */
 export type Destination =
@@ -37,7 +37,7 @@
   | { readonly kind: 'peer'; readonly peer: ForwardPeer }
   | {
       readonly kind: 'none';
-      readonly reason: 'noServer' | 'overloaded' | 'serversLimited';
+      readonly reason: 'noServer' | 'overloaded' | 'serversLimited' | 'serversPaused';
       readonly retryAfterMs: number;
       /** The server because of which the request is refused; undefined if there is none. */
       readonly basis: RefusalBasis | undefined;
@@ -51,6 +51,8 @@
     tried: TriedDestinations,
     nowMs: number,
   ): Destination;
+  /** Returns the time until some server of this region may be sent the request, ms; 0 if that is so now. */
+  waitMs(plan: RequestPlan): number;
   readonly loads: ServerLoads;
   readonly speeds: ServiceSpeeds;
   readonly prefixes: PrefixCacheView;
@@ -107,6 +109,7 @@
   const spillWindows = createSpillWindows();
   const sizeAdmission = createSizeAdmission(options.draw);
   const retrySchedule = createRetryAfterSchedule(MAX_RETRY_MS);
+  const pauseSchedule = createRetryAfterSchedule(MAX_RETRY_MS);
   const localServers = createLocalServers({ ...options, loads, speeds, prefixes, correction });
   const otherRegions = createOtherRegions({ ...options, windows: spillWindows });
 
@@ -156,19 +159,37 @@
     return { kind: 'none', reason, retryAfterMs, basis };
   };
 
+  /** Refuses a request because of what the servers of this region have stated. */
+  const refuseRestricted = (
+    plan: RequestPlan,
+    server: RestrictedServer,
+    nowMs: number,
+  ): Destination => {
+    const minDelayMs = Math.max(MIN_RETRY_MS, server.waitMs);
+    const basis: RefusalBasis = { kind: 'restricted', server };
+    switch (server.kind) {
+      case 'limited':
+        return refuse('serversLimited', plan, minDelayMs, nowMs, basis);
+      case 'paused': {
+        // No caller is told to return before the end of the pause, however long that is.
+        const spreadMs = plan.isForwarded
+          ? 0
+          : pauseSchedule.nextRetryAfterMs(requestClassKey(plan), 0, nowMs + minDelayMs);
+        const retryAfterMs = minDelayMs + spreadMs;
+        return { kind: 'none', reason: 'serversPaused', retryAfterMs, basis };
+      }
+      default:
+        return server.kind satisfies never;
+    }
+  };
+
   /** Refuses a request that cannot be sent to any server of this region. */
   const refuseWithoutServer = (
     plan: RequestPlan,
-    limited: LimitedServer | undefined,
+    restricted: RestrictedServer | undefined,
     nowMs: number,
   ): Destination => {
-    if (limited !== undefined) {
-      const minDelayMs = Math.max(MIN_RETRY_MS, limited.waitMs);
-      return refuse('serversLimited', plan, minDelayMs, nowMs, {
-        kind: 'limited',
-        server: limited,
-      });
-    }
+    if (restricted !== undefined) return refuseRestricted(plan, restricted, nowMs);
     const hasServersElsewhere =
       !plan.isForwarded && otherRegions.regionsWithServers(plan).length > 0;
     return hasServersElsewhere
@@ -183,13 +204,13 @@
     correction,
     spillWindows,
     choose(request, plan, tried, nowMs) {
-      const { best, unreachable, limited } = localServers.outlook(request, plan, tried, nowMs);
+      const { best, unreachable, restricted } = localServers.outlook(request, plan, tried, nowMs);
       const peer = choosePeer(plan, best?.predictedMs, tried);
       if (peer !== undefined) return { kind: 'peer', peer };
       // If no server is reachable and no other region helps, a server that is only suspected to be
       // unreachable is the best choice.
       const choice = best ?? unreachable;
-      if (choice === undefined) return refuseWithoutServer(plan, limited, nowMs);
+      if (choice === undefined) return refuseWithoutServer(plan, restricted, nowMs);
       if (!isAdmitted(choice, plan, nowMs)) {
         const minDelayMs = Math.max(MIN_RETRY_MS, choice.predictedMs - plan.objectiveMs);
         return refuse('overloaded', plan, minDelayMs, nowMs, { kind: 'tooSlow', best: choice });
@@ -198,6 +219,7 @@
       if (server.coldUntilMs > nowMs) coldServerLimiter.recordSent(server.incarnationId, nowMs);
       return { kind: 'server', ...choice };
     },
+    waitMs: ({ service }) => localServers.waitMs(service),
     recordAdmitted(plan, nowMs) {
       retrySchedule.recordAdmitted(requestClassKey(plan), nowMs);
     },
--- a/src/core/pass-through/local-servers.ts
+++ b/src/core/pass-through/local-servers.ts
@@ -12,6 +12,7 @@
   ServiceSpeeds,
 } from '../placement';
 import type { ServerLimits } from '../server-limits';
+import type { ServerNotices } from '../server-notices';
 import type { KnownServer, ServerRegistry } from '../server-registry';
 import type { ColdServerLimiter } from '../shared-budget';
 import { requestClassKey } from './forwarding';
@@ -47,16 +48,18 @@
    */
   readonly unreachable: LocalChoice | undefined;
   /**
-   * The server that only its limit keeps from receiving the request; the first that may be asked
-   * again if there are several, undefined if there is none.
+   * The server that only its limit or a pause keeps from receiving the request; the first that may
+   * be asked again if there are several. Set only if `best` is not.
    */
-  readonly limited: LimitedServer | undefined;
+  readonly restricted: RestrictedServer | undefined;
 }
 
-/** A server for which no permit may be asked at the moment. */
-export interface LimitedServer {
+/** A server that may not be sent a request at the moment because of what it has stated. */
+export interface RestrictedServer {
   readonly incarnationId: string;
-  /** Time until a permit may be asked again, ms. */
+  /** Whether its limit leaves no permit, or it has asked for a pause. */
+  readonly kind: 'limited' | 'paused';
+  /** Time until it may be asked again, ms. */
   readonly waitMs: number;
 }
 
@@ -69,6 +72,11 @@
     tried: TriedDestinations,
     nowMs: number,
   ): LocalChoices;
+  /**
+   * Returns the time until some server of a service may be sent a request as far as what servers
+   * state is concerned, ms; 0 if that is so now, or if there is no server.
+   */
+  waitMs(service: string): number;
 }
 
 /** Options of `createLocalServers`. */
@@ -79,6 +87,7 @@
   readonly pool: Pick<ConnectionPool, 'hasCapacity'>;
   readonly coldServerLimiter: ColdServerLimiter;
   readonly limits: Pick<ServerLimits, 'waitMs'>;
+  readonly notices: Pick<ServerNotices, 'waitMs'>;
   /** Number of instances of this region, including this one. */
   readonly instancesInRegion: () => number;
   readonly loads: ServerLoads;
@@ -119,6 +128,7 @@
     pool,
     coldServerLimiter,
     limits,
+    notices,
     loads,
     otherLoads,
     speeds,
@@ -161,13 +171,30 @@
     );
   };
 
-  /** Returns the server for which a permit may be asked first, of those that must wait for it. */
-  const firstLimited = (unrestricted: readonly KnownServer[]): LimitedServer | undefined =>
-    unrestricted
-      .map(({ incarnationId }) => ({ incarnationId, waitMs: limits.waitMs(incarnationId) }))
-      .filter(({ waitMs }) => waitMs > 0)
+  /** Returns why a server may not be sent a request now; undefined if it may. */
+  const restrictionOf = ({ incarnationId }: KnownServer): RestrictedServer | undefined => {
+    const pauseMs = notices.waitMs(incarnationId);
+    const limitMs = limits.waitMs(incarnationId);
+    if (pauseMs > 0 && pauseMs >= limitMs) {
+      return { incarnationId, kind: 'paused', waitMs: pauseMs };
+    }
+    return limitMs > 0 ? { incarnationId, kind: 'limited', waitMs: limitMs } : undefined;
+  };
+
+  /** Returns the server that may be sent a request first, of those that may not be sent one now. */
+  const firstRestricted = (candidates: readonly KnownServer[]): RestrictedServer | undefined =>
+    candidates
+      .map(restrictionOf)
+      .filter((restricted) => restricted !== undefined)
       .sort((left, right) => left.waitMs - right.waitMs)[0];
 
+  /** Returns the server of a service that may be sent a request first, if none may be sent one now. */
+  const serviceRestriction = (service: string): RestrictedServer | undefined => {
+    const usable = servers.usable(service, region);
+    const isOneFree = usable.some((server) => restrictionOf(server) === undefined);
+    return isOneFree ? undefined : firstRestricted(usable);
+  };
+
   const toCandidate = (
     server: KnownServer,
     plan: RequestPlan,
@@ -252,28 +279,26 @@
     outlook(request, plan, tried, nowMs) {
       const mayServeHere = plan.homeRegions.length === 0 || plan.homeRegions.includes(region);
       if (!mayServeHere) {
-        return { best: undefined, unreachable: undefined, limited: undefined };
+        return { best: undefined, unreachable: undefined, restricted: undefined };
       }
       const service = routes.current()?.table.services.get(plan.service);
-      const unrestricted = servers
+      const candidates = servers
         .usable(plan.service, region)
         .filter(
           (server) => !tried.ids.has(server.incarnationId) && canReceive(server, service, nowMs),
         );
-      const eligible = unrestricted.filter(
-        ({ incarnationId }) => limits.waitMs(incarnationId) === 0,
-      );
-      const limited =
-        eligible.length < unrestricted.length ? firstLimited(unrestricted) : undefined;
+      const eligible = candidates.filter((server) => restrictionOf(server) === undefined);
       const reachable = eligible.filter(
         (server) => !loads.isBackingOff(server.incarnationId, nowMs),
       );
       if (reachable.length > 0) {
         const best = chooseBest(reachable, request, plan, nowMs);
-        return { best, unreachable: undefined, limited };
+        return { best, unreachable: undefined, restricted: undefined };
       }
       const unreachable = chooseBest(eligible, request, plan, nowMs);
-      return { best: undefined, unreachable, limited };
+      const restricted = firstRestricted(candidates) ?? serviceRestriction(plan.service);
+      return { best: undefined, unreachable, restricted };
     },
+    waitMs: (service) => serviceRestriction(service)?.waitMs ?? 0,
   };
 }
--- a/src/core/pass-through/observe-statements.ts
+++ b/src/core/pass-through/observe-statements.ts
@@ -26,6 +26,11 @@
     : { kind: 'none' };
 }
 
+/** Returns whether a server has not run a request; a health check has no other answer that says so than its status. */
+function isRefusal({ status, headers }: AnswerHead, { notRun }: HeaderDialect): boolean {
+  return headers[notRun] !== undefined || REFUSAL_STATUSES.has(status);
+}
+
 /** Records what an answer of a server states about the requests after it. */
 export function observeStatements(
   observers: StatementObservers,
@@ -44,6 +49,7 @@
     incarnationId,
     departure: dialect.readDeparture(head.headers),
     pause: readPause(head, observers),
+    isRefusal: isRefusal(head, dialect),
     source,
   });
 }
--- a/src/core/pass-through/request-log.ts
+++ b/src/core/pass-through/request-log.ts
@@ -56,8 +56,10 @@
       return {};
     case 'tooSlow':
       return { ...predictionFields(basis.best), bestServer: basis.best.server.incarnationId };
-    case 'limited':
-      return { limitedServer: basis.server.incarnationId };
+    case 'restricted':
+      return basis.server.kind === 'limited'
+        ? { limitedServer: basis.server.incarnationId }
+        : { pausedServer: basis.server.incarnationId };
     default:
       return basis satisfies never;
   }
--- a/src/core/pass-through/send-when-warm.ts
+++ b/src/core/pass-through/send-when-warm.ts
@@ -1,11 +1,12 @@
 import type { AnswerListener, Exchange } from '../exchanges';
-import type { KnownServer, ServerRegistry } from '../server-registry';
+import type { KnownServer } from '../server-registry';
 import type { WarmCheck } from './warm-check';
 
 /** Options of `sendWhenWarm`. */
 export interface SendWhenWarmOptions {
   readonly check: WarmCheck;
-  readonly servers: Pick<ServerRegistry, 'isUsable'>;
+  /** Whether the server may still get a request after the check. */
+  readonly mayReceive: (server: KnownServer) => boolean;
   readonly server: KnownServer;
   /** Maximum number of open connections to the server. */
   readonly maxConnections: number;
@@ -21,7 +22,7 @@
  * aborts the check or the request, whichever is in progress.
  */
 export function sendWhenWarm(options: SendWhenWarmOptions): Exchange {
-  const { check, servers, server, send, onEnd, onUnusable } = options;
+  const { check, server, send, onEnd, onUnusable } = options;
   let current: Pick<Exchange, 'abort'> | undefined;
   let sent: Exchange | undefined;
   let isAborted = false;
@@ -40,7 +41,7 @@
       }
       switch (result.kind) {
         case 'warm':
-          if (servers.isUsable(server)) sendNow();
+          if (options.mayReceive(server)) sendNow();
           else onUnusable('the server went out of use before the request was sent');
           return;
         case 'replaced':
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -3,7 +3,7 @@
 import type { ConnectionPool } from '../exchanges';
 import type { PermitVerdict, ServerLimits } from '../server-limits';
 import type { ServerNotices } from '../server-notices';
-import type { ServerRegistry } from '../server-registry';
+import type { KnownServer } from '../server-registry';
 import type { RetryAllowance } from '../shared-budget';
 import { destinationName, startAttempt } from './attempt';
 import type { Attempt, AttemptResult } from './attempt';
@@ -42,7 +42,8 @@
   readonly limits: ServerLimits;
   /** What backend servers state in their answers about the requests after them. */
   readonly notices: ServerNotices;
-  readonly servers: Pick<ServerRegistry, 'isUsable'>;
+  /** Whether a server that was chosen a moment ago may still get a request. */
+  readonly mayReceive: (server: KnownServer) => boolean;
   /** Called when a server other than `serverId` has answered at its address. */
   readonly onReplaced: (serverId: string) => void;
   readonly onDone: (done: ServedRequest) => void;
@@ -133,7 +134,10 @@
   const afterRejection = (): void => {
     lastFailure = 'serverRefused';
     if (mayTryAgain()) tryNext();
-    else end.giveUp('serverRefused', REJECTED_RETRY_MS);
+    else {
+      const waitMs = router.waitMs(plan);
+      end.giveUp('serverRefused', Math.max(REJECTED_RETRY_MS, waitMs));
+    }
   };
 
   const afterUnsent = (): void => {
@@ -265,7 +269,7 @@
   function sendWithPermit(to: SendableDestination & { kind: 'server' }): void {
     const decide = (verdict: PermitVerdict): void => {
       if (end.isOver()) return;
-      if (verdict.kind === 'granted' && dependencies.servers.isUsable(to.server)) send(to);
+      if (verdict.kind === 'granted' && dependencies.mayReceive(to.server)) send(to);
       else tryNext();
     };
     dependencies.limits.requestPermit(to.server.incarnationId, decide);
--- a/src/core/pass-through/testing/simulate-admission.ts
+++ b/src/core/pass-through/testing/simulate-admission.ts
@@ -164,6 +164,7 @@
       pool: { hasCapacity: () => true, hasIdleConnection: () => true },
       coldServerLimiter: { maySend: () => true, recordSent() {}, keepOnly() {} },
       limits: { waitMs: () => 0 },
+      notices: { waitMs: () => 0 },
       peers: () => [],
       instancesInRegion: () => load.instances,
       draw: () => random.next(),
--- a/src/core/pass-through/types.ts
+++ b/src/core/pass-through/types.ts
@@ -155,6 +155,8 @@
   | 'overloaded'
   /** The limits that the servers name leave no room for the request now. */
   | 'serversLimited'
+  /** All servers that could run the request have asked for a pause. */
+  | 'serversPaused'
   /** This instance gets too little processor time for its requests. */
   | 'instanceBehind'
   | 'stopping'
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -58,7 +58,7 @@
   refuseAtMostMs: 86_400_000,
 };
 
-/** Connections that a health check of a limited server may use in addition to those in use. */
+/** Connections to a server up to which a health check may open one. */
 const MAX_CHECK_CONNECTIONS = 64;
 
 function createRequestCounter(metrics: Metrics) {
@@ -105,6 +105,7 @@
     peers: instances.possiblyAlivePeers,
     send: options.sendStatement,
     onDeparture: (incarnationId) => servers.markLeaving(incarnationId, clock.monotonicMs()),
+    checkHealth,
   });
   const limits: ServerLimits = createServerLimits({
     clock,
@@ -114,7 +115,9 @@
     peers: instances.possiblyAlivePeers,
     reachableShare: instances.reachableShare,
     send: options.sendStatement,
-    checkHealth,
+    checkHealth(incarnationId) {
+      if (notices.waitMs(incarnationId) === 0) checkHealth(incarnationId);
+    },
   });
   const peerLoads = createPeerLoads();
   const cachedParts = createCachedPartsBuffer();
@@ -126,6 +129,7 @@
     servers,
     pool,
     limits,
+    notices,
     coldServerLimiter: createColdServerLimiter({
       selfId: instanceId,
       startedAtMs: clock.monotonicMs(),
@@ -209,7 +213,7 @@
     retries,
     limits,
     notices,
-    servers,
+    mayReceive: (server) => servers.isUsable(server) && notices.waitMs(server.incarnationId) === 0,
     onReplaced: servers.markReplaced,
     onDone: createRequestCounter(options.metrics),
     onRefused: (reason, service) => options.metrics.refused(reason, service),
--- a/src/core/server-notices/create-server-notices.ts
+++ b/src/core/server-notices/create-server-notices.ts
@@ -3,6 +3,7 @@
 import { createDepartures } from './departures';
 import type { DeparturesOptions } from './departures';
 import { SERVER_NOTICE_EVENTS } from './events';
+import { createPauses } from './pauses';
 import type { AnswerNotice, StatedDeparture, StatedPause } from './types';
 
 /** What backend servers state in their answers about the requests after them. */
@@ -11,11 +12,15 @@
   observe(notice: AnswerNotice): void;
   /** Processes a message of another instance. Returns whether the text was a valid one. */
   receive(text: string): boolean;
-  /** Sends what is due to other instances. Must be called regularly. */
+  /** Returns the time until a request may be sent to a server, ms; 0 if it may be sent now. */
+  waitMs(incarnationId: string): number;
+  /** Records that a request is sent to a server. */
+  recordSent(incarnationId: string): void;
+  /** Sends what is due to other instances, and checks servers whose pause is over. Must be called regularly. */
   runDue(): void;
   /** Number of servers that have stated their departure. */
   leavingCount(): number;
-  /** Number of servers in a pause that they asked for. */
+  /** Number of servers that get no requests because of a pause that they asked for. */
   pausedCount(): number;
   /** Drops the state of all servers but these. */
   keepOnly(incarnationIds: ReadonlySet<string>): void;
@@ -27,6 +32,8 @@
   readonly logger: Logger;
   /** Called once for each server that has stated its departure, to this instance or to another one. */
   readonly onDeparture: (incarnationId: string) => void;
+  /** Sends a health check to a server; its answer is passed to `observe`. */
+  readonly checkHealth: (incarnationId: string) => void;
 }
 
 /** Maximum length of a malformed value in a log line, characters. */
@@ -35,12 +42,13 @@
 /** Creates an empty record. */
 export function createServerNotices(options: ServerNoticesOptions): ServerNotices {
   const { clock, logger } = options;
-  const pausedUntilMs = new Map<string, number>();
+  const nowMs = () => clock.monotonicMs();
+  const pauses = createPauses();
   const malformedIds = new Set<string>();
 
   const departures = createDepartures({
     ...options,
-    nowMs: () => clock.monotonicMs(),
+    nowMs,
     onDeparture(incarnationId, source) {
       logger.event(SERVER_NOTICE_EVENTS.leaving, { server: incarnationId, source });
       options.onDeparture(incarnationId);
@@ -55,20 +63,15 @@
     logger.event(SERVER_NOTICE_EVENTS.malformed, { server, value });
   };
 
-  const recordPause = ({ incarnationId, source }: AnswerNotice, waitMs: number): void => {
-    const nowMs = clock.monotonicMs();
-    const previousUntilMs = pausedUntilMs.get(incarnationId) ?? 0;
-    pausedUntilMs.set(incarnationId, Math.max(previousUntilMs, nowMs + waitMs));
-    if (previousUntilMs > nowMs) return;
-    logger.event(SERVER_NOTICE_EVENTS.paused, { server: incarnationId, source, waitMs });
-  };
-
-  /** Records an answer that asks for no pause: one that still runs is over only with its time. */
-  const recordNoPause = ({ incarnationId }: AnswerNotice): void => {
-    const untilMs = pausedUntilMs.get(incarnationId);
-    if (untilMs === undefined || untilMs > clock.monotonicMs()) return;
-    pausedUntilMs.delete(incarnationId);
-    logger.event(SERVER_NOTICE_EVENTS.resumed, { server: incarnationId });
+  const observePause = ({ incarnationId, pause, isRefusal, source }: AnswerNotice): void => {
+    if (pause.kind === 'pause') {
+      const { waitMs } = pause;
+      if (!pauses.begin(incarnationId, waitMs, nowMs())) return;
+      logger.event(SERVER_NOTICE_EVENTS.paused, { server: incarnationId, source, waitMs });
+    } else if (isRefusal) pauses.recordRefusal(incarnationId, nowMs());
+    else if (pauses.recordAnswer(incarnationId, nowMs())) {
+      logger.event(SERVER_NOTICE_EVENTS.resumed, { server: incarnationId, source });
+    }
   };
 
   return {
@@ -77,19 +80,21 @@
       logMalformed(incarnationId, departure);
       logMalformed(incarnationId, pause);
       if (departure.kind === 'leaving') departures.record(incarnationId, notice.source);
-      if (pause.kind === 'pause') recordPause(notice, pause.waitMs);
-      else recordNoPause(notice);
+      observePause(notice);
     },
     receive: departures.receive,
-    runDue: departures.runDue,
+    waitMs: (incarnationId) => pauses.waitMs(incarnationId, nowMs()),
+    recordSent: (incarnationId) => pauses.recordSent(incarnationId, nowMs()),
+    runDue() {
+      departures.runDue();
+      for (const incarnationId of pauses.takeDueChecks(nowMs())) options.checkHealth(incarnationId);
+    },
     leavingCount: departures.count,
-    pausedCount: () =>
-      [...pausedUntilMs.values()].filter((untilMs) => untilMs > clock.monotonicMs()).length,
+    pausedCount: () => pauses.count(nowMs()),
     keepOnly(incarnationIds) {
       departures.keepOnly(incarnationIds);
-      for (const ids of [pausedUntilMs, malformedIds]) {
-        for (const id of ids.keys()) if (!incarnationIds.has(id)) ids.delete(id);
-      }
+      pauses.keepOnly(incarnationIds);
+      for (const id of malformedIds) if (!incarnationIds.has(id)) malformedIds.delete(id);
     },
   };
 }
--- a/src/core/server-notices/server-notices.test.ts
+++ b/src/core/server-notices/server-notices.test.ts
@@ -9,6 +9,7 @@
   incarnationId: 's-1',
   departure: { kind: 'none' },
   pause: { kind: 'none' },
+  isRefusal: false,
   source: 'answer',
 };
 const LEAVING: AnswerNotice = { ...NOTHING_STATED, departure: { kind: 'leaving' } };
@@ -32,6 +33,7 @@
     peers: () => [],
     send() {},
     onDeparture() {},
+    checkHealth() {},
   });
   return { clock, logger, notices };
 }
@@ -111,6 +113,7 @@
         }
       },
       onDeparture: () => learnedBy.add(instanceId),
+      checkHealth() {},
     });
     byAddress.set(instanceId, notices);
   }
