Rate servers that refuse requests lower, and send them trials that may be repeated

What callers saw: a server that refuses at once, without asking for a pause, draws the traffic.

Cause: a refusal told the placement nothing, and it ends within a millisecond.

A prompt smaller than all that were refused is not affected.

Telling the region was not tried.

--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -244,15 +244,15 @@
     observeAnswer(head, classification);
     switch (classification.kind) {
       case 'notRun':
-        if (classification.isReplaced && to.kind === 'server') {
-          options.onReplaced(to.server.serverId);
-        }
+        if (!classification.isReplaced) observer.recordTaken(false);
+        else if (to.kind === 'server') options.onReplaced(to.server.serverId);
         decide(rejection(head));
         return;
       case 'wrong':
         decide({ kind: 'lost', reason: classification.reason, wasReset: false });
         return;
       case 'ran':
+        observer.recordTaken(true);
         isFailure = classification.isFailure;
         openReader(head);
         return;
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -17,6 +17,8 @@
   ServiceSpeeds,
   SpillWindows,
 } from '../placement';
+import { createRefusals } from '../server-notices';
+import type { Refusals } from '../server-notices';
 import { requestClassKey } from './forwarding';
 import { createLocalServers } from './local-servers';
 import type { LocalChoice, LocalServersOptions, RestrictedServer } from './local-servers';
@@ -54,6 +56,7 @@
   /** Returns the time until some server of this region may be sent the request, ms; 0 if that is so now. */
   waitMs(plan: RequestPlan): number;
   readonly loads: ServerLoads;
+  readonly refusals: Refusals;
   readonly speeds: ServiceSpeeds;
   readonly prefixes: PrefixCacheView;
   readonly correction: PredictionCorrection;
@@ -71,9 +74,11 @@
 /** Options of `createRouter`. */
 export type RouterOptions = Omit<
   LocalServersOptions,
-  'loads' | 'speeds' | 'prefixes' | 'correction'
+  'loads' | 'refusals' | 'speeds' | 'prefixes' | 'correction'
 > &
   Omit<OtherRegionsOptions, 'windows'> & {
+    /** Record of refusals; a new one by default. */
+    readonly refusals?: Refusals;
     /** Called with the shared prompt parts that a server has cached for a request from this instance. */
     readonly onPartsCached: (incarnationId: string, partIds: readonly string[]) => void;
   };
@@ -103,6 +108,7 @@
 export function createRouter(options: RouterOptions): Router {
   const { coldServerLimiter } = options;
   const loads = createServerLoads();
+  const refusals = options.refusals ?? createRefusals();
   const speeds = createServiceSpeeds();
   const prefixes = createPrefixCacheView();
   const correction = createPredictionCorrection();
@@ -110,7 +116,14 @@
   const sizeAdmission = createSizeAdmission(options.draw);
   const retrySchedule = createRetryAfterSchedule(MAX_RETRY_MS);
   const pauseSchedule = createRetryAfterSchedule(MAX_RETRY_MS);
-  const localServers = createLocalServers({ ...options, loads, speeds, prefixes, correction });
+  const localServers = createLocalServers({
+    ...options,
+    loads,
+    refusals,
+    speeds,
+    prefixes,
+    correction,
+  });
   const otherRegions = createOtherRegions({ ...options, windows: spillWindows });
 
   /** Returns an instance of another region, if the request is better served there. */
@@ -199,6 +212,7 @@
 
   return {
     loads,
+    refusals,
     speeds,
     prefixes,
     correction,
@@ -233,6 +247,7 @@
     },
     keepOnly(known) {
       loads.keepOnly(known);
+      refusals.keepOnly(known);
       prefixes.keepOnly(known);
       coldServerLimiter.keepOnly(known);
     },
--- a/src/core/pass-through/local-servers.ts
+++ b/src/core/pass-through/local-servers.ts
@@ -12,7 +12,7 @@
   ServiceSpeeds,
 } from '../placement';
 import type { ServerLimits } from '../server-limits';
-import type { ServerNotices } from '../server-notices';
+import type { Refusals, ServerNotices } from '../server-notices';
 import type { KnownServer, ServerRegistry } from '../server-registry';
 import type { ColdServerLimiter } from '../shared-budget';
 import { requestClassKey } from './forwarding';
@@ -91,6 +91,7 @@
   /** Number of instances of this region, including this one. */
   readonly instancesInRegion: () => number;
   readonly loads: ServerLoads;
+  readonly refusals: Refusals;
   /** Requests that the other instances of this region have in flight at its servers. */
   readonly otherLoads: PeerLoads;
   readonly speeds: ServiceSpeeds;
@@ -130,6 +131,7 @@
     limits,
     notices,
     loads,
+    refusals,
     otherLoads,
     speeds,
     prefixes,
@@ -199,6 +201,7 @@
     server: KnownServer,
     plan: RequestPlan,
     { uncachedTokens, copyableTokens }: PrefillPlan,
+    refusalShare: number,
     nowMs: number,
   ): Candidate => {
     const { incarnationId, slots } = server;
@@ -210,8 +213,8 @@
       uncachedTokens,
       copyableTokens,
       delayMs: loads.delayMs(incarnationId, nowMs),
-      // At best, a failed request is retried elsewhere, which takes about as long as the objective.
-      failureCostMs: loads.failureShare(incarnationId, nowMs) * plan.objectiveMs,
+      // At best, a failed or refused request is retried elsewhere, which takes about as long as the objective.
+      failureCostMs: (loads.failureShare(incarnationId, nowMs) + refusalShare) * plan.objectiveMs,
     };
   };
 
@@ -222,10 +225,30 @@
   const failsOften = ({ incarnationId }: KnownServer, nowMs: number): boolean =>
     loads.failureShare(incarnationId, nowMs) > MAX_FAILURE_SHARE;
 
+  /** Returns the servers that neither fail nor refuse often; all servers if there is none. */
+  const preferred = (
+    eligible: readonly KnownServer[],
+    promptTokens: number,
+    isLastAttempt: boolean,
+    nowMs: number,
+  ): readonly KnownServer[] => {
+    const standingOf = ({ incarnationId }: KnownServer) =>
+      refusals.standing(incarnationId, promptTokens, nowMs);
+    const healthy = eligible.filter(
+      (server) => !failsOften(server, nowMs) && !standingOf(server).isAvoided,
+    );
+    const usable = healthy.length > 0 ? healthy : eligible;
+    if (!isLastAttempt) return usable;
+    // A trial at a server that has refused lately costs a caller its answer if the request can't be sent elsewhere.
+    const proven = usable.filter((server) => !standingOf(server).isUnproven);
+    return proven.length > 0 ? proven : usable;
+  };
+
   /** Returns a sample of the servers that hold a part of the prompt, and a sample of the others. */
   const sampleCandidates = (
     eligible: readonly KnownServer[],
     request: InboundRequest,
+    isLastAttempt: boolean,
     planPrefill: PrefillPlanner,
     nowMs: number,
   ): readonly KnownServer[] => {
@@ -234,8 +257,7 @@
       planPrefill(incarnationId).uncachedTokens < promptTokens;
     const count = serverSampleSize(eligible.length, options.instancesInRegion());
     const sample = (group: readonly KnownServer[]) => sampleServers(group, count, options.draw);
-    const healthy = eligible.filter((server) => !failsOften(server, nowMs));
-    const usable = healthy.length > 0 ? healthy : eligible;
+    const usable = preferred(eligible, promptTokens, isLastAttempt, nowMs);
     return [
       ...sample(usable.filter(holdsPromptPart)),
       ...sample(usable.filter((server) => !holdsPromptPart(server))),
@@ -246,6 +268,7 @@
     eligible: readonly KnownServer[],
     request: InboundRequest,
     plan: RequestPlan,
+    tried: TriedDestinations,
     nowMs: number,
   ): LocalChoice | undefined => {
     const ids = eligible.map((server) => server.incarnationId);
@@ -253,8 +276,20 @@
     const copyMsPerToken = service?.copyMsPerToken;
     const mayCopy = copyMsPerToken !== undefined;
     const planPrefill = createPrefillPlanner(prefixes, ids, request.demand ?? NO_DEMAND, mayCopy);
-    const candidates = sampleCandidates(eligible, request, planPrefill, nowMs).map((server) =>
-      toCandidate(server, plan, planPrefill(server.incarnationId), nowMs),
+    const candidates = sampleCandidates(
+      eligible,
+      request,
+      tried.ids.size + 1 >= plan.maxAttempts,
+      planPrefill,
+      nowMs,
+    ).map((server) =>
+      toCandidate(
+        server,
+        plan,
+        planPrefill(server.incarnationId),
+        refusals.standing(server.incarnationId, request.demand?.promptTokens ?? 0, nowMs).share,
+        nowMs,
+      ),
     );
     const speed = { ...speeds.speedOf(plan.service), copyMsPerToken };
     const choice = chooseServer(candidates, speed);
@@ -292,10 +327,10 @@
         (server) => !loads.isBackingOff(server.incarnationId, nowMs),
       );
       if (reachable.length > 0) {
-        const best = chooseBest(reachable, request, plan, nowMs);
+        const best = chooseBest(reachable, request, plan, tried, nowMs);
         return { best, unreachable: undefined, restricted: undefined };
       }
-      const unreachable = chooseBest(eligible, request, plan, nowMs);
+      const unreachable = chooseBest(eligible, request, plan, tried, nowMs);
       const restricted = firstRestricted(candidates) ?? serviceRestriction(plan.service);
       return { best: undefined, unreachable, restricted };
     },
--- a/src/core/pass-through/observe-destination.ts
+++ b/src/core/pass-through/observe-destination.ts
@@ -20,6 +20,8 @@
 /** Updates the router's records of a destination with the progress of one attempt. */
 export interface DestinationObserver {
   recordLoad(report: LoadReport): void;
+  /** Records that a server has refused the request, or has taken it. */
+  recordTaken(wasTaken: boolean): void;
   recordFirstByte(): void;
   recordData(): void;
   recordEnd(end: ObservedEnd): void;
@@ -50,7 +52,8 @@
 ): DestinationObserver {
   const { server, tokens, predictedMs } = to;
   const { incarnationId } = server;
-  const { loads, speeds, correction } = router;
+  const { loads, refusals, speeds, correction } = router;
+  const promptTokens = request.demand?.promptTokens ?? 0;
   const sentAtMs = clock.monotonicMs();
   let hadFirstByte = false;
   let isEndRecorded = false;
@@ -59,6 +62,11 @@
     recordLoad(report) {
       loads.recordReport(incarnationId, report, clock.monotonicMs());
     },
+    recordTaken(wasTaken) {
+      const nowMs = clock.monotonicMs();
+      if (wasTaken) refusals.recordAcceptance(incarnationId, promptTokens, nowMs);
+      else refusals.recordRefusal(incarnationId, promptTokens, nowMs);
+    },
     recordFirstByte() {
       if (hadFirstByte) return;
       hadFirstByte = true;
@@ -107,6 +115,7 @@
   };
   return {
     recordLoad() {},
+    recordTaken() {},
     recordFirstByte,
     recordData() {},
     recordEnd(observed) {
