Have the servers of the soak state departures and refuse, and check what they get

Faults drawn: a server states its departure in answers while its entry still says ready; one or all refuse all requests, with a pause of 0.5 to 3 s or without. The check compares what a server stated in an answer with what the process that got this answer sent it afterwards, by the servers' and the instances' logs. Reading of logs moves to a module of its own.

A caller that is refused beside a nearly idle server is not judged yet.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -17,6 +17,15 @@
   | { readonly kind: 'storeBusy' | 'storeSilent' | 'storeRestored'; readonly forMs: number }
   | { readonly kind: 'forgetHistory' | 'changeRoutes' }
   | { readonly kind: 'replaceServer' | 'restartServer' | 'damageEntry'; readonly server: number }
+  /** A server states its departure in answers, and announces it some time later. */
+  | { readonly kind: 'departure'; readonly server: number; readonly forMs: number }
+  /** Servers refuse all requests; a pause of 0 is not stated. */
+  | {
+      readonly kind: 'refuse' | 'refuseAll';
+      readonly server: number;
+      readonly pauseMs: number;
+      readonly forMs: number;
+    }
   | {
       readonly kind: 'limitServer' | 'limitAllServers' | 'changeLimit';
       readonly server: number;
@@ -46,12 +55,17 @@
   'limitServer',
   'limitAllServers',
   'changeLimit',
+  'departure',
+  'refuse',
+  'refuseAll',
 ];
 const MIN_FAULT_MS = 300;
 const MAX_FAULT_MS = 4_000;
 const DELAY_MS = 400;
 /** Limits that servers name, requests a second. */
 const LIMITS = [0, 0.25, 1, 4, 20];
+/** Pauses that servers ask for, ms; 0 is not stated. */
+const PAUSES_MS = [0, 500, 1_500, 3_000];
 /** Time for which a server names limits, ms: the bound holds from 5 s on, in spans of 4 s. */
 const MIN_LIMIT_MS = 9_000;
 const MAX_LIMIT_MS = 13_000;
@@ -88,6 +102,11 @@
     case 'restartServer':
     case 'damageEntry':
       return { kind, server };
+    case 'departure':
+      return { kind, server, forMs };
+    case 'refuse':
+    case 'refuseAll':
+      return { kind, server, pauseMs: PAUSES_MS[pickIndex(random, PAUSES_MS.length)] ?? 0, forMs };
     case 'limitServer':
     case 'limitAllServers':
     case 'changeLimit': {
@@ -122,6 +141,10 @@
   for (let index = 0; index < servers.count; index += 1) servers.setLimit(index, perSecond);
 }
 
+function refuseAll(servers: SoakServers, pauseMs: number | undefined): void {
+  for (let index = 0; index < servers.count; index += 1) servers.refuse(index, pauseMs);
+}
+
 /** Injects a fault, and resolves after its end. */
 export async function injectFault(fault: Fault, targets: FaultTargets): Promise<void> {
   const { store, instances, servers } = targets;
@@ -185,6 +208,21 @@
     case 'damageEntry':
       servers.damageEntry(fault.server);
       return;
+    case 'departure':
+      servers.stateDeparture(fault.server);
+      await sleep(fault.forMs);
+      await servers.replace(fault.server);
+      return;
+    case 'refuse':
+      servers.refuse(fault.server, fault.pauseMs);
+      await sleep(fault.forMs);
+      servers.refuse(fault.server, undefined);
+      return;
+    case 'refuseAll':
+      refuseAll(servers, fault.pauseMs);
+      await sleep(fault.forMs);
+      refuseAll(servers, undefined);
+      return;
     case 'limitServer':
       servers.setLimit(fault.server, fault.perSecond);
       await sleep(fault.forMs);
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -10,7 +10,9 @@
 import { startSoakInstances } from './instances';
 import { checkPromises } from './promises';
 import { checkVersions } from './routes-in-force';
+import { readLogs } from './log-lines';
 import { checkLimits, readKnownSince } from './server-limits';
+import { checkStatements } from './server-statements';
 import { openSoakServers } from './servers';
 import type { BrokenPromise, CallerAttempt, SoakOptions, SoakReport } from './types';
 
@@ -103,6 +105,7 @@
     await sleep(OBSERVATION_MS);
     await callers.stop();
     const { attempts } = callers;
+    const logs = readLogs(logFolder, options.instances);
     return {
       seed,
       seconds,
@@ -115,11 +118,8 @@
         ...checkPromises(attempts, servers.runs),
         ...checkServedAgain(attempts.slice(before).filter(({ key }) => isWithinQuota(key))),
         ...checkVersions(logFolder, options.instances, version),
-        ...checkLimits(
-          servers.runs,
-          servers.limitChanges,
-          readKnownSince(logFolder, options.instances),
-        ),
+        ...checkLimits(servers.runs, servers.limitChanges, readKnownSince(logs)),
+        ...checkStatements(servers.statements, logs),
       ],
     };
   } finally {
--- a/soak/server-limits.ts
+++ b/soak/server-limits.ts
@@ -1,9 +1,7 @@
-import { readFileSync } from 'node:fs';
-import { join } from 'node:path';
-import { z } from 'zod';
 import { PASS_THROUGH_EVENTS } from '../src/core/pass-through';
 import { RELAY_NODE_EVENTS } from '../src/core/relay-node/events';
 import { SERVER_LIMIT_EVENTS } from '../src/core/server-limits/events';
+import type { LogLine } from './log-lines';
 import type { BrokenPromise, NamedLimitChange, ServerRun } from './types';
 
 /** Checks that the instances together keep to the limits that servers name, by what servers ran and instances logged. */
@@ -17,17 +15,6 @@
 const SLACK = 5;
 const MS_PER_S = 1_000;
 
-const lineSchema = z.object({
-  event: z.number(),
-  timestamp: z.string(),
-  server: z.string().optional(),
-  to: z.string().optional(),
-  requestId: z.string().optional(),
-});
-
-/** A log line, as far as it concerns limits. */
-type LogLine = z.output<typeof lineSchema>;
-
 /** Since when the sender of each request knew of the limit of its server, Unix ms; by request and server. */
 export type KnownSince = ReadonlyMap<string, number>;
 
@@ -35,20 +22,10 @@
   return `${requestId} ${server}`;
 }
 
-function readLine(text: string): LogLine | undefined {
-  try {
-    return lineSchema.safeParse(JSON.parse(text)).data;
-  } catch {
-    // A process that was killed may have written a part of its last line.
-    return undefined;
-  }
-}
-
 /** Adds the requests of one instance that it sent to servers whose limits it knew. */
-function addKnownSince(log: string, knownSince: Map<string, number>): void {
+function addKnownSince(log: readonly LogLine[], knownSince: Map<string, number>): void {
   const learnedAtMs = new Map<string, number>();
-  for (const line of log.split('\n').map(readLine)) {
-    if (line === undefined) continue;
+  for (const line of log) {
     const { server = '', to = '', requestId = '' } = line;
     switch (line.event) {
       case RELAY_NODE_EVENTS.started.id:
@@ -70,12 +47,10 @@
   }
 }
 
-/** Reads from the logs of all instances which requests were sent with knowledge of a limit. */
-export function readKnownSince(logFolder: string, instances: number): KnownSince {
+/** Returns which requests were sent with knowledge of a limit, by the logs of all instances. */
+export function readKnownSince(logs: readonly (readonly LogLine[])[]): KnownSince {
   const knownSince = new Map<string, number>();
-  for (let index = 0; index < instances; index += 1) {
-    addKnownSince(readFileSync(join(logFolder, `instance-${index}.log`), 'utf8'), knownSince);
-  }
+  for (const log of logs) addKnownSince(log, knownSince);
   return knownSince;
 }
 
--- a/soak/servers.ts
+++ b/soak/servers.ts
@@ -10,13 +10,16 @@
 import type { RandomSource } from '../src/core/random';
 import { domainOf } from '../platform/testing/process-settings';
 import { EVENTS_PER_STREAM, eventText, plainBody } from './promises';
-import type { NamedLimitChange, ServerRun } from './types';
+import type { NamedLimitChange, ServerArrival, ServerRun, ServerStatement } from './types';
 
 /** Backend servers that announce themselves and record the requests that they run. */
 export interface SoakServers extends AsyncDisposable {
   readonly runs: readonly ServerRun[];
   /** Changes of the limits that servers name, in order of time. */
   readonly limitChanges: readonly NamedLimitChange[];
+  /** Requests that arrived, and what was stated in answers to them, in order of time. */
+  readonly arrivals: readonly ServerArrival[];
+  readonly statements: readonly ServerStatement[];
   readonly count: number;
   /** Stops a server as planned, and starts another one with a new id in its place. */
   replace(index: number): Promise<void>;
@@ -26,6 +29,10 @@
   damageEntry(index: number): void;
   /** Sets the limit that a server names in its answers from now on; undefined for none. */
   setLimit(index: number, perSecond: number | undefined): void;
+  /** Has a server state in its answers from now on that it is leaving; its entry does not change. */
+  stateDeparture(index: number): void;
+  /** Has a server refuse all requests from now on, and ask for a pause; undefined ends that. A pause of 0 is not stated. */
+  refuse(index: number, pauseMs: number | undefined): void;
   /** Writes the entries of all servers again, and removes those of servers that have gone. */
   publishAgain(): void;
 }
@@ -38,6 +45,7 @@
   readonly bornUnixMs: number;
 }
 
+const MS_PER_S = 1_000;
 const EVENT_GAP_MS = 15;
 /** Shares of the requests that a server answers with a failure, and whose connection it resets. */
 const FAILING_SHARE = 0.05;
@@ -64,11 +72,28 @@
   const limits = new Map<string, number>();
   const limitChanges: NamedLimitChange[] = [];
 
-  /** Adds the header of a limit to the head of an answer. */
-  const withLimit = (startId: string, head: string): string => {
+  const arrivals: ServerArrival[] = [];
+  const statements: ServerStatement[] = [];
+  const leavingStarts = new Set<string>();
+  const refusingStarts = new Map<string, number>();
+
+  /** Adds headers to the head of an answer. */
+  const withHeaders = (head: string, headers: readonly string[]): string =>
+    head.replace('\r\n', `\r\n${headers.map((header) => `${header}\r\n`).join('')}`);
+
+  /** Adds what a server states to the head of an answer. */
+  const withStatements = (startId: string, head: string): string => {
     const perSecond = limits.get(startId);
-    if (perSecond === undefined) return head;
-    return head.replace('\r\n', `\r\nServer-Limit: ${perSecond}\r\n`);
+    const headers = perSecond === undefined ? [] : [`Server-Limit: ${perSecond}`];
+    if (leavingStarts.has(startId)) headers.push('Server-Leaving: 1');
+    return withHeaders(head, headers);
+  };
+
+  /** Returns the answer of a server that refuses a request. */
+  const refusalOf = (request: ReceivedRequest, pauseMs: number): string => {
+    const headers = ['X-Not-Executed: 1'];
+    if (pauseMs > 0) headers.push(`Retry-After: ${pauseMs / MS_PER_S}`);
+    return withHeaders(wholeAnswer(request, '', { status: 503 }), headers);
   };
 
   const createScript = (serverId: string, startId: string): ServerScript => {
@@ -77,7 +102,7 @@
       const first = Number(request.headers.get('last-event-id') ?? 0) + 1;
       const breaksAt = random.next() < BREAKING_SHARE ? first + 3 : Infinity;
       let eventId = first;
-      socket.write(withLimit(startId, streamHead(request)));
+      socket.write(withStatements(startId, streamHead(request)));
       const timer = setInterval(() => {
         if (eventId >= breaksAt) socket.resetAndDestroy();
         if (socket.destroyed || eventId > EVENTS_PER_STREAM) {
@@ -90,8 +115,10 @@
       }, EVENT_GAP_MS);
     };
     return (request, socket) => {
+      const pauseMs = refusingStarts.get(startId);
       if (request.path === '/health') {
-        socket.write(withLimit(startId, wholeAnswer(request, '')));
+        const healthy = withStatements(startId, wholeAnswer(request, ''));
+        socket.write(pauseMs === undefined ? healthy : refusalOf(request, pauseMs));
         return;
       }
       const wanted = request.headers.get('x-target-instance');
@@ -100,14 +127,22 @@
         return;
       }
       const requestId = request.headers.get('x-request-id') ?? '';
+      const arrival = { requestId, server: startId, atMs: Date.now() };
+      arrivals.push(arrival);
+      if (pauseMs !== undefined) {
+        if (pauseMs > 0) statements.push({ ...arrival, kind: 'pause', waitMs: pauseMs });
+        socket.write(refusalOf(request, pauseMs));
+        return;
+      }
       const account = request.headers.get('x-tenant-id');
       const sawKey = request.headers.get('x-api-key') !== undefined;
       runs.push({ requestId, serverId, server: startId, atMs: Date.now(), account, sawKey });
+      if (leavingStarts.has(startId)) statements.push({ ...arrival, kind: 'departure' });
       if (random.next() < FAILING_SHARE) {
-        socket.write(withLimit(startId, wholeAnswer(request, 'failed', { status: 500 })));
+        socket.write(withStatements(startId, wholeAnswer(request, 'failed', { status: 500 })));
       } else if (isStream(request)) streamTo(request, socket);
       else if (random.next() < BREAKING_SHARE) socket.resetAndDestroy();
-      else socket.write(withLimit(startId, wholeAnswer(request, plainBody(requestId))));
+      else socket.write(withStatements(startId, wholeAnswer(request, plainBody(requestId))));
     };
   };
 
@@ -144,7 +179,19 @@
   return {
     runs,
     limitChanges,
+    arrivals,
+    statements,
     count,
+    stateDeparture(index) {
+      const { startId } = running[index] ?? {};
+      if (startId !== undefined) leavingStarts.add(startId);
+    },
+    refuse(index, pauseMs) {
+      const { startId } = running[index] ?? {};
+      if (startId === undefined) return;
+      if (pauseMs === undefined) refusingStarts.delete(startId);
+      else refusingStarts.set(startId, pauseMs);
+    },
     setLimit(index, perSecond) {
       const { startId } = running[index] ?? {};
       if (startId === undefined) return;
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -38,6 +38,18 @@
   readonly perSecond: number | undefined;
 }
 
+/** A request that arrived at a backend server, whether or not it ran. */
+export interface ServerArrival {
+  readonly requestId: string;
+  /** Identifies the start of the server, as the instances' logs do. */
+  readonly server: string;
+  readonly atMs: number;
+}
+
+/** What a server stated in the answer to a request. */
+export type ServerStatement = ServerArrival &
+  ({ readonly kind: 'departure' } | { readonly kind: 'pause'; readonly waitMs: number });
+
 /** A broken promise, as it is reported. */
 export interface BrokenPromise {
   readonly promise:
@@ -52,7 +64,9 @@
     | 'unknownKeyServed'
     | 'routesWentBack'
     | 'routesBehind'
-    | 'limitExceeded';
+    | 'limitExceeded'
+    | 'sentToLeaving'
+    | 'sentInPause';
   readonly requestId: string;
   readonly detail: string;
 }
