Take only a 503 for a statement about the server

A 429 with a time was taken for a pause as well. It concerns the caller: a service that limits its own callers would have been taken out of use for all of them by one above its quota, and rated lower.

--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -18,7 +18,7 @@
 import type { AnswerClassification } from './classify-answer';
 import { observeDestination } from './observe-destination';
 import type { ObservedEnd, SendableDestination } from './observe-destination';
-import { observeStatements, readPause } from './observe-statements';
+import { UNAVAILABLE_STATUS, observeStatements, readPause } from './observe-statements';
 import { PEER_IDLE_MS } from './other-regions';
 import { sendWhenWarm } from './send-when-warm';
 import type { StreamProgress } from './stream-progress';
@@ -244,8 +244,10 @@
     observeAnswer(head, classification);
     switch (classification.kind) {
       case 'notRun':
-        if (!classification.isReplaced) observer.recordTaken(false);
-        else if (to.kind === 'server') options.onReplaced(to.server.serverId);
+        if (head.status === UNAVAILABLE_STATUS) observer.recordTaken(false);
+        if (classification.isReplaced && to.kind === 'server') {
+          options.onReplaced(to.server.serverId);
+        }
         decide(rejection(head));
         return;
       case 'wrong':
--- a/src/core/pass-through/observe-statements.ts
+++ b/src/core/pass-through/observe-statements.ts
@@ -13,24 +13,22 @@
   readonly notices: Pick<ServerNotices, 'observe'>;
 }
 
-/** Statuses of refusals, which may ask for a pause. In other answers, `Retry-After` has another meaning. */
-const REFUSAL_STATUSES: ReadonlySet<number> = new Set([429, 503]);
+/**
+ * Status of refusals that concern the server, and may ask for a pause. A 429 concerns the caller: if it paused the
+ * server, a single caller above its quota would take the server out of use for all others.
+ */
+export const UNAVAILABLE_STATUS = 503;
 
 /** Returns the pause that an answer asks for. */
 export function readPause(
   { status, headers }: AnswerHead,
   { clock, dialect }: Pick<StatementObservers, 'clock' | 'dialect'>,
 ): StatedPause {
-  return REFUSAL_STATUSES.has(status)
+  return status === UNAVAILABLE_STATUS
     ? parseRetryAfter(headers[dialect.retryAfter], clock.unixMs())
     : { kind: 'none' };
 }
 
-/** Returns whether a server has not run a request; a health check has no other answer that says so than its status. */
-function isRefusal({ status, headers }: AnswerHead, { notRun }: HeaderDialect): boolean {
-  return headers[notRun] !== undefined || REFUSAL_STATUSES.has(status);
-}
-
 /** Records what an answer of a server states about the requests after it. */
 export function observeStatements(
   observers: StatementObservers,
@@ -49,7 +47,7 @@
     incarnationId,
     departure: dialect.readDeparture(head.headers),
     pause: readPause(head, observers),
-    isRefusal: isRefusal(head, dialect),
+    isRefusal: head.status === UNAVAILABLE_STATUS,
     source,
   });
 }
--- a/src/core/server-notices/types.ts
+++ b/src/core/server-notices/types.ts
@@ -21,7 +21,7 @@
   readonly incarnationId: string;
   readonly departure: StatedDeparture;
   readonly pause: StatedPause;
-  /** Whether the server has refused, that is, has not run the request or is not healthy. */
+  /** Whether the server states that it is unavailable: it has not run a request, or is not healthy. */
   readonly isRefusal: boolean;
   readonly source: Exclude<NoticeSource, 'instance'>;
 }
