Test pauses under random histories, and regions whose servers are all in a pause

A property test plays 500 random histories of pauses, late answers, refusals, requests and checks: nothing is sent within a stated pause, and a server that answers everything from then on is in use 12 s later. In a region in which all servers are paused, another region that has room gets the request; without one, callers are told to return between the end of the first pause and 2 s later.

--- a/src/core/pass-through/create-router.test.ts
+++ b/src/core/pass-through/create-router.test.ts
@@ -81,6 +81,8 @@
       },
       nowMs,
     );
+  /** Remaining time of pauses that servers have asked for, ms. */
+  const pausedMs = new Map<string, number>();
   const router = createRouter({
     otherLoads: createPeerLoads(),
     onPartsCached() {},
@@ -90,7 +92,7 @@
     pool: { hasCapacity: () => true, hasIdleConnection: () => false },
     coldServerLimiter: { maySend: () => true, recordSent() {}, keepOnly() {} },
     limits: { waitMs: () => 0 },
-    notices: { waitMs: () => 0 },
+    notices: { waitMs: (incarnationId) => pausedMs.get(incarnationId) ?? 0 },
     peers: () => peers,
     instancesInRegion: () => 20,
     draw: () => 0,
@@ -99,6 +101,7 @@
   return {
     router,
     servers,
+    pausedMs,
     announce,
     choose: (tried = NOTHING_TRIED, more: Partial<RequestPlan> = {}) =>
       router.choose(REQUEST, { ...PLAN, ...more }, tried, nowMs),
@@ -214,3 +217,33 @@
     assert.equal(region.choose().kind, 'server');
   });
 });
+
+describe('a region whose servers have all asked for a pause', () => {
+  // All of them refuse for seconds. Callers would be refused meanwhile although another region has room.
+  it('sends requests to another region that has room', () => {
+    const north = createNorthInstance(SOUTH);
+    north.announce('n-1', 'north-a');
+    north.announce('s-1', 'south-a');
+    north.pausedMs.set('n-1', 3_000);
+    assert.equal(north.choose().kind, 'peer');
+  });
+
+  // A caller that returns within the pause is refused again, and all of them return at its end.
+  it('refuses requests until then, and spreads the return of the callers', () => {
+    const north = createNorthInstance([]);
+    north.announce('n-1', 'north-a');
+    north.announce('n-2', 'north-a');
+    north.pausedMs.set('n-1', 3_000);
+    north.pausedMs.set('n-2', 9_000);
+    const waitsMs = Array.from({ length: 20 }, () => {
+      const refusal = north.choose();
+      assert.ok(refusal.kind === 'none' && refusal.reason === 'serversPaused');
+      return refusal.retryAfterMs;
+    });
+    assert.ok(
+      waitsMs.every((waitMs) => waitMs >= 3_000 && waitMs <= 5_000),
+      waitsMs.join(', '),
+    );
+    assert.ok(new Set(waitsMs).size > 10);
+  });
+});
--- a/src/core/server-notices/pauses.test.ts
+++ b/src/core/server-notices/pauses.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import fc from 'fast-check';
 import { createPauses } from './pauses';
 import type { Pauses } from './pauses';
 
@@ -118,3 +119,54 @@
     assert.ok(pauses.begin(SERVER, PAUSE_MS, PAUSE_MS + 2_000));
   });
 });
+
+/** One step of a random history: time passes, and then something happens. */
+const step = fc.record({
+  afterMs: fc.integer({ min: 0, max: 4_000 }),
+  happens: fc.oneof(
+    fc.record({ kind: fc.constant('pause' as const), waitMs: fc.integer({ min: 1, max: 8_000 }) }),
+    fc.record({ kind: fc.constantFrom('answer', 'refusal', 'send', 'check') }),
+  ),
+});
+
+// Guards against orders of answers that nobody thought of: late, repeated, and of requests from before the pause.
+describe('any history of answers', () => {
+  it('sends nothing within a stated pause, and has the server in use in the end', () => {
+    const history = fc.array(step, { maxLength: 60 });
+    fc.assert(
+      fc.property(history, (steps) => {
+        const pauses = createPauses();
+        let nowMs = 0;
+        let bindsUntilMs = 0;
+        for (const { afterMs, happens } of steps) {
+          nowMs += afterMs;
+          if (nowMs < bindsUntilMs) assert.ok(pauses.waitMs(SERVER, nowMs) >= bindsUntilMs - nowMs);
+          switch (happens.kind) {
+            case 'pause':
+              pauses.begin(SERVER, happens.waitMs, nowMs);
+              bindsUntilMs = Math.max(bindsUntilMs, nowMs + happens.waitMs);
+              break;
+            case 'answer':
+              pauses.recordAnswer(SERVER, nowMs);
+              break;
+            case 'refusal':
+              pauses.recordRefusal(SERVER, nowMs);
+              break;
+            case 'send':
+              if (pauses.waitMs(SERVER, nowMs) === 0) pauses.recordSent(SERVER, nowMs);
+              break;
+            default:
+              if (pauses.takeDueChecks(nowMs).length > 0) assert.ok(nowMs >= bindsUntilMs);
+          }
+        }
+        // From here on, the server answers everything.
+        const endMs = nowMs + 12_000;
+        for (; nowMs < endMs; nowMs += 50) {
+          if (pauses.takeDueChecks(nowMs).length > 0) pauses.recordAnswer(SERVER, nowMs);
+        }
+        assert.equal(pauses.waitMs(SERVER, nowMs), 0);
+      }),
+      { seed: 46, numRuns: 500 },
+    );
+  });
+});
