--- a/src/core/pass-through/plan-request.ts
+++ b/src/core/pass-through/plan-request.ts
@@ -31,8 +31,9 @@
 const MAX_TIME_LEFT_MS = 600_000;
 
 function parseTimeLeftMs(text: string | undefined): number {
-  const value = Number(text);
-  if (text === undefined || !Number.isFinite(value) || value < 0) return MAX_TIME_LEFT_MS;
+  // An empty text would count as the number 0, and the request would time out at once.
+  const value = text === undefined || text.trim() === '' ? NaN : Number(text);
+  if (!Number.isFinite(value) || value < 0) return MAX_TIME_LEFT_MS;
   return Math.min(MAX_TIME_LEFT_MS, value);
 }
 
