Keep the load of live instances of a large region between their updates

With 80 or more recipients, an instance sends its load every 2 s or less often, while receivers dropped it after 2 s: the load of live instances went missing between two updates. The time for which an update is kept now grows with the interval. With 200 instances, the test had none left before. Regions of up to 80 instances are not affected.

--- a/src/core/load-sharing/create-load-broadcaster.ts
+++ b/src/core/load-sharing/create-load-broadcaster.ts
@@ -36,6 +36,11 @@
  */
 const HEARTBEAT_INTERVAL_MS = 900;
 
+/** Returns the interval between two updates of an instance, ms, by the number of their recipients. */
+export function updateIntervalMs(recipients: number): number {
+  return MIN_INTERVAL_MS * Math.max(1, recipients / RECIPIENTS_PER_MIN_INTERVAL);
+}
+
 /** Creates the load broadcaster of one instance. */
 export function createLoadBroadcaster(options: LoadBroadcasterOptions): LoadBroadcaster {
   const { cachedParts } = options;
@@ -52,8 +57,7 @@
         cachedParts.drain();
         return;
       }
-      nextSendAtMs =
-        nowMs + MIN_INTERVAL_MS * Math.max(1, addresses.length / RECIPIENTS_PER_MIN_INTERVAL);
+      nextSendAtMs = nowMs + updateIntervalMs(addresses.length);
       const servers = options.servers();
       const hasContent = servers.length > 0 || !cachedParts.isEmpty();
       // The first update without content reports that all requests have ended.
--- a/src/core/load-sharing/create-peer-loads.ts
+++ b/src/core/load-sharing/create-peer-loads.ts
@@ -1,3 +1,4 @@
+import { updateIntervalMs } from './create-load-broadcaster';
 import type { LoadUpdate } from './types';
 
 /** Sums of the open requests that the other instances of the region have at each server. */
@@ -25,11 +26,12 @@
 }
 
 /**
- * TTL of an update, ms. The requests of an instance that has died have ended by then as well. A live instance sends
- * several updates per second while it has open requests, or at least one per 900 ms; in a large region, fewer (see
- * `LoadBroadcaster`).
+ * Minimum TTL of an update, ms. The requests of an instance that has died have ended by then as well. A live instance
+ * sends several updates per second while it has open requests, or at least one per 900 ms.
  */
-const UPDATE_TTL_MS = 2_000;
+const MIN_UPDATE_TTL_MS = 2_000;
+/** TTL in a large region, in intervals between two updates, which are longer there: one update may be lost. */
+const UPDATE_TTL_INTERVALS = 2.5;
 
 /**
  * Creates sums that are zero until updates are received.
@@ -71,7 +73,9 @@
     pendingTokens: (incarnationId) => Math.max(0, sums.get(incarnationId)?.pendingTokens ?? 0),
     reportingInstanceCount: () => received.size,
     removeExpired(nowMs) {
-      for (const [from, { atMs }] of received) if (nowMs - atMs > UPDATE_TTL_MS) remove(from);
+      const intervalMs = updateIntervalMs(received.size);
+      const ttlMs = Math.max(MIN_UPDATE_TTL_MS, UPDATE_TTL_INTERVALS * intervalMs);
+      for (const [from, { atMs }] of received) if (nowMs - atMs > ttlMs) remove(from);
     },
   };
 }
--- a/src/core/load-sharing/load-sharing.test.ts
+++ b/src/core/load-sharing/load-sharing.test.ts
@@ -30,6 +30,31 @@
     assert.equal(peerLoads.inFlight('s-2'), 0);
   });
 
+  // Instances of a large region send updates less often than they expired, so the load of live instances was dropped
+  // between two updates, and prompts were sent to servers that others had just filled.
+  it('includes all live instances of a large region between their updates', () => {
+    const instances = 200;
+    const peerLoads = createPeerLoads();
+    const senders = Array.from({ length: instances }, (_unused, index) =>
+      createLoadBroadcaster({
+        selfId: `i-${index}`,
+        servers: () => [SERVER_LOAD],
+        cachedParts: createCachedPartsBuffer(),
+        addresses: () => Array.from({ length: instances }, () => 'here'),
+        send(_address, text) {
+          const update = parseLoadUpdate(text);
+          if (update !== undefined) peerLoads.receive(update, nowMs);
+        },
+      }),
+    );
+    let nowMs = 0;
+    for (; nowMs <= 12_000; nowMs += 50) {
+      for (const sender of senders) sender.sendIfDue(nowMs);
+      peerLoads.removeExpired(nowMs);
+      assert.equal(peerLoads.reportingInstanceCount(), instances);
+    }
+  });
+
   // An instance loses power. If its ended requests still counted, the server would get fewer requests for ever.
   it('excludes instances whose updates have expired', () => {
     const peerLoads = createPeerLoads();
