--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -39,7 +39,12 @@
       readonly pauseMs: number | undefined;
     }
   /** Another instance has refused the request, and states whether it may have run there. */
-  | { readonly kind: 'peerRefused'; readonly hasNotRun: boolean }
+  | {
+      readonly kind: 'peerRefused';
+      readonly hasNotRun: boolean;
+      /** Time after which that instance expects the request again, ms; undefined if it states none. */
+      readonly retryAfterMs: number | undefined;
+    }
   /** The server answered with a failure, which can still be passed on. */
   | { readonly kind: 'serverFailed'; readonly status: number; passOn(): void }
   /** No answer arrived that may be passed on, and the request may have run. */
@@ -237,7 +242,9 @@
     if (load !== undefined) observer.recordLoad(load);
     const outcome = headerText(head.headers[OUTCOME_HEADER]);
     if (to.kind === 'peer' && outcome !== undefined) {
-      decide({ kind: 'peerRefused', hasNotRun: outcome === 'notRun' });
+      const pause = readPause(head, options);
+      const retryAfterMs = pause.kind === 'pause' ? pause.waitMs : undefined;
+      decide({ kind: 'peerRefused', hasNotRun: outcome === 'notRun', retryAfterMs });
       return;
     }
     const classification = classifyAnswer(head, request.requestId, dialect);
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -97,6 +97,8 @@
   let isTimedOut = false;
   let firstByteAtMs: number | undefined;
   let lastFailure: RefusalReason = 'noServer';
+  /** Shortest time after which another region that refused the request expects it again, ms. */
+  let peerRetryAfterMs: number | undefined;
 
   const log = createRequestLog({
     clock,
@@ -201,6 +203,9 @@
       case 'peerRefused':
         log.attemptFailed(attempt, 'the other instance refused the request');
         if (attempt.to.kind === 'peer') refusingRegions.add(attempt.to.peer.region);
+        if (result.retryAfterMs !== undefined) {
+          peerRetryAfterMs = Math.min(peerRetryAfterMs ?? Infinity, result.retryAfterMs);
+        }
         afterPeerRefusal(result.hasNotRun, attempt.serversTriedThere());
         return;
       case 'serverFailed':
@@ -255,7 +260,10 @@
     }
     const to = router.choose(request, plan, tried, clock.monotonicMs());
     if (to.kind === 'none') {
-      end.giveUp(end.mayHaveRun() ? lastFailure : to.reason, to.retryAfterMs, to.basis);
+      // Where this region has no server for the request, it is served again only once another region takes it.
+      const minRetryMs = to.basis === undefined ? (peerRetryAfterMs ?? 0) : 0;
+      const retryAfterMs = Math.max(to.retryAfterMs, minRetryMs);
+      end.giveUp(end.mayHaveRun() ? lastFailure : to.reason, retryAfterMs, to.basis);
       return;
     }
     if (to.kind === 'server') sendWithPermit(to);
