--- a/src/core/load-sharing/load-sharing.test.ts
+++ b/src/core/load-sharing/load-sharing.test.ts
@@ -35,6 +35,7 @@
   it('includes all live instances of a large region between their updates', () => {
     const instances = 200;
     const peerLoads = createPeerLoads();
+    let nowMs = 0;
     const senders = Array.from({ length: instances }, (_unused, index) =>
       createLoadBroadcaster({
         selfId: `i-${index}`,
@@ -47,7 +48,6 @@
         },
       }),
     );
-    let nowMs = 0;
     for (; nowMs <= 12_000; nowMs += 50) {
       for (const sender of senders) sender.sendIfDue(nowMs);
       peerLoads.removeExpired(nowMs);
