--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -137,12 +137,15 @@
   return { ...TEST_CONFIGURATION, Version: version, Tenants: SOAK_ACCOUNTS };
 }
 
-function setAllLimits(servers: SoakServers, perSecond: number | undefined): void {
-  for (let index = 0; index < servers.count; index += 1) servers.setLimit(index, perSecond);
+function forAll({ count }: SoakServers, apply: (index: number) => void): void {
+  for (let index = 0; index < count; index += 1) apply(index);
 }
 
-function refuseAll(servers: SoakServers, pauseMs: number | undefined): void {
-  for (let index = 0; index < servers.count; index += 1) servers.refuse(index, pauseMs);
+/** Begins a condition, and ends it after some time. */
+async function during(forMs: number, setActive: (isActive: boolean) => void): Promise<void> {
+  setActive(true);
+  await sleep(forMs);
+  setActive(false);
 }
 
 /** Injects a fault, and resolves after its end. */
@@ -214,24 +217,24 @@
       await servers.replace(fault.server);
       return;
     case 'refuse':
-      servers.refuse(fault.server, fault.pauseMs);
-      await sleep(fault.forMs);
-      servers.refuse(fault.server, undefined);
+      await during(fault.forMs, (isActive) =>
+        servers.refuse(fault.server, isActive ? fault.pauseMs : undefined),
+      );
       return;
     case 'refuseAll':
-      refuseAll(servers, fault.pauseMs);
-      await sleep(fault.forMs);
-      refuseAll(servers, undefined);
+      await during(fault.forMs, (isActive) =>
+        forAll(servers, (index) => servers.refuse(index, isActive ? fault.pauseMs : undefined)),
+      );
       return;
     case 'limitServer':
-      servers.setLimit(fault.server, fault.perSecond);
-      await sleep(fault.forMs);
-      servers.setLimit(fault.server, undefined);
+      await during(fault.forMs, (isActive) =>
+        servers.setLimit(fault.server, isActive ? fault.perSecond : undefined),
+      );
       return;
     case 'limitAllServers':
-      setAllLimits(servers, fault.perSecond);
-      await sleep(fault.forMs);
-      setAllLimits(servers, undefined);
+      await during(fault.forMs, (isActive) =>
+        forAll(servers, (index) => servers.setLimit(index, isActive ? fault.perSecond : undefined)),
+      );
       return;
     case 'changeLimit':
       for (let spentMs = 0; spentMs < fault.forMs; spentMs += CHANGE_INTERVAL_MS) {
--- a/src/core/pass-through/testing/simulate-admission.ts
+++ b/src/core/pass-through/testing/simulate-admission.ts
@@ -1,12 +1,16 @@
-import { createRouteTableStore } from '../../host-routes';
 import { createPeerLoads } from '../../load-sharing';
 import type { PeerLoads } from '../../load-sharing';
 import { createSeededRandom } from '../../random';
-import { createServerRegistry } from '../../server-registry';
 import { createRouter } from '../create-router';
 import type { Router } from '../create-router';
 import { observeDestination } from '../observe-destination';
-import type { InboundRequest, RequestPlan } from '../types';
+import type { RequestPlan } from '../types';
+import {
+  SIMULATED_REGION,
+  createRoutesOf,
+  createServersOf,
+  requestWithPrompt,
+} from './one-service';
 
 /**
  * Simulates callers with prompts of all sizes, and instances that choose among the same servers.
@@ -73,6 +77,7 @@
 const ANSWER_MS = 1_000;
 const CALLER_TIMEOUT_MS = 5_000;
 const STEP_MS = 5;
+const SLOTS = 64;
 /** Interval between load reports of the instances, ms. */
 const REPORT_INTERVAL_MS = 100;
 const DOCUMENTS: PromptSizes = {
@@ -101,47 +106,6 @@
   return FIXED_MS + tokens * READ_MS_PER_TOKEN;
 }
 
-function createServers(count: number) {
-  const servers = createServerRegistry({ regionOf: () => 'north', coldStartMs: () => 0 });
-  for (let index = 1; index <= count; index += 1) {
-    servers.put(
-      {
-        serverId: `n-${index}`,
-        startedAtUnixMs: undefined,
-        service: REVIEW,
-        address: `n-${index}:1`,
-        failureDomain: 'north-a',
-        slots: 64,
-        isDraining: false,
-        coldForMs: 0,
-        goneInMs: undefined,
-      },
-      0,
-    );
-  }
-  return servers;
-}
-
-function createRoutes() {
-  const routes = createRouteTableStore();
-  const service = {
-    name: REVIEW,
-    maxConnections: 5_000,
-    coldStartMs: 0,
-    coldRequestsPerSecond: 0,
-    healthPath: '/health',
-    copyMsPerToken: undefined,
-  };
-  routes.offer({
-    version: 1,
-    routes: [],
-    services: new Map([[REVIEW, service]]),
-    limits: { headerBytes: 8_192, bodyBytes: 8_192, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
-    accounts: undefined,
-  });
-  return routes;
-}
-
 interface SimulatedInstance {
   readonly id: string;
   readonly router: Router;
@@ -150,14 +114,15 @@
 
 /** Creates the instances of one region; `restart` replaces one of them with a new one. */
 function createInstances(load: AdmissionLoad, random: Random) {
-  const routes = createRoutes();
-  const servers = createServers(load.servers);
+  const routes = createRoutesOf(REVIEW);
+  const serverIds = Array.from({ length: load.servers }, (_unused, index) => `n-${index + 1}`);
+  const servers = createServersOf(REVIEW, serverIds, SLOTS);
   let starts = 0;
   const start = (): SimulatedInstance => {
     const otherLoads = createPeerLoads();
     const router = createRouter({
       onPartsCached() {},
-      region: 'north',
+      region: SIMULATED_REGION,
       routes,
       servers,
       otherLoads,
@@ -189,19 +154,6 @@
   };
 }
 
-function requestOf(index: number, tokens: number, nowMs: number): InboundRequest {
-  return {
-    requestId: `r-${index}`,
-    method: 'POST',
-    path: '/review',
-    headers: [],
-    body: new Uint8Array(),
-    receivedAtMs: nowMs,
-    lastEventId: undefined,
-    demand: { parts: [{ partId: `own-${index}`, tokens }], promptTokens: tokens },
-  };
-}
-
 /** Simulates one load; the same seed gives the same arrivals. */
 export function simulateAdmission(load: AdmissionLoad): readonly Arrival[] {
   const random = createSeededRandom(load.seed);
@@ -235,7 +187,7 @@
 
   const arrive = (): void => {
     const tokens = drawTokens(load.sizes ?? DOCUMENTS, random);
-    const request = requestOf(arrivals.length, tokens, nowMs);
+    const request = requestWithPrompt(arrivals.length, tokens, nowMs);
     const plan = {
       ...PLAN,
       deadlineAtMs: nowMs + CALLER_TIMEOUT_MS,
--- a/src/core/pass-through/testing/simulate-refusals.ts
+++ b/src/core/pass-through/testing/simulate-refusals.ts
@@ -1,15 +1,19 @@
 import { createFakeClock, createMemoryLogger } from '../../../testing';
 import type { FakeClock } from '../../../testing';
-import { createRouteTableStore } from '../../host-routes';
 import { createPeerLoads } from '../../load-sharing';
 import { createSeededRandom } from '../../random';
 import { createServerNotices } from '../../server-notices';
 import type { AnswerNotice, Refusals, ServerNotices } from '../../server-notices';
-import { createServerRegistry } from '../../server-registry';
 import { createRouter } from '../create-router';
 import type { Router } from '../create-router';
 import { observeDestination } from '../observe-destination';
 import type { InboundRequest, RequestPlan } from '../types';
+import {
+  SIMULATED_REGION,
+  createRoutesOf,
+  createServersOf,
+  requestWithPrompt,
+} from './one-service';
 
 /** Simulates the instances of one region before servers of which some refuse requests at once. */
 
@@ -85,39 +89,6 @@
   };
 }
 
-function requestOf(index: number, tokens: number, nowMs: number): InboundRequest {
-  return {
-    requestId: `r-${index}`,
-    method: 'GET',
-    path: '/',
-    headers: [],
-    body: new Uint8Array(),
-    receivedAtMs: nowMs,
-    lastEventId: undefined,
-    demand: { parts: [{ partId: `own-${index}`, tokens }], promptTokens: tokens },
-  };
-}
-
-function createRoutes() {
-  const routes = createRouteTableStore();
-  const service = {
-    name: SERVICE,
-    maxConnections: 100_000,
-    coldStartMs: 0,
-    coldRequestsPerSecond: 0,
-    healthPath: '/health',
-    copyMsPerToken: undefined,
-  };
-  routes.offer({
-    version: 1,
-    routes: [],
-    services: new Map([[SERVICE, service]]),
-    limits: { headerBytes: 8_192, bodyBytes: 8_192, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
-    accounts: undefined,
-  });
-  return routes;
-}
-
 interface SimulatedInstance {
   readonly id: string;
   readonly router: Router;
@@ -131,31 +102,15 @@
   const nowMs = () => clock.monotonicMs();
   const startedAtMs = nowMs();
   const random = createSeededRandom(load.seed);
-  const routes = createRoutes();
-  const registry = createServerRegistry({ regionOf: () => 'north', coldStartMs: () => 0 });
+  const routes = createRoutesOf(SERVICE);
   const serverIds = load.servers.map((_conduct, index) => `s-${index}`);
-  for (const serverId of serverIds) {
-    registry.put(
-      {
-        serverId,
-        startedAtUnixMs: undefined,
-        service: SERVICE,
-        address: `${serverId}:1`,
-        failureDomain: 'north-a',
-        slots: SLOTS,
-        isDraining: false,
-        coldForMs: 0,
-        goneInMs: undefined,
-      },
-      nowMs(),
-    );
-  }
+  const registry = createServersOf(SERVICE, serverIds, SLOTS);
   const atServer = serverIds.map(() => 0);
   const arrivals = serverIds.map((): number[] => []);
   const calls: SimulatedCall[] = [];
   const peers = Array.from({ length: load.instances }, (_unused, index) => ({
     instanceId: `i-${index}`,
-    region: 'north',
+    region: SIMULATED_REGION,
     address: `i-${index}`,
   }));
   const after = (ms: number, run: () => void) => clock.schedule(nowMs() + ms, run);
@@ -199,7 +154,7 @@
     const otherLoads = createPeerLoads();
     const router = createRouter({
       onPartsCached() {},
-      region: 'north',
+      region: SIMULATED_REGION,
       routes,
       servers: registry,
       otherLoads,
@@ -288,7 +243,7 @@
       const tokens = random.next() < LONG_SHARE ? LONG_TOKENS : SHORT_TOKENS;
       const maxAttempts = random.next() < load.singleAttemptShare ? 1 : 2;
       count += 1;
-      const request = requestOf(count, tokens, nowMs());
+      const request = requestWithPrompt(count, tokens, nowMs());
       if (instance !== undefined) send(instance, request, planAt(nowMs(), maxAttempts), new Set());
     }
   }
