--- a/bench/refusing-servers/avoidance.ts
+++ b/bench/refusing-servers/avoidance.ts
@@ -13,14 +13,7 @@
   readonly minTokens: number;
 }
 
-/**
- * Creates the alternative of pauses that grow with each refusal in a row and end with a single trial request.
- *
- * A server that refuses at once looks the least loaded, so it would get most of the requests, the retries would spend
- * their budget, and callers would be refused beside idle servers. So a server that has refused is avoided for a while
- * that grows with each refusal in a row, and then gets a single trial request. It is not excluded: a server that is
- * full refuses as well, and if all have refused, one of them is the best choice all the same.
- */
+/** Creates the alternative of avoiding a server for a time that grows with each refusal in a row. */
 export function createAvoidance(): Refusals {
   const avoidances = new Map<string, Avoidance>();
   return {
@@ -48,7 +41,6 @@
     standing(incarnationId, tokens, nowMs) {
       const avoidance = avoidances.get(incarnationId);
       if (avoidance === undefined || tokens < avoidance.minTokens) return NOT_AVOIDED;
-      // After the time, the server is rated like the others, or it would get no trial request while they are idle.
       if (avoidance.untilMs <= nowMs) return { share: 0, isAvoided: false, isUnproven: true };
       return { share: avoidance.consecutiveRefusals, isAvoided: true, isUnproven: true };
     },
--- a/demo/caller-client.ts
+++ b/demo/caller-client.ts
@@ -2,21 +2,21 @@
 import { request } from 'undici';
 import type { InstanceProcess } from './instance-process';
 
-/** What a caller of the demonstration does, with libraries that any caller has. */
+/** Requests of the demonstration's callers, made with common libraries. */
 
-/** Keys of the sample callers; the samples hold their digests. */
+/** Keys of the sample callers; the samples contain only their digests. */
 export function sampleKey(callerId: string): string {
   return `sample-key-${callerId}`;
 }
 
-/** One answer as a caller sees it. */
+/** An answer as a caller receives it. */
 export interface CallerAnswer {
   readonly status: number;
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   readonly text: string;
 }
 
-/** A plain HTTP request. */
+/** A request over HTTP. */
 export interface CallerRequest {
   readonly method: 'GET' | 'POST';
   readonly path: string;
@@ -42,7 +42,7 @@
   };
 }
 
-/** A streamed chat answer, read by the OpenAI client library. */
+/** Reads a streamed chat answer with the OpenAI client library. */
 export async function streamChat(
   address: string,
   key: string,
--- a/demo/deployment.ts
+++ b/demo/deployment.ts
@@ -17,7 +17,7 @@
 import type { InstanceProcess } from './instance-process';
 import { fetchStatus } from './operator-client';
 
-/** One deployment of the samples, running on loopback: its stand-ins, and its instances as processes. */
+/** A sample deployment on loopback: its stand-ins, and its instances as processes. */
 export interface Deployment extends AsyncDisposable {
   readonly name: string;
   readonly configuration: Configuration;
@@ -25,16 +25,16 @@
   readonly engines: ReadonlyMap<string, EngineStandIn>;
   readonly applications: ReadonlyMap<string, PlainStandIn>;
   readonly instances: readonly InstanceProcess[];
-  /** Links by which instances reach one another, in the order of the instances. */
+  /** Proxies through which instances reach one another, in the order of the instances. */
   readonly links: readonly FaultProxy[];
   publish(configuration: Configuration): void;
-  /** Starts another process with the settings of the instance at `index`, once that has ended. */
+  /** Starts a new process with the settings of the instance at `index`, which must have ended. */
   restart(index: number): Promise<void>;
   instanceIn(region: string): InstanceProcess;
 }
 
 const PEER_SECRET = 'demonstration-peer-secret';
-/** Key of the operators' listeners of the demonstration. */
+/** Key for the operators' listeners of the demonstration. */
 export const DEMO_OPERATOR_KEY = 'demonstration-operator-key';
 const CONFIGURATION_KEY = 'coltsfootworks/configuration';
 const ANSWER_TOKENS = 24;
@@ -84,7 +84,7 @@
   );
 }
 
-/** Waits until every instance is ready and knows all others. */
+/** Waits until all instances are ready and know each other. */
 export async function waitUntilWhole(instances: readonly InstanceProcess[]): Promise<void> {
   const isWhole = async (instance: InstanceProcess) => {
     const status = await fetchStatus(instance, DEMO_OPERATOR_KEY);
@@ -97,7 +97,7 @@
   );
 }
 
-/** Starts a deployment from the sample of that name. */
+/** Starts the sample deployment with the given name. */
 export async function startDeployment(name: string): Promise<Deployment> {
   const owned = createDisposableStore();
   const platform = owned.add(await openPlatformStandIn());
@@ -111,7 +111,7 @@
   const places = placesOf(configuration);
   const links: FaultProxy[] = [];
   for (let index = 0; index < places.length; index += 1) {
-    // Until the instance listens there is nothing behind its link, as with any seed that is not up yet.
+    // Until the instance listens, connections to its proxy fail, like those to any seed that has not started.
     const target = () => instances[index]?.addresses.peerListenAddress ?? '127.0.0.1:1';
     links.push(owned.add(await openFaultProxy(target)));
   }
--- a/demo/instance-process.ts
+++ b/demo/instance-process.ts
@@ -5,7 +5,7 @@
 import { NODE_EVENTS } from '../src/core/node';
 import type { Settings } from '../src/core/settings';
 
-/** Addresses of an instance that runs, as its first log line has them. */
+/** Addresses of a running instance, from its first log line. */
 const startedSchema = z.object({
   event: z.literal(NODE_EVENTS.started.id),
   callerAddress: z.string(),
@@ -13,18 +13,18 @@
   operatorAddress: z.string(),
 });
 
-/** ip:port of each listener. */
+/** `IP:PORT` of each listener. */
 export type InstanceAddresses = Omit<z.output<typeof startedSchema>, 'event'>;
 
-/** One instance as a process of its own, as it runs in production. */
+/** An instance in a process of its own, as in production. */
 export interface InstanceProcess extends AsyncDisposable {
   readonly settings: Settings;
   readonly addresses: InstanceAddresses;
-  /** The last lines that it logged. */
+  /** The latest lines of its log. */
   readonly logTail: readonly string[];
-  /** Asks for a graceful stop and resolves with the exit code. */
+  /** Requests a graceful stop; resolves with the exit code. */
   stop(): Promise<number | null>;
-  /** Ends it at once, as a lost machine would. */
+  /** Kills the process, as the loss of its machine would. */
   kill(): Promise<void>;
 }
 
@@ -46,8 +46,8 @@
 }
 
 /**
- * Resolves with the addresses that the process names. Each listener takes whatever port is free: a port that
- * was looked for beforehand may be taken by another connection before the process gets to it.
+ * Resolves with the addresses that the process logs. Each listener uses any free port: one that was chosen beforehand may
+ * be in use by the time the process listens.
  */
 function readAddresses(child: ChildProcess, tail: string[]): Promise<InstanceAddresses> {
   return new Promise((resolve, reject) => {
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -7,7 +7,7 @@
 import { stepsOf } from './steps';
 import type { DemoCast } from './steps';
 
-/** Runs both sample deployments on loopback, shows what callers get, and exits 0 only if all is as stated. */
+/** Runs both sample deployments on loopback and prints what callers get. Exits with 0 only if all steps succeed. */
 
 const CASTS: Readonly<Record<string, DemoCast>> = {
   omaruru: {
--- a/demo/operator-client.ts
+++ b/demo/operator-client.ts
@@ -2,7 +2,7 @@
 import type { InstanceStatus } from '../src/core/operators';
 import type { InstanceProcess } from './instance-process';
 
-/** The status of an instance, or undefined while it does not answer. */
+/** Returns the status of an instance; undefined while it does not answer. */
 export async function fetchStatus(
   { addresses }: InstanceProcess,
   operatorKey: string,
--- a/demo/report.ts
+++ b/demo/report.ts
@@ -1,4 +1,4 @@
-/** One thing that the demonstration did, and whether it went as stated. */
+/** Result of one step of the demonstration. */
 export interface DemoResult {
   readonly deployment: string;
   readonly step: string;
@@ -8,20 +8,20 @@
   readonly isAsStated: boolean;
 }
 
-/** One step: does something and says what came of it. */
+/** One step of the demonstration. */
 export interface DemoStep {
   readonly name: string;
   readonly expected: string;
   run(): Promise<StepOutcome>;
 }
 
-/** What came of a step. */
+/** What a step found, and whether that is as expected. */
 export interface StepOutcome {
   readonly got: string;
   readonly isAsStated: boolean;
 }
 
-/** Runs one step; a step that throws did not go as stated. */
+/** Runs one step; a step that throws has failed. */
 export async function runStep(deployment: string, step: DemoStep): Promise<DemoResult> {
   const startedAtMs = performance.now();
   const outcome = await step
--- a/demo/steps.ts
+++ b/demo/steps.ts
@@ -6,13 +6,13 @@
 import type { InstanceProcess } from './instance-process';
 import type { DemoStep } from './report';
 
-/** What differs between the two deployments of the demonstration. */
+/** Differences between the two deployments of the demonstration. */
 export interface DemoCast {
-  /** Caller allowed in all regions, and the region it stands in. */
+  /** Caller that is allowed in all regions, and its own region. */
   readonly caller: string;
   readonly home: string;
   readonly model: string;
-  /** Caller whose data may be in one region alone, and an instance's region that it may not use. */
+  /** Caller whose data may be in one region only, and a region in which it may not be. */
   readonly boundCaller: string;
   readonly boundRegion: string;
   readonly barredRegion: string;
@@ -94,7 +94,7 @@
       const asked = await send(instance, call);
       const headers = { 'idempotency-ticket': String(asked.headers['idempotency-ticket']) };
       const first = await send(instance, { ...call, headers });
-      // The second goes to another instance, as when the first entry seems gone.
+      // The second request goes to another instance, as if the caller had lost the first one.
       const another = deployment.instances.find((one) => one !== instance) ?? instance;
       const second = await send(another, { ...call, headers });
       const runs = totalRuns(deployment, cast.orderBody);
@@ -160,16 +160,16 @@
   };
 }
 
-/** Long enough that instances notice; how many they have then given up is shown, not judged. */
+/** Time after which instances have noticed; how many they have given up by then is printed, not checked. */
 const CUT_MS = 6_000;
 
-/** Others that an instance counts as alive. */
+/** Returns the other instances that an instance considers alive. */
 async function aliveOthers(instance: InstanceProcess): Promise<number> {
   const status = await fetchStatus(instance, DEMO_OPERATOR_KEY);
   return (status?.members.filter((member) => member.status === 'alive').length ?? 1) - 1;
 }
 
-/** The incarnation of an instance as each of the others has it. */
+/** Returns the incarnation of an instance as known to each of the others. */
 async function incarnationsSeen(deployment: Deployment, instanceId: string): Promise<number[]> {
   const statuses = await Promise.all(
     deployment.instances.map((instance) => fetchStatus(instance, DEMO_OPERATOR_KEY)),
--- a/scripts/build-binary.mjs
+++ b/scripts/build-binary.mjs
@@ -12,7 +12,7 @@
 const BLOB = `${OUT}/application.blob`;
 const SEA_CONFIGURATION = `${OUT}/application.json`;
 const BINARY = `${OUT}/coltsfootworks`;
-/** The mark by which Node.js knows that a blob has been put into it; fixed by Node.js. */
+/** Marker by which Node.js detects an injected blob; defined by Node.js. */
 const SEA_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
 rmSync(OUT, { recursive: true, force: true });
--- a/scripts/check-docs.ts
+++ b/scripts/check-docs.ts
@@ -2,8 +2,8 @@
 import { dirname, join } from 'node:path';
 
 /**
- * Checks what pages promise: relative links resolve, with their headings; each `npm run NAME` is a script;
- * each path of the tree that stands in backticks exists.
+ * Checks the pages: relative links and their headings must resolve, each `npm run NAME` must be a script, and each path of
+ * the tree in backticks must exist.
  */
 
 interface Complaint {
--- a/scripts/generate-documents.ts
+++ b/scripts/generate-documents.ts
@@ -7,8 +7,8 @@
 import { settingsSchema } from '../src/core/settings';
 
 /**
- * Writes the files that are made from code: JSON Schemas for editors and the catalogues in docs/.
- * With --check it writes nothing and fails when one differs, so that neither can fall behind.
+ * Generates the JSON Schemas for editors and the catalogues in docs/ from the code. With --check, it writes nothing and
+ * fails if a file is out of date.
  */
 
 interface GeneratedFile {
@@ -17,7 +17,7 @@
 }
 
 function jsonSchema(path: string, schema: z.ZodType): GeneratedFile {
-  // Written as people write documents: what has a default may be left out.
+  // The schema describes documents as people write them: fields with a default are optional.
   const value = z.toJSONSchema(schema, { io: 'input', unrepresentable: 'any' });
   return { path, text: `${JSON.stringify(value, null, 2)}\n` };
 }
--- a/scripts/known-red.ts
+++ b/scripts/known-red.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from 'node:fs';
 
-/** One test that fails for a fault which is known and not mended yet. */
+/** A test that fails because of a known fault that is not fixed yet. */
 export interface KnownRed {
   /** Name of the test as the runner prints it. */
   readonly test: string;
@@ -8,20 +8,20 @@
   readonly line: string;
 }
 
-/** What became of the tests that are known to fail. */
+/** Results of the tests that are known to fail. */
 export interface KnownRedVerdict {
-  /** Failed as expected; they are printed and passed over. */
+  /** Failed as expected; they are printed and do not fail the run. */
   readonly stillRed: readonly KnownRed[];
-  /** Passed although they are listed: the list is wrong. */
+  /** Passed although they are listed, so the list is out of date. */
   readonly passedAfterAll: readonly KnownRed[];
-  /** Listed, but no test of that name ran. */
+  /** Listed, but no test with that name ran. */
   readonly neverRan: readonly KnownRed[];
 }
 
-/** What separates the test's name from the rest of its line. */
+/** Separator between the test's name and the rest of its line. */
 const SEPARATOR = ' | ';
 
-/** The entries of a list: a line each, the test's name first. */
+/** Parses a list with one entry per line, each beginning with the test's name. */
 export function parseKnownRed(text: string): readonly KnownRed[] {
   return text
     .split('\n')
@@ -29,7 +29,7 @@
     .map((line) => ({ test: line.split(SEPARATOR)[0]?.trim() ?? '', line }));
 }
 
-/** The list of this repository. */
+/** Reads the list of this repository. */
 export function readKnownRed(): readonly KnownRed[] {
   return parseKnownRed(readFileSync('KNOWN-RED.txt', 'utf8'));
 }
--- a/scripts/replay.ts
+++ b/scripts/replay.ts
@@ -1,6 +1,6 @@
 /**
- * Decides recorded cases again and holds them to their stated outcomes.
- * `npm run replay [-- FILE...]`: without files, every recording under traces/.
+ * Repeats recorded decisions and compares them with their recorded outcomes.
+ * `npm run replay [-- FILE...]`: without files, all recordings in traces/.
  */
 import { readFileSync, readdirSync } from 'node:fs';
 import process from 'node:process';
--- a/scripts/run-tests.ts
+++ b/scripts/run-tests.ts
@@ -1,7 +1,7 @@
 /**
- * Runs every *.test.ts of the tree, or those whose path holds one of the words given. Tests that KNOWN-RED.txt
- * lists are passed over while they fail, and printed; one that is listed and passes, or never ran, is an error.
- * Node 20's test runner takes no globs for TypeScript files, so the list is made here.
+ * Runs all *.test.ts files, or those whose path contains one of the given words. Tests that KNOWN-RED.txt lists are printed
+ * and do not fail the run while they fail; a listed test that passes or never ran is an error. The files are listed here,
+ * since the test runner of Node.js 20 does not support globs for TypeScript files.
  */
 import { spec as SpecReporter } from 'node:test/reporters';
 import { run } from 'node:test';
@@ -9,7 +9,7 @@
 import { judgeKnownRed, readKnownRed } from './known-red';
 import { listSourceFiles } from './source-tree';
 
-/** Few at once: several tests open dozens of sockets, and a laptop should stay usable. */
+/** Maximum number of files that run at once; several tests open dozens of sockets. */
 const CONCURRENT_FILES = 4;
 
 const words = process.argv.slice(2);
@@ -22,7 +22,7 @@
   process.exit(1);
 }
 
-// The child processes that the runner starts take their loader from here.
+// The child processes of the test runner inherit the loader from here.
 const inherited = process.env.NODE_OPTIONS ?? '';
 process.env.NODE_OPTIONS = `${inherited} --import tsx`.trim();
 
@@ -31,7 +31,7 @@
 const failed = new Set<string>();
 const passed = new Set<string>();
 
-/** Whether a suite failed only because a test in it did, which is told by itself. */
+/** Whether a suite failed only because one of its tests did, which is reported separately. */
 function isSuiteOfFailures(error: unknown): boolean {
   return (
     typeof error === 'object' &&
--- a/scripts/source-tree.ts
+++ b/scripts/source-tree.ts
@@ -1,6 +1,6 @@
 import { existsSync, readdirSync } from 'node:fs';
 
-/** The folders that hold TypeScript, those of them that a checkout has: git keeps no empty ones. */
+/** Folders with TypeScript files. A checkout may lack some of them, since git does not store empty folders. */
 const SOURCE_ROOTS = [
   'src',
   'platform',
@@ -12,7 +12,7 @@
   'soak',
 ].filter((root) => existsSync(root));
 
-/** Paths of all TypeScript files, generated ones left out, in order. */
+/** Returns the paths of all TypeScript files except generated ones, sorted. */
 export function listSourceFiles(): string[] {
   return SOURCE_ROOTS.flatMap((root) =>
     readdirSync(root, { recursive: true }).map((file) => `${root}/${String(file)}`),
--- a/scripts/stats.ts
+++ b/scripts/stats.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { listSourceFiles } from './source-tree';
 
-/** Prints what the tree consists of: lines by part, the share of tests, and files that have grown large. */
+/** Prints the lines of each part, the share of tests, and the largest files. */
 
 const PARTS = [
   'src/core',
@@ -16,7 +16,7 @@
   'scripts',
 ];
 const MOST_LINES = 400;
-/** Slices that decide how many instances act together and what happens when something fails. */
+/** Slices for the cooperation of many instances and for failures. */
 const HEART = [
   'admission',
   'caller-limits',
--- a/standins/announced-server.ts
+++ b/standins/announced-server.ts
@@ -1,22 +1,22 @@
 import { createServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 
-/** One request as a stand-in server received it. */
+/** A request as a stand-in server received it. */
 export interface ReceivedRequest {
   readonly method: string;
   readonly path: string;
-  /** In lower case. */
+  /** By name in lower case. */
   readonly headers: ReadonlyMap<string, string>;
   readonly body: string;
 }
 
-/** Writes whatever it wants to the socket in answer to one request, well-formed or not. */
+/** Answers one request by writing to the socket; the bytes need not be a well-formed answer. */
 export type ServerScript = (request: ReceivedRequest, socket: Socket) => void;
 
-/** A stand-in backend server whose bytes a test decides. */
+/** A stand-in backend server that answers with the bytes that a test chooses. */
 export interface AnnouncedServer extends AsyncDisposable {
   readonly address: string;
-  /** Requests that it began to work on. */
+  /** Requests that were received completely, in order of arrival. */
   readonly received: ReceivedRequest[];
   script: ServerScript;
   openConnections(): number;
@@ -36,7 +36,7 @@
   return { method, path, headers };
 }
 
-/** A whole, signed answer. */
+/** Returns a complete answer with the signature header. */
 export function wholeAnswer(
   request: ReceivedRequest,
   body: string,
@@ -54,7 +54,7 @@
   ].join('\r\n');
 }
 
-/** The head of a signed event stream in chunks. */
+/** Returns the head of an event stream with the signature header, whose body is sent in chunks. */
 export function streamHead(request: ReceivedRequest): string {
   return [
     'HTTP/1.1 200 OK',
@@ -66,7 +66,7 @@
   ].join('\r\n');
 }
 
-/** One chunk of a chunked body; an empty one ends it. */
+/** Returns one chunk of a chunked body; an empty chunk ends the body. */
 export function chunkOf(text: string): string {
   return `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
 }
--- a/standins/engine-orders.ts
+++ b/standins/engine-orders.ts
@@ -8,17 +8,17 @@
 import { readAll, sendJson } from './listen';
 import type { WeightStore } from './weight-store';
 
-/** The models of a stand-in engine and how it takes orders. Time is handed in. */
+/** The models that a stand-in engine has loaded, and the orders by which they are changed. The caller passes the time in. */
 export interface EngineModels {
   sight(engineId: string, nowMs: number): EngineSight;
   take(order: EngineOrder, fencingNumber: number, nowMs: number): OrderAnswer;
-  /** Orders that changed something. */
+  /** Number of orders that changed something. */
   effectiveOrders(): number;
 }
 
-/** How a stand-in engine behaves. */
+/** Behaviour of a stand-in engine towards orders. */
 export interface EngineModelsOptions {
-  /** Whether it refuses orders with an old fencing number, or takes no notice of numbers. */
+  /** Whether it refuses orders with an outdated fencing number; otherwise it ignores the numbers. */
   readonly fencing: 'refuses' | 'ignores';
   readonly slots: number;
   readonly loadMs: number;
@@ -32,7 +32,7 @@
   readonly loadStartedAtMs: number;
 }
 
-/** An engine without models. */
+/** Creates an engine that has loaded no model. */
 export function createEngineModels(options: EngineModelsOptions): EngineModels {
   const { fencing, slots, loadMs, weightStore } = options;
   const held = new Map<string, HeldModel>();
@@ -120,7 +120,7 @@
   '/v1/role',
 ]);
 
-/** Answers the order interface over HTTP; false when the request is for something else. */
+/** Answers a request to the order interface over HTTP; returns false if the request is for something else. */
 export async function answerOrder(
   models: EngineModels,
   incoming: IncomingMessage,
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -7,17 +7,17 @@
 import type { StandIn } from './listen';
 import { createWeightStore } from './weight-store';
 
-/** How a stand-in engine behaves; may be changed while it runs. */
+/** Behaviour of a stand-in engine; may be changed while it runs. */
 export interface EngineBehaviour {
-  /** Tokens of each answer. */
+  /** Number of tokens in each answer. */
   answerTokens: number;
-  /** Pause before each token, ms. */
+  /** Delay before each token, ms. */
   tokenIntervalMs: number;
   /** Drops the connection after this many tokens. */
   dropAfterTokens: number | undefined;
-  /** Says nothing more after this many tokens, and keeps the connection open. */
+  /** Sends nothing more after this many tokens, but keeps the connection open. */
   silentAfterTokens: number | undefined;
-  /** What health checks are told; requests are served whatever it is. */
+  /** Result of health checks; requests are served regardless of it. */
   health: 'up' | 'draining' | 'failing';
 }
 
@@ -25,9 +25,9 @@
 export interface EngineStandIn extends StandIn {
   readonly behaviour: EngineBehaviour;
   readonly ledger: Ledger;
-  /** What it has loaded by orders; orders are open to any test. */
+  /** Models that have been loaded by orders. */
   readonly models: EngineModels;
-  /** Requests whose caller went away before the end. */
+  /** Number of requests whose caller disconnected before the end. */
   cancelledCount(): number;
 }
 
@@ -37,11 +37,11 @@
   model: string;
   stream?: boolean;
   messages?: { role: string; content: string }[];
-  /** As vLLM has it: the answer goes on where the last message ends. */
+  /** Whether the answer continues the last message, as in the API of vLLM. */
   continue_final_message?: boolean;
 }
 
-/** The token with which an answer begins. */
+/** Returns the number of the first token of an answer. */
 function firstToken({ messages = [], continue_final_message: continues }: CompletionBody): number {
   if (continues !== true) return 0;
   return (messages.at(-1)?.content.match(/t\d+ /g) ?? []).length;
--- a/standins/fault-proxy.ts
+++ b/standins/fault-proxy.ts
@@ -1,27 +1,27 @@
 import { connect, createServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 
-/** A TCP proxy that brings about, on command, what goes wrong between two ends of real connections. */
+/** A TCP proxy that injects connection faults on command. */
 export interface FaultProxy extends AsyncDisposable {
-  /** ip:port */
+  /** `IP:PORT` */
   readonly address: string;
-  /** Open connections go silent for good, as when a firewall has lost track of them; new ones work. */
+  /** Silences all open connections for good, as a firewall does that has lost their state; new ones work. */
   silenceOpen(): void;
-  /** Every connection, old and new, stands still until `thaw`; nothing is lost. */
+  /** Holds back all data, on old and new connections, until `thaw`; nothing is lost. */
   freeze(): void;
   thaw(): void;
-  /** Every open connection is reset. */
+  /** Resets all open connections. */
   resetOpen(): void;
-  /** New connections are reset until `accept`. */
+  /** Resets new connections until `accept`. */
   refuse(): void;
   accept(): void;
-  /** The answer on the next connection is cut off by a reset after this many bytes. */
+  /** Resets the next connection after this many bytes of its answer. */
   cutNextAnswerAfter(bytes: number): void;
-  /** What passes is held back by this much, ms. */
+  /** Delays all data by this time, ms. */
   setDelayMs(delayMs: number): void;
-  /** Connections made so far. */
+  /** Number of connections accepted so far. */
   connectionCount(): number;
-  /** Bytes read from the target so far. */
+  /** Number of bytes read from the target so far. */
   bytesFromTarget(): number;
 }
 
@@ -31,7 +31,7 @@
   silent: boolean;
 }
 
-/** Opens a proxy before `target` (ip:port), which may become known only later. */
+/** Opens a proxy in front of `target` (`IP:PORT`), which may be set later. */
 export async function openFaultProxy(target: string | (() => string)): Promise<FaultProxy> {
   const links = new Set<Link>();
   let frozen = false;
@@ -58,7 +58,7 @@
     else setTimeout(action, delayMs);
   };
 
-  /** Passes one direction on; the reader is held back by a slow writer, as on a plain connection. */
+  /** Forwards one direction of a connection, with backpressure as on a direct connection. */
   const relay = (link: Link, from: Socket, to: Socket, onBytes: (chunk: Buffer) => Buffer) => {
     from.on('data', (chunk: Buffer) => {
       if (link.silent) return;
--- a/standins/ledger.ts
+++ b/standins/ledger.ts
@@ -7,14 +7,14 @@
   readonly bodyText: string;
 }
 
-/** What a stand-in server ran, for a test to hold against what callers were told. */
+/** Records what stand-in servers ran, so that a test can compare it with the answers that callers got. */
 export interface Ledger {
   readonly entries: LedgerEntry[];
-  /** How often a request with this body was run. */
+  /** Returns how many times a request with this body was run. */
   runsOfBody(bodyText: string): number;
 }
 
-/** An empty ledger. */
+/** Creates an empty ledger. */
 export function createLedger(): Ledger {
   const entries: LedgerEntry[] = [];
   return {
--- a/standins/listen.ts
+++ b/standins/listen.ts
@@ -2,11 +2,11 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
-/** A small fake of an outside system, listening on loopback. */
+/** A stand-in for an outside system that listens on loopback. */
 export interface StandIn extends AsyncDisposable {
-  /** ip:port */
+  /** `IP:PORT` */
   readonly address: string;
-  /** Drops every open connection without a word. */
+  /** Closes all open connections without an answer. */
   dropConnections(): void;
 }
 
@@ -35,14 +35,14 @@
   };
 }
 
-/** The whole body of a request. */
+/** Reads the complete body of a request. */
 export async function readAll(incoming: IncomingMessage): Promise<Buffer> {
   const chunks: Buffer[] = [];
   for await (const chunk of incoming) chunks.push(chunk as Buffer);
   return Buffer.concat(chunks);
 }
 
-/** Sends JSON. */
+/** Sends a JSON answer. */
 export function sendJson(response: ServerResponse, status: number, value: unknown): void {
   response.writeHead(status, { 'content-type': 'application/json' });
   response.end(JSON.stringify(value));
--- a/standins/plain-service.ts
+++ b/standins/plain-service.ts
@@ -4,17 +4,17 @@
 import { openStandIn, readAll, sendJson } from './listen';
 import type { StandIn } from './listen';
 
-/** How a stand-in application behaves; may be changed while it runs. */
+/** Behaviour of a stand-in application; may be changed while it runs. */
 export interface PlainBehaviour {
-  /** Pause before each answer, ms. */
+  /** Delay before each answer, ms. */
   answerDelayMs: number;
   /** `drop` runs the call, then drops the connection instead of answering; `silent` never answers. */
   after: 'answer' | 'drop' | 'silent';
-  /** Status to refuse with, without running the call. */
+  /** Status of refusals; the call is not run then. */
   refuseStatus: number | undefined;
 }
 
-/** A stand-in application: reads answer stock, writes are entered in its ledger. */
+/** A stand-in application that answers reads with its stock and records writes in its ledger. */
 export interface PlainStandIn extends StandIn {
   readonly behaviour: PlainBehaviour;
   readonly ledger: Ledger;
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -2,19 +2,20 @@
 import { openStandIn, sendJson } from './listen';
 import type { StandIn } from './listen';
 
-/** How the stand-in behaves just now. */
+/** Current behaviour of the stand-in. */
 export type PlatformMood = 'up' | 'down' | 'stale';
 
 /**
- * The platform's key-value service as the Consul KV HTTP API has it: `GET /v1/kv/KEY?raw&index=N&wait=30s`
- * answers at once when the value has changed since index N, else holds the request until it does.
+ * A stand-in for the platform's key-value service with the interface of the Consul KV HTTP API:
+ * `GET /v1/kv/KEY?raw&index=N&wait=30s` is answered at once if the value has changed since index N, and otherwise when it
+ * changes.
  */
 export interface PlatformStandIn extends StandIn {
   /** Sets a key and wakes its watches. */
   publish(key: string, text: string): void;
-  /** `down` refuses every read; `stale` answers with what stood there when it became stale. */
+  /** `down` refuses all reads; `stale` answers with the values as of the time at which it became stale. */
   setMood(mood: PlatformMood): void;
-  /** Reads and watches answered or held so far. */
+  /** Number of reads and watches so far, including those that wait. */
   readCount(): number;
 }
 
@@ -30,7 +31,7 @@
   return Number(seconds ?? 0) * 1000;
 }
 
-/** Opens the platform stand-in, empty. */
+/** Opens a platform stand-in without any keys. */
 export async function openPlatformStandIn(port = 0): Promise<PlatformStandIn> {
   const values = new Map<string, Value>();
   let staleValues = new Map<string, Value>();
--- a/standins/published-store.ts
+++ b/standins/published-store.ts
@@ -2,7 +2,7 @@
 import { openStandIn, sendJson } from './listen';
 import type { StandIn } from './listen';
 
-/** One change as the store keeps it. */
+/** One change in the history of the store. */
 interface StoredEvent {
   readonly Key: string;
   readonly Revision: number;
@@ -10,45 +10,45 @@
   readonly Removed?: true;
 }
 
-/** All that the store held at one moment. */
+/** The contents of the store at one time. */
 export interface StoreCopy {
   readonly items: ReadonlyMap<string, StoredEvent>;
   readonly history: readonly StoredEvent[];
   readonly revision: number;
 }
 
-/** How the stand-in behaves: `busy` answers 503, `silent` never answers. */
+/** Behaviour of the stand-in: `busy` answers 503, `silent` never answers. */
 export type StoreMood = 'good' | 'busy' | 'silent';
 
-/** A stand-in for the users' store: range reads and watches, as their pages describe them. */
+/** A stand-in for the users' store with range reads and watches. */
 export interface StoreStandIn extends StandIn {
   setMood(mood: StoreMood): void;
-  /** Range reads and watches that have come in. */
+  /** Range reads and watches received so far. */
   readonly calls: { range: number; watch: number };
   put(key: string, value: unknown): void;
-  /** Puts an item whose value is not what it should be: other bytes, or no text at all. */
+  /** Puts an item with an invalid value: other bytes, or no text. */
   putRaw(key: string, value: unknown): void;
   remove(key: string): void;
-  /** Drops all history, so that watches from before are answered 410. */
+  /** Drops all history; watches from earlier revisions are answered 410. */
   compact(): void;
   saveCopy(): StoreCopy;
   /** Runs a task once, right after the next page of a range read has been answered. */
   afterNextPage(task: () => void): void;
   /**
-   * Goes on from a copy: what was written since is gone, and its revisions are given out again. Watches that wait are cut
-   * off where the store is away meanwhile, and answered without news where it is not.
+   * Restores the contents from a copy: later changes are lost, and their revisions are assigned again. Waiting watches are
+   * cut off if the store is unavailable meanwhile, and are otherwise answered without events.
    */
   restore(copy: StoreCopy): void;
 }
 
-/** In all answers: rises by one with each return from a copy. */
+/** Header of all answers; its value increases by one with each restoration from a copy. */
 const ERA_HEADER = 'Store-Era';
 
 function encode(value: unknown): string {
   return Buffer.from(JSON.stringify(value)).toString('base64');
 }
 
-/** A server's entry with all that servers write; `more` replaces parts of it. */
+/** Returns a complete entry of a server; `more` replaces parts of it. */
 export function serverEntry(address: string, more: object = {}): Readonly<Record<string, unknown>> {
   return {
     Service: 'app',
@@ -63,7 +63,7 @@
   };
 }
 
-/** Opens a stand-in store that holds nothing; its range reads give so many items at once. */
+/** Opens an empty stand-in store whose range reads return at most `itemsPerPage` items. */
 export async function openStoreStandIn(itemsPerPage = 500): Promise<StoreStandIn> {
   const items = new Map<string, StoredEvent>();
   let mood: StoreMood = 'good';
@@ -73,7 +73,7 @@
   let history: StoredEvent[] = [];
   let revision = 1;
   let compactedAt = 0;
-  /** How often the store has come back from a copy, and once. */
+  /** Number of restorations from a copy, plus one. */
   let era = 1;
 
   const append = (event: StoredEvent): void => {
--- a/standins/server-list.ts
+++ b/standins/server-list.ts
@@ -2,26 +2,26 @@
 import { openStandIn, sendJson } from './listen';
 import type { StandIn } from './listen';
 
-/** One server as the stand-in catalogue lists it. */
+/** A server in the stand-in catalogue. */
 export interface ListedServer {
   readonly id: string;
-  /** ip:port, IPv4 */
+  /** `IP:PORT`, IPv4 */
   readonly address: string;
   readonly state: 'passing' | 'failing' | 'leaving';
 }
 
 /**
- * The platform's lagging list of servers, as the Consul health HTTP API answers it. It says what the test makes
- * it say, right or wrong, and wakes its watches at each change.
+ * A stand-in for the platform's list of servers with the interface of the Consul health HTTP API. A test sets its contents,
+ * correct or not; watches are answered at each change.
  */
 export interface ServerListStandIn extends StandIn {
   setServers(service: string, servers: readonly ListedServer[]): void;
-  /** Watches that are held now. */
+  /** Number of watches that wait. */
   heldCount(): number;
 }
 
 const PATH = /^\/v1\/health\/service\/([^/?]+)/;
-/** How long a watch is held at most; short, since only tests use it. */
+/** Maximum time for which a watch waits; short, since only tests use it. */
 const HOLD_MS = 5_000;
 
 function toEntry({ id, address, state }: ListedServer, createIndex: number) {
@@ -39,7 +39,7 @@
   };
 }
 
-/** Opens the catalogue stand-in, empty. */
+/** Opens an empty catalogue stand-in. */
 export async function openServerListStandIn(port = 0): Promise<ServerListStandIn> {
   const lists = new Map<string, readonly ListedServer[]>();
   const watchers = new Set<() => void>();
--- a/standins/weight-store.ts
+++ b/standins/weight-store.ts
@@ -1,13 +1,13 @@
-/** The platform's weight store, as far as tests need it: it counts reads and when they came. */
+/** A stand-in for the platform's weight store that records the times of reads. */
 export interface WeightStore {
-  /** Notes one read. */
+  /** Records one read. */
   read(source: string, nowMs: number): void;
   readCount(): number;
-  /** Most reads in any span of `windowMs`. */
+  /** Returns the maximum number of reads in any span of `windowMs`. */
   mostReadsIn(windowMs: number): number;
 }
 
-/** An empty weight store. */
+/** Creates a weight store without any reads. */
 export function createWeightStore(): WeightStore {
   const readsAtMs: number[] = [];
   return {
