--- a/src/core/relay-node/settings.ts
+++ b/src/core/relay-node/settings.ts
@@ -5,6 +5,33 @@
   port: z.int().min(0).max(65_535).describe('Port; 0 selects a free one'),
 });
 
+/** Switches for decisions under load. Each takes effect only where the published configuration has what it needs. */
+export const trafficPolicySchema = z.strictObject({
+  priorityAdmission: z
+    .boolean()
+    .default(true)
+    .describe('Admit less urgent requests only where they leave more urgent ones in time'),
+  accountShares: z
+    .boolean()
+    .default(true)
+    .describe('Refuse accounts over their fair share first while a service is scarce'),
+  serverSpeeds: z
+    .boolean()
+    .default(true)
+    .describe('Predict with the speed of each server instead of the speed of its service'),
+  regionalRoom: z
+    .boolean()
+    .default(true)
+    .describe('Divide requests that leave this region over the others by their free capacity'),
+  workloadSeparation: z
+    .boolean()
+    .default(true)
+    .describe('Prefer different servers for long prompts and for streams with short pauses'),
+});
+
+/** Switches for decisions under load, with defaults filled in. */
+export type TrafficPolicy = z.output<typeof trafficPolicySchema>;
+
 /** Settings of an instance that passes requests through. */
 export const relaySettingsSchema = z.strictObject({
   instanceId: z.string().min(1),
@@ -34,6 +61,7 @@
     .number()
     .min(1_000)
     .describe('Time between the signal to stop and the moment at which the process is killed, ms'),
+  trafficPolicy: trafficPolicySchema.prefault({}),
 });
 
 /** Settings with defaults filled in. */
