Schedule the return of refused callers per service, the more urgent first

Each kind of request had a schedule of its own, so that callers of two kinds that share servers were told to return at twice the rate at which requests are admitted. There is one schedule for each service now; a more urgent caller does not wait behind less urgent ones, and moves them back by one place. A caller that would return too late to be served before its deadline gets no time, and takes no place.

--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -13,13 +13,14 @@
   ModelDemand,
   PredictionCorrection,
   PrefixCacheView,
+  RefusedRequest,
   ServerLoads,
   ServiceSpeeds,
   SpillWindows,
 } from '../placement';
 import { createRefusals } from '../server-notices';
 import type { Refusals } from '../server-notices';
-import { requestClassKey } from './forwarding';
+import { answerDeadlineMs, requestClassKey } from './forwarding';
 import { createLocalServers } from './local-servers';
 import type { LocalChoice, LocalServersOptions, RestrictedServer } from './local-servers';
 import { createOtherRegions } from './other-regions';
@@ -40,7 +41,8 @@
   | {
       readonly kind: 'none';
       readonly reason: 'noServer' | 'overloaded' | 'serversLimited' | 'serversPaused';
-      readonly retryAfterMs: number;
+      /** Time after which its caller may retry, ms; undefined if it could not be served before its deadline then. */
+      readonly retryAfterMs: number | undefined;
       /** The server because of which the request is refused; undefined if there is none. */
       readonly basis: RefusalBasis | undefined;
     };
@@ -100,6 +102,8 @@
  * Maximum retry delay: callers have a few seconds in all, and follow a delay up to a third of them.
  */
 const MAX_RETRY_MS = 2_000;
+/** Time that a request needs at least when it returns, ms: a trip to a server and a short answer. */
+const MIN_SERVING_MS = 100;
 
 /**
  * Creates a router that sends requests to the servers of this region, or to instances of other
@@ -157,6 +161,14 @@
     return true;
   };
 
+  /** Returns what the retry schedule needs to know of a refused request. */
+  const returnOf = (plan: RequestPlan, minDelayMs: number): RefusedRequest => ({
+    service: plan.service,
+    priority: plan.priority,
+    minDelayMs,
+    latestReturnAtMs: answerDeadlineMs(plan) - Math.min(MIN_SERVING_MS, plan.objectiveMs),
+  });
+
   const refuse = (
     reason: (Destination & { kind: 'none' })['reason'],
     plan: RequestPlan,
@@ -168,7 +180,7 @@
     // here would delay the callers of this region.
     const retryAfterMs = plan.isForwarded
       ? minDelayMs
-      : retrySchedule.nextRetryAfterMs(requestClassKey(plan), minDelayMs, nowMs);
+      : retrySchedule.nextRetryAfterMs(returnOf(plan, minDelayMs), nowMs);
     return { kind: 'none', reason, retryAfterMs, basis };
   };
 
@@ -187,8 +199,8 @@
         // No caller is told to return before the end of the pause, however long that is.
         const spreadMs = plan.isForwarded
           ? 0
-          : pauseSchedule.nextRetryAfterMs(requestClassKey(plan), 0, nowMs + minDelayMs);
-        const retryAfterMs = minDelayMs + spreadMs;
+          : pauseSchedule.nextRetryAfterMs(returnOf(plan, 0), nowMs + minDelayMs);
+        const retryAfterMs = spreadMs === undefined ? undefined : minDelayMs + spreadMs;
         return { kind: 'none', reason: 'serversPaused', retryAfterMs, basis };
       }
       default:
@@ -235,7 +247,7 @@
     },
     waitMs: ({ service }) => localServers.waitMs(service),
     recordAdmitted(plan, nowMs) {
-      retrySchedule.recordAdmitted(requestClassKey(plan), nowMs);
+      retrySchedule.recordAdmitted(plan.service, nowMs);
     },
     recordPrompt(incarnationId, demand) {
       prefixes.recordPrompt(incarnationId, demand);
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -262,7 +262,8 @@
     if (to.kind === 'none') {
       // Where this region has no server for the request, it is served again only once another region takes it.
       const minRetryMs = to.basis === undefined ? (peerRetryAfterMs ?? 0) : 0;
-      const retryAfterMs = Math.max(to.retryAfterMs, minRetryMs);
+      const retryAfterMs =
+        to.retryAfterMs === undefined ? undefined : Math.max(to.retryAfterMs, minRetryMs);
       end.giveUp(end.mayHaveRun() ? lastFailure : to.reason, retryAfterMs, to.basis);
       return;
     }
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -10,6 +10,7 @@
 export { createPrefillPlanner } from './prefill-planner';
 export type { PrefillPlanner, PrefillPlan } from './prefill-planner';
 export { createRetryAfterSchedule } from './retry-after-schedule';
+export type { RefusedRequest } from './retry-after-schedule';
 export type { RetryAfterSchedule } from './retry-after-schedule';
 export { serverSampleSize, sampleServers } from './sample-servers';
 export { createServerLoads } from './server-load';
--- a/src/core/placement/retry-after-schedule.ts
+++ b/src/core/placement/retry-after-schedule.ts
@@ -1,17 +1,31 @@
+/** A refused request, as far as its return is concerned. */
+export interface RefusedRequest {
+  readonly service: string;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** Minimum delay of its return, ms. */
+  readonly minDelayMs: number;
+  /** Latest return with which it can be served before its deadline, monotonic ms. */
+  readonly latestReturnAtMs: number;
+}
+
 /** Computes when refused callers should retry. */
 export interface RetryAfterSchedule {
-  /** Records that a request of this kind was admitted. */
-  recordAdmitted(kind: string, nowMs: number): void;
-  /** Returns the delay after which a refused request of this kind should be retried, ms. */
-  nextRetryAfterMs(kind: string, minDelayMs: number, nowMs: number): number;
+  /** Records that a request to a service was admitted. */
+  recordAdmitted(service: string, nowMs: number): void;
+  /**
+   * Returns the delay after which a refused request should be retried, ms; undefined if it could not be served before its
+   * deadline then.
+   */
+  nextRetryAfterMs(request: RefusedRequest, nowMs: number): number | undefined;
 }
 
-interface KindSchedule {
+interface ServiceSchedule {
   /** Mean interval between two admitted requests, ms. */
   meanIntervalMs: number;
   lastAdmittedAtMs: number | undefined;
-  /** Latest scheduled retry of a refused request, monotonic ms. */
-  lastRetryAtMs: number;
+  /** Latest scheduled retry per priority, monotonic ms. */
+  readonly lastRetryAtMs: Map<number, number>;
 }
 
 /**
@@ -29,37 +43,56 @@
  * If all callers of a refused burst got the same delay, they would retry together and be refused again. Refusals would
  * come in waves with idle servers between them, and most callers would give up although servers have capacity a moment
  * later. So each refusal is scheduled after the previous one: callers retry in the order of their refusals, no faster
- * than requests of their kind have recently been admitted.
+ * than requests of their service have recently been admitted. All kinds of requests to a service share that rate, since
+ * they share its servers. The more urgent retry first: each of their retries moves those of the less urgent back.
  */
 export function createRetryAfterSchedule(maxDelayMs: number): RetryAfterSchedule {
-  const kinds = new Map<string, KindSchedule>();
+  const services = new Map<string, ServiceSchedule>();
 
-  const scheduleOf = (kind: string): KindSchedule => {
-    const existing = kinds.get(kind);
+  const scheduleOf = (service: string): ServiceSchedule => {
+    const existing = services.get(service);
     if (existing !== undefined) return existing;
-    const created = {
+    const created: ServiceSchedule = {
       meanIntervalMs: INITIAL_INTERVAL_MS,
       lastAdmittedAtMs: undefined,
-      lastRetryAtMs: 0,
+      lastRetryAtMs: new Map(),
     };
-    kinds.set(kind, created);
+    services.set(service, created);
     return created;
   };
 
+  /** Returns the latest scheduled retry of the given priority and of the more urgent ones. */
+  const lastRetryUpTo = ({ lastRetryAtMs }: ServiceSchedule, priority: number): number =>
+    [...lastRetryAtMs]
+      .filter(([scheduledPriority]) => scheduledPriority <= priority)
+      .reduce((latest, [, atMs]) => Math.max(latest, atMs), -Infinity);
+
+  /** Moves the retries that less urgent callers will be told back by one place. */
+  const delayLessUrgent = (schedule: ServiceSchedule, priority: number, nowMs: number): void => {
+    const { lastRetryAtMs, meanIntervalMs } = schedule;
+    for (const [other, atMs] of lastRetryAtMs) {
+      const delayedMs = Math.min(nowMs + maxDelayMs, atMs + meanIntervalMs);
+      if (other > priority && atMs > nowMs) lastRetryAtMs.set(other, delayedMs);
+    }
+  };
+
   return {
-    recordAdmitted(kind, nowMs) {
-      const schedule = scheduleOf(kind);
+    recordAdmitted(service, nowMs) {
+      const schedule = scheduleOf(service);
       if (schedule.lastAdmittedAtMs !== undefined) {
         const intervalMs = Math.min(MAX_INTERVAL_MS, nowMs - schedule.lastAdmittedAtMs);
         schedule.meanIntervalMs += (intervalMs - schedule.meanIntervalMs) * NEWEST_SAMPLE_WEIGHT;
       }
       schedule.lastAdmittedAtMs = nowMs;
     },
-    nextRetryAfterMs(kind, minDelayMs, nowMs) {
-      const schedule = scheduleOf(kind);
-      const nextAtMs = schedule.lastRetryAtMs + schedule.meanIntervalMs;
+    nextRetryAfterMs({ service, priority, minDelayMs, latestReturnAtMs }, nowMs) {
+      const schedule = scheduleOf(service);
+      const nextAtMs = lastRetryUpTo(schedule, priority) + schedule.meanIntervalMs;
       const retryAtMs = Math.min(nowMs + maxDelayMs, Math.max(nowMs + minDelayMs, nextAtMs));
-      schedule.lastRetryAtMs = retryAtMs;
+      // A caller that gives up before its turn takes no place.
+      if (retryAtMs > latestReturnAtMs) return undefined;
+      schedule.lastRetryAtMs.set(priority, retryAtMs);
+      delayLessUrgent(schedule, priority, nowMs);
       return retryAtMs - nowMs;
     },
   };
