Admit requests whose server would not be faster later

A request was refused if its first byte was predicted after the objective, even at a server with hardly any other work: the fixed time of first bytes is learned as prefill time, so that long prompts look late at idle servers. A refusal cannot help such a request, since no server is faster later. It is admitted now if the wait, without the prefill of its own prompt, is at most a tenth of the objective.

--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -91,6 +91,8 @@
  * that is refused immediately can be retried, and the others are in time.
  */
 const MAX_OBJECTIVE_MULTIPLE = 1;
+/** Wait at a server with hardly any other work, as a share of the objective: a few steps of its batch. */
+const MAX_IDLE_WAIT_SHARE = 0.1;
 /** Retry delay if no server is known: servers announce themselves about every second. */
 const NO_SERVER_RETRY_MS = 1_000;
 /**
@@ -154,7 +156,10 @@
     const { objectiveMs } = plan;
     if (predictedMs > plan.deadlineAtMs - nowMs) return false;
     const kind = requestClassKey(plan);
-    if (predictedMs > objectiveMs * MAX_OBJECTIVE_MULTIPLE) {
+    const isLate = predictedMs > objectiveMs * MAX_OBJECTIVE_MULTIPLE;
+    if (isLate) {
+      // The server would not be faster later, so that a refusal could not help.
+      if (predictedMs - ownPrefillMs <= objectiveMs * MAX_IDLE_WAIT_SHARE) return true;
       return sizeAdmission.admits({ kind, predictedMs, ownPrefillMs, objectiveMs });
     }
     sizeAdmission.recordInTime(kind, ownPrefillMs);
