State open requests per service in membership records

Cause: other regions know only the total of open requests of an instance, so a region whose other services are busy looks full for a service that has free slots there.

Change: records and load statements on the text encoding end with a list of [service, open requests], only of services with open requests, sent only with a changed load. An older release ignores the last field of a row, and its own shorter rows are read without it. Of two copies of one load, the one with the list wins, since an older release forwards it without. The size estimate of messages counts the list. The protobuf encoding is unchanged.

--- a/src/core/membership/compose-message.ts
+++ b/src/core/membership/compose-message.ts
@@ -1,6 +1,6 @@
 import type { GossipEntry } from '../gossip';
 import type { Change, ChangeLog } from '../change-log';
-import { MAX_LOAD_BYTES, memberBytes, statementBytes } from './messages';
+import { loadBytes, memberBytes, statementBytes } from './messages';
 import type { Cursors, ExchangeMessage } from './messages';
 import { livenessHash } from './liveness-hash';
 import type { SendBudget } from './send-budget';
@@ -119,7 +119,7 @@
         cursor: cursors.loads,
         limitBytes: Math.min(MAX_LOAD_BYTES_PER_MESSAGE, budget.availableBytes(nowMs)),
         budget,
-        sizeOf: () => MAX_LOAD_BYTES,
+        sizeOf: loadBytes,
         isRelevant: (change) =>
           isNewToRecipient(change) &&
           change.key !== recipient.instanceId &&
--- a/src/core/membership/exchange-text.ts
+++ b/src/core/membership/exchange-text.ts
@@ -10,6 +10,12 @@
  * membership traffic.
  */
 
+/** Last field of a row, so that releases without it ignore it, and rows of such releases are valid. */
+const openRequestsSchema = z
+  .array(z.tuple([z.string(), z.int().nonnegative()]).readonly())
+  .readonly()
+  .optional();
+
 const members = createRowCodec(
   z.object({
     instanceId: z.string().min(1),
@@ -29,6 +35,7 @@
     configurationSinceUnixMs: z.number(),
     configurationConfirmed: z.boolean(),
     watching: z.boolean(),
+    openRequestsByService: openRequestsSchema,
   }),
 );
 
@@ -43,6 +50,7 @@
     configurationSinceUnixMs: z.number(),
     configurationConfirmed: z.boolean(),
     watching: z.boolean(),
+    openRequestsByService: openRequestsSchema,
   }),
 );
 
--- a/src/core/membership/index.ts
+++ b/src/core/membership/index.ts
@@ -13,4 +13,5 @@
   MemberStatus,
   MembershipChanges,
   MembershipView,
+  ServiceRequests,
 } from './types';
--- a/src/core/membership/member-table.ts
+++ b/src/core/membership/member-table.ts
@@ -1,7 +1,7 @@
 import { xorHashes } from '../hashing';
 import { createChangeLog } from '../change-log';
 import type { ChangeLog } from '../change-log';
-import { compareLoads, mergeRecords, sameLiveness } from './merge';
+import { compareLoads, mergeRecords, sameLiveness, withLoad } from './merge';
 import { memberKey, livenessHash } from './liveness-hash';
 import {
   DEAD_MEMBER_RETENTION_MS,
@@ -153,7 +153,7 @@
       if (statement.loadSequence <= entry.forwardedLoadSequence) return;
       const { memberKey: key, wide, ...load }: LoadStatement = statement;
       const known: LoadState = entry.record;
-      if (compareLoads(known, load) < 0) entry.record = { ...entry.record, ...load };
+      if (compareLoads(known, load) < 0) entry.record = withLoad(entry.record, load);
       entry.forwardedLoadSequence = statement.loadSequence;
       loadLog.append(entry.record.instanceId, { ...load, memberKey: key, wide }, learnedFrom);
     },
--- a/src/core/membership/merge.test.ts
+++ b/src/core/membership/merge.test.ts
@@ -24,6 +24,10 @@
     configurationSinceUnixMs: fc.constant(0),
     configurationConfirmed: fc.boolean(),
     watching: fc.boolean(),
+    openRequestsByService: fc.option(
+      fc.constantFrom([['chat', 1] as const], [['chat', 2] as const]),
+      { nil: undefined },
+    ),
   },
   { noNullPrototype: true },
 );
@@ -115,6 +119,19 @@
     });
   }
 
+  // An instance of an older release forwards a load without the list. Whichever copy arrives first must not decide.
+  it('prefers the copy of a load that states the open requests per service', () => {
+    const detailed: MemberRecord = { ...base, openRequestsByService: [['chat', 3]] };
+    assert.deepEqual(mergeRecords(base, detailed), detailed);
+    assert.deepEqual(mergeRecords(detailed, base), detailed);
+  });
+
+  it('does not keep the list of an older load', () => {
+    const detailed: MemberRecord = { ...base, sequence: 9, openRequestsByService: [['chat', 3]] };
+    const newer = { ...base, loadSequence: 8, inFlightRequests: 40 };
+    assert.equal(mergeRecords(detailed, newer).openRequestsByService, undefined);
+  });
+
   it('keeps the newer load when the liveness is older', () => {
     const busier = { ...base, sequence: 1, loadSequence: 8, inFlightRequests: 40 };
     assert.deepEqual(mergeRecords(base, busier), {
--- a/src/core/membership/merge.ts
+++ b/src/core/membership/merge.ts
@@ -51,6 +51,7 @@
 function loadOf(record: LoadState): LoadState {
   const { loadSequence, inFlightRequests, configurationVersion, configurationDigest } = record;
   const { configurationSinceUnixMs, configurationConfirmed, watching } = record;
+  const { openRequestsByService } = record;
   return {
     loadSequence,
     inFlightRequests,
@@ -59,9 +60,21 @@
     configurationSinceUnixMs,
     configurationConfirmed,
     watching,
+    ...(openRequestsByService === undefined ? {} : { openRequestsByService }),
   };
 }
 
+/**
+ * Orders equal loads by whether they state the open requests per service: an instance of an older release forwards the
+ * load without them, and the statement that has them must win at whatever instance both arrive.
+ */
+function compareDetail(left: LoadState, right: LoadState): number {
+  return (
+    Number(left.openRequestsByService !== undefined) -
+    Number(right.openRequestsByService !== undefined)
+  );
+}
+
 /** Orders different records with equal sequences, which a correct instance never sends; any fixed order would do. */
 function compareContent(left: object, right: object): number {
   const leftText = JSON.stringify(left);
@@ -87,7 +100,16 @@
 
 /** Compares two loads of one life; the result is negative if `right` is the later one. */
 export function compareLoads(left: LoadState, right: LoadState): number {
-  return left.loadSequence - right.loadSequence || compareContent(loadOf(left), loadOf(right));
+  return (
+    left.loadSequence - right.loadSequence ||
+    compareDetail(left, right) ||
+    compareContent(loadOf(left), loadOf(right))
+  );
+}
+
+/** Returns the record with its load replaced; a list that `load` does not state is not kept from the record. */
+export function withLoad(record: MemberRecord, load: LoadState): MemberRecord {
+  return { ...livenessOf(record), ...loadOf(load) };
 }
 
 /** Merges two records of one instance. */
@@ -96,7 +118,7 @@
   if (lives !== 0) return lives > 0 ? left : right;
   const liveness = compareLiveness(left, right) >= 0 ? left : right;
   const load = compareLoads(left, right) >= 0 ? left : right;
-  return liveness === load ? liveness : { ...liveness, ...loadOf(load) };
+  return liveness === load ? liveness : withLoad(liveness, load);
 }
 
 /** Returns whether two records agree on the instance's liveness. */
--- a/src/core/membership/messages.ts
+++ b/src/core/membership/messages.ts
@@ -1,5 +1,5 @@
 import type { GossipEntry } from '../gossip';
-import type { LoadStatement, MemberRecord } from './types';
+import type { LoadState, LoadStatement, MemberRecord } from './types';
 
 /** Positions in an instance's change logs of members, load statements and gossip statements. */
 export interface Cursors {
@@ -44,8 +44,22 @@
 /** Size of a liveness hash on the wire, bytes. */
 export const LIVENESS_HASH_BYTES = 4;
 
-/** Maximum size of a load statement on the wire, bytes. */
-export const MAX_LOAD_BYTES = 36;
+/** Maximum size of a load statement without its requests per service on the wire, bytes. */
+const MAX_FIXED_LOAD_BYTES = 36;
+/** Size of the open requests of one service besides its name on the wire, bytes. */
+const SERVICE_REQUESTS_FIXED_BYTES = 8;
+
+function serviceRequestsBytes({ openRequestsByService = [] }: LoadState): number {
+  return openRequestsByService.reduce(
+    (sum, [service]) => sum + SERVICE_REQUESTS_FIXED_BYTES + service.length,
+    0,
+  );
+}
+
+/** Returns the approximate size of a load statement on the wire, bytes. */
+export function loadBytes(load: LoadState): number {
+  return MAX_FIXED_LOAD_BYTES + serviceRequestsBytes(load);
+}
 
 /** Returns the approximate size of a member on the wire, bytes. */
 export function memberBytes(member: MemberRecord): number {
@@ -55,7 +69,8 @@
     member.region.length +
     member.failureDomain.length +
     member.callerAddress.length +
-    member.peerAddress.length
+    member.peerAddress.length +
+    serviceRequestsBytes(member)
   );
 }
 
--- a/src/core/membership/self-record.ts
+++ b/src/core/membership/self-record.ts
@@ -1,5 +1,5 @@
 import { NEW_LIFE_PAUSE_THRESHOLD_MS } from './timing';
-import type { MemberRecord, SelfDescription } from './types';
+import type { MemberRecord, SelfDescription, ServiceRequests } from './types';
 
 /**
  * This instance's own record, including the number of its current life.
@@ -35,9 +35,23 @@
   readonly processToken: number;
 }
 
+function hasSameServiceRequests(
+  left: readonly ServiceRequests[] | undefined,
+  right: readonly ServiceRequests[] | undefined,
+): boolean {
+  if (left === undefined || right === undefined) return left === right;
+  return (
+    left.length === right.length &&
+    left.every(
+      ([service, count], index) => service === right[index]?.[0] && count === right[index][1],
+    )
+  );
+}
+
 function hasSameLoad(left: MemberRecord, right: SelfDescription): boolean {
   return (
     left.inFlightRequests === right.inFlightRequests &&
+    hasSameServiceRequests(left.openRequestsByService, right.openRequestsByService) &&
     left.configurationVersion === right.configurationVersion &&
     left.configurationDigest === right.configurationDigest &&
     left.configurationConfirmed === right.configurationConfirmed &&
--- a/src/core/membership/types.ts
+++ b/src/core/membership/types.ts
@@ -15,13 +15,23 @@
   readonly status: MemberStatus;
   readonly configurationVersion: number;
   readonly inFlightRequests: number;
+  /**
+   * Open requests per service, sorted by service, without the services that have none. Undefined if the instance does
+   * not state them: its release is older, or it uses the protobuf encoding.
+   */
+  readonly openRequestsByService?: readonly ServiceRequests[] | undefined;
 }
 
+/** Open requests of an instance at the servers of one service. */
+export type ServiceRequests = readonly [service: string, openRequests: number];
+
 /** Frequently changing fields of a member record, which spread separately from the others. */
 export interface LoadState {
   /** Increases with each change of load within one life. */
   readonly loadSequence: number;
   readonly inFlightRequests: number;
+  /** See {@link MemberState.openRequestsByService}. */
+  readonly openRequestsByService?: readonly ServiceRequests[] | undefined;
   readonly configurationVersion: number;
   /** First 32 bits of the SHA-256 of the configuration version's root. */
   readonly configurationDigest: number;
--- a/src/core/membership/view.ts
+++ b/src/core/membership/view.ts
@@ -199,6 +199,7 @@
           configurationSinceUnixMs: own.configurationSinceUnixMs,
           configurationConfirmed: own.configurationConfirmed,
           watching: own.watching,
+          openRequestsByService: own.openRequestsByService,
         },
         undefined,
       );
--- a/src/core/pass-through/index.ts
+++ b/src/core/pass-through/index.ts
@@ -8,6 +8,7 @@
 export { createStandbyConnections } from './standby-connections';
 export type { StandbyConnections } from './standby-connections';
 export type { ForwardPeer } from './other-regions';
+export { sumByService } from './region-room';
 export type { ServedRequest } from './request-end';
 export type { ServeDependencies } from './serve-request';
 export type { HeaderDialect, TokenCount } from './types';
--- a/src/core/pass-through/other-regions.ts
+++ b/src/core/pass-through/other-regions.ts
@@ -1,4 +1,5 @@
 import type { ConnectionPool } from '../exchanges';
+import type { ServiceRequests } from '../membership';
 import type { RegionOption, SpillWindows } from '../placement';
 import type { ServerRegistry } from '../server-registry';
 import type { RequestPlan, TriedDestinations } from './types';
@@ -10,6 +11,8 @@
   /** Address that accepts forwarded requests, `HOST:PORT`. */
   readonly forwardAddress: string;
   readonly inFlightRequests: number;
+  /** See `MemberState.openRequestsByService`. */
+  readonly openRequestsByService?: readonly ServiceRequests[] | undefined;
 }
 
 /** Chooses among the other regions in which a request may be served. */
--- a/src/core/relay-node/known-instances.ts
+++ b/src/core/relay-node/known-instances.ts
@@ -43,6 +43,7 @@
     region: member.region,
     forwardAddress: forwardAddress(member),
     inFlightRequests: member.inFlightRequests,
+    openRequestsByService: member.openRequestsByService,
   });
   const inRegion = () => membership.members().filter((member) => member.region === region);
   const mayBeAlive = ({ status }: MemberState) => status === 'alive' || status === 'suspect';
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -14,9 +14,10 @@
 import { createIntake, createLoopWatch } from '../intake';
 import type { EventLoopTurns } from '../intake';
 import { createMembership } from '../membership';
+import type { ServiceRequests } from '../membership';
 import { createMetrics } from '../metrics';
 import type { Metrics } from '../metrics';
-import { createStandbyConnections, openIngress } from '../pass-through';
+import { createStandbyConnections, openIngress, sumByService } from '../pass-through';
 import type { HeaderDialect, Ingress } from '../pass-through';
 import type { RandomSource } from '../random';
 import { createServerRegistry } from '../server-registry';
@@ -105,6 +106,7 @@
   const stopping = new AbortController();
   owned.defer(() => stopping.abort());
   let inFlightCount = () => 0;
+  let openRequestsByService = (): readonly ServiceRequests[] => [];
   let isWatching = () => false;
   let callerAddress = '';
   let peerAddress = '';
@@ -125,6 +127,7 @@
         callerAddress,
         peerAddress,
         inFlightRequests: inFlightCount(),
+        openRequestsByService: openRequestsByService(),
         configurationVersion: routes.current()?.table.version ?? 0,
         configurationDigest: 0,
         configurationSinceUnixMs: 0,
@@ -223,6 +226,7 @@
   };
   statements.onStatement(receiveStatement);
   inFlightCount = () => router.loads.totalInFlight();
+  openRequestsByService = () => sumByService(router.loads.ownLoads(), servers.all());
   const requestListeners: Ingress[] = [];
   const loopWatch = createLoopWatch();
   const intake = createIntake({ clock, turns: options.turns, random, logger, loopWatch });
