Divide requests that leave a region over the others by room

Cause: all instances see the same reports, a second old, and choose the same least utilized region until the next ones. Its utilization counts the requests of all services, so a busy other service hides free slots. Requests leave from 0.6 of their objective, so tight ones leave first, although the trip of 110 ms costs them most.

Change: room is the slots of the usable servers of the service less its open requests, or the total of an instance that states none per service. chooseRegion draws in proportion to room; the bounds of 0.75 and 1.5 stay, on the utilization of the service. A request leaves once it waits for two round trips (and 0.15 of its objective) besides its own prompt; from a round trip of 0.1 to 0.2 of the objective, the bound rises to 0.75 of the objective. It stays where it would be late after the trip even at an idle server. In the region, the less busy of two random instances gets it. The line request-placed has toRegionRoom, and a gauge counts the requests sent to each region. trafficPolicy.regionalRoom off gives the former choice. The round trip is a constant option, since nothing measures it.

--- a/src/core/metrics/create-metrics.ts
+++ b/src/core/metrics/create-metrics.ts
@@ -18,6 +18,13 @@
   callerGone(service: string): void;
   /** A value that is read when metrics are asked for. */
   gauge(name: string, help: string, read: () => number): void;
+  /** Values for each value of one label, read when metrics are asked for. The label must have few values. */
+  labelledGauge(
+    name: string,
+    help: string,
+    label: string,
+    read: () => ReadonlyMap<string, number>,
+  ): void;
   /** The text format and its content type. */
   export(): Promise<MetricsText>;
 }
@@ -134,6 +141,17 @@
         },
       });
     },
+    labelledGauge(name, help, label, read) {
+      const gauge = new Gauge({
+        name,
+        help,
+        labelNames: [label],
+        registers: [registry],
+        collect() {
+          for (const [key, value] of read()) gauge.set({ [label]: key }, value);
+        },
+      });
+    },
     async export() {
       return { contentType: registry.contentType, text: await registry.metrics() };
     },
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -33,10 +33,18 @@
   /** The server that may be asked first again, of those that may not be asked now. */
   | { readonly kind: 'restricted'; readonly server: RestrictedServer };
 
+/** An instance of another region. */
+export interface PeerDestination {
+  readonly kind: 'peer';
+  readonly peer: ForwardPeer;
+  /** Free slots of its region for the service of the request. */
+  readonly room?: number | undefined;
+}
+
 /** Next destination of a request. */
 export type Destination =
   | ({ readonly kind: 'server' } & LocalChoice)
-  | { readonly kind: 'peer'; readonly peer: ForwardPeer }
+  | PeerDestination
   | {
       readonly kind: 'none';
       readonly reason: 'noServer' | 'overloaded' | 'serversLimited' | 'serversPaused';
@@ -129,16 +137,22 @@
   /** Returns an instance of another region, if the request is better served there. */
   const choosePeer = (
     plan: RequestPlan,
-    localFirstByteMs: number | undefined,
+    best: LocalChoice | undefined,
     tried: TriedDestinations,
-  ): ForwardPeer | undefined => {
+  ): PeerDestination | undefined => {
     // A request is forwarded to another region at most once, so that it cannot circulate.
     if (plan.isForwarded) return undefined;
     const others = otherRegions.options(plan, tried);
-    const chosenRegion = chooseRegion({ localFirstByteMs, objectiveMs: plan.objectiveMs, others });
-    return chosenRegion.kind === 'remote'
-      ? otherRegions.pickPeer(chosenRegion.region, tried)
-      : undefined;
+    const choice = chooseRegion({
+      localFirstByteMs: best?.predictedMs,
+      objectiveMs: plan.objectiveMs,
+      others,
+      byRoom: otherRegions.roomInput(best?.ownPrefillMs ?? 0),
+    });
+    if (choice.kind !== 'remote') return undefined;
+    const peer = otherRegions.pickPeer(choice.region, tried);
+    const room = others.find(({ region }) => region === choice.region)?.room;
+    return peer && { kind: 'peer', peer, room };
   };
 
   /**
@@ -219,8 +233,8 @@
     spillWindows,
     choose(request, plan, tried, nowMs) {
       const { best, unreachable, restricted } = localServers.outlook(request, plan, tried, nowMs);
-      const peer = choosePeer(plan, best?.predictedMs, tried);
-      if (peer !== undefined) return { kind: 'peer', peer };
+      const peer = choosePeer(plan, best, tried);
+      if (peer !== undefined) return peer;
       // If no server is reachable and no other region helps, a server that is only suspected to be
       // unreachable is the best choice.
       const choice = best ?? unreachable;
--- a/src/core/pass-through/other-regions.ts
+++ b/src/core/pass-through/other-regions.ts
@@ -1,7 +1,8 @@
 import type { ConnectionPool } from '../exchanges';
 import type { ServiceRequests } from '../membership';
-import type { RegionOption, SpillWindows } from '../placement';
+import type { RegionOption, RoomInput, SpillWindows } from '../placement';
 import type { ServerRegistry } from '../server-registry';
+import { regionRoom } from './region-room';
 import type { RequestPlan, TriedDestinations } from './types';
 
 /** Another instance that can serve requests in its region. */
@@ -24,9 +25,11 @@
   /**
    * Returns an instance of the region that has not been tried; undefined if there is none. Prefers
    * an instance with an open connection: opening one takes two more one-way trips over the long
-   * link.
+   * link. With the choice by room, the one with fewer open requests of two random ones.
    */
   pickPeer(region: string, tried: TriedDestinations): ForwardPeer | undefined;
+  /** Returns the input of the choice by room; undefined if that is turned off. */
+  roomInput(ownPrefillMs: number): RoomInput | undefined;
 }
 
 /** Options of `createOtherRegions`. */
@@ -40,6 +43,13 @@
   readonly peers: () => readonly ForwardPeer[];
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
   readonly draw: () => number;
+  /**
+   * Whether requests that leave this region are divided over the others by room; on by default. If
+   * off, they go to the region with the least open requests of all services per slot.
+   */
+  readonly regionalRoom?: () => boolean;
+  /** Time of the trip to another region and back, ms; 110 by default, since nothing measures it. */
+  readonly roundTripMs?: number;
 }
 
 /**
@@ -49,16 +59,18 @@
  */
 export const PEER_IDLE_MS = 45_000;
 
+const DEFAULT_ROUND_TRIP_MS = 110;
+
 /** Creates a chooser that rates other regions by the reports and answers of their instances. */
 export function createOtherRegions(options: OtherRegionsOptions): OtherRegions {
   const { region, servers, windows, pool, draw } = options;
+  const usesRoom = options.regionalRoom ?? (() => true);
+  const roundTripMs = options.roundTripMs ?? DEFAULT_ROUND_TRIP_MS;
 
   const isAllowedIn = ({ homeRegions }: RequestPlan, other: string): boolean =>
     homeRegions.length === 0 || homeRegions.includes(other);
 
-  const utilization = (other: string, peers: readonly ForwardPeer[]): number => {
-    // Instances report their open requests of all services together, so all slots of the region
-    // count.
+  const totalUtilization = (other: string, peers: readonly ForwardPeer[]): number => {
     const slots = servers
       .all()
       .filter((server) => server.region === other && !server.isDraining)
@@ -69,6 +81,28 @@
     return inFlight / Math.max(1, slots);
   };
 
+  const toOption = (
+    { service }: RequestPlan,
+    other: string,
+    peers: readonly ForwardPeer[],
+  ): RegionOption => {
+    const there = peers.filter((peer) => peer.region === other);
+    const ofService = regionRoom(service, servers.usable(service, other), there);
+    return usesRoom()
+      ? { region: other, ...ofService }
+      : { region: other, room: ofService.room, utilization: totalUtilization(other, peers) };
+  };
+
+  /** Returns the one with fewer open requests of two random candidates. */
+  const lessBusy = (candidates: readonly ForwardPeer[]): ForwardPeer | undefined => {
+    const firstIndex = Math.floor(draw() * candidates.length);
+    const first = candidates[firstIndex];
+    const others = candidates.filter((_candidate, index) => index !== firstIndex);
+    const second = others[Math.floor(draw() * others.length)];
+    if (first === undefined || second === undefined) return first;
+    return second.inFlightRequests < first.inFlightRequests ? second : first;
+  };
+
   const regionsWithServers = (plan: RequestPlan): readonly string[] => {
     const regions = new Set(options.peers().map((peer) => peer.region));
     return [...regions]
@@ -83,7 +117,7 @@
       return regionsWithServers(plan)
         .filter((other) => !tried.refusingRegions.has(other))
         .filter((other) => windows.hasCapacity(plan.service, other))
-        .map((other) => ({ region: other, utilization: utilization(other, peers) }));
+        .map((other) => toOption(plan, other, peers));
     },
     pickPeer(inRegion, tried) {
       const peers = options
@@ -93,7 +127,8 @@
         pool.hasIdleConnection(peer.forwardAddress, PEER_IDLE_MS),
       );
       const choices = connected.length > 0 ? connected : peers;
-      return choices[Math.floor(draw() * choices.length)];
+      return usesRoom() ? lessBusy(choices) : choices[Math.floor(draw() * choices.length)];
     },
+    roomInput: (ownPrefillMs) => (usesRoom() ? { ownPrefillMs, roundTripMs, draw } : undefined),
   };
 }
--- a/src/core/pass-through/request-log.ts
+++ b/src/core/pass-through/request-log.ts
@@ -67,7 +67,9 @@
 
 /** Returns the basis of the choice of a destination as log fields. */
 function placementFields(to: SendableDestination) {
-  return to.kind === 'peer' ? { toRegion: to.peer.region } : predictionFields(to);
+  return to.kind === 'peer'
+    ? { toRegion: to.peer.region, toRegionRoom: to.room }
+    : predictionFields(to);
 }
 
 /** Creates the log of one request. */
--- a/src/core/placement/placement.test.ts
+++ b/src/core/placement/placement.test.ts
@@ -100,8 +100,8 @@
 });
 
 describe('chooseRegion', () => {
-  const idle = { region: 'south', utilization: 0.2 };
-  const full = { region: 'east', utilization: 0.9 };
+  const idle = { region: 'south', utilization: 0.2, room: 80 };
+  const full = { region: 'east', utilization: 0.9, room: 10 };
   const input = { objectiveMs: 800, others: [full, idle] };
   const cases = [
     {
--- a/src/core/placement/spill-windows.ts
+++ b/src/core/placement/spill-windows.ts
@@ -2,6 +2,8 @@
 export interface SpillWindows {
   /** Whether another request may be sent to the region. */
   hasCapacity(service: string, region: string): boolean;
+  /** Returns the number of requests sent to each region so far. */
+  sentByRegion(): ReadonlyMap<string, number>;
   /** Records that a request is sent to a region. */
   begin(service: string, region: string): void;
   /** Records the first byte, refusal or end of a request, whichever is first. */
@@ -78,6 +80,7 @@
  */
 export function createSpillWindows(): SpillWindows {
   const windows = new Map<string, SpillWindow>();
+  const sent = new Map<string, number>();
 
   const windowOf = (service: string, region: string): SpillWindow => {
     const key = `${service}/${region}`;
@@ -105,7 +108,9 @@
       const { waiting, limit } = windowOf(service, region);
       return waiting < Math.floor(limit);
     },
+    sentByRegion: () => sent,
     begin(service, region) {
+      sent.set(region, (sent.get(region) ?? 0) + 1);
       const window = windowOf(service, region);
       window.waiting += 1;
       if (window.waiting >= Math.floor(window.limit)) window.growthCredits = window.waiting;
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -138,6 +138,7 @@
     peers: instances.peers,
     instancesInRegion: instances.countInRegion,
     draw: () => random.next(),
+    regionalRoom: () => options.settings().trafficPolicy.regionalRoom,
   });
   const loadSender = createLoadBroadcaster({
     selfId: instanceId,
@@ -181,6 +182,13 @@
     'Backend servers in a pause that they asked for',
     notices.pausedCount,
   );
+  // Only regions of the settings have servers, so there are as many labels as regions.
+  options.metrics.labelledGauge(
+    'coltsfootworks_requests_sent_to_region',
+    'Requests sent to instances of another region',
+    'region',
+    router.spillWindows.sentByRegion,
+  );
   const guard = owned.add(
     createPoisonGuard({
       clock,
