--- a/src/core/metrics/create-metrics.test.ts
+++ b/src/core/metrics/create-metrics.test.ts
@@ -25,6 +25,16 @@
     assert.match(text, /refusals_total\{refusal="overloaded",outcome="notRun"\} 1/);
   });
 
+  it('reads gauges with one label when asked', async () => {
+    const metrics = createMetrics();
+    const values = new Map([['south', 1]]);
+    metrics.labelledGauge('coltsfootworks_test', 'A test value', 'region', () => values);
+    values.set('south', 4).set('east', 2);
+    const { text } = await metrics.export();
+    assert.match(text, /coltsfootworks_test\{region="south"\} 4/);
+    assert.match(text, /coltsfootworks_test\{region="east"\} 2/);
+  });
+
   it('counts requests by the servers that each was sent to, many of them under one label', async () => {
     const metrics = createMetrics();
     for (const count of [1, 1, 2, 6, 40]) metrics.attempts('stock', count);
--- a/src/core/pass-through/create-router.test.ts
+++ b/src/core/pass-through/create-router.test.ts
@@ -118,6 +118,25 @@
 }
 
 const SOUTH = [peer('b-1'), peer('b-2')];
+const SOUTH_PEER = peer('b-1');
+
+describe('a request that leaves its region', () => {
+  // The log line of a placement has the room, by which an operator sees why a region was chosen.
+  it('states the room of the region that it is sent to', () => {
+    const region = createNorthInstance([{ ...SOUTH_PEER, openRequestsByService: [[CHAT, 14]] }]);
+    region.announce('s-1', 'south-a');
+    const to = region.choose();
+    assert.deepEqual(to, {
+      kind: 'peer',
+      peer: { ...SOUTH_PEER, openRequestsByService: [[CHAT, 14]] },
+      room: 50,
+    });
+    assert.equal(to.kind, 'peer');
+    if (to.kind !== 'peer') return;
+    region.observe(to);
+    assert.deepEqual([...region.router.spillWindows.sentByRegion()], [['south', 1]]);
+  });
+});
 
 describe('a region that has lost its servers', () => {
   // All servers of the north fail at once. What is known of the south is outdated: it looks idle
