--- a/src/core/load-sharing/index.ts
+++ b/src/core/load-sharing/index.ts
@@ -1,7 +1,7 @@
 /** Shares the load that each instance of a region puts on its backend servers with the other instances. */
 export { createPeerLoads } from './create-peer-loads';
 export type { PeerLoads } from './create-peer-loads';
-export { createLoadBroadcaster } from './create-load-broadcaster';
+export { createLoadBroadcaster, updateIntervalMs } from './create-load-broadcaster';
 export type { LoadBroadcaster, LoadBroadcasterOptions } from './create-load-broadcaster';
 export { createCachedPartsBuffer } from './create-cached-parts-buffer';
 export type { CachedPartsBuffer } from './create-cached-parts-buffer';
