Apply the shares of accounts to requests, and send the reports

The router asks the share of a request's account before its first destination is chosen and records its demand once; requests without an account and forwarded ones are left alone. A request over its share is refused as overloaded, with a retry schedule of its own, since hundreds of such refusals would delay the callers of other accounts. Its log line has the account and the admitted share. Reports are sent on the tick and received with the other statements; trafficPolicy.accountShares turns all of it off.

--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -1,3 +1,4 @@
+import type { AccountShares } from '../account-shares';
 import {
   chooseRegion,
   createPredictionCorrection,
@@ -20,8 +21,14 @@
 import { createRefusals } from '../server-notices';
 import type { Refusals } from '../server-notices';
 import { requestClassKey } from './forwarding';
+import { createShareGate } from './share-gate';
 import { createLocalServers } from './local-servers';
-import type { LocalChoice, LocalServersOptions, RestrictedServer } from './local-servers';
+import type {
+  LocalChoice,
+  LocalChoices,
+  LocalServersOptions,
+  RestrictedServer,
+} from './local-servers';
 import { createOtherRegions } from './other-regions';
 import type { ForwardPeer, OtherRegionsOptions } from './other-regions';
 import type { InboundRequest, RequestPlan, TriedDestinations } from './types';
@@ -31,7 +38,9 @@
   /** The best server of this region; its first byte would come too late. */
   | { readonly kind: 'tooSlow'; readonly best: LocalChoice }
   /** The server that may be asked first again, of those that may not be asked now. */
-  | { readonly kind: 'restricted'; readonly server: RestrictedServer };
+  | { readonly kind: 'restricted'; readonly server: RestrictedServer }
+  /** The client account gets only a share of what it asks for, since the service is scarce. */
+  | { readonly kind: 'overShare'; readonly admittedShare: number };
 
 /** Next destination of a request. */
 export type Destination =
@@ -79,6 +88,8 @@
   Omit<OtherRegionsOptions, 'windows'> & {
     /** Record of refusals; a new one by default. */
     readonly refusals?: Refusals;
+    /** Shares of accounts of scarce services; none by default. */
+    readonly accountShares?: AccountShares;
     /** Called with the shared prompt parts that a server has cached for a request from this instance. */
     readonly onPartsCached: (incarnationId: string, partIds: readonly string[]) => void;
   };
@@ -116,6 +127,8 @@
   const sizeAdmission = createSizeAdmission(options.draw);
   const retrySchedule = createRetryAfterSchedule(MAX_RETRY_MS);
   const pauseSchedule = createRetryAfterSchedule(MAX_RETRY_MS);
+  const shareSchedule = createRetryAfterSchedule(MAX_RETRY_MS);
+  const shareGate = createShareGate(options.accountShares);
   const localServers = createLocalServers({
     ...options,
     loads,
@@ -172,6 +185,21 @@
     return { kind: 'none', reason, retryAfterMs, basis };
   };
 
+  /**
+   * Refuses a request of an account that is over its share. These callers have a retry schedule of their own; in that of
+   * all others, the many refusals of one account would delay the callers of the accounts within their share.
+   */
+  const refuseOverShare = (
+    plan: RequestPlan,
+    admittedShare: number,
+    nowMs: number,
+  ): Destination => ({
+    kind: 'none',
+    reason: 'overloaded',
+    retryAfterMs: shareSchedule.nextRetryAfterMs(requestClassKey(plan), MIN_RETRY_MS, nowMs),
+    basis: { kind: 'overShare', admittedShare },
+  });
+
   /** Refuses a request because of what the servers of this region have stated. */
   const refuseRestricted = (
     plan: RequestPlan,
@@ -210,6 +238,27 @@
       : refuse('noServer', plan, NO_SERVER_RETRY_MS, nowMs);
   };
 
+  const chooseAmong = (
+    { best, unreachable, restricted }: LocalChoices,
+    plan: RequestPlan,
+    tried: TriedDestinations,
+    nowMs: number,
+  ): Destination => {
+    const peer = choosePeer(plan, best?.predictedMs, tried);
+    if (peer !== undefined) return { kind: 'peer', peer };
+    // If no server is reachable and no other region helps, a server that is only suspected to be
+    // unreachable is the best choice.
+    const choice = best ?? unreachable;
+    if (choice === undefined) return refuseWithoutServer(plan, restricted, nowMs);
+    if (!isAdmitted(choice, plan, nowMs)) {
+      const minDelayMs = Math.max(MIN_RETRY_MS, choice.predictedMs - plan.objectiveMs);
+      return refuse('overloaded', plan, minDelayMs, nowMs, { kind: 'tooSlow', best: choice });
+    }
+    const { server } = choice;
+    if (server.coldUntilMs > nowMs) coldServerLimiter.recordSent(server.incarnationId, nowMs);
+    return { kind: 'server', ...choice };
+  };
+
   return {
     loads,
     refusals,
@@ -218,24 +267,17 @@
     correction,
     spillWindows,
     choose(request, plan, tried, nowMs) {
-      const { best, unreachable, restricted } = localServers.outlook(request, plan, tried, nowMs);
-      const peer = choosePeer(plan, best?.predictedMs, tried);
-      if (peer !== undefined) return { kind: 'peer', peer };
-      // If no server is reachable and no other region helps, a server that is only suspected to be
-      // unreachable is the best choice.
-      const choice = best ?? unreachable;
-      if (choice === undefined) return refuseWithoutServer(plan, restricted, nowMs);
-      if (!isAdmitted(choice, plan, nowMs)) {
-        const minDelayMs = Math.max(MIN_RETRY_MS, choice.predictedMs - plan.objectiveMs);
-        return refuse('overloaded', plan, minDelayMs, nowMs, { kind: 'tooSlow', best: choice });
-      }
-      const { server } = choice;
-      if (server.coldUntilMs > nowMs) coldServerLimiter.recordSent(server.incarnationId, nowMs);
-      return { kind: 'server', ...choice };
+      const choices = localServers.outlook(request, plan, tried, nowMs);
+      const verdict = shareGate.check(request, plan, choices.best, nowMs);
+      if (!verdict.isAdmitted) return refuseOverShare(plan, verdict.admittedShare, nowMs);
+      const destination = chooseAmong(choices, plan, tried, nowMs);
+      shareGate.record(request, plan, choices.best, destination, nowMs);
+      return destination;
     },
     waitMs: ({ service }) => localServers.waitMs(service),
     recordAdmitted(plan, nowMs) {
       retrySchedule.recordAdmitted(requestClassKey(plan), nowMs);
+      shareSchedule.recordAdmitted(requestClassKey(plan), nowMs);
     },
     recordPrompt(incarnationId, demand) {
       prefixes.recordPrompt(incarnationId, demand);
--- a/src/core/pass-through/request-log.ts
+++ b/src/core/pass-through/request-log.ts
@@ -60,6 +60,8 @@
       return basis.server.kind === 'limited'
         ? { limitedServer: basis.server.incarnationId }
         : { pausedServer: basis.server.incarnationId };
+    case 'overShare':
+      return { admittedShare: Number(basis.admittedShare.toFixed(3)) };
     default:
       return basis satisfies never;
   }
--- a/src/core/placement/types.ts
+++ b/src/core/placement/types.ts
@@ -9,6 +9,8 @@
   /** Parts in order; the last one is specific to the request. */
   readonly parts: readonly PromptPart[];
   readonly promptTokens: number;
+  /** Maximum number of tokens of the answer; undefined if the request does not state it. */
+  readonly outputTokens?: number | undefined;
 }
 
 /** A server's own report of its load. */
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -1,3 +1,4 @@
+import { createAccountShares } from '../account-shares';
 import type { Clock } from '../clock';
 import type { PoisonOptions } from '../configuration';
 import type { Logger } from '../events';
@@ -76,13 +77,13 @@
 export interface ServingContext extends ServeDependencies {
   /** Drops the state of servers that are no longer registered, which would otherwise accumulate. */
   forgetRemovedServers(): void;
-  /** Processes a message on what servers state in their answers; returns whether the text was a valid one. */
+  /** Processes a message on what servers state or accounts demand; returns whether the text was a valid one. */
   receiveServerMessage(text: string): boolean;
   /** Sends what is due on what servers state in their answers to the other instances of the region. */
   sendServerMessages(): void;
   /** Applies a load update received from another instance. */
   receiveLoadUpdate(text: string): void;
-  /** Sends this instance's load to the other instances of its region if it is due. */
+  /** Sends this instance's load and the demand of its accounts to the other instances of its region if it is due. */
   sendLoad(): void;
 }
 
@@ -121,7 +122,22 @@
   });
   const peerLoads = createPeerLoads();
   const cachedParts = createCachedPartsBuffer();
+  /** Returns the addresses of the other instances of the region. */
+  const addressesInRegion = () =>
+    instances
+      .peers()
+      .filter((peer) => peer.region === region)
+      .map((peer) => peer.forwardAddress);
+  const accountShares = createAccountShares({
+    selfId: instanceId,
+    incarnation: clock.unixMs(),
+    isEnabled: () => options.settings().trafficPolicy.accountShares,
+    addresses: addressesInRegion,
+    send: options.sendStatement,
+    draw: () => random.next(),
+  });
   const router = createRouter({
+    accountShares,
     otherLoads: peerLoads,
     onPartsCached: cachedParts.add,
     region,
@@ -143,11 +159,7 @@
     selfId: instanceId,
     servers: router.loads.ownLoads,
     cachedParts,
-    addresses: () =>
-      instances
-        .peers()
-        .filter((peer) => peer.region === region)
-        .map((peer) => peer.forwardAddress),
+    addresses: addressesInRegion,
     send: options.sendStatement,
   });
   const { followedSinceMs } = options;
@@ -181,6 +193,16 @@
     'Backend servers in a pause that they asked for',
     notices.pausedCount,
   );
+  options.metrics.gauge(
+    'coltsfootworks_scarce_services',
+    'Services whose servers lately had no room for requests of client accounts',
+    () => accountShares.scarceCount(clock.monotonicMs()),
+  );
+  options.metrics.gauge(
+    'coltsfootworks_accounts_over_share',
+    'Client accounts that get less than they ask for, added over scarce services',
+    () => accountShares.overShareCount(clock.monotonicMs()),
+  );
   const guard = owned.add(
     createPoisonGuard({
       clock,
@@ -217,7 +239,10 @@
     onReplaced: servers.markReplaced,
     onDone: createRequestCounter(options.metrics),
     onRefused: (reason, service) => options.metrics.refused(reason, service),
-    receiveServerMessage: (text) => limits.receive(text) || notices.receive(text),
+    receiveServerMessage: (text) =>
+      limits.receive(text) ||
+      notices.receive(text) ||
+      accountShares.receive(text, clock.monotonicMs()),
     sendServerMessages() {
       limits.runDue();
       notices.runDue();
@@ -232,6 +257,7 @@
       const nowMs = clock.monotonicMs();
       peerLoads.removeExpired(nowMs);
       loadSender.sendIfDue(nowMs);
+      accountShares.sendIfDue(nowMs);
     },
     forgetRemovedServers() {
       const knownIds = new Set(servers.all().map((server) => server.incarnationId));
