--- a/src/core/account-shares/account-shares.test.ts
+++ b/src/core/account-shares/account-shares.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { createMemoryLogger } from '../../testing';
 import { createAccountShares } from '.';
 import type { AccountSharesOptions, DemandOutcome } from '.';
 import { admittedShares } from './admitted-shares';
@@ -77,8 +78,10 @@
 
 function setUp(more: Partial<AccountSharesOptions> = {}) {
   const sent: string[] = [];
+  const logger = createMemoryLogger();
   const shares = createAccountShares({
     selfId: 'self',
+    logger,
     incarnation: 1,
     isEnabled: () => true,
     addresses: () => ['10.0.0.1:1', '10.0.0.2:1'],
@@ -100,7 +103,7 @@
   };
   const admits = (account: string, nowMs: number) =>
     shares.admits({ service: SERVICE, account }, nowMs);
-  return { shares, sent, load, admits };
+  return { shares, sent, load, admits, logger };
 }
 
 describe('a service', () => {
@@ -130,11 +133,19 @@
 
   // Refusals by shares alone would otherwise keep the service scarce for ever, while servers idle.
   it('is not scarce because of refusals by shares, or of those that say nothing about load', () => {
-    const { shares, load, admits } = setUp();
+    const { shares, load, admits, logger } = setUp();
     load('large', 0, 2_000);
+    assert.equal(shares.scarceCount(2_000), 1);
     load('large', 2_000, 7_000, ['admitted', 'refusedByShare', 'refusedOtherwise']);
     assert.equal(shares.scarceCount(7_000), 0);
     assert.ok(admits('large', 7_000).isAdmitted);
+    assert.deepEqual(
+      logger.lines.map(({ definition, fields }) => [definition.name, fields.service]),
+      [
+        ['service-scarce', SERVICE],
+        ['service-no-longer-scarce', SERVICE],
+      ],
+    );
   });
 
   // Reports of instances that have seen no refusal would otherwise keep the service scarce at one another.
--- a/src/core/account-shares/create-account-shares.ts
+++ b/src/core/account-shares/create-account-shares.ts
@@ -1,6 +1,8 @@
+import type { Logger } from '../events';
 import { updateIntervalMs } from '../load-sharing';
 import { admittedShares } from './admitted-shares';
 import type { Sample } from './admitted-shares';
+import { ACCOUNT_SHARE_EVENTS } from './events';
 import { createOwnDemand } from './create-own-demand';
 import type { OwnDemand } from './create-own-demand';
 import { createReceivedReports } from './create-received-reports';
@@ -12,6 +14,7 @@
 /** Options of {@link createAccountShares}. */
 export interface AccountSharesOptions {
   readonly selfId: string;
+  readonly logger: Logger;
   /** Start of this instance; a later start has a greater number. */
   readonly incarnation: number;
   readonly isEnabled: () => boolean;
@@ -206,6 +209,10 @@
     const isScarce = options.isEnabled() && sinceFullMs <= SCARCE_MS;
     const elapsedMs = Math.min(MAX_ELAPSED_MS, nowMs - state.computedAtMs);
     state.capacityCost = nextCapacityCost(state, sinceFullMs, elapsedMs, nowMs);
+    if (isScarce !== state.isScarce) {
+      const event = isScarce ? ACCOUNT_SHARE_EVENTS.scarce : ACCOUNT_SHARE_EVENTS.notScarce;
+      options.logger.event(event, { service });
+    }
     state.isScarce = isScarce;
     state.computedAtMs = nowMs;
     state.admittedShares = isScarce
--- a/src/core/account-shares/testing/simulate-shares.ts
+++ b/src/core/account-shares/testing/simulate-shares.ts
@@ -1,3 +1,4 @@
+import { createMemoryLogger } from '../../../testing';
 import { createSeededRandom } from '../../random';
 import { createAccountShares } from '..';
 import type { AccountShares } from '..';
@@ -95,6 +96,7 @@
     const random = createSeededRandom(load.seed * 100 + self);
     return createAccountShares({
       selfId: `i-${self}`,
+      logger: createMemoryLogger(),
       incarnation: 1,
       isEnabled: () => load.isEnabled ?? true,
       addresses: () =>
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -1,3 +1,4 @@
+import { ACCOUNT_SHARE_EVENTS } from '../account-shares/events';
 import { CALL_EVENTS } from '../calls/events';
 import { CALLER_LIMIT_EVENTS } from '../caller-limits/events';
 import { CONFIGURATION_EVENTS } from '../configuration/events';
@@ -61,6 +62,7 @@
   STATE_RELAY_EVENTS,
   SERVER_LIMIT_EVENTS,
   SERVER_NOTICE_EVENTS,
+  ACCOUNT_SHARE_EVENTS,
 ]
   .flatMap((events): EventDefinition[] => Object.values(events))
   .sort((left, right) => left.id - right.id);
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -130,6 +130,7 @@
       .map((peer) => peer.forwardAddress);
   const accountShares = createAccountShares({
     selfId: instanceId,
+    logger,
     incarnation: clock.unixMs(),
     isEnabled: () => options.settings().trafficPolicy.accountShares,
     addresses: addressesInRegion,
