Bound the waits of less urgent requests in admission

Cause: admission considered only the objective of each request. Change: the router records the demand of each request once, admits only where the wait is within the bound, and lets a request over it leave for another region. The line of a refusal has priority, waitMs and maxWaitMs. trafficPolicy. priorityAdmission turns it off. Requests that may not run in this region are not counted, since they compete for no server. The simulation has several kinds, and servers that read urgent prompts first.

--- a/src/core/pass-through/create-router.test.ts
+++ b/src/core/pass-through/create-router.test.ts
@@ -95,6 +95,7 @@
     notices: { waitMs: (incarnationId) => pausedMs.get(incarnationId) ?? 0 },
     peers: () => peers,
     instancesInRegion: () => 20,
+    priorityAdmission: true,
     draw: () => 0,
   });
   const clock = { monotonicMs: () => nowMs };
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -17,6 +17,7 @@
   ServiceSpeeds,
   SpillWindows,
 } from '../placement';
+import { createPriorityAdmission } from '../priority-admission';
 import { createRefusals } from '../server-notices';
 import type { Refusals } from '../server-notices';
 import { requestClassKey } from './forwarding';
@@ -28,8 +29,15 @@
 
 /** The server because of which a request is refused. */
 export type RefusalBasis =
-  /** The best server of this region; its first byte would come too late. */
-  | { readonly kind: 'tooSlow'; readonly best: LocalChoice }
+  /** The best server of this region; its first byte would come too late, or the wait before it is too long. */
+  | {
+      readonly kind: 'tooSlow';
+      readonly best: LocalChoice;
+      /** Predicted time to the first byte without the computation of the request's own prompt, ms. */
+      readonly waitMs: number;
+      /** Maximum wait of the request by its priority, ms. */
+      readonly maxWaitMs: number;
+    }
   /** The server that may be asked first again, of those that may not be asked now. */
   | { readonly kind: 'restricted'; readonly server: RestrictedServer };
 
@@ -79,6 +87,8 @@
   Omit<OtherRegionsOptions, 'windows'> & {
     /** Record of refusals; a new one by default. */
     readonly refusals?: Refusals;
+    /** Whether the waits of less urgent requests are bounded while more urgent ones arrive. */
+    readonly priorityAdmission: boolean;
     /** Called with the shared prompt parts that a server has cached for a request from this instance. */
     readonly onPartsCached: (incarnationId: string, partIds: readonly string[]) => void;
   };
@@ -101,6 +111,11 @@
  */
 const MAX_RETRY_MS = 2_000;
 
+/** Returns the predicted time to the first byte without the computation of the request's own prompt, ms. */
+function waitMsOf({ predictedMs, ownPrefillMs }: LocalChoice): number {
+  return predictedMs - ownPrefillMs;
+}
+
 /**
  * Creates a router that sends requests to the servers of this region, or to instances of other
  * regions if requests are better served there.
@@ -114,6 +129,9 @@
   const correction = createPredictionCorrection();
   const spillWindows = createSpillWindows();
   const sizeAdmission = createSizeAdmission(options.draw);
+  const priorityAdmission = createPriorityAdmission();
+  /** Requests whose demand is recorded: a request is chosen a destination for again at each retry. */
+  const recordedRequests = new WeakSet<InboundRequest>();
   const retrySchedule = createRetryAfterSchedule(MAX_RETRY_MS);
   const pauseSchedule = createRetryAfterSchedule(MAX_RETRY_MS);
   const localServers = createLocalServers({
@@ -126,16 +144,34 @@
   });
   const otherRegions = createOtherRegions({ ...options, windows: spillWindows });
 
+  /** Records the demand of a request once. One that may not run in this region competes for no server here. */
+  const recordDemand = (request: InboundRequest, plan: RequestPlan, nowMs: number): void => {
+    if (recordedRequests.has(request)) return;
+    recordedRequests.add(request);
+    const mayRunHere = plan.homeRegions.length === 0 || plan.homeRegions.includes(options.region);
+    if (mayRunHere) priorityAdmission.recordDemand(plan, nowMs);
+  };
+
+  /** Returns the maximum wait of a request that is admitted here, ms. */
+  const maxWaitMsOf = (plan: RequestPlan, nowMs: number): number =>
+    options.priorityAdmission ? priorityAdmission.maxWaitMs(plan, nowMs) : plan.objectiveMs;
+
   /** Returns an instance of another region, if the request is better served there. */
   const choosePeer = (
     plan: RequestPlan,
-    localFirstByteMs: number | undefined,
+    best: LocalChoice | undefined,
+    maxWaitMs: number,
     tried: TriedDestinations,
   ): ForwardPeer | undefined => {
     // A request is forwarded to another region at most once, so that it cannot circulate.
     if (plan.isForwarded) return undefined;
     const others = otherRegions.options(plan, tried);
-    const chosenRegion = chooseRegion({ localFirstByteMs, objectiveMs: plan.objectiveMs, others });
+    const chosenRegion = chooseRegion({
+      localFirstByteMs: best?.predictedMs,
+      objectiveMs: plan.objectiveMs,
+      isOverMaxWait: best !== undefined && waitMsOf(best) > maxWaitMs,
+      others,
+    });
     return chosenRegion.kind === 'remote'
       ? otherRegions.pickPeer(chosenRegion.region, tried)
       : undefined;
@@ -143,12 +179,19 @@
 
   /**
    * Returns whether a request may be sent to a server, by the predicted time to its first byte
-   * there. Records prompts that are in time, since the admission by size compares late ones to them.
+   * and the predicted wait there. The wait is without the computation of its own prompt, so that the bound by priority
+   * refuses no prompt for its size. Records prompts that are in time, since the admission by size compares late ones to them.
    */
-  const isAdmitted = (choice: LocalChoice, plan: RequestPlan, nowMs: number): boolean => {
+  const isAdmitted = (
+    choice: LocalChoice,
+    plan: RequestPlan,
+    maxWaitMs: number,
+    nowMs: number,
+  ): boolean => {
     const { predictedMs, ownPrefillMs } = choice;
     const { objectiveMs } = plan;
     if (predictedMs > plan.deadlineAtMs - nowMs) return false;
+    if (waitMsOf(choice) > maxWaitMs) return false;
     const kind = requestClassKey(plan);
     if (predictedMs > objectiveMs * MAX_OBJECTIVE_MULTIPLE) {
       return sizeAdmission.admits({ kind, predictedMs, ownPrefillMs, objectiveMs });
@@ -218,16 +261,20 @@
     correction,
     spillWindows,
     choose(request, plan, tried, nowMs) {
+      recordDemand(request, plan, nowMs);
+      const maxWaitMs = maxWaitMsOf(plan, nowMs);
       const { best, unreachable, restricted } = localServers.outlook(request, plan, tried, nowMs);
-      const peer = choosePeer(plan, best?.predictedMs, tried);
+      const peer = choosePeer(plan, best, maxWaitMs, tried);
       if (peer !== undefined) return { kind: 'peer', peer };
       // If no server is reachable and no other region helps, a server that is only suspected to be
       // unreachable is the best choice.
       const choice = best ?? unreachable;
       if (choice === undefined) return refuseWithoutServer(plan, restricted, nowMs);
-      if (!isAdmitted(choice, plan, nowMs)) {
-        const minDelayMs = Math.max(MIN_RETRY_MS, choice.predictedMs - plan.objectiveMs);
-        return refuse('overloaded', plan, minDelayMs, nowMs, { kind: 'tooSlow', best: choice });
+      if (!isAdmitted(choice, plan, maxWaitMs, nowMs)) {
+        const waitMs = waitMsOf(choice);
+        const excessMs = Math.max(choice.predictedMs - plan.objectiveMs, waitMs - maxWaitMs);
+        const basis: RefusalBasis = { kind: 'tooSlow', best: choice, waitMs, maxWaitMs };
+        return refuse('overloaded', plan, Math.max(MIN_RETRY_MS, excessMs), nowMs, basis);
       }
       const { server } = choice;
       if (server.coldUntilMs > nowMs) coldServerLimiter.recordSent(server.incarnationId, nowMs);
--- a/src/core/pass-through/request-log.ts
+++ b/src/core/pass-through/request-log.ts
@@ -55,7 +55,12 @@
     case undefined:
       return {};
     case 'tooSlow':
-      return { ...predictionFields(basis.best), bestServer: basis.best.server.incarnationId };
+      return {
+        ...predictionFields(basis.best),
+        bestServer: basis.best.server.incarnationId,
+        waitMs: Math.round(basis.waitMs),
+        maxWaitMs: Math.round(basis.maxWaitMs),
+      };
     case 'restricted':
       return basis.server.kind === 'limited'
         ? { limitedServer: basis.server.incarnationId }
@@ -125,6 +130,7 @@
         ...fields(),
         ...refusal,
         ...basisFields(basis),
+        priority: plan.priority,
         objectiveMs: plan.objectiveMs,
         promptTokens: request.demand?.promptTokens,
         totalMs: totalMs(),
--- a/src/core/pass-through/testing/simulate-admission.ts
+++ b/src/core/pass-through/testing/simulate-admission.ts
@@ -14,22 +14,36 @@
 
 /**
  * Simulates callers with prompts of all sizes, and instances that choose among the same servers.
- * Each server reads one prompt after the other. Time is simulated and advances in fixed steps.
+ * Each server reads one prompt at a time, a chunk after the other, and continues with the most urgent
+ * one after each chunk. Time is simulated and advances in fixed steps.
  */
 
 /** One request of a caller. */
 export interface Arrival {
+  readonly kind: SimulatedKind;
+  readonly atMs: number;
   readonly tokens: number;
   readonly wasAdmitted: boolean;
   /** Time to its first byte, ms; undefined if it was refused. */
   readonly firstByteMs: number | undefined;
 }
 
+/** Requests of one priority. */
+export interface SimulatedKind {
+  readonly priority: number;
+  readonly objectiveMs: number;
+  readonly sizes: PromptSizes;
+  /** Share of all requests. */
+  readonly share: number;
+}
+
 /** Parameters of a simulation. */
 export interface AdmissionLoad {
   readonly seed: number;
-  /** Request rate of all callers together. */
+  /** Request rate of all callers together; the mean if `rateFactor` is given. */
   readonly perSecond: number;
+  /** Returns the request rate at a time as a multiple of the mean; 1 by default. */
+  readonly rateFactor?: (atMs: number) => number;
   readonly instances: number;
   readonly servers: number;
   readonly durationMs: number;
@@ -40,8 +54,26 @@
   readonly restartEveryMs?: number;
   /** Sizes of prompts; by default, documents of about 9,000 tokens. */
   readonly sizes?: PromptSizes;
+  /** Kinds of requests; by default, one with the given sizes. */
+  readonly kinds?: readonly SimulatedKind[];
+  /** Fixed time of each first byte, ms: the round trip, a step of the batch, delay in the instance. */
+  readonly fixedMs?: number;
+  /** What is considered besides the latency objective of each request; the bound on waits by default. */
+  readonly priorityRule?: PriorityRule;
 }
 
+/** How requests of several priorities are admitted. */
+export type PriorityRule =
+  /** By the latency objective only. */
+  | 'none'
+  /** With the bound on the waits of less urgent requests. */
+  | 'maxWait'
+  /**
+   * By the share of each priority that the capacity has room for, from the demand of the last
+   * second, most urgent first. Stands for an exchange between the instances of a region.
+   */
+  | 'share';
+
 /** Log-normal distribution of prompt sizes, within bounds. */
 export interface PromptSizes {
   readonly medianTokens: number;
@@ -70,9 +102,13 @@
   account: undefined,
 };
 /** Time to read one prompt token, ms: the speed of large accelerators. */
-const READ_MS_PER_TOKEN = 0.02;
-/** Fixed time of each first byte, ms: the round trip, a step of the batch, delay in the instance. */
+export const READ_MS_PER_TOKEN = 0.02;
+/** Prompt tokens that a server reads before it may continue with a more urgent prompt. */
+const CHUNK_TOKENS = 2_000;
+/** Fixed time of each first byte by default, ms. */
 const FIXED_MS = 250;
+/** Interval at which the shares of priorities are computed from the demand since the last time, ms. */
+const SHARE_INTERVAL_MS = 1_000;
 /** Duration of an answer after its first byte, ms. */
 const ANSWER_MS = 1_000;
 const CALLER_TIMEOUT_MS = 5_000;
@@ -132,6 +168,7 @@
       notices: { waitMs: () => 0 },
       peers: () => [],
       instancesInRegion: () => load.instances,
+      priorityAdmission: (load.priorityRule ?? 'maxWait') === 'maxWait',
       draw: () => random.next(),
     });
     starts += 1;
@@ -154,13 +191,108 @@
   };
 }
 
+interface WaitingPrompt {
+  readonly priority: number;
+  remainingTokens: number;
+  /** Called when the prompt has been read. */
+  readonly onRead: (atMs: number) => void;
+}
+
+/** A server that reads one prompt at a time, the most urgent first. */
+interface SimulatedReader {
+  add(prompt: WaitingPrompt, nowMs: number): void;
+  /** Reads up to a time. */
+  advance(toMs: number): void;
+}
+
+function createReader(): SimulatedReader {
+  const waiting: WaitingPrompt[] = [];
+  let readUntilMs = 0;
+  const advance = (toMs: number): void => {
+    for (;;) {
+      const next = waiting[0];
+      if (next === undefined || readUntilMs >= toMs) return;
+      const tokens = Math.min(CHUNK_TOKENS, next.remainingTokens);
+      next.remainingTokens -= tokens;
+      readUntilMs += tokens * READ_MS_PER_TOKEN;
+      if (next.remainingTokens > 0) continue;
+      waiting.shift();
+      next.onRead(readUntilMs);
+    }
+  };
+  return {
+    add(prompt, nowMs) {
+      advance(nowMs);
+      if (waiting.length === 0) readUntilMs = Math.max(readUntilMs, nowMs);
+      const behind = waiting.findIndex(({ priority }) => priority > prompt.priority);
+      waiting.splice(behind === -1 ? waiting.length : behind, 0, prompt);
+    },
+    advance,
+  };
+}
+
+/** Admits the share of each priority that the capacity of the last second had room for. */
+function createShareRule(servers: number, random: Random) {
+  const capacityTokens = (servers * SHARE_INTERVAL_MS) / READ_MS_PER_TOKEN;
+  let demandTokens = new Map<number, number>();
+  let shares = new Map<number, number>();
+  let computedAtMs = 0;
+  const compute = (): void => {
+    let roomTokens = capacityTokens;
+    shares = new Map();
+    for (const [priority, tokens] of [...demandTokens].sort(([left], [right]) => left - right)) {
+      shares.set(priority, Math.min(1, roomTokens / tokens));
+      roomTokens = Math.max(0, roomTokens - tokens);
+    }
+    demandTokens = new Map();
+  };
+  return {
+    admits(priority: number, tokens: number, nowMs: number): boolean {
+      if (nowMs - computedAtMs >= SHARE_INTERVAL_MS) {
+        computedAtMs = nowMs;
+        compute();
+      }
+      demandTokens.set(priority, (demandTokens.get(priority) ?? 0) + tokens);
+      return random.next() < (shares.get(priority) ?? 1);
+    },
+  };
+}
+
+/** Returns one of the kinds, drawn by their shares. */
+function drawKind(kinds: readonly SimulatedKind[], random: Random): SimulatedKind {
+  const [only] = kinds;
+  if (only !== undefined && kinds.length === 1) return only;
+  let rest = random.next() * kinds.reduce((sum, { share }) => sum + share, 0);
+  const drawn = kinds.find(({ share }) => {
+    rest -= share;
+    return rest < 0;
+  });
+  if (drawn === undefined) throw new Error('no kind to draw');
+  return drawn;
+}
+
 /** Simulates one load; the same seed gives the same arrivals. */
 export function simulateAdmission(load: AdmissionLoad): readonly Arrival[] {
   const random = createSeededRandom(load.seed);
   const instances = createInstances(load, random);
   let nowMs = 0;
   const clock = { monotonicMs: () => nowMs };
-  const readUntilMs = new Map<string, number>();
+  const fixedMs = load.fixedMs ?? FIXED_MS;
+  const kinds = load.kinds ?? [
+    {
+      priority: PLAN.priority,
+      objectiveMs: OBJECTIVE_MS,
+      sizes: load.sizes ?? DOCUMENTS,
+      share: 1,
+    },
+  ];
+  const readers = new Map<string, SimulatedReader>();
+  const readerOf = (serverId: string): SimulatedReader => {
+    const reader = readers.get(serverId) ?? createReader();
+    readers.set(serverId, reader);
+    return reader;
+  };
+  const shareRule = createShareRule(load.servers, random);
   const due: { atMs: number; run(): void }[] = [];
   const arrivals: Arrival[] = [];
   let nextAtMs = 0;
@@ -168,6 +300,7 @@
   let restarts = 0;
 
   const runDue = (): void => {
+    for (const reader of readers.values()) reader.advance(nowMs);
     for (const task of due.filter(({ atMs }) => atMs <= nowMs)) {
       due.splice(due.indexOf(task), 1);
       task.run();
@@ -186,10 +319,14 @@
   };
 
   const arrive = (): void => {
-    const tokens = drawTokens(load.sizes ?? DOCUMENTS, random);
+    const kind = drawKind(kinds, random);
+    const tokens = drawTokens(kind.sizes, random);
+    const arrival = { kind, atMs: nowMs, tokens };
     const request = requestWithPrompt(arrivals.length, tokens, nowMs);
     const plan = {
       ...PLAN,
+      priority: kind.priority,
+      objectiveMs: kind.objectiveMs,
       deadlineAtMs: nowMs + CALLER_TIMEOUT_MS,
       timeoutAtMs: nowMs + CALLER_TIMEOUT_MS,
     };
@@ -198,29 +335,41 @@
     if (instance === undefined) throw new Error('no instance to send to');
     const { router } = instance;
     const tried = { ids: new Set<string>(), refusingRegions: new Set<string>() };
-    const to = router.choose(request, plan, tried, nowMs);
-    if (to.kind !== 'server') {
-      arrivals.push({ tokens, wasAdmitted: false, firstByteMs: undefined });
+    const hasShare =
+      load.priorityRule !== 'share' || shareRule.admits(kind.priority, tokens, nowMs);
+    const to = hasShare ? router.choose(request, plan, tried, nowMs) : undefined;
+    if (to?.kind !== 'server') {
+      arrivals.push({ ...arrival, wasAdmitted: false, firstByteMs: undefined });
       return;
     }
-    const { serverId } = to.server;
-    const readAtMs = Math.max(nowMs, readUntilMs.get(serverId) ?? 0) + tokens * READ_MS_PER_TOKEN;
-    readUntilMs.set(serverId, readAtMs);
-    const firstByteAtMs = readAtMs + FIXED_MS;
-    arrivals.push({ tokens, wasAdmitted: true, firstByteMs: firstByteAtMs - nowMs });
+    const admitted: { -readonly [Key in keyof Arrival]: Arrival[Key] } = {
+      ...arrival,
+      wasAdmitted: true,
+      firstByteMs: undefined,
+    };
+    arrivals.push(admitted);
     const observer = observeDestination({ clock, router, request, plan }, to);
-    due.push({ atMs: firstByteAtMs, run: () => observer.recordFirstByte() });
-    due.push({ atMs: firstByteAtMs + ANSWER_MS, run: () => observer.recordEnd('answered') });
+    const onRead = (readAtMs: number): void => {
+      const firstByteAtMs = readAtMs + fixedMs;
+      admitted.firstByteMs = firstByteAtMs - arrival.atMs;
+      due.push({ atMs: firstByteAtMs, run: () => observer.recordFirstByte() });
+      due.push({ atMs: firstByteAtMs + ANSWER_MS, run: () => observer.recordEnd('answered') });
+    };
+    const prompt = { priority: kind.priority, remainingTokens: tokens, onRead };
+    readerOf(to.server.serverId).add(prompt, nowMs);
   };
 
   for (; nowMs < load.durationMs; nowMs += STEP_MS) {
     runDue();
     reportAndRestart();
     while (nextAtMs <= nowMs) {
-      nextAtMs += (-Math.log(1 - random.next()) * MS_PER_S) / load.perSecond;
+      const perSecond = load.perSecond * (load.rateFactor?.(nowMs) ?? 1);
+      nextAtMs += (-Math.log(1 - random.next()) * MS_PER_S) / perSecond;
       arrive();
     }
   }
+  // What has been admitted is still read.
+  for (const reader of readers.values()) reader.advance(Infinity);
   return arrivals;
 }
 
@@ -238,6 +387,15 @@
 
 /** Returns the share of arrivals whose first byte came within the objective. */
 export function inTimeShare(arrivals: readonly Arrival[]): number {
-  const inTime = arrivals.filter(({ firstByteMs = Infinity }) => firstByteMs <= OBJECTIVE_MS);
-  return inTime.length / Math.max(1, arrivals.length);
+  return arrivals.filter(isInTime).length / Math.max(1, arrivals.length);
+}
+
+function isInTime({ kind, firstByteMs = Infinity }: Arrival): boolean {
+  return firstByteMs <= kind.objectiveMs;
+}
+
+/** Returns the time that reading the prompts answered in time took, over all servers, ms. */
+export function readInTimeMs(arrivals: readonly Arrival[]): number {
+  const tokens = arrivals.filter(isInTime).reduce((sum, arrival) => sum + arrival.tokens, 0);
+  return tokens * READ_MS_PER_TOKEN;
 }
--- a/src/core/placement/choose-region.ts
+++ b/src/core/placement/choose-region.ts
@@ -11,6 +11,8 @@
   readonly localFirstByteMs: number | undefined;
   /** Latency objective of the request, ms. */
   readonly objectiveMs: number;
+  /** Whether the request would wait longer here than its priority allows, so that it is not admitted here. */
+  readonly isOverMaxWait: boolean;
   readonly others: readonly RegionOption[];
 }
 
@@ -52,14 +54,18 @@
  * idle. Without spillover, its callers would wait or be refused although servers elsewhere are free. If spillover
  * began too early, the requests of a short burst would cross the long link, have their prompts computed again there,
  * and occupy slots that the other region's callers need.
+ *
+ * A less urgent request whose wait is over the bound of its priority leaves even if it would be in time here: it would
+ * be refused, although a region with room could serve it.
  */
 export function chooseRegion(input: RegionInput): RegionChoice {
-  const { localFirstByteMs, objectiveMs, others } = input;
+  const { localFirstByteMs, objectiveMs, isOverMaxWait, others } = input;
   if (localFirstByteMs === undefined) {
     const region = leastUtilized(others, MAX_UTILIZATION_WITHOUT_LOCAL_SERVER)?.region;
     return region === undefined ? { kind: 'nowhere' } : { kind: 'remote', region };
   }
-  if (localFirstByteMs <= objectiveMs * MAX_LOCAL_OBJECTIVE_SHARE) return { kind: 'local' };
+  const isInTimeHere = localFirstByteMs <= objectiveMs * MAX_LOCAL_OBJECTIVE_SHARE;
+  if (isInTimeHere && !isOverMaxWait) return { kind: 'local' };
   const region = leastUtilized(others, MAX_SPILLOVER_UTILIZATION)?.region;
   return region === undefined ? { kind: 'local' } : { kind: 'remote', region };
 }
--- a/src/core/priority-admission/create-priority-admission.ts
+++ b/src/core/priority-admission/create-priority-admission.ts
@@ -1,11 +1,11 @@
 import type { PriorityAdmission, RequestKind } from './types';
 
 /**
- * Maximum wait of a less urgent request, as a share of the objective of a more urgent kind. Below the share at which
- * requests leave their region (0.6 of the objective), so that the waits of less urgent requests alone do not send
- * urgent ones over the long link.
+ * Maximum wait of a less urgent request, as a share of the objective of a more urgent kind. The rest is left for the
+ * prompt of an urgent request that follows. Predicted waits are up to three times the actual ones, so that smaller
+ * shares leave servers idle.
  */
-const MAX_WAIT_SHARE = 0.5;
+const MAX_WAIT_SHARE = 0.9;
 /**
  * Time after the last request of a kind for which its demand counts in full, ms. An instance of a large region sees
  * an urgent request only every few seconds.
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -137,6 +137,7 @@
     }),
     peers: instances.peers,
     instancesInRegion: instances.countInRegion,
+    priorityAdmission: options.settings().trafficPolicy.priorityAdmission,
     draw: () => random.next(),
   });
   const loadSender = createLoadBroadcaster({
