--- a/src/core/pass-through/testing/simulate-admission.ts
+++ b/src/core/pass-through/testing/simulate-admission.ts
@@ -11,6 +11,8 @@
   createServersOf,
   requestWithPrompt,
 } from './one-service';
+import { READ_MS_PER_TOKEN, createReader } from './prompt-reader';
+import type { SimulatedReader } from './prompt-reader';
 
 /**
  * Simulates callers with prompts of all sizes, and instances that choose among the same servers.
@@ -101,10 +103,6 @@
   isForwarded: false,
   account: undefined,
 };
-/** Time to read one prompt token, ms: the speed of large accelerators. */
-export const READ_MS_PER_TOKEN = 0.02;
-/** Prompt tokens that a server reads before it may continue with a more urgent prompt. */
-const CHUNK_TOKENS = 2_000;
 /** Fixed time of each first byte by default, ms. */
 const FIXED_MS = 250;
 /** Interval at which the shares of priorities are computed from the demand since the last time, ms. */
@@ -191,46 +189,6 @@
   };
 }
 
-interface WaitingPrompt {
-  readonly priority: number;
-  remainingTokens: number;
-  /** Called when the prompt has been read. */
-  readonly onRead: (atMs: number) => void;
-}
-
-/** A server that reads one prompt at a time, the most urgent first. */
-interface SimulatedReader {
-  add(prompt: WaitingPrompt, nowMs: number): void;
-  /** Reads up to a time. */
-  advance(toMs: number): void;
-}
-
-function createReader(): SimulatedReader {
-  const waiting: WaitingPrompt[] = [];
-  let readUntilMs = 0;
-  const advance = (toMs: number): void => {
-    for (;;) {
-      const next = waiting[0];
-      if (next === undefined || readUntilMs >= toMs) return;
-      const tokens = Math.min(CHUNK_TOKENS, next.remainingTokens);
-      next.remainingTokens -= tokens;
-      readUntilMs += tokens * READ_MS_PER_TOKEN;
-      if (next.remainingTokens > 0) continue;
-      waiting.shift();
-      next.onRead(readUntilMs);
-    }
-  };
-  return {
-    add(prompt, nowMs) {
-      advance(nowMs);
-      if (waiting.length === 0) readUntilMs = Math.max(readUntilMs, nowMs);
-      const behind = waiting.findIndex(({ priority }) => priority > prompt.priority);
-      waiting.splice(behind === -1 ? waiting.length : behind, 0, prompt);
-    },
-    advance,
-  };
-}
-
 /** Admits the share of each priority that the capacity of the last second had room for. */
 function createShareRule(servers: number, random: Random) {
   const capacityTokens = (servers * SHARE_INTERVAL_MS) / READ_MS_PER_TOKEN;
