--- a/src/core/pass-through/share-gate.test.ts
+++ b/src/core/pass-through/share-gate.test.ts
@@ -50,6 +50,7 @@
   const limitMs = { value: 0 };
   const router = createRouter({
     accountShares,
+    priorityAdmission: false,
     otherLoads: createPeerLoads(),
     onPartsCached() {},
     region: SIMULATED_REGION,
--- a/src/core/pass-through/testing/simulate-regions.ts
+++ b/src/core/pass-through/testing/simulate-regions.ts
@@ -255,6 +255,7 @@
     const localFirstByteMs = OWN_PREFILL_MS + waitMs(from.region);
     const triedDestinations: TriedDestinations = tried;
     const choice = chooseRegion({
+      isOverMaxWait: false,
       localFirstByteMs,
       objectiveMs: plan.objectiveMs,
       others: regions.options(plan, triedDestinations),
--- a/src/core/placement/choose-region.ts
+++ b/src/core/placement/choose-region.ts
@@ -23,6 +23,8 @@
   readonly localFirstByteMs: number | undefined;
   /** Latency objective of the request, ms. */
   readonly objectiveMs: number;
+  /** Whether the request would wait longer here than its priority allows, so that it is not admitted here. */
+  readonly isOverMaxWait: boolean;
   readonly others: readonly RegionOption[];
   /** Undefined for the choice of the least utilized region. */
   readonly byRoom?: RoomInput | undefined;
@@ -120,11 +122,14 @@
  * began too early, the requests of a short burst would cross the long link, have their prompts computed again there,
  * and occupy slots that the other region's callers need.
  *
+ * A less urgent request whose wait is over the bound of its priority leaves even if it would be in time here: it would
+ * be refused, although a region with room could serve it.
+ *
  * Reports of other regions are a second old. If all instances chose the least utilized region, they would fill it
  * within that time while the others stay idle; a draw in proportion to room divides their requests over all.
  */
 export function chooseRegion(input: RegionInput): RegionChoice {
-  const { localFirstByteMs, others, byRoom } = input;
+  const { localFirstByteMs, isOverMaxWait, others, byRoom } = input;
   const below = (maxUtilization: number): RegionOption | undefined => {
     const options = others.filter((option) => option.utilization < maxUtilization);
     return byRoom === undefined ? leastUtilized(options) : drawByRoom(options, byRoom.draw);
@@ -133,7 +138,7 @@
     const region = below(MAX_UTILIZATION_WITHOUT_LOCAL_SERVER)?.region;
     return region === undefined ? { kind: 'nowhere' } : { kind: 'remote', region };
   }
-  if (!leaves(localFirstByteMs, input)) return { kind: 'local' };
+  if (!isOverMaxWait && !leaves(localFirstByteMs, input)) return { kind: 'local' };
   const region = below(MAX_SPILLOVER_UTILIZATION)?.region;
   return region === undefined ? { kind: 'local' } : { kind: 'remote', region };
 }
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -154,6 +154,7 @@
     }),
     peers: instances.peers,
     instancesInRegion: instances.countInRegion,
+    priorityAdmission: options.settings().trafficPolicy.priorityAdmission,
     draw: () => random.next(),
     regionalRoom: () => options.settings().trafficPolicy.regionalRoom,
   });
