--- a/src/core/host-routes/types.ts
+++ b/src/core/host-routes/types.ts
@@ -58,6 +58,8 @@
    * cannot copy.
    */
   readonly copyMsPerToken: number | undefined;
+  /** Tokens of prompts and answers that a backend server can keep at a time; undefined if not stated. */
+  readonly memoryTokens: number | undefined;
 }
 
 /** Limits on the size of client requests and on how slowly they may be sent. */
--- a/src/core/pass-through/create-router.test.ts
+++ b/src/core/pass-through/create-router.test.ts
@@ -23,6 +23,7 @@
         coldRequestsPerSecond: 0,
         healthPath: '/health',
         copyMsPerToken: undefined,
+        memoryTokens: undefined,
       },
     ],
   ]),
--- a/src/core/pass-through/testing/one-service.ts
+++ b/src/core/pass-through/testing/one-service.ts
@@ -19,6 +19,7 @@
     coldRequestsPerSecond: 0,
     healthPath: '/health',
     copyMsPerToken: undefined,
+    memoryTokens: undefined,
   };
   routes.offer({
     version: 1,
--- a/src/core/state-sync/snapshot-message.ts
+++ b/src/core/state-sync/snapshot-message.ts
@@ -31,6 +31,7 @@
   coldRequestsPerSecond: z.number(),
   healthPath: z.string(),
   copyMsPerToken: z.number().optional(),
+  memoryTokens: z.number().optional(),
 });
 
 const accountSchema = z.object({
@@ -115,9 +116,9 @@
   switch (item.kind) {
     case 'routes': {
       const services = new Map<string, RoutedService>(
-        item.table.services.map(({ copyMsPerToken, ...service }) => [
+        item.table.services.map(({ copyMsPerToken, memoryTokens, ...service }) => [
           service.name,
-          { ...service, copyMsPerToken },
+          { ...service, copyMsPerToken, memoryTokens },
         ]),
       );
       const routes = item.table.routes.map(({ pauseObjectiveMs, ...route }) => ({
--- a/src/core/state-sync/state-sync.test.ts
+++ b/src/core/state-sync/state-sync.test.ts
@@ -266,6 +266,7 @@
       coldRequestsPerSecond: 2,
       healthPath: '/health',
       copyMsPerToken: 0.004,
+      memoryTokens: 1_500_000,
     };
     const table: PublishedItem = {
       kind: 'routes',
@@ -296,6 +297,31 @@
     const whole = state(7, [table, serverItem('s-1'), { kind: 'evacuation', failureDomain: 'x' }]);
     assert.deepEqual(parseSnapshot(serializeSnapshot(whole)), whole);
   });
+
+  // An instance that rejects the tables of older releases does not learn of any route during an update.
+  it('is read from releases that do not state the memory of servers', () => {
+    const service = {
+      name: 'app',
+      maxConnections: 3,
+      coldStartMs: 1,
+      coldRequestsPerSecond: 2,
+      healthPath: '/health',
+    };
+    const table = {
+      version: 4,
+      services: [service],
+      limits: { headerBytes: 1, bodyBytes: 2, headerTimeoutMs: 3, idleTimeoutMs: 4 },
+      accounts: null,
+      routes: [],
+    };
+    const older = JSON.parse(serializeSnapshot(state(7, [])));
+    const { items } = parseSnapshot(
+      JSON.stringify({ ...older, items: [{ kind: 'routes', table }] }),
+    );
+    const [item] = items;
+    const read = item?.kind === 'routes' ? item.table.services.get('app') : undefined;
+    assert.deepEqual(read, { ...service, copyMsPerToken: undefined, memoryTokens: undefined });
+  });
 });
 
 describe('the registry of servers', () => {
