Predict with the speed and the memory of each server

Placement predicted a slow server, and one whose memory is full, like any other, so their requests were late. The factor of a server multiplies its waiting, batch delay and prompt computation; requests beyond its memory count as queued. The lateness, the correction and the speed of the service no longer learn what the factor explains. The placement line has speedFactor, and trafficPolicy.serverSpeeds turns the part off. Servers that state neither are chosen as before.

--- a/src/core/pass-through/create-router.test.ts
+++ b/src/core/pass-through/create-router.test.ts
@@ -3,6 +3,8 @@
 import { createRouteTableStore } from '../host-routes';
 import type { RouteTable } from '../host-routes';
 import { createPeerLoads } from '../load-sharing';
+import { createServerSpeeds } from '../placement';
+import type { ServerSpeeds } from '../placement';
 import { createServerRegistry } from '../server-registry';
 import { createRouter } from './create-router';
 import { observeDestination } from './observe-destination';
@@ -59,7 +61,7 @@
 const NOTHING_TRIED: TriedDestinations = { ids: new Set(), refusingRegions: new Set() };
 
 /** Creates an instance of the region north with the given peers; `announce` adds servers. */
-function createNorthInstance(peers: readonly ForwardPeer[]) {
+function createNorthInstance(peers: readonly ForwardPeer[], serverSpeeds?: ServerSpeeds) {
   let nowMs = 0;
   const routes = createRouteTableStore();
   routes.offer(TABLE);
@@ -96,6 +98,7 @@
     notices: { waitMs: (incarnationId) => pausedMs.get(incarnationId) ?? 0 },
     peers: () => peers,
     instancesInRegion: () => 20,
+    serverSpeeds,
     draw: () => 0,
   });
   const clock = { monotonicMs: () => nowMs };
@@ -248,3 +251,57 @@
     assert.ok(new Set(waitsMs).size > 10);
   });
 });
+
+describe('a server that states that its work takes longer', () => {
+  const stateSlowdown = (serverSpeeds: ServerSpeeds | undefined) => {
+    const region = createNorthInstance([], serverSpeeds);
+    region.announce('s-1', 'north-a');
+    region.announce('s-2', 'north-a');
+    const first = region.choose();
+    if (first.kind !== 'server') throw new Error('no server');
+    const observer = region.observe(first);
+    observer.recordLoad({ running: 0, waiting: 0, slots: 64, slowdown: 2.5 });
+    observer.recordEnd('answered');
+    return { region, statedBy: first.server.serverId };
+  };
+
+  // Requests that are sent to a slow machine are late while another server is idle.
+  it('gets no request while an equal server is as usual', () => {
+    const { region, statedBy } = stateSlowdown(createServerSpeeds());
+    region.advanceMs(10);
+    const next = region.choose();
+    assert.ok(next.kind === 'server' && next.server.serverId !== statedBy);
+    assert.equal(next.speedFactor, 1);
+  });
+
+  it('is the same as the others if the setting is off', () => {
+    const { region, statedBy } = stateSlowdown(undefined);
+    const next = region.choose();
+    assert.ok(next.kind === 'server' && next.server.serverId === statedBy);
+    assert.equal(next.speedFactor, 1);
+  });
+
+  // If the predictions for all servers took over the slowness of one, requests would be refused that are in time.
+  it('does not change the predictions for the others', () => {
+    const predicted = [2.5, undefined].map((slowdown) => {
+      const region = createNorthInstance([], createServerSpeeds());
+      region.announce('s-1', 'north-a');
+      for (let count = 0; count < 50; count += 1) {
+        const to = region.choose();
+        if (to.kind !== 'server') throw new Error('no server');
+        const observer = region.observe(to);
+        observer.recordLoad({ running: 0, waiting: 0, slots: 64, slowdown: slowdown ?? 1 });
+        region.advanceMs(to.predictedMs);
+        observer.recordFirstByte();
+        region.advanceMs(200 * (slowdown ?? 1));
+        observer.recordEnd('answered');
+      }
+      region.announce('s-2', 'north-a');
+      const to = region.choose({ ids: new Set(['s-1']), refusingRegions: new Set() });
+      return to.kind === 'server' ? to.predictedMs : undefined;
+    });
+    const [afterSlow, afterUsual] = predicted;
+    assert.ok(afterSlow !== undefined && afterUsual !== undefined);
+    assert.ok(Math.abs(afterSlow / afterUsual - 1) < 0.1, `${afterSlow}, not ${afterUsual}`);
+  });
+});
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -14,6 +14,7 @@
   PredictionCorrection,
   PrefixCacheView,
   ServerLoads,
+  ServerSpeeds,
   ServiceSpeeds,
   SpillWindows,
 } from '../placement';
@@ -58,6 +59,8 @@
   readonly loads: ServerLoads;
   readonly refusals: Refusals;
   readonly speeds: ServiceSpeeds;
+  /** Speeds of single servers; undefined if all servers of a service count as equally fast. */
+  readonly serverSpeeds: ServerSpeeds | undefined;
   readonly prefixes: PrefixCacheView;
   readonly correction: PredictionCorrection;
   readonly spillWindows: SpillWindows;
@@ -214,6 +217,7 @@
     loads,
     refusals,
     speeds,
+    serverSpeeds: options.serverSpeeds,
     prefixes,
     correction,
     spillWindows,
@@ -249,6 +253,7 @@
       loads.keepOnly(known);
       refusals.keepOnly(known);
       prefixes.keepOnly(known);
+      options.serverSpeeds?.keepOnly(known);
       coldServerLimiter.keepOnly(known);
     },
   };
--- a/src/core/pass-through/local-servers.ts
+++ b/src/core/pass-through/local-servers.ts
@@ -1,7 +1,13 @@
 import type { ConnectionPool } from '../exchanges';
 import type { RouteTableStore, RoutedService } from '../host-routes';
 import type { PeerLoads } from '../load-sharing';
-import { chooseServer, serverSampleSize, sampleServers, createPrefillPlanner } from '../placement';
+import {
+  chooseServer,
+  memorySlots,
+  serverSampleSize,
+  sampleServers,
+  createPrefillPlanner,
+} from '../placement';
 import type {
   Candidate,
   PredictionCorrection,
@@ -9,6 +15,7 @@
   PrefillPlanner,
   PrefillPlan,
   ServerLoads,
+  ServerSpeeds,
   ServiceSpeeds,
 } from '../placement';
 import type { ServerLimits } from '../server-limits';
@@ -25,6 +32,10 @@
   readonly predictedMs: number;
   /** Predicted time to the first byte before the correction. */
   readonly rawPredictedMs: number;
+  /** Prediction for a server of usual speed with the same load, before the correction. */
+  readonly usualMs: number;
+  /** Factor of the time that the server takes for its work; 1 is the usual speed of the service. */
+  readonly speedFactor: number;
   /** Part of `predictedMs` that is spent on reading the request's own prompt. */
   readonly ownPrefillMs: number;
   /** Estimated prompt tokens that the server has to compute, without those that it copies. */
@@ -95,6 +106,8 @@
   /** Requests that the other instances of this region have in flight at its servers. */
   readonly otherLoads: PeerLoads;
   readonly speeds: ServiceSpeeds;
+  /** Speeds of single servers; undefined if all servers of a service count as equally fast. */
+  readonly serverSpeeds: ServerSpeeds | undefined;
   readonly prefixes: PrefixCacheView;
   readonly correction: PredictionCorrection;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
@@ -134,6 +147,7 @@
     refusals,
     otherLoads,
     speeds,
+    serverSpeeds,
     prefixes,
     correction,
   } = options;
@@ -159,6 +173,9 @@
   const pendingTokensOf = (incarnationId: string): number =>
     loads.pendingTokens(incarnationId) + otherLoads.pendingTokens(incarnationId);
 
+  const speedFactorOf = (incarnationId: string, nowMs: number): number =>
+    serverSpeeds?.factor(incarnationId, nowMs) ?? 1;
+
   const canReceive = (
     server: KnownServer,
     service: RoutedService | undefined,
@@ -199,20 +216,24 @@
 
   const toCandidate = (
     server: KnownServer,
+    request: InboundRequest,
     plan: RequestPlan,
     { uncachedTokens, copyableTokens }: PrefillPlan,
     refusalShare: number,
     nowMs: number,
   ): Candidate => {
     const { incarnationId, slots } = server;
+    const memoryTokens = routes.current()?.table.services.get(plan.service)?.memoryTokens;
     return {
       incarnationId,
       slots,
+      memorySlots: memorySlots(memoryTokens, request.demand, loads.openSizes(incarnationId)),
       load: loadOf(incarnationId, nowMs),
       pendingTokens: pendingTokensOf(incarnationId),
       uncachedTokens,
       copyableTokens,
       delayMs: loads.delayMs(incarnationId, nowMs),
+      speedFactor: speedFactorOf(incarnationId, nowMs),
       // At best, a failed or refused request is retried elsewhere, which takes about as long as the objective.
       failureCostMs: (loads.failureShare(incarnationId, nowMs) + refusalShare) * plan.objectiveMs,
     };
@@ -285,6 +306,7 @@
     ).map((server) =>
       toCandidate(
         server,
+        request,
         plan,
         planPrefill(server.incarnationId),
         refusals.standing(server.incarnationId, request.demand?.promptTokens ?? 0, nowMs).share,
@@ -297,11 +319,15 @@
     const server = byId(choice?.incarnationId);
     if (choice === undefined || server === undefined) return undefined;
     const kind = requestClassKey(plan);
+    const speedFactor = speedFactorOf(server.incarnationId, nowMs);
+    const ownPrefillMs = choice.prefillTokens * speed.prefillMsPerToken * speedFactor;
     return {
       server,
       predictedMs: correction.correct(kind, choice.predictedMs),
       rawPredictedMs: choice.predictedMs,
-      ownPrefillMs: correction.correct(kind, choice.prefillTokens * speed.prefillMsPerToken),
+      usualMs: choice.usualMs,
+      speedFactor,
+      ownPrefillMs: correction.correct(kind, ownPrefillMs),
       tokens: choice.prefillTokens,
       load: loadOf(server.incarnationId, nowMs),
       pendingTokens: pendingTokensOf(server.incarnationId),
--- a/src/core/pass-through/observe-destination.ts
+++ b/src/core/pass-through/observe-destination.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../clock';
+import { ownTokens } from '../placement';
 import type { LoadReport, SpillResult } from '../placement';
 import type { Destination, Router } from './create-router';
 import { requestClassKey } from './forwarding';
@@ -50,17 +51,25 @@
   { clock, router, plan, request }: ObserverOptions,
   to: SendableDestination & { kind: 'server' },
 ): DestinationObserver {
-  const { server, tokens, predictedMs } = to;
+  const { server, tokens, predictedMs, usualMs, rawPredictedMs } = to;
   const { incarnationId } = server;
-  const { loads, refusals, speeds, correction } = router;
+  const { loads, refusals, speeds, serverSpeeds, correction } = router;
   const promptTokens = request.demand?.promptTokens ?? 0;
   const sentAtMs = clock.monotonicMs();
+  const kind = requestClassKey(plan);
+  const factorNow = () => serverSpeeds?.factor(incarnationId, clock.monotonicMs()) ?? 1;
+  /** Mean of the server's factor when the request was sent and now; the work was done in between. */
+  const meanFactor = () => (to.speedFactor + factorNow()) / 2;
   let hadFirstByte = false;
   let isEndRecorded = false;
-  loads.recordSent(incarnationId, tokens, sentAtMs);
+  const keptTokens = request.demand === undefined ? undefined : ownTokens(request.demand);
+  loads.recordSent(incarnationId, tokens, sentAtMs, keptTokens);
   return {
     recordLoad(report) {
-      loads.recordReport(incarnationId, report, clock.monotonicMs());
+      const nowMs = clock.monotonicMs();
+      loads.recordReport(incarnationId, report, nowMs);
+      if (report.slowdown === undefined) return;
+      serverSpeeds?.recordStatedSlowdown(incarnationId, report.slowdown, nowMs);
     },
     recordTaken(wasTaken) {
       const nowMs = clock.monotonicMs();
@@ -74,9 +83,21 @@
       const actualMs = nowMs - sentAtMs;
       // On a busy server, the wait for a place in the batch would be counted as prefill time.
       const hasSpareSlots = loads.load(incarnationId, nowMs) < server.slots / 2;
-      if (hasSpareSlots) speeds.recordPrefill(plan.service, tokens, actualMs);
-      correction.record(requestClassKey(plan), to.rawPredictedMs, actualMs);
-      loads.recordFirstByte(incarnationId, { tokens, predictedMs, actualMs }, nowMs);
+      // The speed of the service and the correction are those of a server of usual speed, so the slowness of one server
+      // is taken out of what they learn. Otherwise it would count twice there, and once at all others.
+      const factor = meanFactor();
+      const extraFactor = factor - to.speedFactor;
+      if (hasSpareSlots) speeds.recordPrefill(plan.service, tokens, actualMs / factor);
+      const correctedUsualMs = correction.correct(kind, usualMs);
+      serverSpeeds?.recordFirstByte(
+        incarnationId,
+        { predictedMs: correctedUsualMs, actualMs },
+        nowMs,
+      );
+      correction.record(kind, rawPredictedMs + usualMs * extraFactor, actualMs);
+      // A slowdown that began after the request was sent is over within a second, unlike the recorded lateness.
+      const expectedMs = predictedMs + correctedUsualMs * Math.max(0, extraFactor);
+      loads.recordFirstByte(incarnationId, { tokens, predictedMs: expectedMs, actualMs }, nowMs);
       if (request.demand !== undefined) router.recordPrompt(incarnationId, request.demand);
     },
     recordData() {
@@ -88,8 +109,10 @@
       const nowMs = clock.monotonicMs();
       const isInconclusive = end === 'inconclusive' || end === 'refused';
       const isFailure = isInconclusive ? undefined : end === 'failed';
-      loads.recordEnd(incarnationId, { hadFirstByte, tokens, isFailure }, nowMs);
-      if (end === 'answered') speeds.recordSlotTime(plan.service, nowMs - sentAtMs);
+      loads.recordEnd(incarnationId, { hadFirstByte, tokens, keptTokens, isFailure }, nowMs);
+      if (end === 'answered') {
+        speeds.recordSlotTime(plan.service, (nowMs - sentAtMs) / meanFactor());
+      }
     },
     isSilent: () => loads.silentMs(incarnationId, clock.monotonicMs()) >= SERVER_SILENCE_TIMEOUT_MS,
   };
--- a/src/core/pass-through/request-log.ts
+++ b/src/core/pass-through/request-log.ts
@@ -39,13 +39,21 @@
 }
 
 /** Returns the prediction for a server and its inputs as log fields. */
-function predictionFields({ predictedMs, tokens, pendingTokens, load, copyFrom }: LocalChoice) {
+function predictionFields({
+  predictedMs,
+  tokens,
+  pendingTokens,
+  load,
+  copyFrom,
+  speedFactor,
+}: LocalChoice) {
   return {
     predictedMs: Math.round(predictedMs),
     tokens: Math.round(tokens),
     pendingTokens: Math.round(pendingTokens),
     load: Math.round(load),
     copyFrom: copyFrom?.serverId,
+    speedFactor: Math.round(speedFactor * 100) / 100,
   };
 }
 
--- a/src/core/pass-through/testing/simulate-admission.ts
+++ b/src/core/pass-through/testing/simulate-admission.ts
@@ -1,5 +1,6 @@
 import { createPeerLoads } from '../../load-sharing';
 import type { PeerLoads } from '../../load-sharing';
+import type { ServerSpeeds } from '../../placement';
 import { createSeededRandom } from '../../random';
 import { createRouter } from '../create-router';
 import type { Router } from '../create-router';
@@ -23,6 +24,8 @@
   readonly wasAdmitted: boolean;
   /** Time to its first byte, ms; undefined if it was refused. */
   readonly firstByteMs: number | undefined;
+  /** Index of the server that it was sent to; undefined if it was refused. */
+  readonly server: number | undefined;
 }
 
 /** Parameters of a simulation. */
@@ -40,6 +43,12 @@
   readonly restartEveryMs?: number;
   /** Sizes of prompts; by default, documents of about 9,000 tokens. */
   readonly sizes?: PromptSizes;
+  /** Returns how much longer than usual the work of a server takes at a time; 1 by default. */
+  readonly slowdownOf?: (server: number, nowMs: number) => number;
+  /** Returns the slowdown that a server states in an answer; not stated by default. */
+  readonly statedSlowdownOf?: (server: number, nowMs: number) => number | undefined;
+  /** Creates the speeds of servers for one instance; none by default. */
+  readonly createServerSpeeds?: () => ServerSpeeds;
 }
 
 /** Log-normal distribution of prompt sizes, within bounds. */
@@ -106,6 +115,18 @@
   return FIXED_MS + tokens * READ_MS_PER_TOKEN;
 }
 
+/** Returns the time at which work ends that takes `usualMs` at the usual speed, at a speed that changes. */
+function endOfWork(startMs: number, usualMs: number, slowdownAt: (atMs: number) => number): number {
+  let atMs = startMs;
+  for (let remainingMs = usualMs; remainingMs > 0;) {
+    const slowdown = slowdownAt(atMs);
+    const doneMs = Math.min(remainingMs, STEP_MS / slowdown);
+    remainingMs -= doneMs;
+    atMs += doneMs * slowdown;
+  }
+  return atMs;
+}
+
 interface SimulatedInstance {
   readonly id: string;
   readonly router: Router;
@@ -117,6 +138,7 @@
   const routes = createRoutesOf(REVIEW);
   const serverIds = Array.from({ length: load.servers }, (_unused, index) => `n-${index + 1}`);
   const servers = createServersOf(REVIEW, serverIds, SLOTS);
+  const indexOf = (serverId: string) => serverIds.indexOf(serverId);
   let starts = 0;
   const start = (): SimulatedInstance => {
     const otherLoads = createPeerLoads();
@@ -132,6 +154,7 @@
       notices: { waitMs: () => 0 },
       peers: () => [],
       instancesInRegion: () => load.instances,
+      serverSpeeds: load.createServerSpeeds?.(),
       draw: () => random.next(),
     });
     starts += 1;
@@ -140,6 +163,7 @@
   const all = Array.from({ length: load.instances }, start);
   return {
     all,
+    indexOf,
     restart(index: number) {
       all[index] = start();
     },
@@ -200,17 +224,36 @@
     const tried = { ids: new Set<string>(), refusingRegions: new Set<string>() };
     const to = router.choose(request, plan, tried, nowMs);
     if (to.kind !== 'server') {
-      arrivals.push({ tokens, wasAdmitted: false, firstByteMs: undefined });
+      arrivals.push({ tokens, wasAdmitted: false, firstByteMs: undefined, server: undefined });
       return;
     }
     const { serverId } = to.server;
-    const readAtMs = Math.max(nowMs, readUntilMs.get(serverId) ?? 0) + tokens * READ_MS_PER_TOKEN;
+    const server = instances.indexOf(serverId);
+    const slowdownAt = (atMs: number) => load.slowdownOf?.(server, atMs) ?? 1;
+    const startMs = Math.max(nowMs, readUntilMs.get(serverId) ?? 0);
+    const readMs = tokens * READ_MS_PER_TOKEN;
+    const readAtMs =
+      load.slowdownOf === undefined ? startMs + readMs : endOfWork(startMs, readMs, slowdownAt);
     readUntilMs.set(serverId, readAtMs);
     const firstByteAtMs = readAtMs + FIXED_MS;
-    arrivals.push({ tokens, wasAdmitted: true, firstByteMs: firstByteAtMs - nowMs });
+    arrivals.push({ tokens, wasAdmitted: true, firstByteMs: firstByteAtMs - nowMs, server });
     const observer = observeDestination({ clock, router, request, plan }, to);
-    due.push({ atMs: firstByteAtMs, run: () => observer.recordFirstByte() });
-    due.push({ atMs: firstByteAtMs + ANSWER_MS, run: () => observer.recordEnd('answered') });
+    due.push({
+      atMs: firstByteAtMs,
+      run() {
+        const slowdown = load.statedSlowdownOf?.(server, nowMs);
+        // The simulation has no figures of the requests at a server but those that the instances report.
+        if (slowdown !== undefined) {
+          const { incarnationId } = to.server;
+          router.serverSpeeds?.recordStatedSlowdown(incarnationId, slowdown, nowMs);
+        }
+        observer.recordFirstByte();
+      },
+    });
+    due.push({
+      atMs: firstByteAtMs + ANSWER_MS * slowdownAt(firstByteAtMs),
+      run: () => observer.recordEnd('answered'),
+    });
   };
 
   for (; nowMs < load.durationMs; nowMs += STEP_MS) {
@@ -241,3 +284,10 @@
   const inTime = arrivals.filter(({ firstByteMs = Infinity }) => firstByteMs <= OBJECTIVE_MS);
   return inTime.length / Math.max(1, arrivals.length);
 }
+
+/** Returns the share of admitted arrivals whose first byte came after the objective. */
+export function lateShare(arrivals: readonly Arrival[]): number {
+  const admitted = arrivals.filter(({ wasAdmitted }) => wasAdmitted);
+  const late = admitted.filter(({ firstByteMs = 0 }) => firstByteMs > OBJECTIVE_MS);
+  return late.length / Math.max(1, admitted.length);
+}
--- a/src/core/pass-through/testing/simulate-refusals.ts
+++ b/src/core/pass-through/testing/simulate-refusals.ts
@@ -165,6 +165,7 @@
       refusals: load.createRefusals(),
       peers: () => [],
       instancesInRegion: () => load.instances,
+      serverSpeeds: undefined,
       draw: () => random.next(),
     });
     return { id: self.instanceId, router, notices, otherLoads };
--- a/src/core/pass-through/warm-check.ts
+++ b/src/core/pass-through/warm-check.ts
@@ -3,6 +3,7 @@
 import type { RouteTableStore } from '../host-routes';
 import type { ServerLimits } from '../server-limits';
 import type { ServerNotices } from '../server-notices';
+import type { ServerSpeeds } from '../placement';
 import type { KnownServer, ServerRegistry } from '../server-registry';
 import { MISDIRECTED_STATUS, headerText } from './classify-answer';
 import { observeStatements } from './observe-statements';
@@ -42,6 +43,8 @@
   readonly servers: ServerRegistry;
   readonly limits: Pick<ServerLimits, 'observe'>;
   readonly notices: Pick<ServerNotices, 'observe'>;
+  /** Speeds of single servers; undefined if all servers of a service count as equally fast. */
+  readonly serverSpeeds: Pick<ServerSpeeds, 'recordStatedSlowdown'> | undefined;
   /**
    * Returns the monotonic time since which all published state has been followed; undefined while
    * it is not.
@@ -86,6 +89,12 @@
     return text === undefined || !Number.isFinite(value) ? 0 : Math.max(0, value);
   };
 
+  const recordSpeed = ({ incarnationId }: KnownServer, { headers }: AnswerHead): void => {
+    const slowdown = dialect.readLoadReport(headerText(headers[dialect.load]) ?? '')?.slowdown;
+    if (slowdown === undefined) return;
+    options.serverSpeeds?.recordStatedSlowdown(incarnationId, slowdown, clock.monotonicMs());
+  };
+
   return {
     isNeeded(server) {
       const service = serviceOf(server);
@@ -131,6 +140,7 @@
             }
             suspectIds.delete(server.incarnationId);
             observeStatements(options, server.incarnationId, head, 'healthCheck');
+            recordSpeed(server, head);
             const coldMs = coldForMs(head);
             if (coldMs > 0) servers.markCold(server.serverId, clock.monotonicMs() + coldMs);
             // The rest of the answer is ignored: a server may be healthy although its answer says
--- a/src/core/placement/choose-server.ts
+++ b/src/core/placement/choose-server.ts
@@ -28,20 +28,37 @@
 
 /** Returns the predicted time to the first byte at a server, ms. */
 export function predictFirstByteMs(candidate: Candidate, speed: ServiceSpeed): number {
-  const { slots, load, pendingTokens, uncachedTokens, copyableTokens, delayMs } = candidate;
+  const { delayMs, speedFactor } = candidate;
+  const usualMs = predictWithoutDelayMs(candidate, speed, 1);
+  const slowMs = predictWithoutDelayMs(candidate, speed, speedFactor);
+  // Late first bytes of a slow server are recorded in both values, so only the larger one counts.
+  return usualMs + Math.max(slowMs - usualMs, delayMs + Math.min(0, slowMs - usualMs));
+}
+
+/** Returns the predicted time to the first byte without the delay expected from silence and lateness, ms. */
+function predictWithoutDelayMs(
+  candidate: Candidate,
+  speed: ServiceSpeed,
+  speedFactor: number,
+): number {
+  const { load, pendingTokens, uncachedTokens, copyableTokens, memorySlots = Infinity } = candidate;
+  // Requests beyond the server's memory wait, even if the server has a slot for them.
+  const slots = Math.min(candidate.slots, memorySlots);
   const queued = Math.max(0, load + 1 - slots);
   const waitMs = (queued * speed.slotTimeMs) / Math.max(1, slots);
   const batchDelayMs =
     (Math.min(load, slots) / Math.max(1, slots)) * speed.slotTimeMs * BATCH_DELAY_SHARE;
   const prefillTokens = uncachedTokens - copyableTokens + pendingTokens * PENDING_PREFILL_WEIGHT;
   const prefillMs = prefillTokens * speed.prefillMsPerToken;
-  return waitMs + batchDelayMs + prefillMs + copyMs(copyableTokens, speed) + delayMs;
+  return (waitMs + batchDelayMs + prefillMs) * speedFactor + copyMs(copyableTokens, speed);
 }
 
 /** A selected server and the predicted cost of the request there. */
 export interface ServerChoice {
   readonly incarnationId: string;
   readonly predictedMs: number;
+  /** Prediction for a server of usual speed with the same load. */
+  readonly usualMs: number;
   /** Estimated prompt tokens that the server has to compute, without those that it copies. */
   readonly prefillTokens: number;
 }
@@ -58,7 +75,12 @@
     const costMs = predictedMs + candidate.failureCostMs;
     if (costMs < minCostMs) {
       const { incarnationId, uncachedTokens, copyableTokens } = candidate;
-      best = { incarnationId, predictedMs, prefillTokens: uncachedTokens - copyableTokens };
+      best = {
+        incarnationId,
+        predictedMs,
+        usualMs: predictWithoutDelayMs(candidate, speed, 1),
+        prefillTokens: uncachedTokens - copyableTokens,
+      };
       minCostMs = costMs;
     }
   }
--- a/src/core/placement/placement.test.ts
+++ b/src/core/placement/placement.test.ts
@@ -20,6 +20,7 @@
     uncachedTokens: 0,
     copyableTokens: 0,
     delayMs: 0,
+    speedFactor: 1,
     failureCostMs: 0,
     ...more,
   };
--- a/src/core/placement/server-load.ts
+++ b/src/core/placement/server-load.ts
@@ -1,3 +1,4 @@
+import type { OpenSizes } from './memory-slots';
 import type { LoadReport } from './types';
 
 /** Load and health of one server, as observed by this instance. */
@@ -9,6 +10,8 @@
   reportedAtMs: number;
   /** Prompt tokens of this instance's requests that still wait for their first byte. */
   pendingTokens: number;
+  /** Sizes of this instance's open requests that state their size. */
+  openSizes: OpenSizes;
   /** Requests of this instance that wait for their first byte. */
   awaitingFirstByte: number;
   /** Time of the last byte received, or of sending the first of the waiting requests if that is later. */
@@ -25,8 +28,11 @@
 
 /** Tracks the load and health of servers. */
 export interface ServerLoads {
-  /** Records that a request is sent, `tokens` of whose prompt the server has to compute. */
-  recordSent(incarnationId: string, tokens: number, nowMs: number): void;
+  /**
+   * Records that a request is sent, `tokens` of whose prompt the server has to compute; `keptTokens` is its size in the
+   * server's memory, undefined if not stated.
+   */
+  recordSent(incarnationId: string, tokens: number, nowMs: number, keptTokens?: number): void;
   /** Records that any byte of a response was received. */
   recordReceived(incarnationId: string, nowMs: number): void;
   /** Records the first byte of a response. */
@@ -40,6 +46,8 @@
   /** Returns the estimated number of running and waiting requests of all instances. */
   load(incarnationId: string, nowMs: number): number;
   pendingTokens(incarnationId: string): number;
+  /** Returns the sizes of this instance's open requests in the server's memory. */
+  openSizes(incarnationId: string): OpenSizes;
   ownInFlight(incarnationId: string): number;
   /** Returns the delay of a first byte that is expected from recent silence and lateness, ms. */
   delayMs(incarnationId: string, nowMs: number): number;
@@ -74,6 +82,8 @@
   /** Whether its first byte had been received. */
   readonly hadFirstByte: boolean;
   readonly tokens: number;
+  /** Size of the request in the server's memory, tokens; the same as when it was sent. */
+  readonly keptTokens?: number | undefined;
   /** Undefined if the end says nothing about the server, for example if the caller disconnected. */
   readonly isFailure: boolean | undefined;
 }
@@ -95,12 +105,21 @@
 /** Upper bound of a recorded lateness, ms; higher values carry no more information. */
 const MAX_LATENESS_MS = 3_000;
 
+const NO_OPEN_SIZES: OpenSizes = { requests: 0, tokens: 0 };
+
+/** Returns the sizes with `sign` requests of the given size added; unchanged if the size is not stated. */
+function addSize(sizes: OpenSizes, keptTokens: number | undefined, sign: 1 | -1): OpenSizes {
+  if (keptTokens === undefined) return sizes;
+  return { requests: sizes.requests + sign, tokens: sizes.tokens + sign * keptTokens };
+}
+
 function createServerLoad(nowMs: number): ServerLoad {
   return {
     ownInFlight: 0,
     othersInFlight: 0,
     reportedAtMs: nowMs,
     pendingTokens: 0,
+    openSizes: NO_OPEN_SIZES,
     awaitingFirstByte: 0,
     lastByteAtMs: nowMs,
     failureShare: 0,
@@ -144,12 +163,13 @@
   };
 
   return {
-    recordSent(incarnationId, tokens, nowMs) {
+    recordSent(incarnationId, tokens, nowMs, keptTokens) {
       const load = loadOf(incarnationId, nowMs);
       if (load.awaitingFirstByte === 0) load.lastByteAtMs = Math.max(load.lastByteAtMs, nowMs);
       load.ownInFlight += 1;
       load.awaitingFirstByte += 1;
       load.pendingTokens += tokens;
+      load.openSizes = addSize(load.openSizes, keptTokens, 1);
       total += 1;
     },
     recordReceived(incarnationId, nowMs) {
@@ -164,8 +184,9 @@
       const lateMs = Math.min(MAX_LATENESS_MS, Math.max(0, actualMs - predictedMs));
       load.latenessMs += (lateMs - load.latenessMs) * NEWEST_SAMPLE_WEIGHT;
     },
-    recordEnd(incarnationId, { hadFirstByte, tokens, isFailure }, nowMs) {
+    recordEnd(incarnationId, { hadFirstByte, tokens, keptTokens, isFailure }, nowMs) {
       const load = loadOf(incarnationId, nowMs);
+      load.openSizes = addSize(load.openSizes, keptTokens, -1);
       load.ownInFlight -= 1;
       total -= 1;
       if (!hadFirstByte) {
@@ -199,6 +220,7 @@
       return load.ownInFlight + load.othersInFlight * factor;
     },
     pendingTokens: (incarnationId) => loads.get(incarnationId)?.pendingTokens ?? 0,
+    openSizes: (incarnationId) => loads.get(incarnationId)?.openSizes ?? NO_OPEN_SIZES,
     ownInFlight: (incarnationId) => loads.get(incarnationId)?.ownInFlight ?? 0,
     delayMs(incarnationId, nowMs) {
       const load = loads.get(incarnationId);
--- a/src/core/placement/types.ts
+++ b/src/core/placement/types.ts
@@ -9,6 +9,8 @@
   /** Parts in order; the last one is specific to the request. */
   readonly parts: readonly PromptPart[];
   readonly promptTokens: number;
+  /** Maximum tokens of the answer; undefined if not stated. */
+  readonly maxAnswerTokens?: number | undefined;
 }
 
 /** A server's own report of its load. */
@@ -16,12 +18,16 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** How much longer than usual the server's work takes at this moment, as a factor; undefined if not stated. */
+  readonly slowdown?: number | undefined;
 }
 
 /** A server that a request could be sent to, with its current state. */
 export interface Candidate {
   readonly incarnationId: string;
   readonly slots: number;
+  /** Requests of the usual size at the server that fit into its memory; undefined if unknown. */
+  readonly memorySlots?: number | undefined;
   /** Estimated number of running and waiting requests of all instances. */
   readonly load: number;
   /** Prompt tokens of requests at the server that still wait for their first byte. */
@@ -32,6 +38,8 @@
   readonly copyableTokens: number;
   /** Delay of a first byte that is expected from recent silence and lateness of the server, ms. */
   readonly delayMs: number;
+  /** Factor of the time that the server takes for its work; 1 is the usual speed of the service. */
+  readonly speedFactor: number;
   /** Expected time lost to failures of the server, ms; affects the choice, but not the predicted time. */
   readonly failureCostMs: number;
 }
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -15,6 +15,7 @@
 import { createCrashWatch, createRouter, createWarmCheck } from '../pass-through';
 import type { HeaderDialect, ServeDependencies, ServedRequest } from '../pass-through';
 import { createPoisonGuard, fingerprintKey } from '../poison';
+import { createServerSpeeds } from '../placement';
 import type { RandomSource } from '../random';
 import { createServerLimits } from '../server-limits';
 import type { ServerLimits } from '../server-limits';
@@ -92,7 +93,7 @@
   owned: DisposableStore,
 ): ServingContext {
   const { clock, random, logger, dialect, routes, servers, pool, gossip, instances } = options;
-  const { instanceId, region } = options.settings();
+  const { instanceId, region, trafficPolicy } = options.settings();
   const ownAddress = () => {
     const { listeners, forwardingPort } = options.settings();
     return `${listeners.forwarding.host}:${forwardingPort}`;
@@ -121,7 +122,9 @@
   });
   const peerLoads = createPeerLoads();
   const cachedParts = createCachedPartsBuffer();
+  const serverSpeeds = trafficPolicy.serverSpeeds ? createServerSpeeds() : undefined;
   const router = createRouter({
+    serverSpeeds,
     otherLoads: peerLoads,
     onPartsCached: cachedParts.add,
     region,
@@ -159,6 +162,7 @@
     servers,
     limits,
     notices,
+    serverSpeeds,
     followedSinceMs,
   });
   options.metrics.gauge(
