--- a/src/core/pass-through/warm-check.ts
+++ b/src/core/pass-through/warm-check.ts
@@ -38,7 +38,7 @@
 export interface WarmCheckOptions {
   readonly clock: Clock;
   readonly dialect: HeaderDialect;
-  readonly pool: ConnectionPool;
+  readonly pool: Pick<ConnectionPool, 'send'>;
   readonly routes: RouteTableStore;
   readonly servers: ServerRegistry;
   readonly limits: Pick<ServerLimits, 'observe'>;
