--- a/src/core/pass-through/admission-by-priority.test.ts
+++ b/src/core/pass-through/admission-by-priority.test.ts
@@ -55,6 +55,9 @@
     all: () => (hasOtherRegion ? [...north.all(), ...inSouth] : north.all()),
   };
   const router = createRouter({
+    // Requests leave as without the choice by room, which has rules of its own for tolerant requests.
+    regionalRoom: () => false,
+    serverSpeeds: undefined,
     onPartsCached() {},
     region: SIMULATED_REGION,
     routes: createRoutesOf(SERVICE),
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -16,6 +16,7 @@
   PrefixCacheView,
   RefusedRequest,
   ServerLoads,
+  ServerSpeeds,
   ServiceSpeeds,
   SpillWindows,
 } from '../placement';
@@ -85,6 +86,8 @@
   readonly loads: ServerLoads;
   readonly refusals: Refusals;
   readonly speeds: ServiceSpeeds;
+  /** Speeds of single servers; undefined if all servers of a service count as equally fast. */
+  readonly serverSpeeds: ServerSpeeds | undefined;
   readonly prefixes: PrefixCacheView;
   readonly correction: PredictionCorrection;
   readonly spillWindows: SpillWindows;
@@ -336,6 +339,7 @@
     loads,
     refusals,
     speeds,
+    serverSpeeds: options.serverSpeeds,
     prefixes,
     correction,
     spillWindows,
@@ -369,6 +373,7 @@
       loads.keepOnly(known);
       refusals.keepOnly(known);
       prefixes.keepOnly(known);
+      options.serverSpeeds?.keepOnly(known);
       coldServerLimiter.keepOnly(known);
     },
   };
--- a/src/core/pass-through/share-gate.test.ts
+++ b/src/core/pass-through/share-gate.test.ts
@@ -51,6 +51,7 @@
   const router = createRouter({
     accountShares,
     priorityAdmission: false,
+    serverSpeeds: undefined,
     otherLoads: createPeerLoads(),
     onPartsCached() {},
     region: SIMULATED_REGION,
@@ -128,7 +129,7 @@
   it('counts the tokens to compute, and ten for each output token', () => {
     const { choose, recorded } = setUp(ADMITTED);
     const request = requestWithPrompt(1, 800, 0);
-    const demand = { parts: [], promptTokens: 800, ...request.demand, outputTokens: 50 };
+    const demand = { parts: [], promptTokens: 800, ...request.demand, maxOutputTokens: 50 };
     choose({ ...request, demand });
     assert.equal(recorded[0]?.cost, 1_300);
   });
--- a/src/core/pass-through/share-gate.ts
+++ b/src/core/pass-through/share-gate.ts
@@ -41,7 +41,7 @@
 function costOf({ demand }: InboundRequest, best: LocalChoice | undefined): number {
   if (demand === undefined) return UNSTATED_COST;
   const promptTokens = best?.tokens ?? demand.promptTokens;
-  return Math.max(1, promptTokens + OUTPUT_TOKEN_COST * (demand.outputTokens ?? 0));
+  return Math.max(1, promptTokens + OUTPUT_TOKEN_COST * (demand.maxOutputTokens ?? 0));
 }
 
 /** Returns whether a refusal shows that the servers are too slow or full, and not that the request itself is too large. */
--- a/src/core/pass-through/testing/prompt-reader.ts
+++ b/src/core/pass-through/testing/prompt-reader.ts
@@ -18,8 +18,26 @@
   advance(toMs: number): void;
 }
 
-/** Creates a server without prompts. */
-export function createReader(): SimulatedReader {
+/** Interval in which the speed of a server counts as constant, ms. */
+const SPEED_STEP_MS = 5;
+
+/** Returns the time at which work ends that takes `usualMs` at the usual speed, at a speed that changes. */
+function endOfWork(startMs: number, usualMs: number, slowdownAt: (atMs: number) => number): number {
+  let atMs = startMs;
+  for (let remainingMs = usualMs; remainingMs > 0;) {
+    const slowdown = slowdownAt(atMs);
+    const doneMs = Math.min(remainingMs, SPEED_STEP_MS / slowdown);
+    remainingMs -= doneMs;
+    atMs += doneMs * slowdown;
+  }
+  return atMs;
+}
+
+/**
+ * Creates a server without prompts. `slowdownAt` returns how much longer than usual its work takes at a time; it has the
+ * usual speed by default.
+ */
+export function createReader(slowdownAt?: (atMs: number) => number): SimulatedReader {
   const waiting: WaitingPrompt[] = [];
   let readUntilMs = 0;
   const advance = (toMs: number): void => {
@@ -28,7 +46,11 @@
       if (next === undefined || readUntilMs >= toMs) return;
       const tokens = Math.min(CHUNK_TOKENS, next.remainingTokens);
       next.remainingTokens -= tokens;
-      readUntilMs += tokens * READ_MS_PER_TOKEN;
+      const readMs = tokens * READ_MS_PER_TOKEN;
+      readUntilMs =
+        slowdownAt === undefined
+          ? readUntilMs + readMs
+          : endOfWork(readUntilMs, readMs, slowdownAt);
       if (next.remainingTokens > 0) continue;
       waiting.shift();
       next.onRead(readUntilMs);
--- a/src/core/pass-through/testing/simulate-admission.ts
+++ b/src/core/pass-through/testing/simulate-admission.ts
@@ -1,5 +1,6 @@
 import { createPeerLoads } from '../../load-sharing';
 import type { PeerLoads } from '../../load-sharing';
+import type { ServerSpeeds } from '../../placement';
 import { createSeededRandom } from '../../random';
 import { createRouter } from '../create-router';
 import type { Router } from '../create-router';
@@ -28,6 +29,8 @@
   readonly wasAdmitted: boolean;
   /** Time to its first byte, ms; undefined if it was refused. */
   readonly firstByteMs: number | undefined;
+  /** Index of the server that it was sent to; undefined if it was refused. */
+  readonly server: number | undefined;
 }
 
 /** Requests of one priority. */
@@ -62,6 +65,12 @@
   readonly fixedMs?: number;
   /** What is considered besides the latency objective of each request; the bound on waits by default. */
   readonly priorityRule?: PriorityRule;
+  /** Returns how much longer than usual the work of a server takes at a time; 1 by default. */
+  readonly slowdownOf?: (server: number, nowMs: number) => number;
+  /** Returns the slowdown that a server states in an answer; not stated by default. */
+  readonly statedSlowdownOf?: (server: number, nowMs: number) => number | undefined;
+  /** Creates the speeds of servers for one instance; none by default. */
+  readonly createServerSpeeds?: () => ServerSpeeds;
 }
 
 /** How requests of several priorities are admitted. */
@@ -151,6 +160,7 @@
   const routes = createRoutesOf(REVIEW);
   const serverIds = Array.from({ length: load.servers }, (_unused, index) => `n-${index + 1}`);
   const servers = createServersOf(REVIEW, serverIds, SLOTS);
+  const indexOf = (serverId: string) => serverIds.indexOf(serverId);
   let starts = 0;
   const start = (): SimulatedInstance => {
     const otherLoads = createPeerLoads();
@@ -167,6 +177,7 @@
       peers: () => [],
       instancesInRegion: () => load.instances,
       priorityAdmission: (load.priorityRule ?? 'maxWait') === 'maxWait',
+      serverSpeeds: load.createServerSpeeds?.(),
       draw: () => random.next(),
     });
     starts += 1;
@@ -175,6 +186,7 @@
   const all = Array.from({ length: load.instances }, start);
   return {
     all,
+    indexOf,
     restart(index: number) {
       all[index] = start();
     },
@@ -246,7 +258,10 @@
   ];
   const readers = new Map<string, SimulatedReader>();
   const readerOf = (serverId: string): SimulatedReader => {
-    const reader = readers.get(serverId) ?? createReader();
+    const { slowdownOf } = load;
+    const server = instances.indexOf(serverId);
+    const slowdownAt = slowdownOf && ((atMs: number) => slowdownOf(server, atMs));
+    const reader = readers.get(serverId) ?? createReader(slowdownAt);
     readers.set(serverId, reader);
     return reader;
   };
@@ -297,24 +312,37 @@
       load.priorityRule !== 'share' || shareRule.admits(kind.priority, tokens, nowMs);
     const to = hasShare ? router.choose(request, plan, tried, nowMs) : undefined;
     if (to?.kind !== 'server') {
-      arrivals.push({ ...arrival, wasAdmitted: false, firstByteMs: undefined });
+      arrivals.push({ ...arrival, wasAdmitted: false, firstByteMs: undefined, server: undefined });
       return;
     }
+    const { serverId, incarnationId } = to.server;
+    const server = instances.indexOf(serverId);
+    const slowdownAt = (atMs: number) => load.slowdownOf?.(server, atMs) ?? 1;
     const admitted: { -readonly [Key in keyof Arrival]: Arrival[Key] } = {
       ...arrival,
       wasAdmitted: true,
       firstByteMs: undefined,
+      server,
     };
     arrivals.push(admitted);
     const observer = observeDestination({ clock, router, request, plan }, to);
+    const onFirstByte = (): void => {
+      const slowdown = load.statedSlowdownOf?.(server, nowMs);
+      // The simulation has no figures of the requests at a server but those that the instances report.
+      if (slowdown !== undefined) {
+        router.serverSpeeds?.recordStatedSlowdown(incarnationId, slowdown, nowMs);
+      }
+      observer.recordFirstByte();
+    };
     const onRead = (readAtMs: number): void => {
       const firstByteAtMs = readAtMs + fixedMs;
+      const endAtMs = firstByteAtMs + ANSWER_MS * slowdownAt(firstByteAtMs);
       admitted.firstByteMs = firstByteAtMs - arrival.atMs;
-      due.push({ atMs: firstByteAtMs, run: () => observer.recordFirstByte() });
-      due.push({ atMs: firstByteAtMs + ANSWER_MS, run: () => observer.recordEnd('answered') });
+      due.push({ atMs: firstByteAtMs, run: onFirstByte });
+      due.push({ atMs: endAtMs, run: () => observer.recordEnd('answered') });
     };
     const prompt = { priority: kind.priority, remainingTokens: tokens, onRead };
-    readerOf(to.server.serverId).add(prompt, nowMs);
+    readerOf(serverId).add(prompt, nowMs);
   };
 
   for (; nowMs < load.durationMs; nowMs += STEP_MS) {
@@ -357,3 +385,10 @@
   const tokens = arrivals.filter(isInTime).reduce((sum, arrival) => sum + arrival.tokens, 0);
   return tokens * READ_MS_PER_TOKEN;
 }
+
+/** Returns the share of admitted arrivals whose first byte came after the objective. */
+export function lateShare(arrivals: readonly Arrival[]): number {
+  const admitted = arrivals.filter(({ wasAdmitted }) => wasAdmitted);
+  const late = admitted.filter(({ firstByteMs = 0 }) => firstByteMs > OBJECTIVE_MS);
+  return late.length / Math.max(1, admitted.length);
+}
--- a/src/core/pass-through/testing/simulate-refusals.ts
+++ b/src/core/pass-through/testing/simulate-refusals.ts
@@ -166,6 +166,7 @@
       peers: () => [],
       instancesInRegion: () => load.instances,
       priorityAdmission: true,
+      serverSpeeds: undefined,
       draw: () => random.next(),
     });
     return { id: self.instanceId, router, notices, otherLoads };
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -16,6 +16,7 @@
 import { createCrashWatch, createRouter, createWarmCheck } from '../pass-through';
 import type { HeaderDialect, ServeDependencies, ServedRequest } from '../pass-through';
 import { createPoisonGuard, fingerprintKey } from '../poison';
+import { createServerSpeeds } from '../placement';
 import type { RandomSource } from '../random';
 import { createServerLimits } from '../server-limits';
 import type { ServerLimits } from '../server-limits';
@@ -93,7 +94,7 @@
   owned: DisposableStore,
 ): ServingContext {
   const { clock, random, logger, dialect, routes, servers, pool, gossip, instances } = options;
-  const { instanceId, region } = options.settings();
+  const { instanceId, region, trafficPolicy } = options.settings();
   const ownAddress = () => {
     const { listeners, forwardingPort } = options.settings();
     return `${listeners.forwarding.host}:${forwardingPort}`;
@@ -137,7 +138,9 @@
     send: options.sendStatement,
     draw: () => random.next(),
   });
+  const serverSpeeds = trafficPolicy.serverSpeeds ? createServerSpeeds() : undefined;
   const router = createRouter({
+    serverSpeeds,
     accountShares,
     otherLoads: peerLoads,
     onPartsCached: cachedParts.add,
@@ -174,6 +177,7 @@
     servers,
     limits,
     notices,
+    serverSpeeds,
     followedSinceMs,
   });
   options.metrics.gauge(
