--- /dev/null
+++ b/src/core/pass-through/local-admission.ts
@@ -0,0 +1,74 @@
+import { createSizeAdmission } from '../placement';
+import { createPriorityAdmission } from '../priority-admission';
+import { requestClassKey } from './forwarding';
+import { waitMsOf } from './local-servers';
+import type { LocalChoice } from './local-servers';
+import type { InboundRequest, RequestPlan } from './types';
+
+/** Decides which requests the servers of this region take. */
+export interface LocalAdmission {
+  /** Records the demand of a request once, also if it is chosen a destination for again at a retry. */
+  recordDemand(request: InboundRequest, plan: RequestPlan, nowMs: number): void;
+  /** Returns the maximum wait of a request that is admitted here, ms. */
+  maxWaitMs(plan: RequestPlan, nowMs: number): number;
+  /**
+   * Returns whether a request may be sent to a server, by the predicted time to its first byte and
+   * the predicted wait there. The wait is without the computation of its own prompt, so that the
+   * bound by priority refuses no prompt for its size.
+   */
+  admits(choice: LocalChoice, plan: RequestPlan, maxWaitMs: number, nowMs: number): boolean;
+}
+
+/** Options of `createLocalAdmission`. */
+export interface LocalAdmissionOptions {
+  /** The region of this instance. */
+  readonly region: string;
+  /** Whether the waits of less urgent requests are bounded while more urgent ones arrive. */
+  readonly byPriority: boolean;
+  /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
+  readonly draw: () => number;
+}
+
+/**
+ * Maximum predicted time to the first byte of an admitted request, as a multiple of its latency
+ * objective. Servers that get more than they can finish in time answer all of it late; a request
+ * that is refused immediately can be retried, and the others are in time.
+ */
+const MAX_OBJECTIVE_MULTIPLE = 1;
+/** Wait at a server with hardly any other work, as a share of the objective: a few steps of its batch. */
+const MAX_IDLE_WAIT_SHARE = 0.1;
+
+/** Creates an admission that has seen no requests yet. */
+export function createLocalAdmission(options: LocalAdmissionOptions): LocalAdmission {
+  const sizeAdmission = createSizeAdmission(options.draw);
+  const priorityAdmission = createPriorityAdmission();
+  const recordedRequests = new WeakSet<InboundRequest>();
+
+  return {
+    recordDemand(request, plan, nowMs) {
+      if (recordedRequests.has(request)) return;
+      recordedRequests.add(request);
+      // A request that may not run in this region competes for no server here.
+      const mayRunHere = plan.homeRegions.length === 0 || plan.homeRegions.includes(options.region);
+      if (mayRunHere) priorityAdmission.recordDemand(plan, nowMs);
+    },
+    maxWaitMs: (plan, nowMs) =>
+      options.byPriority ? priorityAdmission.maxWaitMs(plan, nowMs) : plan.objectiveMs,
+    admits(choice, plan, maxWaitMs, nowMs) {
+      const { predictedMs, ownPrefillMs } = choice;
+      const { objectiveMs } = plan;
+      const waitMs = waitMsOf(choice);
+      if (predictedMs > plan.deadlineAtMs - nowMs) return false;
+      if (waitMs > maxWaitMs) return false;
+      const kind = requestClassKey(plan);
+      if (predictedMs <= objectiveMs * MAX_OBJECTIVE_MULTIPLE) {
+        // The admission by size compares late prompts to those in time.
+        sizeAdmission.recordInTime(kind, ownPrefillMs);
+        return true;
+      }
+      // The server would not be faster later, so that a refusal could not help.
+      if (waitMs <= objectiveMs * MAX_IDLE_WAIT_SHARE) return true;
+      return sizeAdmission.admits({ kind, predictedMs, ownPrefillMs, objectiveMs });
+    },
+  };
+}
--- a/src/core/pass-through/local-servers.ts
+++ b/src/core/pass-through/local-servers.ts
@@ -49,6 +49,11 @@
   readonly maxConnections: number;
 }
 
+/** Returns the predicted time to the first byte without the computation of the request's own prompt, ms. */
+export function waitMsOf({ predictedMs, ownPrefillMs }: LocalChoice): number {
+  return predictedMs - ownPrefillMs;
+}
+
 /** The best servers of this region for one request. */
 export interface LocalChoices {
   /** Best server that is not known to be unreachable; undefined if there is none. */
--- a/src/core/pass-through/request-end.ts
+++ b/src/core/pass-through/request-end.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../clock';
-import type { RefusalBasis } from './create-router';
+import type { RefusalBasis } from './create-refuser';
 import type { RequestLog } from './request-log';
 import type { ClientAnswer, InboundRequest, Refusal, RefusalReason, RequestPlan } from './types';
 
--- a/src/core/pass-through/request-log.ts
+++ b/src/core/pass-through/request-log.ts
@@ -4,7 +4,7 @@
 import type { Attempt } from './attempt';
 import { PASS_THROUGH_EVENTS } from './events';
 import { answerDeadlineMs, requestFields } from './forwarding';
-import type { RefusalBasis } from './create-router';
+import type { RefusalBasis } from './create-refuser';
 import type { LocalChoice } from './local-servers';
 import type { SendableDestination } from './observe-destination';
 import type { StreamProgress } from './stream-progress';
--- a/src/core/pass-through/share-gate.ts
+++ b/src/core/pass-through/share-gate.ts
@@ -1,5 +1,6 @@
 import type { AccountShares, DemandOutcome } from '../account-shares';
 import type { Destination } from './create-router';
+import { waitMsOf } from './local-servers';
 import type { LocalChoice } from './local-servers';
 import type { InboundRequest, RequestPlan } from './types';
 
@@ -50,9 +51,8 @@
   const { basis } = destination;
   switch (basis?.kind) {
     case 'tooSlow': {
-      const { predictedMs, ownPrefillMs } = basis.best;
-      const waitMs = predictedMs - ownPrefillMs;
-      return predictedMs > objectiveMs && waitMs > MIN_FULL_WAIT_SHARE * objectiveMs;
+      const { best, waitMs } = basis;
+      return best.predictedMs > objectiveMs && waitMs > MIN_FULL_WAIT_SHARE * objectiveMs;
     }
     case 'restricted':
       return basis.server.kind === 'limited';
@@ -66,8 +66,7 @@
 
 /** Returns whether the wait of a request exceeds what it may wait for its objective, reduced to a share of it. */
 function exceedsWait(best: LocalChoice, { objectiveMs }: RequestPlan, maxWaitShare: number) {
-  const waitMs = best.predictedMs - best.ownPrefillMs;
-  return waitMs > maxWaitShare * Math.max(0, objectiveMs - best.ownPrefillMs);
+  return waitMsOf(best) > maxWaitShare * Math.max(0, objectiveMs - best.ownPrefillMs);
 }
 
 /** Creates the gate; without `shares`, it admits all requests and records nothing. */
