Let requests leave their region as before, and keep the draw by room

Tolerant requests left their region early and tight ones late. The order is reverted; its cases are replaced by cases of the rule that holds. The draw in proportion to room stays.

--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -134,7 +134,7 @@
       objectiveMs: plan.objectiveMs,
       isOverMaxWait: best !== undefined && waitMsOf(best) > maxWaitMs,
       others,
-      byRoom: otherRegions.roomInput(best?.ownPrefillMs ?? 0),
+      draw: otherRegions.roomDraw(),
     });
     if (choice.kind !== 'remote') return undefined;
     const peer = otherRegions.pickPeer(choice.region, tried);
--- a/src/core/pass-through/other-regions.ts
+++ b/src/core/pass-through/other-regions.ts
@@ -1,6 +1,6 @@
 import type { ConnectionPool } from '../exchanges';
 import type { ServiceRequests } from '../membership';
-import type { RegionOption, RoomInput, SpillWindows } from '../placement';
+import type { RegionOption, SpillWindows } from '../placement';
 import type { ServerRegistry } from '../server-registry';
 import { regionRoom } from './region-room';
 import type { RequestPlan, TriedDestinations } from './types';
@@ -28,8 +28,8 @@
    * link. With the choice by room, the one with fewer open requests of two random ones.
    */
   pickPeer(region: string, tried: TriedDestinations): ForwardPeer | undefined;
-  /** Returns the input of the choice by room; undefined if that is turned off. */
-  roomInput(ownPrefillMs: number): RoomInput | undefined;
+  /** Returns the random source of the draw by room; undefined if that is turned off. */
+  roomDraw(): (() => number) | undefined;
 }
 
 /** Options of `createOtherRegions`. */
@@ -48,8 +48,6 @@
    * off, they go to the region with the least open requests of all services per slot.
    */
   readonly regionalRoom?: () => boolean;
-  /** Time of the trip to another region and back, ms; 110 by default, since nothing measures it. */
-  readonly roundTripMs?: number;
 }
 
 /**
@@ -59,13 +57,10 @@
  */
 export const PEER_IDLE_MS = 45_000;
 
-const DEFAULT_ROUND_TRIP_MS = 110;
-
 /** Creates a chooser that rates other regions by the reports and answers of their instances. */
 export function createOtherRegions(options: OtherRegionsOptions): OtherRegions {
   const { region, servers, windows, pool, draw } = options;
   const usesRoom = options.regionalRoom ?? (() => true);
-  const roundTripMs = options.roundTripMs ?? DEFAULT_ROUND_TRIP_MS;
 
   const isAllowedIn = ({ homeRegions }: RequestPlan, other: string): boolean =>
     homeRegions.length === 0 || homeRegions.includes(other);
@@ -129,6 +124,6 @@
       const choices = connected.length > 0 ? connected : peers;
       return usesRoom() ? lessBusy(choices) : choices[Math.floor(draw() * choices.length)];
     },
-    roomInput: (ownPrefillMs) => (usesRoom() ? { ownPrefillMs, roundTripMs, draw } : undefined),
+    roomDraw: () => (usesRoom() ? draw : undefined),
   };
 }
--- a/src/core/pass-through/testing/simulate-regions.ts
+++ b/src/core/pass-through/testing/simulate-regions.ts
@@ -259,7 +259,7 @@
       localFirstByteMs,
       objectiveMs: plan.objectiveMs,
       others: regions.options(plan, triedDestinations),
-      byRoom: regions.roomInput(OWN_PREFILL_MS),
+      draw: regions.roomDraw(),
     });
     const peer =
       choice.kind === 'remote' ? regions.pickPeer(choice.region, triedDestinations) : undefined;
--- a/src/core/placement/choose-region.ts
+++ b/src/core/placement/choose-region.ts
@@ -7,16 +7,6 @@
   readonly room: number;
 }
 
-/** Input of the choice by room. */
-export interface RoomInput {
-  /** Part of the predicted time in this region that the request's own prompt takes, ms. */
-  readonly ownPrefillMs: number;
-  /** Time of the trip to another region and back, ms. */
-  readonly roundTripMs: number;
-  /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
-  readonly draw: () => number;
-}
-
 /** Input of the choice between regions. */
 export interface RegionInput {
   /** Predicted time to the first byte in this region, ms; undefined if it has no usable server. */
@@ -26,8 +16,11 @@
   /** Whether the request would wait longer here than its priority allows, so that it is not admitted here. */
   readonly isOverMaxWait: boolean;
   readonly others: readonly RegionOption[];
-  /** Undefined for the choice of the least utilized region. */
-  readonly byRoom?: RoomInput | undefined;
+  /**
+   * Returns a random number from 0 (inclusive) to 1 (exclusive), for a draw by room; undefined for the choice of the least
+   * utilized region.
+   */
+  readonly draw?: (() => number) | undefined;
 }
 
 /** Region that a request is sent to. */
@@ -52,23 +45,6 @@
 /** Utilization from which another region is not used even if no server of this region is usable. */
 const MAX_UTILIZATION_WITHOUT_LOCAL_SERVER = 1.5;
 
-/**
- * Minimum wait in this region before a request leaves it, in round trips. Leaving saves the wait and costs a round
- * trip, so from 2 on it saves at least what it costs.
- */
-const MIN_WAIT_ROUND_TRIPS = 2;
-/** Minimum wait as a share of the objective; a request with an objective of many seconds need not leave at once. */
-const MIN_WAIT_OBJECTIVE_SHARE = 0.15;
-/** Round trip as a share of the objective up to which the request leaves as early as possible. */
-const TOLERANT_TRIP_SHARE = 0.1;
-/** Round trip as a share of the objective from which the request leaves as late as possible. */
-const TIGHT_TRIP_SHARE = 0.2;
-/**
- * Predicted time in this region above which any request leaves, as a share of the objective: predictions are wrong by
- * up to a quarter, and such a request would often be late here.
- */
-const MAX_TIGHT_OBJECTIVE_SHARE = 0.75;
-
 function leastUtilized(options: readonly RegionOption[]): RegionOption | undefined {
   return [...options].sort((left, right) => left.utilization - right.utilization)[0];
 }
@@ -89,31 +65,6 @@
   return withRoom.at(-1);
 }
 
-/**
- * Returns the predicted time to the first byte in this region above which a request leaves it, ms. Requests that lose a
- * small share of their objective by the trip leave first; those with tight objectives stay until they would be late.
- */
-function maxLocalMs(objectiveMs: number, { ownPrefillMs, roundTripMs }: RoomInput): number {
-  const minWaitMs = Math.max(
-    MIN_WAIT_ROUND_TRIPS * roundTripMs,
-    MIN_WAIT_OBJECTIVE_SHARE * objectiveMs,
-  );
-  const latestMs = MAX_TIGHT_OBJECTIVE_SHARE * objectiveMs;
-  const earliestMs = Math.min(latestMs, ownPrefillMs + minWaitMs);
-  const tightness =
-    (roundTripMs / objectiveMs - TOLERANT_TRIP_SHARE) / (TIGHT_TRIP_SHARE - TOLERANT_TRIP_SHARE);
-  const share = Math.min(1, Math.max(0, tightness));
-  // A request that is late only because of its own prompt saves nothing by the trip.
-  return Math.max(earliestMs + share * (latestMs - earliestMs), ownPrefillMs + roundTripMs);
-}
-
-/** Returns whether a request should leave this region if another one has capacity. */
-function leaves(localFirstByteMs: number, { objectiveMs, byRoom }: RegionInput): boolean {
-  if (byRoom === undefined) return localFirstByteMs > objectiveMs * MAX_LOCAL_OBJECTIVE_SHARE;
-  const isInTimeAfterTrip = byRoom.ownPrefillMs + byRoom.roundTripMs <= objectiveMs;
-  return isInTimeAfterTrip && localFirstByteMs > maxLocalMs(objectiveMs, byRoom);
-}
-
 /**
  * Chooses between this region and others.
  *
@@ -129,16 +80,17 @@
  * within that time while the others stay idle; a draw in proportion to room divides their requests over all.
  */
 export function chooseRegion(input: RegionInput): RegionChoice {
-  const { localFirstByteMs, isOverMaxWait, others, byRoom } = input;
+  const { localFirstByteMs, objectiveMs, isOverMaxWait, others, draw } = input;
   const below = (maxUtilization: number): RegionOption | undefined => {
     const options = others.filter((option) => option.utilization < maxUtilization);
-    return byRoom === undefined ? leastUtilized(options) : drawByRoom(options, byRoom.draw);
+    return draw === undefined ? leastUtilized(options) : drawByRoom(options, draw);
   };
   if (localFirstByteMs === undefined) {
     const region = below(MAX_UTILIZATION_WITHOUT_LOCAL_SERVER)?.region;
     return region === undefined ? { kind: 'nowhere' } : { kind: 'remote', region };
   }
-  if (!isOverMaxWait && !leaves(localFirstByteMs, input)) return { kind: 'local' };
+  const isInTimeHere = localFirstByteMs <= objectiveMs * MAX_LOCAL_OBJECTIVE_SHARE;
+  if (isInTimeHere && !isOverMaxWait) return { kind: 'local' };
   const region = below(MAX_SPILLOVER_UTILIZATION)?.region;
   return region === undefined ? { kind: 'local' } : { kind: 'remote', region };
 }
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -1,6 +1,6 @@
 /** Selects the region and the backend server that a request is sent to. */
 export { chooseRegion } from './choose-region';
-export type { RegionChoice, RegionInput, RegionOption, RoomInput } from './choose-region';
+export type { RegionChoice, RegionInput, RegionOption } from './choose-region';
 export { chooseServer, predictFirstByteMs } from './choose-server';
 export type { ServerChoice } from './choose-server';
 export { memorySlots, ownTokens } from './memory-slots';
