Bound less urgent requests only while more urgent ones have to wait

Each urgent request that arrived bounded the others, also where it hardly waited, and the bound of 0.9 of its objective left it late beside a queue of that length. An urgent request now counts from a wait of a quarter of its objective on, and the others may then wait for 0.3 of it.

Its setting for the separation of prompts and streams goes, since that part is not kept.

--- a/src/core/pass-through/admission-by-priority.test.ts
+++ b/src/core/pass-through/admission-by-priority.test.ts
@@ -36,7 +36,7 @@
 /** Prompt tokens that the server has yet to read, so that the predicted wait is 700 ms. */
 const PENDING_TOKENS = 40_000;
 /** Time at which the bound applies in full, ms. */
-const LATER_MS = 1_000;
+const LATER_MS = 500;
 const SOUTH: ForwardPeer = {
   instanceId: 'b-1',
   region: 'south',
@@ -55,7 +55,6 @@
     all: () => (hasOtherRegion ? [...north.all(), ...inSouth] : north.all()),
   };
   const router = createRouter({
-    // Requests leave as without the choice by room, which has rules of its own for tolerant requests.
     regionalRoom: () => false,
     serverSpeeds: undefined,
     onPartsCached() {},
@@ -152,19 +151,19 @@
   for (const { name, before, plan = RELAXED, options, to } of cases) {
     it(name, () => {
       const instance = createBusyInstance(options);
+      instance.setBusy(0);
       for (const each of before) instance.choose(each, 0);
-      instance.setBusy(LATER_MS);
       assert.equal(instance.choose(plan, LATER_MS).kind, to);
     });
   }
 
   it('is refused with its wait and the bound, for the log line', () => {
     const instance = createBusyInstance();
+    instance.setBusy(0);
     instance.choose(URGENT, 0);
-    instance.setBusy(LATER_MS);
     const to = instance.choose(RELAXED, LATER_MS);
     assert.ok(to.kind === 'none' && to.basis?.kind === 'tooSlow');
-    assert.equal(to.basis.maxWaitMs, 450);
+    assert.equal(to.basis.maxWaitMs, 150);
     assert.ok(to.basis.waitMs > 650 && to.basis.waitMs < 750, `${to.basis.waitMs}`);
     assert.ok((to.retryAfterMs ?? 0) >= to.basis.waitMs - to.basis.maxWaitMs, `${to.retryAfterMs}`);
   });
@@ -175,9 +174,21 @@
   it('counts as demand once', () => {
     const instance = createBusyInstance();
     const request = instance.nextRequest();
+    instance.setBusy(0);
     for (let atMs = 0; atMs <= 10_000; atMs += 500) instance.choose(URGENT, atMs, request);
-    instance.setBusy(10_000);
-    assert.equal(instance.choose(RELAXED, 10_000).kind, 'server');
+    const to = instance.choose(RELAXED, 10_000);
+    assert.ok(to.kind === 'none' && to.basis?.kind === 'tooSlow');
+    assert.equal(to.basis.maxWaitMs, RELAXED.objectiveMs);
+  });
+});
+
+/** Guards against capacity that is kept idle: less urgent requests would be bounded while urgent ones hardly wait. */
+describe('an urgent request that need not wait', () => {
+  it('does not bound less urgent ones', () => {
+    const instance = createBusyInstance();
+    instance.choose(URGENT, 0);
+    instance.setBusy(LATER_MS);
+    assert.equal(instance.choose(RELAXED, LATER_MS).kind, 'server');
   });
 });
 
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -184,8 +184,8 @@
     correction,
     spillWindows,
     choose(request, plan, tried, nowMs) {
-      admission.recordDemand(request, plan, nowMs);
       const choices = localServers.outlook(request, plan, tried, nowMs);
+      admission.recordDemand(request, plan, choices.best, nowMs);
       const verdict = shareGate.check(request, plan, choices.best, nowMs);
       if (!verdict.isAdmitted) {
         // The account has its share of this region only; another one may have room for the request.
--- a/src/core/pass-through/local-admission.ts
+++ b/src/core/pass-through/local-admission.ts
@@ -7,8 +7,16 @@
 
 /** Decides which requests the servers of this region take. */
 export interface LocalAdmission {
-  /** Records the demand of a request once, also if it is chosen a destination for again at a retry. */
-  recordDemand(request: InboundRequest, plan: RequestPlan, nowMs: number): void;
+  /**
+   * Records the demand of a request that would have to wait at the best server of this region. Records it once, also if
+   * the request is chosen a destination for again at a retry.
+   */
+  recordDemand(
+    request: InboundRequest,
+    plan: RequestPlan,
+    best: LocalChoice | undefined,
+    nowMs: number,
+  ): void;
   /** Returns the maximum wait of a request that is admitted here, ms. */
   maxWaitMs(plan: RequestPlan, nowMs: number): number;
   /**
@@ -38,6 +46,9 @@
 /** Wait at a server with hardly any other work, as a share of the objective: a few steps of its batch. */
 const MAX_IDLE_WAIT_SHARE = 0.1;
 
+/** Wait of a request from which on less urgent ones are bounded for it, as a share of its objective. */
+const MIN_DEMAND_WAIT_SHARE = 0.25;
+
 /** Creates an admission that has seen no requests yet. */
 export function createLocalAdmission(options: LocalAdmissionOptions): LocalAdmission {
   const sizeAdmission = createSizeAdmission(options.draw);
@@ -45,9 +56,11 @@
   const recordedRequests = new WeakSet<InboundRequest>();
 
   return {
-    recordDemand(request, plan, nowMs) {
+    recordDemand(request, plan, best, nowMs) {
       if (recordedRequests.has(request)) return;
       recordedRequests.add(request);
+      // While it hardly waits, others can use the servers without making it late.
+      if (best !== undefined && waitMsOf(best) < plan.objectiveMs * MIN_DEMAND_WAIT_SHARE) return;
       // A request that may not run in this region competes for no server here.
       const mayRunHere = plan.homeRegions.length === 0 || plan.homeRegions.includes(options.region);
       if (mayRunHere) priorityAdmission.recordDemand(plan, nowMs);
--- a/src/core/priority-admission/create-priority-admission.ts
+++ b/src/core/priority-admission/create-priority-admission.ts
@@ -2,10 +2,9 @@
 
 /**
  * Maximum wait of a less urgent request, as a share of the objective of a more urgent kind. The rest is left for the
- * prompt of an urgent request that follows. Predicted waits are up to three times the actual ones, so that smaller
- * shares leave servers idle.
+ * prompt of an urgent request that follows, and for requests that other instances send at the same time.
  */
-const MAX_WAIT_SHARE = 0.9;
+const MAX_WAIT_SHARE = 0.3;
 /**
  * Time after the last request of a kind for which its demand counts in full, ms. An instance of a large region sees
  * an urgent request only every few seconds.
@@ -43,7 +42,7 @@
  * whose objective is longer, are admitted until the predicted wait exceeds the objective of the urgent ones: these are
  * refused or sent away first, although they would be served. With the bound, a less urgent request is admitted only
  * where an urgent one could follow it in time. No capacity is kept idle, since the bound is a wait: a server without
- * a queue takes any request.
+ * a queue takes any request. Only demand that has to wait is recorded, so that nothing is bounded without need.
  *
  * Each instance decides by the requests that it sees itself. The bound changes linearly over time instead of jumping,
  * so that instances which see the first or last urgent request at the same moment do not admit or refuse all others at
--- a/src/core/priority-admission/priority-admission.test.ts
+++ b/src/core/priority-admission/priority-admission.test.ts
@@ -5,7 +5,7 @@
 
 const URGENT: RequestKind = { service: 'chat', priority: 0, objectiveMs: 500 };
 /** Bound of a less urgent request because of an urgent one, ms. */
-const BOUND_MS = 450;
+const BOUND_MS = 150;
 const RELAXED: RequestKind = { service: 'chat', priority: 2, objectiveMs: 1_500 };
 
 /** Records requests of a kind every 100 ms, from one time to another. */
@@ -53,8 +53,8 @@
     {
       name: 'is its objective if that is smaller than the share',
       demand: [URGENT],
-      kind: { ...RELAXED, objectiveMs: 200 },
-      maxWaitMs: 200,
+      kind: { ...RELAXED, objectiveMs: 100 },
+      maxWaitMs: 100,
     },
     {
       name: 'depends on the smallest objective among several more urgent kinds',
--- a/src/core/priority-admission/types.ts
+++ b/src/core/priority-admission/types.ts
@@ -9,11 +9,11 @@
 
 /** Decides how long a request may wait at a server and still be admitted. */
 export interface PriorityAdmission {
-  /** Records that a request has arrived which servers of this region may run. */
+  /** Records that a request has arrived which servers of this region may run, and would have to wait there. */
   recordDemand(kind: RequestKind, nowMs: number): void;
   /**
    * Returns the maximum wait of an admitted request, ms: its predicted time to the first byte without the computation
-   * of its own prompt. Equals its objective unless more urgent requests of its service arrive.
+   * of its own prompt. Equals its objective unless more urgent requests of its service wait.
    */
   maxWaitMs(kind: RequestKind, nowMs: number): number;
 }
--- a/src/core/relay-node/settings.ts
+++ b/src/core/relay-node/settings.ts
@@ -21,12 +21,8 @@
     .describe('Predict with the speed of each server instead of the speed of its service'),
   regionalRoom: z
     .boolean()
-    .default(true)
+    .default(false)
     .describe('Divide requests that leave this region over the others by their free capacity'),
-  workloadSeparation: z
-    .boolean()
-    .default(true)
-    .describe('Prefer different servers for long prompts and for streams with short pauses'),
 });
 
 /** Switches for decisions under load, with defaults filled in. */
