Reword comments on shares, admission and retry times

Sentences had to be read twice, a retry had two names, and two comments on shares left out refusals for the wait.

--- a/src/core/account-shares/admitted-shares.ts
+++ b/src/core/account-shares/admitted-shares.ts
@@ -13,8 +13,8 @@
 /** Standard errors above the fair share at which refusals of an account begin, and at which they have full effect. */
 const MIN_ERRORS_ABOVE = 2;
 const MAX_ERRORS_ABOVE = 3.5;
-/** Halvings of the interval that contains the share: precise to less than 1 in 10,000. */
-const HALVINGS = 14;
+/** Bisection steps that find the share, for a precision of less than 1 in 10,000. */
+const BISECTION_STEPS = 14;
 
 /**
  * Returns the share of an account's demand that is admitted. Demand that exceeds the fair share by no more than what
@@ -39,7 +39,7 @@
   if (fair === Infinity) return Infinity;
   let low = 0;
   let high = fair;
-  for (let halving = 0; halving < HALVINGS; halving += 1) {
+  for (let step = 0; step < BISECTION_STEPS; step += 1) {
     const share = (low + high) / 2;
     let admitted = Math.min(rest.cost, rest.count * share);
     for (const rate of accounts) admitted += rate.cost * admittedShareOf(rate, share);
--- a/src/core/account-shares/create-account-shares.ts
+++ b/src/core/account-shares/create-account-shares.ts
@@ -26,24 +26,24 @@
 }
 
 /**
- * Time after a request that the servers had no room for during which a service is scarce, ms. Shares leave so few such
- * refusals that there are gaps of more than a second between them; if all were admitted in each gap, the accounts within
- * their share would be refused at its end.
+ * Time for which a service stays scarce after the servers last had no room for a request, ms. While shares apply, such
+ * refusals may be more than a second apart. If shares ended in each of these gaps, queues would fill again, and accounts
+ * within their share would be refused.
  */
 const SCARCE_MS = 4_000;
 /** Interval between two computations of the shares of a service, ms. */
 const COMPUTE_INTERVAL_MS = 100;
-/** Accounts up to which that interval applies. It grows with more: a computation with 18,000 accounts takes 10 ms. */
+/** Maximum number of accounts for that interval; it grows with more: a computation with 18,000 accounts takes 10 ms. */
 const ACCOUNTS_PER_INTERVAL = 4_000;
 /** Interval at which idle accounts and expired reports are dropped, ms. */
 const DROP_INTERVAL_MS = 1_000;
-/** Time after a request that the servers had no room for during which what is admitted counts as their capacity, ms. */
+/** Time after the servers last had no room during which the admitted cost is taken as their capacity, ms. */
 const FULL_MS = 1_000;
-/** Time constant with which the capacity follows what is admitted meanwhile, ms. */
+/** Time constant of the moving average of the admitted cost that estimates the capacity, ms. */
 const CAPACITY_TIME_CONSTANT_MS = 2_000;
-/** Maximum time that one computation accounts for, ms; without a bound, a pause would change the capacity at a leap. */
+/** Maximum time step of one computation, ms; without it, the capacity would jump after a pause. */
 const MAX_ELAPSED_MS = 500;
-/** Coefficients of the capacity that is admitted, by the time since servers last had no room. */
+/** Coefficients of the share of the capacity that is admitted, by the time since servers last had no room. */
 const FACTOR_WHILE_FULL = 0.97;
 const GROWTH_PER_S = 0.02;
 const GROWTH_PER_S_SQUARED = 0.02;
@@ -52,11 +52,11 @@
 const MS_PER_S = 1_000;
 
 /**
- * Share of the wait for the objective that is left to accounts within their share, at most. Their random bursts then find
- * room, although the account over its share keeps the queues from becoming empty.
+ * Maximum share of the wait for the objective that is reserved for accounts within their share. It leaves room for their
+ * random bursts, although accounts over their share keep the queues from becoming empty.
  */
 const RESERVED_WAIT_SHARE = 0.35;
-/** Mean excess of an account from which all of that is left to the others. */
+/** Mean excess of an account from which it must leave all of the reserved share to the others. */
 const FULL_EFFECT_EXCESS = 0.3;
 /** Time constant of the mean excess, ms: an account that is over its share for a moment by chance has little effect. */
 const EXCESS_TIME_CONSTANT_MS = 1_500;
@@ -112,9 +112,9 @@
 }
 
 /**
- * Returns what is admitted, relative to the estimated capacity. Right after servers had no room it is less, so that
- * their queues become shorter. It then grows faster and faster, since only another refusal shows that there is no more
- * capacity.
+ * Returns the cost to admit, as a multiple of the estimated capacity. Right after servers had no room, it is below 1, so
+ * that their queues become shorter. It then grows faster and faster, since only another refusal shows that there is no
+ * more capacity.
  */
 function capacityFactor(sinceFullMs: number): number {
   const sinceFullS = sinceFullMs / MS_PER_S;
@@ -189,7 +189,7 @@
     }
     const rest = {
       cost: total(reports.map(({ report }) => report.rest.cost)),
-      // Mostly the same accounts at each instance.
+      // Not added up: the instances mostly get requests of the same accounts.
       count: Math.max(0, ...reports.map(({ report }) => report.rest.count)),
     };
     const capacity = capacityCost + total(reports.map(({ report }) => report.capacityCost));
@@ -246,7 +246,7 @@
       service,
       accounts: sorted
         .slice(0, MAX_REPORTED_ACCOUNTS)
-        .map(([account, sum]) => ({ account, ...sum })),
+        .map(([account, rate]) => ({ account, ...rate })),
       rest: { count: others.length, cost: total(others.map(([, { cost }]) => cost)) },
       admittedCost: own.admittedCost('short', nowMs),
       refusedCost: own.refusedCost('short', nowMs),
--- a/src/core/account-shares/create-own-demand.ts
+++ b/src/core/account-shares/create-own-demand.ts
@@ -1,11 +1,12 @@
 import type { DemandOutcome, DemandRate } from './types';
 
-/** Past that a rate covers: the short one follows changes, the long one has more requests at a quiet instance. */
+/** Period that a rate covers: the short one follows changes, the long one has enough requests at a quiet instance. */
 export type DemandSpan = 'short' | 'long';
 
 /** Demand of the accounts of one service at this instance. Costs are rates per second over the recent past. */
 export interface OwnDemand {
   record(account: string, cost: number, outcome: DemandOutcome, nowMs: number): void;
+  /** Moves the cost of a request that was recorded as admitted to the refused cost. */
   recordLateRefusal(cost: number, nowMs: number): void;
   /** Returns the demand of all accounts that have not been idle for long. */
   accounts(span: DemandSpan, nowMs: number): ReadonlyMap<string, DemandRate>;
--- a/src/core/account-shares/create-received-reports.ts
+++ b/src/core/account-shares/create-received-reports.ts
@@ -15,16 +15,16 @@
 }
 
 /**
- * TTL of a report, ms. The reports that have not expired are a sample of the region, and the shares need no more than a
- * sample. So the TTL need not grow with the interval between reports, and no decision rests on old demand.
+ * TTL of a report, ms. Any sample of the region suffices to compute shares. So the TTL need not grow with the interval
+ * between reports, and no decision is based on old demand.
  */
 const REPORT_TTL_MS = 2_000;
 /** Maximum number of reports that are kept: two services of 300 instances, with some margin. */
 const MAX_REPORTS = 1_000;
 
-function isNewer(report: DemandReport, than: DemandReport): boolean {
-  if (report.incarnation !== than.incarnation) return report.incarnation > than.incarnation;
-  return report.sequence > than.sequence;
+function isNewer(report: DemandReport, previous: DemandReport): boolean {
+  if (report.incarnation !== previous.incarnation) return report.incarnation > previous.incarnation;
+  return report.sequence > previous.sequence;
 }
 
 /** Creates an empty record. A report replaces an older one of the same sender and service; others are ignored. */
--- a/src/core/account-shares/fair-share.ts
+++ b/src/core/account-shares/fair-share.ts
@@ -23,7 +23,7 @@
     }
     if (aboveCount === 0) return Infinity;
     const next = Math.max(0, capacity - belowCost) / aboveCount;
-    // Rounding may lower the level by a trace, which would repeat the passes for ever.
+    // Rounding may lower the level slightly. Without this check, the passes could repeat forever.
     if (next <= level) return level;
     level = next;
   }
--- a/src/core/account-shares/types.ts
+++ b/src/core/account-shares/types.ts
@@ -1,7 +1,7 @@
-/** What became of a request, as far as the shares of accounts are concerned. */
+/** Outcome of a request, by what it shows about the load of the servers. */
 export type DemandOutcome =
   | 'admitted'
-  /** No server could have answered in time, or the limits of the servers left no room. */
+  /** No server could have answered within the maximum wait, or the limits of the servers left no room. */
   | 'refusedByServers'
   /** Refused for a reason that says nothing about the load of the servers. */
   | 'refusedOtherwise'
@@ -21,7 +21,7 @@
   readonly isAdmitted: boolean;
   /** Share of the account's demand that is admitted at present; 1 if nothing is refused. */
   readonly admittedShare: number;
-  /** Maximum wait of an admitted request, as a share of what it may wait for its objective. */
+  /** Maximum wait of an admitted request, as a share of the longest wait with which it meets its objective. */
   readonly maxWaitShare: number;
 }
 
@@ -58,7 +58,7 @@
 
 /** Decides which accounts get less than they ask for while a service is scarce. */
 export interface AccountShares {
-  /** Records the demand of a request and what became of it; once for each request. */
+  /** Records the demand and the outcome of a request; called once for each request. */
   record(demand: AccountDemand, nowMs: number): void;
   /** Records that the servers had no room after all for a request that was recorded as admitted. */
   recordLateRefusal(demand: Omit<AccountDemand, 'outcome'>, nowMs: number): void;
--- a/src/core/membership/merge.ts
+++ b/src/core/membership/merge.ts
@@ -66,7 +66,7 @@
 
 /**
  * Orders equal loads by whether they state the open requests per service: an instance of an older release forwards the
- * load without them, and the statement that has them must win at whatever instance both arrive.
+ * load without them, and the statement that has them must win at every instance that receives both.
  */
 function compareDetail(left: LoadState, right: LoadState): number {
   return (
--- a/src/core/metrics/create-metrics.ts
+++ b/src/core/metrics/create-metrics.ts
@@ -18,7 +18,7 @@
   callerGone(service: string): void;
   /** A value that is read when metrics are asked for. */
   gauge(name: string, help: string, read: () => number): void;
-  /** Values for each value of one label, read when metrics are asked for. The label must have few values. */
+  /** A value for each value of one label, all read when metrics are asked for. The label must have few values. */
   labelledGauge(
     name: string,
     help: string,
--- a/src/core/pass-through/create-refuser.ts
+++ b/src/core/pass-through/create-refuser.ts
@@ -16,16 +16,19 @@
       /** Maximum wait of the request by its priority, ms. */
       readonly maxWaitMs: number;
     }
-  /** The server that may be asked first again, of those that may not be asked now. */
+  /** No server may be asked now; `server` is the one that may be asked again first. */
   | { readonly kind: 'restricted'; readonly server: RestrictedServer }
-  /** The client account gets only a share of what it asks for, since the service is scarce. */
+  /**
+   * The service is scarce and the account over its share. `admittedShare` is the share of its demand that is admitted; it
+   * may be 1 if the request is refused because of its wait.
+   */
   | { readonly kind: 'overShare'; readonly admittedShare: number };
 
 /** A request that gets no destination. */
 export interface RefusedPlacement {
   readonly kind: 'none';
   readonly reason: 'noServer' | 'overloaded' | 'serversLimited' | 'serversPaused';
-  /** Time after which its caller may retry, ms; undefined if it could not be served before its deadline then. */
+  /** Delay after which its caller may retry, ms; undefined if that would be too late to be served before its deadline. */
   readonly retryAfterMs: number | undefined;
   /** Undefined if there is no server for the request. */
   readonly basis: RefusalBasis | undefined;
@@ -50,7 +53,7 @@
     hasServersElsewhere: boolean,
     nowMs: number,
   ): RefusedPlacement;
-  /** Records that a request is sent to a server; refused callers are told to return at the rate of these. */
+  /** Records that a request is sent to a server; retries are scheduled at the rate of these requests. */
   recordAdmitted(plan: RequestPlan, nowMs: number): void;
 }
 
@@ -62,19 +65,19 @@
  */
 const MIN_RETRY_MS = 200;
 /**
- * Maximum retry delay: callers have a few seconds in all, and follow a delay up to a third of them.
+ * Maximum retry delay: callers have a few seconds in all, and accept a delay of up to a third of that.
  */
 const MAX_RETRY_MS = 2_000;
-/** Time that a request needs at least when it returns, ms: a trip to a server and a short answer. */
+/** Minimum time to serve a retried request, ms: a round trip to a server and a short answer. */
 const MIN_SERVING_MS = 100;
 
 /** Returns what a retry schedule needs to know of a refused request. */
-function returnOf(plan: RequestPlan, minDelayMs: number): RefusedRequest {
+function toRefusedRequest(plan: RequestPlan, minDelayMs: number): RefusedRequest {
   return {
     service: plan.service,
     priority: plan.priority,
     minDelayMs,
-    latestReturnAtMs: answerDeadlineMs(plan) - Math.min(MIN_SERVING_MS, plan.objectiveMs),
+    latestRetryAtMs: answerDeadlineMs(plan) - Math.min(MIN_SERVING_MS, plan.objectiveMs),
   };
 }
 
@@ -99,7 +102,7 @@
     // here would delay the callers of this region.
     const retryAfterMs = plan.isForwarded
       ? minDelayMs
-      : schedule.nextRetryAfterMs(returnOf(plan, minDelayMs), nowMs);
+      : schedule.nextRetryAfterMs(toRefusedRequest(plan, minDelayMs), nowMs);
     return { kind: 'none', reason, retryAfterMs, basis };
   };
 
@@ -113,7 +116,7 @@
     refuseOverShare: (plan, admittedShare, nowMs) => ({
       kind: 'none',
       reason: 'overloaded',
-      retryAfterMs: shareSchedule.nextRetryAfterMs(returnOf(plan, MIN_RETRY_MS), nowMs),
+      retryAfterMs: shareSchedule.nextRetryAfterMs(toRefusedRequest(plan, MIN_RETRY_MS), nowMs),
       basis: { kind: 'overShare', admittedShare },
     }),
     refuseRestricted(plan, server, nowMs) {
@@ -126,7 +129,7 @@
           // No caller is told to return before the end of the pause, however long that is.
           const spreadMs = plan.isForwarded
             ? 0
-            : pauseSchedule.nextRetryAfterMs(returnOf(plan, 0), nowMs + minDelayMs);
+            : pauseSchedule.nextRetryAfterMs(toRefusedRequest(plan, 0), nowMs + minDelayMs);
           const retryAfterMs = spreadMs === undefined ? undefined : minDelayMs + spreadMs;
           return { kind: 'none', reason: 'serversPaused', retryAfterMs, basis };
         }
--- a/src/core/pass-through/local-admission.ts
+++ b/src/core/pass-through/local-admission.ts
@@ -8,8 +8,8 @@
 /** Decides which requests the servers of this region take. */
 export interface LocalAdmission {
   /**
-   * Records the demand of a request that would have to wait at the best server of this region. Records it once, also if
-   * the request is chosen a destination for again at a retry.
+   * Records the demand of a request if it would have to wait at the best server of this region, or if there is none. Only
+   * the first choice of a destination for a request counts; later ones, for its retries, are ignored.
    */
   recordDemand(
     request: InboundRequest,
@@ -46,7 +46,7 @@
 /** Wait at a server with hardly any other work, as a share of the objective: a few steps of its batch. */
 const MAX_IDLE_WAIT_SHARE = 0.1;
 
-/** Wait of a request from which on less urgent ones are bounded for it, as a share of its objective. */
+/** Minimum wait of a request, as a share of its objective, from which the waits of less urgent ones are bounded. */
 const MIN_DEMAND_WAIT_SHARE = 0.25;
 
 /** Creates an admission that has seen no requests yet. */
@@ -59,7 +59,7 @@
     recordDemand(request, plan, best, nowMs) {
       if (recordedRequests.has(request)) return;
       recordedRequests.add(request);
-      // While it hardly waits, others can use the servers without making it late.
+      // A request that hardly waits is in time even if less urgent ones are admitted.
       if (best !== undefined && waitMsOf(best) < plan.objectiveMs * MIN_DEMAND_WAIT_SHARE) return;
       // A request that may not run in this region competes for no server here.
       const mayRunHere = plan.homeRegions.length === 0 || plan.homeRegions.includes(options.region);
--- a/src/core/pass-through/observe-destination.ts
+++ b/src/core/pass-through/observe-destination.ts
@@ -84,7 +84,7 @@
       // On a busy server, the wait for a place in the batch would be counted as prefill time.
       const hasSpareSlots = loads.load(incarnationId, nowMs) < server.slots / 2;
       // The speed of the service and the correction are those of a server of usual speed, so the slowness of one server
-      // is taken out of what they learn. Otherwise it would count twice there, and once at all others.
+      // is taken out of what they learn. Otherwise it would count twice at this server, and once at all others.
       const factor = meanFactor();
       const extraFactor = factor - to.speedFactor;
       if (hasSpareSlots) speeds.recordPrefill(plan.service, tokens, actualMs / factor);
@@ -95,7 +95,8 @@
         nowMs,
       );
       correction.record(kind, rawPredictedMs + usualMs * extraFactor, actualMs);
-      // A slowdown that began after the request was sent is over within a second, unlike the recorded lateness.
+      // A slowdown that began after the request was sent is not recorded as lateness: it ends within a second, while
+      // recorded lateness affects choices for longer.
       const expectedMs = predictedMs + correctedUsualMs * Math.max(0, extraFactor);
       loads.recordFirstByte(incarnationId, { tokens, predictedMs: expectedMs, actualMs }, nowMs);
       if (request.demand !== undefined) router.recordPrompt(incarnationId, request.demand);
--- a/src/core/pass-through/other-regions.ts
+++ b/src/core/pass-through/other-regions.ts
@@ -88,7 +88,7 @@
       : { region: other, room: ofService.room, utilization: totalUtilization(other, peers) };
   };
 
-  /** Returns the one with fewer open requests of two random candidates. */
+  /** Returns the candidate with fewer open requests of two random ones (power of two choices). */
   const lessBusy = (candidates: readonly ForwardPeer[]): ForwardPeer | undefined => {
     const firstIndex = Math.floor(draw() * candidates.length);
     const first = candidates[firstIndex];
--- a/src/core/pass-through/region-room.ts
+++ b/src/core/pass-through/region-room.ts
@@ -32,9 +32,9 @@
   readonly openRequestsByService?: readonly ServiceRequests[] | undefined;
 }
 
-/** Capacity of a region for one service. */
+/** Free capacity and utilization of a region for one service. */
 export interface RegionRoom {
-  /** Slots of usable servers less open requests; at least 0. */
+  /** Free slots: slots of usable servers minus open requests; at least 0. */
   readonly room: number;
   /** Open requests per slot. */
   readonly utilization: number;
@@ -46,7 +46,7 @@
   return openRequestsByService.find(([name]) => name === service)?.[1] ?? 0;
 }
 
-/** Returns the capacity of a region for a service, from the usable servers and the reports of the instances there. */
+/** Returns the room of a region for a service, from the usable servers and the reports of the instances there. */
 export function regionRoom(
   service: string,
   usableServers: readonly Pick<KnownServer, 'slots'>[],
--- a/src/core/pass-through/share-gate.ts
+++ b/src/core/pass-through/share-gate.ts
@@ -4,22 +4,28 @@
 import type { LocalChoice } from './local-servers';
 import type { InboundRequest, RequestPlan } from './types';
 
-/** Decision of the share of the account of a request. */
+/** Whether a request is admitted by the share of its account. */
 export type GateVerdict =
   | { readonly isAdmitted: true }
-  /** `admittedShare` is the share of the account's demand that is admitted. */
+  /**
+   * `admittedShare` is the share of the account's demand that is admitted; it may be 1 if the request is refused because
+   * of its wait.
+   */
   | { readonly isAdmitted: false; readonly admittedShare: number };
 
 /** Applies the shares of accounts to requests, and records their demand. */
 export interface ShareGate {
-  /** Decides about a request before its first destination is chosen; admits it at each later choice. */
+  /** Decides about a request before its first destination is chosen. Always admits it when another one is chosen. */
   check(
     request: InboundRequest,
     plan: RequestPlan,
     best: LocalChoice | undefined,
     nowMs: number,
   ): GateVerdict;
-  /** Records the demand of a request with its first destination; later ones only if the servers have no room after all. */
+  /**
+   * Records the demand of a request when its first destination is chosen. Later choices are recorded only if the servers
+   * turn out to have no room for an admitted request.
+   */
   record(
     request: InboundRequest,
     plan: RequestPlan,
@@ -33,7 +39,7 @@
 const OUTPUT_TOKEN_COST = 10;
 /** Cost of a request that states no tokens, in prompt tokens. */
 const UNSTATED_COST = 1_000;
-/** Wait without the own prompt, as a share of the objective, above which a late first byte is due to full servers. */
+/** Wait, as a share of the objective, above which a late first byte is due to full servers and not to a large prompt. */
 const MIN_FULL_WAIT_SHARE = 0.5;
 
 const ADMITTED: GateVerdict = { isAdmitted: true };
@@ -45,8 +51,8 @@
   return Math.max(1, promptTokens + OUTPUT_TOKEN_COST * (demand.maxOutputTokens ?? 0));
 }
 
-/** Returns whether a refusal shows that the servers are too slow or full, and not that the request itself is too large. */
-function isForFullServers(destination: Destination, { objectiveMs }: RequestPlan): boolean {
+/** Returns whether a request is refused because servers are slow or full, and not because it is too large itself. */
+function isDueToFullServers(destination: Destination, { objectiveMs }: RequestPlan): boolean {
   if (destination.kind !== 'none') return false;
   const { basis } = destination;
   switch (basis?.kind) {
@@ -64,16 +70,16 @@
   }
 }
 
-/** Returns whether the wait of a request exceeds what it may wait for its objective, reduced to a share of it. */
+/** Returns whether the wait of a request exceeds a share of the longest wait with which it meets its objective. */
 function exceedsWait(best: LocalChoice, { objectiveMs }: RequestPlan, maxWaitShare: number) {
   return waitMsOf(best) > maxWaitShare * Math.max(0, objectiveMs - best.ownPrefillMs);
 }
 
 /** Creates the gate; without `shares`, it admits all requests and records nothing. */
 export function createShareGate(shares: AccountShares | undefined): ShareGate {
-  /** Cost of the requests whose demand has been recorded; undefined in place of the cost unless they were admitted. */
+  /** Requests whose demand has been recorded, with their cost if they count as admitted, or undefined if refused. */
   const recorded = new WeakMap<InboundRequest, number | undefined>();
-  /** Returns the account whose share applies. The instance that got a forwarded request has applied it. */
+  /** Returns the account whose share applies; none to a forwarded request, since the instance that sent it applied it. */
   const accountOf = (plan: RequestPlan) => (plan.isForwarded ? undefined : plan.account);
 
   return {
@@ -95,7 +101,7 @@
       const account = accountOf(plan);
       if (shares === undefined || account === undefined) return;
       const { service } = plan;
-      const isFull = isForFullServers(destination, plan);
+      const isFull = isDueToFullServers(destination, plan);
       if (recorded.has(request)) {
         const cost = recorded.get(request);
         if (cost === undefined || !isFull) return;
--- a/src/core/placement/choose-region.ts
+++ b/src/core/placement/choose-region.ts
@@ -13,12 +13,12 @@
   readonly localFirstByteMs: number | undefined;
   /** Latency objective of the request, ms. */
   readonly objectiveMs: number;
-  /** Whether the request would wait longer here than its priority allows, so that it is not admitted here. */
+  /** Whether the request is not admitted here: its wait is too long for its priority, or its account is over its share. */
   readonly isOverMaxWait: boolean;
   readonly others: readonly RegionOption[];
   /**
-   * Returns a random number from 0 (inclusive) to 1 (exclusive), for a draw by room; undefined for the choice of the least
-   * utilized region.
+   * Returns a random number from 0 (inclusive) to 1 (exclusive), with which a region is drawn by room. If undefined, the
+   * least utilized region is chosen.
    */
   readonly draw?: (() => number) | undefined;
 }
@@ -73,8 +73,8 @@
  * began too early, the requests of a short burst would cross the long link, have their prompts computed again there,
  * and occupy slots that the other region's callers need.
  *
- * A less urgent request whose wait is over the bound of its priority leaves even if it would be in time here: it would
- * be refused, although a region with room could serve it.
+ * A request that is not admitted here because of its priority or its account is sent to another region even if it would
+ * be in time here. It would otherwise be refused, although a region with room could serve it.
  *
  * Reports of other regions are a second old. If all instances chose the least utilized region, they would fill it
  * within that time while the others stay idle; a draw in proportion to room divides their requests over all.
--- a/src/core/placement/choose-server.ts
+++ b/src/core/placement/choose-server.ts
@@ -31,7 +31,7 @@
   const { delayMs, speedFactor } = candidate;
   const usualMs = predictWithoutDelayMs(candidate, speed, 1);
   const slowMs = predictWithoutDelayMs(candidate, speed, speedFactor);
-  // Late first bytes of a slow server are recorded in both values, so only the larger one counts.
+  // Late first bytes of a slow server raise both its speed factor and its delay, so only the larger effect counts.
   return usualMs + Math.max(slowMs - usualMs, delayMs + Math.min(0, slowMs - usualMs));
 }
 
--- a/src/core/placement/memory-slots.ts
+++ b/src/core/placement/memory-slots.ts
@@ -13,12 +13,12 @@
 }
 
 /**
- * Returns how many requests of the mean size of those at a server, with the new one, fit into its memory; undefined if
- * the memory or the size of the request is not stated.
+ * Returns how many requests fit into the memory of a server, by the mean size of its open requests and the new one;
+ * undefined if the memory or the size of the request is not stated.
  *
  * Without this bound, a server with free slots but a full memory looks idle: it gets long prompts that it queues, while
- * others could start them. Shared prompt parts are kept once, so those of the new request reduce the memory, and do not
- * count for each request.
+ * others could start them. A server keeps a shared prompt part only once. Therefore the shared parts of the new request
+ * are subtracted from the memory once, instead of being added to the size of each request.
  */
 export function memorySlots(
   memoryTokens: number | undefined,
--- a/src/core/placement/retry-after-schedule.test.ts
+++ b/src/core/placement/retry-after-schedule.test.ts
@@ -10,7 +10,7 @@
   service: SERVICE,
   priority: 1,
   minDelayMs: MIN_DELAY_MS,
-  latestReturnAtMs: Infinity,
+  latestRetryAtMs: Infinity,
 };
 
 type Schedule = ReturnType<typeof createRetryAfterSchedule>;
@@ -93,8 +93,8 @@
   // A caller that gives up before its turn would take a place that another could use.
   it('get no time if they could not be served before their deadline, and take no place', () => {
     const schedule = createRetryAfterSchedule(MAX_DELAY_MS);
-    const hopeless = { ...REFUSED, latestReturnAtMs: MIN_DELAY_MS - 1 };
-    assert.equal(schedule.nextRetryAfterMs(hopeless, 0), undefined);
+    const tooLate = { ...REFUSED, latestRetryAtMs: MIN_DELAY_MS - 1 };
+    assert.equal(schedule.nextRetryAfterMs(tooLate, 0), undefined);
     assert.equal(delayOf(schedule, REFUSED, 0), MIN_DELAY_MS);
   });
 
--- a/src/core/placement/retry-after-schedule.ts
+++ b/src/core/placement/retry-after-schedule.ts
@@ -1,12 +1,12 @@
-/** A refused request, as far as its return is concerned. */
+/** Properties of a refused request that determine when it should be retried. */
 export interface RefusedRequest {
   readonly service: string;
   /** 0 is the most urgent. */
   readonly priority: number;
-  /** Minimum delay of its return, ms. */
+  /** Minimum delay of its retry, ms. */
   readonly minDelayMs: number;
-  /** Latest return with which it can be served before its deadline, monotonic ms. */
-  readonly latestReturnAtMs: number;
+  /** Latest retry that can be served before its deadline, monotonic ms. */
+  readonly latestRetryAtMs: number;
 }
 
 /** Computes when refused callers should retry. */
@@ -14,8 +14,8 @@
   /** Records that a request to a service was admitted. */
   recordAdmitted(service: string, nowMs: number): void;
   /**
-   * Returns the delay after which a refused request should be retried, ms; undefined if it could not be served before its
-   * deadline then.
+   * Returns the delay after which a refused request should be retried, ms; undefined if that retry would be too late to be
+   * served before its deadline.
    */
   nextRetryAfterMs(request: RefusedRequest, nowMs: number): number | undefined;
 }
@@ -44,7 +44,8 @@
  * come in waves with idle servers between them, and most callers would give up although servers have capacity a moment
  * later. So each refusal is scheduled after the previous one: callers retry in the order of their refusals, no faster
  * than requests of their service have recently been admitted. All kinds of requests to a service share that rate, since
- * they share its servers. The more urgent retry first: each of their retries moves those of the less urgent back.
+ * they share its servers. More urgent requests do not wait for the retries of less urgent ones, but delay those that are
+ * scheduled afterwards.
  */
 export function createRetryAfterSchedule(maxDelayMs: number): RetryAfterSchedule {
   const services = new Map<string, ServiceSchedule>();
@@ -67,7 +68,7 @@
       .filter(([scheduledPriority]) => scheduledPriority <= priority)
       .reduce((latest, [, atMs]) => Math.max(latest, atMs), -Infinity);
 
-  /** Moves the retries that less urgent callers will be told back by one place. */
+  /** Delays the retries of less urgent requests that are refused from now on by one interval. */
   const delayLessUrgent = (schedule: ServiceSchedule, priority: number, nowMs: number): void => {
     const { lastRetryAtMs, meanIntervalMs } = schedule;
     for (const [other, atMs] of lastRetryAtMs) {
@@ -85,12 +86,12 @@
       }
       schedule.lastAdmittedAtMs = nowMs;
     },
-    nextRetryAfterMs({ service, priority, minDelayMs, latestReturnAtMs }, nowMs) {
+    nextRetryAfterMs({ service, priority, minDelayMs, latestRetryAtMs }, nowMs) {
       const schedule = scheduleOf(service);
       const nextAtMs = lastRetryUpTo(schedule, priority) + schedule.meanIntervalMs;
       const retryAtMs = Math.min(nowMs + maxDelayMs, Math.max(nowMs + minDelayMs, nextAtMs));
-      // A caller that gives up before its turn takes no place.
-      if (retryAtMs > latestReturnAtMs) return undefined;
+      // A caller that could not be served in time takes no place in the schedule.
+      if (retryAtMs > latestRetryAtMs) return undefined;
       schedule.lastRetryAtMs.set(priority, retryAtMs);
       delayLessUrgent(schedule, priority, nowMs);
       return retryAtMs - nowMs;
--- a/src/core/placement/server-speeds.ts
+++ b/src/core/placement/server-speeds.ts
@@ -34,16 +34,17 @@
 const LEARNED_HALF_LIFE_MS = 10_000;
 /** Weight of the usual speed against the samples, ms: about seven requests of a usual duration. */
 const PRIOR_WEIGHT_MS = 2_000;
-/** Bounds of one sample and of the factor, so that one outlier or mistake makes no server look free or unusable. */
+/** Bounds of one sample and of the factor; without them, one outlier could make a server look free or unusable. */
 const MIN_FACTOR = 0.25;
 const MAX_FACTOR = 8;
 /**
- * Ratios of actual to predicted times up to the first value are usual at servers of equal speed and are ignored, so that
- * these are chosen as without factors. From the second value on, a ratio counts in full. The same holds below 1.
+ * Ratios of actual to predicted times up to `IGNORED_RATIO` also occur between servers of equal speed. They are ignored,
+ * so that the choice between such servers does not follow chance. From `FULL_RATIO` on, a ratio counts in full; between
+ * the two, in part. The same holds for the reciprocals of ratios below 1.
  */
 const IGNORED_RATIO = 1.35;
 const FULL_RATIO = 1.6;
-/** Weight of the usual speed against the average of the statements, ms; small since these are no estimates. */
+/** Weight of the usual speed against the average of the statements, ms; small, since a stated factor is no estimate. */
 const STATED_PRIOR_WEIGHT_MS = 100;
 
 interface SpeedRecord {
--- a/src/core/priority-admission/create-priority-admission.ts
+++ b/src/core/priority-admission/create-priority-admission.ts
@@ -10,9 +10,9 @@
  * an urgent request only every few seconds.
  */
 const DEMAND_PERIOD_MS = 5_000;
-/** Time in which the bound falls from the own objective to the share, ms: urgent demand regains capacity within 1 s. */
+/** Time in which the bound falls from the objective to its minimum, ms: urgent requests regain capacity within 1 s. */
 const TIGHTEN_MS = 500;
-/** Time in which the bound rises from the share to the own objective, ms. */
+/** Time in which the bound rises from its minimum to the objective, ms. */
 const LOOSEN_MS = 2_000;
 
 /** Demand of the requests of a service with one priority and one objective. */
@@ -25,7 +25,7 @@
   lastRequestAtMs: number;
 }
 
-/** Returns how much of the bound because of a kind applies, from 0 to 1. */
+/** Returns to what extent the bound that protects a kind applies, from 0 to 1. */
 function weightOf(demand: KindDemand, nowMs: number): number {
   const { weight, weightAtMs, lastRequestAtMs } = demand;
   const endsAtMs = lastRequestAtMs + DEMAND_PERIOD_MS;
@@ -40,9 +40,10 @@
  *
  * Servers start urgent requests first, but instances predict one wait for all. Without a bound, less urgent requests,
  * whose objective is longer, are admitted until the predicted wait exceeds the objective of the urgent ones: these are
- * refused or sent away first, although they would be served. With the bound, a less urgent request is admitted only
- * where an urgent one could follow it in time. No capacity is kept idle, since the bound is a wait: a server without
- * a queue takes any request. Only demand that has to wait is recorded, so that nothing is bounded without need.
+ * then refused or sent to other regions, although the servers would start them first. With the bound, a less urgent
+ * request is admitted only where an urgent one could follow it in time. No capacity is kept idle,
+ * since the bound is a wait: a server without a queue takes any request. Only demand that has to wait is recorded, so
+ * that less urgent requests are not refused while urgent ones are in time anyway.
  *
  * Each instance decides by the requests that it sees itself. The bound changes linearly over time instead of jumping,
  * so that instances which see the first or last urgent request at the same moment do not admit or refuse all others at
@@ -59,7 +60,7 @@
 
   return {
     recordDemand({ service, priority, objectiveMs }, nowMs) {
-      // Kinds that no longer exist after a change of the configuration are dropped here.
+      // Drops kinds without recent requests, such as those that a change of the configuration removed.
       const demands = currentDemands(service, nowMs);
       const known = demands.find(
         (demand) => demand.priority === priority && demand.objectiveMs === objectiveMs,
--- a/src/core/priority-admission/types.ts
+++ b/src/core/priority-admission/types.ts
@@ -1,4 +1,4 @@
-/** Kind of request that admission by priority tells apart. */
+/** Kind of a request: requests with the same service, priority and objective are treated alike. */
 export interface RequestKind {
   readonly service: string;
   /** Priority of the request; 0 is the most urgent. */
@@ -9,11 +9,11 @@
 
 /** Decides how long a request may wait at a server and still be admitted. */
 export interface PriorityAdmission {
-  /** Records that a request has arrived which servers of this region may run, and would have to wait there. */
+  /** Records the arrival of a request that may run in this region, but would have to wait for a server. */
   recordDemand(kind: RequestKind, nowMs: number): void;
   /**
    * Returns the maximum wait of an admitted request, ms: its predicted time to the first byte without the computation
-   * of its own prompt. Equals its objective unless more urgent requests of its service wait.
+   * of its own prompt. Equals its objective unless more urgent requests of its service have to wait.
    */
   maxWaitMs(kind: RequestKind, nowMs: number): number;
 }
