State which failures the tests of shares and regions guard against

Nine groups of tests and six tests of the share gate did not say which failure they guard against; two names were unclear.

--- a/src/core/account-shares/account-shares.test.ts
+++ b/src/core/account-shares/account-shares.test.ts
@@ -8,6 +8,7 @@
 import { fairShare } from './fair-share';
 import type { DemandReport } from './types';
 
+/** Guards against a share that admits more than the capacity, or leaves capacity unused while accounts are limited. */
 describe('the max-min fair share', () => {
   const cases = [
     { name: 'none without demand', costs: [], capacity: 10, share: Infinity },
@@ -106,6 +107,7 @@
   return { shares, sent, load, admits, logger };
 }
 
+/** Guards against shares that limit accounts while servers have room, or that do not end when they have room again. */
 describe('a service', () => {
   it('admits all and sends nothing while servers have room', () => {
     const { shares, sent, load, admits } = setUp();
@@ -185,6 +187,7 @@
   });
 });
 
+/** Guards against shares based on demand that is outdated, counted twice or malformed. */
 describe('a report', () => {
   /** Returns the admitted share of the account at an instance that has seen little of it, after the reports. */
   const shareAfter = (reports: readonly { readonly atMs: number; readonly text: string }[]) => {
--- a/src/core/account-shares/shares-under-load.test.ts
+++ b/src/core/account-shares/shares-under-load.test.ts
@@ -65,7 +65,7 @@
       lostShare: 0.5,
     },
     { name: '6 instances and all reports lost', instances: 6, lostShare: 1 },
-    { name: '30 instances, one of which hears nobody', instances: 30, deafInstance: 3 },
+    { name: '30 instances, one of which hears nobody', instances: 30, instanceWithoutReports: 3 },
     { name: '30 instances and callers that return', instances: 30, hasRetries: true },
   ];
   for (const { name, ...load } of cases) {
@@ -94,6 +94,7 @@
   });
 });
 
+/** Guards against refusals by shares that leave capacity unused, or that continue after the demand has fallen. */
 describe('an account that asks for more than its share', () => {
   // Capacity that is kept for accounts that no longer ask for it is lost to everybody. Among 30 instances, reports are
   // up to 725 ms old, so that it takes somewhat longer there.
--- a/src/core/account-shares/testing/simulate-shares.ts
+++ b/src/core/account-shares/testing/simulate-shares.ts
@@ -31,7 +31,7 @@
   /** Share of the reports that are lost. */
   readonly lostShare?: number;
   /** Index of an instance that receives no report. */
-  readonly deafInstance?: number;
+  readonly instanceWithoutReports?: number;
   /** Whether a refused caller returns once, after a second. */
   readonly hasRetries?: boolean;
 }
@@ -77,7 +77,7 @@
   wasAdmitted: boolean;
 }
 
-/** Simulates one load; the same seed gives the same arrivals of each account, whatever the others send. */
+/** Simulates one load. With the same seed, the arrivals of an account are the same, whatever the others send. */
 export function simulateShares(load: ShareLoad): ShareRun {
   const { instances, accounts, capacityPerSecond, durationMs } = load;
   const networkRandom = createSeededRandom(load.seed + 1_000);
@@ -108,7 +108,7 @@
         largestMessageBytes = Math.max(largestMessageBytes, Buffer.byteLength(text));
         const isLost = networkRandom.next() < (load.lostShare ?? 0);
         const to = Number(address);
-        if (isLost || to === load.deafInstance) return;
+        if (isLost || to === load.instanceWithoutReports) return;
         inTransit.push({ atMs: nowMs + DELAY_MS, to, text });
       },
       draw: random.next,
--- a/src/core/pass-through/other-regions.test.ts
+++ b/src/core/pass-through/other-regions.test.ts
@@ -85,6 +85,7 @@
 });
 const OLDER = peer('c-1', 'east', { inFlightRequests: 20 });
 
+/** Guards against requests that are sent to a region or an instance that cannot serve them. */
 describe('the other regions of an instance', () => {
   it('are rated by the open requests of the service, and by the total of an older release', () => {
     assert.deepEqual(createView([BUSY_WITH_CODE, OLDER]).options(), [
--- a/src/core/pass-through/region-room.test.ts
+++ b/src/core/pass-through/region-room.test.ts
@@ -3,6 +3,7 @@
 import { regionRoom, sumByService } from './region-room';
 import type { ReportedLoad } from './region-room';
 
+/** Guards against a region that looks full because of requests at servers that are gone. */
 describe('the open requests per service', () => {
   it('are summed over the servers of each service, sorted, without services that have none', () => {
     const servers = [
@@ -25,6 +26,7 @@
   });
 });
 
+/** Guards against requests sent to a region whose servers of this service are full, or withheld from one with room. */
 describe('the room of a region for a service', () => {
   const TWO_SERVERS = [{ slots: 64 }, { slots: 36 }];
   const cases: {
--- a/src/core/pass-through/regions-under-waves.test.ts
+++ b/src/core/pass-through/regions-under-waves.test.ts
@@ -17,12 +17,12 @@
   return result;
 }
 
-function shareInTime({ inTime, arrived }: RegionsResult): number {
+function inTimeShare({ inTime, arrived }: RegionsResult): number {
   return inTime / arrived;
 }
 
 // The demand of each region swings between a tenth and 1.9 times its mean every 20 s, and reports are up to 2 s old.
-// Without spillover the smallest region would refuse a third of its callers at each crest while the others have room.
+// Without spillover the smallest region would refuse a third of its callers at each peak while the others have room.
 describe('three regions of unequal size under waves of demand', () => {
   for (const instancesPerRegion of INSTANCES) {
     for (const seed of SEEDS) {
@@ -31,7 +31,7 @@
 
       it(`serve requests in time and refuse none, with ${at}`, () => {
         const result = resultOf(load);
-        assert.ok(shareInTime(result) >= 0.99, `in time ${shareInTime(result)}`);
+        assert.ok(inTimeShare(result) >= 0.99, `in time ${inTimeShare(result)}`);
         assert.equal(result.refusedDespiteRoom, 0);
         const aboveRoom = result.forwardedAboveRoom / result.forwarded;
         assert.ok(aboveRoom < 0.05, `above room ${aboveRoom}`);
@@ -72,7 +72,7 @@
 
     it(`refuse none while another has room in waves, with ${at}`, () => {
       const result = resultOf(load);
-      assert.ok(shareInTime(result) >= 0.99, `in time ${shareInTime(result)}`);
+      assert.ok(inTimeShare(result) >= 0.99, `in time ${inTimeShare(result)}`);
       assert.equal(result.refusedDespiteRoom, 0);
     });
   }
--- a/src/core/pass-through/share-gate.test.ts
+++ b/src/core/pass-through/share-gate.test.ts
@@ -81,6 +81,7 @@
 
 /** Guards against refused accounts that are not told why, and against demand that is counted twice or not at all. */
 describe('the share of an account', () => {
+  // A caller that is not told when to retry would do so immediately, or give up.
   it('refuses a request at once as one of an overloaded service, with a retry time', () => {
     const { choose, recorded } = setUp({ isAdmitted: false, admittedShare: 0.25, maxWaitShare: 1 });
     const to = choose(requestWithPrompt(1, 800, 0));
@@ -93,6 +94,7 @@
     );
   });
 
+  // If all got the same delay, they would retry together and be refused again.
   it('spaces the retries of the callers that it refuses', () => {
     const { choose } = setUp({ isAdmitted: false, admittedShare: 0.25, maxWaitShare: 1 });
     const delaysMs = Array.from({ length: 20 }, (_unused, index) => {
@@ -102,6 +104,7 @@
     assert.ok(new Set(delaysMs).size > 10);
   });
 
+  // An account over its share would otherwise keep the queues so long that accounts within theirs are refused.
   it('bounds the wait of an account over it', () => {
     const { choose, recorded, router } = setUp({
       isAdmitted: true,
@@ -126,6 +129,7 @@
     assert.equal(recorded[0]?.outcome, 'admitted');
   });
 
+  // If all requests counted alike, an account with large prompts could use many times its share of the servers.
   it('counts the tokens to compute, and ten for each output token', () => {
     const { choose, recorded } = setUp(ADMITTED);
     const request = requestWithPrompt(1, 800, 0);
@@ -134,6 +138,7 @@
     assert.equal(recorded[0]?.cost, 1_300);
   });
 
+  // Counted as admitted, it would raise the estimated capacity while servers are full.
   it('takes a request back that was admitted and then found no room', () => {
     const { choose, recorded, late, limitMs } = setUp(ADMITTED);
     const request = requestWithPrompt(1, 800, 0);
@@ -144,6 +149,7 @@
     assert.deepEqual([recorded.length, late.length], [1, 1]);
   });
 
+  // Accounts would otherwise be limited because of a failure that has nothing to do with their demand.
   it('does not count a region without servers as full', () => {
     const { choose, recorded } = setUp(ADMITTED, false);
     choose(requestWithPrompt(1, 800, 0));
--- a/src/core/placement/choose-region.test.ts
+++ b/src/core/placement/choose-region.test.ts
@@ -13,6 +13,7 @@
   return choice.kind === 'remote' ? choice.region : choice.kind;
 }
 
+/** Guards against requests that are refused here while another region has room, or sent away without need. */
 describe('the choice of a region by room', () => {
   const cases: {
     name: string;
@@ -82,7 +83,7 @@
     });
   }
 
-  // All instances see the same reports. If all chose the least utilized region, its next second would be a flood.
+  // All instances see the same reports. If all chose the least utilized region, it would get too many requests within the next second.
   it('draws regions in proportion to their room', () => {
     const random = createSeededRandom(3);
     const others = [
--- a/src/core/priority-admission/priority-admission.test.ts
+++ b/src/core/priority-admission/priority-admission.test.ts
@@ -18,6 +18,7 @@
   for (let atMs = fromMs; atMs <= toMs; atMs += 100) admission.recordDemand(kind, atMs);
 }
 
+/** Guards against less urgent requests that fill the queues of servers before urgent ones, and against needless bounds. */
 describe('the maximum wait of a request', () => {
   const cases: readonly {
     readonly name: string;
