Keep the refusal of a request over its account's share when it is placed again

After another region had refused such a request, the next choice of a destination admitted it to servers here, and its cost was missing in what the account got. The verdict of a request is kept now. The new case fails without the change; npm test share-gate create-router: all pass.

--- a/src/core/pass-through/share-gate.test.ts
+++ b/src/core/pass-through/share-gate.test.ts
@@ -82,6 +82,14 @@
 /** Guards against refused accounts that are not told why, and against demand that is counted twice or not at all. */
 describe('the share of an account', () => {
   // A caller that is not told when to retry would do so immediately, or give up.
+  // Another region was asked first and has refused. Without the kept verdict, servers here would serve the request.
+  it('holds when the request is chosen a destination for again', () => {
+    const { choose } = setUp({ isAdmitted: false, admittedShare: 0.25, maxWaitShare: 1 });
+    const request = requestWithPrompt(1, 800, 0);
+    assert.equal(choose(request).kind, 'none');
+    assert.equal(choose(request).kind, 'none');
+  });
+
   it('refuses a request at once as one of an overloaded service, with a retry time', () => {
     const { choose, recorded } = setUp({ isAdmitted: false, admittedShare: 0.25, maxWaitShare: 1 });
     const to = choose(requestWithPrompt(1, 800, 0));
--- a/src/core/pass-through/share-gate.ts
+++ b/src/core/pass-through/share-gate.ts
@@ -79,13 +79,16 @@
 export function createShareGate(shares: AccountShares | undefined): ShareGate {
   /** Requests whose demand has been recorded, with their cost if they count as admitted, or undefined if refused. */
   const recorded = new WeakMap<InboundRequest, number | undefined>();
+  /** Verdicts of requests that were not admitted; they hold when another region has refused the request as well. */
+  const refused = new WeakMap<InboundRequest, GateVerdict>();
   /** Returns the account whose share applies; none to a forwarded request, since the instance that sent it applied it. */
   const accountOf = (plan: RequestPlan) => (plan.isForwarded ? undefined : plan.account);
 
   return {
     check(request, plan, best, nowMs) {
       const account = accountOf(plan);
-      if (shares === undefined || account === undefined || recorded.has(request)) return ADMITTED;
+      if (shares === undefined || account === undefined) return ADMITTED;
+      if (recorded.has(request)) return refused.get(request) ?? ADMITTED;
       const { service } = plan;
       const verdict = shares.admits({ service, account }, nowMs);
       const { admittedShare, maxWaitShare } = verdict;
@@ -95,7 +98,9 @@
       const outcome = verdict.isAdmitted ? 'refusedByServers' : 'refusedByShare';
       recorded.set(request, undefined);
       shares.record({ service, account, cost: costOf(request, best), outcome }, nowMs);
-      return { isAdmitted: false, admittedShare };
+      const refusal: GateVerdict = { isAdmitted: false, admittedShare };
+      refused.set(request, refusal);
+      return refusal;
     },
     record(request, plan, best, destination, nowMs) {
       const account = accountOf(plan);
