--- a/src/core/account-shares/create-account-shares.ts
+++ b/src/core/account-shares/create-account-shares.ts
@@ -230,7 +230,10 @@
     if (nowMs < nextDropAtMs) return;
     nextDropAtMs = nowMs + DROP_INTERVAL_MS;
     received.removeExpired(nowMs);
-    for (const [service, { own }] of services) if (own.dropIdle(nowMs)) services.delete(service);
+    for (const [service, { own, isScarce }] of services) {
+      // Reports of other instances may show that the service is still scarce.
+      if (own.dropIdle(nowMs) && !isScarce) services.delete(service);
+    }
   };
 
   const reportOn = (service: string, { own, capacityCost }: ServiceState, nowMs: number) => {
