State the end of a pause also to callers that give up before it

A caller whose deadline passes before all servers have ended their pause got no retry time, which server-notices.test.ts asserts: it failed in the whole test run, and passes now.

--- a/src/core/pass-through/create-refuser.ts
+++ b/src/core/pass-through/create-refuser.ts
@@ -126,11 +126,12 @@
         case 'limited':
           return refuse('serversLimited', plan, minDelayMs, nowMs, basis);
         case 'paused': {
-          // No caller is told to return before the end of the pause, however long that is.
+          // No caller is told to return before the end of the pause, however long that is. One that gives up before is told
+          // as well: the time says how long the servers ask for, and takes no place of another caller.
           const spreadMs = plan.isForwarded
             ? 0
             : pauseSchedule.nextRetryAfterMs(toRefusedRequest(plan, 0), nowMs + minDelayMs);
-          const retryAfterMs = spreadMs === undefined ? undefined : minDelayMs + spreadMs;
+          const retryAfterMs = minDelayMs + (spreadMs ?? 0);
           return { kind: 'none', reason: 'serversPaused', retryAfterMs, basis };
         }
         default:
