Record demand of admitted requests only, and at the attempt that waits

A request refused by its account's share bounded less urgent ones although it gets no server, and one that hardly waited at its first attempt was not counted at a later one that waits. Whether a request leaves for its priority is handed on as such instead of a wait of 0, which did not count where the wait was 0 as well. npm test share-gate create-router admission-by-priority.test other-regions: all pass.

--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -123,7 +123,7 @@
   const choosePeer = (
     plan: RequestPlan,
     best: LocalChoice | undefined,
-    maxWaitMs: number,
+    isOverMaxWait: boolean,
     tried: TriedDestinations,
   ): PeerDestination | undefined => {
     // A request is forwarded to another region at most once, so that it cannot circulate.
@@ -132,7 +132,7 @@
     const choice = chooseRegion({
       localFirstByteMs: best?.predictedMs,
       objectiveMs: plan.objectiveMs,
-      isOverMaxWait: best !== undefined && waitMsOf(best) > maxWaitMs,
+      isOverMaxWait,
       others,
       draw: otherRegions.roomDraw(),
     });
@@ -161,7 +161,8 @@
     nowMs: number,
   ): Destination => {
     const maxWaitMs = admission.maxWaitMs(plan, nowMs);
-    const peer = choosePeer(plan, best, maxWaitMs, tried);
+    const isOverMaxWait = best !== undefined && waitMsOf(best) > maxWaitMs;
+    const peer = choosePeer(plan, best, isOverMaxWait, tried);
     if (peer !== undefined) return peer;
     // If no server is reachable and no other region helps, a server that is only suspected to be
     // unreachable is the best choice.
@@ -185,13 +186,13 @@
     spillWindows,
     choose(request, plan, tried, nowMs) {
       const choices = localServers.outlook(request, plan, tried, nowMs);
-      admission.recordDemand(request, plan, choices.best, nowMs);
       const verdict = shareGate.check(request, plan, choices.best, nowMs);
       if (!verdict.isAdmitted) {
         // The account has its share of this region only; another one may have room for the request.
-        const peer = choosePeer(plan, choices.best, 0, tried);
+        const peer = choosePeer(plan, choices.best, true, tried);
         return peer ?? refuser.refuseOverShare(plan, verdict.admittedShare, nowMs);
       }
+      admission.recordDemand(request, plan, choices.best, nowMs);
       const destination = chooseAmong(choices, plan, tried, nowMs);
       shareGate.record(request, plan, choices.best, destination, nowMs);
       return destination;
--- a/src/core/pass-through/local-admission.ts
+++ b/src/core/pass-through/local-admission.ts
@@ -58,9 +58,9 @@
   return {
     recordDemand(request, plan, best, nowMs) {
       if (recordedRequests.has(request)) return;
-      recordedRequests.add(request);
       // A request that hardly waits is in time even if less urgent ones are admitted.
       if (best !== undefined && waitMsOf(best) < plan.objectiveMs * MIN_DEMAND_WAIT_SHARE) return;
+      recordedRequests.add(request);
       // A request that may not run in this region competes for no server here.
       const mayRunHere = plan.homeRegions.length === 0 || plan.homeRegions.includes(options.region);
       if (mayRunHere) priorityAdmission.recordDemand(plan, nowMs);
