Apply fair shares of accounts only where settings ask for them

An operator who needs accounts isolated from one another turns them on with trafficPolicy.accountShares.

--- a/src/core/relay-node/settings.ts
+++ b/src/core/relay-node/settings.ts
@@ -13,7 +13,7 @@
     .describe('Admit less urgent requests only where they leave more urgent ones in time'),
   accountShares: z
     .boolean()
-    .default(true)
+    .default(false)
     .describe('Refuse accounts over their fair share first while a service is scarce'),
   serverSpeeds: z
     .boolean()
