State open requests per service only where the choice of regions reads them

The list was sent with each load of each instance although the choice by room is off by default. Without that setting, records are as they were before. npm test relay-node membership two-regions: all pass.

--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -106,7 +106,7 @@
   const stopping = new AbortController();
   owned.defer(() => stopping.abort());
   let inFlightCount = () => 0;
-  let openRequestsByService = (): readonly ServiceRequests[] => [];
+  let openRequestsByService = (): readonly ServiceRequests[] | undefined => undefined;
   let isWatching = () => false;
   let callerAddress = '';
   let peerAddress = '';
@@ -226,7 +226,11 @@
   };
   statements.onStatement(receiveStatement);
   inFlightCount = () => router.loads.totalInFlight();
-  openRequestsByService = () => sumByService(router.loads.ownLoads(), servers.all());
+  // Only the choice by room reads the list, so that without it the records stay as short as they were.
+  openRequestsByService = () =>
+    settings.trafficPolicy.regionalRoom
+      ? sumByService(router.loads.ownLoads(), servers.all())
+      : undefined;
   const requestListeners: Ingress[] = [];
   const loopWatch = createLoopWatch();
   const intake = createIntake({ clock, turns: options.turns, random, logger, loopWatch });
