Correct comments on recorded demand, repeated verdicts and the default of a choice

They still described the code before the faults of the review were mended: a request refused by its account's share keeps its verdict, and demand counts at the first choice at which the request would wait.

--- a/src/core/pass-through/local-admission.ts
+++ b/src/core/pass-through/local-admission.ts
@@ -8,8 +8,8 @@
 /** Decides which requests the servers of this region take. */
 export interface LocalAdmission {
   /**
-   * Records the demand of a request if it would have to wait at the best server of this region, or if there is none. Only
-   * the first choice of a destination for a request counts; later ones, for its retries, are ignored.
+   * Records the demand of a request if it would have to wait at the best server of this region, or if there is none. Each
+   * request counts once, however often it is chosen a destination for.
    */
   recordDemand(
     request: InboundRequest,
--- a/src/core/pass-through/other-regions.ts
+++ b/src/core/pass-through/other-regions.ts
@@ -44,7 +44,7 @@
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
   readonly draw: () => number;
   /**
-   * Whether requests that leave this region are divided over the others by room; on by default. If
+   * Whether requests that leave this region are divided over the others by room; true if not given. If
    * off, they go to the region with the least open requests of all services per slot.
    */
   readonly regionalRoom?: () => boolean;
--- a/src/core/pass-through/share-gate.ts
+++ b/src/core/pass-through/share-gate.ts
@@ -15,7 +15,7 @@
 
 /** Applies the shares of accounts to requests, and records their demand. */
 export interface ShareGate {
-  /** Decides about a request before its first destination is chosen. Always admits it when another one is chosen. */
+  /** Decides about a request before its first destination is chosen, and repeats the verdict when another one is chosen. */
   check(
     request: InboundRequest,
     plan: RequestPlan,
