Log the checks after broken connections and the crashes that other instances tell of

Logs could not tell a crash that is not recorded from one that reaches the other instances too late. Line 1503 has the result of the health check after a broken connection, line 1504 the age of crashes that another instance told of (from the second on: single ones are many, and nothing follows from them), and coltsfootworks_statements_waiting counts the statements that wait for the partner that lags most. No decision is changed.

--- a/src/core/membership/create-membership.ts
+++ b/src/core/membership/create-membership.ts
@@ -53,6 +53,8 @@
   candidateAddresses(): readonly string[];
   /** Resolves once the first addresses have been contacted, with or without success. */
   whenFirstContactsDone(): Promise<void>;
+  /** Maximum number of gossip statements that one partner has yet to be sent. */
+  waitingStatements(): number;
   /** Returns whether no other instance is known, neither from the settings nor from messages. */
   isAlone(): boolean;
   /** Starts the tasks. */
@@ -285,6 +287,12 @@
       ...addressesNotAlive(exploreInput()),
     ],
     whenFirstContactsDone: () => firstRound,
+    waitingStatements() {
+      const waiting = [...links.values()].map(({ sent }) =>
+        sent === undefined ? 0 : [...gossip.log.since(sent.statements)].length,
+      );
+      return Math.max(0, ...waiting);
+    },
     isAlone: () => liveOthers().length + addressesNotAlive(exploreInput()).length === 0,
     start() {
       isStarted = true;
--- a/src/core/pass-through/crash-watch.ts
+++ b/src/core/pass-through/crash-watch.ts
@@ -1,3 +1,5 @@
+import type { Logger } from '../events';
+import { POISON_EVENTS } from '../poison';
 import type { PoisonGuard, WatchedTry } from '../poison';
 import type { KnownServer } from '../server-registry';
 import type { InboundRequest, RequestPlan } from './types';
@@ -31,6 +33,7 @@
 
 /** Options of `createCrashWatch`. */
 export interface CrashWatchOptions {
+  readonly logger: Logger;
   readonly guard: Pick<PoisonGuard, 'verdict' | 'watch'>;
   readonly warmCheck: Pick<WarmCheck, 'ask'>;
   /** All regions of the deployment; used for requests without home regions. */
@@ -54,9 +57,18 @@
  * crashes would refuse harmless requests that many callers send. So after a reset the server gets a
  * health check, and only counts as crashed if it does not answer or another server has replaced it.
  */
-export function createCrashWatch({ guard, warmCheck, regions }: CrashWatchOptions): CrashWatch {
-  const recordIfCrashed = (watched: WatchedTry, target: CrashTarget): void => {
-    warmCheck.ask(target.server, target.maxConnections, (result) => {
+export function createCrashWatch(options: CrashWatchOptions): CrashWatch {
+  const { logger, guard, warmCheck, regions } = options;
+
+  const recordIfCrashed = (requestId: string, watched: WatchedTry, target: CrashTarget): void => {
+    const { server, maxConnections } = target;
+    warmCheck.ask(server, maxConnections, (result) => {
+      logger.event(POISON_EVENTS.checked, {
+        requestId,
+        server: server.incarnationId,
+        result: result.kind,
+        reason: result.kind === 'unanswered' ? result.reason : undefined,
+      });
       const isGone = result.kind === 'unanswered' || result.kind === 'replaced';
       if (isGone) watched.failed({ kind: 'lostAfterSending', cause: 'reset' });
       else watched.abandoned();
@@ -74,7 +86,7 @@
       const watched = guard.watch(guardedRequest, target.server.incarnationId, allowedRegions);
       return {
         answered: () => watched.answered(),
-        reset: () => recordIfCrashed(watched, target),
+        reset: () => recordIfCrashed(request.requestId, watched, target),
         ended: () => watched.abandoned(),
       };
     },
--- a/src/core/poison/events.ts
+++ b/src/core/poison/events.ts
@@ -24,4 +24,18 @@
     text: 'A suspected request was answered and is no longer a suspect.',
     action: 'None.',
   },
+  checked: {
+    id: 1503,
+    name: 'crash-check-ended',
+    level: 'info',
+    text: 'A server was checked after its connection broke while it ran a request.',
+    action: 'None. Only a server that does not answer, or has been replaced, counts as crashed.',
+  },
+  learned: {
+    id: 1504,
+    name: 'crashes-learned',
+    level: 'info',
+    text: 'Another instance told of several crashes of servers that ran the same request.',
+    action: 'None. If the age is many seconds, check the statements that wait for other instances.',
+  },
 } as const satisfies Record<string, EventDefinition>;
--- a/src/core/poison/poison-guard.ts
+++ b/src/core/poison/poison-guard.ts
@@ -83,6 +83,15 @@
       payload: JSON.stringify(statement),
     });
 
+  /** Logs crashes that another instance told of, if there are several: single ones are many, and nothing follows from them. */
+  const logLearned = ({ key: fingerprint, origin }: GossipEntry): void => {
+    const marks = ledger.marksOf(fingerprint);
+    const last = marks.at(-1);
+    if (last === undefined || marks.length < 2) return;
+    const ageMs = Math.max(0, clock.unixMs() - last.atUnixMs);
+    logger.event(POISON_EVENTS.learned, { fingerprint, origin, crashes: marks.length, ageMs });
+  };
+
   const learn = (entry: GossipEntry): void => {
     const statement = parsePoisonStatement(entry.payload);
     switch (statement?.kind) {
@@ -91,6 +100,7 @@
           ledger.note(entry.key, mark);
           recordStep(entry.key, { kind: 'crashed', ...mark });
         }
+        logLearned(entry);
         return;
       case 'cleared':
         ledger.clear(entry.key, statement.atUnixMs);
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -227,6 +227,7 @@
     }),
   );
   const crashWatch = createCrashWatch({
+    logger,
     guard,
     warmCheck,
     regions: () => [...new Set(Object.values(options.settings().regionOfDomain))],
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -235,6 +235,11 @@
   const loopWatch = createLoopWatch();
   const intake = createIntake({ clock, turns: options.turns, random, logger, loopWatch });
   metrics.gauge('coltsfootworks_loop_lag_ms', 'Lateness of the event loop', loopWatch.lagMs);
+  metrics.gauge(
+    'coltsfootworks_statements_waiting',
+    'Statements on crashes that the instance which lags most has yet to be sent',
+    membership.waitingStatements,
+  );
   metrics.gauge('coltsfootworks_intake_waiting', 'Requests that wait in the process', intake.size);
   metrics.gauge(
     'coltsfootworks_watches_source',
