Tell other instances of crashes at once, and of single ones not by gossip

Callers saw chats fail for half a minute while a request that had crashed three servers was sent to ten more. Cause: each request that a crash cuts off became a statement of gossip (113 in 4 s in the record); an exchange message carries 1,200 bytes of them every two seconds, the oldest first, so instances learned of the crashes that mattered half a minute late, or never.

Now statements go to all instances of the allowed regions in datagrams, collected for 10 ms; times go as ages, since copies of a request that one crash cuts off count once only if the clocks agree within 2 s. Gossip carries requests with more than one crash, for instances that a datagram missed or that start later. Without the direct channel, nothing changes.

--- a/src/core/poison/poison-guard.test.ts
+++ b/src/core/poison/poison-guard.test.ts
@@ -7,7 +7,7 @@
 import { POISON_EVENTS } from './events';
 import { fingerprintOf } from './fingerprint';
 import { createPoisonGuard } from './poison-guard';
-import type { GuardedRequest } from './poison-guard';
+import type { DirectChannel, GuardedRequest } from './poison-guard';
 
 const OPTIONS = resilienceSchema.parse({}).poison;
 const KEY = new Uint8Array(32).fill(7);
@@ -24,10 +24,17 @@
   body: Buffer.from(content),
 });
 
-function instance(instanceId: string, clock: FakeClock) {
+function instance(instanceId: string, clock: FakeClock, direct?: DirectChannel) {
   const logger = createMemoryLogger();
   const gossip = createGossipStore(instanceId, clock);
-  const guard = createPoisonGuard({ clock, logger, gossip, key: KEY, options: () => OPTIONS });
+  const guard = createPoisonGuard({
+    clock,
+    logger,
+    gossip,
+    key: KEY,
+    options: () => OPTIONS,
+    direct,
+  });
   const crash = (content: string, serverId: string, attempt = 1) =>
     guard.watch(requestOf(content, attempt), serverId, REGIONS).failed(CRASH);
   const answer = (content: string, serverId: string) =>
@@ -163,3 +170,77 @@
     );
   });
 });
+
+const OTHER_CLOCK_AHEAD_MS = 60_000;
+const SUSPECTS = 40;
+
+interface SentMessage {
+  readonly regions: readonly string[];
+  readonly text: string;
+}
+
+/** Creates an instance that collects its direct messages. */
+function tellingInstance(instanceId: string, clock: FakeClock) {
+  const sent: SentMessage[] = [];
+  const send = (regions: readonly string[], text: string) => sent.push({ regions, text });
+  return { ...instance(instanceId, clock, { instanceId, send }), sent };
+}
+
+describe('crashes told directly', () => {
+  // One crash cuts off dozens of requests. If each of them went out by gossip, they would delay the one that matters.
+  it('are told together, in messages of one frame, and single ones not by gossip', () => {
+    const clock = createFakeClock();
+    const { crash, gossip, sent } = tellingInstance('a', clock);
+    for (let number = 0; number < SUSPECTS; number += 1) crash(`cut off ${number}`, 'engine-1');
+    clock.advanceBy(20);
+    assert.ok(sent.length < SUSPECTS / 4, `${sent.length} messages`);
+    assert.ok(sent.every(({ text }) => Buffer.byteLength(text) <= 1_400));
+    assert.ok(sent.every(({ regions }) => regions === REGIONS));
+    assert.deepEqual(gossip.entries('poisonFingerprints'), []);
+    crash('cut off 0', 'engine-2', 2);
+    assert.equal(gossip.entries('poisonFingerprints').length, 1);
+  });
+
+  // The wall clocks of two instances differ by a minute. Copies of one request that one crash cut off at both must not
+  // count as two crashes, nor may an answer clear crashes that come after it.
+  it('count by their age, whatever the clocks of the instances say', () => {
+    const clock = createFakeClock();
+    const otherClock = createFakeClock();
+    otherClock.advanceBy(OTHER_CLOCK_AHEAD_MS);
+    const first = tellingInstance('a', clock);
+    const second = tellingInstance('b', otherClock);
+    const exchange = () => {
+      clock.advanceBy(20);
+      otherClock.advanceBy(20);
+      for (const { text } of first.sent.splice(0)) assert.ok(second.guard.receive(text));
+      for (const { text } of second.sent.splice(0)) assert.ok(first.guard.receive(text));
+    };
+    first.crash('copied', 'engine-1');
+    second.crash('copied', 'engine-1');
+    exchange();
+    assert.deepEqual([first.kindOf('copied'), second.kindOf('copied')], ['suspect', 'suspect']);
+    second.answer('copied', 'engine-2');
+    exchange();
+    assert.deepEqual([first.kindOf('copied'), second.kindOf('copied')], ['unknown', 'unknown']);
+    first.crash('copied', 'engine-3', 2);
+    exchange();
+    first.crash('copied', 'engine-4', 3);
+    exchange();
+    assert.deepEqual([first.kindOf('copied'), second.kindOf('copied')], ['refused', 'refused']);
+  });
+
+  for (const text of [
+    'no JSON',
+    '[]',
+    '{"kind":"requestCrashes"}',
+    '{"kind":"requestCrashes","from":"b","statements":[{"kind":"crashed","fingerprint":"f"}]}',
+    '{"kind":"requestCrashes","from":"b","statements":[{"kind":"new","fingerprint":"f"}]}',
+    '{"kind":"serversLeaving","servers":[]}',
+  ]) {
+    it(`are ignored if malformed: ${text}`, () => {
+      const { guard, kindOf } = tellingInstance('a', createFakeClock());
+      assert.equal(guard.receive(text), false);
+      assert.equal(kindOf('anything'), 'unknown');
+    });
+  }
+});
--- a/src/core/poison/poison-guard.ts
+++ b/src/core/poison/poison-guard.ts
@@ -4,7 +4,10 @@
 import type { Logger } from '../events';
 import type { Gossip, GossipEntry } from '../gossip';
 import type { Evidence } from '../outcomes';
+import { createCrashAnnouncer } from './crash-announcer';
+import type { SendToRegions } from './crash-announcer';
 import { createCrashLedger } from './crash-ledger';
+import { parseCrashMessage } from './crash-messages';
 import { POISON_EVENTS } from './events';
 import { fingerprintOf } from './fingerprint';
 import type { FingerprintInput } from './fingerprint';
@@ -35,6 +38,14 @@
   serversToAvoid(request: GuardedRequest): readonly string[];
   /** Watches one try; `regions` are those in which its fingerprint may be told. */
   watch(request: GuardedRequest, serverId: string, regions: readonly string[]): WatchedTry;
+  /** Processes a message of another instance. Returns whether the text was a valid one. */
+  receive(text: string): boolean;
+}
+
+/** How the guard reaches the other instances directly. */
+export interface DirectChannel {
+  readonly instanceId: string;
+  readonly send: SendToRegions;
 }
 
 /** What the guard needs. */
@@ -44,6 +55,8 @@
   readonly gossip: Gossip;
   readonly key: Uint8Array;
   readonly options: () => PoisonOptions;
+  /** Reaches the other instances directly. Without it, gossip alone tells them of crashes. */
+  readonly direct?: DirectChannel | undefined;
   /** Takes each decision down, where decisions are recorded. */
   readonly record?: DecisionRecorder | undefined;
 }
@@ -55,7 +68,9 @@
 
 /** A guard that listens to the other instances until it is disposed of. */
 export function createPoisonGuard(needs: PoisonGuardOptions): PoisonGuard {
-  const { clock, logger, gossip, key, options, record } = needs;
+  const { clock, logger, gossip, key, options, direct, record } = needs;
+  const announcer =
+    direct && createCrashAnnouncer({ clock, instanceId: direct.instanceId, send: direct.send });
   const ledger = createCrashLedger(options);
   const suspectsAt = new Map<string, Set<string>>();
 
@@ -74,7 +89,7 @@
       ? { kind: 'unknown' }
       : ledger.verdict(fingerprintOf(request, key), clock.unixMs());
 
-  const tell = (fingerprint: string, regions: readonly string[], statement: PoisonStatement) =>
+  const spread = (fingerprint: string, regions: readonly string[], statement: PoisonStatement) =>
     gossip.put({
       topic: 'poisonFingerprints',
       key: fingerprint,
@@ -83,8 +98,25 @@
       payload: JSON.stringify(statement),
     });
 
+  /** Fingerprints that this instance has spread by gossip. */
+  const spreadFingerprints = new Set<string>();
+
+  const tell = (fingerprint: string, regions: readonly string[], statement: PoisonStatement) => {
+    if (announcer === undefined) {
+      spread(fingerprint, regions, statement);
+      return;
+    }
+    announcer.add(regions, { fingerprint, statement });
+    // Gossip reaches instances that a direct message did not, such as those that start later. Single crashes are many, and
+    // would delay the others.
+    const isRepeated = statement.kind === 'crashed' && statement.marks.length > 1;
+    if (!isRepeated && !spreadFingerprints.has(fingerprint)) return;
+    spreadFingerprints.add(fingerprint);
+    spread(fingerprint, regions, statement);
+  };
+
   /** Logs crashes that another instance told of, if there are several: single ones are many, and nothing follows from them. */
-  const logLearned = ({ key: fingerprint, origin }: GossipEntry): void => {
+  const logLearned = (fingerprint: string, origin: string): void => {
     const marks = ledger.marksOf(fingerprint);
     const last = marks.at(-1);
     if (last === undefined || marks.length < 2) return;
@@ -92,27 +124,30 @@
     logger.event(POISON_EVENTS.learned, { fingerprint, origin, crashes: marks.length, ageMs });
   };
 
-  const learn = (entry: GossipEntry): void => {
-    const statement = parsePoisonStatement(entry.payload);
-    switch (statement?.kind) {
-      case 'crashed':
+  const learn = (fingerprint: string, origin: string, statement: PoisonStatement): void => {
+    switch (statement.kind) {
+      case 'crashed': {
+        const knownCrashes = ledger.marksOf(fingerprint).length;
         for (const mark of statement.marks) {
-          ledger.note(entry.key, mark);
-          recordStep(entry.key, { kind: 'crashed', ...mark });
+          ledger.note(fingerprint, mark);
+          recordStep(fingerprint, { kind: 'crashed', ...mark });
         }
-        logLearned(entry);
+        if (ledger.marksOf(fingerprint).length > knownCrashes) logLearned(fingerprint, origin);
         return;
+      }
       case 'cleared':
-        ledger.clear(entry.key, statement.atUnixMs);
-        recordStep(entry.key, { kind: 'cleared', atUnixMs: statement.atUnixMs });
-        return;
-      case undefined:
+        ledger.clear(fingerprint, statement.atUnixMs);
+        recordStep(fingerprint, { kind: 'cleared', atUnixMs: statement.atUnixMs });
         return;
       default:
         statement satisfies never;
     }
   };
-  const listening = gossip.onEntry('poisonFingerprints', learn);
+  const learnEntry = ({ key: fingerprint, origin, payload }: GossipEntry): void => {
+    const statement = parsePoisonStatement(payload);
+    if (statement !== undefined) learn(fingerprint, origin, statement);
+  };
+  const listening = gossip.onEntry('poisonFingerprints', learnEntry);
 
   const noteCrash = (request: GuardedRequest, serverId: string, regions: readonly string[]) => {
     const fingerprint = fingerprintOf(request, key);
@@ -175,6 +210,16 @@
         },
       };
     },
-    [Symbol.dispose]: () => listening[Symbol.dispose](),
+    receive(text) {
+      const message = parseCrashMessage(text, clock.unixMs());
+      message?.statements.forEach(({ fingerprint, statement }) =>
+        learn(fingerprint, message.from, statement),
+      );
+      return message !== undefined;
+    },
+    [Symbol.dispose]() {
+      listening[Symbol.dispose]();
+      announcer?.[Symbol.dispose]();
+    },
   };
 }
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -224,6 +224,14 @@
       gossip,
       key: fingerprintKey(options.peerSecret),
       options: () => POISON_OPTIONS,
+      direct: {
+        instanceId,
+        send(regions, text) {
+          for (const peer of instances.possiblyAliveAnywhere()) {
+            if (regions.includes(peer.region)) options.sendStatement(peer.address, text);
+          }
+        },
+      },
     }),
   );
   const crashWatch = createCrashWatch({
@@ -257,6 +265,7 @@
     receiveServerMessage: (text) =>
       limits.receive(text) ||
       notices.receive(text) ||
+      guard.receive(text) ||
       accountShares.receive(text, clock.monotonicMs()),
     sendServerMessages() {
       limits.runDue();
--- a/src/core/relay-node/known-instances.ts
+++ b/src/core/relay-node/known-instances.ts
@@ -17,6 +17,8 @@
   possiblyAliveInRegion(): readonly string[];
   /** Other instances in this region that may be alive, including suspected ones, with their addresses for statements. */
   possiblyAlivePeers(): readonly CounterPeer[];
+  /** Other instances of all regions that may be alive, including suspected ones, with their addresses for statements. */
+  possiblyAliveAnywhere(): readonly CounterPeer[];
   /** Share of this region's instances that this one reaches, itself included; instances that have left do not count. */
   reachableShare(): number;
 }
@@ -47,6 +49,17 @@
   });
   const inRegion = () => membership.members().filter((member) => member.region === region);
   const mayBeAlive = ({ status }: MemberState) => status === 'alive' || status === 'suspect';
+  const possiblyAliveOthers = (): readonly CounterPeer[] => {
+    const { instanceId: ownId } = membership.self();
+    return membership
+      .members()
+      .filter((member) => mayBeAlive(member) && member.instanceId !== ownId)
+      .map((member) => ({
+        instanceId: member.instanceId,
+        region: member.region,
+        address: forwardAddress(member),
+      }));
+  };
   return {
     // An instance that has no routes yet would refuse forwarded requests.
     peers: () =>
@@ -70,16 +83,8 @@
       inRegion()
         .filter(mayBeAlive)
         .map(({ instanceId }) => instanceId),
-    possiblyAlivePeers() {
-      const { instanceId: ownId } = membership.self();
-      return inRegion()
-        .filter((member) => mayBeAlive(member) && member.instanceId !== ownId)
-        .map((member) => ({
-          instanceId: member.instanceId,
-          region,
-          address: forwardAddress(member),
-        }));
-    },
+    possiblyAlivePeers: () => possiblyAliveOthers().filter((peer) => peer.region === region),
+    possiblyAliveAnywhere: possiblyAliveOthers,
     reachableShare() {
       const running = inRegion().filter(({ status }) => status !== 'leaving');
       const reachable = running.filter(({ status }) => status === 'alive');
