Count crashes of a request that its caller sends again under the same id

A try was known by request id and attempt. A caller that repeats under its id makes a first attempt each time, so that the second and all further crashes were taken for the first, and the request was never refused. A try is now known by its server too. The new test was 'suspect' before, 'refused' now.

--- a/src/core/poison/poison-guard.test.ts
+++ b/src/core/poison/poison-guard.test.ts
@@ -92,6 +92,14 @@
     assert.doesNotMatch(JSON.stringify([entry, logger.lines.map((line) => line.fields)]), /floor/);
   });
 
+  // A caller sends the request again under the id that it had, and each time it is the first try of that request.
+  it('counts each crash of a request that comes again under its id', () => {
+    const { crash, kindOf } = instance('a', createFakeClock());
+    crash('poison', 'engine-1');
+    crash('poison', 'engine-2');
+    assert.equal(kindOf('poison'), 'refused');
+  });
+
   it('counts one crash once when copies of it were open on the server', () => {
     const clock = createFakeClock();
     const { crash, kindOf } = instance('a', clock);
--- a/src/core/poison/poison-guard.ts
+++ b/src/core/poison/poison-guard.ts
@@ -152,7 +152,8 @@
   const noteCrash = (request: GuardedRequest, serverId: string, regions: readonly string[]) => {
     const fingerprint = fingerprintOf(request, key);
     const atUnixMs = clock.unixMs();
-    const tryId = `${request.requestId}/${request.attempt}`;
+    // A caller may send the request again under the same id, which is then the first attempt once more.
+    const tryId = `${request.requestId}/${request.attempt}@${serverId}`;
     ledger.note(fingerprint, { tryId, serverId, atUnixMs });
     recordStep(fingerprint, { kind: 'crashed', tryId, serverId, atUnixMs });
     tell(fingerprint, regions, { kind: 'crashed', marks: [...ledger.marksOf(fingerprint)] });
