Take another region's refusal as a suspect for the answer

In the record, an instance forwarded the request to a region that refused it as one that crashes servers, and then sent it to a server of its own, which ended (46.399 s and 46.528 s). A refusal to another instance stated only that the request had not run, so it looked like one for want of room. It now states its reason too, and this reason ends the request with the time that came with it.

--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -11,9 +11,12 @@
   ATTEMPTS_HEADER,
   OUTCOME_HEADER,
   PLAN_HEADER,
+  REASON_HEADER,
   answerDeadlineMs,
+  readDecisiveReason,
   writePlan,
 } from './forwarding';
+import type { DecisiveReason } from './forwarding';
 import { classifyAnswer, headerText } from './classify-answer';
 import type { AnswerClassification } from './classify-answer';
 import { observeDestination } from './observe-destination';
@@ -42,6 +45,7 @@
   | {
       readonly kind: 'peerRefused';
       readonly hasNotRun: boolean;
+      readonly reason: DecisiveReason | undefined;
       /** Time after which that instance expects the request again, ms; undefined if it states none. */
       readonly retryAfterMs: number | undefined;
     }
@@ -175,7 +179,7 @@
   const { clock, dialect, pool, router, request, plan, to, answer, progress } = options;
   const sentAtMs = clock.monotonicMs();
   const observer = observeDestination(options, to);
-  const droppedHeaders = new Set([dialect.notRun, OUTCOME_HEADER, ATTEMPTS_HEADER]);
+  const droppedHeaders = new Set([dialect.notRun, OUTCOME_HEADER, REASON_HEADER, ATTEMPTS_HEADER]);
   let exchange: Exchange | undefined;
   let reader: AnswerReader | undefined;
   let head: AnswerHead | undefined;
@@ -244,7 +248,8 @@
     if (to.kind === 'peer' && outcome !== undefined) {
       const pause = readPause(head, options);
       const retryAfterMs = pause.kind === 'pause' ? pause.waitMs : undefined;
-      decide({ kind: 'peerRefused', hasNotRun: outcome === 'notRun', retryAfterMs });
+      const reason = readDecisiveReason(headerText(head.headers[REASON_HEADER]));
+      decide({ kind: 'peerRefused', hasNotRun: outcome === 'notRun', reason, retryAfterMs });
       return;
     }
     const classification = classifyAnswer(head, request.requestId, dialect);
--- a/src/core/pass-through/client-answer.ts
+++ b/src/core/pass-through/client-answer.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import type { HeaderMap } from '../exchanges';
-import { ATTEMPTS_HEADER, OUTCOME_HEADER } from './forwarding';
+import { ATTEMPTS_HEADER, OUTCOME_HEADER, REASON_HEADER } from './forwarding';
 import { retryAfterText, statusOf } from './refusals';
 import type { ClientAnswer, Refusal } from './types';
 
@@ -28,7 +28,7 @@
       ...leavingHeaders(),
       ...attemptHeaders(),
       ...(retryAfterMs === undefined ? {} : { 'retry-after': retryAfterText(retryAfterMs) }),
-      ...(isForPeer ? { [OUTCOME_HEADER]: refusal.outcome } : {}),
+      ...(isForPeer ? { [OUTCOME_HEADER]: refusal.outcome, [REASON_HEADER]: refusal.reason } : {}),
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(body),
     });
--- a/src/core/pass-through/forwarding.ts
+++ b/src/core/pass-through/forwarding.ts
@@ -16,6 +16,20 @@
  */
 export const ATTEMPTS_HEADER = 'coltsfootworks-attempts';
 
+/** Header of the other instance's refusals: the reason. */
+export const REASON_HEADER = 'coltsfootworks-reason';
+
+/** Reasons of another instance's refusals that decide where the request goes next. */
+const decisiveReasonSchema = z.enum(['suspectedOfCrashes']);
+
+/** Reason of another instance's refusal that decides where the request goes next. */
+export type DecisiveReason = z.output<typeof decisiveReasonSchema>;
+
+/** Returns the reason if it decides where the request goes next; undefined for any other. */
+export function readDecisiveReason(text: string | undefined): DecisiveReason | undefined {
+  return decisiveReasonSchema.safeParse(text).data;
+}
+
 const planSchema = z.object({
   route: z.string(),
   account: z.string().optional(),
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -206,6 +206,11 @@
         if (result.retryAfterMs !== undefined) {
           peerRetryAfterMs = Math.min(peerRetryAfterMs ?? Infinity, result.retryAfterMs);
         }
+        if (result.hasNotRun && result.reason === 'suspectedOfCrashes') {
+          // That instance knows of crashes that this one has not heard of.
+          end.giveUp('suspectedOfCrashes', result.retryAfterMs);
+          return;
+        }
         afterPeerRefusal(result.hasNotRun, attempt.serversTriedThere());
         return;
       case 'serverFailed':
--- a/src/core/relay-node/index.ts
+++ b/src/core/relay-node/index.ts
@@ -2,5 +2,5 @@
 export { RELAY_NODE_EVENTS } from './events';
 export { relaySettingsSchema } from './settings';
 export type { RelaySettings, TrafficPolicy } from './settings';
-export { startRelayNode } from './start-relay-node';
+export { PEER_SECRET, startRelayNode } from './start-relay-node';
 export type { RelayNode, RelayNodeOptions } from './start-relay-node';
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -66,7 +66,7 @@
 }
 
 /** Key of the request fingerprints that instances of one deployment share; the platform provides no secret. */
-const PEER_SECRET = 'coltsfootworks-peers';
+export const PEER_SECRET = 'coltsfootworks-peers';
 /** Interval at which a planned stop checks whether it may end, ms. */
 const STOP_CHECK_INTERVAL_MS = 50;
 /** Interval at which the state of removed servers is dropped, ms. */
