Count a server as crashed by evidence that is not this instance's own link

An instance without links to servers took resets and unanswered health checks for crashes: five servers, five crashes, and a harmless request was refused for a quarter of an hour after the cut, told to all instances. Now a server that does not answer counts as crashed only if another server of the region answers over a new connection, or the published state shows the end of its start; with neither for 10 s it does not count.

--- a/src/core/pass-through/crash-watch.ts
+++ b/src/core/pass-through/crash-watch.ts
@@ -1,9 +1,10 @@
+import type { Clock } from '../clock';
 import type { Logger } from '../events';
 import { POISON_EVENTS } from '../poison';
 import type { PoisonGuard, WatchedTry } from '../poison';
 import type { KnownServer } from '../server-registry';
+import type { CrashInvestigations } from './investigate-crash';
 import type { InboundRequest, RequestPlan } from './types';
-import type { WarmCheck } from './warm-check';
 
 /** Detects requests that crash each server that runs them, from the results of their attempts. */
 export interface CrashWatch {
@@ -33,9 +34,10 @@
 
 /** Options of `createCrashWatch`. */
 export interface CrashWatchOptions {
+  readonly clock: Pick<Clock, 'unixMs'>;
   readonly logger: Logger;
   readonly guard: Pick<PoisonGuard, 'verdict' | 'watch'>;
-  readonly warmCheck: Pick<WarmCheck, 'ask'>;
+  readonly investigations: Pick<CrashInvestigations, 'begin'>;
   /** All regions of the deployment; used for requests without home regions. */
   readonly regions: () => readonly string[];
 }
@@ -53,25 +55,30 @@
 /**
  * Creates a crash watch that reports to the poison guard.
  *
- * A reset connection does not prove a crash: some servers lose single answers. Counting those as
- * crashes would refuse harmless requests that many callers send. So after a reset the server gets a
- * health check, and only counts as crashed if it does not answer or another server has replaced it.
+ * A reset connection does not prove a crash: some servers lose single answers, and the links of this
+ * instance may be cut. Counting those as crashes would refuse harmless requests that many callers send.
+ * So after a reset it is first found out whether the server crashed.
  */
 export function createCrashWatch(options: CrashWatchOptions): CrashWatch {
-  const { logger, guard, warmCheck, regions } = options;
+  const { clock, logger, guard, investigations, regions } = options;
 
   const recordIfCrashed = (requestId: string, watched: WatchedTry, target: CrashTarget): void => {
     const { server, maxConnections } = target;
-    warmCheck.ask(server, maxConnections, (result) => {
+    const resetAtUnixMs = clock.unixMs();
+    investigations.begin(server, maxConnections, (verdict) => {
+      const evidence = verdict.kind === 'crashed' ? verdict.evidence : undefined;
       logger.event(POISON_EVENTS.checked, {
         requestId,
         server: server.incarnationId,
-        result: result.kind,
-        reason: result.kind === 'unanswered' ? result.reason : undefined,
+        result: verdict.kind,
+        evidence,
+        afterMs: clock.unixMs() - resetAtUnixMs,
       });
-      const isGone = result.kind === 'unanswered' || result.kind === 'replaced';
-      if (isGone) watched.failed({ kind: 'lostAfterSending', cause: 'reset' });
-      else watched.abandoned();
+      if (verdict.kind === 'crashed') {
+        watched.failed({ kind: 'lostAfterSending', cause: 'reset' }, resetAtUnixMs);
+      } else {
+        watched.abandoned();
+      }
     });
   };
 
--- a/src/core/pass-through/index.ts
+++ b/src/core/pass-through/index.ts
@@ -1,5 +1,6 @@
 /** Passes requests through to backend servers unchanged, here or in another region. */
 export { createCrashWatch } from './crash-watch';
+export { createCrashInvestigations } from './investigate-crash';
 export { createRouter } from './create-router';
 export type { Router } from './create-router';
 export { PASS_THROUGH_EVENTS } from './events';
--- a/src/core/pass-through/warm-check.ts
+++ b/src/core/pass-through/warm-check.ts
@@ -22,9 +22,13 @@
     server: KnownServer,
     maxConnections: number,
     onResult: (result: WarmCheckResult) => void,
+    over?: CheckConnection,
   ): Pick<Exchange, 'abort'>;
 }
 
+/** Connection that a check uses. Only a new one shows that new ones can be opened. */
+export type CheckConnection = 'anyConnection' | 'newConnection';
+
 /** Result of a check. */
 export type WarmCheckResult =
   | { readonly kind: 'warm' }
@@ -61,6 +65,8 @@
  * breaks does no harm.
  */
 const MAX_IDLE_MS = 60_000;
+/** Maximum idle time that no open connection is within, so that a new one is opened. */
+const NEVER_REUSE_MS = -1;
 
 /**
  * Creates a check that sends health checks to servers that may have become cold unnoticed.
@@ -113,7 +119,7 @@
     keepOnly(incarnationIds) {
       for (const id of suspectIds) if (!incarnationIds.has(id)) suspectIds.delete(id);
     },
-    ask(server, maxConnections, onResult) {
+    ask(server, maxConnections, onResult, over = 'anyConnection') {
       let result: WarmCheckResult | undefined;
       let exchange: Exchange | undefined;
       const deadline = clock.schedule(clock.monotonicMs() + ANSWER_TIMEOUT_MS, () =>
@@ -124,7 +130,7 @@
         {
           maxConnections,
           connectTimeoutMs: CONNECT_TIMEOUT_MS,
-          maxIdleMs: MAX_IDLE_MS,
+          maxIdleMs: over === 'newConnection' ? NEVER_REUSE_MS : MAX_IDLE_MS,
         },
         {
           method: 'GET',
--- a/src/core/poison/events.ts
+++ b/src/core/poison/events.ts
@@ -28,8 +28,8 @@
     id: 1503,
     name: 'crash-check-ended',
     level: 'info',
-    text: 'A server was checked after its connection broke while it ran a request.',
-    action: 'None. Only a server that does not answer, or has been replaced, counts as crashed.',
+    text: 'It was found out whether a server crashed after it broke the connection of a request.',
+    action: 'None. The evidence says why it counts as crashed.',
   },
   learned: {
     id: 1504,
--- a/src/core/poison/poison-guard.ts
+++ b/src/core/poison/poison-guard.ts
@@ -25,8 +25,8 @@
 export interface WatchedTry {
   /** The whole answer came. */
   answered(): void;
-  /** No whole answer came; a lost connection counts as a crash. */
-  failed(evidence: Evidence): void;
+  /** No whole answer came; a lost connection counts as a crash at `atUnixMs`, by default now. */
+  failed(evidence: Evidence, atUnixMs?: number): void;
   /** This side gave the try up, which says nothing about the server. */
   abandoned(): void;
 }
@@ -149,15 +149,19 @@
   };
   const listening = gossip.onEntry('poisonFingerprints', learnEntry);
 
-  const noteCrash = (request: GuardedRequest, serverId: string, regions: readonly string[]) => {
+  const noteCrash = (
+    request: GuardedRequest,
+    serverId: string,
+    regions: readonly string[],
+    atUnixMs: number,
+  ) => {
     const fingerprint = fingerprintOf(request, key);
-    const atUnixMs = clock.unixMs();
     // A caller may send the request again under the same id, which is then the first attempt once more.
     const tryId = `${request.requestId}/${request.attempt}@${serverId}`;
     ledger.note(fingerprint, { tryId, serverId, atUnixMs });
     recordStep(fingerprint, { kind: 'crashed', tryId, serverId, atUnixMs });
     tell(fingerprint, regions, { kind: 'crashed', marks: [...ledger.marksOf(fingerprint)] });
-    const verdict = ledger.verdict(fingerprint, atUnixMs);
+    const verdict = ledger.verdict(fingerprint, clock.unixMs());
     const event = verdict.kind === 'refused' ? POISON_EVENTS.proven : POISON_EVENTS.suspected;
     const { requestId, service, caller } = request;
     logger.event(event, {
@@ -205,9 +209,9 @@
           logger.event(POISON_EVENTS.cleared, { requestId: request.requestId, fingerprint });
         },
         abandoned: release,
-        failed(evidence) {
+        failed(evidence, atUnixMs = clock.unixMs()) {
           release();
-          if (looksLikeCrash(evidence)) noteCrash(request, serverId, regions);
+          if (looksLikeCrash(evidence)) noteCrash(request, serverId, regions, atUnixMs);
         },
       };
     },
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -13,7 +13,12 @@
   parseLoadUpdate,
 } from '../load-sharing';
 import type { Metrics } from '../metrics';
-import { createCrashWatch, createRouter, createWarmCheck } from '../pass-through';
+import {
+  createCrashInvestigations,
+  createCrashWatch,
+  createRouter,
+  createWarmCheck,
+} from '../pass-through';
 import type { HeaderDialect, ServeDependencies, ServedRequest } from '../pass-through';
 import { createPoisonGuard, fingerprintKey } from '../poison';
 import { createServerSpeeds } from '../placement';
@@ -80,8 +85,8 @@
   forgetRemovedServers(): void;
   /** Processes a message on what servers state or accounts demand; returns whether the text was a valid one. */
   receiveServerMessage(text: string): boolean;
-  /** Sends what is due on what servers state in their answers to the other instances of the region. */
-  sendServerMessages(): void;
+  /** Sends what is due to the other instances of the region, and decides what is due on servers. */
+  runDueTasks(): void;
   /** Applies a load update received from another instance. */
   receiveLoadUpdate(text: string): void;
   /** Sends this instance's load and the demand of its accounts to the other instances of its region if it is due. */
@@ -234,10 +239,18 @@
       },
     }),
   );
+  const investigations = createCrashInvestigations({
+    clock,
+    region,
+    servers,
+    warmCheck,
+    draw: () => random.next(),
+  });
   const crashWatch = createCrashWatch({
+    clock,
     logger,
     guard,
-    warmCheck,
+    investigations,
     regions: () => [...new Set(Object.values(options.settings().regionOfDomain))],
   });
   function checkHealth(incarnationId: string): void {
@@ -267,9 +280,10 @@
       notices.receive(text) ||
       guard.receive(text) ||
       accountShares.receive(text, clock.monotonicMs()),
-    sendServerMessages() {
+    runDueTasks() {
       limits.runDue();
       notices.runDue();
+      investigations.runDue();
     },
     receiveLoadUpdate(text) {
       const update = parseLoadUpdate(text);
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -309,7 +309,7 @@
     startTicks(clock, TICK_INTERVAL_MS, (dueAtMs, nextDueAtMs) => {
       loopWatch.recordTick(dueAtMs, nextDueAtMs, nowMs());
       serving.sendLoad();
-      serving.sendServerMessages();
+      serving.runDueTasks();
       quotas.sendDueReports();
     }),
   );
