Record which servers an instance reaches, and why another instance refused

Logs could tell neither whether an instance knows that it has no links, nor why another one refused a forwarded request. Nothing is decided by the record yet.

--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -15,6 +15,7 @@
 import { PASS_THROUGH_EVENTS } from '../pass-through/events';
 import { PAUSE_EVENTS } from '../pauses/events';
 import { POISON_EVENTS } from '../poison/events';
+import { REACHABILITY_EVENTS } from '../reachability/events';
 import { RELAY_NODE_EVENTS } from '../relay-node/events';
 import { RETRY_EVENTS } from '../retries/events';
 import { ROUTING_EVENTS } from '../routing/events';
@@ -63,6 +64,7 @@
   SERVER_LIMIT_EVENTS,
   SERVER_NOTICE_EVENTS,
   ACCOUNT_SHARE_EVENTS,
+  REACHABILITY_EVENTS,
 ]
   .flatMap((events): EventDefinition[] => Object.values(events))
   .sort((left, right) => left.id - right.id);
--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../clock';
 import type { AnswerHead, ConnectionPool, Exchange, ExchangeEnd } from '../exchanges';
 import type { LossCause } from '../outcomes';
+import type { Reachability } from '../reachability';
 import type { ServerLimits } from '../server-limits';
 import type { ServerNotices } from '../server-notices';
 import type { KnownServer } from '../server-registry';
@@ -46,6 +47,8 @@
       readonly kind: 'peerRefused';
       readonly hasNotRun: boolean;
       readonly reason: DecisiveReason | undefined;
+      /** Reason as stated, for log lines; undefined if it states none. */
+      readonly statedReason: string | undefined;
       /** Time after which that instance expects the request again, ms; undefined if it states none. */
       readonly retryAfterMs: number | undefined;
     }
@@ -87,6 +90,7 @@
   readonly warmCheck: WarmCheck;
   readonly limits: Pick<ServerLimits, 'observe'>;
   readonly notices: Pick<ServerNotices, 'observe' | 'recordSent'>;
+  readonly reachability: Pick<Reachability, 'recordReached' | 'recordFailed'>;
   /** Whether a server that was chosen a moment ago may still get a request. */
   readonly mayReceive: (server: KnownServer) => boolean;
   readonly request: InboundRequest;
@@ -190,12 +194,19 @@
   let lastByteAtMs = sentAtMs;
   let abortedBy: LossCause | undefined;
   let isForgotten = false;
+  /** Whether a connection for the request was free or could be opened. */
+  let hasBegun = false;
 
   const abort = (cause: LossCause): void => {
     abortedBy = cause;
     exchange?.abort(cause);
   };
 
+  /** Records that bytes arrived over this instance's own link to the server. */
+  const recordReached = (): void => {
+    if (to.kind === 'server') options.reachability.recordReached(to.server.incarnationId);
+  };
+
   const report = (result: AttemptResult, end: ObservedEnd): void => {
     observer.recordEnd(isForgotten ? 'inconclusive' : end);
     if (!isForgotten) options.onResult(result);
@@ -239,6 +250,7 @@
   };
 
   const onHead = (answerHead: AnswerHead): void => {
+    recordReached();
     if (isForgotten) return;
     head = answerHead;
     lastByteAtMs = clock.monotonicMs();
@@ -248,8 +260,14 @@
     if (to.kind === 'peer' && outcome !== undefined) {
       const pause = readPause(head, options);
       const retryAfterMs = pause.kind === 'pause' ? pause.waitMs : undefined;
-      const reason = readDecisiveReason(headerText(head.headers[REASON_HEADER]));
-      decide({ kind: 'peerRefused', hasNotRun: outcome === 'notRun', reason, retryAfterMs });
+      const statedReason = headerText(head.headers[REASON_HEADER]);
+      decide({
+        kind: 'peerRefused',
+        hasNotRun: outcome === 'notRun',
+        reason: readDecisiveReason(statedReason),
+        statedReason,
+        retryAfterMs,
+      });
       return;
     }
     const classification = classifyAnswer(head, request.requestId, dialect);
@@ -276,6 +294,7 @@
   };
 
   const onData = (chunk: Buffer): void => {
+    recordReached();
     if (isForgotten || reader === undefined) return;
     lastByteAtMs = clock.monotonicMs();
     recordFirstByte();
@@ -313,6 +332,7 @@
         if (to.kind === 'server' && abortedBy === undefined) {
           router.loads.recordUnreachable(to.server.incarnationId, clock.monotonicMs());
           options.warmCheck.markSuspect(to.server);
+          if (hasBegun) options.reachability.recordFailed(to.server.incarnationId);
         }
         report({ kind: 'neverSent', reason: end.reason }, 'refused');
         return;
@@ -332,7 +352,7 @@
   const isServer = to.kind === 'server';
   const send = (): Exchange | undefined => {
     if (isServer) options.notices.recordSent(to.server.incarnationId);
-    return pool.send(
+    const begun = pool.send(
       isServer ? to.server.address : to.peer.forwardAddress,
       {
         maxConnections: isServer ? to.maxConnections : PEER_MAX_CONNECTIONS,
@@ -347,6 +367,8 @@
       },
       { onHead, onData, onEnd },
     );
+    hasBegun = begun !== undefined;
+    return begun;
   };
   if (isServer) {
     const onUnusable = (reason: string) => report({ kind: 'neverSent', reason }, 'inconclusive');
--- a/src/core/pass-through/request-log.ts
+++ b/src/core/pass-through/request-log.ts
@@ -14,6 +14,8 @@
 export interface RequestLog {
   placed(to: SendableDestination): void;
   attemptFailed(attempt: Attempt, reason: string, status?: number): void;
+  /** Logs that another instance refused the request, for the reason that it states. */
+  peerRefused(attempt: Attempt, refusalReason: string | undefined): void;
   /** Logs that a server has not run the request; `pauseMs` is the pause that it asks for, ms. */
   rejected(attempt: Attempt, status: number, pauseMs: number | undefined): void;
   /** Logs a complete answer; `firstByteAtMs` is undefined if the answer had no body. */
@@ -118,6 +120,12 @@
         reason,
         status,
       }),
+    peerRefused: (attempt, refusalReason) =>
+      logger.event(PASS_THROUGH_EVENTS.attemptFailed, {
+        ...attemptFields(attempt),
+        reason: 'the other instance refused the request',
+        refusalReason,
+      }),
     rejected: (attempt, status, pauseMs) =>
       logger.event(PASS_THROUGH_EVENTS.attemptFailed, {
         ...attemptFields(attempt),
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../clock';
 import type { Logger } from '../events';
 import type { ConnectionPool } from '../exchanges';
+import type { Reachability } from '../reachability';
 import type { PermitVerdict, ServerLimits } from '../server-limits';
 import type { ServerNotices } from '../server-notices';
 import type { KnownServer } from '../server-registry';
@@ -42,6 +43,8 @@
   readonly limits: ServerLimits;
   /** What backend servers state in their answers about the requests after them. */
   readonly notices: ServerNotices;
+  /** Which servers this instance reaches. */
+  readonly reachability: Reachability;
   /** Whether a server that was chosen a moment ago may still get a request. */
   readonly mayReceive: (server: KnownServer) => boolean;
   /** Called when a server other than `serverId` has answered at its address. */
@@ -201,7 +204,7 @@
         afterRejection();
         return;
       case 'peerRefused':
-        log.attemptFailed(attempt, 'the other instance refused the request');
+        log.peerRefused(attempt, result.statedReason);
         if (attempt.to.kind === 'peer') refusingRegions.add(attempt.to.peer.region);
         if (result.retryAfterMs !== undefined) {
           peerRetryAfterMs = Math.min(peerRetryAfterMs ?? Infinity, result.retryAfterMs);
--- a/src/core/pass-through/warm-check.ts
+++ b/src/core/pass-through/warm-check.ts
@@ -4,6 +4,7 @@
 import type { ServerLimits } from '../server-limits';
 import type { ServerNotices } from '../server-notices';
 import type { ServerSpeeds } from '../placement';
+import type { Reachability } from '../reachability';
 import type { KnownServer, ServerRegistry } from '../server-registry';
 import { MISDIRECTED_STATUS, headerText } from './classify-answer';
 import { observeStatements } from './observe-statements';
@@ -47,6 +48,7 @@
   readonly servers: ServerRegistry;
   readonly limits: Pick<ServerLimits, 'observe'>;
   readonly notices: Pick<ServerNotices, 'observe'>;
+  readonly reachability: Pick<Reachability, 'recordReached' | 'recordFailed'>;
   /** Speeds of single servers; undefined if all servers of a service count as equally fast. */
   readonly serverSpeeds: Pick<ServerSpeeds, 'recordStatedSlowdown'> | undefined;
   /**
@@ -84,7 +86,7 @@
  * also checked, once, before it gets a request.
  */
 export function createWarmCheck(options: WarmCheckOptions): WarmCheck {
-  const { clock, dialect, pool, routes, servers } = options;
+  const { clock, dialect, pool, routes, servers, reachability } = options;
   /** Ids of server incarnations that may have crashed and restarted. */
   const suspectIds = new Set<string>();
   const serviceOf = ({ service }: KnownServer) => routes.current()?.table.services.get(service);
@@ -122,6 +124,7 @@
     ask(server, maxConnections, onResult, over = 'anyConnection') {
       let result: WarmCheckResult | undefined;
       let exchange: Exchange | undefined;
+      let isCancelled = false;
       const deadline = clock.schedule(clock.monotonicMs() + ANSWER_TIMEOUT_MS, () =>
         exchange?.abort('timeout'),
       );
@@ -140,6 +143,7 @@
         },
         {
           onHead(head) {
+            reachability.recordReached(server.incarnationId);
             if (head.status === MISDIRECTED_STATUS) {
               result = { kind: 'replaced' };
               return;
@@ -157,6 +161,9 @@
           onEnd(end) {
             deadline[Symbol.dispose]();
             const reason = end.kind === 'whole' ? 'the answer had no head' : end.reason;
+            if (result === undefined && !isCancelled) {
+              reachability.recordFailed(server.incarnationId);
+            }
             onResult(result ?? { kind: 'unanswered', reason });
           },
         },
@@ -166,7 +173,12 @@
         onResult({ kind: 'unanswered', reason: 'no connection is free' });
         return { abort() {} };
       }
-      return exchange;
+      return {
+        abort(cause) {
+          isCancelled = true;
+          exchange.abort(cause);
+        },
+      };
     },
   };
 }
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -23,6 +23,7 @@
 import { createPoisonGuard, fingerprintKey } from '../poison';
 import { createServerSpeeds } from '../placement';
 import type { RandomSource } from '../random';
+import { createReachability } from '../reachability';
 import { createServerLimits } from '../server-limits';
 import type { ServerLimits } from '../server-limits';
 import { createServerNotices } from '../server-notices';
@@ -174,6 +175,7 @@
     send: options.sendStatement,
   });
   const { followedSinceMs } = options;
+  const reachability = createReachability({ clock, logger, region, servers });
   const warmCheck = createWarmCheck({
     clock,
     dialect,
@@ -182,9 +184,15 @@
     servers,
     limits,
     notices,
+    reachability,
     serverSpeeds,
     followedSinceMs,
   });
+  options.metrics.gauge(
+    'coltsfootworks_unreachable_servers',
+    'Backend servers that this instance has not reached since it last failed to',
+    reachability.unreachableCount,
+  );
   options.metrics.gauge(
     'coltsfootworks_limited_servers',
     'Backend servers that name a limit on their requests',
@@ -271,6 +279,7 @@
     retries,
     limits,
     notices,
+    reachability,
     mayReceive: (server) => servers.isUsable(server) && notices.waitMs(server.incarnationId) === 0,
     onReplaced: servers.markReplaced,
     onDone: createRequestCounter(options.metrics),
@@ -283,6 +292,7 @@
     runDueTasks() {
       limits.runDue();
       notices.runDue();
+      reachability.runDue();
       investigations.runDue();
     },
     receiveLoadUpdate(text) {
@@ -303,6 +313,7 @@
       warmCheck.keepOnly(knownIds);
       limits.keepOnly(knownIds);
       notices.keepOnly(knownIds);
+      reachability.keepOnly(knownIds);
     },
   };
 }
