Send brittle servers no more requests than they have slots, over all instances

Servers that state Server-Brittle fail if they have to reject more than a few requests in a second. Nobody read it, and each instance went by its own view of the load. Now one instance of the region counts the slots of each server of a brittle service; a slot is taken before each request and given back after it.

--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -1,4 +1,5 @@
 import { ACCOUNT_SHARE_EVENTS } from '../account-shares/events';
+import { BRITTLE_SERVER_EVENTS } from '../brittle-servers/events';
 import { CALL_EVENTS } from '../calls/events';
 import { CALLER_LIMIT_EVENTS } from '../caller-limits/events';
 import { CONFIGURATION_EVENTS } from '../configuration/events';
@@ -65,6 +66,7 @@
   SERVER_NOTICE_EVENTS,
   ACCOUNT_SHARE_EVENTS,
   REACHABILITY_EVENTS,
+  BRITTLE_SERVER_EVENTS,
 ]
   .flatMap((events): EventDefinition[] => Object.values(events))
   .sort((left, right) => left.id - right.id);
--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -1,3 +1,4 @@
+import type { BrittleServers } from '../brittle-servers';
 import type { Clock } from '../clock';
 import type { AnswerHead, ConnectionPool, Exchange, ExchangeEnd } from '../exchanges';
 import type { LossCause } from '../outcomes';
@@ -90,6 +91,7 @@
   readonly warmCheck: WarmCheck;
   readonly limits: Pick<ServerLimits, 'observe'>;
   readonly notices: Pick<ServerNotices, 'observe' | 'recordSent'>;
+  readonly brittle: Pick<BrittleServers, 'observe'>;
   readonly reachability: Pick<Reachability, 'recordReached' | 'recordFailed'>;
   /** Whether a server that was chosen a moment ago may still get a request. */
   readonly mayReceive: (server: KnownServer) => boolean;
@@ -246,7 +248,7 @@
   const observeAnswer = (answerHead: AnswerHead, classification: AnswerClassification): void => {
     if (to.kind === 'peer' || classification.kind === 'wrong') return;
     if (classification.kind === 'notRun' && classification.isReplaced) return;
-    observeStatements(options, to.server.incarnationId, answerHead, 'answer');
+    observeStatements(options, to.server, answerHead, 'answer');
   };
 
   const onHead = (answerHead: AnswerHead): void => {
--- a/src/core/pass-through/index.ts
+++ b/src/core/pass-through/index.ts
@@ -13,6 +13,7 @@
 export type { ServedRequest } from './request-end';
 export type { ServeDependencies } from './serve-request';
 export type { HeaderDialect, TokenCount } from './types';
+export type { StatedBrittleness } from '../brittle-servers';
 export type { NamedLimit } from '../server-limits';
 export type { StatedDeparture } from '../server-notices';
 export { createWarmCheck } from './warm-check';
--- a/src/core/pass-through/observe-statements.ts
+++ b/src/core/pass-through/observe-statements.ts
@@ -1,8 +1,10 @@
+import type { BrittleServers } from '../brittle-servers';
 import type { Clock } from '../clock';
 import type { AnswerHead } from '../exchanges';
 import type { ServerLimits } from '../server-limits';
 import { parseRetryAfter } from '../server-notices';
 import type { ServerNotices, StatedPause } from '../server-notices';
+import type { KnownServer } from '../server-registry';
 import type { HeaderDialect } from './types';
 
 /** Dependencies of `observeStatements`. */
@@ -11,6 +13,7 @@
   readonly dialect: HeaderDialect;
   readonly limits: Pick<ServerLimits, 'observe'>;
   readonly notices: Pick<ServerNotices, 'observe'>;
+  readonly brittle: Pick<BrittleServers, 'observe'>;
 }
 
 /**
@@ -32,11 +35,13 @@
 /** Records what an answer of a server states about the requests after it. */
 export function observeStatements(
   observers: StatementObservers,
-  incarnationId: string,
+  server: KnownServer,
   head: AnswerHead,
   source: 'answer' | 'healthCheck',
 ): void {
-  const { clock, dialect, limits, notices } = observers;
+  const { clock, dialect, limits, notices, brittle } = observers;
+  const { incarnationId } = server;
+  brittle.observe(server, dialect.readBrittleness(head.headers));
   limits.observe({
     incarnationId,
     named: dialect.readLimit(head.headers),
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -1,3 +1,4 @@
+import type { BrittleServers, SlotLease, SlotVerdict } from '../brittle-servers';
 import type { Clock } from '../clock';
 import type { Logger } from '../events';
 import type { ConnectionPool } from '../exchanges';
@@ -13,6 +14,7 @@
 import type { Router } from './create-router';
 import { answerDeadlineMs, isRepeatable } from './forwarding';
 import type { SendableDestination } from './observe-destination';
+import { UNAVAILABLE_STATUS } from './observe-statements';
 import { createRequestEnd } from './request-end';
 import type { ServedRequest } from './request-end';
 import { createRequestLog } from './request-log';
@@ -43,6 +45,8 @@
   readonly limits: ServerLimits;
   /** What backend servers state in their answers about the requests after them. */
   readonly notices: ServerNotices;
+  /** Servers that fail if they have to reject many requests. */
+  readonly brittle: BrittleServers;
   /** Which servers this instance reaches. */
   readonly reachability: Reachability;
   /** Whether a server that was chosen a moment ago may still get a request. */
@@ -69,6 +73,11 @@
 const UNSENT_RETRY_MS = 500;
 /** Retry delay after a server was full: a slot of a busy server is free within this time. */
 const REJECTED_RETRY_MS = 400;
+/**
+ * Maximum number of brittle servers that have no free slot, after which the request is refused; each answer takes a round
+ * trip within the region.
+ */
+const MAX_SLOT_DENIALS = 3;
 /** Retry delay after a timeout before anything was sent. */
 const TIMED_OUT_RETRY_MS = 1_000;
 
@@ -96,6 +105,8 @@
   const attemptBudget = createAttemptBudget(plan.maxAttempts, mayRepeat);
   let current: Attempt | undefined;
   let crashWatchedAttempt: CrashWatchedAttempt | undefined;
+  let slotLease: SlotLease | undefined;
+  let slotDenials = 0;
   let unsentAttempts = 0;
   let isTimedOut = false;
   let firstByteAtMs: number | undefined;
@@ -185,8 +196,15 @@
     crashWatchedAttempt = undefined;
   };
 
+  /** Gives the slot of the attempt back; `wasRejected` if the server had no room for the request. */
+  const releaseSlot = (wasRejected: boolean): void => {
+    slotLease?.release(wasRejected);
+    slotLease = undefined;
+  };
+
   const onResult = (attempt: Attempt, result: AttemptResult): void => {
     current = undefined;
+    releaseSlot(result.kind === 'rejected' && result.status === UNAVAILABLE_STATUS);
     reportToCrashWatch(result);
     firstByteAtMs ??= attempt.firstByteAtMs();
     attemptBudget.settle(serversUsed(attempt, result));
@@ -283,13 +301,26 @@
   }
 
   /**
-   * Sends to a server if its limit allows it, and otherwise chooses another destination. Also chooses again if the
-   * server has gone out of use while the permit was on its way.
+   * Sends to a server if its limit allows it and, if it is brittle, it has a free slot; otherwise chooses another
+   * destination. Also chooses again if the server has gone out of use while the answers were on their way.
    */
   function sendWithPermit(to: SendableDestination & { kind: 'server' }): void {
+    const decideSlot = (verdict: SlotVerdict): void => {
+      const lease = verdict.kind === 'granted' ? verdict.lease : undefined;
+      if (end.isOver() || lease === undefined || !dependencies.mayReceive(to.server)) {
+        lease?.release(false);
+        if (lease === undefined) slotDenials += 1;
+        if (end.isOver()) return;
+        if (slotDenials < MAX_SLOT_DENIALS) tryNext();
+        else end.giveUp('serversLimited', Math.max(REJECTED_RETRY_MS, router.waitMs(plan)));
+        return;
+      }
+      slotLease = lease;
+      send(to);
+    };
     const decide = (verdict: PermitVerdict): void => {
       if (end.isOver()) return;
-      if (verdict.kind === 'granted' && dependencies.mayReceive(to.server)) send(to);
+      if (verdict.kind === 'granted') dependencies.brittle.requestSlot(to.server, decideSlot);
       else tryNext();
     };
     dependencies.limits.requestPermit(to.server.incarnationId, decide);
@@ -323,6 +354,7 @@
       log.callerGone();
       end.callerGone();
       crashWatchedAttempt?.ended();
+      releaseSlot(false);
       current?.forget();
       current?.abort('aborted');
     },
--- a/src/core/pass-through/types.ts
+++ b/src/core/pass-through/types.ts
@@ -1,3 +1,4 @@
+import type { StatedBrittleness } from '../brittle-servers';
 import type { HeaderMap } from '../exchanges';
 import type { RouteKind } from '../host-routes';
 import type { LoadReport, ModelDemand } from '../placement';
@@ -50,6 +51,8 @@
   readLimit(headers: HeaderMap): NamedLimit;
   /** Returns whether a backend server states in an answer that it is leaving. */
   readDeparture(headers: HeaderMap): StatedDeparture;
+  /** Returns how many rejections a backend server states that it bears. */
+  readBrittleness(headers: HeaderMap): StatedBrittleness;
 }
 
 /** Number of tokens that a request states. */
--- a/src/core/pass-through/warm-check.ts
+++ b/src/core/pass-through/warm-check.ts
@@ -1,3 +1,4 @@
+import type { BrittleServers } from '../brittle-servers';
 import type { Clock } from '../clock';
 import type { AnswerHead, ConnectionPool, Exchange } from '../exchanges';
 import type { RouteTableStore } from '../host-routes';
@@ -48,6 +49,7 @@
   readonly servers: ServerRegistry;
   readonly limits: Pick<ServerLimits, 'observe'>;
   readonly notices: Pick<ServerNotices, 'observe'>;
+  readonly brittle: Pick<BrittleServers, 'observe'>;
   readonly reachability: Pick<Reachability, 'recordReached' | 'recordFailed'>;
   /** Speeds of single servers; undefined if all servers of a service count as equally fast. */
   readonly serverSpeeds: Pick<ServerSpeeds, 'recordStatedSlowdown'> | undefined;
@@ -149,7 +151,7 @@
               return;
             }
             suspectIds.delete(server.incarnationId);
-            observeStatements(options, server.incarnationId, head, 'healthCheck');
+            observeStatements(options, server, head, 'healthCheck');
             recordSpeed(server, head);
             const coldMs = coldForMs(head);
             if (coldMs > 0) servers.markCold(server.serverId, clock.monotonicMs() + coldMs);
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -1,4 +1,5 @@
 import { createAccountShares } from '../account-shares';
+import { createBrittleServers } from '../brittle-servers';
 import type { Clock } from '../clock';
 import type { PoisonOptions } from '../configuration';
 import type { Logger } from '../events';
@@ -132,6 +133,19 @@
       if (notices.waitMs(incarnationId) === 0) checkHealth(incarnationId);
     },
   });
+  const brittle = createBrittleServers({
+    clock,
+    logger,
+    self,
+    peers: instances.possiblyAlivePeers,
+    reachableShare: instances.reachableShare,
+    send: options.sendStatement,
+  });
+  options.metrics.gauge(
+    'coltsfootworks_brittle_services',
+    'Services whose backend servers state that they fail if they have to reject many requests',
+    brittle.brittleCount,
+  );
   const peerLoads = createPeerLoads();
   const cachedParts = createCachedPartsBuffer();
   /** Returns the addresses of the other instances of the region. */
@@ -183,7 +197,10 @@
     routes,
     servers,
     pool,
-    limits,
+    limits: {
+      waitMs: (incarnationId) =>
+        Math.max(limits.waitMs(incarnationId), brittle.waitMs(incarnationId)),
+    },
     notices,
     coldServerLimiter: createColdServerLimiter({
       selfId: instanceId,
@@ -213,6 +230,7 @@
     servers,
     limits,
     notices,
+    brittle,
     reachability,
     serverSpeeds,
     followedSinceMs,
@@ -309,6 +327,7 @@
     retries,
     limits,
     notices,
+    brittle,
     reachability,
     mayReceive: (server) => servers.isUsable(server) && notices.waitMs(server.incarnationId) === 0,
     onReplaced: servers.markReplaced,
@@ -318,11 +337,13 @@
       limits.receive(text) ||
       notices.receive(text) ||
       guard.receive(text) ||
+      brittle.receive(text) ||
       cutInstances.receive(text) ||
       accountShares.receive(text, clock.monotonicMs()),
     runDueTasks() {
       limits.runDue();
       notices.runDue();
+      brittle.runDue();
       reachability.runDue();
       cutInstances.sendIfDue(reachability.isCut());
       investigations.runDue();
@@ -345,6 +366,7 @@
       warmCheck.keepOnly(knownIds);
       limits.keepOnly(knownIds);
       notices.keepOnly(knownIds);
+      brittle.keepOnly(knownIds);
       reachability.keepOnly(knownIds);
     },
   };
