--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -9,16 +9,9 @@
 import { createBufferedReader, createStreamReader } from './answer-reader';
 import type { AnswerReader } from './answer-reader';
 import type { Router } from './create-router';
-import {
-  ATTEMPTS_HEADER,
-  OUTCOME_HEADER,
-  PLAN_HEADER,
-  REASON_HEADER,
-  answerDeadlineMs,
-  readDecisiveReason,
-  writePlan,
-} from './forwarding';
+import { ATTEMPTS_HEADER, OUTCOME_HEADER, REASON_HEADER, readDecisiveReason } from './forwarding';
 import type { DecisiveReason } from './forwarding';
+import { attemptHeaders } from './attempt-headers';
 import { classifyAnswer, headerText } from './classify-answer';
 import type { AnswerClassification } from './classify-answer';
 import { observeDestination } from './observe-destination';
@@ -131,8 +124,6 @@
  * earlier.
  */
 const MAX_IDLE_MS = 60_000;
-/** Lowest priority that backend servers support. */
-const LOWEST_PRIORITY = 9;
 
 /**
  * Returns the name of a destination in log lines and in the set of tried destinations. For a
@@ -152,24 +143,6 @@
   return to.kind === 'server' ? TRUSTED_IDLE_MS : PEER_TRUSTED_IDLE_MS;
 }
 
-function headersFor(options: AttemptOptions, nowMs: number): readonly string[] {
-  const { dialect, request, plan, to, progress, attemptsReserved } = options;
-  const remainingMs = Math.max(1, Math.floor(answerDeadlineMs(plan) - nowMs));
-  const headers = [...request.headers, dialect.timeLeftMs, String(remainingMs)];
-  if (progress.lastEventId !== undefined) headers.push('last-event-id', progress.lastEventId);
-  if (to.kind === 'peer') {
-    headers.push(PLAN_HEADER, writePlan(plan, attemptsReserved, nowMs));
-    return headers;
-  }
-  headers.push(dialect.targetServer, to.server.serverId);
-  if (plan.account !== undefined) headers.push(dialect.accountName, plan.account);
-  if (to.copyFrom !== undefined) headers.push(dialect.copyPromptFrom, to.copyFrom.address);
-  if (request.demand !== undefined) {
-    headers.push(dialect.priority, String(Math.min(LOWEST_PRIORITY, plan.priority)));
-  }
-  return headers;
-}
-
 /**
  * Returns how many backend servers another instance reports to have sent a request to; undefined if
  * it does not report that.
@@ -364,7 +337,7 @@
       {
         method: request.method,
         path: request.path,
-        headers: headersFor(options, clock.monotonicMs()),
+        headers: attemptHeaders(options, clock.monotonicMs()),
         body: request.body,
       },
       { onHead, onData, onEnd },
