Call checks of links checks, and keep only whether a server is unreachable

Cause: they were called probes in one module and checks elsewhere, and the record kept the time of each failure, which nothing read. Change: names, and a set instead of a map of times. No behaviour changes; the tests of the folder pass as before but for the names.

--- a/src/core/reachability/create-reachability.ts
+++ b/src/core/reachability/create-reachability.ts
@@ -2,7 +2,7 @@
 import type { Logger } from '../events';
 import type { ServerRegistry } from '../server-registry';
 import { REACHABILITY_EVENTS } from './events';
-import { createLinkProbes } from './link-probes';
+import { createLinkChecks } from './link-checks';
 import { createLinkRecord } from './link-record';
 
 /** Which backend servers of its region this instance reaches. */
@@ -36,7 +36,7 @@
 export function createReachability(options: ReachabilityOptions): Reachability {
   const { clock, logger, region, servers } = options;
   const record = createLinkRecord(clock.monotonicMs());
-  const probes = createLinkProbes();
+  const checks = createLinkChecks();
   let cutSinceMs: number | undefined;
 
   const serversHere = () => servers.all().filter((server) => server.region === region);
@@ -54,9 +54,9 @@
     cutSinceMs = undefined;
   };
 
-  const sendProbes = (): void => {
+  const sendChecks = (): void => {
     const nowMs = clock.monotonicMs();
-    const dueIds = probes.due({
+    const dueIds = checks.due({
       isCut: cutSinceMs !== undefined,
       nowMs,
       lastReachedAtMs: record.lastReachedAtMs(),
@@ -74,7 +74,7 @@
       if (cutSinceMs !== undefined) update();
     },
     recordFailed(incarnationId) {
-      record.recordFailed(incarnationId, clock.monotonicMs());
+      record.recordFailed(incarnationId);
       if (cutSinceMs === undefined) update();
     },
     isUnreachable: record.isUnreachable,
@@ -83,7 +83,7 @@
     lastReachedAtMs: record.serverReachedAtMs,
     runDue() {
       update();
-      sendProbes();
+      sendChecks();
     },
     keepOnly: record.keepOnly,
   };
--- a/src/core/reachability/link-probes.test.ts
+++ b/src/core/reachability/link-checks.test.ts
@@ -1,15 +1,15 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { createLinkProbes } from './link-probes';
-import type { ProbeInput } from './link-probes';
+import { createLinkChecks } from './link-checks';
+import type { CheckInput } from './link-checks';
 
 const SILENT = ['s-1', 's-2', 's-3'].map((incarnationId) => ({ incarnationId, silentMs: 500 }));
-const INPUT: ProbeInput = { isCut: false, nowMs: 10_000, lastReachedAtMs: 9_500, servers: SILENT };
+const INPUT: CheckInput = { isCut: false, nowMs: 10_000, lastReachedAtMs: 9_500, servers: SILENT };
 const TICK_MS = 50;
 
 interface Case {
   readonly name: string;
-  readonly input: Partial<ProbeInput>;
+  readonly input: Partial<CheckInput>;
   readonly due: readonly string[];
 }
 
@@ -31,15 +31,15 @@
 
 describe('checks of links', () => {
   for (const { name, input, due } of CASES) {
-    it(name, () => assert.deepEqual(createLinkProbes().due({ ...INPUT, ...input }), due));
+    it(name, () => assert.deepEqual(createLinkChecks().due({ ...INPUT, ...input }), due));
   }
 
   // Many checks in a cut would be a flood when it ends.
   it('are sent to one server at a time while the links are cut, and to each in turn', () => {
-    const probes = createLinkProbes();
+    const checks = createLinkChecks();
     const sent: string[] = [];
     for (let nowMs = 0; nowMs < 3_000; nowMs += TICK_MS) {
-      sent.push(...probes.due({ ...INPUT, isCut: true, nowMs }));
+      sent.push(...checks.due({ ...INPUT, isCut: true, nowMs }));
     }
     assert.ok(sent.length >= 9 && sent.length <= 11, `${sent.length} checks`);
     assert.deepEqual(new Set(sent), new Set(['s-1', 's-2', 's-3']));
--- a/src/core/reachability/link-probes.ts
+++ b/src/core/reachability/link-checks.ts
@@ -1,25 +1,25 @@
 /** Chooses the servers that are checked to learn whether the links of this instance are cut. */
 
 /** A server as far as its checks are concerned. */
-export interface ProbedServer {
+export interface CheckedServer {
   readonly incarnationId: string;
   /** Time since the last byte for requests that wait for their first one, ms; 0 if none waits. */
   readonly silentMs: number;
 }
 
 /** State of the links when checks may be due. */
-export interface ProbeInput {
+export interface CheckInput {
   readonly isCut: boolean;
   readonly nowMs: number;
   /** Time of the last byte of any server, monotonic ms. */
   readonly lastReachedAtMs: number;
-  readonly servers: readonly ProbedServer[];
+  readonly servers: readonly CheckedServer[];
 }
 
 /** Chooses servers to check. */
-export interface LinkProbes {
+export interface LinkChecks {
   /** Returns the servers that are to be checked now. */
-  due(input: ProbeInput): readonly string[];
+  due(input: CheckInput): readonly string[];
 }
 
 /**
@@ -41,18 +41,18 @@
  * from any server, two of them are checked. While the links are cut, requests no longer show that servers are reached
  * again, so one server after the other is checked.
  */
-export function createLinkProbes(): LinkProbes {
+export function createLinkChecks(): LinkChecks {
   let nextAtMs = 0;
   let turn = 0;
 
-  const dueWhileCut = ({ servers, nowMs }: ProbeInput): readonly string[] => {
+  const dueWhileCut = ({ servers, nowMs }: CheckInput): readonly string[] => {
     nextAtMs = nowMs + CUT_INTERVAL_MS;
     turn += 1;
     const server = servers[turn % Math.max(1, servers.length)];
     return server === undefined ? [] : [server.incarnationId];
   };
 
-  const dueInSilence = ({ servers, nowMs }: ProbeInput): readonly string[] => {
+  const dueInSilence = ({ servers, nowMs }: CheckInput): readonly string[] => {
     const silent = servers.filter(({ silentMs }) => silentMs >= MAX_SILENCE_MS);
     const neededCount = Math.min(MIN_SILENT_SERVERS, servers.length);
     if (neededCount === 0 || silent.length < neededCount) return [];
--- a/src/core/reachability/link-record.test.ts
+++ b/src/core/reachability/link-record.test.ts
@@ -71,7 +71,7 @@
       const record = createLinkRecord(0);
       for (const step of steps) {
         if (step.kind === 'reached') record.recordReached(step.server, step.atMs);
-        else if (step.kind === 'failed') record.recordFailed(step.server, step.atMs);
+        else if (step.kind === 'failed') record.recordFailed(step.server);
         else record.keepOnly(new Set(['s-1', 's-2', 's-3'].filter((id) => id !== step.server)));
       }
       assert.equal(record.isCut(known, atMs), isCut);
--- a/src/core/reachability/link-record.ts
+++ b/src/core/reachability/link-record.ts
@@ -9,7 +9,7 @@
   /** Records that any byte of a server arrived. */
   recordReached(incarnationId: string, nowMs: number): void;
   /** Records that a server could not be connected to, or did not answer a health check. */
-  recordFailed(incarnationId: string, nowMs: number): void;
+  recordFailed(incarnationId: string): void;
   /** Whether no connection to the server has succeeded since the last one that failed. */
   isUnreachable(incarnationId: string): boolean;
   unreachableCount(): number;
@@ -30,8 +30,7 @@
 
 /** Creates a record without servers. */
 export function createLinkRecord(createdAtMs: number): LinkRecord {
-  /** Time of the last failure of each server that has not been reached since, monotonic ms. */
-  const failedAtMs = new Map<string, number>();
+  const unreachableIds = new Set<string>();
   const reachedAtMs = new Map<string, number>();
   /** Servers that have failed since the last byte of any server. */
   const failedSinceReached = new Set<string>();
@@ -42,14 +41,14 @@
       lastReachedAtMs = nowMs;
       reachedAtMs.set(incarnationId, nowMs);
       failedSinceReached.clear();
-      failedAtMs.delete(incarnationId);
+      unreachableIds.delete(incarnationId);
     },
-    recordFailed(incarnationId, nowMs) {
-      failedAtMs.set(incarnationId, nowMs);
+    recordFailed(incarnationId) {
+      unreachableIds.add(incarnationId);
       failedSinceReached.add(incarnationId);
     },
-    isUnreachable: (incarnationId) => failedAtMs.has(incarnationId),
-    unreachableCount: () => failedAtMs.size,
+    isUnreachable: (incarnationId) => unreachableIds.has(incarnationId),
+    unreachableCount: () => unreachableIds.size,
     serverReachedAtMs: (incarnationId) => reachedAtMs.get(incarnationId),
     lastReachedAtMs: () => lastReachedAtMs,
     isCut(knownCount, nowMs) {
@@ -58,7 +57,7 @@
     },
     keepOnly(incarnationIds) {
       for (const id of reachedAtMs.keys()) if (!incarnationIds.has(id)) reachedAtMs.delete(id);
-      for (const id of failedAtMs.keys()) if (!incarnationIds.has(id)) failedAtMs.delete(id);
+      for (const id of unreachableIds) if (!incarnationIds.has(id)) unreachableIds.delete(id);
       for (const id of failedSinceReached) {
         if (!incarnationIds.has(id)) failedSinceReached.delete(id);
       }
