Notice links that hang although all requests are at one server

Cause: health checks in silence waited for two servers with silent requests. Change: if requests at one server are silent and nothing arrives from any, that server and another one are checked; the other's answer ends the matter. Price, in the design: two health checks a second while an instance's only request waits for long.

--- a/src/core/reachability/link-checks.ts
+++ b/src/core/reachability/link-checks.ts
@@ -22,13 +22,10 @@
   due(input: CheckInput): readonly string[];
 }
 
-/**
- * Silence of all servers that have requests in progress after which they are checked, ms: above the pauses of one server
- * that reads a long prompt.
- */
+/** Silence of all servers although requests are in progress after which some are checked, ms. */
 const MAX_SILENCE_MS = 400;
-/** Servers whose silence means nothing by itself: a single one may be busy. */
-const MIN_SILENT_SERVERS = 2;
+/** Number of servers that are checked in silence: a single one may be busy or failed. */
+const CHECKED_SERVERS = 2;
 /** Interval between checks while servers are silent, ms. */
 const SILENCE_INTERVAL_MS = 1_000;
 /** Interval between checks while the links are cut, ms, one server at a time. */
@@ -54,10 +51,12 @@
 
   const dueInSilence = ({ servers, nowMs }: CheckInput): readonly string[] => {
     const silent = servers.filter(({ silentMs }) => silentMs >= MAX_SILENCE_MS);
-    const neededCount = Math.min(MIN_SILENT_SERVERS, servers.length);
-    if (neededCount === 0 || silent.length < neededCount) return [];
+    if (silent.length === 0) return [];
     nextAtMs = nowMs + SILENCE_INTERVAL_MS;
-    return silent.slice(0, neededCount).map(({ incarnationId }) => incarnationId);
+    const others = servers.filter(({ silentMs }) => silentMs < MAX_SILENCE_MS);
+    return [...silent, ...others]
+      .slice(0, CHECKED_SERVERS)
+      .map(({ incarnationId }) => incarnationId);
   };
 
   return {
