Learn nothing about the time of servers from requests that a cut held up

Cause: requests that hung got their first bytes when the links were back, and these taught the speed of the service, the correction and the lateness. Change: the router knows since when links were cut; a request in progress then updates counts and caches only. Test: six requests that hang for 1.5 s, then the prediction as before; failed before (refused), passes.

--- a/src/core/pass-through/create-router.test.ts
+++ b/src/core/pass-through/create-router.test.ts
@@ -7,6 +7,7 @@
 import type { ServerSpeeds } from '../placement';
 import { createServerRegistry } from '../server-registry';
 import { createRouter } from './create-router';
+import type { LinksToServers } from './create-router';
 import { observeDestination } from './observe-destination';
 import type { ForwardPeer } from './other-regions';
 import type { InboundRequest, RequestPlan, TriedDestinations } from './types';
@@ -61,7 +62,11 @@
 const NOTHING_TRIED: TriedDestinations = { ids: new Set(), refusingRegions: new Set() };
 
 /** Creates an instance of the region north with the given peers; `announce` adds servers. */
-function createNorthInstance(peers: readonly ForwardPeer[], serverSpeeds?: ServerSpeeds) {
+function createNorthInstance(
+  peers: readonly ForwardPeer[],
+  serverSpeeds?: ServerSpeeds,
+  links?: LinksToServers,
+) {
   let nowMs = 0;
   const routes = createRouteTableStore();
   routes.offer(TABLE);
@@ -100,6 +105,7 @@
     instancesInRegion: () => 20,
     priorityAdmission: true,
     serverSpeeds,
+    ...(links && { links }),
     draw: () => 0,
   });
   const clock = { monotonicMs: () => nowMs };
@@ -325,3 +331,32 @@
     assert.ok(Math.abs(afterSlow / afterUsual - 1) < 0.1, `${afterSlow}, not ${afterUsual}`);
   });
 });
+
+describe('the prediction after a cut of all links', () => {
+  // Requests that hung get their first bytes when the links are back. If the time that they hung counted as the servers'
+  // work, the instance would refuse its next callers beside idle servers.
+  it('is the same as before', () => {
+    let wasCut = false;
+    const links = { isCut: () => false, isUnreachable: () => false, wasCutSince: () => wasCut };
+    const region = createNorthInstance([], undefined, links);
+    region.announce('n-1', 'north-a');
+    const before = region.choose();
+    assert.ok(before.kind === 'server');
+    const hanging = Array.from({ length: 6 }, () => region.observe(before));
+    region.advanceMs(1_500);
+    wasCut = true;
+    for (const request of hanging) {
+      request.recordFirstByte();
+      request.recordEnd('answered');
+    }
+    // The first server has the prompt in its cache now, the second one is new.
+    region.announce('n-2', 'north-a');
+    const atFirst = region.choose({ ...NOTHING_TRIED, ids: new Set(['n-2']) });
+    const atSecond = region.choose({ ...NOTHING_TRIED, ids: new Set(['n-1']) });
+    assert.equal(atFirst.kind === 'server' ? atFirst.predictedMs : atFirst.kind, 0);
+    assert.equal(
+      atSecond.kind === 'server' ? atSecond.predictedMs : atSecond.kind,
+      before.predictedMs,
+    );
+  });
+});
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -68,6 +68,8 @@
   readonly prefixes: PrefixCacheView;
   readonly correction: PredictionCorrection;
   readonly spillWindows: SpillWindows;
+  /** Whether this instance reached no server at some time since the given one, monotonic ms. */
+  wereLinksCutSince(atMs: number): boolean;
   /** Records that a request is sent to a server; callers that are refused are told to return at the rate of these. */
   recordAdmitted(plan: RequestPlan, nowMs: number): void;
   /** Records that a server has cached the prompt of a request from this instance. */
@@ -79,7 +81,7 @@
 }
 
 /** Links of this instance to servers, as far as the router is concerned. */
-export type LinksToServers = Pick<Reachability, 'isCut' | 'isUnreachable'>;
+export type LinksToServers = Pick<Reachability, 'isCut' | 'isUnreachable' | 'wasCutSince'>;
 
 /** Options of `createRouter`. */
 export type RouterOptions = Omit<
@@ -99,7 +101,11 @@
     readonly onPartsCached: (incarnationId: string, partIds: readonly string[]) => void;
   };
 
-const ALL_REACHABLE: LinksToServers = { isCut: () => false, isUnreachable: () => false };
+const ALL_REACHABLE: LinksToServers = {
+  isCut: () => false,
+  isUnreachable: () => false,
+  wasCutSince: () => false,
+};
 const NO_LOCAL_CHOICES: LocalChoices = {
   best: undefined,
   unreachable: undefined,
@@ -223,6 +229,7 @@
     prefixes,
     correction,
     spillWindows,
+    wereLinksCutSince: links.wasCutSince,
     choose(request, plan, tried, nowMs) {
       const known = localServers.outlook(request, plan, tried, nowMs);
       const detour = plan.isForwarded ? undefined : chooseDetour(plan, known, tried);
--- a/src/core/pass-through/observe-destination.ts
+++ b/src/core/pass-through/observe-destination.ts
@@ -81,6 +81,12 @@
       hadFirstByte = true;
       const nowMs = clock.monotonicMs();
       const actualMs = nowMs - sentAtMs;
+      if (request.demand !== undefined) router.recordPrompt(incarnationId, request.demand);
+      // The time that the request hung is none of the server's.
+      if (router.wereLinksCutSince(sentAtMs)) {
+        loads.recordFirstByte(incarnationId, { tokens, predictedMs: actualMs, actualMs }, nowMs);
+        return;
+      }
       // On a busy server, the wait for a place in the batch would be counted as prefill time.
       const hasSpareSlots = loads.load(incarnationId, nowMs) < server.slots / 2;
       // The speed of the service and the correction are those of a server of usual speed, so the slowness of one server
@@ -99,7 +105,6 @@
       // recorded lateness affects choices for longer.
       const expectedMs = predictedMs + correctedUsualMs * Math.max(0, extraFactor);
       loads.recordFirstByte(incarnationId, { tokens, predictedMs: expectedMs, actualMs }, nowMs);
-      if (request.demand !== undefined) router.recordPrompt(incarnationId, request.demand);
     },
     recordData() {
       loads.recordReceived(incarnationId, clock.monotonicMs());
@@ -111,7 +116,7 @@
       const isInconclusive = end === 'inconclusive' || end === 'refused';
       const isFailure = isInconclusive ? undefined : end === 'failed';
       loads.recordEnd(incarnationId, { hadFirstByte, tokens, keptTokens, isFailure }, nowMs);
-      if (end === 'answered') {
+      if (end === 'answered' && !router.wereLinksCutSince(sentAtMs)) {
         speeds.recordSlotTime(plan.service, (nowMs - sentAtMs) / meanFactor());
       }
     },
--- a/src/core/reachability/create-reachability.ts
+++ b/src/core/reachability/create-reachability.ts
@@ -13,6 +13,8 @@
   unreachableCount(): number;
   /** Whether the links to all servers of the region are cut. */
   isCut(): boolean;
+  /** Whether the links to all servers were cut at some time since the given one, monotonic ms. */
+  wasCutSince(atMs: number): boolean;
   /** Time of the last byte of a server, monotonic ms; undefined if there was none. */
   lastReachedAtMs(incarnationId: string): number | undefined;
   /** Updates the state of the links, and checks servers where that is due. Must be called regularly. */
@@ -38,6 +40,7 @@
   const record = createLinkRecord(clock.monotonicMs());
   const checks = createLinkChecks();
   let cutSinceMs: number | undefined;
+  let restoredAtMs = -Infinity;
 
   const serversHere = () => servers.all().filter((server) => server.region === region);
 
@@ -52,6 +55,7 @@
     }
     logger.event(REACHABILITY_EVENTS.restored, { afterMs: nowMs - (cutSinceMs ?? nowMs) });
     cutSinceMs = undefined;
+    restoredAtMs = nowMs;
   };
 
   const sendChecks = (): void => {
@@ -80,6 +84,7 @@
     isUnreachable: record.isUnreachable,
     unreachableCount: record.unreachableCount,
     isCut: () => cutSinceMs !== undefined,
+    wasCutSince: (atMs) => cutSinceMs !== undefined || restoredAtMs >= atMs,
     lastReachedAtMs: record.serverReachedAtMs,
     runDue() {
       update();
