--- a/src/core/account-quotas/messages.ts
+++ b/src/core/account-quotas/messages.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { parseJsonText } from '../json-text';
 
 const peerSchema = z.object({
   instanceId: z.string(),
@@ -72,9 +73,5 @@
 
 /** Parses a message; undefined if the text is not a valid one. */
 export function parseQuotaMessage(text: string): QuotaMessage | undefined {
-  try {
-    return messageSchema.safeParse(JSON.parse(text)).data;
-  } catch {
-    return undefined;
-  }
+  return parseJsonText(messageSchema, text);
 }
--- a/src/core/account-shares/demand-message.ts
+++ b/src/core/account-shares/demand-message.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { parseJsonText } from '../json-text';
 import type { DemandReport } from './types';
 
 /** Maximum number of accounts in a report. */
@@ -55,13 +56,7 @@
 
 /** Parses a report; returns undefined if the text is not a valid one. */
 export function parseDemandReport(text: string): DemandReport | undefined {
-  let parsed: unknown;
-  try {
-    parsed = JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-  const message = messageSchema.safeParse(parsed).data;
+  const message = parseJsonText(messageSchema, text);
   if (message === undefined) return undefined;
   const { accounts, rest, admitted, refused, capacity, ...others } = message;
   const [count, cost] = rest;
--- a/src/core/brittle-servers/slot-messages.ts
+++ b/src/core/brittle-servers/slot-messages.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { parseJsonText } from '../json-text';
 
 /** Schema of the messages between instances of a region about slots of brittle servers. */
 const messageSchema = z.discriminatedUnion('kind', [
@@ -36,9 +37,5 @@
 
 /** Parses a message; undefined if the text is not a valid one. */
 export function parseSlotMessage(text: string): SlotMessage | undefined {
-  try {
-    return messageSchema.safeParse(JSON.parse(text)).data;
-  } catch {
-    return undefined;
-  }
+  return parseJsonText(messageSchema, text);
 }
--- a/src/core/caller-limits/caller-limits.ts
+++ b/src/core/caller-limits/caller-limits.ts
@@ -5,6 +5,7 @@
 import type { DecisionRecorder } from '../decision-trace';
 import type { Logger } from '../events';
 import type { Gossip, GossipEntry } from '../gossip';
+import { parseJsonText } from '../json-text';
 import type { RandomSource } from '../random';
 import { REFUSALS, RefusalError } from '../refusals';
 import { SAMPLED_TTL_MS, announcementSchema, announcementTtlMs } from './announcement';
@@ -34,11 +35,7 @@
 }
 
 function readPerSecond(payload: string): number | undefined {
-  try {
-    return announcementSchema.safeParse(JSON.parse(payload)).data?.perSecond;
-  } catch {
-    return undefined;
-  }
+  return parseJsonText(announcementSchema, payload)?.perSecond;
 }
 
 /** Interval between checks for callers whose demand has fallen, ms. */
--- a/src/core/load-sharing/load-update-message.ts
+++ b/src/core/load-sharing/load-update-message.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { parseJsonText } from '../json-text';
 import type { LoadUpdate } from './types';
 
 /** Tuples without field names, so that most updates fit into one datagram. */
@@ -29,13 +30,7 @@
 
 /** Parses an update; returns undefined if the text is not valid. */
 export function parseLoadUpdate(text: string): LoadUpdate | undefined {
-  let parsed: unknown;
-  try {
-    parsed = JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-  const rows = updateSchema.safeParse(parsed).data;
+  const rows = parseJsonText(updateSchema, text);
   if (rows === undefined) return undefined;
   const [from, servers, cachedParts] = rows;
   return {
--- a/src/core/pass-through/forwarding.ts
+++ b/src/core/pass-through/forwarding.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { parseJsonText } from '../json-text';
 import type { InboundRequest, RequestPlan } from './types';
 
 /**
@@ -65,15 +66,9 @@
 
 /** Parses the plan from a header value; undefined if the value is not one that instances write. */
 export function readPlan(text: string, nowMs: number): RequestPlan | undefined {
-  let parsed: unknown;
-  try {
-    parsed = JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-  const reading = planSchema.safeParse(parsed);
-  if (!reading.success) return undefined;
-  const { timeLeftMs, timeoutLeftMs, pauseObjectiveMs, account, ...rest } = reading.data;
+  const plan = parseJsonText(planSchema, text);
+  if (plan === undefined) return undefined;
+  const { timeLeftMs, timeoutLeftMs, pauseObjectiveMs, account, ...rest } = plan;
   return {
     ...rest,
     account,
--- a/src/core/pass-through/investigate-crash.ts
+++ b/src/core/pass-through/investigate-crash.ts
@@ -14,8 +14,6 @@
   ): void;
   /** Decides what time or the published state has made clear. Must be called regularly. */
   runDue(): void;
-  /** Number of servers whose state is not decided. */
-  openCount(): number;
 }
 
 /** Final result of an investigation. */
@@ -155,6 +153,5 @@
     runDue() {
       for (const investigation of [...open.values()]) decide(investigation);
     },
-    openCount: () => open.size,
   };
 }
--- a/src/core/poison/crash-messages.ts
+++ b/src/core/poison/crash-messages.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { parseJsonText } from '../json-text';
 import type { PoisonStatement } from './statement';
 
 /**
@@ -88,13 +89,7 @@
 
 /** Parses a message; undefined if the text is not a valid one. */
 export function parseCrashMessage(text: string, nowUnixMs: number): CrashMessage | undefined {
-  let parsed: unknown;
-  try {
-    parsed = JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-  const message = messageSchema.safeParse(parsed).data;
+  const message = parseJsonText(messageSchema, text);
   if (message === undefined) return undefined;
   return {
     from: message.from,
--- a/src/core/poison/statement.ts
+++ b/src/core/poison/statement.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { parseJsonText } from '../json-text';
 
 /** What instances tell one another about a fingerprint: the crashes, or that an answer cleared it. */
 export const poisonStatementSchema = z.discriminatedUnion('kind', [
@@ -16,9 +17,5 @@
 
 /** The statement in a payload; undefined for one that another version of the program wrote differently. */
 export function parsePoisonStatement(payload: string): PoisonStatement | undefined {
-  try {
-    return poisonStatementSchema.safeParse(JSON.parse(payload)).data;
-  } catch {
-    return undefined;
-  }
+  return parseJsonText(poisonStatementSchema, payload);
 }
--- a/src/core/reachability/link-messages.ts
+++ b/src/core/reachability/link-messages.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { parseJsonText } from '../json-text';
 
 /** Schema of the statement of an instance about its own links to the servers of its region. */
 const messageSchema = z.object({
@@ -18,9 +19,5 @@
 
 /** Parses a statement; undefined if the text is not a valid one. */
 export function parseLinkMessage(text: string): LinkMessage | undefined {
-  try {
-    return messageSchema.safeParse(JSON.parse(text)).data;
-  } catch {
-    return undefined;
-  }
+  return parseJsonText(messageSchema, text);
 }
--- a/src/core/server-limits/limit-messages.ts
+++ b/src/core/server-limits/limit-messages.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { parseJsonText } from '../json-text';
 
 /** Schema of what an instance knows of the limit of a server. */
 const limitSchema = z.object({
@@ -50,9 +51,5 @@
 
 /** Parses a message; undefined if the text is not a valid one. */
 export function parseLimitMessage(text: string): LimitMessage | undefined {
-  try {
-    return messageSchema.safeParse(JSON.parse(text)).data;
-  } catch {
-    return undefined;
-  }
+  return parseJsonText(messageSchema, text);
 }
--- a/src/core/server-notices/departure-messages.ts
+++ b/src/core/server-notices/departure-messages.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { parseJsonText } from '../json-text';
 
 /** Schema of the messages between instances of a region about servers that have stated their departure. */
 const messageSchema = z.object({
@@ -17,9 +18,5 @@
 
 /** Parses a message; undefined if the text is not a valid one. */
 export function parseDepartureMessage(text: string): DepartureMessage | undefined {
-  try {
-    return messageSchema.safeParse(JSON.parse(text)).data;
-  } catch {
-    return undefined;
-  }
+  return parseJsonText(messageSchema, text);
 }
--- a/src/core/streams/chat-progress.ts
+++ b/src/core/streams/chat-progress.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { parseJsonText } from '../json-text';
 
 /** How far a streamed chat answer has come, as its caller has it. */
 
@@ -34,11 +35,7 @@
 }
 
 function parseChunk(data: string): ChatChunk | undefined {
-  try {
-    return chunkSchema.safeParse(JSON.parse(data)).data;
-  } catch {
-    return undefined;
-  }
+  return parseJsonText(chunkSchema, data);
 }
 
 /** Nothing passed on yet. */
