Forget the fingerprints of cleared requests

Cause: an instance kept each fingerprint whose crashes it had spread by gossip until it ended, and a single crash after an answer went out by gossip again. Change: an answer takes the fingerprint out of the set. Test: after an answer, a further single crash is told directly only; failed before ('crashed' for 'cleared'), passes.

--- a/src/core/poison/poison-guard.test.ts
+++ b/src/core/poison/poison-guard.test.ts
@@ -7,6 +7,7 @@
 import { POISON_EVENTS } from './events';
 import { fingerprintOf } from './fingerprint';
 import { createPoisonGuard } from './poison-guard';
+import { parsePoisonStatement } from './statement';
 import type { DirectChannel, GuardedRequest } from './poison-guard';
 
 const OPTIONS = resilienceSchema.parse({}).poison;
@@ -198,7 +199,11 @@
   // One crash cuts off dozens of requests. If each of them went out by gossip, they would delay the one that matters.
   it('are told together, in messages of one frame, and single ones not by gossip', () => {
     const clock = createFakeClock();
-    const { crash, gossip, sent } = tellingInstance('a', clock);
+    const { crash, answer, gossip, sent } = tellingInstance('a', clock);
+    const gossipKinds = () =>
+      gossip
+        .entries('poisonFingerprints')
+        .map(({ payload }) => parsePoisonStatement(payload)?.kind);
     for (let number = 0; number < SUSPECTS; number += 1) crash(`cut off ${number}`, 'engine-1');
     clock.advanceBy(20);
     assert.ok(sent.length < SUSPECTS / 4, `${sent.length} messages`);
@@ -206,7 +211,12 @@
     assert.ok(sent.every(({ regions }) => regions === REGIONS));
     assert.deepEqual(gossip.entries('poisonFingerprints'), []);
     crash('cut off 0', 'engine-2', 2);
-    assert.equal(gossip.entries('poisonFingerprints').length, 1);
+    assert.deepEqual(gossipKinds(), ['crashed']);
+    answer('cut off 0', 'engine-3');
+    assert.deepEqual(gossipKinds(), ['cleared']);
+    clock.advanceBy(20);
+    crash('cut off 0', 'engine-1', 3);
+    assert.deepEqual(gossipKinds(), ['cleared']);
   });
 
   // The wall clocks of two instances differ by a minute. Copies of one request that one crash cut off at both must not
--- a/src/core/poison/poison-guard.ts
+++ b/src/core/poison/poison-guard.ts
@@ -98,7 +98,7 @@
       payload: JSON.stringify(statement),
     });
 
-  /** Fingerprints that this instance has spread by gossip. */
+  /** Fingerprints whose crashes this instance has spread by gossip, until they are cleared. */
   const spreadFingerprints = new Set<string>();
 
   const tell = (fingerprint: string, regions: readonly string[], statement: PoisonStatement) => {
@@ -111,7 +111,8 @@
     // would delay the others.
     const isRepeated = statement.kind === 'crashed' && statement.marks.length > 1;
     if (!isRepeated && !spreadFingerprints.has(fingerprint)) return;
-    spreadFingerprints.add(fingerprint);
+    if (statement.kind === 'crashed') spreadFingerprints.add(fingerprint);
+    else spreadFingerprints.delete(fingerprint);
     spread(fingerprint, regions, statement);
   };
 
