Cut instances off from servers in the soak, and check what their callers get

Cause: the soak had no cut links, so nothing but one test showed what callers of such instances get beside other faults, nor whether harmless requests are suspected. Change: each instance reads the store through a view in which each server has the address of a link of its own; the fault cutLinks resets, hangs or refuses them for 4 to 8 s, at a third of the instances at most.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -50,13 +50,25 @@
 ): Promise<CallerAttempt> {
   const [host = '', port = ''] = address.split(':');
   const { key } = options;
+  const atMs = Date.now();
   return new Promise((resolve) => {
     let status: number | undefined;
     let isSigned = false;
     let body = '';
     const end = (isWhole: boolean) => {
       const { kind, maxAttempts } = route;
-      resolve({ requestId, kind, maxAttempts, key, status, isWhole, isSigned, body });
+      resolve({
+        requestId,
+        address,
+        atMs,
+        kind,
+        maxAttempts,
+        key,
+        status,
+        isWhole,
+        isSigned,
+        body,
+      });
     };
     const outgoing = request(
       {
--- /dev/null
+++ b/soak/cut-off.test.ts
@@ -0,0 +1,102 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { POISON_EVENTS } from '../src/core/poison';
+import { checkCutOff, checkSuspects, tallyCutOff } from './cut-off';
+import type { CutOffTally } from './cut-off';
+import type { CallerAttempt } from './types';
+
+const CUT_MS = 10_000;
+const CUT = { instance: 0, mode: 'hang', fromMs: CUT_MS, toMs: CUT_MS + 5_000 };
+const ORDER: CallerAttempt = {
+  requestId: 'r-1',
+  address: '0',
+  atMs: CUT_MS + 3_000,
+  kind: 'nonIdempotent',
+  maxAttempts: 1,
+  key: 'k-farm',
+  status: 200,
+  isWhole: true,
+  isSigned: true,
+  body: '',
+};
+
+interface TallyCase {
+  readonly name: string;
+  readonly attempt: Partial<CallerAttempt>;
+  readonly cutOff: number;
+  readonly others: number;
+}
+
+const TALLY_CASES: readonly TallyCase[] = [
+  { name: 'counts for the cut at its instance', attempt: {}, cutOff: 1, others: 0 },
+  { name: 'counts for the others elsewhere', attempt: { address: '1' }, cutOff: 0, others: 1 },
+  {
+    name: 'does not count before the instance has to know',
+    attempt: { atMs: CUT_MS + 1_000 },
+    cutOff: 0,
+    others: 0,
+  },
+  {
+    name: 'does not count after the cut',
+    attempt: { atMs: CUT_MS + 6_000 },
+    cutOff: 0,
+    others: 0,
+  },
+  {
+    name: 'does not count if the instance itself was gone',
+    attempt: { status: undefined },
+    cutOff: 0,
+    others: 0,
+  },
+  { name: 'does not count over its quota', attempt: { key: 'k-yard' }, cutOff: 0, others: 0 },
+];
+
+describe('a request in a cut of links', () => {
+  for (const { name, attempt, cutOff, others } of TALLY_CASES) {
+    it(name, () => {
+      const tally = tallyCutOff([{ ...ORDER, ...attempt }], [CUT], String);
+      assert.deepEqual([tally.count, tally.others.count], [cutOff, others]);
+    });
+  }
+});
+
+interface ShareCase extends CutOffTally {
+  readonly name: string;
+  readonly broken: number;
+}
+
+const OTHERS = { count: 1_000, answered: 950 };
+const SHARE_CASES: readonly ShareCase[] = [
+  {
+    name: 'keep the promise if nearly as many',
+    count: 100,
+    answered: 90,
+    others: OTHERS,
+    broken: 0,
+  },
+  { name: 'break it if far fewer', count: 100, answered: 60, others: OTHERS, broken: 1 },
+  { name: 'show nothing if few were asked', count: 30, answered: 0, others: OTHERS, broken: 0 },
+  {
+    name: 'show nothing if others are not served either',
+    count: 100,
+    answered: 0,
+    others: { count: 1_000, answered: 400 },
+    broken: 0,
+  },
+];
+
+describe('answers to callers of cut instances', () => {
+  for (const { name, broken, ...tally } of SHARE_CASES) {
+    it(name, () => assert.equal(checkCutOff(tally).length, broken));
+  }
+});
+
+// Links that are cut look like servers that crash. Requests that were in progress at three of them must not be refused.
+describe('a request that is refused as one that crashes servers', () => {
+  const timestamp = new Date(CUT_MS).toISOString();
+  const line = { event: POISON_EVENTS.proven.id, timestamp, requestId: 'r-1' };
+  it('breaks a promise before three servers have ended', () =>
+    assert.equal(checkSuspects([[line]], [CUT_MS - 2, CUT_MS - 1, CUT_MS + 1]).length, 1));
+  it('breaks none afterwards', () =>
+    assert.deepEqual(checkSuspects([[line]], [CUT_MS - 3, CUT_MS - 2, CUT_MS - 1]), []));
+});
--- /dev/null
+++ b/soak/cut-off.ts
@@ -0,0 +1,79 @@
+import { POISON_EVENTS } from '../src/core/poison';
+import { isWithinQuota } from './accounts';
+import type { LogLine } from './log-lines';
+import type { BrokenPromise, CallerAttempt, LinkCut } from './types';
+
+/** Checks what callers of instances without links to backend servers got, and what requests were suspected of. */
+
+/** Time after the begin of a cut from which callers are served as others are, ms. */
+const NOTICED_AFTER_MS = 2_000;
+/** Attempts in cuts below which their share says nothing: other faults strike the same callers. */
+const MIN_ATTEMPTS = 40;
+/** Share of other callers' requests below which other faults hide those of links. */
+const MIN_OTHERS_SHARE = 0.5;
+/** Minimum share of answered requests in cuts, as a part of the share of other callers at the same times. */
+const MIN_SHARE_OF_OTHERS = 0.7;
+/** Servers that must have ended under a request before it is refused. */
+const CRASHES_OF_SUSPECTS = 3;
+
+const isAnswered = ({ status, isWhole }: CallerAttempt): boolean => status === 200 && isWhole;
+
+/** Requests in cuts, and those of them with a complete answer. */
+export interface CutOffTally {
+  readonly count: number;
+  readonly answered: number;
+  /** The same for callers of other instances at the same times. */
+  readonly others: { readonly count: number; readonly answered: number };
+}
+
+const tally = (attempts: readonly CallerAttempt[]) => ({
+  count: attempts.length,
+  answered: attempts.filter(isAnswered).length,
+});
+
+/** Counts the answers that callers of instances in cuts and of others got. */
+export function tallyCutOff(
+  attempts: readonly CallerAttempt[],
+  cuts: readonly LinkCut[],
+  callerAddress: (instance: number) => string,
+): CutOffTally {
+  const cutOff: CallerAttempt[] = [];
+  const others: CallerAttempt[] = [];
+  for (const attempt of attempts) {
+    const { address, atMs, status, key } = attempt;
+    const current = cuts.filter(({ fromMs, toMs }) => atMs >= fromMs && atMs < toMs);
+    const own = current.find(({ instance }) => callerAddress(instance) === address);
+    // Without a status, the instance itself was gone or paused.
+    const isJudged = current.length > 0 && status !== undefined && isWithinQuota(key);
+    if (isJudged && own === undefined) others.push(attempt);
+    else if (isJudged && own !== undefined && atMs >= own.fromMs + NOTICED_AFTER_MS) {
+      cutOff.push(attempt);
+    }
+  }
+  return { ...tally(cutOff), others: tally(others) };
+}
+
+/** Checks that callers of instances that were cut off were answered nearly as often as others at the same times. */
+export function checkCutOff({ count, answered, others }: CutOffTally): readonly BrokenPromise[] {
+  const othersShare = others.answered / Math.max(1, others.count);
+  if (count < MIN_ATTEMPTS || othersShare < MIN_OTHERS_SHARE) return [];
+  if (answered >= count * othersShare * MIN_SHARE_OF_OTHERS) return [];
+  const detail = `${answered} of ${count}, others ${others.answered} of ${others.count}`;
+  return [{ promise: 'cutOffNotServed', requestId: '', detail }];
+}
+
+/** Checks that no request was refused as one that crashes servers before enough servers had ended. */
+export function checkSuspects(
+  logs: readonly (readonly LogLine[])[],
+  endedAtMs: readonly number[],
+): readonly BrokenPromise[] {
+  return logs
+    .flat()
+    .filter(({ event }) => event === POISON_EVENTS.proven.id)
+    .flatMap(({ timestamp, requestId = '' }) => {
+      const ended = endedAtMs.filter((atMs) => atMs <= Date.parse(timestamp)).length;
+      if (ended >= CRASHES_OF_SUSPECTS) return [];
+      const detail = `${ended} servers had ended at ${timestamp}`;
+      return [{ promise: 'harmlessSuspected', requestId, detail }];
+    });
+}
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -5,6 +5,8 @@
 import type { RandomSource } from '../src/core/random';
 import type { StoreCopy, StoreStandIn } from '../standins/published-store';
 import type { SoakInstances } from './instances';
+import { CUT_MODES } from './links';
+import type { CutMode, SoakLinks } from './links';
 import type { SoakServers } from './servers';
 
 /** A fault with its randomly drawn parameters. */
@@ -12,6 +14,13 @@
   | { readonly kind: 'kill' | 'term' | 'hup'; readonly instance: number }
   | { readonly kind: 'pause'; readonly instance: number; readonly forMs: number }
   | { readonly kind: 'cutFromStore'; readonly instance: number; readonly forMs: number }
+  /** An instance loses its links to all servers. */
+  | {
+      readonly kind: 'cutLinks';
+      readonly instance: number;
+      readonly mode: CutMode;
+      readonly forMs: number;
+    }
   | { readonly kind: 'silenceStore' | 'resetStore'; readonly instance: number }
   | { readonly kind: 'delayStore'; readonly instance: number; readonly forMs: number }
   | { readonly kind: 'storeBusy' | 'storeSilent' | 'storeRestored'; readonly forMs: number }
@@ -33,9 +42,10 @@
       readonly forMs: number;
     };
 
-type Kind = Fault['kind'];
+/** Kind of a fault. */
+export type FaultKind = Fault['kind'];
 
-const KINDS: readonly Kind[] = [
+export const FAULT_KINDS = [
   'kill',
   'term',
   'hup',
@@ -58,10 +68,14 @@
   'departure',
   'refuse',
   'refuseAll',
-];
+  'cutLinks',
+] as const satisfies readonly FaultKind[];
 const MIN_FAULT_MS = 300;
 const MAX_FAULT_MS = 4_000;
 const DELAY_MS = 400;
+/** Time for which an instance has no links, ms: its callers are served from 2 s on. */
+const MIN_CUT_MS = 4_000;
+const MAX_CUT_MS = 8_000;
 /** Limits that servers name, requests a second. */
 const LIMITS = [0, 0.25, 1, 4, 20];
 /** Pauses that servers ask for, ms; 0 is not stated. */
@@ -74,9 +88,14 @@
 /** Time after the store was restored from an older copy until everything is published again, ms. */
 const WRITTEN_AGAIN_AFTER_MS = 1_000;
 
-/** Draws a fault. */
-export function drawFault(random: RandomSource, instances: number, servers: number): Fault {
-  const kind = KINDS[pickIndex(random, KINDS.length)] ?? 'kill';
+/** Draws a fault of one of the kinds. */
+export function drawFault(
+  random: RandomSource,
+  kinds: readonly FaultKind[],
+  instances: number,
+  servers: number,
+): Fault {
+  const kind = kinds[pickIndex(random, kinds.length)] ?? 'kill';
   const instance = pickIndex(random, instances);
   const server = pickIndex(random, servers);
   const forMs = MIN_FAULT_MS + random.next() * (MAX_FAULT_MS - MIN_FAULT_MS);
@@ -91,6 +110,11 @@
     case 'cutFromStore':
     case 'delayStore':
       return { kind, instance, forMs };
+    case 'cutLinks': {
+      const mode = CUT_MODES[pickIndex(random, CUT_MODES.length)] ?? 'reset';
+      const cutMs = MIN_CUT_MS + random.next() * (MAX_CUT_MS - MIN_CUT_MS);
+      return { kind, instance, mode, forMs: cutMs };
+    }
     case 'storeBusy':
     case 'storeSilent':
     case 'storeRestored':
@@ -124,6 +148,7 @@
   readonly store: StoreStandIn;
   readonly instances: SoakInstances;
   readonly servers: SoakServers;
+  readonly links: SoakLinks;
   /** Publishes the next version of the routes. */
   readonly changeRoutes: () => void;
   /** Publishes everything again, since an older copy may lack some of it. */
@@ -171,6 +196,9 @@
       await sleep(fault.forMs);
       instances.storeProxy(fault.instance).thaw();
       return;
+    case 'cutLinks':
+      await targets.links.cut(fault.instance, fault.mode, fault.forMs);
+      return;
     case 'silenceStore':
       instances.storeProxy(fault.instance).silenceOpen();
       return;
--- a/soak/instances.ts
+++ b/soak/instances.ts
@@ -9,6 +9,7 @@
 import { endChildrenWithProcess } from '../src/testing';
 import { openFaultProxy } from '../standins/fault-proxy';
 import type { FaultProxy } from '../standins/fault-proxy';
+import type { StandIn } from '../standins/listen';
 
 /** Instances that run as processes, each with its own proxy to the store. */
 export interface SoakInstances extends AsyncDisposable {
@@ -23,7 +24,8 @@
 /** Options of `startSoakInstances`. */
 export interface SoakInstancesOptions {
   readonly count: number;
-  readonly storeAddress: string;
+  /** Opens the store as an instance sees it. */
+  readonly openStore: (index: number) => Promise<StandIn>;
   readonly logFolder: string;
 }
 
@@ -36,9 +38,10 @@
 
 /** Starts instances, and restarts each whenever it exits. */
 export async function startSoakInstances(options: SoakInstancesOptions): Promise<SoakInstances> {
-  const { count, storeAddress, logFolder } = options;
+  const { count, logFolder } = options;
   const folder = mkdtempSync(join(tmpdir(), 'soak-'));
   const running = new Map<number, ChildProcess>();
+  const stores: StandIn[] = [];
   const storeProxies: FaultProxy[] = [];
   const ending = endChildrenWithProcess(() => running.values());
   let isEnding = false;
@@ -59,7 +62,9 @@
   };
 
   for (let index = 0; index < count; index += 1) {
-    const proxy = await openFaultProxy(storeAddress);
+    const store = await options.openStore(index);
+    stores.push(store);
+    const proxy = await openFaultProxy(store.address);
     storeProxies.push(proxy);
     const settings = processSettings({ index, hostOf, storeAddress: proxy.address });
     writeFileSync(join(folder, `${index}.json`), JSON.stringify(settings));
@@ -84,7 +89,9 @@
       // SIGKILL also ends a stopped process.
       for (const child of running.values()) child.kill('SIGKILL');
       await Promise.all(ended);
-      await Promise.all(storeProxies.map((proxy) => proxy[Symbol.asyncDispose]()));
+      await Promise.all(
+        [...storeProxies, ...stores].map((opened) => opened[Symbol.asyncDispose]()),
+      );
       rmSync(folder, { recursive: true });
     },
   };
--- a/soak/promises.test.ts
+++ b/soak/promises.test.ts
@@ -5,6 +5,8 @@
 
 const ORDER: CallerAttempt = {
   requestId: 'r-1',
+  address: '127.0.0.1:1',
+  atMs: 0,
   kind: 'nonIdempotent',
   maxAttempts: 1,
   key: 'k-farm',
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -8,6 +8,8 @@
 import { startCallers } from './callers';
 import { injectFault, configurationOf, drawFault } from './faults';
 import { startSoakInstances } from './instances';
+import { checkCutOff, checkSuspects, tallyCutOff } from './cut-off';
+import { createSoakLinks } from './links';
 import { checkPromises } from './promises';
 import { checkVersions } from './routes-in-force';
 import { readLogs } from './log-lines';
@@ -57,11 +59,12 @@
       store.put('op/config', configurationOf(version));
     };
     changeRoutes();
-    const servers = owned.add(await openSoakServers(store, random, SERVERS));
+    const links = owned.add(createSoakLinks(options.instances));
+    const servers = owned.add(await openSoakServers(store, random, SERVERS, links));
     const instances = owned.add(
       await startSoakInstances({
         count: options.instances,
-        storeAddress: store.address,
+        openStore: (index) => store.openView(links.viewOf(index)),
         logFolder,
       }),
     );
@@ -84,6 +87,7 @@
       store,
       instances,
       servers,
+      links,
       changeRoutes,
       publishAgain() {
         store.put('op/config', configurationOf(version));
@@ -94,7 +98,9 @@
     const pendingFaults: Promise<void>[] = [];
     const untilMs = performance.now() + seconds * 1_000;
     while (performance.now() < untilMs) {
-      pendingFaults.push(injectFault(drawFault(faultRandom, options.instances, SERVERS), targets));
+      pendingFaults.push(
+        injectFault(drawFault(faultRandom, options.kinds, options.instances, SERVERS), targets),
+      );
       await sleep(MEAN_FAULT_GAP_MS * 2 * faultRandom.next());
     }
     await Promise.all(pendingFaults);
@@ -105,6 +111,7 @@
     await sleep(OBSERVATION_MS);
     await callers.stop();
     const { attempts } = callers;
+    const cutOff = tallyCutOff(attempts, links.cuts, instances.callerAddress);
     const logs = readLogs(logFolder, options.instances);
     return {
       seed,
@@ -114,12 +121,15 @@
       requests: attempts.length,
       answered: attempts.filter(isAnswered).length,
       refused: attempts.filter(({ status }) => status === 503 || status === 429).length,
+      cutOff,
       broken: [
         ...checkPromises(attempts, servers.runs),
         ...checkServedAgain(attempts.slice(before).filter(({ key }) => isWithinQuota(key))),
         ...checkVersions(logFolder, options.instances, version),
         ...checkLimits(servers.runs, servers.limitChanges, readKnownSince(logs)),
-        ...checkStatements(servers.statements, logs),
+        ...checkStatements(servers.statements, logs, links.cuts),
+        ...checkCutOff(cutOff),
+        ...checkSuspects(logs, servers.endedAtMs),
       ],
     };
   } finally {
--- a/soak/server-statements.ts
+++ b/soak/server-statements.ts
@@ -2,7 +2,7 @@
 import { RELAY_NODE_EVENTS } from '../src/core/relay-node/events';
 import type { LogLine } from './log-lines';
 import { requestKey } from './server-limits';
-import type { BrokenPromise, ServerStatement } from './types';
+import type { BrokenPromise, LinkCut, ServerStatement } from './types';
 
 /** Checks that an instance keeps to what a server has stated in an answer to it, by what servers stated and instances logged. */
 
@@ -48,13 +48,23 @@
   return processes;
 }
 
+/** Whether the answer may have been held back between a server and an instance. */
+function wasHeldBack(
+  statement: ServerStatement,
+  answeredAtMs: number,
+  cuts: readonly LinkCut[],
+): boolean {
+  return cuts.some(({ fromMs, toMs }) => fromMs <= answeredAtMs && toMs >= statement.atMs);
+}
+
 function judge(
   statement: ServerStatement,
   { sentTo, endedAtMs }: ProcessLog,
+  cuts: readonly LinkCut[],
 ): readonly BrokenPromise[] {
   const { requestId, server } = statement;
   const answeredAtMs = endedAtMs.get(requestKey(requestId, server));
-  if (answeredAtMs === undefined) return [];
+  if (answeredAtMs === undefined || wasHeldBack(statement, answeredAtMs, cuts)) return [];
   const sent = sentTo.get(server) ?? [];
   switch (statement.kind) {
     case 'departure':
@@ -82,9 +92,12 @@
 export function checkStatements(
   statements: readonly ServerStatement[],
   logs: readonly (readonly LogLine[])[],
+  cuts: readonly LinkCut[],
 ): readonly BrokenPromise[] {
-  const processes = logs.flatMap(readProcesses);
-  return statements.flatMap((statement) =>
-    processes.flatMap((process) => judge(statement, process)),
-  );
+  return logs.flatMap((log, instance) => {
+    const ownCuts = cuts.filter((cut) => cut.instance === instance);
+    return readProcesses(log).flatMap((process) =>
+      statements.flatMap((statement) => judge(statement, process, ownCuts)),
+    );
+  });
 }
--- a/soak/servers.ts
+++ b/soak/servers.ts
@@ -9,6 +9,7 @@
 import type { StoreStandIn } from '../standins/published-store';
 import type { RandomSource } from '../src/core/random';
 import { domainOf } from '../platform/testing/process-settings';
+import type { SoakLinks } from './links';
 import { EVENTS_PER_STREAM, eventText, plainBody } from './promises';
 import type { NamedLimitChange, ServerArrival, ServerRun, ServerStatement } from './types';
 
@@ -33,12 +34,15 @@
   stateDeparture(index: number): void;
   /** Has a server refuse all requests from now on, and ask for a pause; undefined ends that. A pause of 0 is not stated. */
   refuse(index: number, pauseMs: number | undefined): void;
+  /** Times at which a server ended while it may have run requests, Unix ms. */
+  readonly endedAtMs: readonly number[];
   /** Writes the entries of all servers again, and removes those of servers that have gone. */
   publishAgain(): void;
 }
 
 interface RunningServer {
   readonly server: AnnouncedServer;
+  readonly links: AsyncDisposable;
   /** Identifies this start of the server, as the instances' logs do. */
   readonly startId: string;
   readonly serverId: string;
@@ -61,6 +65,7 @@
   store: StoreStandIn,
   random: RandomSource,
   count: number,
+  links: Pick<SoakLinks, 'open'>,
 ): Promise<SoakServers> {
   const runs: ServerRun[] = [];
   const running: RunningServer[] = [];
@@ -72,6 +77,7 @@
   const limits = new Map<string, number>();
   const limitChanges: NamedLimitChange[] = [];
 
+  const endedAtMs: number[] = [];
   const arrivals: ServerArrival[] = [];
   const statements: ServerStatement[] = [];
   const leavingStarts = new Set<string>();
@@ -157,7 +163,13 @@
     const bornUnixMs = Date.now();
     const startId = `${serverId}@${bornUnixMs}`;
     const server = await openAnnouncedServer(createScript(serverId, startId));
-    running[index] = { server, startId, serverId, bornUnixMs };
+    running[index] = {
+      server,
+      links: await links.open(server.address),
+      startId,
+      serverId,
+      bornUnixMs,
+    };
     started.add(serverId);
     announce(index);
   };
@@ -167,12 +179,18 @@
     return `server-${nextNumber}`;
   };
 
-  const leave = async ({ server, serverId }: RunningServer): Promise<void> => {
+  /** Ends a server with its links, so that connections to it are reset and refused. */
+  const end = async ({ server, links: ownLinks }: RunningServer): Promise<void> => {
+    endedAtMs.push(Date.now());
+    await Promise.all([server[Symbol.asyncDispose](), ownLinks[Symbol.asyncDispose]()]);
+  };
+
+  const leave = async (left: RunningServer): Promise<void> => {
     await new Promise((resolve) => {
       setTimeout(resolve, LEAVING_MS);
     });
-    store.remove(`servers/${serverId}`);
-    await server[Symbol.asyncDispose]();
+    store.remove(`servers/${left.serverId}`);
+    await end(left);
   };
 
   for (let index = 0; index < count; index += 1) await start(index, newId());
@@ -181,6 +199,7 @@
     limitChanges,
     arrivals,
     statements,
+    endedAtMs,
     count,
     stateDeparture(index) {
       const { startId } = running[index] ?? {};
@@ -210,7 +229,7 @@
     async restartInPlace(index) {
       const old = running[index];
       if (old === undefined) return;
-      await old.server[Symbol.asyncDispose]();
+      await end(old);
       await start(index, old.serverId);
     },
     publishAgain() {
@@ -226,7 +245,7 @@
     },
     async [Symbol.asyncDispose]() {
       await Promise.all(leaving);
-      await Promise.all(running.map(({ server }) => server[Symbol.asyncDispose]()));
+      await Promise.all(running.map(end));
     },
   };
 }
--- a/soak/soak-command.ts
+++ b/soak/soak-command.ts
@@ -4,6 +4,7 @@
 import { Cli, Command, Option } from 'clipanion';
 import { z } from 'zod';
 import { EXIT_CODES } from '../src/cli/gateway-command';
+import { FAULT_KINDS } from './faults';
 import { runSoak } from './run-soak';
 
 const optionsSchema = z.object({
@@ -11,6 +12,11 @@
   seeds: z.coerce.number().int().min(1).max(1_000),
   seconds: z.coerce.number().min(1).max(3_600),
   instances: z.coerce.number().int().min(1).max(60),
+  only: z
+    .string()
+    .transform((text) => text.split(','))
+    .pipe(z.array(z.enum(FAULT_KINDS)))
+    .optional(),
 });
 
 /** Maximum number of broken promises that are printed for one seed. */
@@ -22,7 +28,10 @@
 
   static override usage = Command.Usage({
     description: 'Run real processes on loopback under seeded faults, and check what callers saw.',
-    examples: [['Five seeds', 'npm run soak -- --seed 1 --seeds 5 --seconds 30 --instances 6']],
+    examples: [
+      ['Five seeds', 'npm run soak -- --seed 1 --seeds 5 --seconds 30 --instances 6'],
+      ['Faults of two kinds', 'npm run soak -- --only cutLinks,restartServer'],
+    ],
   });
 
   seed = Option.String('--seed', '1', { description: 'First seed' });
@@ -35,6 +44,8 @@
 
   instances = Option.String('--instances', '6', { description: 'Processes, at most 60' });
 
+  only = Option.String('--only', { description: 'Kinds of faults, by commas; all by default' });
+
   override async execute(): Promise<number> {
     const { stdout, stderr } = this.context;
     const checked = optionsSchema.safeParse(this);
@@ -42,12 +53,18 @@
       stderr.write(`${z.prettifyError(checked.error)}\n${this.cli.usage(SoakCommand)}`);
       return EXIT_CODES.failed;
     }
-    const { seed, seeds, seconds, instances } = checked.data;
+    const { seed, seeds, seconds, instances, only: kinds = FAULT_KINDS } = checked.data;
     const folder = mkdtempSync(join(tmpdir(), 'soak-logs-'));
     let brokenCount = 0;
     for (let next = seed; next < seed + seeds; next += 1) {
       const logFolder = join(folder, `seed-${next}`);
-      const { broken, ...row } = await runSoak({ seed: next, seconds, instances, logFolder });
+      const { broken, ...row } = await runSoak({
+        seed: next,
+        seconds,
+        instances,
+        kinds,
+        logFolder,
+      });
       stdout.write(`${JSON.stringify({ ...row, broken: broken.length })}\n`);
       for (const { promise, requestId, detail } of broken.slice(0, MAX_PRINTED_PROMISES)) {
         stdout.write(`  ${promise} ${requestId}: ${detail}\n`);
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -1,8 +1,14 @@
 import type { RouteKind } from '../src/core/host-routes';
+import type { CutOffTally } from './cut-off';
+import type { FaultKind } from './faults';
 
 /** One request of a caller, with its result. */
 export interface CallerAttempt {
   readonly requestId: string;
+  /** Instance that the caller asked. */
+  readonly address: string;
+  /** When it was sent, Unix ms. */
+  readonly atMs: number;
   readonly kind: RouteKind;
   readonly maxAttempts: number;
   /** Key that the caller sent. */
@@ -50,6 +56,15 @@
 export type ServerStatement = ServerArrival &
   ({ readonly kind: 'departure' } | { readonly kind: 'pause'; readonly waitMs: number });
 
+/** Time in which an instance had no links to backend servers. */
+export interface LinkCut {
+  readonly instance: number;
+  readonly mode: string;
+  /** Unix ms. */
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
 /** A broken promise, as it is reported. */
 export interface BrokenPromise {
   readonly promise:
@@ -66,7 +81,9 @@
     | 'routesBehind'
     | 'limitExceeded'
     | 'sentToLeaving'
-    | 'sentInPause';
+    | 'sentInPause'
+    | 'cutOffNotServed'
+    | 'harmlessSuspected';
   readonly requestId: string;
   readonly detail: string;
 }
@@ -76,6 +93,8 @@
   readonly seed: number;
   readonly seconds: number;
   readonly instances: number;
+  /** Kinds of faults that are injected. */
+  readonly kinds: readonly FaultKind[];
   /** Folder for the logs of the instances. */
   readonly logFolder: string;
 }
@@ -89,5 +108,7 @@
   readonly requests: number;
   readonly answered: number;
   readonly refused: number;
+  /** Answers in cuts of links. */
+  readonly cutOff: CutOffTally;
   readonly broken: readonly BrokenPromise[];
 }
