Bind some requests of the soak to a region, and hold identical ones for long

Change: each instance's callers send some requests that may run in its region only, judged by themselves; one path is slow and the same for all; half of the cuts strike two instances at the same moment, of different regions.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -2,7 +2,9 @@
 import { pickIndex } from '../src/core/random';
 import type { RandomSource } from '../src/core/random';
 import type { RouteKind } from '../src/core/host-routes';
+import { regionOf } from '../platform/testing/process-settings';
 import { keyOfCaller } from './accounts';
+import { LONG_PATH, boundPrefix } from './configuration';
 import type { CallerAttempt } from './types';
 
 /** A route of the tested configuration. */
@@ -10,6 +12,7 @@
   readonly path: string;
   readonly kind: RouteKind;
   readonly maxAttempts: number;
+  readonly isBoundToRegion?: boolean;
 }
 
 const ROUTES: readonly RequestedRoute[] = [
@@ -17,7 +20,15 @@
   { path: '/stock/1', kind: 'idempotent', maxAttempts: 2 },
   { path: '/plans/1', kind: 'stream', maxAttempts: 2 },
   { path: '/chat/1', kind: 'stream', maxAttempts: 1 },
+  { path: LONG_PATH, kind: 'idempotent', maxAttempts: 2 },
 ];
+
+/** Returns the routes of the callers of an instance. */
+function routesAt(instance: number): readonly RequestedRoute[] {
+  const path = `${boundPrefix(regionOf(instance))}1`;
+  return [...ROUTES, { path, kind: 'idempotent', maxAttempts: 2, isBoundToRegion: true }];
+}
+
 const HOST = 'kits.example';
 const DEADLINE_MS = 4_000;
 /** Time after which a caller gives up an attempt, ms: well after its deadline. */
@@ -50,6 +61,7 @@
 ): Promise<CallerAttempt> {
   const [host = '', port = ''] = address.split(':');
   const { key } = options;
+  const { isBoundToRegion = false } = route;
   const atMs = Date.now();
   return new Promise((resolve) => {
     let status: number | undefined;
@@ -62,6 +74,7 @@
         address,
         atMs,
         kind,
+        isBoundToRegion,
         maxAttempts,
         key,
         status,
@@ -126,11 +139,16 @@
       const requestId = `r-${nextRequest}`;
       nextRequest += 1;
       const leavesAfterMs = random.next() < LEAVING_SHARE ? 40 : GIVE_UP_MS;
-      const attempt = await sendRequest(address, pick(ROUTES), requestId, {
-        agent,
-        key,
-        leavesAfterMs,
-      });
+      const attempt = await sendRequest(
+        address,
+        pick(routesAt(addresses.indexOf(address))),
+        requestId,
+        {
+          agent,
+          key,
+          leavesAfterMs,
+        },
+      );
       attempts.push(attempt);
       // The caller stays with an instance until the connection to it ends.
       if (attempt.status === undefined || !attempt.isWhole) address = pick(addresses);
--- /dev/null
+++ b/soak/configuration.ts
@@ -0,0 +1,37 @@
+import { TEST_CONFIGURATION } from '../platform/testing/gateway';
+import { REGIONS } from '../platform/testing/process-settings';
+import { SOAK_ACCOUNTS } from './accounts';
+
+/** Path whose requests take long, so that several are in progress when something breaks; all of them are the same. */
+export const LONG_PATH = '/long/1';
+
+/** Returns the start of the paths whose requests may run in one region only. */
+export function boundPrefix(region: string): string {
+  return `/bound-to-${region}/`;
+}
+
+const SAFE_ROUTE = {
+  Host: 'kits.example',
+  Kind: 'safe',
+  Service: 'app',
+  MaxAttempts: 2,
+  TimeoutMs: 2_000,
+  TargetLatencyMs: 500,
+  Priority: 0,
+  HomeRegions: [],
+};
+const ROUTES = [
+  ...TEST_CONFIGURATION.Routes,
+  { ...SAFE_ROUTE, Name: 'long', Prefix: '/long/' },
+  ...REGIONS.map((region) => ({
+    ...SAFE_ROUTE,
+    Name: `bound-to-${region}`,
+    Prefix: boundPrefix(region),
+    HomeRegions: [region],
+  })),
+];
+
+/** Returns a version of the tested configuration. */
+export function configurationOf(version: number): object {
+  return { ...TEST_CONFIGURATION, Routes: ROUTES, Version: version, Tenants: SOAK_ACCOUNTS };
+}
--- a/soak/cut-off.test.ts
+++ b/soak/cut-off.test.ts
@@ -12,6 +12,7 @@
   address: '0',
   atMs: CUT_MS + 3_000,
   kind: 'nonIdempotent',
+  isBoundToRegion: false,
   maxAttempts: 1,
   key: 'k-farm',
   status: 200,
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -1,6 +1,4 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import { SOAK_ACCOUNTS } from './accounts';
-import { TEST_CONFIGURATION } from '../platform/testing/gateway';
 import { pickIndex } from '../src/core/random';
 import type { RandomSource } from '../src/core/random';
 import type { StoreCopy, StoreStandIn } from '../standins/published-store';
@@ -14,10 +12,10 @@
   | { readonly kind: 'kill' | 'term' | 'hup'; readonly instance: number }
   | { readonly kind: 'pause'; readonly instance: number; readonly forMs: number }
   | { readonly kind: 'cutFromStore'; readonly instance: number; readonly forMs: number }
-  /** An instance loses its links to all servers. */
+  /** Instances lose their links to all servers at the same moment. */
   | {
       readonly kind: 'cutLinks';
-      readonly instance: number;
+      readonly instances: readonly number[];
       readonly mode: CutMode;
       readonly forMs: number;
     }
@@ -76,6 +74,8 @@
 /** Time for which an instance has no links, ms: its callers are served from 2 s on. */
 const MIN_CUT_MS = 4_000;
 const MAX_CUT_MS = 8_000;
+/** Share of cuts that strike two instances at the same moment. */
+const PAIR_SHARE = 0.5;
 /** Limits that servers name, requests a second. */
 const LIMITS = [0, 0.25, 1, 4, 20];
 /** Pauses that servers ask for, ms; 0 is not stated. */
@@ -113,7 +113,9 @@
     case 'cutLinks': {
       const mode = CUT_MODES[pickIndex(random, CUT_MODES.length)] ?? 'reset';
       const cutMs = MIN_CUT_MS + random.next() * (MAX_CUT_MS - MIN_CUT_MS);
-      return { kind, instance, mode, forMs: cutMs };
+      const next = (instance + 1) % instances;
+      const cutOff = random.next() < PAIR_SHARE ? [instance, next] : [instance];
+      return { kind, instances: cutOff, mode, forMs: cutMs };
     }
     case 'storeBusy':
     case 'storeSilent':
@@ -157,11 +159,6 @@
   readonly oldestCopy: () => StoreCopy;
 }
 
-/** Returns a version of the tested configuration. */
-export function configurationOf(version: number): object {
-  return { ...TEST_CONFIGURATION, Version: version, Tenants: SOAK_ACCOUNTS };
-}
-
 function forAll({ count }: SoakServers, apply: (index: number) => void): void {
   for (let index = 0; index < count; index += 1) apply(index);
 }
@@ -197,7 +194,9 @@
       instances.storeProxy(fault.instance).thaw();
       return;
     case 'cutLinks':
-      await targets.links.cut(fault.instance, fault.mode, fault.forMs);
+      await Promise.all(
+        fault.instances.map((instance) => targets.links.cut(instance, fault.mode, fault.forMs)),
+      );
       return;
     case 'silenceStore':
       instances.storeProxy(fault.instance).silenceOpen();
--- a/soak/links.ts
+++ b/soak/links.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
+import { regionOf } from '../platform/testing/process-settings';
 import { openFaultProxy } from '../standins/fault-proxy';
 import type { FaultProxy } from '../standins/fault-proxy';
 import type { ChangeValue } from '../standins/published-store';
@@ -20,7 +21,7 @@
   cut(instance: number, mode: CutMode, forMs: number): Promise<void>;
 }
 
-/** Maximum share of instances that are cut off at the same time; their callers need the others. */
+/** Maximum share of instances that are cut off at the same time, and one a region; their callers need the others. */
 const MAX_CUT_SHARE = 1 / 3;
 const SERVER_PREFIX = 'servers/';
 
@@ -88,7 +89,8 @@
       return Buffer.from(text).toString('base64');
     },
     async cut(instance, mode, forMs) {
-      if (modes.has(instance) || modes.size >= maxCutOff) return;
+      const isInstanceOfSameRegion = (other: number) => regionOf(other) === regionOf(instance);
+      if (modes.size >= maxCutOff || [...modes.keys()].some(isInstanceOfSameRegion)) return;
       const fromMs = Date.now();
       modes.set(instance, mode);
       linksOf(instance).forEach((link) => applyCut(link, mode));
--- a/soak/promises.test.ts
+++ b/soak/promises.test.ts
@@ -8,6 +8,7 @@
   address: '127.0.0.1:1',
   atMs: 0,
   kind: 'nonIdempotent',
+  isBoundToRegion: false,
   maxAttempts: 1,
   key: 'k-farm',
   status: 200,
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -2,11 +2,13 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createDisposableStore } from '../src/core/lifetime';
 import { createSeededRandom } from '../src/core/random';
+import { REGIONS } from '../platform/testing/process-settings';
 import { openStoreStandIn } from '../standins/published-store';
 import type { StoreCopy } from '../standins/published-store';
 import { isWithinQuota } from './accounts';
 import { startCallers } from './callers';
-import { injectFault, configurationOf, drawFault } from './faults';
+import { configurationOf } from './configuration';
+import { drawFault, injectFault } from './faults';
 import { startSoakInstances } from './instances';
 import { checkCutOff, checkSuspects, tallyCutOff } from './cut-off';
 import { createSoakLinks } from './links';
@@ -111,7 +113,10 @@
     await sleep(OBSERVATION_MS);
     await callers.stop();
     const { attempts } = callers;
-    const cutOff = tallyCutOff(attempts, links.cuts, instances.callerAddress);
+    const tally = (some: readonly CallerAttempt[]) =>
+      tallyCutOff(some, links.cuts, instances.callerAddress);
+    const cutOff = tally(attempts);
+    const boundCutOff = tally(attempts.filter(({ isBoundToRegion }) => isBoundToRegion));
     const logs = readLogs(logFolder, options.instances);
     return {
       seed,
@@ -122,6 +127,7 @@
       answered: attempts.filter(isAnswered).length,
       refused: attempts.filter(({ status }) => status === 503 || status === 429).length,
       cutOff,
+      boundCutOff,
       broken: [
         ...checkPromises(attempts, servers.runs),
         ...checkServedAgain(attempts.slice(before).filter(({ key }) => isWithinQuota(key))),
@@ -129,6 +135,8 @@
         ...checkLimits(servers.runs, servers.limitChanges, readKnownSince(logs)),
         ...checkStatements(servers.statements, logs, links.cuts),
         ...checkCutOff(cutOff),
+        // With one instance in each region, there is no other one to serve them.
+        ...(options.instances > REGIONS.length ? checkCutOff(boundCutOff) : []),
         ...checkSuspects(logs, servers.endedAtMs),
       ],
     };
--- a/soak/servers.ts
+++ b/soak/servers.ts
@@ -9,6 +9,7 @@
 import type { StoreStandIn } from '../standins/published-store';
 import type { RandomSource } from '../src/core/random';
 import { domainOf } from '../platform/testing/process-settings';
+import { LONG_PATH } from './configuration';
 import type { SoakLinks } from './links';
 import { EVENTS_PER_STREAM, eventText, plainBody } from './promises';
 import type { NamedLimitChange, ServerArrival, ServerRun, ServerStatement } from './types';
@@ -51,6 +52,8 @@
 
 const MS_PER_S = 1_000;
 const EVENT_GAP_MS = 15;
+/** Time that a long request takes, ms. */
+const LONG_RUN_MS = 300;
 /** Shares of the requests that a server answers with a failure, and whose connection it resets. */
 const FAILING_SHARE = 0.05;
 const BREAKING_SHARE = 0.03;
@@ -144,7 +147,13 @@
       const sawKey = request.headers.get('x-api-key') !== undefined;
       runs.push({ requestId, serverId, server: startId, atMs: Date.now(), account, sawKey });
       if (leavingStarts.has(startId)) statements.push({ ...arrival, kind: 'departure' });
-      if (random.next() < FAILING_SHARE) {
+      if (request.path === LONG_PATH) {
+        setTimeout(() => {
+          if (!socket.destroyed) {
+            socket.write(withStatements(startId, wholeAnswer(request, plainBody(requestId))));
+          }
+        }, LONG_RUN_MS).unref();
+      } else if (random.next() < FAILING_SHARE) {
         socket.write(withStatements(startId, wholeAnswer(request, 'failed', { status: 500 })));
       } else if (isStream(request)) streamTo(request, socket);
       else if (random.next() < BREAKING_SHARE) socket.resetAndDestroy();
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -10,6 +10,8 @@
   /** When it was sent, Unix ms. */
   readonly atMs: number;
   readonly kind: RouteKind;
+  /** Whether it may run in the region of the instance only. */
+  readonly isBoundToRegion: boolean;
   readonly maxAttempts: number;
   /** Key that the caller sent. */
   readonly key: string;
@@ -110,5 +112,7 @@
   readonly refused: number;
   /** Answers in cuts of links. */
   readonly cutOff: CutOffTally;
+  /** The same for requests that may run in one region only. */
+  readonly boundCutOff: CutOffTally;
   readonly broken: readonly BrokenPromise[];
 }
