Count each crash that the soak's instances note against the servers that ended

Change: every crash that an instance counts must follow the end of that start of the server; this includes the refusals that were checked before.

--- a/soak/cut-off.test.ts
+++ b/soak/cut-off.test.ts
@@ -92,12 +92,26 @@
   }
 });
 
-// Links that are cut look like servers that crash. Requests that were in progress at three of them must not be refused.
-describe('a request that is refused as one that crashes servers', () => {
-  const timestamp = new Date(CUT_MS).toISOString();
-  const line = { event: POISON_EVENTS.proven.id, timestamp, requestId: 'r-1' };
-  it('breaks a promise before three servers have ended', () =>
-    assert.equal(checkSuspects([[line]], [CUT_MS - 2, CUT_MS - 1, CUT_MS + 1]).length, 1));
-  it('breaks none afterwards', () =>
-    assert.deepEqual(checkSuspects([[line]], [CUT_MS - 3, CUT_MS - 2, CUT_MS - 1]), []));
+// Links that are cut look like servers that crash. Requests that were in progress at them must not be suspected.
+describe('a crash that is counted against a request', () => {
+  const END = { server: 's-1@1', atMs: CUT_MS - 1 };
+  const cases = [
+    { name: 'breaks a promise if no server has ended', ends: [], broken: 1 },
+    { name: 'breaks one if only another has', ends: [{ ...END, server: 's-2@1' }], broken: 1 },
+    {
+      name: 'breaks one if the server ended later',
+      ends: [{ ...END, atMs: CUT_MS + 1 }],
+      broken: 1,
+    },
+    { name: 'breaks none if the server has ended', ends: [END], broken: 0 },
+  ];
+  const line = {
+    event: POISON_EVENTS.suspected.id,
+    timestamp: new Date(CUT_MS).toISOString(),
+    requestId: 'r-1',
+    server: 's-1@1',
+  };
+  for (const { name, ends, broken } of cases) {
+    it(name, () => assert.equal(checkSuspects([[line]], ends).length, broken));
+  }
 });
--- a/soak/cut-off.ts
+++ b/soak/cut-off.ts
@@ -1,7 +1,7 @@
 import { POISON_EVENTS } from '../src/core/poison';
 import { isWithinQuota } from './accounts';
 import type { LogLine } from './log-lines';
-import type { BrokenPromise, CallerAttempt, LinkCut } from './types';
+import type { BrokenPromise, CallerAttempt, LinkCut, ServerEnd } from './types';
 
 /** Checks what callers of instances without links to backend servers got, and what requests were suspected of. */
 
@@ -13,8 +13,12 @@
 const MIN_OTHERS_SHARE = 0.5;
 /** Minimum share of answered requests in cuts, as a part of the share of other callers at the same times. */
 const MIN_SHARE_OF_OTHERS = 0.7;
-/** Servers that must have ended under a request before it is refused. */
-const CRASHES_OF_SUSPECTS = 3;
+
+/** Events that say that a server crashed while it ran a request. */
+const CRASH_EVENTS: ReadonlySet<number> = new Set([
+  POISON_EVENTS.suspected.id,
+  POISON_EVENTS.proven.id,
+]);
 
 const isAnswered = ({ status, isWhole }: CallerAttempt): boolean => status === 200 && isWhole;
 
@@ -62,18 +66,20 @@
   return [{ promise: 'cutOffNotServed', requestId: '', detail }];
 }
 
-/** Checks that no request was refused as one that crashes servers before enough servers had ended. */
+/** Checks that no crash of a server was counted against a request before that start of the server had ended. */
 export function checkSuspects(
   logs: readonly (readonly LogLine[])[],
-  endedAtMs: readonly number[],
+  ends: readonly ServerEnd[],
 ): readonly BrokenPromise[] {
   return logs
     .flat()
-    .filter(({ event }) => event === POISON_EVENTS.proven.id)
-    .flatMap(({ timestamp, requestId = '' }) => {
-      const ended = endedAtMs.filter((atMs) => atMs <= Date.parse(timestamp)).length;
-      if (ended >= CRASHES_OF_SUSPECTS) return [];
-      const detail = `${ended} servers had ended at ${timestamp}`;
+    .filter(({ event }) => CRASH_EVENTS.has(event))
+    .flatMap(({ timestamp, requestId = '', server = '' }) => {
+      const hasEnded = ends.some(
+        (end) => end.server === server && end.atMs <= Date.parse(timestamp),
+      );
+      if (hasEnded) return [];
+      const detail = `${server} had not ended at ${timestamp}`;
       return [{ promise: 'harmlessSuspected', requestId, detail }];
     });
 }
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -137,7 +137,7 @@
         ...checkCutOff(cutOff),
         // With one instance in each region, there is no other one to serve them.
         ...(options.instances > REGIONS.length ? checkCutOff(boundCutOff) : []),
-        ...checkSuspects(logs, servers.endedAtMs),
+        ...checkSuspects(logs, servers.ends),
       ],
     };
   } finally {
--- a/soak/servers.ts
+++ b/soak/servers.ts
@@ -12,7 +12,13 @@
 import { LONG_PATH } from './configuration';
 import type { SoakLinks } from './links';
 import { EVENTS_PER_STREAM, eventText, plainBody } from './promises';
-import type { NamedLimitChange, ServerArrival, ServerRun, ServerStatement } from './types';
+import type {
+  NamedLimitChange,
+  ServerArrival,
+  ServerEnd,
+  ServerRun,
+  ServerStatement,
+} from './types';
 
 /** Backend servers that announce themselves and record the requests that they run. */
 export interface SoakServers extends AsyncDisposable {
@@ -35,8 +41,8 @@
   stateDeparture(index: number): void;
   /** Has a server refuse all requests from now on, and ask for a pause; undefined ends that. A pause of 0 is not stated. */
   refuse(index: number, pauseMs: number | undefined): void;
-  /** Times at which a server ended while it may have run requests, Unix ms. */
-  readonly endedAtMs: readonly number[];
+  /** Ends of servers, in order of time. */
+  readonly ends: readonly ServerEnd[];
   /** Writes the entries of all servers again, and removes those of servers that have gone. */
   publishAgain(): void;
 }
@@ -80,7 +86,7 @@
   const limits = new Map<string, number>();
   const limitChanges: NamedLimitChange[] = [];
 
-  const endedAtMs: number[] = [];
+  const ends: ServerEnd[] = [];
   const arrivals: ServerArrival[] = [];
   const statements: ServerStatement[] = [];
   const leavingStarts = new Set<string>();
@@ -189,8 +195,8 @@
   };
 
   /** Ends a server with its links, so that connections to it are reset and refused. */
-  const end = async ({ server, links: ownLinks }: RunningServer): Promise<void> => {
-    endedAtMs.push(Date.now());
+  const end = async ({ server, startId, links: ownLinks }: RunningServer): Promise<void> => {
+    ends.push({ server: startId, atMs: Date.now() });
     await Promise.all([server[Symbol.asyncDispose](), ownLinks[Symbol.asyncDispose]()]);
   };
 
@@ -208,7 +214,7 @@
     limitChanges,
     arrivals,
     statements,
-    endedAtMs,
+    ends,
     count,
     stateDeparture(index) {
       const { startId } = running[index] ?? {};
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -67,6 +67,14 @@
   readonly toMs: number;
 }
 
+/** End of a start of a server. */
+export interface ServerEnd {
+  /** Identifies the start, as the instances' logs do. */
+  readonly server: string;
+  /** Unix ms. */
+  readonly atMs: number;
+}
+
 /** A broken promise, as it is reported. */
 export interface BrokenPromise {
   readonly promise:
