Have servers be brittle in the soak, and count their falls

Cause: falls of brittle servers were checked in a simulation and with two instances, not beside other faults on real processes. Change: the fault 'brittle' has all servers state Server-Brittle for 9 to 13 s; from 5 s on they reject what exceeds their two slots, and one that rejects more than two requests within a second ends and is back after 3 s. At most 2 and a tenth of the servers may fall in one such time.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -2,6 +2,7 @@
 import { pickIndex } from '../src/core/random';
 import type { RandomSource } from '../src/core/random';
 import type { StoreCopy, StoreStandIn } from '../standins/published-store';
+import type { Brittleness } from './brittleness';
 import type { SoakInstances } from './instances';
 import { CUT_MODES } from './links';
 import type { CutMode, SoakLinks } from './links';
@@ -24,6 +25,8 @@
   | { readonly kind: 'storeBusy' | 'storeSilent' | 'storeRestored'; readonly forMs: number }
   | { readonly kind: 'forgetHistory' | 'changeRoutes' }
   | { readonly kind: 'replaceServer' | 'restartServer' | 'damageEntry'; readonly server: number }
+  /** All servers fail if they reject more than a few requests within a second. */
+  | { readonly kind: 'brittle'; readonly forMs: number }
   /** A server states its departure in answers, and announces it some time later. */
   | { readonly kind: 'departure'; readonly server: number; readonly forMs: number }
   /** Servers refuse all requests; a pause of 0 is not stated. */
@@ -67,6 +70,7 @@
   'refuse',
   'refuseAll',
   'cutLinks',
+  'brittle',
 ] as const satisfies readonly FaultKind[];
 const MIN_FAULT_MS = 300;
 const MAX_FAULT_MS = 4_000;
@@ -80,7 +84,7 @@
 const LIMITS = [0, 0.25, 1, 4, 20];
 /** Pauses that servers ask for, ms; 0 is not stated. */
 const PAUSES_MS = [0, 500, 1_500, 3_000];
-/** Time for which a server names limits, ms: the bound holds from 5 s on, in spans of 4 s. */
+/** Time for which a server names limits, or all are brittle, ms: the bound holds from 5 s on, in spans of 4 s. */
 const MIN_LIMIT_MS = 9_000;
 const MAX_LIMIT_MS = 13_000;
 /** Interval between two changes of a limit that changes, ms. */
@@ -133,6 +137,8 @@
     case 'refuse':
     case 'refuseAll':
       return { kind, server, pauseMs: PAUSES_MS[pickIndex(random, PAUSES_MS.length)] ?? 0, forMs };
+    case 'brittle':
+      return { kind, forMs: MIN_LIMIT_MS + random.next() * (MAX_LIMIT_MS - MIN_LIMIT_MS) };
     case 'limitServer':
     case 'limitAllServers':
     case 'changeLimit': {
@@ -151,6 +157,7 @@
   readonly instances: SoakInstances;
   readonly servers: SoakServers;
   readonly links: SoakLinks;
+  readonly brittleness: Brittleness;
   /** Publishes the next version of the routes. */
   readonly changeRoutes: () => void;
   /** Publishes everything again, since an older copy may lack some of it. */
@@ -253,6 +260,9 @@
         forAll(servers, (index) => servers.refuse(index, isActive ? fault.pauseMs : undefined)),
       );
       return;
+    case 'brittle':
+      await targets.brittleness.during(fault.forMs);
+      return;
     case 'limitServer':
       await during(fault.forMs, (isActive) =>
         servers.setLimit(fault.server, isActive ? fault.perSecond : undefined),
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -6,6 +6,7 @@
 import { openStoreStandIn } from '../standins/published-store';
 import type { StoreCopy } from '../standins/published-store';
 import { isWithinQuota } from './accounts';
+import { checkFalls, createBrittleness } from './brittleness';
 import { startCallers } from './callers';
 import { configurationOf } from './configuration';
 import { drawFault, injectFault } from './faults';
@@ -61,8 +62,9 @@
       store.put('op/config', configurationOf(version));
     };
     changeRoutes();
+    const brittleness = createBrittleness();
     const links = owned.add(createSoakLinks(options.instances));
-    const servers = owned.add(await openSoakServers(store, random, SERVERS, links));
+    const servers = owned.add(await openSoakServers(store, random, SERVERS, links, brittleness));
     const instances = owned.add(
       await startSoakInstances({
         count: options.instances,
@@ -90,6 +92,7 @@
       instances,
       servers,
       links,
+      brittleness,
       changeRoutes,
       publishAgain() {
         store.put('op/config', configurationOf(version));
@@ -128,6 +131,7 @@
       refused: attempts.filter(({ status }) => status === 503 || status === 429).length,
       cutOff,
       boundCutOff,
+      falls: brittleness.times.map(({ falls }) => falls),
       broken: [
         ...checkPromises(attempts, servers.runs),
         ...checkServedAgain(attempts.slice(before).filter(({ key }) => isWithinQuota(key))),
@@ -137,6 +141,7 @@
         ...checkCutOff(cutOff),
         // With one instance in each region, there is no other one to serve them.
         ...(options.instances > REGIONS.length ? checkCutOff(boundCutOff) : []),
+        ...checkFalls(brittleness.times, SERVERS),
         ...checkSuspects(logs, servers.ends),
       ],
     };
--- a/soak/servers.ts
+++ b/soak/servers.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import {
   chunkOf,
   openAnnouncedServer,
@@ -9,6 +10,8 @@
 import type { StoreStandIn } from '../standins/published-store';
 import type { RandomSource } from '../src/core/random';
 import { domainOf } from '../platform/testing/process-settings';
+import { SERVER_SLOTS } from './brittleness';
+import type { Brittleness } from './brittleness';
 import { LONG_PATH } from './configuration';
 import type { SoakLinks } from './links';
 import { EVENTS_PER_STREAM, eventText, plainBody } from './promises';
@@ -63,9 +66,12 @@
 /** Shares of the requests that a server answers with a failure, and whose connection it resets. */
 const FAILING_SHARE = 0.05;
 const BREAKING_SHARE = 0.03;
+/** Time after which a server that fell is back, ms. */
+const DOWN_MS = 3_000;
 /** Time for which a leaving server continues to serve, ms: longer than the instances take to learn of it. */
 const LEAVING_MS = 4_000;
 
+const requestIdOf = ({ headers }: ReceivedRequest): string => headers.get('x-request-id') ?? '';
 const isStream = ({ path }: ReceivedRequest) =>
   path.startsWith('/plans') || path.startsWith('/chat');
 
@@ -75,6 +81,7 @@
   random: RandomSource,
   count: number,
   links: Pick<SoakLinks, 'open'>,
+  brittleness: Brittleness,
 ): Promise<SoakServers> {
   const runs: ServerRun[] = [];
   const running: RunningServer[] = [];
@@ -87,6 +94,7 @@
   const limitChanges: NamedLimitChange[] = [];
 
   const ends: ServerEnd[] = [];
+  let onFall: (startId: string) => void = () => {};
   const arrivals: ServerArrival[] = [];
   const statements: ServerStatement[] = [];
   const leavingStarts = new Set<string>();
@@ -99,7 +107,9 @@
   /** Adds what a server states to the head of an answer. */
   const withStatements = (startId: string, head: string): string => {
     const perSecond = limits.get(startId);
+    const maxRejections = brittleness.statedMax();
     const headers = perSecond === undefined ? [] : [`Server-Limit: ${perSecond}`];
+    if (maxRejections !== undefined) headers.push(`Server-Brittle: ${maxRejections}`);
     if (leavingStarts.has(startId)) headers.push('Server-Leaving: 1');
     return withHeaders(head, headers);
   };
@@ -107,13 +117,23 @@
   /** Returns the answer of a server that refuses a request. */
   const refusalOf = (request: ReceivedRequest, pauseMs: number): string => {
     const headers = ['X-Not-Executed: 1'];
+    const maxRejections = brittleness.statedMax();
     if (pauseMs > 0) headers.push(`Retry-After: ${pauseMs / MS_PER_S}`);
+    if (maxRejections !== undefined) headers.push(`Server-Brittle: ${maxRejections}`);
     return withHeaders(wholeAnswer(request, '', { status: 503 }), headers);
   };
 
+  /** Draws the answer to a request without a stream; undefined if the server breaks the connection instead. */
+  const answerOf = (request: ReceivedRequest): string | undefined => {
+    if (request.path === LONG_PATH) return wholeAnswer(request, plainBody(requestIdOf(request)));
+    if (random.next() < FAILING_SHARE) return wholeAnswer(request, 'failed', { status: 500 });
+    if (random.next() < BREAKING_SHARE) return undefined;
+    return wholeAnswer(request, plainBody(requestIdOf(request)));
+  };
+
   const createScript = (serverId: string, startId: string): ServerScript => {
     const streamTo: ServerScript = (request, socket) => {
-      const requestId = request.headers.get('x-request-id') ?? '';
+      const requestId = requestIdOf(request);
       const first = Number(request.headers.get('last-event-id') ?? 0) + 1;
       const breaksAt = random.next() < BREAKING_SHARE ? first + 3 : Infinity;
       let eventId = first;
@@ -122,6 +142,7 @@
         if (eventId >= breaksAt) socket.resetAndDestroy();
         if (socket.destroyed || eventId > EVENTS_PER_STREAM) {
           clearInterval(timer);
+          brittleness.release(startId);
           if (!socket.destroyed) socket.write(chunkOf(''));
           return;
         }
@@ -141,7 +162,7 @@
         socket.write(wholeAnswer(request, '', { status: 421 }));
         return;
       }
-      const requestId = request.headers.get('x-request-id') ?? '';
+      const requestId = requestIdOf(request);
       const arrival = { requestId, server: startId, atMs: Date.now() };
       arrivals.push(arrival);
       if (pauseMs !== undefined) {
@@ -149,28 +170,34 @@
         socket.write(refusalOf(request, pauseMs));
         return;
       }
+      const admission = brittleness.admit(startId);
+      if (admission !== 'run') {
+        socket.write(refusalOf(request, 0));
+        if (admission === 'fall') onFall(startId);
+        return;
+      }
       const account = request.headers.get('x-tenant-id');
       const sawKey = request.headers.get('x-api-key') !== undefined;
       runs.push({ requestId, serverId, server: startId, atMs: Date.now(), account, sawKey });
       if (leavingStarts.has(startId)) statements.push({ ...arrival, kind: 'departure' });
-      if (request.path === LONG_PATH) {
-        setTimeout(() => {
-          if (!socket.destroyed) {
-            socket.write(withStatements(startId, wholeAnswer(request, plainBody(requestId))));
-          }
-        }, LONG_RUN_MS).unref();
-      } else if (random.next() < FAILING_SHARE) {
-        socket.write(withStatements(startId, wholeAnswer(request, 'failed', { status: 500 })));
-      } else if (isStream(request)) streamTo(request, socket);
-      else if (random.next() < BREAKING_SHARE) socket.resetAndDestroy();
-      else socket.write(withStatements(startId, wholeAnswer(request, plainBody(requestId))));
+      if (isStream(request)) {
+        streamTo(request, socket);
+        return;
+      }
+      const answer = answerOf(request);
+      const workMs = request.path === LONG_PATH ? LONG_RUN_MS : brittleness.workMs();
+      setTimeout(() => {
+        brittleness.release(startId);
+        if (answer === undefined) socket.resetAndDestroy();
+        else if (!socket.destroyed) socket.write(withStatements(startId, answer));
+      }, workMs).unref();
     };
   };
 
   const announce = (index: number, more: object = {}): void => {
     const { server, serverId, bornUnixMs } = running[index] ?? {};
     if (server === undefined) return;
-    const entry = { Zone: domainOf(index), born: bornUnixMs, ...more };
+    const entry = { Zone: domainOf(index), born: bornUnixMs, Slots: SERVER_SLOTS, ...more };
     store.put(`servers/${serverId}`, serverEntry(server.address, entry));
   };
 
@@ -189,17 +216,29 @@
     announce(index);
   };
 
-  const newId = (): string => {
-    nextNumber += 1;
-    return `server-${nextNumber}`;
-  };
-
   /** Ends a server with its links, so that connections to it are reset and refused. */
   const end = async ({ server, startId, links: ownLinks }: RunningServer): Promise<void> => {
     ends.push({ server: startId, atMs: Date.now() });
     await Promise.all([server[Symbol.asyncDispose](), ownLinks[Symbol.asyncDispose]()]);
   };
 
+  /** Ends a server that had to reject too many requests, and starts it again some time later. */
+  onFall = (startId) => {
+    const index = running.findIndex((candidate) => candidate.startId === startId);
+    const fallen = running[index];
+    if (fallen === undefined) return;
+    const back = end(fallen)
+      .then(() => sleep(DOWN_MS))
+      .then(() => (running[index] === fallen ? start(index, fallen.serverId) : undefined))
+      .finally(() => leaving.delete(back));
+    leaving.add(back);
+  };
+
+  const newId = (): string => {
+    nextNumber += 1;
+    return `server-${nextNumber}`;
+  };
+
   const leave = async (left: RunningServer): Promise<void> => {
     await new Promise((resolve) => {
       setTimeout(resolve, LEAVING_MS);
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -67,6 +67,15 @@
   readonly toMs: number;
 }
 
+/** Time in which all servers were brittle. */
+export interface BrittleTime {
+  /** Unix ms. */
+  readonly fromMs: number;
+  readonly toMs: number;
+  /** Servers that rejected more requests than they bear. */
+  readonly falls: number;
+}
+
 /** End of a start of a server. */
 export interface ServerEnd {
   /** Identifies the start, as the instances' logs do. */
@@ -93,7 +102,8 @@
     | 'sentToLeaving'
     | 'sentInPause'
     | 'cutOffNotServed'
-    | 'harmlessSuspected';
+    | 'harmlessSuspected'
+    | 'fellTooOften';
   readonly requestId: string;
   readonly detail: string;
 }
@@ -122,5 +132,7 @@
   readonly cutOff: CutOffTally;
   /** The same for requests that may run in one region only. */
   readonly boundCutOff: CutOffTally;
+  /** Falls in each time in which the servers were brittle. */
+  readonly falls: readonly number[];
   readonly broken: readonly BrokenPromise[];
 }
