--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -43,6 +43,11 @@
   stop(): Promise<void>;
 }
 
+/** Whether a caller got a complete answer. */
+export function isAnswered({ status, isWhole }: CallerAttempt): boolean {
+  return status === 200 && isWhole;
+}
+
 /** Options of `startCallers`. */
 export interface CallersOptions {
   readonly random: RandomSource;
--- a/soak/cut-off.ts
+++ b/soak/cut-off.ts
@@ -1,5 +1,6 @@
 import { POISON_EVENTS } from '../src/core/poison';
 import { isWithinQuota } from './accounts';
+import { isAnswered } from './callers';
 import type { LogLine } from './log-lines';
 import type { BrokenPromise, CallerAttempt, LinkCut, ServerEnd } from './types';
 
@@ -20,8 +21,6 @@
   POISON_EVENTS.proven.id,
 ]);
 
-const isAnswered = ({ status, isWhole }: CallerAttempt): boolean => status === 200 && isWhole;
-
 /** Requests in cuts, and those of them with a complete answer. */
 export interface CutOffTally {
   readonly count: number;
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -7,7 +7,7 @@
 import type { StoreCopy } from '../standins/published-store';
 import { isWithinQuota } from './accounts';
 import { checkFalls, createBrittleness } from './brittleness';
-import { startCallers } from './callers';
+import { isAnswered, startCallers } from './callers';
 import { configurationOf } from './configuration';
 import { drawFault, injectFault } from './faults';
 import { startSoakInstances } from './instances';
@@ -38,8 +38,6 @@
 /** Minimum share of requests with a complete answer after the recovery; the servers themselves fail some. */
 const MIN_ANSWERED_SHARE = 0.5;
 
-const isAnswered = ({ status, isWhole }: CallerAttempt) => status === 200 && isWhole;
-
 function checkServedAgain(attempts: readonly CallerAttempt[]): readonly BrokenPromise[] {
   const served = attempts.filter(isAnswered).length;
   if (attempts.length > 0 && served >= attempts.length * MIN_ANSWERED_SHARE) return [];
--- a/standins/fault-proxy.ts
+++ b/standins/fault-proxy.ts
@@ -15,6 +15,8 @@
   /** Resets new connections until `accept`. */
   refuse(): void;
   accept(): void;
+  /** Refuses new connections for good, before any byte is sent; open ones live on. */
+  refuseConnections(): void;
   /** Resets the next connection after this many bytes of its answer. */
   cutNextAnswerAfter(bytes: number): void;
   /** Delays all data by this time, ms. */
@@ -138,6 +140,9 @@
     accept() {
       refusing = false;
     },
+    refuseConnections() {
+      server.close();
+    },
     cutNextAnswerAfter(bytes) {
       cutAfterBytes = bytes;
     },
