Compare callers of cut instances with others at the same times in the soak

Traced in the logs: all servers began to refuse everything 1.5 s into the cut (serversPaused at the others, serversUnreachable at instance-2). Others were counted from the begin of a cut, callers of the cut instance from 2 s later, so only the others had the time before the refusals. Change: both count from 2 s after the begin of a cut; an instance that is newly cut off counts as neither. Cases for both.

--- a/soak/cut-off.test.ts
+++ b/soak/cut-off.test.ts
@@ -37,6 +37,12 @@
     cutOff: 0,
     others: 0,
   },
+  {
+    name: 'does not count for the others before an instance has to know',
+    attempt: { address: '1', atMs: CUT_MS + 1_000 },
+    cutOff: 0,
+    others: 0,
+  },
   {
     name: 'does not count after the cut',
     attempt: { atMs: CUT_MS + 6_000 },
@@ -86,6 +92,13 @@
   },
 ];
 
+it('a request at an instance that has just been cut off does not count in an older cut of another one', () => {
+  const older = { ...CUT, instance: 1, fromMs: CUT_MS - 3_000 };
+  const attempt = { ...ORDER, atMs: CUT_MS + 1_000 };
+  const tally = tallyCutOff([attempt], [CUT, older], String);
+  assert.deepEqual([tally.count, tally.others.count], [0, 0]);
+});
+
 describe('answers to callers of cut instances', () => {
   for (const { name, broken, ...tally } of SHARE_CASES) {
     it(name, () => assert.equal(checkCutOff(tally).length, broken));
--- a/soak/cut-off.ts
+++ b/soak/cut-off.ts
@@ -44,14 +44,18 @@
   const others: CallerAttempt[] = [];
   for (const attempt of attempts) {
     const { address, atMs, status, key } = attempt;
-    const current = cuts.filter(({ fromMs, toMs }) => atMs >= fromMs && atMs < toMs);
-    const own = current.find(({ instance }) => callerAddress(instance) === address);
+    const current = cuts.filter(
+      ({ fromMs, toMs }) => atMs >= fromMs + NOTICED_AFTER_MS && atMs < toMs,
+    );
+    const isCutOff = current.some(({ instance }) => callerAddress(instance) === address);
+    const isNewlyCutOff = cuts.some(
+      ({ instance, fromMs }) =>
+        callerAddress(instance) === address && atMs >= fromMs && atMs < fromMs + NOTICED_AFTER_MS,
+    );
     // Without a status, the instance itself was gone or paused.
-    const isJudged = current.length > 0 && status !== undefined && isWithinQuota(key);
-    if (isJudged && own === undefined) others.push(attempt);
-    else if (isJudged && own !== undefined && atMs >= own.fromMs + NOTICED_AFTER_MS) {
-      cutOff.push(attempt);
-    }
+    const isJudged =
+      current.length > 0 && !isNewlyCutOff && status !== undefined && isWithinQuota(key);
+    if (isJudged) (isCutOff ? cutOff : others).push(attempt);
   }
   return { ...tally(cutOff), others: tally(others) };
 }
