Log the software versions of servers, and which stream a request takes up

Cause: no line named a version or a resumption, so that the three hypotheses of streams of two versions could not be told apart. Change: the registry keeps the announced version of each server (named by a digest if it is long or not visible ASCII, since it will go into headers and messages); lines 4101 state the version of the chosen server, the last event id and the id that the caller names in Resumes; lines 4002 state the version. Decisions are as before.

--- a/src/core/pass-through/create-router.test.ts
+++ b/src/core/pass-through/create-router.test.ts
@@ -57,6 +57,7 @@
   body: new Uint8Array(),
   receivedAtMs: 0,
   lastEventId: undefined,
+  resumedRequestId: undefined,
   demand: { parts: [{ partId: 'own', tokens: 800 }], promptTokens: 800 },
 };
 const NOTHING_TRIED: TriedDestinations = { ids: new Set(), refusingRegions: new Set() };
@@ -79,6 +80,7 @@
       {
         serverId,
         startedAtUnixMs: undefined,
+        softwareVersion: 'v1',
         service: CHAT,
         address: `${serverId}:1`,
         failureDomain,
--- a/src/core/pass-through/open-ingress.ts
+++ b/src/core/pass-through/open-ingress.ts
@@ -154,6 +154,7 @@
     body,
     receivedAtMs,
     lastEventId: headerText(incoming.headers['last-event-id']),
+    resumedRequestId: headerText(incoming.headers[dialect.resumedRequestId]),
     demand: dialect.readDemand(incoming.headers),
   });
 
--- a/src/core/pass-through/other-regions.test.ts
+++ b/src/core/pass-through/other-regions.test.ts
@@ -44,6 +44,7 @@
         {
           serverId: `${region}-${service}`,
           startedAtUnixMs: undefined,
+          softwareVersion: 'v1',
           service,
           address: `${region}-${service}:1`,
           failureDomain: `${region}-a`,
--- a/src/core/pass-through/request-log.ts
+++ b/src/core/pass-through/request-log.ts
@@ -82,11 +82,22 @@
   }
 }
 
+/** Maximum length of a value of a caller in a log line, characters. */
+const MAX_LOGGED_CHARACTERS = 64;
+
+/** Returns what a request takes up as log fields. */
+function resumptionFields(request: InboundRequest, progress: StreamProgress) {
+  return {
+    lastEventId: progress.lastEventId?.slice(0, MAX_LOGGED_CHARACTERS),
+    resumedRequestId: request.resumedRequestId?.slice(0, MAX_LOGGED_CHARACTERS),
+  };
+}
+
 /** Returns the basis of the choice of a destination as log fields. */
 function placementFields(to: SendableDestination) {
   return to.kind === 'peer'
     ? { toRegion: to.peer.region, toRegionRoom: to.room, isDetour: to.isDetour }
-    : predictionFields(to);
+    : { ...predictionFields(to), softwareVersion: to.server.softwareVersion };
 }
 
 /** Creates the log of one request. */
@@ -107,6 +118,7 @@
       logger.event(PASS_THROUGH_EVENTS.placed, {
         ...fields(),
         ...placementFields(to),
+        ...resumptionFields(request, progress),
         promptTokens: request.demand?.promptTokens,
         mostAttempts: plan.maxAttempts,
         isForwarded: plan.isForwarded,
--- a/src/core/pass-through/testing/one-service.ts
+++ b/src/core/pass-through/testing/one-service.ts
@@ -46,6 +46,7 @@
       {
         serverId,
         startedAtUnixMs: undefined,
+        softwareVersion: 'v1',
         service,
         address: `${serverId}:1`,
         failureDomain: 'north-a',
@@ -70,6 +71,7 @@
     body: new Uint8Array(),
     receivedAtMs: nowMs,
     lastEventId: undefined,
+    resumedRequestId: undefined,
     demand: { parts: [{ partId: `own-${index}`, tokens }], promptTokens: tokens },
   };
 }
--- a/src/core/pass-through/testing/simulate-regions.ts
+++ b/src/core/pass-through/testing/simulate-regions.ts
@@ -106,6 +106,7 @@
         {
           serverId: `${region}-${server}`,
           startedAtUnixMs: undefined,
+          softwareVersion: 'v1',
           service: SERVICE,
           address: `${region}-${server}:1`,
           failureDomain: region,
--- a/src/core/pass-through/types.ts
+++ b/src/core/pass-through/types.ts
@@ -12,6 +12,8 @@
 export interface HeaderDialect {
   /** Identifies a request; backend servers repeat it in their answer. */
   readonly requestId: string;
+  /** Id of the request whose answer began the stream that a caller takes up. */
+  readonly resumedRequestId: string;
   /** Key of the caller's client account; never passed on. */
   readonly accountKey: string;
   /** Names the client account of a request to the backend server. */
@@ -74,6 +76,8 @@
   readonly receivedAtMs: number;
   /** Id of the last event that the caller received of a stream that it resumes. */
   readonly lastEventId: string | undefined;
+  /** Id of the request that brought the first event of a stream that it resumes. */
+  readonly resumedRequestId: string | undefined;
   readonly demand: ModelDemand | undefined;
 }
 
--- a/src/core/server-registry/create-server-registry.ts
+++ b/src/core/server-registry/create-server-registry.ts
@@ -1,4 +1,5 @@
 import type { KnownServer, ServerAnnouncement } from './types';
+import { versionName } from './version-name';
 
 /** Registry of announced backend servers and evacuated failure domains. */
 export interface ServerRegistry {
@@ -101,6 +102,7 @@
       const coldUntilMs = coldForMs > 0 ? nowMs + coldForMs : 0;
       set({
         ...announced,
+        softwareVersion: versionName(announced.softwareVersion),
         incarnationId,
         region,
         // A server that is about to be stopped, or that has stated its departure, gets no new work, whatever it announces.
--- a/src/core/server-registry/server-registry.test.ts
+++ b/src/core/server-registry/server-registry.test.ts
@@ -10,6 +10,7 @@
   return {
     serverId: 's-1',
     startedAtUnixMs: FIRST_START_UNIX_MS,
+    softwareVersion: 'v1',
     service: 'app',
     address: '10.0.0.1:80',
     failureDomain: 'north-a',
--- a/src/core/server-registry/types.ts
+++ b/src/core/server-registry/types.ts
@@ -5,6 +5,8 @@
   /** Start time by the server's own clock, Unix ms; undefined if not stated. Distinguishes starts under the same id. */
   readonly startedAtUnixMs: number | undefined;
   readonly service: string;
+  /** Version of its software, as announced: any text. Versions have no order. */
+  readonly softwareVersion: string;
   /** `HOST:PORT`; may be reused by another server some time after this one is gone. */
   readonly address: string;
   readonly failureDomain: string;
@@ -24,6 +26,8 @@
   readonly incarnationId: string;
   readonly startedAtUnixMs: number | undefined;
   readonly service: string;
+  /** Name of the version of its software: visible ASCII, of bounded length. */
+  readonly softwareVersion: string;
   readonly address: string;
   readonly failureDomain: string;
   readonly region: string;
--- a/src/core/state-sync/create-state-sync.ts
+++ b/src/core/state-sync/create-state-sync.ts
@@ -110,7 +110,9 @@
     if (!isChanged) return;
     const { serverId, service, address, isDraining, coldForMs } = announcement;
     const state = isDraining ? 'draining' : 'ready';
-    const fields = { server: after?.incarnationId ?? serverId, service, address, state, coldForMs };
+    const server = after?.incarnationId ?? serverId;
+    const softwareVersion = after?.softwareVersion;
+    const fields = { server, service, softwareVersion, address, state, coldForMs };
     logger.event(STATE_SYNC_EVENTS.serverChanged, fields);
   }
 
--- a/src/core/state-sync/snapshot-message.ts
+++ b/src/core/state-sync/snapshot-message.ts
@@ -67,6 +67,8 @@
   serverId: z.string(),
   startedAtUnixMs: z.number().optional(),
   service: z.string(),
+  /** Missing in messages of instances of an earlier release. */
+  softwareVersion: z.string().default(''),
   address: z.string(),
   failureDomain: z.string(),
   slots: z.number(),
--- a/src/core/state-sync/testing/published-items.ts
+++ b/src/core/state-sync/testing/published-items.ts
@@ -14,6 +14,7 @@
     announcement: {
       serverId,
       startedAtUnixMs: undefined,
+      softwareVersion: 'v1',
       service: 'app',
       address: '10.0.0.1:80',
       failureDomain: 'north-a',
