Take a stream up inside one answer only at the version that began it

Change: the progress of a stream holds the version that wrote its events; the plan of the next attempt names it, and the choice of a server, of another instance and of another region leaves out servers of other versions. An instance that serves for another one states the version in the head of its answer, and gets it in the plan.

--- a/src/core/pass-through/answer-reader.ts
+++ b/src/core/pass-through/answer-reader.ts
@@ -51,9 +51,13 @@
   };
 }
 
-/** Creates a reader that passes on complete events as they arrive, and never a part of an event. */
+/**
+ * Creates a reader that passes on complete events as they arrive, and never a part of an event. `softwareVersion` is that
+ * of the server that writes them, if it is known.
+ */
 export function createStreamReader(
   head: AnswerHead,
+  softwareVersion: string | undefined,
   answer: ClientAnswer,
   progress: StreamProgress,
   dropped: ReadonlySet<string>,
@@ -61,14 +65,18 @@
   const splitter = createEventSplitter();
   const sendHead = () => {
     // A stream that is resumed at another server keeps the head of the first answer.
-    if (!answer.headSent) answer.sendHead(head.status, answerHeaders(head.headers, dropped));
+    if (answer.headSent) return;
+    answer.recordStreamVersion(softwareVersion);
+    answer.sendHead(head.status, answerHeaders(head.headers, dropped));
   };
   return {
     addChunk(chunk) {
       const events = splitter.add(chunk);
       if (events.length === 0) return true;
       sendHead();
-      for (const event of events) progress.recordEvent(readEventId(event));
+      for (const event of events) {
+        progress.recordEvent(readEventId(event), softwareVersion);
+      }
       return answer.sendData(events.length === 1 ? (events[0] ?? chunk) : Buffer.concat(events));
     },
     finish() {
--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -9,7 +9,13 @@
 import { createBufferedReader, createStreamReader } from './answer-reader';
 import type { AnswerReader } from './answer-reader';
 import type { Router } from './create-router';
-import { ATTEMPTS_HEADER, OUTCOME_HEADER, REASON_HEADER, readDecisiveReason } from './forwarding';
+import {
+  ATTEMPTS_HEADER,
+  OUTCOME_HEADER,
+  REASON_HEADER,
+  STREAM_VERSION_HEADER,
+  readDecisiveReason,
+} from './forwarding';
 import type { DecisiveReason } from './forwarding';
 import { attemptHeaders } from './attempt-headers';
 import { classifyAnswer, headerText } from './classify-answer';
@@ -153,12 +159,24 @@
   return text === undefined || !Number.isInteger(count) || count < 0 ? undefined : count;
 }
 
+/** Returns the software version of the server that writes an answer; undefined if another instance does not state it. */
+function versionOfWriter(to: SendableDestination, { headers }: AnswerHead): string | undefined {
+  if (to.kind === 'server') return to.server.softwareVersion;
+  return headerText(headers[STREAM_VERSION_HEADER]);
+}
+
 /** Sends a request once and passes its answer on as it arrives, as far as that is allowed. */
 export function startAttempt(options: AttemptOptions): Attempt {
   const { clock, dialect, pool, router, request, plan, to, answer, progress } = options;
   const sentAtMs = clock.monotonicMs();
   const observer = observeDestination(options, to);
-  const droppedHeaders = new Set([dialect.notRun, OUTCOME_HEADER, REASON_HEADER, ATTEMPTS_HEADER]);
+  const droppedHeaders = new Set([
+    dialect.notRun,
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    ATTEMPTS_HEADER,
+    STREAM_VERSION_HEADER,
+  ]);
   let exchange: Exchange | undefined;
   let reader: AnswerReader | undefined;
   let head: AnswerHead | undefined;
@@ -199,7 +217,8 @@
 
   const openReader = (answerHead: AnswerHead): void => {
     if (isEventStream(plan, answerHead)) {
-      reader = createStreamReader(answerHead, answer, progress, droppedHeaders);
+      const version = versionOfWriter(to, answerHead);
+      reader = createStreamReader(answerHead, version, answer, progress, droppedHeaders);
       return;
     }
     if (answer.headSent) {
--- a/src/core/pass-through/client-answer.ts
+++ b/src/core/pass-through/client-answer.ts
@@ -1,6 +1,11 @@
 import type { ServerResponse } from 'node:http';
 import type { HeaderMap } from '../exchanges';
-import { ATTEMPTS_HEADER, OUTCOME_HEADER, REASON_HEADER } from './forwarding';
+import {
+  ATTEMPTS_HEADER,
+  OUTCOME_HEADER,
+  REASON_HEADER,
+  STREAM_VERSION_HEADER,
+} from './forwarding';
 import { retryAfterText, statusOf } from './refusals';
 import type { ClientAnswer, Refusal } from './types';
 
@@ -17,9 +22,12 @@
 export function createClientAnswer(options: ClientAnswerOptions): ClientAnswer {
   const { response, isLeaving, isForPeer } = options;
   let attempts = 0;
+  let streamVersion: string | undefined;
   const leavingHeaders = (): HeaderMap => (isLeaving() ? { connection: 'close' } : {});
   const attemptHeaders = (): HeaderMap =>
     isForPeer ? { [ATTEMPTS_HEADER]: String(attempts) } : {};
+  const versionHeaders = (): HeaderMap =>
+    isForPeer && streamVersion !== undefined ? { [STREAM_VERSION_HEADER]: streamVersion } : {};
 
   const refuse = (refusal: Refusal): void => {
     const body = JSON.stringify({ reason: refusal.reason, outcome: refusal.outcome });
@@ -42,8 +50,16 @@
     recordAttempts(count) {
       attempts = count;
     },
+    recordStreamVersion(softwareVersion) {
+      streamVersion = softwareVersion;
+    },
     sendHead(status, headers) {
-      response.writeHead(status, { ...headers, ...leavingHeaders(), ...attemptHeaders() });
+      response.writeHead(status, {
+        ...headers,
+        ...leavingHeaders(),
+        ...attemptHeaders(),
+        ...versionHeaders(),
+      });
     },
     sendData: (chunk) => response.write(chunk),
     end: () => response.end(),
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -171,7 +171,7 @@
     tried: TriedDestinations,
   ): PeerDestination | undefined => {
     const mayServeHere = plan.homeRegions.length === 0 || plan.homeRegions.includes(region);
-    const hasServers = servers.usable(plan.service, region).length > 0;
+    const hasServers = servers.usable(plan.service, region, plan.streamVersion).length > 0;
     if (!mayServeHere || !hasServers || tried.refusingRegions.has(region)) return undefined;
     const triedUnreachable = [...tried.ids].filter(links.isUnreachable).length;
     const isNextUnreachable =
--- a/src/core/pass-through/forwarding.ts
+++ b/src/core/pass-through/forwarding.ts
@@ -17,6 +17,9 @@
  */
 export const ATTEMPTS_HEADER = 'coltsfootworks-attempts';
 
+/** Header of the other instance's streams: the software version of the server that began the stream. */
+export const STREAM_VERSION_HEADER = 'coltsfootworks-stream-version';
+
 /** Header of the other instance's refusals: the reason. */
 export const REASON_HEADER = 'coltsfootworks-reason';
 
@@ -35,6 +38,8 @@
   route: z.string(),
   account: z.string().optional(),
   service: z.string(),
+  /** See `RequestPlan.streamVersion`. */
+  streamVersion: z.string().optional(),
   kind: z.enum(['idempotent', 'nonIdempotent', 'stream']),
   isResumable: z.boolean(),
   priority: z.number(),
--- a/src/core/pass-through/local-servers.ts
+++ b/src/core/pass-through/local-servers.ts
@@ -212,9 +212,12 @@
       .filter((restricted) => restricted !== undefined)
       .sort((left, right) => left.waitMs - right.waitMs)[0];
 
-  /** Returns the server of a service that may be sent a request first, if none may be sent one now. */
-  const serviceRestriction = (service: string): RestrictedServer | undefined => {
-    const usable = servers.usable(service, region);
+  /** Returns the server of a service, or of one version of it, that may be sent a request first, if none may be sent one now. */
+  const serviceRestriction = (
+    service: string,
+    softwareVersion?: string,
+  ): RestrictedServer | undefined => {
+    const usable = servers.usable(service, region, softwareVersion);
     const isOneFree = usable.some((server) => restrictionOf(server) === undefined);
     return isOneFree ? undefined : firstRestricted(usable);
   };
@@ -349,7 +352,7 @@
       }
       const service = routes.current()?.table.services.get(plan.service);
       const candidates = servers
-        .usable(plan.service, region)
+        .usable(plan.service, region, plan.streamVersion)
         .filter(
           (server) => !tried.ids.has(server.incarnationId) && canReceive(server, service, nowMs),
         );
@@ -362,7 +365,8 @@
         return { best, unreachable: undefined, restricted: undefined };
       }
       const unreachable = chooseBest(eligible, request, plan, tried, nowMs);
-      const restricted = firstRestricted(candidates) ?? serviceRestriction(plan.service);
+      const restricted =
+        firstRestricted(candidates) ?? serviceRestriction(plan.service, plan.streamVersion);
       return { best: undefined, unreachable, restricted };
     },
     waitMs: (service) => serviceRestriction(service)?.waitMs ?? 0,
--- a/src/core/pass-through/other-regions.ts
+++ b/src/core/pass-through/other-regions.ts
@@ -104,7 +104,7 @@
     const regions = new Set(options.peers().map((peer) => peer.region));
     return [...regions]
       .filter((other) => other !== region && isAllowedIn(plan, other))
-      .filter((other) => servers.usable(plan.service, other).length > 0);
+      .filter((other) => servers.usable(plan.service, other, plan.streamVersion).length > 0);
   };
 
   const peersIn = (inRegion: string, tried: TriedDestinations): readonly ForwardPeer[] =>
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -136,6 +136,12 @@
     },
   });
 
+  /** Returns the plan of the next attempt: once a stream has begun, it goes on at the version that began it. */
+  const planOfNext = (): RequestPlan =>
+    progress.softwareVersion === undefined
+      ? plan
+      : { ...plan, streamVersion: progress.softwareVersion };
+
   /** Returns whether the request may be sent to one more server; takes that out of the retry budget. */
   const mayTryAgain = (): boolean =>
     !isTimedOut && attemptBudget.hasRemaining() && retries.take(plan.service, clock.monotonicMs());
@@ -266,7 +272,7 @@
     const attempt: Attempt = startAttempt({
       ...dependencies,
       request,
-      plan,
+      plan: planOfNext(),
       to,
       answer,
       progress,
@@ -287,7 +293,7 @@
       end.giveUp('suspectedOfCrashes', refusedUntilUnixMs - clock.unixMs());
       return;
     }
-    const to = router.choose(request, plan, tried, clock.monotonicMs());
+    const to = router.choose(request, planOfNext(), tried, clock.monotonicMs());
     if (to.kind === 'none') {
       // Where this region has no server for the request, it is served again only once another region takes it.
       const minRetryMs = to.basis === undefined ? (peerRetryAfterMs ?? 0) : 0;
--- a/src/core/pass-through/types.ts
+++ b/src/core/pass-through/types.ts
@@ -90,6 +90,11 @@
   /** Name of the client account that sent the request; undefined if it has none. */
   readonly account: string | undefined;
   readonly service: string;
+  /**
+   * Software version of the server that began the stream, at which alone it may go on; undefined if a server of any version
+   * may serve the request.
+   */
+  readonly streamVersion?: string | undefined;
   readonly kind: RouteKind;
   readonly isResumable: boolean;
   readonly priority: number;
@@ -130,6 +135,11 @@
    * with the head.
    */
   recordAttempts(count: number): void;
+  /**
+   * Records the software version of the server that begins a stream, if it is known. Another instance gets it with the
+   * head.
+   */
+  recordStreamVersion(softwareVersion: string | undefined): void;
   sendHead(status: number, headers: HeaderMap): void;
   /** Returns false if the client reads too slowly; wait for `onDrain` before sending more. */
   sendData(chunk: Uint8Array): boolean;
--- a/src/core/server-registry/create-server-registry.ts
+++ b/src/core/server-registry/create-server-registry.ts
@@ -14,8 +14,11 @@
   evacuatedDomains(): readonly string[];
   get(serverId: string): KnownServer | undefined;
   all(): readonly KnownServer[];
-  /** Returns the servers of a service in a region that may be given new work. */
-  usable(service: string, region: string): readonly KnownServer[];
+  /**
+   * Returns the servers of a service in a region that may be given new work; only those of one software version if that
+   * is given.
+   */
+  usable(service: string, region: string, softwareVersion?: string): readonly KnownServer[];
   /** Marks a server as cold until the given monotonic time, as the server itself reported. */
   markCold(serverId: string, coldUntilMs: number): void;
   /** Marks one start of a server as leaving, as it stated in an answer; its entry may not be known yet, or no more. */
@@ -140,9 +143,11 @@
     evacuatedDomains: () => [...evacuatedDomains],
     get: (serverId) => servers.get(serverId),
     all: () => [...servers.values()],
-    usable(service, region) {
+    usable(service, region, softwareVersion) {
       usableIndex ??= buildUsableIndex();
-      return usableIndex.get(indexKey(service, region)) ?? [];
+      const all = usableIndex.get(indexKey(service, region)) ?? [];
+      if (softwareVersion === undefined) return all;
+      return all.filter((server) => server.softwareVersion === softwareVersion);
     },
     markCold(serverId, coldUntilMs) {
       const server = servers.get(serverId);
