Let callers take streams up only at the version that began them, wherever they ask

What callers saw: a stream that they took up with Last-Event-Id went on at a server of another software version (ORDER). Cause (hypothesis 1): the request went to the best server; nobody knew which version had begun the stream, least of all another instance. Change: the instance that passes a first event on records the version and, while the service has several, tells two instances of each region, chosen by rendezvous on the stream, in one datagram each. A stream that is taken up goes on at the version known here, or else asked for: at the holders of this region, then at all. Streams that began while there was one version are told when a second appears, and a version counts for a minute after its last server has gone. With one version nothing is told or asked, once the instance has run for a minute; one younger than that asks its own region once. A version that is not known is not guessed: with several, the request is refused at once (streamVersionUnknown), as is one whose version is gone (streamVersionGone). Keys hold the route and the account, so that nothing is learned of streams of others. Messages, holders and bad input: stream-versions.test.ts, on a fake clock.

--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -1,5 +1,6 @@
 import { ACCOUNT_SHARE_EVENTS } from '../account-shares/events';
 import { BRITTLE_SERVER_EVENTS } from '../brittle-servers/events';
+import { STREAM_VERSION_EVENTS } from '../stream-versions/events';
 import { CALL_EVENTS } from '../calls/events';
 import { CALLER_LIMIT_EVENTS } from '../caller-limits/events';
 import { CONFIGURATION_EVENTS } from '../configuration/events';
@@ -67,6 +68,7 @@
   ACCOUNT_SHARE_EVENTS,
   REACHABILITY_EVENTS,
   BRITTLE_SERVER_EVENTS,
+  STREAM_VERSION_EVENTS,
 ]
   .flatMap((events): EventDefinition[] => Object.values(events))
   .sort((left, right) => left.id - right.id);
--- a/src/core/pass-through/create-refuser.ts
+++ b/src/core/pass-through/create-refuser.ts
@@ -28,7 +28,12 @@
 export interface RefusedPlacement {
   readonly kind: 'none';
   readonly reason:
-    'noServer' | 'overloaded' | 'serversLimited' | 'serversPaused' | 'serversUnreachable';
+    | 'noServer'
+    | 'overloaded'
+    | 'serversLimited'
+    | 'serversPaused'
+    | 'serversUnreachable'
+    | 'streamVersionGone';
   /** Delay after which its caller may retry, ms; undefined if that would be too late to be served before its deadline. */
   readonly retryAfterMs: number | undefined;
   /** Undefined if there is no server for the request. */
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -186,12 +186,32 @@
     return peer && { kind: 'peer', peer, isDetour: true };
   };
 
+  /** Returns whether no region has a server that will go on with a stream, so that a later retry would be in vain. */
+  const isVersionGone = ({ service, streamVersion }: RequestPlan): boolean =>
+    streamVersion !== undefined &&
+    !servers
+      .all()
+      .some(
+        (server) =>
+          server.service === service &&
+          server.softwareVersion === streamVersion &&
+          !server.isDraining,
+      );
+
   /** Refuses a request that cannot be sent to any server of this region. */
   const refuseWithoutServer = (
     plan: RequestPlan,
     restricted: RestrictedServer | undefined,
     nowMs: number,
   ): Destination => {
+    if (isVersionGone(plan)) {
+      return {
+        kind: 'none',
+        reason: 'streamVersionGone',
+        retryAfterMs: undefined,
+        basis: undefined,
+      };
+    }
     if (restricted !== undefined) return refuser.refuseRestricted(plan, restricted, nowMs);
     if (links.isCut()) return refuser.refuseUnreachable(plan, nowMs);
     const hasServersElsewhere =
--- a/src/core/pass-through/open-ingress.ts
+++ b/src/core/pass-through/open-ingress.ts
@@ -17,6 +17,8 @@
 import { headerText } from './classify-answer';
 import { headersToPassOn } from './headers';
 import { createRequestPlanner } from './plan-request';
+import { planResumedStream } from './resumed-stream';
+import type { ResumedPlan } from './resumed-stream';
 import type { ChargedPlan, RefusedPlan } from './plan-request';
 import { chargeQuota } from './charge-quota';
 import type { ServedRequest } from './request-end';
@@ -181,6 +183,16 @@
     serving.onRefused(reason, service);
   };
 
+  const refuseResumed = (
+    incoming: IncomingMessage,
+    answer: ClientAnswer,
+    { service }: RequestPlan,
+    { reason, retryAfterMs }: Extract<ResumedPlan, { kind: 'refused' }>,
+  ): void => {
+    refuse(incoming, answer, reason, retryAfterMs);
+    serving.onRefused(reason, service);
+  };
+
   const serveNow = (
     response: ServerResponse,
     answer: ClientAnswer,
@@ -228,12 +240,18 @@
         drop: () => logDropped(request),
         refuse: (retryAfterMs) => refuse(incoming, answer, 'instanceBehind', retryAfterMs),
         serve() {
-          chargeQuota(quotas, {
-            charge,
-            isGone: () => response.destroyed,
-            drop: () => logDropped(request),
-            refuse: (decision) => refuseForQuota(incoming, answer, plan, decision),
-            serve: (refund) => serveNow(response, answer, request, plan, refund),
+          const serveCharged = (charged: RequestPlan): void =>
+            chargeQuota(quotas, {
+              charge,
+              isGone: () => response.destroyed,
+              drop: () => logDropped(request),
+              refuse: (decision) => refuseForQuota(incoming, answer, charged, decision),
+              serve: (refund) => serveNow(response, answer, request, charged, refund),
+            });
+          planResumedStream(serving.streamVersions, routes, request, plan, (resumed) => {
+            if (response.destroyed) logDropped(request);
+            else if (resumed.kind === 'planned') serveCharged(resumed.plan);
+            else refuseResumed(incoming, answer, plan, resumed);
           });
         },
       });
--- a/src/core/pass-through/request-log.ts
+++ b/src/core/pass-through/request-log.ts
@@ -119,6 +119,7 @@
         ...fields(),
         ...placementFields(to),
         ...resumptionFields(request, progress),
+        streamVersion: progress.softwareVersion ?? plan.streamVersion,
         promptTokens: request.demand?.promptTokens,
         mostAttempts: plan.maxAttempts,
         isForwarded: plan.isForwarded,
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -7,6 +7,7 @@
 import type { ServerNotices } from '../server-notices';
 import type { KnownServer } from '../server-registry';
 import type { RetryAllowance } from '../shared-budget';
+import type { StreamVersions } from '../stream-versions';
 import { destinationName, startAttempt } from './attempt';
 import type { Attempt, AttemptResult } from './attempt';
 import { createAttemptBudget } from './attempt-budget';
@@ -19,6 +20,7 @@
 import type { ServedRequest } from './request-end';
 import { createRequestLog } from './request-log';
 import { abortSilentAttempts } from './abort-silent-attempts';
+import { recordBegunStream } from './resumed-stream';
 import { createStreamProgress } from './stream-progress';
 import type { StreamProgress } from './stream-progress';
 import type {
@@ -49,6 +51,8 @@
   readonly brittle: BrittleServers;
   /** Which servers this instance reaches. */
   readonly reachability: Reachability;
+  /** Software versions that began the streams of callers. */
+  readonly streamVersions: Pick<StreamVersions, 'find' | 'recordBegun'>;
   /** Whether a server that was chosen a moment ago may still get a request. */
   readonly mayReceive: (server: KnownServer) => boolean;
   /** Called when a server other than `serverId` has answered at its address. */
@@ -100,7 +104,11 @@
   const triedIds = new Set<string>();
   const refusingRegions = new Set<string>();
   const tried: TriedDestinations = { ids: triedIds, refusingRegions };
-  const progress: StreamProgress = createStreamProgress(clock, request.lastEventId);
+  const progress: StreamProgress = createStreamProgress(
+    clock,
+    request.lastEventId,
+    (softwareVersion) => recordBegunStream(dependencies, request, plan, softwareVersion),
+  );
   const mayRepeat = isRepeatable(plan);
   const attemptBudget = createAttemptBudget(plan.maxAttempts, mayRepeat);
   let current: Attempt | undefined;
--- a/src/core/pass-through/stream-progress.ts
+++ b/src/core/pass-through/stream-progress.ts
@@ -17,11 +17,13 @@
 
 /**
  * Creates the progress of a stream that resumes after the event `lastEventId`, or starts if that is
- * undefined.
+ * undefined. `onFirstEvent` is called before the first event of this answer is passed on, with the software version of
+ * the server that wrote it.
  */
 export function createStreamProgress(
   clock: Pick<Clock, 'monotonicMs'>,
   lastEventId: string | undefined,
+  onFirstEvent: (softwareVersion: string | undefined) => void,
 ): StreamProgress {
   let events = 0;
   let lastEventAtMs: number | undefined;
@@ -43,6 +45,7 @@
     },
     recordEvent(eventId, softwareVersion) {
       const nowMs = clock.monotonicMs();
+      if (events === 0) onFirstEvent(softwareVersion);
       longestPauseMs = Math.max(longestPauseMs, nowMs - (lastEventAtMs ?? nowMs));
       lastEventAtMs = nowMs;
       events += 1;
--- a/src/core/pass-through/types.ts
+++ b/src/core/pass-through/types.ts
@@ -174,6 +174,10 @@
   | 'serversLimited'
   /** All servers that could run the request have asked for a pause. */
   | 'serversPaused'
+  /** No server of the software version that began the stream will serve any more. */
+  | 'streamVersionGone'
+  /** It is not known which of several software versions began the stream. */
+  | 'streamVersionUnknown'
   /** This instance reaches no server, and knows no other instance that may serve the request. */
   | 'serversUnreachable'
   /** This instance gets too little processor time for its requests. */
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -35,6 +35,7 @@
 import { createServerNotices } from '../server-notices';
 import type { ServerRegistry } from '../server-registry';
 import { createColdServerLimiter, createRetryAllowance } from '../shared-budget';
+import { createStreamVersions } from '../stream-versions';
 import type { KnownInstances } from './known-instances';
 import type { RelaySettings } from './settings';
 
@@ -106,7 +107,7 @@
   owned: DisposableStore,
 ): ServingContext {
   const { clock, random, logger, dialect, routes, servers, pool, gossip, instances } = options;
-  const { instanceId, region, trafficPolicy } = options.settings();
+  const { instanceId, region, failureDomain, trafficPolicy } = options.settings();
   const ownAddress = () => {
     const { listeners, forwardingPort } = options.settings();
     return `${listeners.forwarding.host}:${forwardingPort}`;
@@ -146,6 +147,25 @@
     'Services whose backend servers state that they fail if they have to reject many requests',
     brittle.brittleCount,
   );
+  const streamVersions = createStreamVersions({
+    clock,
+    logger,
+    self: () => ({ ...self(), failureDomain }),
+    peers: instances.possiblyAliveAnywhere,
+    servers,
+    send: options.sendStatement,
+  });
+  options.metrics.gauge(
+    'coltsfootworks_stream_versions_kept',
+    'Streams whose software version is kept for callers that take them up',
+    streamVersions.size,
+  );
+  options.metrics.labelledGauge(
+    'coltsfootworks_streams_taken_up',
+    'Streams that callers have taken up, by how the version that began them was found',
+    'found',
+    streamVersions.takenUp,
+  );
   const peerLoads = createPeerLoads();
   const cachedParts = createCachedPartsBuffer();
   /** Returns the addresses of the other instances of the region. */
@@ -329,11 +349,13 @@
     notices,
     brittle,
     reachability,
+    streamVersions,
     mayReceive: (server) => servers.isUsable(server) && notices.waitMs(server.incarnationId) === 0,
     onReplaced: servers.markReplaced,
     onDone: createRequestCounter(options.metrics),
     onRefused: (reason, service) => options.metrics.refused(reason, service),
     receiveServerMessage: (text) =>
+      streamVersions.receive(text) ||
       limits.receive(text) ||
       notices.receive(text) ||
       guard.receive(text) ||
@@ -344,6 +366,7 @@
       limits.runDue();
       notices.runDue();
       brittle.runDue();
+      streamVersions.runDue();
       reachability.runDue();
       cutInstances.sendIfDue(reachability.isCut());
       investigations.runDue();
--- a/src/core/relay-node/known-instances.ts
+++ b/src/core/relay-node/known-instances.ts
@@ -1,6 +1,7 @@
 import type { MemberState, Membership } from '../membership';
 import type { ForwardPeer } from '../pass-through';
 import type { CounterPeer } from '../shared-budget';
+import type { VersionHolder } from '../stream-versions';
 import type { RelayInstance } from '../state-relay';
 
 /** The known instances, filtered by the purposes for which this instance may use them. */
@@ -18,7 +19,7 @@
   /** Other instances in this region that may be alive, including suspected ones, with their addresses for statements. */
   possiblyAlivePeers(): readonly CounterPeer[];
   /** Other instances of all regions that may be alive, including suspected ones, with their addresses for statements. */
-  possiblyAliveAnywhere(): readonly CounterPeer[];
+  possiblyAliveAnywhere(): readonly VersionHolder[];
   /** Share of this region's instances that this one reaches, itself included; instances that have left do not count. */
   reachableShare(): number;
 }
@@ -49,7 +50,7 @@
   });
   const inRegion = () => membership.members().filter((member) => member.region === region);
   const mayBeAlive = ({ status }: MemberState) => status === 'alive' || status === 'suspect';
-  const possiblyAliveOthers = (): readonly CounterPeer[] => {
+  const possiblyAliveOthers = (): readonly VersionHolder[] => {
     const { instanceId: ownId } = membership.self();
     return membership
       .members()
@@ -57,6 +58,7 @@
       .map((member) => ({
         instanceId: member.instanceId,
         region: member.region,
+        failureDomain: member.failureDomain,
         address: forwardAddress(member),
       }));
   };
--- a/src/core/server-registry/create-server-registry.ts
+++ b/src/core/server-registry/create-server-registry.ts
@@ -13,6 +13,8 @@
   setEvacuated(failureDomain: string, isEvacuated: boolean, nowMs: number): void;
   evacuatedDomains(): readonly string[];
   get(serverId: string): KnownServer | undefined;
+  /** Number of changes of servers so far. */
+  changes(): number;
   all(): readonly KnownServer[];
   /**
    * Returns the servers of a service in a region that may be given new work; only those of one software version if that
@@ -64,6 +66,12 @@
   const leavingSinceMs = new Map<string, number>();
   /** Usable servers by service and region, rebuilt after a change; read on every request. */
   let usableIndex: Map<string, KnownServer[]> | undefined;
+  let changes = 0;
+
+  const recordChange = (): void => {
+    usableIndex = undefined;
+    changes += 1;
+  };
 
   const indexKey = (service: string, region: string) => `${region}/${service}`;
 
@@ -87,7 +95,7 @@
 
   const set = (server: KnownServer): void => {
     servers.set(server.serverId, server);
-    usableIndex = undefined;
+    recordChange();
   };
 
   return {
@@ -118,11 +126,11 @@
       });
     },
     remove(serverId) {
-      if (servers.delete(serverId)) usableIndex = undefined;
+      if (servers.delete(serverId)) recordChange();
     },
     keepOnly(serverIds) {
       for (const serverId of servers.keys()) if (!serverIds.has(serverId)) servers.delete(serverId);
-      usableIndex = undefined;
+      recordChange();
     },
     setEvacuated(failureDomain, isEvacuated, nowMs) {
       if (evacuatedDomains.has(failureDomain) === isEvacuated) return;
@@ -142,6 +150,7 @@
     },
     evacuatedDomains: () => [...evacuatedDomains],
     get: (serverId) => servers.get(serverId),
+    changes: () => changes,
     all: () => [...servers.values()],
     usable(service, region, softwareVersion) {
       usableIndex ??= buildUsableIndex();
--- /dev/null
+++ b/src/core/stream-versions/create-stream-versions.ts
@@ -0,0 +1,325 @@
+import type { Clock } from '../clock';
+import type { Logger } from '../events';
+import { STREAM_VERSION_EVENTS } from './events';
+import { parseStreamVersionMessage, serializeStreamVersionMessage } from './messages';
+import type { StreamVersionMessage, ToldStream } from './messages';
+import { selectHolders } from './select-holders';
+import { streamKey } from './stream-key';
+import type { BegunStream, FoundVersion, StreamIdentity, VersionHolder } from './types';
+import { createVersionHistory } from './version-history';
+import type { VersionedServers } from './version-history';
+import { createVersionLedger } from './version-ledger';
+import type { LedgerEntry } from './version-ledger';
+
+/** Knows which software version began each stream that callers may take up, here and at other instances. */
+export interface StreamVersions {
+  /** Records a stream whose first event is about to be passed to its caller, and tells other instances. */
+  recordBegun(stream: BegunStream): void;
+  /**
+   * Looks for the version that began a stream; `identity` is undefined if the caller does not name the stream. `decide`
+   * may be called before this returns.
+   */
+  find(
+    identity: StreamIdentity | undefined,
+    service: string,
+    decide: (found: FoundVersion) => void,
+  ): void;
+  /** Processes a message of another instance. Returns whether the text was a valid one. */
+  receive(text: string): boolean;
+  /** Tells of open streams of services that have got several versions. Must be called regularly. */
+  runDue(): void;
+  /** Number of streams whose versions are kept here. */
+  size(): number;
+  /** Number of streams that callers have taken up, by how their version was found. */
+  takenUp(): ReadonlyMap<string, number>;
+}
+
+/** Options of {@link createStreamVersions}. */
+export interface StreamVersionsOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly self: () => VersionHolder;
+  /** Returns the other instances of all regions that may be alive. */
+  readonly peers: () => readonly VersionHolder[];
+  readonly servers: VersionedServers;
+  readonly send: (address: string, text: string) => void;
+}
+
+/** Maximum time for which a version is kept, ms: longer than callers wait for the rest of a stream. */
+const MAX_KEEP_MS = 120_000;
+/** Time for which a version is kept after its caller gives up, ms: a request that is on its way may still arrive. */
+const EXTRA_KEEP_MS = 1_000;
+/** Maximum streams in one message, so that it fits into a datagram. */
+const MAX_STREAMS_TOLD = 8;
+/** Interval between removals of expired entries, ms. */
+const SWEEP_INTERVAL_MS = 5_000;
+/** Time for which a view of the fleet is used, ms: shorter than the detection of a change takes. */
+const FLEET_VIEW_MS = 100;
+/** Timeout for an answer of an instance of this region, ms: many times the network delay. */
+const REGION_TIMEOUT_MS = 40;
+/** Timeout for an answer of an instance of another region, ms: a round trip over the longest links. */
+const FAR_TIMEOUT_MS = 180;
+
+type Reach = 'region' | 'all';
+
+/**
+ * Rounds of questions, each answered "unknown" by all or by nobody in time before the next one begins. The last one
+ * repeats the one before: a statement that was on its way then has arrived by now.
+ */
+const ROUNDS_WITH_SEVERAL: readonly Reach[] = ['region', 'all', 'all'];
+/** Rounds if only one version is known, by an instance that has just started. */
+const ROUNDS_WITH_ONE: readonly Reach[] = ['region'];
+
+interface PendingRound {
+  /** Number of instances that have not answered. */
+  unanswered: number;
+  readonly onAnswer: (
+    answer: Extract<StreamVersionMessage, { kind: 'streamVersionAnswer' }>,
+  ) => void;
+}
+
+/** Creates a record without streams. */
+export function createStreamVersions(options: StreamVersionsOptions): StreamVersions {
+  const { clock, logger, self } = options;
+  const nowMs = () => clock.monotonicMs();
+  const ledger = createVersionLedger();
+  const history = createVersionHistory(options.servers, nowMs());
+  /** Keys of streams that began here while their service had one version, so that nobody was told. */
+  const untoldKeys = new Map<string, Set<string>>();
+  const pending = new Map<string, PendingRound>();
+  const takenUp = new Map<string, number>();
+  let severalServices: ReadonlySet<string> = new Set();
+  let lastAskNumber = 0;
+  let nextSweepAtMs = 0;
+  let fleet: { readonly others: readonly VersionHolder[]; readonly untilMs: number } | undefined;
+
+  const others = (): readonly VersionHolder[] => {
+    if (fleet === undefined || fleet.untilMs <= nowMs()) {
+      fleet = { others: options.peers(), untilMs: nowMs() + FLEET_VIEW_MS };
+    }
+    return fleet.others;
+  };
+
+  const holdersOf = (key: string): readonly VersionHolder[] => {
+    const { instanceId } = self();
+    const all = [...others(), self()];
+    return selectHolders(key, all).filter((holder) => holder.instanceId !== instanceId);
+  };
+
+  const send = (address: string, message: StreamVersionMessage): void =>
+    options.send(address, serializeStreamVersionMessage(message));
+
+  const toTold = (key: string, entry: LedgerEntry): readonly ToldStream[] =>
+    entry.softwareVersions.map((softwareVersion) => ({
+      key,
+      service: entry.service,
+      softwareVersion,
+      ageMs: Math.round(nowMs() - entry.begunAtMs),
+      keepForMs: Math.round(Math.max(0, entry.expiresAtMs - nowMs())),
+    }));
+
+  const tell = (told: readonly ToldStream[]): void => {
+    const byAddress = new Map<string, ToldStream[]>();
+    for (const stream of told) {
+      for (const { address } of holdersOf(stream.key)) {
+        byAddress.set(address, [...(byAddress.get(address) ?? []), stream]);
+      }
+    }
+    for (const [address, streams] of byAddress) {
+      for (let first = 0; first < streams.length; first += MAX_STREAMS_TOLD) {
+        const some = streams.slice(first, first + MAX_STREAMS_TOLD);
+        send(address, { kind: 'streamsBegan', streams: some });
+      }
+    }
+  };
+
+  const hasSeveral = (service: string): boolean => history.recent(service, nowMs()).size > 1;
+
+  /** Tells of the streams that began here while their service had one version. */
+  const tellUntold = (service: string): void => {
+    const keys = untoldKeys.get(service) ?? new Set();
+    untoldKeys.delete(service);
+    const told = [...keys].flatMap((key) => {
+      const entry = ledger.find(key, nowMs());
+      return entry === undefined ? [] : toTold(key, entry);
+    });
+    tell(told);
+  };
+
+  const receiveTold = ({ key, service, softwareVersion, ageMs, keepForMs }: ToldStream): void =>
+    ledger.record(key, {
+      service,
+      softwareVersion,
+      begunAtMs: nowMs() - ageMs,
+      expiresAtMs: nowMs() + Math.min(MAX_KEEP_MS, keepForMs),
+    });
+
+  const answerAsk = (ask: Extract<StreamVersionMessage, { kind: 'streamVersionAsk' }>): void => {
+    const entry = ledger.find(ask.key, nowMs());
+    send(ask.address, {
+      kind: 'streamVersionAnswer',
+      askId: ask.askId,
+      service: entry?.service ?? '',
+      softwareVersions: [...(entry?.softwareVersions ?? [])],
+      ageMs: entry === undefined ? 0 : Math.round(nowMs() - entry.begunAtMs),
+    });
+  };
+
+  /** Asks instances; `decide` gets undefined once none of them knows the version, or after the timeout. */
+  const askRound = (
+    key: string,
+    reach: Reach,
+    decide: (entry: LedgerEntry | undefined, isAnswered: boolean) => void,
+  ): void => {
+    const { region, address, instanceId } = self();
+    const asked = holdersOf(key).filter((holder) => reach === 'all' || holder.region === region);
+    if (asked.length === 0) {
+      decide(undefined, true);
+      return;
+    }
+    lastAskNumber += 1;
+    const askId = `${instanceId}:${lastAskNumber}`;
+    const timeoutMs = reach === 'region' ? REGION_TIMEOUT_MS : FAR_TIMEOUT_MS;
+    const end = (entry: LedgerEntry | undefined, isAnswered: boolean): void => {
+      pending.delete(askId);
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- a round ends after its timer exists
+      timer[Symbol.dispose]();
+      decide(entry, isAnswered);
+    };
+    const timer = clock.schedule(nowMs() + timeoutMs, () => end(undefined, false));
+    const round: PendingRound = {
+      unanswered: asked.length,
+      onAnswer({ service, softwareVersions, ageMs }) {
+        round.unanswered -= 1;
+        const begunAtMs = nowMs() - ageMs;
+        if (softwareVersions.length > 0) {
+          end({ service, softwareVersions, begunAtMs, expiresAtMs: Infinity }, true);
+        } else if (round.unanswered === 0) {
+          end(undefined, true);
+        }
+      },
+    };
+    pending.set(askId, round);
+    for (const holder of asked) {
+      send(holder.address, { kind: 'streamVersionAsk', askId, address, key });
+    }
+  };
+
+  const toFound = (entry: LedgerEntry, source: 'here' | 'asked'): FoundVersion => {
+    const [softwareVersion, ...more] = entry.softwareVersions;
+    if (softwareVersion === undefined || more.length > 0) {
+      return { kind: 'unknown', mayBeKnownLater: false };
+    }
+    const ageMs = Math.max(0, Math.round(nowMs() - entry.begunAtMs));
+    return { kind: 'known', service: entry.service, softwareVersion, source, ageMs };
+  };
+
+  const askOthers = (key: string, service: string, decide: (found: FoundVersion) => void): void => {
+    const rounds = hasSeveral(service) ? ROUNDS_WITH_SEVERAL : ROUNDS_WITH_ONE;
+    const runRound = (index: number, isAnswered: boolean): void => {
+      const reach = rounds[index];
+      if (reach === undefined) {
+        // The version may have been told here meanwhile.
+        const entry = ledger.find(key, nowMs());
+        if (entry !== undefined) decide(toFound(entry, 'here'));
+        else if (hasSeveral(service)) decide({ kind: 'unknown', mayBeKnownLater: !isAnswered });
+        else decide({ kind: 'onlyVersion' });
+        return;
+      }
+      askRound(key, reach, (entry, areAllAnswered) => {
+        if (entry === undefined) runRound(index + 1, areAllAnswered);
+        else decide(toFound(entry, 'asked'));
+      });
+    };
+    runRound(0, true);
+  };
+
+  const find: StreamVersions['find'] = (identity, service, decide) => {
+    if (identity === undefined) {
+      const isOnly = !hasSeveral(service);
+      decide(isOnly ? { kind: 'onlyVersion' } : { kind: 'unknown', mayBeKnownLater: false });
+      return;
+    }
+    const key = streamKey(identity);
+    const entry = ledger.find(key, nowMs());
+    if (entry !== undefined) decide(toFound(entry, 'here'));
+    else if (!hasSeveral(service) && history.isComplete(nowMs())) decide({ kind: 'onlyVersion' });
+    else askOthers(key, service, decide);
+  };
+
+  const receiveMessage = (message: StreamVersionMessage): void => {
+    switch (message.kind) {
+      case 'streamsBegan':
+        message.streams.forEach(receiveTold);
+        return;
+      case 'streamVersionAsk':
+        answerAsk(message);
+        return;
+      case 'streamVersionAnswer':
+        pending.get(message.askId)?.onAnswer(message);
+        return;
+      default:
+        message satisfies never;
+    }
+  };
+
+  const followServices = (): void => {
+    const several = history.servicesWithSeveral(nowMs());
+    for (const service of several) {
+      if (severalServices.has(service)) continue;
+      const versions = [...history.recent(service, nowMs())].slice(0, MAX_STREAMS_TOLD);
+      logger.event(STREAM_VERSION_EVENTS.several, { service, versions });
+      tellUntold(service);
+    }
+    for (const service of severalServices) {
+      if (!several.has(service)) logger.event(STREAM_VERSION_EVENTS.single, { service });
+    }
+    severalServices = several;
+  };
+
+  return {
+    recordBegun({ identity, service, softwareVersion, deadlineAtMs }) {
+      const key = streamKey(identity);
+      const begunAtMs = nowMs();
+      const expiresAtMs = Math.min(deadlineAtMs + EXTRA_KEEP_MS, begunAtMs + MAX_KEEP_MS);
+      ledger.record(key, { service, softwareVersion, begunAtMs, expiresAtMs });
+      // A service that has just got a second version is noticed by the next call of `runDue`, which tells of these.
+      if (!severalServices.has(service)) {
+        untoldKeys.set(service, (untoldKeys.get(service) ?? new Set()).add(key));
+        return;
+      }
+      const entry = ledger.find(key, begunAtMs);
+      if (entry !== undefined) tell(toTold(key, entry));
+    },
+    find(identity, service, decide) {
+      const startedAtMs = nowMs();
+      find(identity, service, (found) => {
+        const how = found.kind === 'known' ? found.source : found.kind;
+        takenUp.set(how, (takenUp.get(how) ?? 0) + 1);
+        logger.event(STREAM_VERSION_EVENTS.taken, {
+          service,
+          resumedRequestId: identity?.requestId.slice(0, 64),
+          ...found,
+          searchedMs: Math.round(nowMs() - startedAtMs),
+        });
+        decide(found);
+      });
+    },
+    receive(text) {
+      const message = parseStreamVersionMessage(text);
+      if (message !== undefined) receiveMessage(message);
+      return message !== undefined;
+    },
+    runDue() {
+      followServices();
+      if (nowMs() < nextSweepAtMs) return;
+      nextSweepAtMs = nowMs() + SWEEP_INTERVAL_MS;
+      ledger.removeExpired(nowMs());
+      for (const keys of untoldKeys.values()) {
+        for (const key of keys) if (ledger.find(key, nowMs()) === undefined) keys.delete(key);
+      }
+    },
+    size: ledger.size,
+    takenUp: () => takenUp,
+  };
+}
--- /dev/null
+++ b/src/core/stream-versions/messages.ts
@@ -0,0 +1,60 @@
+import { z } from 'zod';
+import { parseJsonText } from '../json-text';
+
+/** Maximum length of a name in a message, characters. */
+const MAX_NAME_CHARACTERS = 256;
+
+const nameSchema = z.string().max(MAX_NAME_CHARACTERS);
+
+/** Schema of the messages between instances about the versions of streams. */
+const messageSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('streamsBegan'),
+    streams: z.array(
+      z.object({
+        key: nameSchema,
+        service: nameSchema,
+        softwareVersion: nameSchema,
+        /** Time since the stream began, ms. */
+        ageMs: z.number().min(0),
+        /** Time for which the version is to be kept, ms. */
+        keepForMs: z.number().min(0),
+      }),
+    ),
+  }),
+  z.object({
+    kind: z.literal('streamVersionAsk'),
+    askId: nameSchema,
+    /** Address of the instance that asks. */
+    address: nameSchema,
+    key: nameSchema,
+  }),
+  z.object({
+    kind: z.literal('streamVersionAnswer'),
+    askId: nameSchema,
+    service: nameSchema,
+    /** Empty if the version is not known here; several if the stream is ambiguous. */
+    softwareVersions: z.array(nameSchema),
+    /** Time since the stream began, ms. */
+    ageMs: z.number().min(0),
+  }),
+]);
+
+/** A message about versions of streams. */
+export type StreamVersionMessage = z.output<typeof messageSchema>;
+
+/** A stream in a message that tells of streams. */
+export type ToldStream = Extract<StreamVersionMessage, { kind: 'streamsBegan' }>['streams'][number];
+
+const OWN_KINDS = /^\{"kind":"stream(?:sBegan|VersionAsk|VersionAnswer)"/u;
+
+/** Serializes a message to text. */
+export function serializeStreamVersionMessage(message: StreamVersionMessage): string {
+  return JSON.stringify(message);
+}
+
+/** Parses a message; undefined if the text is not a valid one. */
+export function parseStreamVersionMessage(text: string): StreamVersionMessage | undefined {
+  // Texts of other kinds arrive dozens of times a second, and need not be parsed here.
+  return OWN_KINDS.test(text) ? parseJsonText(messageSchema, text) : undefined;
+}
--- /dev/null
+++ b/src/core/stream-versions/version-history.ts
@@ -0,0 +1,77 @@
+import type { KnownServer } from '../server-registry';
+
+/** The registry as far as the versions of its servers are concerned. */
+export interface VersionedServers {
+  all(): readonly Pick<KnownServer, 'service' | 'softwareVersion'>[];
+  /** Number of changes so far. */
+  changes(): number;
+}
+
+/** Software versions of the servers of each service, now and lately. */
+export interface VersionHistory {
+  /** Returns the versions whose servers serve now or have served within the retention. */
+  recent(service: string, nowMs: number): ReadonlySet<string>;
+  /** Returns the services that have several recent versions. */
+  servicesWithSeveral(nowMs: number): ReadonlySet<string>;
+  /** Whether the history reaches back over the whole retention. */
+  isComplete(nowMs: number): boolean;
+}
+
+/** Time for which a version counts after its last server has gone, ms: longer than most streams take. */
+export const VERSION_RETENTION_MS = 60_000;
+
+/** Creates a history that begins now. */
+export function createVersionHistory(
+  servers: VersionedServers,
+  startedAtMs: number,
+): VersionHistory {
+  /** Time at which each version of a service was last seen, monotonic ms; Infinity while it serves. */
+  const lastSeenMs = new Map<string, Map<string, number>>();
+  let seenChanges = -1;
+
+  const versionsOf = (service: string): Map<string, number> => {
+    const versions = lastSeenMs.get(service) ?? new Map<string, number>();
+    lastSeenMs.set(service, versions);
+    return versions;
+  };
+
+  const removeExpired = (nowMs: number): void => {
+    for (const [service, versions] of lastSeenMs) {
+      for (const [version, seenMs] of versions) {
+        if (nowMs - seenMs > VERSION_RETENTION_MS) versions.delete(version);
+      }
+      if (versions.size === 0) lastSeenMs.delete(service);
+    }
+  };
+
+  const refresh = (nowMs: number): void => {
+    const changes = servers.changes();
+    if (changes === seenChanges) return;
+    seenChanges = changes;
+    removeExpired(nowMs);
+    for (const versions of lastSeenMs.values()) {
+      for (const [version, seenMs] of versions) {
+        versions.set(version, Math.min(seenMs, nowMs));
+      }
+    }
+    for (const { service, softwareVersion } of servers.all()) {
+      versionsOf(service).set(softwareVersion, Infinity);
+    }
+  };
+
+  const recent = (service: string, nowMs: number): ReadonlySet<string> => {
+    refresh(nowMs);
+    const versions = lastSeenMs.get(service) ?? new Map<string, number>();
+    const isRecent = ([, seenMs]: [string, number]) => nowMs - seenMs <= VERSION_RETENTION_MS;
+    return new Set([...versions].filter(isRecent).map(([version]) => version));
+  };
+
+  return {
+    recent,
+    servicesWithSeveral(nowMs) {
+      refresh(nowMs);
+      return new Set([...lastSeenMs.keys()].filter((service) => recent(service, nowMs).size > 1));
+    },
+    isComplete: (nowMs) => nowMs - startedAtMs >= VERSION_RETENTION_MS,
+  };
+}
