Let streams that are taken up go to other regions beyond the limit on new requests

Cause: the limit on requests to another region, which grows with what that region answers in time, counted a stream that had begun like a new request, which has servers of other versions to go to. Change: a request that is bound to a version is not held to that limit; the instance there refuses what its servers can't take.

--- a/src/core/pass-through/other-regions.ts
+++ b/src/core/pass-through/other-regions.ts
@@ -67,6 +67,11 @@
   const isAllowedIn = ({ homeRegions }: RequestPlan, other: string): boolean =>
     homeRegions.length === 0 || homeRegions.includes(other);
 
+  // A stream that has begun may have servers of its version only there, while a new request has others. Few streams are
+  // taken up at a time, and the instance there still refuses what its servers can't take.
+  const hasCapacity = ({ service, streamVersion }: RequestPlan, other: string): boolean =>
+    streamVersion !== undefined || windows.hasCapacity(service, other);
+
   const totalUtilization = (other: string, peers: readonly ForwardPeer[]): number => {
     const slots = servers
       .all()
@@ -116,7 +121,7 @@
       const peers = options.peers();
       return regionsWithServers(plan)
         .filter((other) => !tried.refusingRegions.has(other))
-        .filter((other) => windows.hasCapacity(plan.service, other))
+        .filter((other) => hasCapacity(plan, other))
         .filter((other) => peersIn(other, tried).length > 0)
         .map((other) => toOption(plan, other, peers));
     },
