State the time to return rounded up, never before it

What callers saw: a caller that came back at the time that a refusal stated was refused again; platform/quotas.test.ts failed so beside load now and then. Cause: the time was rounded up to a millisecond and then to the nearest hundredth of a second, so that 704 ms were stated as 0.70. Change: rounded up to the hundredth in one step.

--- a/src/core/pass-through/refusals.ts
+++ b/src/core/pass-through/refusals.ts
@@ -21,9 +21,14 @@
   return reason === 'timedOut' ? 504 : 502;
 }
 
-const MS_PER_S = 1_000;
+/** Units of the retry-after header: hundredths of a second. */
+const MS_PER_UNIT = 10;
+const UNITS_PER_S = 100;
 
-/** Formats the value of the retry-after header, in seconds with fractions. */
+/**
+ * Formats the value of the retry-after header, in seconds with fractions. Rounded up, since a caller that returns earlier
+ * is refused again.
+ */
 export function retryAfterText(retryAfterMs: number): string {
-  return (Math.ceil(retryAfterMs) / MS_PER_S).toFixed(2);
+  return (Math.ceil(retryAfterMs / MS_PER_UNIT) / UNITS_PER_S).toFixed(2);
 }
