Give the soak's servers software versions, and callers that take streams up

Cause: no test ran real processes before servers of several versions, so the streams of two versions were found by the users. Change: half of the soak's servers run each of two versions; the fault 'rollout' replaces two of them by the other version; a route whose streams break off three times in ten, which callers take up at any instance, naming the request that brought the first event. Checks: at most two streams with events of two versions in a run; of twelve or more that are taken up while two servers of their version take requests, at least half as often as new ones begin (the users' bounds). The check of bodies leaves the version out, since the new one compares it over all tries.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -4,8 +4,9 @@
 import type { RouteKind } from '../src/core/host-routes';
 import { regionOf } from '../platform/testing/process-settings';
 import { keyOfCaller } from './accounts';
-import { LONG_PATH, boundPrefix } from './configuration';
-import type { CallerAttempt } from './types';
+import { LONG_PATH, SOLO_PREFIX, boundPrefix } from './configuration';
+import { takenUpAfter } from './stream-versions';
+import type { CallerAttempt, TakenUpStream } from './types';
 
 /** A route of the tested configuration. */
 interface RequestedRoute {
@@ -13,13 +14,16 @@
   readonly kind: RouteKind;
   readonly maxAttempts: number;
   readonly isBoundToRegion?: boolean;
+  /** Whether callers take its streams up. */
+  readonly isResumable?: boolean;
 }
 
 const ROUTES: readonly RequestedRoute[] = [
   { path: '/orders/1', kind: 'nonIdempotent', maxAttempts: 1 },
   { path: '/stock/1', kind: 'idempotent', maxAttempts: 2 },
-  { path: '/plans/1', kind: 'stream', maxAttempts: 2 },
+  { path: '/plans/1', kind: 'stream', maxAttempts: 2, isResumable: true },
   { path: '/chat/1', kind: 'stream', maxAttempts: 1 },
+  { path: `${SOLO_PREFIX}1`, kind: 'stream', maxAttempts: 1, isResumable: true },
   { path: LONG_PATH, kind: 'idempotent', maxAttempts: 2 },
 ];
 
@@ -62,10 +66,19 @@
   address: string,
   route: RequestedRoute,
   requestId: string,
-  options: { readonly agent: Agent; readonly key: string; readonly leavesAfterMs: number },
+  options: {
+    readonly agent: Agent;
+    readonly key: string;
+    readonly leavesAfterMs: number;
+    readonly takesUp?: TakenUpStream | undefined;
+  },
 ): Promise<CallerAttempt> {
   const [host = '', port = ''] = address.split(':');
-  const { key } = options;
+  const { key, takesUp } = options;
+  const resumption =
+    takesUp === undefined
+      ? {}
+      : { 'last-event-id': String(takesUp.lastEventId), resumes: takesUp.firstRequestId };
   const { isBoundToRegion = false } = route;
   const atMs = Date.now();
   return new Promise((resolve) => {
@@ -86,6 +99,7 @@
         isWhole,
         isSigned,
         body,
+        takesUp,
       });
     };
     const outgoing = request(
@@ -100,6 +114,7 @@
           'x-request-id': requestId,
           'x-api-key': key,
           'x-deadline-ms': String(DEADLINE_MS),
+          ...resumption,
         },
       },
       (incoming) => {
@@ -140,24 +155,22 @@
   const run = async (key: string): Promise<void> => {
     const agent = new Agent({ keepAlive: true, maxSockets: 1 });
     let address = pick(addresses);
+    let interrupted: { route: RequestedRoute; takesUp: TakenUpStream } | undefined;
     while (!isStopping) {
       const requestId = `r-${nextRequest}`;
       nextRequest += 1;
       const leavesAfterMs = random.next() < LEAVING_SHARE ? 40 : GIVE_UP_MS;
-      const attempt = await sendRequest(
-        address,
-        pick(routesAt(addresses.indexOf(address))),
-        requestId,
-        {
-          agent,
-          key,
-          leavesAfterMs,
-        },
-      );
+      const takesUp = interrupted?.takesUp;
+      const route = interrupted?.route ?? pick(routesAt(addresses.indexOf(address)));
+      const options = { agent, key, leavesAfterMs, takesUp };
+      const attempt = await sendRequest(address, route, requestId, options);
       attempts.push(attempt);
-      // The caller stays with an instance until the connection to it ends.
-      if (attempt.status === undefined || !attempt.isWhole) address = pick(addresses);
-      await rest();
+      const next = route.isResumable === true ? takenUpAfter(attempt) : undefined;
+      interrupted = next === undefined ? undefined : { route, takesUp: next };
+      // The caller stays with an instance until the connection to it ends, and may take a stream up anywhere.
+      const isCut = attempt.status === undefined || !attempt.isWhole;
+      if (isCut || interrupted !== undefined) address = pick(addresses);
+      if (interrupted === undefined) await rest();
     }
     agent.destroy();
   };
--- a/soak/configuration.ts
+++ b/soak/configuration.ts
@@ -5,6 +5,9 @@
 /** Path whose requests take long, so that several are in progress when something breaks; all of them are the same. */
 export const LONG_PATH = '/long/1';
 
+/** Start of the paths whose streams are sent to one server only, so that their callers take them up. */
+export const SOLO_PREFIX = '/solo/';
+
 /** Returns the start of the paths whose requests may run in one region only. */
 export function boundPrefix(region: string): string {
   return `/bound-to-${region}/`;
@@ -23,6 +26,14 @@
 const ROUTES = [
   ...TEST_CONFIGURATION.Routes,
   { ...SAFE_ROUTE, Name: 'long', Prefix: '/long/' },
+  {
+    ...SAFE_ROUTE,
+    Name: 'solo',
+    Prefix: SOLO_PREFIX,
+    Kind: 'streaming',
+    Resumable: true,
+    MaxAttempts: 1,
+  },
   ...REGIONS.map((region) => ({
     ...SAFE_ROUTE,
     Name: `bound-to-${region}`,
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -25,6 +25,8 @@
   | { readonly kind: 'storeBusy' | 'storeSilent' | 'storeRestored'; readonly forMs: number }
   | { readonly kind: 'forgetHistory' | 'changeRoutes' }
   | { readonly kind: 'replaceServer' | 'restartServer' | 'damageEntry'; readonly server: number }
+  /** Servers are replaced by such of the other software version, one after the other. */
+  | { readonly kind: 'rollout'; readonly servers: readonly number[]; readonly forMs: number }
   /** All servers fail if they reject more than a few requests within a second. */
   | { readonly kind: 'brittle'; readonly forMs: number }
   /** A server states its departure in answers, and announces it some time later. */
@@ -71,6 +73,7 @@
   'refuseAll',
   'cutLinks',
   'brittle',
+  'rollout',
 ] as const satisfies readonly FaultKind[];
 const MIN_FAULT_MS = 300;
 const MAX_FAULT_MS = 4_000;
@@ -134,6 +137,8 @@
       return { kind, server };
     case 'departure':
       return { kind, server, forMs };
+    case 'rollout':
+      return { kind, servers: [server, (server + 1) % servers], forMs };
     case 'refuse':
     case 'refuseAll':
       return { kind, server, pauseMs: PAUSES_MS[pickIndex(random, PAUSES_MS.length)] ?? 0, forMs };
@@ -245,6 +250,12 @@
     case 'damageEntry':
       servers.damageEntry(fault.server);
       return;
+    case 'rollout':
+      for (const server of fault.servers) {
+        await servers.changeVersion(server);
+        await sleep(fault.forMs / fault.servers.length);
+      }
+      return;
     case 'departure':
       servers.stateDeparture(fault.server);
       await sleep(fault.forMs);
--- a/soak/promises.ts
+++ b/soak/promises.ts
@@ -10,23 +10,34 @@
   return `answer to ${requestId}`;
 }
 
-/** Returns the text of one event of a stream. */
-export function eventText(requestId: string, eventId: number): string {
-  return `id: ${eventId}\ndata: ${requestId} ${eventId}\n\n`;
+/** Returns the text of one event of a stream, written by a server of a software version. */
+export function eventText(requestId: string, eventId: number, softwareVersion = 'v1'): string {
+  return `id: ${eventId}\ndata: ${requestId} ${eventId} of ${softwareVersion}\n\n`;
+}
+
+const VERSION_OF_EVENT = / of (\S+)(?=\n\n)/gu;
+
+/** Returns the software versions that wrote the complete events of a body. */
+export function versionsIn(body: string): readonly string[] {
+  return [...body.matchAll(VERSION_OF_EVENT)].map(([, version]) => version ?? '');
+}
+
+function withoutVersions(body: string): string {
+  return body.replace(VERSION_OF_EVENT, '');
 }
 
 /** Number of events of each stream. */
 export const EVENTS_PER_STREAM = 8;
 
-/** Returns the complete body of a stream. */
-export function streamBody(requestId: string): string {
-  return Array.from({ length: EVENTS_PER_STREAM }, (_, index) =>
-    eventText(requestId, index + 1),
+/** Returns the complete body of a stream after the event `lastEventId`. */
+export function streamBody(requestId: string, lastEventId = 0): string {
+  return Array.from({ length: EVENTS_PER_STREAM - lastEventId }, (_, index) =>
+    eventText(requestId, lastEventId + index + 1),
   ).join('');
 }
 
-function expectedBody({ requestId, kind }: CallerAttempt): string {
-  return kind === 'stream' ? streamBody(requestId) : plainBody(requestId);
+function expectedBody({ requestId, kind, takesUp }: CallerAttempt): string {
+  return kind === 'stream' ? streamBody(requestId, takesUp?.lastEventId) : plainBody(requestId);
 }
 
 /** Checks that a request ran for the account of its caller and for no other one. */
@@ -61,8 +72,10 @@
     note('refusedButRan', `${status} after ${serverIds.join(', ')}`);
   }
   if (status !== OK) return broken;
-  const expected = expectedBody(attempt);
-  const isRight = attempt.isWhole ? attempt.body === expected : expected.startsWith(attempt.body);
+  // Which versions wrote the events is checked over all tries of a caller.
+  const expected = withoutVersions(expectedBody(attempt));
+  const body = withoutVersions(attempt.body);
+  const isRight = attempt.isWhole ? body === expected : expected.startsWith(body);
   if (kind === 'stream' && !isRight) {
     note('corruptStream', JSON.stringify(attempt.body.slice(0, 200)));
   }
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -19,6 +19,7 @@
 import { checkLimits, readKnownSince } from './server-limits';
 import { checkStatements } from './server-statements';
 import { openSoakServers } from './servers';
+import { checkStreamVersions, tallyStreams } from './stream-versions';
 import type { BrokenPromise, CallerAttempt, SoakOptions, SoakReport } from './types';
 
 const SERVERS = 6;
@@ -118,6 +119,7 @@
       tallyCutOff(some, links.cuts, instances.callerAddress);
     const cutOff = tally(attempts);
     const boundCutOff = tally(attempts.filter(({ isBoundToRegion }) => isBoundToRegion));
+    const streams = tallyStreams(attempts, servers.versionCounts);
     const logs = readLogs(logFolder, options.instances);
     return {
       seed,
@@ -129,6 +131,7 @@
       refused: attempts.filter(({ status }) => status === 503 || status === 429).length,
       cutOff,
       boundCutOff,
+      streams,
       falls: brittleness.times.map(({ falls }) => falls),
       broken: [
         ...checkPromises(attempts, servers.runs),
@@ -140,6 +143,7 @@
         // With one instance in each region, there is no other one to serve them.
         ...(options.instances > REGIONS.length ? checkCutOff(boundCutOff) : []),
         ...checkFalls(brittleness.times, SERVERS),
+        ...checkStreamVersions(streams),
         ...checkSuspects(logs, servers.ends),
       ],
     };
--- a/soak/servers.ts
+++ b/soak/servers.ts
@@ -12,7 +12,7 @@
 import { domainOf } from '../platform/testing/process-settings';
 import { SERVER_SLOTS } from './brittleness';
 import type { Brittleness } from './brittleness';
-import { LONG_PATH } from './configuration';
+import { LONG_PATH, SOLO_PREFIX } from './configuration';
 import type { SoakLinks } from './links';
 import { EVENTS_PER_STREAM, eventText, plainBody } from './promises';
 import type {
@@ -21,6 +21,7 @@
   ServerEnd,
   ServerRun,
   ServerStatement,
+  VersionCounts,
 } from './types';
 
 /** Backend servers that announce themselves and record the requests that they run. */
@@ -34,6 +35,10 @@
   readonly count: number;
   /** Stops a server as planned, and starts another one with a new id in its place. */
   replace(index: number): Promise<void>;
+  /** Like `replace`, with a server of the other software version: one step of a rollout, or of a rollback. */
+  changeVersion(index: number): Promise<void>;
+  /** Servers of each software version that take requests, in order of time. */
+  readonly versionCounts: readonly VersionCounts[];
   /** Restarts a server under the same id, without its former state. */
   restartInPlace(index: number): Promise<void>;
   /** Overwrites the entry of a server with invalid bytes, until the server writes it again. */
@@ -57,6 +62,7 @@
   readonly startId: string;
   readonly serverId: string;
   readonly bornUnixMs: number;
+  readonly softwareVersion: string;
 }
 
 const MS_PER_S = 1_000;
@@ -66,6 +72,10 @@
 /** Shares of the requests that a server answers with a failure, and whose connection it resets. */
 const FAILING_SHARE = 0.05;
 const BREAKING_SHARE = 0.03;
+/** Share of the streams that their callers have to take up. */
+const BREAKING_SOLO_SHARE = 0.3;
+/** Software versions of the servers; half of them begin with each. */
+const VERSIONS = ['v1', 'v1.1'] as const;
 /** Time after which a server that fell is back, ms. */
 const DOWN_MS = 3_000;
 /** Time for which a leaving server continues to serve, ms: longer than the instances take to learn of it. */
@@ -73,7 +83,7 @@
 
 const requestIdOf = ({ headers }: ReceivedRequest): string => headers.get('x-request-id') ?? '';
 const isStream = ({ path }: ReceivedRequest) =>
-  path.startsWith('/plans') || path.startsWith('/chat');
+  path.startsWith('/plans') || path.startsWith('/chat') || path.startsWith(SOLO_PREFIX);
 
 /** Starts servers, and assigns them to the failure domains in turn. */
 export async function openSoakServers(
@@ -94,6 +104,8 @@
   const limitChanges: NamedLimitChange[] = [];
 
   const ends: ServerEnd[] = [];
+  const endedStarts = new Set<string>();
+  const versionCounts: VersionCounts[] = [];
   let onFall: (startId: string) => void = () => {};
   const arrivals: ServerArrival[] = [];
   const statements: ServerStatement[] = [];
@@ -131,11 +143,18 @@
     return wholeAnswer(request, plainBody(requestIdOf(request)));
   };
 
-  const createScript = (serverId: string, startId: string): ServerScript => {
+  const createScript = (
+    serverId: string,
+    startId: string,
+    softwareVersion: string,
+  ): ServerScript => {
     const streamTo: ServerScript = (request, socket) => {
       const requestId = requestIdOf(request);
       const first = Number(request.headers.get('last-event-id') ?? 0) + 1;
-      const breaksAt = random.next() < BREAKING_SHARE ? first + 3 : Infinity;
+      const breakingShare = request.path.startsWith(SOLO_PREFIX)
+        ? BREAKING_SOLO_SHARE
+        : BREAKING_SHARE;
+      const breaksAt = random.next() < breakingShare ? first + 3 : Infinity;
       let eventId = first;
       socket.write(withStatements(startId, streamHead(request)));
       const timer = setInterval(() => {
@@ -146,7 +165,7 @@
           if (!socket.destroyed) socket.write(chunkOf(''));
           return;
         }
-        socket.write(chunkOf(eventText(requestId, eventId)));
+        socket.write(chunkOf(eventText(requestId, eventId, softwareVersion)));
         eventId += 1;
       }, EVENT_GAP_MS);
     };
@@ -195,30 +214,50 @@
   };
 
   const announce = (index: number, more: object = {}): void => {
-    const { server, serverId, bornUnixMs } = running[index] ?? {};
+    const { server, serverId, bornUnixMs, softwareVersion } = running[index] ?? {};
     if (server === undefined) return;
-    const entry = { Zone: domainOf(index), born: bornUnixMs, Slots: SERVER_SLOTS, ...more };
+    const entry = {
+      Zone: domainOf(index),
+      born: bornUnixMs,
+      Slots: SERVER_SLOTS,
+      Version: softwareVersion,
+      ...more,
+    };
     store.put(`servers/${serverId}`, serverEntry(server.address, entry));
   };
 
-  const start = async (index: number, serverId: string): Promise<void> => {
+  /** Records how many servers of each version take requests now. */
+  const recordVersions = (): void => {
+    const counts = new Map<string, number>();
+    for (const { softwareVersion, startId } of running) {
+      if (endedStarts.has(startId)) continue;
+      counts.set(softwareVersion, (counts.get(softwareVersion) ?? 0) + 1);
+    }
+    versionCounts.push({ atMs: Date.now(), counts });
+  };
+
+  const start = async (index: number, serverId: string, softwareVersion: string): Promise<void> => {
     const bornUnixMs = Date.now();
     const startId = `${serverId}@${bornUnixMs}`;
-    const server = await openAnnouncedServer(createScript(serverId, startId));
+    const server = await openAnnouncedServer(createScript(serverId, startId, softwareVersion));
     running[index] = {
       server,
       links: await links.open(server.address),
       startId,
       serverId,
       bornUnixMs,
+      softwareVersion,
     };
     started.add(serverId);
     announce(index);
+    recordVersions();
   };
 
   /** Ends a server with its links, so that connections to it are reset and refused. */
   const end = async ({ server, startId, links: ownLinks }: RunningServer): Promise<void> => {
     ends.push({ server: startId, atMs: Date.now() });
+    endedStarts.add(startId);
+    recordVersions();
     await Promise.all([server[Symbol.asyncDispose](), ownLinks[Symbol.asyncDispose]()]);
   };
 
@@ -229,7 +268,11 @@
     if (fallen === undefined) return;
     const back = end(fallen)
       .then(() => sleep(DOWN_MS))
-      .then(() => (running[index] === fallen ? start(index, fallen.serverId) : undefined))
+      .then(() =>
+        running[index] === fallen
+          ? start(index, fallen.serverId, fallen.softwareVersion)
+          : undefined,
+      )
       .finally(() => leaving.delete(back));
     leaving.add(back);
   };
@@ -247,13 +290,25 @@
     await end(left);
   };
 
-  for (let index = 0; index < count; index += 1) await start(index, newId());
+  const replaceBy = async (index: number, softwareVersion: string): Promise<void> => {
+    const old = running[index];
+    if (old === undefined) return;
+    announce(index, { State: 'draining' });
+    const left = leave(old).finally(() => leaving.delete(left));
+    leaving.add(left);
+    await start(index, newId(), softwareVersion);
+  };
+
+  for (let index = 0; index < count; index += 1) {
+    await start(index, newId(), VERSIONS[index % VERSIONS.length] ?? VERSIONS[0]);
+  }
   return {
     runs,
     limitChanges,
     arrivals,
     statements,
     ends,
+    versionCounts,
     count,
     stateDeparture(index) {
       const { startId } = running[index] ?? {};
@@ -273,18 +328,17 @@
       limitChanges.push({ server: startId, atMs: Date.now(), perSecond });
     },
     async replace(index) {
-      const old = running[index];
-      if (old === undefined) return;
-      announce(index, { State: 'draining' });
-      const left = leave(old).finally(() => leaving.delete(left));
-      leaving.add(left);
-      await start(index, newId());
+      await replaceBy(index, running[index]?.softwareVersion ?? VERSIONS[0]);
+    },
+    async changeVersion(index) {
+      const next = running[index]?.softwareVersion === VERSIONS[0] ? VERSIONS[1] : VERSIONS[0];
+      await replaceBy(index, next);
     },
     async restartInPlace(index) {
       const old = running[index];
       if (old === undefined) return;
       await end(old);
-      await start(index, old.serverId);
+      await start(index, old.serverId, old.softwareVersion);
     },
     publishAgain() {
       running.forEach((_, index) => announce(index));
--- /dev/null
+++ b/soak/stream-versions.test.ts
@@ -0,0 +1,96 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { eventText } from './promises';
+import { checkStreamVersions, takenUpAfter, tallyStreams } from './stream-versions';
+import type { CallerAttempt, VersionCounts } from './types';
+
+const BOTH_SERVE: readonly VersionCounts[] = [
+  {
+    atMs: 0,
+    counts: new Map([
+      ['v1', 2],
+      ['v1.1', 2],
+    ]),
+  },
+];
+const AT_MS = 5_000;
+
+function begun(requestId: string, softwareVersion = 'v1'): CallerAttempt {
+  return {
+    requestId,
+    address: '127.0.0.1:1',
+    atMs: AT_MS,
+    kind: 'stream',
+    isBoundToRegion: false,
+    maxAttempts: 1,
+    key: 'k-farm',
+    status: 200,
+    isWhole: false,
+    isSigned: true,
+    body: eventText(requestId, 1, softwareVersion),
+  };
+}
+
+function takenUp(requestId: string, softwareVersion: string | undefined): CallerAttempt {
+  const again = `${requestId}-again`;
+  return {
+    ...begun(again),
+    takesUp: { firstRequestId: requestId, lastEventId: 1 },
+    status: softwareVersion === undefined ? 503 : 200,
+    body: softwareVersion === undefined ? '' : eventText(again, 2, softwareVersion),
+  };
+}
+
+const STREAMS = Array.from({ length: 12 }, (_unused, index) => `r-${index}`);
+const run = (second: (id: string, index: number) => CallerAttempt): readonly CallerAttempt[] => [
+  ...STREAMS.map((id) => begun(id)),
+  ...STREAMS.map(second),
+];
+const broken = (attempts: readonly CallerAttempt[], history = BOTH_SERVE) =>
+  checkStreamVersions(tallyStreams(attempts, history)).map(({ promise }) => promise);
+
+describe('the check of streams that callers take up', () => {
+  for (const { name, attempts, history, expected } of [
+    { name: 'all go on at their version', attempts: run((id) => takenUp(id, 'v1')), expected: [] },
+    {
+      name: 'two go on at another version',
+      attempts: run((id, index) => takenUp(id, index < 2 ? 'v1.1' : 'v1')),
+      expected: [],
+    },
+    {
+      name: 'three go on at another version',
+      attempts: run((id, index) => takenUp(id, index < 3 ? 'v1.1' : 'v1')),
+      expected: ['mixedVersions'],
+    },
+    {
+      name: 'most are refused although their version serves',
+      attempts: run((id, index) => takenUp(id, index < 5 ? 'v1' : undefined)),
+      expected: ['notTakenUp'],
+    },
+    {
+      name: 'all are refused after their version has been reduced to one server',
+      attempts: run((id) => takenUp(id, undefined)),
+      history: [...BOTH_SERVE, { atMs: AT_MS - 500, counts: new Map([['v1', 1]]) }],
+      expected: [],
+    },
+    {
+      name: 'one answer holds events of two versions, three times',
+      attempts: STREAMS.slice(0, 3).map((id) => ({
+        ...begun(id),
+        body: eventText(id, 1, 'v1') + eventText(id, 2, 'v1.1'),
+      })),
+      expected: ['mixedVersions'],
+    },
+  ]) {
+    it(`finds ${expected.length === 0 ? 'nothing' : expected.join(', ')} if ${name}`, () => {
+      assert.deepEqual(broken(attempts, history), expected);
+    });
+  }
+
+  it('names the first request of a stream over all tries', () => {
+    const second = { ...takenUp('r-1', 'v1'), isWhole: false };
+    assert.deepEqual(takenUpAfter(second), { firstRequestId: 'r-1', lastEventId: 2 });
+    assert.equal(takenUpAfter({ ...second, isWhole: true }), undefined);
+    assert.equal(takenUpAfter(takenUp('r-1', undefined)), undefined);
+  });
+});
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -1,6 +1,7 @@
 import type { RouteKind } from '../src/core/host-routes';
 import type { CutOffTally } from './cut-off';
 import type { FaultKind } from './faults';
+import type { StreamTally } from './stream-versions';
 
 /** One request of a caller, with its result. */
 export interface CallerAttempt {
@@ -21,6 +22,22 @@
   readonly isWhole: boolean;
   readonly isSigned: boolean;
   readonly body: string;
+  /** What of a stream the caller takes up; undefined for a request that begins its answer. */
+  readonly takesUp?: TakenUpStream | undefined;
+}
+
+/** The part of a stream that its caller has when it takes the stream up. */
+export interface TakenUpStream {
+  /** The request that brought its first event. */
+  readonly firstRequestId: string;
+  readonly lastEventId: number;
+}
+
+/** Number of servers of each software version that take requests, from a time on. */
+export interface VersionCounts {
+  /** Unix ms. */
+  readonly atMs: number;
+  readonly counts: ReadonlyMap<string, number>;
 }
 
 /** One run of a request at a backend server. */
@@ -103,7 +120,9 @@
     | 'sentInPause'
     | 'cutOffNotServed'
     | 'harmlessSuspected'
-    | 'fellTooOften';
+    | 'fellTooOften'
+    | 'mixedVersions'
+    | 'notTakenUp';
   readonly requestId: string;
   readonly detail: string;
 }
@@ -132,6 +151,8 @@
   readonly cutOff: CutOffTally;
   /** The same for requests that may run in one region only. */
   readonly boundCutOff: CutOffTally;
+  /** Streams that began, and that their callers took up. */
+  readonly streams: StreamTally;
   /** Falls in each time in which the servers were brittle. */
   readonly falls: readonly number[];
   readonly broken: readonly BrokenPromise[];
