Copy prompts only between servers of one software version

A prompt may be copied from the cache of another server; the memory that other software wrote may have another layout, and no server checks that. Change: a source of a copy must have the version of the server that copies. Result: the case 'is copied from nowhere to a free server of version v1.1' failed before and passes now; with one version nothing changes.

--- a/src/core/pass-through/create-router.test.ts
+++ b/src/core/pass-through/create-router.test.ts
@@ -4,7 +4,7 @@
 import type { RouteTable } from '../host-routes';
 import { createPeerLoads } from '../load-sharing';
 import { createServerSpeeds } from '../placement';
-import type { ServerSpeeds } from '../placement';
+import type { ModelDemand, ServerSpeeds } from '../placement';
 import { createServerRegistry } from '../server-registry';
 import { createRouter } from './create-router';
 import type { LinksToServers } from './create-router';
@@ -25,7 +25,7 @@
         coldStartMs: 0,
         coldRequestsPerSecond: 0,
         healthPath: '/health',
-        copyMsPerToken: undefined,
+        copyMsPerToken: 0.004,
         memoryTokens: undefined,
       },
     ],
@@ -75,12 +75,12 @@
     regionOf: (domain) => domain.split('-')[0],
     coldStartMs: () => 0,
   });
-  const announce = (serverId: string, failureDomain: string): void =>
+  const announce = (serverId: string, failureDomain: string, softwareVersion = 'v1'): void =>
     servers.put(
       {
         serverId,
         startedAtUnixMs: undefined,
-        softwareVersion: 'v1',
+        softwareVersion,
         service: CHAT,
         address: `${serverId}:1`,
         failureDomain,
@@ -116,8 +116,8 @@
     servers,
     pausedMs,
     announce,
-    choose: (tried = NOTHING_TRIED, more: Partial<RequestPlan> = {}) =>
-      router.choose(REQUEST, { ...PLAN, ...more }, tried, nowMs),
+    choose: (tried = NOTHING_TRIED, more: Partial<RequestPlan> = {}, request = REQUEST) =>
+      router.choose(request, { ...PLAN, ...more }, tried, nowMs),
     observe: (to: Parameters<typeof observeDestination>[1]) =>
       observeDestination({ clock, router, request: REQUEST, plan: PLAN }, to),
     advanceMs(ms: number) {
@@ -362,3 +362,33 @@
     );
   });
 });
+
+const LONG_DEMAND: ModelDemand = {
+  parts: [
+    { partId: 'shared', tokens: 6_300 },
+    { partId: 'own', tokens: 100 },
+  ],
+  promptTokens: 6_400,
+};
+
+describe('a prompt that a busy server has cached', () => {
+  // What two versions of a server's software write does not fit together, be it a stream or the memory of a prompt.
+  for (const { version, copied } of [
+    { version: 'v1', copied: 's-1' },
+    { version: 'v1.1', copied: undefined },
+  ]) {
+    it(`is copied ${copied ?? 'from nowhere'} to a free server of version ${version}`, () => {
+      const north = createNorthInstance([]);
+      north.announce('s-1', 'north-a', 'v1');
+      north.announce('s-2', 'north-a', version);
+      north.router.recordPrompt('s-1', LONG_DEMAND);
+      for (let open = 0; open < 64; open += 1) {
+        north.router.loads.recordSent('s-1', 6_400, 0);
+      }
+      const to = north.choose(NOTHING_TRIED, {}, { ...REQUEST, demand: LONG_DEMAND });
+      assert.equal(to.kind, 'server');
+      assert.equal(to.server.serverId, 's-2');
+      assert.equal(to.copyFrom?.serverId, copied);
+    });
+  }
+});
--- a/src/core/pass-through/local-servers.ts
+++ b/src/core/pass-through/local-servers.ts
@@ -303,7 +303,12 @@
     const ids = eligible.map((server) => server.incarnationId);
     const service = routes.current()?.table.services.get(plan.service);
     const copyMsPerToken = service?.copyMsPerToken;
-    const mayCopy = copyMsPerToken !== undefined;
+    const versions = new Map(
+      eligible.map(({ incarnationId, softwareVersion }) => [incarnationId, softwareVersion]),
+    );
+    // What two versions of the software keep in memory may differ in its layout, and a server does not check that.
+    const mayCopy = (sourceId: string, targetId: string): boolean =>
+      copyMsPerToken !== undefined && versions.get(sourceId) === versions.get(targetId);
     const planPrefill = createPrefillPlanner(prefixes, ids, request.demand ?? NO_DEMAND, mayCopy);
     const candidates = sampleCandidates(
       eligible,
--- a/src/core/placement/prefill-planner.test.ts
+++ b/src/core/placement/prefill-planner.test.ts
@@ -36,7 +36,7 @@
   it('is copied by a server that has not cached them', () => {
     const view = createPrefixCacheView();
     view.recordParts('s-1', ['a', 'b']);
-    const planFor = createPrefillPlanner(view, IDS, DEMAND, true);
+    const planFor = createPrefillPlanner(view, IDS, DEMAND, () => true);
     assert.deepEqual(planFor('s-2'), {
       uncachedTokens: 9_190,
       copyableTokens: 6_300,
@@ -54,17 +54,29 @@
       const view = createPrefixCacheView();
       view.recordParts('s-1', parts);
       const preferred = view.preferredServer(IDS, DEMAND) ?? '';
-      const plan = createPrefillPlanner(view, IDS, DEMAND, mayCopy)(preferred);
+      const plan = createPrefillPlanner(view, IDS, DEMAND, () => mayCopy)(preferred);
       assert.equal(plan.copyFrom, undefined);
     });
   }
 
+  // Memory that other software wrote may have another layout; the answer would be wrong without a sign of it.
+  it('is copied from the next best neighbour that it may be copied from', () => {
+    const view = createPrefixCacheView();
+    view.recordParts('s-1', ['a', 'b']);
+    view.recordParts('s-2', ['a']);
+    const isNotFirst = (source: string) => source !== 's-1';
+    const plan = createPrefillPlanner(view, IDS, DEMAND, isNotFirst)('s-3');
+    assert.equal(plan.copyFrom, 's-2');
+    assert.equal(plan.copyableTokens, 2_520);
+    assert.equal(createPrefillPlanner(view, IDS, DEMAND, () => false)('s-3').copyFrom, undefined);
+  });
+
   // An instance that has just started has no data on caches, although the servers have kept theirs.
   it('is copied from the server that all instances prefer if no cache is known', () => {
     const view = createPrefixCacheView();
     const preferred = view.preferredServer(IDS, DEMAND);
     const other = IDS.find((id) => id !== preferred) ?? '';
-    assert.equal(createPrefillPlanner(view, IDS, DEMAND, true)(other).copyFrom, preferred);
+    assert.equal(createPrefillPlanner(view, IDS, DEMAND, () => true)(other).copyFrom, preferred);
   });
 
   it('is processed by a free server instead of the busy server that has cached them', () => {
--- a/src/core/placement/prefill-planner.ts
+++ b/src/core/placement/prefill-planner.ts
@@ -35,13 +35,14 @@
  *
  * During a peak, the server that has cached the first parts of a long prompt, shared by many requests, is busy. Another
  * server would have to compute them again, which delays all its streams meanwhile; the same shared parts would be
- * computed on each server of a region in turn. Copying from another cache costs an eighth of computing.
+ * computed on each server of a region in turn. Copying from another cache costs an eighth of computing. `mayCopy` tells
+ * whether the second server may copy from the first.
  */
 export function createPrefillPlanner(
   view: PrefixCacheView,
   incarnationIds: readonly string[],
   demand: ModelDemand,
-  mayCopy: boolean,
+  mayCopy: (sourceId: string, targetId: string) => boolean,
 ): PrefillPlanner {
   const cachedByServer = new Map(incarnationIds.map((id) => [id, view.cachedTokens(id, demand)]));
   const isCacheUnknown = [...cachedByServer.values()].every((tokens) => tokens === 0);
@@ -52,9 +53,11 @@
   return (incarnationId) => {
     const cached = cachedByServer.get(incarnationId) ?? 0;
     const uncachedTokens = Math.max(0, demand.promptTokens - cached);
-    const [source, sourceTokens] = ranked.find(([id]) => id !== incarnationId) ?? [undefined, 0];
+    const [source, sourceTokens] = ranked.find(
+      ([id]) => id !== incarnationId && mayCopy(id, incarnationId),
+    ) ?? [undefined, 0];
     const copyableTokens = Math.min(uncachedTokens, sourceTokens - cached);
-    if (!mayCopy || source === undefined || copyableTokens < MIN_COPIED_TOKENS) {
+    if (source === undefined || copyableTokens < MIN_COPIED_TOKENS) {
       return { uncachedTokens, copyableTokens: 0, copyFrom: undefined };
     }
     return { uncachedTokens, copyableTokens, copyFrom: source };
