Log which stream a refused request takes up

Cause: a refusal of a request that takes a stream up could not be told from others, so that the reasons why streams do not go on could not be counted. Change: lines 4104 have the last event id, the id that the caller names and the version of the stream.

--- a/src/core/pass-through/request-log.ts
+++ b/src/core/pass-through/request-log.ts
@@ -163,6 +163,8 @@
         ...fields(),
         ...refusal,
         ...basisFields(basis),
+        ...resumptionFields(request, progress),
+        streamVersion: plan.streamVersion,
         priority: plan.priority,
         objectiveMs: plan.objectiveMs,
         promptTokens: request.demand?.promptTokens,
