Ask for versions where the published state is old, and tell from there

What callers would see: an instance that has lost the published state takes a stream up at the only version that it knows, although servers of a second one began it; and a stream that began there is not known elsewhere. Cause: 'there is one version' was believed once an instance had run for a minute, whether or not it still heard of new servers. Change: it is believed only if the published state has been followed for a minute; otherwise the holders are asked. An instance without the state tells of what it begins. A version that another instance tells of counts as one that serves. Result: the two new cases of stream-versions.test.ts failed before and pass now.

--- a/bench/stream-versions/main.ts
+++ b/bench/stream-versions/main.ts
@@ -52,6 +52,7 @@
       all: () => versions.map((softwareVersion) => ({ service: 'chat', softwareVersion })),
       changes: () => 0,
     },
+    followedSinceMs: () => 0,
     send,
   });
   instance.runDue();
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -153,6 +153,7 @@
     self: () => ({ ...self(), failureDomain }),
     peers: instances.possiblyAliveAnywhere,
     servers,
+    followedSinceMs: options.followedSinceMs,
     send: options.sendStatement,
   });
   options.metrics.gauge(
--- a/src/core/stream-versions/create-stream-versions.ts
+++ b/src/core/stream-versions/create-stream-versions.ts
@@ -6,7 +6,7 @@
 import { selectHolders } from './select-holders';
 import { streamKey } from './stream-key';
 import type { BegunStream, FoundVersion, StreamIdentity, VersionHolder } from './types';
-import { createVersionHistory } from './version-history';
+import { VERSION_RETENTION_MS, createVersionHistory } from './version-history';
 import type { VersionedServers } from './version-history';
 import { createVersionLedger } from './version-ledger';
 import type { LedgerEntry } from './version-ledger';
@@ -42,6 +42,8 @@
   /** Returns the other instances of all regions that may be alive. */
   readonly peers: () => readonly VersionHolder[];
   readonly servers: VersionedServers;
+  /** Monotonic time since which the published state has been followed without a gap; undefined while it is not. */
+  readonly followedSinceMs: () => number | undefined;
   readonly send: (address: string, text: string) => void;
 }
 
@@ -67,7 +69,9 @@
  * repeats the one before: a statement that was on its way then has arrived by now.
  */
 const ROUNDS_WITH_SEVERAL: readonly Reach[] = ['region', 'all', 'all'];
-/** Rounds if only one version is known, by an instance that has just started. */
+/** Rounds of an instance that knows one version, but has lost the published state. */
+const ROUNDS_WITHOUT_STATE: readonly Reach[] = ['region', 'all'];
+/** Rounds of an instance that knows one version, but not for long. */
 const ROUNDS_WITH_ONE: readonly Reach[] = ['region'];
 
 interface PendingRound {
@@ -83,7 +87,7 @@
   const { clock, logger, self } = options;
   const nowMs = () => clock.monotonicMs();
   const ledger = createVersionLedger();
-  const history = createVersionHistory(options.servers, nowMs());
+  const history = createVersionHistory(options.servers);
   /** Keys of streams that began here while their service had one version, so that nobody was told. */
   const untoldKeys = new Map<string, Set<string>>();
   const pending = new Map<string, PendingRound>();
@@ -135,6 +139,10 @@
 
   const hasSeveral = (service: string): boolean => history.recent(service, nowMs()).size > 1;
 
+  /** Returns whether no version can have served lately without being known here. */
+  const knowsAllVersions = (): boolean =>
+    nowMs() - (options.followedSinceMs() ?? Infinity) >= VERSION_RETENTION_MS;
+
   /** Tells of the streams that began here while their service had one version. */
   const tellUntold = (service: string): void => {
     const keys = untoldKeys.get(service) ?? new Set();
@@ -146,13 +154,15 @@
     tell(told);
   };
 
-  const receiveTold = ({ key, service, softwareVersion, ageMs, keepForMs }: ToldStream): void =>
+  const receiveTold = ({ key, service, softwareVersion, ageMs, keepForMs }: ToldStream): void => {
+    history.recordSeen(service, softwareVersion, nowMs());
     ledger.record(key, {
       service,
       softwareVersion,
       begunAtMs: nowMs() - ageMs,
       expiresAtMs: nowMs() + Math.min(MAX_KEEP_MS, keepForMs),
     });
+  };
 
   const answerAsk = (ask: Extract<StreamVersionMessage, { kind: 'streamVersionAsk' }>): void => {
     const entry = ledger.find(ask.key, nowMs());
@@ -214,8 +224,13 @@
     return { kind: 'known', service: entry.service, softwareVersion, source, ageMs };
   };
 
+  const roundsFor = (service: string): readonly Reach[] => {
+    if (hasSeveral(service)) return ROUNDS_WITH_SEVERAL;
+    return options.followedSinceMs() === undefined ? ROUNDS_WITHOUT_STATE : ROUNDS_WITH_ONE;
+  };
+
   const askOthers = (key: string, service: string, decide: (found: FoundVersion) => void): void => {
-    const rounds = hasSeveral(service) ? ROUNDS_WITH_SEVERAL : ROUNDS_WITH_ONE;
+    const rounds = roundsFor(service);
     const runRound = (index: number, isAnswered: boolean): void => {
       const reach = rounds[index];
       if (reach === undefined) {
@@ -243,7 +258,7 @@
     const key = streamKey(identity);
     const entry = ledger.find(key, nowMs());
     if (entry !== undefined) decide(toFound(entry, 'here'));
-    else if (!hasSeveral(service) && history.isComplete(nowMs())) decide({ kind: 'onlyVersion' });
+    else if (!hasSeveral(service) && knowsAllVersions()) decide({ kind: 'onlyVersion' });
     else askOthers(key, service, decide);
   };
 
@@ -284,7 +299,8 @@
       const expiresAtMs = Math.min(deadlineAtMs + EXTRA_KEEP_MS, begunAtMs + MAX_KEEP_MS);
       ledger.record(key, { service, softwareVersion, begunAtMs, expiresAtMs });
       // A service that has just got a second version is noticed by the next call of `runDue`, which tells of these.
-      if (!severalServices.has(service)) {
+      // An instance that lost the published state does not know whether there is a second one, and tells in any case.
+      if (!severalServices.has(service) && options.followedSinceMs() !== undefined) {
         untoldKeys.set(service, (untoldKeys.get(service) ?? new Set()).add(key));
         return;
       }
--- a/src/core/stream-versions/stream-versions.test.ts
+++ b/src/core/stream-versions/stream-versions.test.ts
@@ -26,6 +26,10 @@
   const logger = createMemoryLogger();
   const instances = new Map<string, StreamVersions>();
   const cutIds = new Set<string>();
+  /** Instances that lost the published state and know only the versions of before. */
+  const staleVersions = new Map<string, readonly string[]>();
+  /** Time since which each instance has followed the published state. */
+  const followedSinceMs = new Map<string, number>();
   let versions = initialVersions;
   let changes = 0;
   let messages = 0;
@@ -43,12 +47,19 @@
       self: () => self,
       peers: () => members.filter((member) => member !== self),
       servers: {
-        all: () => versions.map((softwareVersion) => ({ service: SERVICE, softwareVersion })),
+        all: () =>
+          (staleVersions.get(self.instanceId) ?? versions).map((softwareVersion) => ({
+            service: SERVICE,
+            softwareVersion,
+          })),
         changes: () => changes,
       },
+      followedSinceMs: () =>
+        staleVersions.has(self.instanceId) ? undefined : followedSinceMs.get(self.instanceId),
       send: (address, text) => deliver(self, address, text),
     });
     instances.set(self.instanceId, created);
+    followedSinceMs.set(self.instanceId, clock.monotonicMs());
     created.runDue();
   };
   members.forEach(start);
@@ -89,6 +100,8 @@
       if (self !== undefined) start(self);
     },
     cut: (instanceId: string) => cutIds.add(instanceId),
+    /** Has an instance lose the published state. */
+    loseState: (instanceId: string) => staleVersions.set(instanceId, versions),
     setVersions(next: readonly string[]) {
       versions = next;
       changes += 1;
@@ -154,6 +167,30 @@
     assert.equal(versionOf(fleet.find('n-1').found), 'v1');
   });
 
+  // An instance that has lost the published state still has servers of one version in its list, while others use a second.
+  it('is found by an instance that has not heard of the version', () => {
+    for (const id of ['n-1', 'n-2', 'n-3', 's-1', 's-2', 'e-1']) {
+      const fleet = createFleet(MEMBERS, ['v1']);
+      fleet.runFor(VERSION_RETENTION_MS);
+      fleet.loseState(id);
+      fleet.setVersions(['v1', 'v2']);
+      fleet.runFor(100);
+      const begunAt = id === 'n-1' ? 'n-2' : 'n-1';
+      fleet.begin(begunAt, STREAM, 'v2');
+      assert.equal(versionOf(fleet.find(id).found), 'v2', id);
+    }
+  });
+
+  it('is known elsewhere if it began at an instance that has not heard of the other version', () => {
+    const fleet = createFleet(MEMBERS, ['v1']);
+    fleet.runFor(VERSION_RETENTION_MS);
+    fleet.loseState('n-1');
+    fleet.setVersions(['v1', 'v2']);
+    fleet.begin('n-1');
+    fleet.restart('n-1');
+    for (const id of IDS) assert.equal(versionOf(fleet.find(id).found), 'v1', id);
+  });
+
   it('is found although instances that should hold it are gone', () => {
     const fleet = createFleet(MEMBERS, ['v1', 'v2']);
     fleet.begin('n-1');
--- a/src/core/stream-versions/version-history.ts
+++ b/src/core/stream-versions/version-history.ts
@@ -13,18 +13,15 @@
   recent(service: string, nowMs: number): ReadonlySet<string>;
   /** Returns the services that have several recent versions. */
   servicesWithSeveral(nowMs: number): ReadonlySet<string>;
-  /** Whether the history reaches back over the whole retention. */
-  isComplete(nowMs: number): boolean;
+  /** Records a version that another instance has seen serve; its servers may not be known here yet. */
+  recordSeen(service: string, softwareVersion: string, nowMs: number): void;
 }
 
 /** Time for which a version counts after its last server has gone, ms: longer than most streams take. */
 export const VERSION_RETENTION_MS = 60_000;
 
 /** Creates a history that begins now. */
-export function createVersionHistory(
-  servers: VersionedServers,
-  startedAtMs: number,
-): VersionHistory {
+export function createVersionHistory(servers: VersionedServers): VersionHistory {
   /** Time at which each version of a service was last seen, monotonic ms; Infinity while it serves. */
   const lastSeenMs = new Map<string, Map<string, number>>();
   let seenChanges = -1;
@@ -72,6 +69,10 @@
       refresh(nowMs);
       return new Set([...lastSeenMs.keys()].filter((service) => recent(service, nowMs).size > 1));
     },
-    isComplete: (nowMs) => nowMs - startedAtMs >= VERSION_RETENTION_MS,
+    recordSeen(service, softwareVersion, nowMs) {
+      refresh(nowMs);
+      const versions = versionsOf(service);
+      versions.set(softwareVersion, Math.max(versions.get(softwareVersion) ?? nowMs, nowMs));
+    },
   };
 }
