Number questions about versions apart from those of an earlier process

Cause: an instance that has restarted counted its questions from one again; a late answer to a question of before it ended could have been taken for the answer to another one, with the version of another stream. Change: numbers begin with the time, as those of leases do; two bounds of log lines have names of their own.

--- a/src/core/stream-versions/create-stream-versions.ts
+++ b/src/core/stream-versions/create-stream-versions.ts
@@ -57,6 +57,11 @@
 const SWEEP_INTERVAL_MS = 5_000;
 /** Time for which a view of the fleet is used, ms: shorter than the detection of a change takes. */
 const FLEET_VIEW_MS = 100;
+/** Maximum versions of a service, and characters of a value of a caller, in a log line. */
+const MAX_LOGGED_VERSIONS = 8;
+const MAX_LOGGED_CHARACTERS = 64;
+/** Numbers of questions that are reserved for each ms, so that they differ from those of an earlier process. */
+const ASKS_PER_MS = 1_000;
 /** Timeout for an answer of an instance of this region, ms: many times the network delay. */
 const REGION_TIMEOUT_MS = 40;
 /** Timeout for an answer of an instance of another region, ms: a round trip over the longest links. */
@@ -93,7 +98,8 @@
   const pending = new Map<string, PendingRound>();
   const takenUp = new Map<string, number>();
   let severalServices: ReadonlySet<string> = new Set();
-  let lastAskNumber = 0;
+  // An instance that has restarted must not take a late answer to a question of before for one of its own.
+  let lastAskNumber = clock.unixMs() * ASKS_PER_MS;
   let nextSweepAtMs = 0;
   let fleet: { readonly others: readonly VersionHolder[]; readonly untilMs: number } | undefined;
 
@@ -175,7 +181,10 @@
     });
   };
 
-  /** Asks instances; `decide` gets undefined once none of them knows the version, or after the timeout. */
+  /**
+   * Asks holders of a stream; `decide` gets undefined once all have answered that they don't know the version, or after
+   * the timeout.
+   */
   const askRound = (
     key: string,
     reach: Reach,
@@ -282,7 +291,7 @@
     const several = history.servicesWithSeveral(nowMs());
     for (const service of several) {
       if (severalServices.has(service)) continue;
-      const versions = [...history.recent(service, nowMs())].slice(0, MAX_STREAMS_TOLD);
+      const versions = [...history.recent(service, nowMs())].slice(0, MAX_LOGGED_VERSIONS);
       logger.event(STREAM_VERSION_EVENTS.several, { service, versions });
       tellUntold(service);
     }
@@ -314,7 +323,7 @@
         takenUp.set(how, (takenUp.get(how) ?? 0) + 1);
         logger.event(STREAM_VERSION_EVENTS.taken, {
           service,
-          resumedRequestId: identity?.requestId.slice(0, 64),
+          resumedRequestId: identity?.requestId.slice(0, MAX_LOGGED_CHARACTERS),
           ...found,
           searchedMs: Math.round(nowMs() - startedAtMs),
         });
