Let a stream that is bound to busy servers go on before new requests

What callers would see: where there is too little room, a stream that they take up is refused more often than a new one begins, although its version serves (LOST). Cause: it was held to the bounds on waits like a new request, which goes to the least busy of all servers, while it can go on only at those of its version. Change: where other versions serve as well, it is admitted if its first byte is predicted before its deadline. The case 'goes on there' of create-router.test.ts failed before.

--- a/bench/version-streams/main.ts
+++ b/bench/version-streams/main.ts
@@ -6,6 +6,7 @@
  */
 import { Agent } from 'node:http';
 import { mkdtempSync } from 'node:fs';
+import type { Socket } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import process from 'node:process';
@@ -27,13 +28,17 @@
   streamHead,
   wholeAnswer,
 } from '../../standins/announced-server';
-import type { ServerScript } from '../../standins/announced-server';
+import type { ReceivedRequest, ServerScript } from '../../standins/announced-server';
 import { openStoreStandIn, serverEntry } from '../../standins/published-store';
 import type { StoreStandIn } from '../../standins/published-store';
 
 const INSTANCES = 6;
 const SERVERS = 8;
 const SLOTS = 64;
+/** Slots of the row with too little room: eight servers finish half of what is asked of them. */
+const SCARCE_SLOTS = 2;
+/** Requests that wait at a server at most; it rejects more. */
+const MAX_WAITING = 4;
 const EVENT_GAP_MS = 125;
 const STREAM_GAP_MS = 25;
 const SECONDS = 8;
@@ -62,6 +67,7 @@
 interface Row {
   readonly name: string;
   readonly versions?: readonly string[];
+  readonly slots?: number;
   readonly breakingShare?: number;
   readonly leavingShare?: number;
   readonly where?: Where;
@@ -111,6 +117,12 @@
       servers.setTurningAway(undefined);
     },
   },
+  {
+    name: 'too little room, two of eight servers of one version',
+    versions: [OLD, OLD, OLD, NEW],
+    slots: SCARCE_SLOTS,
+    leavingShare: 0.4,
+  },
   { name: 'one version alone', versions: [NEW], breakingShare: 0.3, leavingShare: 0.4 },
 ];
 
@@ -120,49 +132,59 @@
   random: RandomSource,
   owned: ReturnType<typeof createDisposableStore>,
 ): Promise<Servers> {
-  const { versions = [OLD, NEW], breakingShare = 0 } = row;
+  const { versions = [OLD, NEW], breakingShare = 0, slots = SLOTS } = row;
   const running: { id: string; version: string; entry: object }[] = [];
   let nextId = 1;
   let turningAway: string | undefined;
 
-  const scriptOf =
-    (version: string): ServerScript =>
-    (request, socket) => {
-      if (request.path === '/health') {
-        socket.write(wholeAnswer(request, ''));
-        return;
-      }
-      if (turningAway === version) {
-        const refusal = wholeAnswer(request, '', { status: 503 });
-        socket.write(refusal.replace('\r\n', '\r\nX-Not-Executed: 1\r\n'));
-        return;
-      }
+  const scriptOf = (version: string): ServerScript => {
+    const waiting: (() => void)[] = [];
+    let open = 0;
+    const withLoad = (head: string) =>
+      head.replace('\r\n', `\r\nX-Server-Load: ${open},${waiting.length},${slots}\r\n`);
+    const release = (): void => {
+      open -= 1;
+      waiting.shift()?.();
+    };
+    const run = (request: ReceivedRequest, socket: Socket): void => {
       const requestId = request.headers.get('x-request-id') ?? '';
       let eventId = Number(request.headers.get('last-event-id') ?? 0) + 1;
       const breaks = eventId === 1 && random.next() < breakingShare;
       const breaksAt = breaks ? 3 + Math.floor(random.next() * 4) : Infinity;
-      socket.write(streamHead(request));
+      open += 1;
+      socket.write(withLoad(streamHead(request)));
       const timer = setInterval(() => {
         if (eventId >= breaksAt) socket.resetAndDestroy();
-        if (socket.destroyed) {
-          clearInterval(timer);
-          return;
-        }
-        if (eventId <= EVENTS_PER_STREAM) {
+        if (!socket.destroyed && eventId <= EVENTS_PER_STREAM) {
           socket.write(chunkOf(eventText(requestId, eventId, version)));
           eventId += 1;
           return;
         }
         clearInterval(timer);
-        socket.write(chunkOf(''));
+        release();
+        if (!socket.destroyed) socket.write(chunkOf(''));
       }, EVENT_GAP_MS);
     };
+    return (request, socket) => {
+      if (request.path === '/health') {
+        socket.write(wholeAnswer(request, ''));
+        return;
+      }
+      if (turningAway === version || waiting.length >= MAX_WAITING) {
+        const refusal = withLoad(wholeAnswer(request, '', { status: 503 }));
+        socket.write(refusal.replace('\r\n', '\r\nX-Not-Executed: 1\r\n'));
+        return;
+      }
+      if (open < slots) run(request, socket);
+      else waiting.push(() => run(request, socket));
+    };
+  };
 
   const start = async (version: string, index: number): Promise<void> => {
     const { address } = owned.add(await openAnnouncedServer(scriptOf(version)));
     const id = `server-${nextId}`;
     nextId += 1;
-    const entry = { Zone: domainOf(index), Slots: SLOTS, Version: version };
+    const entry = { Zone: domainOf(index), Slots: slots, Version: version };
     running.push({ id, version, entry: serverEntry(address, entry) });
     store.put(`servers/${id}`, serverEntry(address, entry));
   };
--- a/src/core/pass-through/create-router.test.ts
+++ b/src/core/pass-through/create-router.test.ts
@@ -392,3 +392,25 @@
     });
   }
 });
+
+describe('a stream that has begun, where the servers of its version are busy', () => {
+  // New requests find room at servers of the other version; refused like them, the rest of the stream would be lost.
+  for (const { name, other, streamVersion, expected } of [
+    { name: 'goes on there', other: 'v1.1', streamVersion: 'v1', expected: 's-1' },
+    { name: 'leaves the others to new requests', other: 'v1.1', expected: 's-2' },
+    { name: 'is refused if no other version serves', streamVersion: 'v1', expected: 'overloaded' },
+  ]) {
+    it(name, () => {
+      const north = createNorthInstance([]);
+      north.announce('s-1', 'north-a', 'v1');
+      if (other !== undefined) north.announce('s-2', 'north-a', other);
+      // Each of the 64 slots is taken, and as many requests wait.
+      for (let open = 0; open < 128; open += 1) north.router.loads.recordSent('s-1', 0, 0);
+      const to = north.choose(NOTHING_TRIED, { streamVersion });
+      assert.equal(
+        to.kind === 'server' ? to.server.serverId : to.kind === 'none' && to.reason,
+        expected,
+      );
+    });
+  }
+});
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -186,6 +186,11 @@
     return peer && { kind: 'peer', peer, isDetour: true };
   };
 
+  /** Returns whether a stream can go on only at some of the servers of this region that serve new requests. */
+  const isBoundToSome = ({ service, streamVersion }: RequestPlan): boolean =>
+    streamVersion !== undefined &&
+    servers.usable(service, region).some((server) => server.softwareVersion !== streamVersion);
+
   /** Returns whether no region has a server that will go on with a stream, so that a later retry would be in vain. */
   const isVersionGone = ({ service, streamVersion }: RequestPlan): boolean =>
     streamVersion !== undefined &&
@@ -233,7 +238,10 @@
     // unreachable is the best choice.
     const choice = best ?? unreachable;
     if (choice === undefined) return refuseWithoutServer(plan, restricted, nowMs);
-    if (!admission.admits(choice, plan, maxWaitMs, nowMs)) {
+    const isAdmitted = isBoundToSome(plan)
+      ? admission.admitsBound(choice, plan, nowMs)
+      : admission.admits(choice, plan, maxWaitMs, nowMs);
+    if (!isAdmitted) {
       return refuser.refuseTooSlow(plan, choice, maxWaitMs, nowMs);
     }
     const { server } = choice;
--- a/src/core/pass-through/local-admission.ts
+++ b/src/core/pass-through/local-admission.ts
@@ -25,6 +25,11 @@
    * bound by priority refuses no prompt for its size.
    */
   admits(choice: LocalChoice, plan: RequestPlan, maxWaitMs: number, nowMs: number): boolean;
+  /**
+   * Returns whether a stream that can only go on at some of the servers may be sent to one of them. It is not held to the
+   * bounds on waits, since new requests have all servers to go to, and what its caller has is lost without the rest.
+   */
+  admitsBound(choice: LocalChoice, plan: RequestPlan, nowMs: number): boolean;
 }
 
 /** Options of `createLocalAdmission`. */
@@ -67,6 +72,7 @@
     },
     maxWaitMs: (plan, nowMs) =>
       options.byPriority ? priorityAdmission.maxWaitMs(plan, nowMs) : plan.objectiveMs,
+    admitsBound: ({ predictedMs }, plan, nowMs) => predictedMs <= plan.deadlineAtMs - nowMs,
     admits(choice, plan, maxWaitMs, nowMs) {
       const { predictedMs, ownPrefillMs } = choice;
       const { objectiveMs } = plan;
