Log the prompt parts of requests that a crash cuts off, and how far their answers were

Change: lines 1503 state digests of the shared parts of the prompt (keyed, so that no content can be found from them) and the time since the first byte of the answer.

No logic was changed.

--- a/src/core/pass-through/crash-watch.ts
+++ b/src/core/pass-through/crash-watch.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../clock';
+import type { SuspectParts } from '../crash-causes';
 import type { Logger } from '../events';
 import { POISON_EVENTS } from '../poison';
 import type { PoisonGuard, WatchedTry } from '../poison';
@@ -26,16 +27,20 @@
 export interface CrashWatchedAttempt {
   /** The complete answer arrived. */
   answered(): void;
-  /** The connection was reset before the answer was complete. */
-  reset(): void;
+  /**
+   * The connection was reset before the answer was complete; `firstByteAtMs` is the time of the first byte of its body,
+   * monotonic ms, and undefined if there was none.
+   */
+  reset(firstByteAtMs: number | undefined): void;
   /** The attempt ended in a way that does not indicate a crash. */
   ended(): void;
 }
 
 /** Options of `createCrashWatch`. */
 export interface CrashWatchOptions {
-  readonly clock: Pick<Clock, 'unixMs'>;
+  readonly clock: Pick<Clock, 'unixMs' | 'monotonicMs'>;
   readonly logger: Logger;
+  readonly suspectParts: SuspectParts;
   readonly guard: Pick<PoisonGuard, 'verdict' | 'watch'>;
   readonly investigations: Pick<CrashInvestigations, 'begin'>;
   /** All regions of the deployment; used for requests without home regions. */
@@ -60,11 +65,18 @@
  * So after a reset it is first found out whether the server crashed.
  */
 export function createCrashWatch(options: CrashWatchOptions): CrashWatch {
-  const { clock, logger, guard, investigations, regions } = options;
+  const { clock, logger, suspectParts, guard, investigations, regions } = options;
 
-  const recordIfCrashed = (requestId: string, watched: WatchedTry, target: CrashTarget): void => {
+  const recordIfCrashed = (
+    { requestId, demand }: InboundRequest,
+    watched: WatchedTry,
+    target: CrashTarget,
+    firstByteAtMs: number | undefined,
+  ): void => {
     const { server, maxConnections } = target;
     const resetAtUnixMs = clock.unixMs();
+    const answeredForMs =
+      firstByteAtMs === undefined ? undefined : Math.round(clock.monotonicMs() - firstByteAtMs);
     investigations.begin(server, maxConnections, (verdict) => {
       const evidence = verdict.kind === 'crashed' ? verdict.evidence : undefined;
       logger.event(POISON_EVENTS.checked, {
@@ -73,6 +85,8 @@
         result: verdict.kind,
         evidence,
         afterMs: clock.unixMs() - resetAtUnixMs,
+        answeredForMs,
+        parts: suspectParts(demand),
       });
       if (verdict.kind === 'crashed') {
         watched.failed({ kind: 'lostAfterSending', cause: 'reset' }, resetAtUnixMs);
@@ -93,7 +107,7 @@
       const watched = guard.watch(guardedRequest, target.server.incarnationId, allowedRegions);
       return {
         answered: () => watched.answered(),
-        reset: () => recordIfCrashed(request.requestId, watched, target),
+        reset: (firstByteAtMs) => recordIfCrashed(request, watched, target, firstByteAtMs),
         ended: () => watched.abandoned(),
       };
     },
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -203,10 +203,11 @@
     else end.giveUp('serverFailed', undefined);
   };
 
-  const reportToCrashWatch = (result: AttemptResult): void => {
+  const reportToCrashWatch = (attempt: Attempt, result: AttemptResult): void => {
     if (result.kind === 'answered') crashWatchedAttempt?.answered();
-    else if (result.kind === 'lost' && result.wasReset) crashWatchedAttempt?.reset();
-    else crashWatchedAttempt?.ended();
+    else if (result.kind === 'lost' && result.wasReset) {
+      crashWatchedAttempt?.reset(attempt.firstByteAtMs());
+    } else crashWatchedAttempt?.ended();
     crashWatchedAttempt = undefined;
   };
 
@@ -219,7 +220,7 @@
   const onResult = (attempt: Attempt, result: AttemptResult): void => {
     current = undefined;
     releaseSlot(result.kind === 'rejected' && result.status === UNAVAILABLE_STATUS);
-    reportToCrashWatch(result);
+    reportToCrashWatch(attempt, result);
     firstByteAtMs ??= attempt.firstByteAtMs();
     attemptBudget.settle(serversUsed(attempt, result));
     switch (result.kind) {
--- a/src/core/poison/events.ts
+++ b/src/core/poison/events.ts
@@ -29,7 +29,8 @@
     name: 'crash-check-ended',
     level: 'info',
     text: 'It was found out whether a server crashed after it broke the connection of a request.',
-    action: 'None. The evidence says why it counts as crashed.',
+    action:
+      'None. The evidence says why it counts as crashed; the parts are digests of the prompt parts that other requests may share.',
   },
   learned: {
     id: 1504,
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -2,6 +2,7 @@
 import { createBrittleServers } from '../brittle-servers';
 import type { Clock } from '../clock';
 import type { PoisonOptions } from '../configuration';
+import { createSuspectParts } from '../crash-causes';
 import type { Logger } from '../events';
 import type { ConnectionPool } from '../exchanges';
 import type { Gossip } from '../gossip';
@@ -326,6 +327,7 @@
   const crashWatch = createCrashWatch({
     clock,
     logger,
+    suspectParts: createSuspectParts(options.peerSecret),
     guard,
     investigations,
     regions: () => [...new Set(Object.values(options.settings().regionOfDomain))],
