Refuse requests with a part of the prompt that crashes servers

Cause: crashes were counted by the whole request. Requests that share the part that crashes servers differ, so each was new, and none reached three crashes (hypothesis 1). Class: a ledger keyed by what was guilty last time, not by what the events have in common.

Change: at a crash, each instance tells the others the parts of its requests that the server had hardly begun to answer, with how common they are. A part counts as the cause if it was at more crashes than its share of the requests explains (log of the odds at least ln 2000) and no answer on it has been completed; crashes that a cause explains say little against the others there, nor against whole requests. Found causes are told to all regions, by gossip also to instances that start later, and an answer that is completed releases a part. An instance that knows of an answer says so when another one suspects the part.

Why it works: the part is in each crash and in no answer, while what stands beside it is in many answers or at few crashes.

--- /dev/null
+++ b/src/core/crash-causes/create-crash-causes.ts
@@ -0,0 +1,372 @@
+import { LRUCache } from 'lru-cache';
+import type { Clock } from '../clock';
+import type { Logger } from '../events';
+import type { Gossip, GossipEntry } from '../gossip';
+import { createCauseLedger, ANSWER_PROTECTS_MS } from './cause-ledger';
+import type { CauseLedger } from './cause-ledger';
+import { CRASH_CAUSE_EVENTS } from './events';
+import { parseConvictionPayload, serializeConvictionPayload } from './gossip-payload';
+import { parseCauseMessage, serializeCauseMessages } from './messages';
+import type { CauseStatement } from './messages';
+import { createPartHistory } from './part-history';
+import type { PartHistory } from './part-history';
+import type { SuspectParts } from './suspect-parts';
+import type { Conviction, CrashSighting, RequestWithParts } from './types';
+
+/** Knows the parts of prompts that crash servers, from the requests of this instance and what others tell. */
+export interface CrashCauses extends Disposable {
+  /** Returns why a request is refused; undefined if it is not. */
+  convictionOf(request: RequestWithParts): Conviction | undefined;
+  /** Records that a request is sent to a server. */
+  recordSent(request: RequestWithParts): void;
+  /** Records that a request was answered completely. */
+  recordAnswered(request: RequestWithParts): void;
+  /** Records that a server crashed while it had a request; `regions` are those that may be told of its parts. */
+  recordCrash(request: RequestWithParts, crash: RequestCrash, regions: readonly string[]): void;
+  /** Processes a message of another instance. Returns whether the text was a valid one. */
+  receive(text: string): boolean;
+  /** Number of parts for which requests are refused. */
+  count(): number;
+}
+
+/** The end of a server that had a request. */
+export interface RequestCrash {
+  readonly serverId: string;
+  readonly failureDomain: string;
+  /** Time at which the connection broke, monotonic ms. */
+  readonly atMs: number;
+  /** Time for which the answer had been arriving, ms; undefined if no byte of its body had come. */
+  readonly answeredForMs: number | undefined;
+}
+
+/** Options of {@link createCrashCauses}. */
+export interface CrashCausesOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly gossip: Gossip;
+  readonly instanceId: string;
+  readonly suspectParts: SuspectParts;
+  /** All regions of the deployment. */
+  readonly regions: () => readonly string[];
+  /** Sends a text to all other instances of some regions; it may get lost. */
+  readonly send: (regions: readonly string[], text: string) => void;
+  /** Called with a server whose crash has a known cause. */
+  readonly onExplained: (serverId: string) => void;
+  /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
+  readonly draw: () => number;
+}
+
+/** Time for which the requests that one crash cuts off are collected, ms: they are noticed one after the other. */
+const COLLECT_MS = 10;
+/** Time after a crash at which its causes are looked for, ms: by then, other instances have told what they know. */
+const SETTLE_MS = 150;
+/** Time for which an answer may have been arriving so that its request still may be the cause, ms. */
+const MAX_ANSWERED_MS = 250;
+/** Maximum delay before this instance states an answer on a part that another one suspects, ms. */
+const MAX_REPLY_DELAY_MS = 50;
+/** Time for which one statement on a part makes another one needless, ms. */
+const STATED_RECENTLY_MS = 1_000;
+const MAX_STATED_PARTS = 1_000;
+const GOSSIP_TOPIC = 'poisonFingerprints';
+const GOSSIP_KEY_PREFIX = 'part ';
+/** Time for which a withdrawn conviction is kept, ms, so that it replaces the conviction at all instances. */
+const GOSSIP_TTL_MS = 60_000;
+
+interface ServiceCauses {
+  readonly history: PartHistory;
+  readonly ledger: CauseLedger;
+  /** Time at which an answer or a conviction of a part was last stated, by any instance, monotonic ms. */
+  readonly statedAtMs: LRUCache<string, number>;
+}
+
+/** Requests of one server that a crash cut off, until they are reported. */
+interface CollectedCrash {
+  readonly service: string;
+  readonly regions: readonly string[];
+  readonly crash: RequestCrash;
+  readonly parts: Set<string>;
+  requests: number;
+}
+
+/** Creates a record without crashes that listens to the other instances until it is disposed of. */
+export function createCrashCauses(options: CrashCausesOptions): CrashCauses {
+  const { clock, logger, gossip, instanceId, suspectParts, regions, send, draw } = options;
+  const services = new Map<string, ServiceCauses>();
+  const collected = new Map<string, CollectedCrash>();
+  const timers = new Set<Disposable>();
+  let isDisposed = false;
+
+  const causesOf = (service: string): ServiceCauses => {
+    const known = services.get(service);
+    if (known !== undefined) return known;
+    const history = createPartHistory();
+    const added: ServiceCauses = {
+      history,
+      ledger: createCauseLedger(history),
+      statedAtMs: new LRUCache({ max: MAX_STATED_PARTS }),
+    };
+    services.set(service, added);
+    return added;
+  };
+
+  const schedule = (delayMs: number, task: () => void): void => {
+    if (isDisposed) return;
+    const timer = clock.schedule(clock.monotonicMs() + delayMs, () => {
+      timers.delete(timer);
+      task();
+    });
+    timers.add(timer);
+  };
+
+  const tell = (
+    service: string,
+    statement: CauseStatement,
+    to: readonly string[] = regions(),
+  ): void => {
+    // Reports of one instance on requests with different regions add up.
+    const from = statement.kind === 'crashed' ? `${instanceId} ${to.join()}` : instanceId;
+    const messages = serializeCauseMessages({ from, service, statement }, clock.monotonicMs());
+    for (const message of messages) send(to, message);
+  };
+
+  const logConviction = (
+    event: (typeof CRASH_CAUSE_EVENTS)['found' | 'learned'],
+    service: string,
+    { part, crashes, firstCrashAtMs, untilMs }: Conviction,
+    origin: string,
+  ): void => {
+    const nowMs = clock.monotonicMs();
+    const { history } = causesOf(service);
+    logger.event(event, {
+      service,
+      part,
+      crashes,
+      origin,
+      shareOfRequests: Number(history.shareOf(part, nowMs).toFixed(3)),
+      sinceFirstCrashMs: Math.round(nowMs - firstCrashAtMs),
+      refusedForMs: Math.round(untilMs - nowMs),
+    });
+  };
+
+  /** Convictions that this instance has spread by gossip, by part. */
+  const spreadByPart = new Map<string, { service: string; conviction: Conviction }>();
+
+  const putGossip = (service: string, conviction: Conviction): void => {
+    const toUnixMs = (atMs: number) => Math.round(clock.unixMs() + atMs - clock.monotonicMs());
+    const { part, crashes, firstCrashAtMs, untilMs } = conviction;
+    gossip.put({
+      topic: GOSSIP_TOPIC,
+      key: `${GOSSIP_KEY_PREFIX}${part}`,
+      regions: undefined,
+      expiresAtUnixMs: toUnixMs(untilMs) + GOSSIP_TTL_MS,
+      payload: serializeConvictionPayload({
+        service,
+        crashes,
+        firstCrashAtUnixMs: toUnixMs(firstCrashAtMs),
+        untilUnixMs: toUnixMs(untilMs),
+      }),
+    });
+  };
+
+  const spread = (service: string, conviction: Conviction): void => {
+    spreadByPart.set(conviction.part, { service, conviction });
+    putGossip(service, conviction);
+  };
+
+  /** Withdraws the convictions that no longer hold from gossip, so that instances that start do not learn of them. */
+  const withdrawReleased = (): void => {
+    const nowMs = clock.monotonicMs();
+    for (const [part, { service, conviction }] of spreadByPart) {
+      if (causesOf(service).ledger.convictionOf(part, nowMs) === undefined) {
+        spreadByPart.delete(part);
+        if (conviction.untilMs > nowMs) putGossip(service, { ...conviction, untilMs: nowMs });
+      }
+    }
+  };
+
+  const reportExplained = (ledger: CauseLedger): void => {
+    for (const serverId of ledger.takeExplained()) options.onExplained(serverId);
+  };
+
+  const findCauses = (service: string): void => {
+    const { ledger } = causesOf(service);
+    for (const conviction of ledger.findCauses(clock.monotonicMs())) {
+      logConviction(CRASH_CAUSE_EVENTS.found, service, conviction, instanceId);
+      tell(service, { kind: 'convicted', conviction });
+      spread(service, conviction);
+    }
+    withdrawReleased();
+    reportExplained(ledger);
+  };
+
+  const recordCrash = (service: string, sourceId: string, sighting: CrashSighting): void => {
+    causesOf(service).ledger.recordCrash(sourceId, sighting);
+    schedule(SETTLE_MS, () => findCauses(service));
+  };
+
+  const reportCollected = (key: string): void => {
+    const found = collected.get(key);
+    if (found === undefined) return;
+    collected.delete(key);
+    const { service, crash, parts, requests } = found;
+    const { history } = causesOf(service);
+    const nowMs = clock.monotonicMs();
+    // A part that was answered a moment ago is no suspect, here or elsewhere.
+    const suspects = [...parts].filter(
+      (part) => history.answeredAtMs(part) + ANSWER_PROTECTS_MS < crash.atMs,
+    );
+    const sighting: CrashSighting = {
+      serverId: crash.serverId,
+      failureDomain: crash.failureDomain,
+      atMs: crash.atMs,
+      requests,
+      parts: suspects.map((part) => ({ part, share: history.shareOf(part, nowMs) })),
+    };
+    recordCrash(service, `${instanceId} ${found.regions.join()}`, sighting);
+    tell(service, { kind: 'crashed', sighting }, found.regions);
+  };
+
+  const wasStatedRecently = ({ statedAtMs }: ServiceCauses, part: string): boolean =>
+    (statedAtMs.get(part) ?? -Infinity) + STATED_RECENTLY_MS > clock.monotonicMs();
+
+  /** States, unless another instance does so first, what speaks for or against a part that another one suspects. */
+  const replyOn = (service: string, part: string, crashAtMs: number): void => {
+    const causes = causesOf(service);
+    const { history, ledger, statedAtMs } = causes;
+    const isKnown = () =>
+      history.answeredAtMs(part) + ANSWER_PROTECTS_MS >= crashAtMs ||
+      ledger.convictionOf(part, clock.monotonicMs()) !== undefined;
+    if (!isKnown()) return;
+    schedule(draw() * MAX_REPLY_DELAY_MS, () => {
+      if (wasStatedRecently(causes, part) || !isKnown()) return;
+      const nowMs = clock.monotonicMs();
+      statedAtMs.set(part, nowMs);
+      const conviction = ledger.convictionOf(part, nowMs);
+      if (conviction !== undefined) tell(service, { kind: 'convicted', conviction });
+      else tell(service, { kind: 'answered', part, atMs: history.answeredAtMs(part) });
+    });
+  };
+
+  const recordAnswered = (service: string, part: string, atMs: number): void => {
+    if (!causesOf(service).ledger.recordAnswered(part, atMs)) return;
+    logger.event(CRASH_CAUSE_EVENTS.released, { service, part });
+    withdrawReleased();
+    tell(service, { kind: 'answered', part, atMs });
+  };
+
+  const adopt = (service: string, conviction: Conviction, origin: string): void => {
+    const { ledger, history } = causesOf(service);
+    const { part, firstCrashAtMs } = conviction;
+    if (ledger.adopt(conviction, clock.monotonicMs())) {
+      logConviction(CRASH_CAUSE_EVENTS.learned, service, conviction, origin);
+      withdrawReleased();
+      reportExplained(ledger);
+    } else if (history.answeredAtMs(part) > firstCrashAtMs) {
+      replyOn(service, part, firstCrashAtMs);
+    }
+  };
+
+  const receive = (from: string, service: string, statement: CauseStatement): void => {
+    switch (statement.kind) {
+      case 'crashed': {
+        const { sighting } = statement;
+        recordCrash(service, from, sighting);
+        for (const { part } of sighting.parts) replyOn(service, part, sighting.atMs);
+        return;
+      }
+      case 'answered':
+        causesOf(service).statedAtMs.set(statement.part, clock.monotonicMs());
+        recordAnswered(service, statement.part, statement.atMs);
+        return;
+      case 'convicted':
+        causesOf(service).statedAtMs.set(statement.conviction.part, clock.monotonicMs());
+        adopt(service, statement.conviction, from);
+        return;
+      default:
+        statement satisfies never;
+    }
+  };
+
+  const learnEntry = ({ key, origin, payload }: GossipEntry): void => {
+    const read = parseConvictionPayload(payload);
+    if (read === undefined) return;
+    const nowMs = clock.monotonicMs();
+    const { service, crashes, firstCrashAtUnixMs, untilUnixMs } = read;
+    const toMonotonicMs = (unixMs: number) => nowMs + unixMs - clock.unixMs();
+    const conviction: Conviction = {
+      part: key.slice(GOSSIP_KEY_PREFIX.length),
+      crashes,
+      firstCrashAtMs: toMonotonicMs(firstCrashAtUnixMs),
+      untilMs: toMonotonicMs(untilUnixMs),
+    };
+    adopt(service, conviction, origin);
+  };
+  const listening = gossip.onEntry(GOSSIP_TOPIC, learnEntry);
+
+  const partsOf = ({ demand }: RequestWithParts) => suspectParts(demand);
+
+  return {
+    convictionOf(request) {
+      const nowMs = clock.monotonicMs();
+      const convicting = [...services].filter(([, { ledger }]) => ledger.convictions(nowMs).length);
+      if (convicting.length === 0) return undefined;
+      const own = causesOf(request.service).history;
+      for (const part of partsOf(request)) {
+        for (const [service, { ledger }] of convicting) {
+          const conviction = ledger.convictionOf(part, nowMs);
+          // Routes move between services: a part counts for all of them but those that have answered on it.
+          const counts = service === request.service || own.answeredAtMs(part) === -Infinity;
+          if (conviction !== undefined && counts) return conviction;
+        }
+      }
+      return undefined;
+    },
+    recordSent(request) {
+      const parts = partsOf(request);
+      if (parts.length > 0) {
+        causesOf(request.service).history.recordSent(parts, clock.monotonicMs());
+      }
+    },
+    recordAnswered(request) {
+      const parts = partsOf(request);
+      if (parts.length === 0) return;
+      const nowMs = clock.monotonicMs();
+      causesOf(request.service).history.countAnswer(nowMs);
+      for (const part of parts) recordAnswered(request.service, part, nowMs);
+    },
+    recordCrash(request, crash, toldRegions) {
+      const { answeredForMs = 0 } = crash;
+      const parts = partsOf(request);
+      if (parts.length === 0 || answeredForMs > MAX_ANSWERED_MS) return;
+      const key = [request.service, crash.serverId, ...toldRegions].join('\n');
+      const known = collected.get(key);
+      const found = known ?? {
+        service: request.service,
+        regions: toldRegions,
+        crash,
+        parts: new Set<string>(),
+        requests: 0,
+      };
+      found.requests += 1;
+      for (const part of parts) found.parts.add(part);
+      if (known !== undefined) return;
+      collected.set(key, found);
+      schedule(COLLECT_MS, () => reportCollected(key));
+    },
+    receive(text) {
+      const message = parseCauseMessage(text, clock.monotonicMs());
+      if (message !== undefined) receive(message.from, message.service, message.statement);
+      return message !== undefined;
+    },
+    count: () =>
+      [...services.values()].reduce(
+        (sum, { ledger }) => sum + ledger.convictions(clock.monotonicMs()).length,
+        0,
+      ),
+    [Symbol.dispose]() {
+      isDisposed = true;
+      listening[Symbol.dispose]();
+      for (const timer of timers) timer[Symbol.dispose]();
+    },
+  };
+}
--- a/src/core/events/catalogue.ts
+++ b/src/core/events/catalogue.ts
@@ -5,6 +5,7 @@
 import { CALLER_LIMIT_EVENTS } from '../caller-limits/events';
 import { CONFIGURATION_EVENTS } from '../configuration/events';
 import { CONFIGURATION_SYNC_EVENTS } from '../configuration-sync/events';
+import { CRASH_CAUSE_EVENTS } from '../crash-causes/events';
 import { DRAINING_EVENTS } from '../draining/events';
 import { ENGINE_ORDER_EVENTS } from '../engine-orders/events';
 import { HTTP_EDGE_EVENTS } from '../http-edge/events';
@@ -69,6 +70,7 @@
   REACHABILITY_EVENTS,
   BRITTLE_SERVER_EVENTS,
   STREAM_VERSION_EVENTS,
+  CRASH_CAUSE_EVENTS,
 ]
   .flatMap((events): EventDefinition[] => Object.values(events))
   .sort((left, right) => left.id - right.id);
--- a/src/core/pass-through/crash-watch.ts
+++ b/src/core/pass-through/crash-watch.ts
@@ -1,16 +1,17 @@
 import type { Clock } from '../clock';
-import type { SuspectParts } from '../crash-causes';
+import { CRASH_CAUSE_EVENTS } from '../crash-causes';
+import type { CrashCauses, RequestCrash, RequestWithParts, SuspectParts } from '../crash-causes';
 import type { Logger } from '../events';
 import { POISON_EVENTS } from '../poison';
-import type { PoisonGuard, WatchedTry } from '../poison';
+import type { PoisonGuard } from '../poison';
 import type { KnownServer } from '../server-registry';
 import type { CrashInvestigations } from './investigate-crash';
 import type { InboundRequest, RequestPlan } from './types';
 
 /** Detects requests that crash each server that runs them, from the results of their attempts. */
 export interface CrashWatch {
-  /** Returns the time until which the request is refused, Unix ms; undefined if it is not refused. */
-  refusedUntilUnixMs(request: InboundRequest, plan: RequestPlan): number | undefined;
+  /** Returns for how long the request will be refused, ms; undefined if it is not refused. */
+  refusedForMs(request: InboundRequest, plan: RequestPlan): number | undefined;
   /** Watches one attempt at a server. */
   watch(request: InboundRequest, plan: RequestPlan, target: CrashTarget): CrashWatchedAttempt;
 }
@@ -25,8 +26,8 @@
 
 /** A watched attempt that is in progress. */
 export interface CrashWatchedAttempt {
-  /** The complete answer arrived. */
-  answered(): void;
+  /** The complete answer arrived, with this status. */
+  answered(status: number): void;
   /**
    * The connection was reset before the answer was complete; `firstByteAtMs` is the time of the first byte of its body,
    * monotonic ms, and undefined if there was none.
@@ -42,6 +43,10 @@
   readonly logger: Logger;
   readonly suspectParts: SuspectParts;
   readonly guard: Pick<PoisonGuard, 'verdict' | 'watch'>;
+  readonly causes: Pick<
+    CrashCauses,
+    'convictionOf' | 'recordSent' | 'recordAnswered' | 'recordCrash'
+  >;
   readonly investigations: Pick<CrashInvestigations, 'begin'>;
   /** All regions of the deployment; used for requests without home regions. */
   readonly regions: () => readonly string[];
@@ -57,26 +62,35 @@
   return { requestId, attempt, service: { name: service }, caller, method, path, body };
 }
 
+function toRequestWithParts(
+  { demand }: InboundRequest,
+  { service }: RequestPlan,
+): RequestWithParts {
+  return { service, demand };
+}
+
+const isSuccess = (status: number): boolean => status >= 200 && status < 300;
+
 /**
- * Creates a crash watch that reports to the poison guard.
+ * Creates a crash watch that reports to the poison guard and to the record of crash causes.
  *
  * A reset connection does not prove a crash: some servers lose single answers, and the links of this
  * instance may be cut. Counting those as crashes would refuse harmless requests that many callers send.
  * So after a reset it is first found out whether the server crashed.
  */
 export function createCrashWatch(options: CrashWatchOptions): CrashWatch {
-  const { clock, logger, suspectParts, guard, investigations, regions } = options;
+  const { clock, logger, suspectParts, guard, causes, investigations, regions } = options;
 
   const recordIfCrashed = (
     { requestId, demand }: InboundRequest,
-    watched: WatchedTry,
-    target: CrashTarget,
+    { server, maxConnections }: CrashTarget,
     firstByteAtMs: number | undefined,
+    onVerdict: (crash: RequestCrash | undefined, resetAtUnixMs: number) => void,
   ): void => {
-    const { server, maxConnections } = target;
     const resetAtUnixMs = clock.unixMs();
+    const resetAtMs = clock.monotonicMs();
     const answeredForMs =
-      firstByteAtMs === undefined ? undefined : Math.round(clock.monotonicMs() - firstByteAtMs);
+      firstByteAtMs === undefined ? undefined : Math.round(resetAtMs - firstByteAtMs);
     investigations.begin(server, maxConnections, (verdict) => {
       const evidence = verdict.kind === 'crashed' ? verdict.evidence : undefined;
       logger.event(POISON_EVENTS.checked, {
@@ -88,26 +102,44 @@
         answeredForMs,
         parts: suspectParts(demand),
       });
-      if (verdict.kind === 'crashed') {
-        watched.failed({ kind: 'lostAfterSending', cause: 'reset' }, resetAtUnixMs);
-      } else {
-        watched.abandoned();
-      }
+      const { incarnationId: serverId, failureDomain } = server;
+      const crash = { serverId, failureDomain, atMs: resetAtMs, answeredForMs };
+      onVerdict(verdict.kind === 'crashed' ? crash : undefined, resetAtUnixMs);
     });
   };
 
   return {
-    refusedUntilUnixMs(request, plan) {
+    refusedForMs(request, plan) {
+      const conviction = causes.convictionOf(toRequestWithParts(request, plan));
+      if (conviction !== undefined) {
+        const { part, untilMs } = conviction;
+        logger.event(CRASH_CAUSE_EVENTS.refused, { requestId: request.requestId, part });
+        return untilMs - clock.monotonicMs();
+      }
       const verdict = guard.verdict(toGuardedRequest(request, plan, 0));
-      return verdict.kind === 'refused' ? verdict.untilUnixMs : undefined;
+      return verdict.kind === 'refused' ? verdict.untilUnixMs - clock.unixMs() : undefined;
     },
     watch(request, plan, target) {
       const allowedRegions = plan.homeRegions.length === 0 ? regions() : plan.homeRegions;
       const guardedRequest = toGuardedRequest(request, plan, target.attempt);
       const watched = guard.watch(guardedRequest, target.server.incarnationId, allowedRegions);
+      const withParts = toRequestWithParts(request, plan);
+      causes.recordSent(withParts);
       return {
-        answered: () => watched.answered(),
-        reset: (firstByteAtMs) => recordIfCrashed(request, watched, target, firstByteAtMs),
+        answered(status) {
+          watched.answered();
+          if (isSuccess(status)) causes.recordAnswered(withParts);
+        },
+        reset(firstByteAtMs) {
+          recordIfCrashed(request, target, firstByteAtMs, (crash, resetAtUnixMs) => {
+            if (crash === undefined) {
+              watched.abandoned();
+              return;
+            }
+            watched.failed({ kind: 'lostAfterSending', cause: 'reset' }, resetAtUnixMs);
+            causes.recordCrash(withParts, crash, allowedRegions);
+          });
+        },
         ended: () => watched.abandoned(),
       };
     },
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -204,7 +204,7 @@
   };
 
   const reportToCrashWatch = (attempt: Attempt, result: AttemptResult): void => {
-    if (result.kind === 'answered') crashWatchedAttempt?.answered();
+    if (result.kind === 'answered') crashWatchedAttempt?.answered(result.status);
     else if (result.kind === 'lost' && result.wasReset) {
       crashWatchedAttempt?.reset(attempt.firstByteAtMs());
     } else crashWatchedAttempt?.ended();
@@ -297,9 +297,9 @@
   };
 
   function tryNext(): void {
-    const refusedUntilUnixMs = dependencies.crashWatch.refusedUntilUnixMs(request, plan);
-    if (refusedUntilUnixMs !== undefined) {
-      end.giveUp('suspectedOfCrashes', refusedUntilUnixMs - clock.unixMs());
+    const refusedForMs = dependencies.crashWatch.refusedForMs(request, plan);
+    if (refusedForMs !== undefined) {
+      end.giveUp('suspectedOfCrashes', refusedForMs);
       return;
     }
     const to = router.choose(request, planOfNext(), tried, clock.monotonicMs());
--- a/src/core/poison/crash-ledger.ts
+++ b/src/core/poison/crash-ledger.ts
@@ -19,6 +19,8 @@
   note(fingerprint: string, mark: CrashMark): void;
   /** The request was answered at `atUnixMs`; crashes up to then say nothing against it. */
   clear(fingerprint: string, atUnixMs: number): void;
+  /** The crash of a server has another cause; it says nothing against the requests that were there. */
+  excuse(serverId: string): void;
   marksOf(fingerprint: string): readonly CrashMark[];
   verdict(fingerprint: string, nowUnixMs: number): PoisonVerdict;
 }
@@ -27,6 +29,8 @@
 const MOST_FINGERPRINTS = 10_000;
 /** Crashes on record per request; enough for the refusal to reach its longest time. */
 const MOST_MARKS = 8;
+/** Crashes with another cause on record. */
+const MOST_EXCUSED = 1_000;
 /** Copies of a request that one crash cut off are found out one by one, within this time. */
 const SAME_CRASH_MS = 2_000;
 
@@ -54,6 +58,7 @@
 /** An empty ledger. `options` is asked each time, so that a new version applies at once. */
 export function createCrashLedger(options: () => PoisonOptions): CrashLedger {
   const records = new Map<string, FingerprintRecord>();
+  const excusedServerIds = new Set<string>();
   const recordOf = (fingerprint: string) => records.get(fingerprint) ?? EMPTY_RECORD;
 
   const termMs = (crashes: number): number => {
@@ -89,7 +94,7 @@
     },
     note(fingerprint, mark) {
       const { marks, clearedAtUnixMs } = recordOf(fingerprint);
-      if (mark.atUnixMs <= clearedAtUnixMs) return;
+      if (mark.atUnixMs <= clearedAtUnixMs || excusedServerIds.has(mark.serverId)) return;
       put(fingerprint, { marks: merge(marks, mark), clearedAtUnixMs });
     },
     // The time is kept: statements about crashes that another instance made before may still arrive.
@@ -100,6 +105,20 @@
         clearedAtUnixMs: Math.max(clearedAtUnixMs, atUnixMs),
       });
     },
+    excuse(serverId) {
+      excusedServerIds.add(serverId);
+      const [oldest] = excusedServerIds;
+      if (excusedServerIds.size > MOST_EXCUSED && oldest !== undefined) {
+        excusedServerIds.delete(oldest);
+      }
+      for (const [fingerprint, { marks, clearedAtUnixMs }] of records) {
+        const left = marks.filter((mark) => mark.serverId !== serverId);
+        if (left.length === 0 && clearedAtUnixMs === 0) records.delete(fingerprint);
+        else if (left.length < marks.length) {
+          records.set(fingerprint, { marks: left, clearedAtUnixMs });
+        }
+      }
+    },
     marksOf: (fingerprint) => recordOf(fingerprint).marks,
     verdict(fingerprint, nowUnixMs) {
       dropOldest(nowUnixMs);
--- a/src/core/poison/poison-guard.ts
+++ b/src/core/poison/poison-guard.ts
@@ -38,6 +38,8 @@
   serversToAvoid(request: GuardedRequest): readonly string[];
   /** Watches one try; `regions` are those in which its fingerprint may be told. */
   watch(request: GuardedRequest, serverId: string, regions: readonly string[]): WatchedTry;
+  /** The crash of a server has another cause; it says nothing against the requests that were there. */
+  excuse(serverId: string): void;
   /** Processes a message of another instance. Returns whether the text was a valid one. */
   receive(text: string): boolean;
 }
@@ -216,6 +218,7 @@
         },
       };
     },
+    excuse: ledger.excuse,
     receive(text) {
       const message = parseCrashMessage(text, clock.unixMs());
       message?.statements.forEach(({ fingerprint, statement }) =>
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -2,7 +2,7 @@
 import { createBrittleServers } from '../brittle-servers';
 import type { Clock } from '../clock';
 import type { PoisonOptions } from '../configuration';
-import { createSuspectParts } from '../crash-causes';
+import { createCrashCauses, createSuspectParts } from '../crash-causes';
 import type { Logger } from '../events';
 import type { ConnectionPool } from '../exchanges';
 import type { Gossip } from '../gossip';
@@ -299,6 +299,12 @@
     'Client accounts that get less than they ask for, added over scarce services',
     () => accountShares.overShareCount(clock.monotonicMs()),
   );
+  const regions = () => [...new Set(Object.values(options.settings().regionOfDomain))];
+  const sendToRegions = (toRegions: readonly string[], text: string): void => {
+    for (const peer of instances.possiblyAliveAnywhere()) {
+      if (toRegions.includes(peer.region)) options.sendStatement(peer.address, text);
+    }
+  };
   const guard = owned.add(
     createPoisonGuard({
       clock,
@@ -306,16 +312,28 @@
       gossip,
       key: fingerprintKey(options.peerSecret),
       options: () => POISON_OPTIONS,
-      direct: {
-        instanceId,
-        send(regions, text) {
-          for (const peer of instances.possiblyAliveAnywhere()) {
-            if (regions.includes(peer.region)) options.sendStatement(peer.address, text);
-          }
-        },
-      },
+      direct: { instanceId, send: sendToRegions },
+    }),
+  );
+  const suspectParts = createSuspectParts(options.peerSecret);
+  const causes = owned.add(
+    createCrashCauses({
+      clock,
+      logger,
+      gossip,
+      instanceId,
+      suspectParts,
+      regions,
+      send: sendToRegions,
+      onExplained: guard.excuse,
+      draw: () => random.next(),
     }),
   );
+  options.metrics.gauge(
+    'coltsfootworks_crashing_prompt_parts',
+    'Parts of prompts for which requests are refused, since servers crash on them',
+    causes.count,
+  );
   const investigations = createCrashInvestigations({
     clock,
     region,
@@ -327,10 +345,11 @@
   const crashWatch = createCrashWatch({
     clock,
     logger,
-    suspectParts: createSuspectParts(options.peerSecret),
+    suspectParts,
     guard,
+    causes,
     investigations,
-    regions: () => [...new Set(Object.values(options.settings().regionOfDomain))],
+    regions,
   });
   function checkHealth(incarnationId: string, over?: CheckConnection): void {
     const server = servers.all().find((known) => known.incarnationId === incarnationId);
@@ -362,6 +381,7 @@
       limits.receive(text) ||
       notices.receive(text) ||
       guard.receive(text) ||
+      causes.receive(text) ||
       brittle.receive(text) ||
       cutInstances.receive(text) ||
       accountShares.receive(text, clock.monotonicMs()),
