Check for a crash where a server ends its connection within an event

Callers saw: one server after the other end under a request whose answers break off within an event, if the answer's end is that of its connection, which a crash can close instead of resetting it.

Cause: only a reset was looked into; a stream that ends within an event was lost without a question why.

Change: such an end is followed by the same check of the server as a reset.

--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -58,8 +58,8 @@
   | {
       readonly kind: 'lost';
       readonly reason: string;
-      /** Whether the connection was reset, as happens when a server crashes. */
-      readonly wasReset: boolean;
+      /** Whether the server broke the answer off, as happens when it crashes. */
+      readonly wasBrokenOff: boolean;
     };
 
 /** An attempt in progress. */
@@ -223,7 +223,7 @@
     }
     if (answer.headSent) {
       // A resumed stream got an answer that is no event stream; nothing of it may reach the caller.
-      decide({ kind: 'lost', reason: 'the stream could not be resumed', wasReset: false });
+      decide({ kind: 'lost', reason: 'the stream could not be resumed', wasBrokenOff: false });
       return;
     }
     recordFirstByte();
@@ -275,7 +275,7 @@
         decide(rejection(head));
         return;
       case 'wrong':
-        decide({ kind: 'lost', reason: classification.reason, wasReset: false });
+        decide({ kind: 'lost', reason: classification.reason, wasBrokenOff: false });
         return;
       case 'ran':
         observer.recordTaken(true);
@@ -310,7 +310,7 @@
     }
     const problem = reader?.finish();
     if (problem === undefined) report({ kind: 'answered', status }, 'answered');
-    else report({ kind: 'lost', reason: problem, wasReset: false }, 'failed');
+    else report({ kind: 'lost', reason: problem, wasBrokenOff: true }, 'failed');
   };
 
   const onEnd = (end: ExchangeEnd): void => {
@@ -334,7 +334,7 @@
         if (to.kind === 'server' && end.cause === 'reset') options.warmCheck.markSuspect(to.server);
         // A timeout shows nothing about the server, unless the server was silent to all requests.
         report(
-          { kind: 'lost', reason: end.reason, wasReset: end.cause === 'reset' },
+          { kind: 'lost', reason: end.reason, wasBrokenOff: end.cause === 'reset' },
           end.cause === 'timeout' && !observer.isSilent() ? 'inconclusive' : 'failed',
         );
         return;
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -205,7 +205,7 @@
 
   const reportToCrashWatch = (attempt: Attempt, result: AttemptResult): void => {
     if (result.kind === 'answered') crashWatchedAttempt?.answered(result.status);
-    else if (result.kind === 'lost' && result.wasReset) {
+    else if (result.kind === 'lost' && result.wasBrokenOff) {
       crashWatchedAttempt?.reset(attempt.firstByteAtMs());
     } else crashWatchedAttempt?.ended();
     crashWatchedAttempt = undefined;
