Close a connection with the answer that it ends

Callers saw: harmless requests refused as suspects of crashes (503) after a server that runs had closed three streams within an event.

Cause: a connection whose end is the end of its answer counted as idle until its close event came, so what was sent in between, such as the check whether the server crashed, went out on an ended connection and was lost: the server seemed not to answer.

Change: the connection is closed before its exchange ends.

--- a/src/core/exchanges/connection.ts
+++ b/src/core/exchanges/connection.ts
@@ -165,7 +165,8 @@
       ended = true;
       isIdle = true;
       idleSinceMs = nowMs();
-      if (end.kind !== 'whole') close();
+      // The other side has ended the connection with the answer; a request sent on it now would be lost.
+      if (end.kind !== 'whole' || endsOnClose) close();
       listener.onEnd(end);
     };
 
