Reset the connection of a caller without chunks if its answer is broken off

Callers saw (HTTP/1.0): a part of a stream, then a connection that is closed in good order, which there is the end of an answer.

Cause: an answer that is broken off was always ended by closing the connection, which says "incomplete" only where the answer has a length or chunks.

Change: where it has neither, the connection is reset.

Result: the new case of answers-ended-by-connection.test.ts passes; before, no reset came.

--- a/src/core/pass-through/client-answer.ts
+++ b/src/core/pass-through/client-answer.ts
@@ -23,6 +23,7 @@
   const { response, isLeaving, isForPeer } = options;
   let attempts = 0;
   let streamVersion: string | undefined;
+  let hasLength = false;
   const leavingHeaders = (): HeaderMap => (isLeaving() ? { connection: 'close' } : {});
   const attemptHeaders = (): HeaderMap =>
     isForPeer ? { [ATTEMPTS_HEADER]: String(attempts) } : {};
@@ -54,6 +55,7 @@
       streamVersion = softwareVersion;
     },
     sendHead(status, headers) {
+      hasLength = headers['content-length'] !== undefined;
       response.writeHead(status, {
         ...headers,
         ...leavingHeaders(),
@@ -64,10 +66,11 @@
     sendData: (chunk) => response.write(chunk),
     end: () => response.end(),
     closeIncomplete() {
-      // `destroySoon` still delivers buffered data. Without its end, the answer cannot be taken for
-      // complete.
       const { socket } = response;
       if (socket === null) response.destroy();
+      // To a caller of HTTP/1.0, a connection that is closed in good order would be the end of the answer.
+      else if (!hasLength && !response.chunkedEncoding) socket.resetAndDestroy();
+      // `destroySoon` still delivers buffered data. Without its end, the answer cannot be taken for complete.
       else socket.destroySoon();
     },
     refuse,
