Allow for the delay of messages when an answer releases a part of prompts

Cause: an instance tells another how long ago an answer on a part was completed, and the message takes its time, so an answer from right before the first crash seemed to come after it and would have released the cause.

Change: answers count as later than the crashes from 200 ms after the first one on.

--- a/src/core/crash-causes/cause-ledger.ts
+++ b/src/core/crash-causes/cause-ledger.ts
@@ -31,6 +31,8 @@
 
 /** Time that a complete answer on a part speaks for it: crashes so soon after it do not count against the part, ms. */
 export const ANSWER_PROTECTS_MS = 4_000;
+/** Time by which a statement on an answer may seem later than the answer was, ms: the delay of a message. */
+const MAX_MESSAGE_DELAY_MS = 200;
 /** Crashes that are kept, and for how long, ms. */
 const MAX_CRASHES = 256;
 const CRASH_TTL_MS = 600_000;
@@ -61,6 +63,11 @@
   readonly refuseMs: number;
 }
 
+/** Returns whether an answer on a part was completed after the crashes for which the part was convicted had begun. */
+export function isAnsweredAfter(answeredAtMs: number, { firstCrashAtMs }: Conviction): boolean {
+  return answeredAtMs > firstCrashAtMs + MAX_MESSAGE_DELAY_MS;
+}
+
 /** Creates a ledger without crashes that knows of answers from `history`. */
 export function createCauseLedger(history: PartHistory): CauseLedger {
   /** In order of arrival. */
@@ -219,7 +226,7 @@
     recordAnswered(part, atMs) {
       history.recordAnswered([part], atMs);
       const conviction = convictions.get(part);
-      if (conviction === undefined || atMs <= conviction.firstCrashAtMs) return false;
+      if (conviction === undefined || !isAnsweredAfter(atMs, conviction)) return false;
       return convictions.delete(part);
     },
     findCauses(nowMs) {
@@ -234,8 +241,8 @@
       return found;
     },
     adopt(conviction, nowMs) {
-      const { part, firstCrashAtMs, untilMs } = conviction;
-      if (history.answeredAtMs(part) > firstCrashAtMs || untilMs <= nowMs) return false;
+      const { part, untilMs } = conviction;
+      if (isAnsweredAfter(history.answeredAtMs(part), conviction) || untilMs <= nowMs) return false;
       const known = convictions.get(part);
       if (known !== undefined && known.untilMs > nowMs) return false;
       convictions.set(part, { ...conviction, refuseMs: untilMs - nowMs });
--- a/src/core/crash-causes/create-crash-causes.ts
+++ b/src/core/crash-causes/create-crash-causes.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../clock';
 import type { Logger } from '../events';
 import type { Gossip, GossipEntry } from '../gossip';
-import { createCauseLedger, ANSWER_PROTECTS_MS } from './cause-ledger';
+import { ANSWER_PROTECTS_MS, createCauseLedger, isAnsweredAfter } from './cause-ledger';
 import type { CauseLedger } from './cause-ledger';
 import { CRASH_CAUSE_EVENTS } from './events';
 import { parseConvictionPayload, serializeConvictionPayload } from './gossip-payload';
@@ -256,13 +256,13 @@
 
   const adopt = (service: string, conviction: Conviction, origin: string): void => {
     const { ledger, history } = causesOf(service);
-    const { part, firstCrashAtMs } = conviction;
+    const { part } = conviction;
     if (ledger.adopt(conviction, clock.monotonicMs())) {
       logConviction(CRASH_CAUSE_EVENTS.learned, service, conviction, origin);
       withdrawReleased();
       reportExplained(ledger);
-    } else if (history.answeredAtMs(part) > firstCrashAtMs) {
-      replyOn(service, part, firstCrashAtMs);
+    } else if (isAnsweredAfter(history.answeredAtMs(part), conviction)) {
+      replyOn(service, part, conviction.firstCrashAtMs);
     }
   };
 
