--- /dev/null
+++ b/src/core/crash-causes/create-crash-causes.test.ts
@@ -0,0 +1,246 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createFakeClock, createMemoryLogger } from '../../testing';
+import type { FakeClock } from '../../testing';
+import { createGossipStore } from '../gossip';
+import type { GossipStore } from '../gossip';
+import { createCrashCauses } from './create-crash-causes';
+import type { CrashCauses } from './create-crash-causes';
+import { CRASH_CAUSE_EVENTS } from './events';
+import { createSuspectParts } from './suspect-parts';
+
+const REGIONS = ['north', 'south'];
+const SERVICE = 'chat';
+const CRASHES = 6;
+const CRASH_GAP_MS = 1_000;
+const DELAY_MS = 30;
+
+/** What happens to messages between instances. */
+type Network = 'good' | 'doubled' | 'first half lost' | 'all lost';
+
+interface Instance {
+  readonly causes: CrashCauses;
+  readonly logger: ReturnType<typeof createMemoryLogger>;
+  readonly gossip: GossipStore;
+}
+
+interface Fleet {
+  readonly clock: FakeClock;
+  readonly instances: readonly Instance[];
+  start(): Instance;
+  setEnabled(value: boolean): void;
+  gossip(from: Instance, to: Instance): void;
+}
+
+function requestWith(...parts: readonly string[]) {
+  const all = [...parts, 'own'].map((partId) => ({ partId, tokens: 100 }));
+  return { service: SERVICE, demand: { parts: all, promptTokens: 300 } };
+}
+
+function openFleet(count: number, network: Network = 'good'): Fleet {
+  const clock = createFakeClock();
+  const instances: Instance[] = [];
+  let isEnabled = true;
+  let sent = 0;
+  const deliver = (from: number, text: string): void => {
+    sent += 1;
+    if (network === 'all lost' || (network === 'first half lost' && sent % 2 === 1)) return;
+    const copies = network === 'doubled' ? 2 : 1;
+    for (let copy = 1; copy <= copies; copy += 1) {
+      clock.schedule(clock.monotonicMs() + DELAY_MS * copy, () => {
+        instances.forEach(({ causes }, index) => {
+          if (index !== from) assert.equal(causes.receive(text), true);
+        });
+      });
+    }
+  };
+  const start = (): Instance => {
+    const index = instances.length;
+    const logger = createMemoryLogger();
+    const gossip = createGossipStore(`i-${index}`, clock);
+    const causes = createCrashCauses({
+      clock,
+      logger,
+      gossip,
+      instanceId: `i-${index}`,
+      suspectParts: createSuspectParts('secret'),
+      isEnabled: () => isEnabled,
+      regions: () => REGIONS,
+      send: (_regions, text) => deliver(index, text),
+      onExplained() {},
+      draw: () => 0.5,
+    });
+    const instance = { causes, logger, gossip };
+    instances.push(instance);
+    return instance;
+  };
+  for (let index = 0; index < count; index += 1) start();
+  return {
+    clock,
+    instances,
+    start,
+    setEnabled(value) {
+      isEnabled = value;
+    },
+    gossip: (from, to) => to.gossip.receive(from.gossip.entries('poisonFingerprints')),
+  };
+}
+
+function at(fleet: Fleet, index: number): Instance {
+  const instance = fleet.instances[index % fleet.instances.length];
+  assert.ok(instance !== undefined);
+  return instance;
+}
+
+const isRefused = ({ causes }: Instance, ...parts: readonly string[]): boolean =>
+  causes.convictionOf(requestWith(...parts)) !== undefined;
+
+/** Has sound requests answered at all instances, and servers crash under requests with a part at one instance after the other. */
+function crashServers(fleet: Fleet, part: string, isAnswering = true): void {
+  for (let crash = 0; crash < CRASHES; crash += 1) {
+    for (const { causes } of isAnswering ? fleet.instances : []) {
+      for (let number = 0; number < 10; number += 1) {
+        causes.recordSent(requestWith('system', `s${number}`));
+        causes.recordAnswered(requestWith('system', `s${number}`));
+      }
+    }
+    const { causes } = at(fleet, crash);
+    const request = requestWith('system', part);
+    causes.recordSent(request);
+    causes.recordCrash(
+      request,
+      {
+        serverId: `server-${crash}`,
+        failureDomain: 'd',
+        atMs: fleet.clock.monotonicMs(),
+        answeredForMs: undefined,
+      },
+      REGIONS,
+    );
+    fleet.clock.advanceBy(CRASH_GAP_MS);
+  }
+}
+
+describe('what instances know of parts that crash servers', () => {
+  const NETWORKS: readonly { readonly network: Network; readonly count: number }[] = [
+    { network: 'good', count: 1 },
+    { network: 'good', count: 6 },
+    { network: 'good', count: 60 },
+    { network: 'doubled', count: 6 },
+    { network: 'first half lost', count: 3 },
+    { network: 'all lost', count: 1 },
+  ];
+  for (const { network, count } of NETWORKS) {
+    // Each instance sees some of the crashes only. If they did not add up, each would have to see several by itself.
+    it(`adds up over ${count} instances if messages are ${network}`, () => {
+      const fleet = openFleet(count, network);
+      crashServers(fleet, 'bad');
+      for (const instance of fleet.instances) {
+        assert.equal(isRefused(instance, 'system', 'bad'), true);
+        assert.equal(isRefused(instance, 'system', 's1'), false);
+        assert.equal(isRefused(instance, 'bad'), true);
+      }
+    });
+  }
+
+  // One instance has just started and sees the system part only in crashes; the others have it answered all the time.
+  it('clears a part that another instance has had answered', () => {
+    const fleet = openFleet(4);
+    crashServers(fleet, 'bad');
+    const started = fleet.start();
+    for (let crash = 0; crash < CRASHES; crash += 1) {
+      for (const { causes } of fleet.instances.slice(0, 4)) {
+        causes.recordAnswered(requestWith('system', 'rare'));
+      }
+      const crashed = { serverId: `late-${crash}`, failureDomain: 'd', answeredForMs: undefined };
+      const atMs = fleet.clock.monotonicMs();
+      started.causes.recordSent(requestWith('system', 'rare'));
+      started.causes.recordCrash(requestWith('system', 'rare'), { ...crashed, atMs }, REGIONS);
+      fleet.clock.advanceBy(CRASH_GAP_MS);
+    }
+    assert.equal(isRefused(started, 'system', 'rare'), false);
+  });
+
+  // An instance that was killed starts without a record, and would end servers again.
+  it('reaches an instance that starts later by gossip', () => {
+    const fleet = openFleet(2);
+    crashServers(fleet, 'bad');
+    const started = fleet.start();
+    assert.equal(isRefused(started, 'bad'), false);
+    for (const instance of fleet.instances.slice(0, 2)) fleet.gossip(instance, started);
+    assert.equal(isRefused(started, 'bad'), true);
+    assert.equal(started.logger.of(CRASH_CAUSE_EVENTS.learned).length, 1);
+  });
+
+  // A sound part was refused. An answer that was still on its way shows it; instances that start later must not refuse it.
+  it('is released everywhere by an answer that is completed after the crashes', () => {
+    const fleet = openFleet(3);
+    crashServers(fleet, 'sound');
+    at(fleet, 1).causes.recordAnswered(requestWith('sound'));
+    fleet.clock.advanceBy(CRASH_GAP_MS);
+    const started = fleet.start();
+    for (const instance of fleet.instances.slice(0, 3)) fleet.gossip(instance, started);
+    for (const instance of fleet.instances) assert.equal(isRefused(instance, 'sound'), false);
+  });
+
+  // An operator finds that requests are refused wrongly. The refusals must end without a restart.
+  it('refuses nothing while it is switched off, and refuses again afterwards', () => {
+    const fleet = openFleet(2);
+    crashServers(fleet, 'bad');
+    fleet.setEnabled(false);
+    assert.equal(isRefused(at(fleet, 0), 'bad'), false);
+    fleet.setEnabled(true);
+    assert.equal(isRefused(at(fleet, 0), 'bad'), true);
+  });
+
+  // A refusal ends after its time. A part that still crashes servers must not get the same number of crashes again.
+  it('refuses a part again after one crash once its refusal has ended', () => {
+    const fleet = openFleet(1);
+    const { causes } = at(fleet, 0);
+    crashServers(fleet, 'bad');
+    const first = causes.convictionOf(requestWith('bad'));
+    assert.ok(first !== undefined);
+    fleet.clock.advanceTo(first.untilMs + 1);
+    assert.equal(isRefused(at(fleet, 0), 'bad'), false);
+    const atMs = fleet.clock.monotonicMs();
+    const crash = { serverId: 'later', failureDomain: 'd', atMs, answeredForMs: undefined };
+    causes.recordCrash(requestWith('bad'), crash, REGIONS);
+    fleet.clock.advanceBy(CRASH_GAP_MS);
+    const second = causes.convictionOf(requestWith('bad'));
+    assert.ok(second !== undefined && second.untilMs - atMs > first.untilMs);
+  });
+
+  const TEXTS = [
+    '',
+    '{"kind":"crashCauses"}',
+    '{"kind":"crashCauses","from":"a","service":"s","statement":{"kind":"crashed","server":"x"}}',
+    '{"kind":"crashCauses","from":"a","service":"s","statement":{"kind":"answered","part":"p","ageMs":-1}}',
+  ];
+  for (const text of TEXTS) {
+    it(`ignores a message that is not valid: ${text}`, () => {
+      assert.equal(at(openFleet(1), 0).causes.receive(text), false);
+    });
+  }
+});
+
+describe('the parts of a prompt that may crash servers', () => {
+  const suspectParts = createSuspectParts('secret');
+  const digestsOf = (...ids: readonly string[]) =>
+    suspectParts({ parts: ids.map((partId) => ({ partId, tokens: 1 })), promptTokens: ids.length });
+  const CASES: readonly { name: string; ids: readonly string[]; same: readonly string[] }[] = [
+    { name: 'leave out the last part', ids: ['a', 'b'], same: ['a', 'c'] },
+    { name: 'count a repeated part once', ids: ['a', 'a', 'b'], same: ['a', 'b'] },
+    { name: 'do not depend on upper case', ids: ['AB', 'c'], same: ['ab', 'c'] },
+    { name: 'do not depend on leading zeros', ids: ['00ab', 'c'], same: ['ab', 'c'] },
+  ];
+  for (const { name, ids, same } of CASES) {
+    it(name, () => assert.deepEqual(digestsOf(...ids), digestsOf(...same)));
+  }
+
+  it('are none without a prompt, and few of a prompt with thousands of parts', () => {
+    assert.deepEqual(suspectParts(undefined), []);
+    assert.deepEqual(digestsOf('only'), []);
+    const many = digestsOf(...Array.from({ length: 10_000 }, (_unused, index) => `p${index}`));
+    assert.ok(many.length <= 256);
+  });
+});
--- a/src/core/crash-causes/create-crash-causes.ts
+++ b/src/core/crash-causes/create-crash-causes.ts
@@ -46,6 +46,8 @@
   readonly gossip: Gossip;
   readonly instanceId: string;
   readonly suspectParts: SuspectParts;
+  /** Whether requests are refused; what crashes servers is recorded and told in any case. */
+  readonly isEnabled: () => boolean;
   /** All regions of the deployment. */
   readonly regions: () => readonly string[];
   /** Sends a text to all other instances of some regions; it may get lost. */
@@ -307,6 +309,7 @@
 
   return {
     convictionOf(request) {
+      if (!options.isEnabled()) return undefined;
       const nowMs = clock.monotonicMs();
       const convicting = [...services].filter(([, { ledger }]) => ledger.convictions(nowMs).length);
       if (convicting.length === 0) return undefined;
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -323,6 +323,7 @@
       gossip,
       instanceId,
       suspectParts,
+      isEnabled: () => options.settings().trafficPolicy.crashingParts,
       regions,
       send: sendToRegions,
       onExplained: guard.excuse,
--- a/src/core/relay-node/settings.ts
+++ b/src/core/relay-node/settings.ts
@@ -23,6 +23,10 @@
     .boolean()
     .default(false)
     .describe('Divide requests that leave this region over the others by their free capacity'),
+  crashingParts: z
+    .boolean()
+    .default(true)
+    .describe('Refuse requests with a part of the prompt that crashes servers'),
 });
 
 /** Switches for decisions under load, with defaults filled in. */
