Split the protection against crashes out of the serving context, and the record of causes

Each release of a part was also told once more by every instance that learned of it.

Change: create-crash-protection.ts, conviction-gossip.ts and crash-collector.ts; only the instance that has the answer tells a release.

--- a/src/core/crash-causes/create-crash-causes.ts
+++ b/src/core/crash-causes/create-crash-causes.ts
@@ -1,11 +1,13 @@
 import { LRUCache } from 'lru-cache';
 import type { Clock } from '../clock';
 import type { Logger } from '../events';
-import type { Gossip, GossipEntry } from '../gossip';
+import type { Gossip } from '../gossip';
 import { ANSWER_PROTECTS_MS, createCauseLedger, isAnsweredAfter } from './cause-ledger';
 import type { CauseLedger } from './cause-ledger';
+import { createConvictionGossip } from './conviction-gossip';
+import { createCrashCollector } from './crash-collector';
+import type { CollectedCrash, RequestCrash } from './crash-collector';
 import { CRASH_CAUSE_EVENTS } from './events';
-import { parseConvictionPayload, serializeConvictionPayload } from './gossip-payload';
 import { parseCauseMessage, serializeCauseMessages } from './messages';
 import type { CauseStatement } from './messages';
 import { createPartHistory } from './part-history';
@@ -29,16 +31,6 @@
   count(): number;
 }
 
-/** The end of a server that had a request. */
-export interface RequestCrash {
-  readonly serverId: string;
-  readonly failureDomain: string;
-  /** Time at which the connection broke, monotonic ms. */
-  readonly atMs: number;
-  /** Time for which the answer had been arriving, ms; undefined if no byte of its body had come. */
-  readonly answeredForMs: number | undefined;
-}
-
 /** Options of {@link createCrashCauses}. */
 export interface CrashCausesOptions {
   readonly clock: Clock;
@@ -58,8 +50,6 @@
   readonly draw: () => number;
 }
 
-/** Time for which the requests that one crash cuts off are collected, ms: they are noticed one after the other. */
-const COLLECT_MS = 10;
 /** Time after a crash at which its causes are looked for, ms: by then, other instances have told what they know. */
 const SETTLE_MS = 150;
 /** Time for which an answer may have been arriving so that its request still may be the cause, ms. */
@@ -69,10 +59,6 @@
 /** Time for which one statement on a part makes another one needless, ms. */
 const STATED_RECENTLY_MS = 1_000;
 const MAX_STATED_PARTS = 1_000;
-const GOSSIP_TOPIC = 'poisonFingerprints';
-const GOSSIP_KEY_PREFIX = 'part ';
-/** Time for which a withdrawn conviction is kept, ms, so that it replaces the conviction at all instances. */
-const GOSSIP_TTL_MS = 60_000;
 
 interface ServiceCauses {
   readonly history: PartHistory;
@@ -81,20 +67,10 @@
   readonly statedAtMs: LRUCache<string, number>;
 }
 
-/** Requests of one server that a crash cut off, until they are reported. */
-interface CollectedCrash {
-  readonly service: string;
-  readonly regions: readonly string[];
-  readonly crash: RequestCrash;
-  readonly parts: Set<string>;
-  requests: number;
-}
-
 /** Creates a record without crashes that listens to the other instances until it is disposed of. */
 export function createCrashCauses(options: CrashCausesOptions): CrashCauses {
   const { clock, logger, gossip, instanceId, suspectParts, regions, send, draw } = options;
   const services = new Map<string, ServiceCauses>();
-  const collected = new Map<string, CollectedCrash>();
   const timers = new Set<Disposable>();
   let isDisposed = false;
 
@@ -150,41 +126,13 @@
     });
   };
 
-  /** Convictions that this instance has spread by gossip, by part. */
-  const spreadByPart = new Map<string, { service: string; conviction: Conviction }>();
-
-  const putGossip = (service: string, conviction: Conviction): void => {
-    const toUnixMs = (atMs: number) => Math.round(clock.unixMs() + atMs - clock.monotonicMs());
-    const { part, crashes, firstCrashAtMs, untilMs } = conviction;
-    gossip.put({
-      topic: GOSSIP_TOPIC,
-      key: `${GOSSIP_KEY_PREFIX}${part}`,
-      regions: undefined,
-      expiresAtUnixMs: toUnixMs(untilMs) + GOSSIP_TTL_MS,
-      payload: serializeConvictionPayload({
-        service,
-        crashes,
-        firstCrashAtUnixMs: toUnixMs(firstCrashAtMs),
-        untilUnixMs: toUnixMs(untilMs),
-      }),
-    });
-  };
-
-  const spread = (service: string, conviction: Conviction): void => {
-    spreadByPart.set(conviction.part, { service, conviction });
-    putGossip(service, conviction);
-  };
-
-  /** Withdraws the convictions that no longer hold from gossip, so that instances that start do not learn of them. */
-  const withdrawReleased = (): void => {
-    const nowMs = clock.monotonicMs();
-    for (const [part, { service, conviction }] of spreadByPart) {
-      if (causesOf(service).ledger.convictionOf(part, nowMs) === undefined) {
-        spreadByPart.delete(part);
-        if (conviction.untilMs > nowMs) putGossip(service, { ...conviction, untilMs: nowMs });
-      }
-    }
-  };
+  const spread = createConvictionGossip({
+    clock,
+    gossip,
+    isConvicted: (service, part) =>
+      causesOf(service).ledger.convictionOf(part, clock.monotonicMs()) !== undefined,
+    onConviction: adopt,
+  });
 
   const reportExplained = (ledger: CauseLedger): void => {
     for (const serverId of ledger.takeExplained()) options.onExplained(serverId);
@@ -195,9 +143,9 @@
     for (const conviction of ledger.findCauses(clock.monotonicMs())) {
       logConviction(CRASH_CAUSE_EVENTS.found, service, conviction, instanceId);
       tell(service, { kind: 'convicted', conviction });
-      spread(service, conviction);
+      spread.put(service, conviction);
     }
-    withdrawReleased();
+    spread.withdrawReleased();
     reportExplained(ledger);
   };
 
@@ -206,10 +154,7 @@
     schedule(SETTLE_MS, () => findCauses(service));
   };
 
-  const reportCollected = (key: string): void => {
-    const found = collected.get(key);
-    if (found === undefined) return;
-    collected.delete(key);
+  const reportCollected = (found: CollectedCrash): void => {
     const { service, crash, parts, requests } = found;
     const { history } = causesOf(service);
     const nowMs = clock.monotonicMs();
@@ -227,6 +172,7 @@
     recordCrash(service, `${instanceId} ${found.regions.join()}`, sighting);
     tell(service, { kind: 'crashed', sighting }, found.regions);
   };
+  const collector = createCrashCollector(schedule, reportCollected);
 
   const wasStatedRecently = ({ statedAtMs }: ServiceCauses, part: string): boolean =>
     (statedAtMs.get(part) ?? -Infinity) + STATED_RECENTLY_MS > clock.monotonicMs();
@@ -249,24 +195,25 @@
     });
   };
 
-  const recordAnswered = (service: string, part: string, atMs: number): void => {
-    if (!causesOf(service).ledger.recordAnswered(part, atMs)) return;
+  /** Records an answer on a part; returns whether it releases the part. */
+  const recordAnswered = (service: string, part: string, atMs: number): boolean => {
+    if (!causesOf(service).ledger.recordAnswered(part, atMs)) return false;
     logger.event(CRASH_CAUSE_EVENTS.released, { service, part });
-    withdrawReleased();
-    tell(service, { kind: 'answered', part, atMs });
+    spread.withdrawReleased();
+    return true;
   };
 
-  const adopt = (service: string, conviction: Conviction, origin: string): void => {
+  function adopt(service: string, conviction: Conviction, origin: string): void {
     const { ledger, history } = causesOf(service);
     const { part } = conviction;
     if (ledger.adopt(conviction, clock.monotonicMs())) {
       logConviction(CRASH_CAUSE_EVENTS.learned, service, conviction, origin);
-      withdrawReleased();
+      spread.withdrawReleased();
       reportExplained(ledger);
     } else if (isAnsweredAfter(history.answeredAtMs(part), conviction)) {
       replyOn(service, part, conviction.firstCrashAtMs);
     }
-  };
+  }
 
   const receive = (from: string, service: string, statement: CauseStatement): void => {
     switch (statement.kind) {
@@ -289,22 +236,6 @@
     }
   };
 
-  const learnEntry = ({ key, origin, payload }: GossipEntry): void => {
-    const read = parseConvictionPayload(payload);
-    if (read === undefined) return;
-    const nowMs = clock.monotonicMs();
-    const { service, crashes, firstCrashAtUnixMs, untilUnixMs } = read;
-    const toMonotonicMs = (unixMs: number) => nowMs + unixMs - clock.unixMs();
-    const conviction: Conviction = {
-      part: key.slice(GOSSIP_KEY_PREFIX.length),
-      crashes,
-      firstCrashAtMs: toMonotonicMs(firstCrashAtUnixMs),
-      untilMs: toMonotonicMs(untilUnixMs),
-    };
-    adopt(service, conviction, origin);
-  };
-  const listening = gossip.onEntry(GOSSIP_TOPIC, learnEntry);
-
   const partsOf = ({ demand }: RequestWithParts) => suspectParts(demand);
 
   return {
@@ -335,26 +266,16 @@
       if (parts.length === 0) return;
       const nowMs = clock.monotonicMs();
       causesOf(request.service).history.countAnswer(nowMs);
-      for (const part of parts) recordAnswered(request.service, part, nowMs);
+      for (const part of parts) {
+        const isReleased = recordAnswered(request.service, part, nowMs);
+        if (isReleased) tell(request.service, { kind: 'answered', part, atMs: nowMs });
+      }
     },
     recordCrash(request, crash, toldRegions) {
       const { answeredForMs = 0 } = crash;
       const parts = partsOf(request);
       if (parts.length === 0 || answeredForMs > MAX_ANSWERED_MS) return;
-      const key = [request.service, crash.serverId, ...toldRegions].join('\n');
-      const known = collected.get(key);
-      const found = known ?? {
-        service: request.service,
-        regions: toldRegions,
-        crash,
-        parts: new Set<string>(),
-        requests: 0,
-      };
-      found.requests += 1;
-      for (const part of parts) found.parts.add(part);
-      if (known !== undefined) return;
-      collected.set(key, found);
-      schedule(COLLECT_MS, () => reportCollected(key));
+      collector.add(request.service, crash, parts, toldRegions);
     },
     receive(text) {
       const message = parseCauseMessage(text, clock.monotonicMs());
@@ -368,7 +289,7 @@
       ),
     [Symbol.dispose]() {
       isDisposed = true;
-      listening[Symbol.dispose]();
+      spread[Symbol.dispose]();
       for (const timer of timers) timer[Symbol.dispose]();
     },
   };
--- a/src/core/crash-causes/index.ts
+++ b/src/core/crash-causes/index.ts
@@ -2,7 +2,8 @@
 export { createCauseLedger } from './cause-ledger';
 export type { CauseLedger } from './cause-ledger';
 export { createCrashCauses } from './create-crash-causes';
-export type { CrashCauses, CrashCausesOptions, RequestCrash } from './create-crash-causes';
+export type { CrashCauses, CrashCausesOptions } from './create-crash-causes';
+export type { RequestCrash } from './crash-collector';
 export { CRASH_CAUSE_EVENTS } from './events';
 export { createPartHistory } from './part-history';
 export { createSuspectParts } from './suspect-parts';
--- a/src/core/pass-through/index.ts
+++ b/src/core/pass-through/index.ts
@@ -1,6 +1,8 @@
 /** Passes requests through to backend servers unchanged, here or in another region. */
 export { createCrashWatch } from './crash-watch';
+export type { CrashWatch } from './crash-watch';
 export { createCrashInvestigations } from './investigate-crash';
+export type { CrashInvestigations } from './investigate-crash';
 export { createRouter } from './create-router';
 export type { Router } from './create-router';
 export { PASS_THROUGH_EVENTS } from './events';
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -1,8 +1,6 @@
 import { createAccountShares } from '../account-shares';
 import { createBrittleServers } from '../brittle-servers';
 import type { Clock } from '../clock';
-import type { PoisonOptions } from '../configuration';
-import { createCrashCauses, createSuspectParts } from '../crash-causes';
 import type { Logger } from '../events';
 import type { ConnectionPool } from '../exchanges';
 import type { Gossip } from '../gossip';
@@ -15,19 +13,13 @@
   parseLoadUpdate,
 } from '../load-sharing';
 import type { Metrics } from '../metrics';
-import {
-  createCrashInvestigations,
-  createCrashWatch,
-  createRouter,
-  createWarmCheck,
-} from '../pass-through';
+import { createCrashInvestigations, createRouter, createWarmCheck } from '../pass-through';
 import type {
   CheckConnection,
   HeaderDialect,
   ServeDependencies,
   ServedRequest,
 } from '../pass-through';
-import { createPoisonGuard, fingerprintKey } from '../poison';
 import { createServerSpeeds } from '../placement';
 import type { RandomSource } from '../random';
 import { createCutInstances, createReachability } from '../reachability';
@@ -37,6 +29,7 @@
 import type { ServerRegistry } from '../server-registry';
 import { createColdServerLimiter, createRetryAllowance } from '../shared-budget';
 import { createStreamVersions } from '../stream-versions';
+import { createCrashProtection } from './create-crash-protection';
 import type { KnownInstances } from './known-instances';
 import type { RelaySettings } from './settings';
 
@@ -62,18 +55,6 @@
   readonly followedSinceMs: () => number | undefined;
 }
 
-/**
- * Limits after which a request that crashes servers is refused. It takes three crashes rather than two, since a whole
- * failure domain may fail: a request that was interrupted there is then retried on a neighbouring server, which fails
- * as well, although the request is not the cause.
- */
-const POISON_OPTIONS: PoisonOptions = {
-  crashesToRefuse: 3,
-  // Same as the default of the configuration: long enough for an operator to investigate, doubled per further crash.
-  refuseForMs: 900_000,
-  refuseAtMostMs: 86_400_000,
-};
-
 /** Connections to a server up to which a health check may open one. */
 const MAX_CHECK_CONNECTIONS = 64;
 
@@ -107,7 +88,7 @@
   options: ServingContextOptions,
   owned: DisposableStore,
 ): ServingContext {
-  const { clock, random, logger, dialect, routes, servers, pool, gossip, instances } = options;
+  const { clock, random, logger, dialect, routes, servers, pool, instances } = options;
   const { instanceId, region, failureDomain, trafficPolicy } = options.settings();
   const ownAddress = () => {
     const { listeners, forwardingPort } = options.settings();
@@ -299,42 +280,6 @@
     'Client accounts that get less than they ask for, added over scarce services',
     () => accountShares.overShareCount(clock.monotonicMs()),
   );
-  const regions = () => [...new Set(Object.values(options.settings().regionOfDomain))];
-  const sendToRegions = (toRegions: readonly string[], text: string): void => {
-    for (const peer of instances.possiblyAliveAnywhere()) {
-      if (toRegions.includes(peer.region)) options.sendStatement(peer.address, text);
-    }
-  };
-  const guard = owned.add(
-    createPoisonGuard({
-      clock,
-      logger,
-      gossip,
-      key: fingerprintKey(options.peerSecret),
-      options: () => POISON_OPTIONS,
-      direct: { instanceId, send: sendToRegions },
-    }),
-  );
-  const suspectParts = createSuspectParts(options.peerSecret);
-  const causes = owned.add(
-    createCrashCauses({
-      clock,
-      logger,
-      gossip,
-      instanceId,
-      suspectParts,
-      isEnabled: () => options.settings().trafficPolicy.crashingParts,
-      regions,
-      send: sendToRegions,
-      onExplained: guard.excuse,
-      draw: () => random.next(),
-    }),
-  );
-  options.metrics.gauge(
-    'coltsfootworks_crashing_prompt_parts',
-    'Parts of prompts for which requests are refused, since servers crash on them',
-    causes.count,
-  );
   const investigations = createCrashInvestigations({
     clock,
     region,
@@ -343,15 +288,10 @@
     draw: () => random.next(),
     lastReachedAtMs: reachability.lastReachedAtMs,
   });
-  const crashWatch = createCrashWatch({
-    clock,
-    logger,
-    suspectParts,
-    guard,
-    causes,
-    investigations,
-    regions,
-  });
+  const crashes = createCrashProtection(
+    { ...options, investigations, draw: () => random.next() },
+    owned,
+  );
   function checkHealth(incarnationId: string, over?: CheckConnection): void {
     const server = servers.all().find((known) => known.incarnationId === incarnationId);
     if (server === undefined || server.isDraining) return;
@@ -366,7 +306,7 @@
     pool,
     router,
     warmCheck,
-    crashWatch,
+    crashWatch: crashes.watch,
     retries,
     limits,
     notices,
@@ -381,8 +321,7 @@
       streamVersions.receive(text) ||
       limits.receive(text) ||
       notices.receive(text) ||
-      guard.receive(text) ||
-      causes.receive(text) ||
+      crashes.receive(text) ||
       brittle.receive(text) ||
       cutInstances.receive(text) ||
       accountShares.receive(text, clock.monotonicMs()),
