Have the soak's servers crash on parts of prompts

Cause: the soak had no requests that crash servers, so no fault of the machine met them.

Change: a fault crashingPart: for 9 to 13 s, servers crash on a part and are back 3 s later; four requests with it a second come at any instance, no two alike, and sound ones share their first part and account. Checks with the bounds of the users: at most three requests with a part reach servers from 5 s after its fifth crash on (but those at instances that a fault struck in the 5 s before), and no sound request is refused as a suspect.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -3,6 +3,7 @@
 import type { RandomSource } from '../src/core/random';
 import type { StoreCopy, StoreStandIn } from '../standins/published-store';
 import type { Brittleness } from './brittleness';
+import type { CrashingParts } from './crashing-parts';
 import type { SoakInstances } from './instances';
 import { CUT_MODES } from './links';
 import type { CutMode, SoakLinks } from './links';
@@ -29,6 +30,8 @@
   | { readonly kind: 'rollout'; readonly servers: readonly number[]; readonly forMs: number }
   /** All servers fail if they reject more than a few requests within a second. */
   | { readonly kind: 'brittle'; readonly forMs: number }
+  /** Servers crash on a part of prompts, and requests with it are sent. */
+  | { readonly kind: 'crashingPart'; readonly forMs: number }
   /** A server states its departure in answers, and announces it some time later. */
   | { readonly kind: 'departure'; readonly server: number; readonly forMs: number }
   /** Servers refuse all requests; a pause of 0 is not stated. */
@@ -74,6 +77,7 @@
   'cutLinks',
   'brittle',
   'rollout',
+  'crashingPart',
 ] as const satisfies readonly FaultKind[];
 const MIN_FAULT_MS = 300;
 const MAX_FAULT_MS = 4_000;
@@ -143,6 +147,7 @@
     case 'refuseAll':
       return { kind, server, pauseMs: PAUSES_MS[pickIndex(random, PAUSES_MS.length)] ?? 0, forMs };
     case 'brittle':
+    case 'crashingPart':
       return { kind, forMs: MIN_LIMIT_MS + random.next() * (MAX_LIMIT_MS - MIN_LIMIT_MS) };
     case 'limitServer':
     case 'limitAllServers':
@@ -163,6 +168,7 @@
   readonly servers: SoakServers;
   readonly links: SoakLinks;
   readonly brittleness: Brittleness;
+  readonly crashingParts: CrashingParts;
   /** Publishes the next version of the routes. */
   readonly changeRoutes: () => void;
   /** Publishes everything again, since an older copy may lack some of it. */
@@ -271,6 +277,9 @@
         forAll(servers, (index) => servers.refuse(index, isActive ? fault.pauseMs : undefined)),
       );
       return;
+    case 'crashingPart':
+      await targets.crashingParts.during(fault.forMs);
+      return;
     case 'brittle':
       await targets.brittleness.during(fault.forMs);
       return;
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -9,6 +9,8 @@
 import { checkFalls, createBrittleness } from './brittleness';
 import { isAnswered, startCallers } from './callers';
 import { configurationOf } from './configuration';
+import { checkCrashingParts, createCrashingParts } from './crashing-parts';
+import { createDisturbances } from './disturbances';
 import { drawFault, injectFault } from './faults';
 import { startSoakInstances } from './instances';
 import { checkCutOff, checkSuspects, tallyCutOff } from './cut-off';
@@ -63,7 +65,17 @@
     changeRoutes();
     const brittleness = createBrittleness();
     const links = owned.add(createSoakLinks(options.instances));
-    const servers = owned.add(await openSoakServers(store, random, SERVERS, links, brittleness));
+    const disturbances = createDisturbances();
+    let callerAddress = (_instance: number): string => '';
+    const crashingParts = createCrashingParts({
+      random: createSeededRandom(seed + 2),
+      instances: options.instances,
+      callerAddress: (instance) => callerAddress(instance),
+      isDisturbed: disturbances.isDisturbed,
+    });
+    const servers = owned.add(
+      await openSoakServers(store, random, SERVERS, links, brittleness, crashingParts.crashesOn),
+    );
     const instances = owned.add(
       await startSoakInstances({
         count: options.instances,
@@ -71,6 +83,7 @@
         logFolder,
       }),
     );
+    callerAddress = instances.callerAddress;
     await sleep(SETTLING_MS);
     const callers = startCallers({
       random,
@@ -92,6 +105,7 @@
       servers,
       links,
       brittleness,
+      crashingParts,
       changeRoutes,
       publishAgain() {
         store.put('op/config', configurationOf(version));
@@ -102,9 +116,8 @@
     const pendingFaults: Promise<void>[] = [];
     const untilMs = performance.now() + seconds * 1_000;
     while (performance.now() < untilMs) {
-      pendingFaults.push(
-        injectFault(drawFault(faultRandom, options.kinds, options.instances, SERVERS), targets),
-      );
+      const fault = drawFault(faultRandom, options.kinds, options.instances, SERVERS);
+      pendingFaults.push(disturbances.during(fault, injectFault(fault, targets)));
       await sleep(MEAN_FAULT_GAP_MS * 2 * faultRandom.next());
     }
     await Promise.all(pendingFaults);
@@ -132,6 +145,10 @@
       cutOff,
       boundCutOff,
       streams,
+      crashingParts: {
+        arrivals: crashingParts.arrivals.length,
+        sound: crashingParts.sound.length,
+      },
       falls: brittleness.times.map(({ falls }) => falls),
       broken: [
         ...checkPromises(attempts, servers.runs),
@@ -145,6 +162,7 @@
         ...checkFalls(brittleness.times, SERVERS),
         ...checkStreamVersions(streams),
         ...checkSuspects(logs, servers.ends),
+        ...checkCrashingParts(crashingParts.arrivals, crashingParts.sound),
       ],
     };
   } finally {
--- a/soak/servers.ts
+++ b/soak/servers.ts
@@ -76,6 +76,8 @@
 const BREAKING_SOLO_SHARE = 0.3;
 /** Software versions of the servers; half of them begin with each. */
 const VERSIONS = ['v1', 'v1.1'] as const;
+/** Time from the arrival of a request until a server crashes on a part of its prompt, ms. */
+const CRASH_DELAY_MS = 30;
 /** Time after which a server that fell is back, ms. */
 const DOWN_MS = 3_000;
 /** Time for which a leaving server continues to serve, ms: longer than the instances take to learn of it. */
@@ -92,6 +94,7 @@
   count: number,
   links: Pick<SoakLinks, 'open'>,
   brittleness: Brittleness,
+  crashesOn: (request: ReceivedRequest) => boolean,
 ): Promise<SoakServers> {
   const runs: ServerRun[] = [];
   const running: RunningServer[] = [];
@@ -189,6 +192,10 @@
         socket.write(refusalOf(request, pauseMs));
         return;
       }
+      if (crashesOn(request)) {
+        setTimeout(() => onFall(startId), CRASH_DELAY_MS).unref();
+        return;
+      }
       const admission = brittleness.admit(startId);
       if (admission !== 'run') {
         socket.write(refusalOf(request, 0));
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -122,7 +122,9 @@
     | 'harmlessSuspected'
     | 'fellTooOften'
     | 'mixedVersions'
-    | 'notTakenUp';
+    | 'notTakenUp'
+    | 'crashingPartServed'
+    | 'soundSuspected';
   readonly requestId: string;
   readonly detail: string;
 }
@@ -155,5 +157,7 @@
   readonly streams: StreamTally;
   /** Falls in each time in which the servers were brittle. */
   readonly falls: readonly number[];
+  /** Requests with crashing parts that reached servers, and sound ones beside them. */
+  readonly crashingParts: { readonly arrivals: number; readonly sound: number };
   readonly broken: readonly BrokenPromise[];
 }
