--- a/soak/crashing-parts.ts
+++ b/soak/crashing-parts.ts
@@ -12,7 +12,7 @@
   readonly arrivals: readonly PartArrival[];
   /** Sound requests that were sent beside them. */
   readonly sound: readonly SoundRequest[];
-  /** Has servers crash on a part for some time, and sends requests with it, no two alike, and sound ones. */
+  /** Has servers crash on a part for some time, unless they do on two, and sends requests with it, no two alike, and sound ones. */
   during(forMs: number): Promise<void>;
   /** Returns whether a server crashes on a request that has reached it, and records that. */
   crashesOn(request: ReceivedRequest): boolean;
@@ -49,6 +49,8 @@
 const ALLOWED_AFTER_MS = 5_000;
 /** Requests with the part that may reach servers after that. */
 const MAX_LATE = 3;
+/** Parts on which servers crash at once. With more, servers are down most of the time, and each part has few crashes. */
+const MAX_PARTS_AT_ONCE = 2;
 const BAD_GAP_MS = 250;
 const SOUND_PER_BAD = 2;
 const DEADLINE_MS = 2_000;
@@ -126,6 +128,7 @@
     arrivals,
     sound,
     async during(forMs) {
+      if (active.size >= MAX_PARTS_AT_ONCE) return;
       parts += 1;
       const part = `bad${parts}`;
       active.add(part);
