Log why an attempt was aborted, and for how long it and its server were silent

Change: the lines have cause, silentMs and serverSilentMs. Result: types, format and lint pass; no change of behaviour.

--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -58,6 +58,7 @@
   | {
       readonly kind: 'lost';
       readonly reason: string;
+      readonly cause: LossCause;
       /** Whether the server broke the answer off, as happens when it crashes. */
       readonly wasBrokenOff: boolean;
     };
@@ -223,7 +224,12 @@
     }
     if (answer.headSent) {
       // A resumed stream got an answer that is no event stream; nothing of it may reach the caller.
-      decide({ kind: 'lost', reason: 'the stream could not be resumed', wasBrokenOff: false });
+      decide({
+        kind: 'lost',
+        reason: 'the stream could not be resumed',
+        cause: 'malformed',
+        wasBrokenOff: false,
+      });
       return;
     }
     recordFirstByte();
@@ -275,7 +281,12 @@
         decide(rejection(head));
         return;
       case 'wrong':
-        decide({ kind: 'lost', reason: classification.reason, wasBrokenOff: false });
+        decide({
+          kind: 'lost',
+          reason: classification.reason,
+          cause: 'malformed',
+          wasBrokenOff: false,
+        });
         return;
       case 'ran':
         observer.recordTaken(true);
@@ -310,7 +321,7 @@
     }
     const problem = reader?.finish();
     if (problem === undefined) report({ kind: 'answered', status }, 'answered');
-    else report({ kind: 'lost', reason: problem, wasBrokenOff: true }, 'failed');
+    else report({ kind: 'lost', reason: problem, cause: 'reset', wasBrokenOff: true }, 'failed');
   };
 
   const onEnd = (end: ExchangeEnd): void => {
@@ -334,7 +345,12 @@
         if (to.kind === 'server' && end.cause === 'reset') options.warmCheck.markSuspect(to.server);
         // A timeout shows nothing about the server, unless the server was silent to all requests.
         report(
-          { kind: 'lost', reason: end.reason, wasBrokenOff: end.cause === 'reset' },
+          {
+            kind: 'lost',
+            reason: end.reason,
+            cause: end.cause,
+            wasBrokenOff: end.cause === 'reset',
+          },
           end.cause === 'timeout' && !observer.isSilent() ? 'inconclusive' : 'failed',
         );
         return;
--- a/src/core/pass-through/request-log.ts
+++ b/src/core/pass-through/request-log.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../clock';
 import type { Logger } from '../events';
+import type { LossCause } from '../outcomes';
 import { destinationName } from './attempt';
 import type { Attempt } from './attempt';
 import { PASS_THROUGH_EVENTS } from './events';
@@ -13,7 +14,7 @@
 /** Writes the log lines of one request: one for each decision, and one for its end. */
 export interface RequestLog {
   placed(to: SendableDestination): void;
-  attemptFailed(attempt: Attempt, reason: string, status?: number): void;
+  attemptFailed(attempt: Attempt, reason: string, details?: FailureDetails): void;
   /** Logs that another instance refused the request, for the reason that it states. */
   peerRefused(attempt: Attempt, refusalReason: string | undefined): void;
   /** Logs that a server has not run the request; `pauseMs` is the pause that it asks for, ms. */
@@ -29,6 +30,12 @@
   callerGone(): void;
 }
 
+/** What else is known of an attempt that failed. */
+export interface FailureDetails {
+  readonly status?: number;
+  readonly cause?: LossCause;
+}
+
 /** Options of `createRequestLog`. */
 export interface RequestLogOptions {
   readonly clock: Pick<Clock, 'monotonicMs'>;
@@ -38,6 +45,8 @@
   readonly progress: StreamProgress;
   /** Returns the number of servers that the request has been sent to so far. */
   readonly attempts: () => number;
+  /** Returns the time since a server's last byte to any request, ms; 0 if none waits for its first byte. */
+  readonly serverSilentMs: (incarnationId: string) => number;
 }
 
 /** Returns the prediction for a server and its inputs as log fields. */
@@ -106,11 +115,15 @@
   const fields = () => ({ ...requestFields(request, plan), attempts: options.attempts() });
   const sinceReceivedMs = (atMs: number) => Math.round(atMs - request.receivedAtMs);
   const totalMs = () => sinceReceivedMs(clock.monotonicMs());
+  const silentMsOf = (to: SendableDestination) =>
+    to.kind === 'server' ? Math.round(options.serverSilentMs(to.server.incarnationId)) : undefined;
   const attemptFields = (attempt: Attempt) => ({
     ...fields(),
     to: destinationName(attempt.to),
     serversTriedThere: attempt.serversTriedThere(),
     afterMs: Math.round(clock.monotonicMs() - attempt.sentAtMs),
+    silentMs: Math.round(clock.monotonicMs() - attempt.lastByteAtMs()),
+    serverSilentMs: silentMsOf(attempt.to),
   });
 
   return {
@@ -127,11 +140,11 @@
         to: destinationName(to),
         timeLeftMs: Math.round(answerDeadlineMs(plan) - clock.monotonicMs()),
       }),
-    attemptFailed: (attempt, reason, status) =>
+    attemptFailed: (attempt, reason, details) =>
       logger.event(PASS_THROUGH_EVENTS.attemptFailed, {
         ...attemptFields(attempt),
         reason,
-        status,
+        ...details,
       }),
     peerRefused: (attempt, refusalReason) =>
       logger.event(PASS_THROUGH_EVENTS.attemptFailed, {
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -129,6 +129,7 @@
     plan,
     progress,
     attempts: attemptBudget.used,
+    serverSilentMs: (incarnationId) => router.loads.silentMs(incarnationId, clock.monotonicMs()),
   });
   const end = createRequestEnd({
     clock,
@@ -253,11 +254,11 @@
         afterPeerRefusal(result.hasNotRun, attempt.serversTriedThere());
         return;
       case 'serverFailed':
-        log.attemptFailed(attempt, 'the server failed', result.status);
+        log.attemptFailed(attempt, 'the server failed', { status: result.status });
         afterServerFailure(attempt, result);
         return;
       case 'lost':
-        log.attemptFailed(attempt, result.reason);
+        log.attemptFailed(attempt, result.reason, { cause: result.cause });
         afterLoss();
         return;
       default:
