Keep silent attempts until another one has something for the caller

Cause: an attempt that was silent for 1.2 s was aborted before any other one had begun. What came next was refused for want of room, or met a server that stood still as well, and nothing was left. A stream that may not be resumed was never aborted, so it was served more often than one that may be.

Change: silence ends no attempt. While all attempts of a request are silent, one more begins beside them (hedge-silence.ts), if a destination has room now, the limit of attempts allows it and a retry can be taken. The first attempt that has something for the caller ends the others. Hedges go to no server of the region that is silent itself, book no place among refused callers, and give their retry back if they reached no server. Attempts are reserved and settled one by one. Lines 4101 have beside, and line 4107 names what was discarded and why.

--- a/src/core/pass-through/attempt-budget.test.ts
+++ b/src/core/pass-through/attempt-budget.test.ts
@@ -12,7 +12,7 @@
   for (const { most, mayRepeat, reserved } of cases) {
     const kind = mayRepeat ? 'may run again' : 'may run once';
     it(`are ${reserved} of ${most} if the request ${kind}`, () => {
-      assert.equal(createAttemptBudget(most, mayRepeat).reserveForPeer(), reserved);
+      assert.equal(createAttemptBudget(most, mayRepeat).reserveForPeer().count, reserved);
     });
   }
 });
@@ -41,8 +41,7 @@
   for (const { name, reported, used, hasRemaining } of cases) {
     it(name, () => {
       const budget = createAttemptBudget(2, false);
-      budget.reserveForPeer();
-      budget.settle(reported);
+      budget.reserveForPeer().settle(reported);
       assert.deepEqual(
         { used: budget.used(), hasRemaining: budget.hasRemaining() },
         { used, hasRemaining },
@@ -52,11 +51,25 @@
 
   it('are unavailable while the request is there', () => {
     const budget = createAttemptBudget(2, true);
-    budget.reserveForPeer();
+    const there = budget.reserveForPeer();
     assert.equal(budget.used(), 1);
     assert.equal(budget.hasRemaining(), true);
-    budget.settle(1);
+    there.settle(1);
     budget.reserveOne();
     assert.equal(budget.hasRemaining(), false);
   });
+
+  // Two attempts may be in progress at once. If the end of one settled the other as well, the request could reach more
+  // servers than its route allows.
+  it('are settled one by one while two attempts are in progress', () => {
+    const budget = createAttemptBudget(3, true);
+    const there = budget.reserveForPeer();
+    const here = budget.reserveOne();
+    assert.deepEqual([there.count, here.count, budget.hasRemaining()], [2, 1, false]);
+    here.settle(0);
+    here.settle(0);
+    assert.deepEqual([budget.used(), budget.hasRemaining()], [2, true]);
+    there.settle(undefined);
+    assert.equal(budget.used(), 2);
+  });
 });
--- a/src/core/pass-through/attempt-budget.ts
+++ b/src/core/pass-through/attempt-budget.ts
@@ -1,3 +1,14 @@
+/** Attempts that are reserved for one destination. */
+export interface AttemptReservation {
+  /** Maximum number of backend servers that may get the request in this attempt. */
+  readonly count: number;
+  /**
+   * Settles the reservation: `used` servers got the request. Undefined if the number is unknown; the
+   * whole reservation then counts as used. Only the first call has an effect.
+   */
+  settle(used: number | undefined): void;
+}
+
 /**
  * Limits the number of backend servers that one request may be sent to, across all instances that
  * serve it.
@@ -5,20 +16,12 @@
 export interface AttemptBudget {
   /** Number of servers that the request has been sent to, or may have been. */
   used(): number;
-  /** Whether the request may be sent to one more server after the attempt in progress. */
+  /** Whether the request may be sent to one more server besides the attempts in progress. */
   hasRemaining(): boolean;
-  /** Reserves one attempt for a server of this region, and returns 1. */
-  reserveOne(): number;
-  /**
-   * Reserves the attempts that an instance of another region may make for the request, and returns
-   * their number.
-   */
-  reserveForPeer(): number;
-  /**
-   * Settles the last reservation: `used` servers got the request. Undefined if the number is
-   * unknown; the whole reservation then counts as used.
-   */
-  settle(used: number | undefined): void;
+  /** Reserves one attempt for a server of this region. */
+  reserveOne(): AttemptReservation;
+  /** Reserves the attempts that an instance of another region may make for the request. */
+  reserveForPeer(): AttemptReservation;
 }
 
 /**
@@ -38,21 +41,28 @@
   let settled = 0;
   let reserved = 0;
   const remaining = () => maxAttempts - settled - reserved;
+
+  const reserve = (count: number): AttemptReservation => {
+    let isSettled = false;
+    reserved += count;
+    return {
+      count,
+      settle(used) {
+        if (isSettled) return;
+        isSettled = true;
+        reserved -= count;
+        settled += used ?? count;
+      },
+    };
+  };
+
   return {
     used: () => settled + reserved,
     hasRemaining: () => remaining() > 0,
-    reserveOne() {
-      reserved = 1;
-      return reserved;
-    },
+    reserveOne: () => reserve(1),
     reserveForPeer() {
       const withheld = mayRepeat && remaining() > 1 ? 1 : 0;
-      reserved = Math.max(1, remaining() - withheld);
-      return reserved;
-    },
-    settle(used) {
-      settled += used ?? reserved;
-      reserved = 0;
+      return reserve(Math.max(1, remaining() - withheld));
     },
   };
 }
--- a/src/core/pass-through/attempt-headers.ts
+++ b/src/core/pass-through/attempt-headers.ts
@@ -1,5 +1,5 @@
+import type { SendableDestination } from './create-router';
 import { PLAN_HEADER, answerDeadlineMs, writePlan } from './forwarding';
-import type { SendableDestination } from './observe-destination';
 import type { StreamProgress } from './stream-progress';
 import type { HeaderDialect, InboundRequest, RequestPlan } from './types';
 
--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -8,7 +8,7 @@
 import type { KnownServer } from '../server-registry';
 import { createBufferedReader, createStreamReader } from './answer-reader';
 import type { AnswerReader } from './answer-reader';
-import type { Router } from './create-router';
+import type { Router, SendableDestination } from './create-router';
 import {
   ATTEMPTS_HEADER,
   OUTCOME_HEADER,
@@ -17,11 +17,12 @@
   readDecisiveReason,
 } from './forwarding';
 import type { DecisiveReason } from './forwarding';
+import { announceAnswer } from './announce-answer';
 import { attemptHeaders } from './attempt-headers';
 import { classifyAnswer, headerText } from './classify-answer';
 import type { AnswerClassification } from './classify-answer';
 import { observeDestination } from './observe-destination';
-import type { ObservedEnd, SendableDestination } from './observe-destination';
+import type { ObservedEnd } from './observe-destination';
 import { UNAVAILABLE_STATUS, observeStatements, readPause } from './observe-statements';
 import { PEER_IDLE_MS } from './other-regions';
 import { sendWhenWarm } from './send-when-warm';
@@ -63,14 +64,20 @@
       readonly wasBrokenOff: boolean;
     };
 
+/** Result of an attempt without an answer that could be passed on. */
+export type FailedAttempt = Exclude<AttemptResult, { kind: 'answered' }>;
+
 /** An attempt in progress. */
 export interface Attempt {
   readonly to: SendableDestination;
   readonly sentAtMs: number;
-  /** Aborts the attempt; its result is still reported, unless `forget` was called. */
+  /** Aborts the attempt; its result is still reported, unless `discard` was called. */
   abort(cause: LossCause): void;
-  /** Discards the result, since nothing waits for it any more. */
-  forget(): void;
+  /**
+   * Aborts the attempt and discards its result, since nothing waits for it any more. Silence counts against its server, any
+   * other cause does not.
+   */
+  discard(cause: LossCause): void;
   /** Time of the last byte of the answer, or else of the start of the attempt, monotonic ms. */
   lastByteAtMs(): number;
   /** Time of the first byte of a body, monotonic ms; undefined before that. */
@@ -102,6 +109,8 @@
   readonly attemptsReserved: number;
   readonly answer: ClientAnswer;
   readonly progress: StreamProgress;
+  /** Called before something of the answer is passed on. */
+  readonly onPassingOn: () => void;
   /** Called when a server other than `serverId` has answered at its address. */
   readonly onReplaced: (serverId: string) => void;
   readonly onResult: (result: AttemptResult) => void;
@@ -168,7 +177,8 @@
 
 /** Sends a request once and passes its answer on as it arrives, as far as that is allowed. */
 export function startAttempt(options: AttemptOptions): Attempt {
-  const { clock, dialect, pool, router, request, plan, to, answer, progress } = options;
+  const { clock, dialect, pool, router, request, plan, to, progress } = options;
+  const answer = announceAnswer(options.answer, options.onPassingOn);
   const sentAtMs = clock.monotonicMs();
   const observer = observeDestination(options, to);
   const droppedHeaders = new Set([
@@ -187,7 +197,7 @@
   let firstByteAtMs: number | undefined;
   let lastByteAtMs = sentAtMs;
   let abortedBy: LossCause | undefined;
-  let isForgotten = false;
+  let isDiscarded = false;
   /** Whether a connection for the request was free or could be opened. */
   let hasBegun = false;
 
@@ -202,8 +212,9 @@
   };
 
   const report = (result: AttemptResult, end: ObservedEnd): void => {
-    observer.recordEnd(isForgotten ? 'inconclusive' : end);
-    if (!isForgotten) options.onResult(result);
+    const showsNothing = isDiscarded && abortedBy !== 'silence';
+    observer.recordEnd(showsNothing ? 'inconclusive' : end);
+    if (!isDiscarded) options.onResult(result);
   };
 
   const recordFirstByte = (): void => {
@@ -251,7 +262,7 @@
 
   const onHead = (answerHead: AnswerHead): void => {
     recordReached();
-    if (isForgotten) return;
+    if (isDiscarded) return;
     head = answerHead;
     lastByteAtMs = clock.monotonicMs();
     const load = dialect.readLoadReport(headerText(head.headers[dialect.load]) ?? '');
@@ -300,7 +311,7 @@
 
   const onData = (chunk: Buffer): void => {
     recordReached();
-    if (isForgotten || reader === undefined) return;
+    if (isDiscarded || reader === undefined) return;
     lastByteAtMs = clock.monotonicMs();
     recordFirstByte();
     observer.recordData();
@@ -401,8 +412,9 @@
     to,
     sentAtMs,
     abort,
-    forget() {
-      isForgotten = true;
+    discard(cause) {
+      isDiscarded = true;
+      abort(cause);
     },
     lastByteAtMs: () => lastByteAtMs,
     firstByteAtMs: () => firstByteAtMs,
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -50,6 +50,12 @@
 export type Destination =
   ({ readonly kind: 'server' } & LocalChoice) | PeerDestination | RefusedPlacement;
 
+/** Destination that a request can be sent to. */
+export type SendableDestination = Exclude<Destination, { kind: 'none' }>;
+
+/** Finding of a choice; a refusal is made, and its retry scheduled, only if the caller is going to get it. */
+type Finding = SendableDestination | { readonly kind: 'none'; refuse(): RefusedPlacement };
+
 /** Chooses destinations for requests, and records their results for later choices. */
 export interface Router {
   choose(
@@ -58,6 +64,16 @@
     tried: TriedDestinations,
     nowMs: number,
   ): Destination;
+  /**
+   * Chooses a destination for one more attempt of a request beside those in progress, which are silent; undefined if there
+   * is none. Leaves out servers of this region that are silent as well.
+   */
+  chooseBeside(
+    request: InboundRequest,
+    plan: RequestPlan,
+    tried: TriedDestinations,
+    nowMs: number,
+  ): SendableDestination | undefined;
   /** Returns the time until some server of this region may be sent the request, ms; 0 if that is so now. */
   waitMs(plan: RequestPlan): number;
   readonly loads: ServerLoads;
@@ -101,6 +117,12 @@
     readonly onPartsCached: (incarnationId: string, partIds: readonly string[]) => void;
   };
 
+/**
+ * Silence of a server with open requests from which no request is sent there beside a silent attempt, ms: a long prompt
+ * may delay a batch for that long.
+ */
+const MAX_SILENCE_MS = 500;
+
 const ALL_REACHABLE: LinksToServers = {
   isCut: () => false,
   isUnreachable: () => false,
@@ -208,7 +230,7 @@
     plan: RequestPlan,
     restricted: RestrictedServer | undefined,
     nowMs: number,
-  ): Destination => {
+  ): RefusedPlacement => {
     if (isVersionGone(plan)) {
       return {
         kind: 'none',
@@ -229,7 +251,7 @@
     plan: RequestPlan,
     tried: TriedDestinations,
     nowMs: number,
-  ): Destination => {
+  ): Finding => {
     const maxWaitMs = admission.maxWaitMs(plan, nowMs);
     const isOverMaxWait = best !== undefined && waitMsOf(best) > maxWaitMs;
     const peer = choosePeer(plan, best, isOverMaxWait, tried);
@@ -237,18 +259,48 @@
     // If no server is reachable and no other region helps, a server that is only suspected to be
     // unreachable is the best choice.
     const choice = best ?? unreachable;
-    if (choice === undefined) return refuseWithoutServer(plan, restricted, nowMs);
+    if (choice === undefined) {
+      return { kind: 'none', refuse: () => refuseWithoutServer(plan, restricted, nowMs) };
+    }
     const isAdmitted = isBoundToSome(plan)
       ? admission.admitsBound(choice, plan, nowMs)
       : admission.admits(choice, plan, maxWaitMs, nowMs);
     if (!isAdmitted) {
-      return refuser.refuseTooSlow(plan, choice, maxWaitMs, nowMs);
+      return { kind: 'none', refuse: () => refuser.refuseTooSlow(plan, choice, maxWaitMs, nowMs) };
     }
     const { server } = choice;
     if (server.coldUntilMs > nowMs) coldServerLimiter.recordSent(server.incarnationId, nowMs);
     return { kind: 'server', ...choice };
   };
 
+  /**
+   * Finds a destination; `best` is the best server of this region, and `countsForShare` whether the finding counts for the
+   * share of the account.
+   */
+  const find = (
+    request: InboundRequest,
+    plan: RequestPlan,
+    tried: TriedDestinations,
+    nowMs: number,
+  ): { finding: Finding; best: LocalChoice | undefined; countsForShare: boolean } => {
+    const known = localServers.outlook(request, plan, tried, nowMs);
+    const detour = plan.isForwarded ? undefined : chooseDetour(plan, known, tried);
+    if (detour !== undefined) return { finding: detour, best: undefined, countsForShare: false };
+    const choices = links.isCut() ? NO_LOCAL_CHOICES : known;
+    const { best } = choices;
+    const verdict = shareGate.check(request, plan, best, nowMs);
+    if (!verdict.isAdmitted) {
+      // The account has its share of this region only; another one may have room for the request.
+      const finding: Finding = choosePeer(plan, best, true, tried) ?? {
+        kind: 'none',
+        refuse: () => refuser.refuseOverShare(plan, verdict.admittedShare, nowMs),
+      };
+      return { finding, best, countsForShare: false };
+    }
+    admission.recordDemand(request, plan, best, nowMs);
+    return { finding: chooseAmong(choices, plan, tried, nowMs), best, countsForShare: true };
+  };
+
   return {
     loads,
     refusals,
@@ -259,21 +311,20 @@
     spillWindows,
     wereLinksCutSince: links.wasCutSince,
     choose(request, plan, tried, nowMs) {
-      const known = localServers.outlook(request, plan, tried, nowMs);
-      const detour = plan.isForwarded ? undefined : chooseDetour(plan, known, tried);
-      if (detour !== undefined) return detour;
-      const choices = links.isCut() ? NO_LOCAL_CHOICES : known;
-      const verdict = shareGate.check(request, plan, choices.best, nowMs);
-      if (!verdict.isAdmitted) {
-        // The account has its share of this region only; another one may have room for the request.
-        const peer = choosePeer(plan, choices.best, true, tried);
-        return peer ?? refuser.refuseOverShare(plan, verdict.admittedShare, nowMs);
-      }
-      admission.recordDemand(request, plan, choices.best, nowMs);
-      const destination = chooseAmong(choices, plan, tried, nowMs);
-      shareGate.record(request, plan, choices.best, destination, nowMs);
+      const { finding, best, countsForShare } = find(request, plan, tried, nowMs);
+      const destination = finding.kind === 'none' ? finding.refuse() : finding;
+      if (countsForShare) shareGate.record(request, plan, best, destination, nowMs);
       return destination;
     },
+    chooseBeside(request, plan, tried, nowMs) {
+      const silentIds = servers
+        .usable(plan.service, region, plan.streamVersion)
+        .map(({ incarnationId }) => incarnationId)
+        .filter((incarnationId) => loads.unheardMs(incarnationId, nowMs) > MAX_SILENCE_MS);
+      const ids = new Set([...tried.ids, ...silentIds]);
+      const { finding } = find(request, plan, { ...tried, ids }, nowMs);
+      return finding.kind === 'none' ? undefined : finding;
+    },
     waitMs: ({ service }) => localServers.waitMs(service),
     recordAdmitted: refuser.recordAdmitted,
     recordPrompt(incarnationId, demand) {
--- a/src/core/pass-through/events.ts
+++ b/src/core/pass-through/events.ts
@@ -44,4 +44,11 @@
     text: 'A caller left before its answer was complete; its request was cancelled.',
     action: 'Nothing.',
   },
+  attemptDiscarded: {
+    id: 4107,
+    name: 'attempt-discarded',
+    level: 'info',
+    text: 'An attempt was ended because another attempt of its request had begun to answer.',
+    action: 'Check any backend server that appears often with the cause silence.',
+  },
 } as const satisfies Record<string, EventDefinition>;
--- a/src/core/pass-through/observe-destination.ts
+++ b/src/core/pass-through/observe-destination.ts
@@ -1,13 +1,10 @@
 import type { Clock } from '../clock';
 import { ownTokens } from '../placement';
 import type { LoadReport, SpillResult } from '../placement';
-import type { Destination, Router } from './create-router';
+import type { Router, SendableDestination } from './create-router';
 import { requestClassKey } from './forwarding';
 import type { InboundRequest, RequestPlan } from './types';
 
-/** A destination that a request can be sent to. */
-export type SendableDestination = Exclude<Destination, { kind: 'none' }>;
-
 /** End of an attempt, classified by what it shows about the destination. */
 export type ObservedEnd =
   | 'answered'
--- a/src/core/pass-through/request-log.ts
+++ b/src/core/pass-through/request-log.ts
@@ -6,15 +6,18 @@
 import { PASS_THROUGH_EVENTS } from './events';
 import { answerDeadlineMs, requestFields } from './forwarding';
 import type { RefusalBasis } from './create-refuser';
+import type { SendableDestination } from './create-router';
 import type { LocalChoice } from './local-servers';
-import type { SendableDestination } from './observe-destination';
 import type { StreamProgress } from './stream-progress';
 import type { InboundRequest, Refusal, RefusalReason, RequestPlan } from './types';
 
 /** Writes the log lines of one request: one for each decision, and one for its end. */
 export interface RequestLog {
-  placed(to: SendableDestination): void;
+  /** Logs where the request is sent; `beside` is the number of attempts that are in progress already. */
+  placed(to: SendableDestination, beside: number): void;
   attemptFailed(attempt: Attempt, reason: string, details?: FailureDetails): void;
+  /** Logs that an attempt was ended because another one had something for the caller. */
+  attemptDiscarded(attempt: Attempt, cause: LossCause): void;
   /** Logs that another instance refused the request, for the reason that it states. */
   peerRefused(attempt: Attempt, refusalReason: string | undefined): void;
   /** Logs that a server has not run the request; `pauseMs` is the pause that it asks for, ms. */
@@ -127,7 +130,7 @@
   });
 
   return {
-    placed: (to) =>
+    placed: (to, beside) =>
       logger.event(PASS_THROUGH_EVENTS.placed, {
         ...fields(),
         ...placementFields(to),
@@ -136,6 +139,7 @@
         promptTokens: request.demand?.promptTokens,
         mostAttempts: plan.maxAttempts,
         isForwarded: plan.isForwarded,
+        beside,
         sinceReceivedMs: totalMs(),
         to: destinationName(to),
         timeLeftMs: Math.round(answerDeadlineMs(plan) - clock.monotonicMs()),
@@ -146,6 +150,8 @@
         reason,
         ...details,
       }),
+    attemptDiscarded: (attempt, cause) =>
+      logger.event(PASS_THROUGH_EVENTS.attemptDiscarded, { ...attemptFields(attempt), cause }),
     peerRefused: (attempt, refusalReason) =>
       logger.event(PASS_THROUGH_EVENTS.attemptFailed, {
         ...attemptFields(attempt),
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -1,37 +1,38 @@
-import type { BrittleServers, SlotLease, SlotVerdict } from '../brittle-servers';
+import type { BrittleServers, SlotLease } from '../brittle-servers';
 import type { Clock } from '../clock';
 import type { Logger } from '../events';
 import type { ConnectionPool } from '../exchanges';
 import type { Reachability } from '../reachability';
-import type { PermitVerdict, ServerLimits } from '../server-limits';
+import type { ServerLimits } from '../server-limits';
 import type { ServerNotices } from '../server-notices';
 import type { KnownServer } from '../server-registry';
 import type { RetryAllowance } from '../shared-budget';
 import type { StreamVersions } from '../stream-versions';
-import { destinationName, startAttempt } from './attempt';
-import type { Attempt, AttemptResult } from './attempt';
+import { askPermission } from './ask-permission';
+import { startAttempt } from './attempt';
+import type { Attempt, AttemptResult, FailedAttempt } from './attempt';
 import { createAttemptBudget } from './attempt-budget';
 import type { CrashWatch, CrashWatchedAttempt } from './crash-watch';
-import type { Router } from './create-router';
+import type { Router, SendableDestination } from './create-router';
 import { answerDeadlineMs, isRepeatable } from './forwarding';
-import type { SendableDestination } from './observe-destination';
-import { UNAVAILABLE_STATUS } from './observe-statements';
+import { hedgeSilence } from './hedge-silence';
+import { createOpenAttempts, hasReachedNoServer } from './open-attempts';
 import { createRequestEnd } from './request-end';
 import type { ServedRequest } from './request-end';
 import { createRequestLog } from './request-log';
-import { abortSilentAttempts } from './abort-silent-attempts';
 import { recordBegunStream } from './resumed-stream';
 import { createStreamProgress } from './stream-progress';
 import type { StreamProgress } from './stream-progress';
+import { createTriedRecord } from './tried-destinations';
 import type {
   ClientAnswer,
   HeaderDialect,
   InboundRequest,
   RefusalReason,
   RequestPlan,
-  TriedDestinations,
 } from './types';
 import type { WarmCheck } from './warm-check';
+import { isSilent } from './watch-silence';
 
 /** Dependencies of `serveRequest`. */
 export interface ServeDependencies {
@@ -85,14 +86,6 @@
 /** Retry delay after a timeout before anything was sent. */
 const TIMED_OUT_RETRY_MS = 1_000;
 
-/** Returns how many backend servers got the request in one attempt; undefined if that is unknown. */
-function serversUsed(attempt: Attempt, result: AttemptResult): number | undefined {
-  if (result.kind === 'neverSent') return 0;
-  if (attempt.to.kind === 'server') return 1;
-  // An instance that was lost midway may have continued with the request after its last report.
-  return result.kind === 'lost' ? undefined : attempt.serversTriedThere();
-}
-
 /** Serves one request: sends it, passes its answer on, and retries where that is allowed and helps. */
 export function serveRequest(
   dependencies: ServeDependencies,
@@ -101,9 +94,7 @@
   answer: ClientAnswer,
 ): ServedHandle {
   const { clock, router, retries } = dependencies;
-  const triedIds = new Set<string>();
-  const refusingRegions = new Set<string>();
-  const tried: TriedDestinations = { ids: triedIds, refusingRegions };
+  const tried = createTriedRecord();
   const progress: StreamProgress = createStreamProgress(
     clock,
     request.lastEventId,
@@ -111,9 +102,7 @@
   );
   const mayRepeat = isRepeatable(plan);
   const attemptBudget = createAttemptBudget(plan.maxAttempts, mayRepeat);
-  let current: Attempt | undefined;
-  let crashWatchedAttempt: CrashWatchedAttempt | undefined;
-  let slotLease: SlotLease | undefined;
+  const openAttempts = createOpenAttempts();
   let slotDenials = 0;
   let unsentAttempts = 0;
   let isTimedOut = false;
@@ -156,14 +145,11 @@
     !isTimedOut && attemptBudget.hasRemaining() && retries.take(plan.service, clock.monotonicMs());
 
   const afterLoss = (): void => {
-    end.markMayHaveRun();
-    lastFailure = 'serverFailed';
     if (mayRepeat && mayTryAgain()) tryNext();
     else end.giveUp(isTimedOut ? 'timedOut' : 'serverFailed', undefined);
   };
 
   const afterRejection = (): void => {
-    lastFailure = 'serverRefused';
     if (mayTryAgain()) tryNext();
     else {
       const waitMs = router.waitMs(plan);
@@ -183,7 +169,6 @@
       afterLoss();
       return;
     }
-    lastFailure = 'overloaded';
     // If servers there have rejected the request, the next attempt is a retry; otherwise it is the
     // first one.
     const needsNoRetryBudget = isTimedOut || serversTried === 0;
@@ -191,61 +176,70 @@
     else end.giveUp('overloaded', REJECTED_RETRY_MS);
   };
 
-  const afterServerFailure = (
-    attempt: Attempt,
-    result: AttemptResult & { kind: 'serverFailed' },
-  ): void => {
-    end.keepFailureAnswer(() => {
-      result.passOn();
-      log.answered(attempt, result.status, firstByteAtMs);
-    });
-    lastFailure = 'serverFailed';
+  const afterServerFailure = (): void => {
     if (mayRepeat && mayTryAgain()) tryNext();
     else end.giveUp('serverFailed', undefined);
   };
 
-  const reportToCrashWatch = (attempt: Attempt, result: AttemptResult): void => {
-    if (result.kind === 'answered') crashWatchedAttempt?.answered(result.status);
-    else if (result.kind === 'lost' && result.wasBrokenOff) {
-      crashWatchedAttempt?.reset(attempt.firstByteAtMs());
-    } else crashWatchedAttempt?.ended();
-    crashWatchedAttempt = undefined;
+  const recordPeerRefusal = (
+    { to }: Attempt,
+    { reason, retryAfterMs, hasNotRun }: AttemptResult & { kind: 'peerRefused' },
+  ): void => {
+    // An instance without links refuses for itself; others of its region may reach the servers.
+    if (to.kind === 'peer' && reason !== 'serversUnreachable') tried.recordRefusal(to.peer);
+    if (retryAfterMs !== undefined) {
+      peerRetryAfterMs = Math.min(peerRetryAfterMs ?? Infinity, retryAfterMs);
+    }
+    if (hasNotRun) lastFailure = 'overloaded';
+    else recordLoss();
   };
 
-  /** Gives the slot of the attempt back; `wasRejected` if the server had no room for the request. */
-  const releaseSlot = (wasRejected: boolean): void => {
-    slotLease?.release(wasRejected);
-    slotLease = undefined;
-  };
+  function recordLoss(): void {
+    end.markMayHaveRun();
+    lastFailure = 'serverFailed';
+  }
 
-  const onResult = (attempt: Attempt, result: AttemptResult): void => {
-    current = undefined;
-    releaseSlot(result.kind === 'rejected' && result.status === UNAVAILABLE_STATUS);
-    reportToCrashWatch(attempt, result);
-    firstByteAtMs ??= attempt.firstByteAtMs();
-    attemptBudget.settle(serversUsed(attempt, result));
+  /** Records an attempt that failed, whether or not another one is in progress. */
+  const recordFailure = (attempt: Attempt, result: FailedAttempt): void => {
     switch (result.kind) {
-      case 'answered':
-        log.answered(attempt, result.status, firstByteAtMs);
-        end.answered();
-        return;
       case 'neverSent':
         log.attemptFailed(attempt, result.reason);
-        afterUnsent();
         return;
       case 'rejected':
         log.rejected(attempt, result.status, result.pauseMs);
-        afterRejection();
+        lastFailure = 'serverRefused';
         return;
       case 'peerRefused':
         log.peerRefused(attempt, result.statedReason);
-        // An instance without links refuses for itself; others of its region may reach the servers.
-        if (attempt.to.kind === 'peer' && result.reason !== 'serversUnreachable') {
-          refusingRegions.add(attempt.to.peer.region);
-        }
-        if (result.retryAfterMs !== undefined) {
-          peerRetryAfterMs = Math.min(peerRetryAfterMs ?? Infinity, result.retryAfterMs);
-        }
+        recordPeerRefusal(attempt, result);
+        return;
+      case 'serverFailed':
+        log.attemptFailed(attempt, 'the server failed', { status: result.status });
+        end.keepFailureAnswer(() => {
+          result.passOn();
+          log.answered(attempt, result.status, firstByteAtMs);
+        });
+        lastFailure = 'serverFailed';
+        return;
+      case 'lost':
+        log.attemptFailed(attempt, result.reason, { cause: result.cause });
+        recordLoss();
+        return;
+      default:
+        result satisfies never;
+    }
+  };
+
+  /** Decides how the request goes on when its last attempt in progress has failed. */
+  const afterFailure = (attempt: Attempt, result: FailedAttempt): void => {
+    switch (result.kind) {
+      case 'neverSent':
+        afterUnsent();
+        return;
+      case 'rejected':
+        afterRejection();
+        return;
+      case 'peerRefused':
         if (result.hasNotRun && result.reason === 'suspectedOfCrashes') {
           // That instance knows of crashes that this one has not heard of.
           end.giveUp('suspectedOfCrashes', result.retryAfterMs);
@@ -254,11 +248,9 @@
         afterPeerRefusal(result.hasNotRun, attempt.serversTriedThere());
         return;
       case 'serverFailed':
-        log.attemptFailed(attempt, 'the server failed', { status: result.status });
-        afterServerFailure(attempt, result);
+        afterServerFailure();
         return;
       case 'lost':
-        log.attemptFailed(attempt, result.reason, { cause: result.cause });
         afterLoss();
         return;
       default:
@@ -266,35 +258,68 @@
     }
   };
 
-  const send = (to: SendableDestination): void => {
-    const attemptsReserved =
+  const onResult = (attempt: Attempt, result: AttemptResult): void => {
+    openAttempts.end(attempt, result);
+    firstByteAtMs ??= attempt.firstByteAtMs();
+    if (result.kind === 'answered') {
+      log.answered(attempt, result.status, firstByteAtMs);
+      end.answered();
+      return;
+    }
+    recordFailure(attempt, result);
+    if (openAttempts.size === 0) afterFailure(attempt, result);
+    else if (hasReachedNoServer(attempt, result)) {
+      retries.giveBack(plan.service, clock.monotonicMs());
+    }
+  };
+
+  /** Ends all attempts but the one that has something for the caller. */
+  const keepOnly = (answering: Attempt): void => {
+    if (openAttempts.size < 2) return;
+    const nowMs = clock.monotonicMs();
+    openAttempts.discard((attempt) => {
+      if (attempt === answering) return undefined;
+      const cause = isSilent(attempt, router.loads, nowMs) ? 'silence' : 'aborted';
+      log.attemptDiscarded(attempt, cause);
+      return cause;
+    });
+  };
+
+  const send = (to: SendableDestination, slotLease?: SlotLease): void => {
+    const reservation =
       to.kind === 'peer' ? attemptBudget.reserveForPeer() : attemptBudget.reserveOne();
     answer.recordAttempts(attemptBudget.used());
-    triedIds.add(destinationName(to));
-    log.placed(to);
+    tried.recordSent(to);
+    log.placed(to, openAttempts.size);
+    let crashWatched: CrashWatchedAttempt | undefined;
     if (to.kind === 'server') {
       const { server, maxConnections } = to;
       router.recordAdmitted(plan, clock.monotonicMs());
       const target = { server, maxConnections, attempt: attemptBudget.used() };
-      crashWatchedAttempt = dependencies.crashWatch.watch(request, plan, target);
+      crashWatched = dependencies.crashWatch.watch(request, plan, target);
     }
+    let attempt: Attempt | undefined;
     let earlyResult: AttemptResult | undefined;
-    const attempt: Attempt = startAttempt({
+    const started = startAttempt({
       ...dependencies,
       request,
       plan: planOfNext(),
       to,
       answer,
       progress,
-      attemptsReserved,
+      attemptsReserved: reservation.count,
+      onPassingOn() {
+        if (attempt !== undefined) keepOnly(attempt);
+      },
       onResult(result) {
         // An attempt may end before `startAttempt` has returned it.
-        if (current === undefined) earlyResult = result;
-        else onResult(current, result);
+        if (attempt === undefined) earlyResult = result;
+        else onResult(attempt, result);
       },
     });
-    current = attempt;
-    if (earlyResult !== undefined) onResult(attempt, earlyResult);
+    attempt = started;
+    openAttempts.add(started, { reservation, crashWatched, slotLease });
+    if (earlyResult !== undefined) onResult(started, earlyResult);
   };
 
   function tryNext(): void {
@@ -321,25 +346,23 @@
    * destination. Also chooses again if the server has gone out of use while the answers were on their way.
    */
   function sendWithPermit(to: SendableDestination & { kind: 'server' }): void {
-    const decideSlot = (verdict: SlotVerdict): void => {
-      const lease = verdict.kind === 'granted' ? verdict.lease : undefined;
-      if (end.isOver() || lease === undefined || !dependencies.mayReceive(to.server)) {
-        lease?.release(false);
-        if (lease === undefined) slotDenials += 1;
-        if (end.isOver()) return;
-        if (slotDenials < MAX_SLOT_DENIALS) tryNext();
-        else end.giveUp('serversLimited', Math.max(REJECTED_RETRY_MS, router.waitMs(plan)));
-        return;
+    const isNeeded = () => !end.isOver();
+    askPermission({ ...dependencies, isNeeded }, to.server, (permission) => {
+      switch (permission.kind) {
+        case 'granted':
+          send(to, permission.slotLease);
+          return;
+        case 'denied':
+          if (permission.by === 'slot') slotDenials += 1;
+          if (slotDenials < MAX_SLOT_DENIALS) tryNext();
+          else end.giveUp('serversLimited', Math.max(REJECTED_RETRY_MS, router.waitMs(plan)));
+          return;
+        case 'unneeded':
+          return;
+        default:
+          permission satisfies never;
       }
-      slotLease = lease;
-      send(to);
-    };
-    const decide = (verdict: PermitVerdict): void => {
-      if (end.isOver()) return;
-      if (verdict.kind === 'granted') dependencies.brittle.requestSlot(to.server, decideSlot);
-      else tryNext();
-    };
-    dependencies.limits.requestPermit(to.server.incarnationId, decide);
+    });
   }
 
   /**
@@ -349,18 +372,26 @@
    */
   const deadline = clock.schedule(answerDeadlineMs(plan), () => {
     isTimedOut = true;
-    if (current === undefined) end.giveUp('timedOut', TIMED_OUT_RETRY_MS);
-    else current.abort('timeout');
-  });
-  const silence = abortSilentAttempts({
-    clock,
-    loads: router.loads,
-    current: () => (mayRepeat && attemptBudget.hasRemaining() ? current : undefined),
+    if (openAttempts.size === 0) end.giveUp('timedOut', TIMED_OUT_RETRY_MS);
+    else openAttempts.abortAll('timeout');
   });
+  const isRefused = () => dependencies.crashWatch.refusedForMs(request, plan) !== undefined;
+  const hedge = mayRepeat
+    ? hedgeSilence({
+        ...dependencies,
+        request,
+        planOfNext,
+        attemptBudget,
+        openAttempts,
+        tried,
+        isOver: () => end.isOver() || isTimedOut || isRefused(),
+        send,
+      })
+    : undefined;
 
   function stopTimers(): void {
     deadline[Symbol.dispose]();
-    silence[Symbol.dispose]();
+    hedge?.[Symbol.dispose]();
   }
 
   tryNext();
@@ -369,10 +400,7 @@
       if (end.isOver()) return;
       log.callerGone();
       end.callerGone();
-      crashWatchedAttempt?.ended();
-      releaseSlot(false);
-      current?.forget();
-      current?.abort('aborted');
+      openAttempts.discard(() => 'aborted');
     },
   };
 }
--- a/src/core/placement/server-load.ts
+++ b/src/core/placement/server-load.ts
@@ -57,6 +57,8 @@
   isBackingOff(incarnationId: string, nowMs: number): boolean;
   /** Returns the time since the server's last byte, ms; 0 if no request waits for its first byte. */
   silentMs(incarnationId: string, nowMs: number): number;
+  /** Returns the time since the server's last byte, ms; 0 if this instance has no open request there. */
+  unheardMs(incarnationId: string, nowMs: number): number;
   totalInFlight(): number;
   /** Returns the open requests of this instance, per server. */
   ownLoads(): readonly OwnServerLoad[];
@@ -234,6 +236,10 @@
     },
     isBackingOff: (incarnationId, nowMs) => (loads.get(incarnationId)?.backoffUntilMs ?? 0) > nowMs,
     silentMs,
+    unheardMs(incarnationId, nowMs) {
+      const load = loads.get(incarnationId);
+      return load === undefined || load.ownInFlight === 0 ? 0 : nowMs - load.lastByteAtMs;
+    },
     totalInFlight: () => total,
     ownLoads: () =>
       [...loads]
--- a/src/core/shared-budget/retry-budget.ts
+++ b/src/core/shared-budget/retry-budget.ts
@@ -13,6 +13,8 @@
   recordRequest(service: string, nowMs: number): void;
   /** Takes one retry from the budget; returns false if none remains. */
   take(service: string, nowMs: number): boolean;
+  /** Gives back a retry that was taken and did not reach any server. */
+  giveBack(service: string, nowMs: number): void;
 }
 
 interface CountingWindow {
@@ -76,5 +78,9 @@
       window.retries += 1;
       return true;
     },
+    giveBack(service, nowMs) {
+      const window = windowAt(service, nowMs);
+      if (window.retries > 0) window.retries -= 1;
+    },
   };
 }
