Do not take a slow caller for a silent server

Cause: while a caller reads too slowly, nothing is read from its server either, and after 1.2 s that counted as silence of the server. Change: the time in which an answer is paused for its caller is no silence. Result: slow-callers.test.ts failed before (a second server got the request of a caller that did not read for 1.7 s) and passes.

--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -78,7 +78,10 @@
    * other cause does not.
    */
   discard(cause: LossCause): void;
-  /** Time of the last byte of the answer, or else of the start of the attempt, monotonic ms. */
+  /**
+   * Time of the last byte of the answer, or else of the start of the attempt, monotonic ms. While the caller reads too
+   * slowly, it is the present time, since nothing is read from the server then.
+   */
   lastByteAtMs(): number;
   /** Time of the first byte of a body, monotonic ms; undefined before that. */
   firstByteAtMs(): number | undefined;
@@ -196,6 +199,7 @@
   let isFailure = false;
   let firstByteAtMs: number | undefined;
   let lastByteAtMs = sentAtMs;
+  let isPaused = false;
   let abortedBy: LossCause | undefined;
   let isDiscarded = false;
   /** Whether a connection for the request was free or could be opened. */
@@ -316,8 +320,13 @@
     recordFirstByte();
     observer.recordData();
     if (reader.addChunk(chunk)) return;
+    isPaused = true;
     exchange?.pause();
-    answer.onDrain(() => exchange?.resume());
+    answer.onDrain(() => {
+      isPaused = false;
+      lastByteAtMs = clock.monotonicMs();
+      exchange?.resume();
+    });
   };
 
   const passOn = (): void => {
@@ -416,7 +425,7 @@
       isDiscarded = true;
       abort(cause);
     },
-    lastByteAtMs: () => lastByteAtMs,
+    lastByteAtMs: () => (isPaused ? clock.monotonicMs() : lastByteAtMs),
     firstByteAtMs: () => firstByteAtMs,
     serversTriedThere: () => (isServer || head === undefined ? undefined : readServersTried(head)),
   };
