Test when a hedge begins, and split the results of attempts and the dependencies of serving

Change: a table of cases on a stepped clock, one on the order of return; types in files of their own. No change of behaviour.

--- a/src/core/pass-through/index.ts
+++ b/src/core/pass-through/index.ts
@@ -13,7 +13,7 @@
 export type { ForwardPeer } from './other-regions';
 export { sumByService } from './region-room';
 export type { ServedRequest } from './request-end';
-export type { ServeDependencies } from './serve-request';
+export type { ServeDependencies } from './serve-dependencies';
 export type { HeaderDialect, TokenCount } from './types';
 export type { StatedBrittleness } from '../brittle-servers';
 export type { NamedLimit } from '../server-limits';
--- a/src/core/pass-through/open-attempts.ts
+++ b/src/core/pass-through/open-attempts.ts
@@ -1,7 +1,8 @@
 import type { SlotLease } from '../brittle-servers';
 import type { LossCause } from '../outcomes';
-import type { Attempt, AttemptResult, FailedAttempt } from './attempt';
+import type { Attempt } from './attempt';
 import type { AttemptReservation } from './attempt-budget';
+import type { AttemptResult, FailedAttempt } from './attempt-result';
 import type { CrashWatchedAttempt } from './crash-watch';
 import { UNAVAILABLE_STATUS } from './observe-statements';
 
--- a/src/core/pass-through/open-ingress.ts
+++ b/src/core/pass-through/open-ingress.ts
@@ -23,7 +23,7 @@
 import { chargeQuota } from './charge-quota';
 import type { ServedRequest } from './request-end';
 import { serveRequest } from './serve-request';
-import type { ServeDependencies } from './serve-request';
+import type { ServeDependencies } from './serve-dependencies';
 import type { ClientAnswer, InboundRequest, Refusal, RefusalReason, RequestPlan } from './types';
 
 /** Options of `openIngress`. */
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -1,68 +1,24 @@
-import type { BrittleServers, SlotLease } from '../brittle-servers';
-import type { Clock } from '../clock';
-import type { Logger } from '../events';
-import type { ConnectionPool } from '../exchanges';
-import type { Reachability } from '../reachability';
-import type { ServerLimits } from '../server-limits';
-import type { ServerNotices } from '../server-notices';
-import type { KnownServer } from '../server-registry';
-import type { RetryAllowance } from '../shared-budget';
-import type { StreamVersions } from '../stream-versions';
+import type { SlotLease } from '../brittle-servers';
 import { askPermission } from './ask-permission';
 import { startAttempt } from './attempt';
-import type { Attempt, AttemptResult, FailedAttempt } from './attempt';
+import type { Attempt } from './attempt';
 import { createAttemptBudget } from './attempt-budget';
-import type { CrashWatch, CrashWatchedAttempt } from './crash-watch';
-import type { Router, SendableDestination } from './create-router';
+import type { AttemptResult, FailedAttempt } from './attempt-result';
+import type { CrashWatchedAttempt } from './crash-watch';
+import type { SendableDestination } from './create-router';
 import { answerDeadlineMs, isRepeatable } from './forwarding';
 import { hedgeSilence } from './hedge-silence';
 import { createOpenAttempts, hasReachedNoServer } from './open-attempts';
 import { createRequestEnd } from './request-end';
-import type { ServedRequest } from './request-end';
 import { createRequestLog } from './request-log';
 import { recordBegunStream } from './resumed-stream';
+import type { ServeDependencies } from './serve-dependencies';
 import { createStreamProgress } from './stream-progress';
 import type { StreamProgress } from './stream-progress';
 import { createTriedRecord } from './tried-destinations';
-import type {
-  ClientAnswer,
-  HeaderDialect,
-  InboundRequest,
-  RefusalReason,
-  RequestPlan,
-} from './types';
-import type { WarmCheck } from './warm-check';
+import type { ClientAnswer, InboundRequest, RefusalReason, RequestPlan } from './types';
 import { isSilent } from './watch-silence';
 
-/** Dependencies of `serveRequest`. */
-export interface ServeDependencies {
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly dialect: HeaderDialect;
-  readonly pool: ConnectionPool;
-  readonly router: Router;
-  readonly warmCheck: WarmCheck;
-  readonly crashWatch: CrashWatch;
-  readonly retries: RetryAllowance;
-  /** Limits that backend servers name in their answers. */
-  readonly limits: ServerLimits;
-  /** What backend servers state in their answers about the requests after them. */
-  readonly notices: ServerNotices;
-  /** Servers that fail if they have to reject many requests. */
-  readonly brittle: BrittleServers;
-  /** Which servers this instance reaches. */
-  readonly reachability: Reachability;
-  /** Software versions that began the streams of callers. */
-  readonly streamVersions: Pick<StreamVersions, 'find' | 'recordBegun'>;
-  /** Whether a server that was chosen a moment ago may still get a request. */
-  readonly mayReceive: (server: KnownServer) => boolean;
-  /** Called when a server other than `serverId` has answered at its address. */
-  readonly onReplaced: (serverId: string) => void;
-  readonly onDone: (done: ServedRequest) => void;
-  /** Called when a request was refused before any work was done for it. */
-  readonly onRefused: (reason: RefusalReason, service: string) => void;
-}
-
 /** Handle of a request that is being served. */
 export interface ServedHandle {
   /** Cancels the request because its caller has left. */
