Take an answer without a body for whole at its head

Cause: an answer of status 204 or 304, or to HEAD, states neither a length nor an encoding, so it was taken for one that ends with its connection. A server that keeps the connection open is sound, but its answer counted as incomplete until the idle timeout of the connection, and then as reset: callers got no answer by their deadline although the request had run.

Change: such an answer ends with its head.

--- a/src/core/exchanges/connection.ts
+++ b/src/core/exchanges/connection.ts
@@ -55,11 +55,19 @@
   probe: (onResult) => onResult(true),
 };
 
-/** Returns whether only the end of the connection marks the end of an answer with these headers. */
+const NO_CONTENT_STATUS = 204;
+const NOT_MODIFIED_STATUS = 304;
+
+/** Returns whether only the end of the connection marks the end of an answer with these headers, if it has a body. */
 export function isCloseDelimited(headers: HeaderMap): boolean {
   return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
 }
 
+/** Returns whether an answer may have a body; one that may not ends with its head, whatever its headers state. */
+function mayHaveBody(method: string, status: number): boolean {
+  return method !== 'HEAD' && status !== NO_CONTENT_STATUS && status !== NOT_MODIFIED_STATUS;
+}
+
 function lossCause(error: Error, abortCause: LossCause | undefined): LossCause {
   if (abortCause !== undefined) return abortCause;
   const isMalformed =
@@ -198,7 +206,7 @@
         },
         onResponseStart(_controller, status, headers) {
           if (status < 200) return;
-          endsOnClose = isCloseDelimited(headers);
+          endsOnClose = mayHaveBody(request.method, status) && isCloseDelimited(headers);
           listener.onHead({ status, headers });
         },
         onResponseData(_controller, chunk) {
