Send a request again that was never written because its connection closed

Cause: a server may close a connection at any time between two requests, or with its last answer. A request that was given that connection before the close was seen failed as lost by reset although the HTTP client had not begun to write it: one that may not be repeated ended as 502 with the outcome unknown, others used up an attempt and the retry budget, and the server was suspected of a crash.

Change: an exchange whose request the client has not begun counts as never sent, and the pool sends such a request over a new connection if it was given an idle one.

--- a/src/core/exchanges/connection-pool.ts
+++ b/src/core/exchanges/connection-pool.ts
@@ -19,7 +19,10 @@
   hasCapacity(address: string, maxConnections: number): boolean;
   /** Returns whether an idle connection to the address can be used at once. */
   hasIdleConnection(address: string, maxIdleMs: number): boolean;
-  /** Sends on the most recently used idle connection, or on a new one; undefined if neither is available. */
+  /**
+   * Sends on the most recently used idle connection, or on a new one; undefined if neither is available. If the idle one
+   * turns out to be closed before the request is written, it is sent on a new one.
+   */
   send(
     address: string,
     options: SendOptions,
@@ -91,6 +94,46 @@
     }
   };
 
+  const sendOverNew: ConnectionPool['send'] = (address, options, request, listener) => {
+    const connections = connectionsTo(address);
+    if (connections.size >= options.maxConnections) closeOneIdle(connections);
+    if (connections.size >= options.maxConnections) return undefined;
+    // Closing the only connection to the address removes its set from the pool, so the set is looked up again.
+    const currentConnections = connectionsTo(address);
+    return openNew(address, currentConnections, options.connectTimeoutMs).send(request, listener);
+  };
+
+  /**
+   * Sends over an idle connection, and over a new one if the server has closed the idle one.
+   *
+   * A server may close a connection at any time between two requests. Without this, a request that may not be repeated is
+   * lost although none of it has left the process, and the server is taken for one that can't be reached.
+   */
+  const sendOverIdle = (
+    idle: Connection,
+    ...[address, options, request, listener]: Parameters<ConnectionPool['send']>
+  ): Exchange => {
+    let replacement: Exchange | undefined;
+    let isAborted = false;
+    const onEnd: AnswerListener['onEnd'] = (end) => {
+      if (end.kind === 'neverSent' && !isAborted) {
+        replacement = sendOverNew(address, options, request, listener);
+        if (replacement !== undefined) return;
+      }
+      listener.onEnd(end);
+    };
+    const { onHead, onData } = listener;
+    const first = idle.send(request, { onHead, onData, onEnd });
+    return {
+      abort(cause) {
+        isAborted = true;
+        (replacement ?? first).abort(cause);
+      },
+      pause: () => (replacement ?? first).pause(),
+      resume: () => (replacement ?? first).resume(),
+    };
+  };
+
   return {
     hasCapacity,
     hasIdleConnection(address, maxIdleMs) {
@@ -98,14 +141,11 @@
       return connections !== undefined && findIdle(connections, maxIdleMs) !== undefined;
     },
     send(address, options, request, listener) {
-      const connections = connectionsTo(address);
-      const idle = findIdle(connections, options.maxIdleMs);
-      if (idle !== undefined) return idle.send(request, listener);
-      if (connections.size >= options.maxConnections) closeOneIdle(connections);
-      if (connections.size >= options.maxConnections) return undefined;
-      // Closing the only connection to the address removes its set from the pool, so the set is looked up again.
-      const currentConnections = connectionsTo(address);
-      return openNew(address, currentConnections, options.connectTimeoutMs).send(request, listener);
+      const known = byAddress.get(address);
+      const idle = known === undefined ? undefined : findIdle(known, options.maxIdleMs);
+      return idle === undefined
+        ? sendOverNew(address, options, request, listener)
+        : sendOverIdle(idle, address, options, request, listener);
     },
     count: (address) => byAddress.get(address)?.size ?? 0,
     closeIdle(address) {
--- a/src/core/exchanges/connection.ts
+++ b/src/core/exchanges/connection.ts
@@ -180,7 +180,8 @@
 
     const fail = (error: Error) => {
       const reason = errorText(error);
-      if (!socketState.isConnected) {
+      // The client starts a request right before it writes it, once it has seen that the connection is still open.
+      if (!socketState.isConnected || controller === undefined) {
         settle({ kind: 'neverSent', reason });
         return;
       }
