Keep a caller's connection open if a request has arrived on it unread

Cause: Node.js closes a kept connection from a timer, and after a turn in which the event loop was blocked, timers run before sockets are read. A request that arrived within the idle timeout was discarded with its connection, and its caller got no answer.

Change: at the idle timeout, the connection is closed only if nothing has been read from it by the end of the next turn.

Measured with npm test platform/kept-connections: a request 0.8 s after the last answer, with an idle timeout of 1 s (to which Node.js 20 adds one second) and an event loop that is blocked for 1.4 s, lost its connection before, and is answered now (two runs of two). A block of 0.4 s did no harm before.

--- a/src/core/pass-through/open-ingress.ts
+++ b/src/core/pass-through/open-ingress.ts
@@ -7,10 +7,11 @@
 import { ERRORS, errorText, gatewayError } from '../errors';
 import type { Logger } from '../events';
 import type { RouteTableStore } from '../host-routes';
-import type { Intake, LoopWatch } from '../intake';
+import type { EventLoopTurns, Intake, LoopWatch } from '../intake';
 import type { RandomSource } from '../random';
 import type { RetryAllowance } from '../shared-budget';
 import { createClientAnswer } from './client-answer';
+import { closeIdleConnections } from './close-idle-connections';
 import { PASS_THROUGH_EVENTS } from './events';
 import { PLAN_HEADER, answerDeadlineMs, readPlan } from './forwarding';
 import { headerBytes } from './header-bytes';
@@ -33,6 +34,7 @@
   /** Senders of the requests: callers, or other instances that have already chosen a route. */
   readonly from: 'callers' | 'peers';
   readonly clock: Clock;
+  readonly turns: EventLoopTurns;
   readonly random: RandomSource;
   readonly logger: Logger;
   readonly routes: RouteTableStore;
@@ -320,6 +322,7 @@
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true }, handle);
   server.requestTimeout = 0;
   server.on('connection', intake.recordConnection);
+  closeIdleConnections(server, options.turns);
   const applyLimits = () => {
     const limits = routes.current()?.table.limits;
     server.keepAliveTimeout = isForPeer
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -255,6 +255,7 @@
   });
   const shared = {
     clock,
+    turns: options.turns,
     random,
     logger,
     routes,
