Share the gauge that is read at each export

Cause: the same gauge was made in two places of src/core/metrics. Change: add-gauge.ts makes it for both. No change of names, help or values.

--- a/src/core/metrics/create-metrics.ts
+++ b/src/core/metrics/create-metrics.ts
@@ -1,6 +1,7 @@
 import type { Histogram } from 'hdr-histogram-js';
 import histogramModule from 'hdr-histogram-js/dist/Int32Histogram.js';
 import type { Registry as MetricsRegistry } from 'prom-client';
+import { addGauge } from './add-gauge';
 import { addProcessMetrics } from './process-metrics';
 import { Counter, Gauge, Registry } from './prometheus';
 
@@ -132,14 +133,7 @@
       gone.inc({ service });
     },
     gauge(name, help, read) {
-      const gauge = new Gauge({
-        name,
-        help,
-        registers: [registry],
-        collect() {
-          gauge.set(read());
-        },
-      });
+      addGauge(registry, { name, help, read });
     },
     labelledGauge(name, help, label, read) {
       const gauge = new Gauge({
--- a/src/core/metrics/process-metrics.ts
+++ b/src/core/metrics/process-metrics.ts
@@ -1,21 +1,16 @@
 import process from 'node:process';
 import type { Registry } from 'prom-client';
-import { Gauge } from './prometheus';
+import { addGauge } from './add-gauge';
+import type { ReadGauge } from './add-gauge';
 
 const MICROSECONDS_PER_SECOND = 1_000_000;
 
-interface ProcessMetric {
-  readonly name: string;
-  readonly help: string;
-  readonly read: () => number;
-}
-
 const cpuSeconds = () => {
   const { user, system } = process.cpuUsage();
   return (user + system) / MICROSECONDS_PER_SECOND;
 };
 
-const PROCESS_METRICS: readonly ProcessMetric[] = [
+const PROCESS_METRICS: readonly ReadGauge[] = [
   {
     name: 'process_cpu_seconds_total',
     help: 'Processor time of the process, user and system, seconds',
@@ -41,14 +36,5 @@
  * instance that has no request. Instances that pass requests through tell the delay as `coltsfootworks_loop_lag_ms`.
  */
 export function addProcessMetrics(registry: Registry): void {
-  for (const { name, help, read } of PROCESS_METRICS) {
-    const gauge = new Gauge({
-      name,
-      help,
-      registers: [registry],
-      collect() {
-        gauge.set(read());
-      },
-    });
-  }
+  for (const metric of PROCESS_METRICS) addGauge(registry, metric);
 }
