--- a/src/core/membership/exchange-text.ts
+++ b/src/core/membership/exchange-text.ts
@@ -16,6 +16,17 @@
   .readonly()
   .optional();
 
+/** Last fields of the rows of members and of loads: what changes while an instance runs. */
+const changingFields = {
+  inFlightRequests: z.number(),
+  configurationVersion: z.number(),
+  configurationDigest: z.number(),
+  configurationSinceUnixMs: z.number(),
+  configurationConfirmed: z.boolean(),
+  watching: z.boolean(),
+  openRequestsByService: openRequestsSchema,
+};
+
 const members = createRowCodec(
   z.object({
     instanceId: z.string().min(1),
@@ -29,13 +40,7 @@
     sequence: z.number(),
     processToken: z.number(),
     loadSequence: z.number(),
-    inFlightRequests: z.number(),
-    configurationVersion: z.number(),
-    configurationDigest: z.number(),
-    configurationSinceUnixMs: z.number(),
-    configurationConfirmed: z.boolean(),
-    watching: z.boolean(),
-    openRequestsByService: openRequestsSchema,
+    ...changingFields,
   }),
 );
 
@@ -44,13 +49,7 @@
     memberKey: z.number(),
     wide: z.boolean(),
     loadSequence: z.number(),
-    inFlightRequests: z.number(),
-    configurationVersion: z.number(),
-    configurationDigest: z.number(),
-    configurationSinceUnixMs: z.number(),
-    configurationConfirmed: z.boolean(),
-    watching: z.boolean(),
-    openRequestsByService: openRequestsSchema,
+    ...changingFields,
   }),
 );
 
