--- a/src/core/stream-versions/create-stream-versions.ts
+++ b/src/core/stream-versions/create-stream-versions.ts
@@ -6,6 +6,8 @@
 import { selectHolders } from './select-holders';
 import { streamKey } from './stream-key';
 import type { BegunStream, FoundVersion, StreamIdentity, VersionHolder } from './types';
+import { createVersionAsks } from './version-asks';
+import type { Reach } from './version-asks';
 import { VERSION_RETENTION_MS, createVersionHistory } from './version-history';
 import type { VersionedServers } from './version-history';
 import { createVersionLedger } from './version-ledger';
@@ -60,15 +62,6 @@
 /** Maximum versions of a service, and characters of a value of a caller, in a log line. */
 const MAX_LOGGED_VERSIONS = 8;
 const MAX_LOGGED_CHARACTERS = 64;
-/** Numbers of questions that are reserved for each ms, so that they differ from those of an earlier process. */
-const ASKS_PER_MS = 1_000;
-/** Timeout for an answer of an instance of this region, ms: many times the network delay. */
-const REGION_TIMEOUT_MS = 40;
-/** Timeout for an answer of an instance of another region, ms: a round trip over the longest links. */
-const FAR_TIMEOUT_MS = 180;
-
-type Reach = 'region' | 'all';
-
 /**
  * Rounds of questions, each answered "unknown" by all or by nobody in time before the next one begins. The last one
  * repeats the one before: a statement that was on its way then has arrived by now.
@@ -79,14 +72,6 @@
 /** Rounds of an instance that knows one version, but not for long. */
 const ROUNDS_WITH_ONE: readonly Reach[] = ['region'];
 
-interface PendingRound {
-  /** Number of instances that have not answered. */
-  unanswered: number;
-  readonly onAnswer: (
-    answer: Extract<StreamVersionMessage, { kind: 'streamVersionAnswer' }>,
-  ) => void;
-}
-
 /** Creates a record without streams. */
 export function createStreamVersions(options: StreamVersionsOptions): StreamVersions {
   const { clock, logger, self } = options;
@@ -95,11 +80,8 @@
   const history = createVersionHistory(options.servers);
   /** Keys of streams that began here while their service had one version, so that nobody was told. */
   const untoldKeys = new Map<string, Set<string>>();
-  const pending = new Map<string, PendingRound>();
   const takenUp = new Map<string, number>();
   let severalServices: ReadonlySet<string> = new Set();
-  // An instance that has restarted must not take a late answer to a question of before for one of its own.
-  let lastAskNumber = clock.unixMs() * ASKS_PER_MS;
   let nextSweepAtMs = 0;
   let fleet: { readonly others: readonly VersionHolder[]; readonly untilMs: number } | undefined;
 
@@ -119,6 +101,8 @@
   const send = (address: string, message: StreamVersionMessage): void =>
     options.send(address, serializeStreamVersionMessage(message));
 
+  const asks = createVersionAsks({ clock, self, holdersOf, send });
+
   const toTold = (key: string, entry: LedgerEntry): readonly ToldStream[] =>
     entry.softwareVersions.map((softwareVersion) => ({
       key,
@@ -181,49 +165,6 @@
     });
   };
 
-  /**
-   * Asks holders of a stream; `decide` gets undefined once all have answered that they don't know the version, or after
-   * the timeout.
-   */
-  const askRound = (
-    key: string,
-    reach: Reach,
-    decide: (entry: LedgerEntry | undefined, isAnswered: boolean) => void,
-  ): void => {
-    const { region, address, instanceId } = self();
-    const asked = holdersOf(key).filter((holder) => reach === 'all' || holder.region === region);
-    if (asked.length === 0) {
-      decide(undefined, true);
-      return;
-    }
-    lastAskNumber += 1;
-    const askId = `${instanceId}:${lastAskNumber}`;
-    const timeoutMs = reach === 'region' ? REGION_TIMEOUT_MS : FAR_TIMEOUT_MS;
-    const end = (entry: LedgerEntry | undefined, isAnswered: boolean): void => {
-      pending.delete(askId);
-      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- a round ends after its timer exists
-      timer[Symbol.dispose]();
-      decide(entry, isAnswered);
-    };
-    const timer = clock.schedule(nowMs() + timeoutMs, () => end(undefined, false));
-    const round: PendingRound = {
-      unanswered: asked.length,
-      onAnswer({ service, softwareVersions, ageMs }) {
-        round.unanswered -= 1;
-        const begunAtMs = nowMs() - ageMs;
-        if (softwareVersions.length > 0) {
-          end({ service, softwareVersions, begunAtMs, expiresAtMs: Infinity }, true);
-        } else if (round.unanswered === 0) {
-          end(undefined, true);
-        }
-      },
-    };
-    pending.set(askId, round);
-    for (const holder of asked) {
-      send(holder.address, { kind: 'streamVersionAsk', askId, address, key });
-    }
-  };
-
   const toFound = (entry: LedgerEntry, source: 'here' | 'asked'): FoundVersion => {
     const [softwareVersion, ...more] = entry.softwareVersions;
     if (softwareVersion === undefined || more.length > 0) {
@@ -250,7 +191,7 @@
         else decide({ kind: 'onlyVersion' });
         return;
       }
-      askRound(key, reach, (entry, areAllAnswered) => {
+      asks.askRound(key, reach, (entry, areAllAnswered) => {
         if (entry === undefined) runRound(index + 1, areAllAnswered);
         else decide(toFound(entry, 'asked'));
       });
@@ -280,7 +221,7 @@
         answerAsk(message);
         return;
       case 'streamVersionAnswer':
-        pending.get(message.askId)?.onAnswer(message);
+        asks.receiveAnswer(message);
         return;
       default:
         message satisfies never;
