--- a/src/core/change-log/index.ts
+++ b/src/core/change-log/index.ts
@@ -26,7 +26,8 @@
 
 /** Entries that have been overtaken are cleared out once they outnumber the others this many times. */
 const COMPACT_AT_RATIO = 2;
-const COMPACT_AT_LEAST = 64;
+/** Minimum number of entries before overtaken ones are cleared out. */
+const MIN_ENTRIES_TO_COMPACT = 64;
 
 /** Index of the first entry after `position`; entries stand in the order of their positions. */
 function firstAfter(entries: readonly Change<unknown>[], position: number): number {
@@ -48,7 +49,7 @@
   let tip = 0;
 
   const compact = () => {
-    const limit = Math.max(COMPACT_AT_LEAST, latest.size * COMPACT_AT_RATIO);
+    const limit = Math.max(MIN_ENTRIES_TO_COMPACT, latest.size * COMPACT_AT_RATIO);
     if (entries.length > limit) {
       entries = entries.filter((entry) => latest.get(entry.key) === entry);
     }
--- a/src/core/configuration-sync/answer-peer.ts
+++ b/src/core/configuration-sync/answer-peer.ts
@@ -2,7 +2,7 @@
 import type { ConfigurationAnswer, ConfigurationRequest } from './types';
 
 /** Bytes of documents in one answer; whoever lacks more asks again. */
-const MOST_BYTES = 524_288;
+const MAX_ANSWER_BYTES = 524_288;
 
 /** The documents of what changed since a version, oldest first; undefined when they do not reach back to it. */
 function changesSince(image: ConfigurationImage, version: number): Documents | undefined {
@@ -21,10 +21,10 @@
 /** What fits into one answer of the documents that were asked for by their hash. */
 function wantedDocuments(image: ConfigurationImage, hashes: readonly string[]): Documents {
   const documents = new Map<string, string>();
-  let leftBytes = MOST_BYTES;
+  let leftBytes = MAX_ANSWER_BYTES;
   for (const hash of hashes) {
     const text = image.documents.get(hash);
-    if (text !== undefined && (leftBytes === MOST_BYTES || text.length <= leftBytes)) {
+    if (text !== undefined && (leftBytes === MAX_ANSWER_BYTES || text.length <= leftBytes)) {
       documents.set(hash, text);
       leftBytes -= text.length;
     }
--- a/src/core/configuration-sync/create-configuration-sync.ts
+++ b/src/core/configuration-sync/create-configuration-sync.ts
@@ -71,8 +71,8 @@
 
 /** How often an instance looks whether it is its turn to watch. */
 const TURN_INTERVAL_MS = 1_000;
-const RETRY_LEAST_MS = 1_000;
-const RETRY_MOST_MS = 15_000;
+const MIN_RETRY_MS = 1_000;
+const MAX_RETRY_MS = 15_000;
 /** Mean rest between two looks of an instance that does not watch: 340 of them make under three reads a second. */
 const LOOK_INTERVAL_MS = 120_000;
 
@@ -195,7 +195,7 @@
   /** Watches while it is this instance's turn. */
   const watchWhileTurn = async (): Promise<void> => {
     let index = '0';
-    let retryMs = RETRY_LEAST_MS;
+    let retryMs = MIN_RETRY_MS;
     while (!signal.aborted && isTurn()) {
       try {
         const value = await service.watch(index, signal);
@@ -205,13 +205,13 @@
         // A version that appears while one watches shows that the service is not stale.
         if (isNew && !isFirst) confirm();
         isWatching = true;
-        retryMs = RETRY_LEAST_MS;
+        retryMs = MIN_RETRY_MS;
       } catch (error) {
         if (signal.aborted) return;
         noteServiceFailure(error);
         index = '0';
         await rest(retryMs * (0.5 + random.next()));
-        retryMs = Math.min(RETRY_MOST_MS, retryMs * 2);
+        retryMs = Math.min(MAX_RETRY_MS, retryMs * 2);
       }
     }
     isWatching = false;
--- a/src/core/configuration-sync/pull-from-peer.ts
+++ b/src/core/configuration-sync/pull-from-peer.ts
@@ -3,7 +3,7 @@
 import type { AskPeer, ConfigurationAnswer } from './types';
 
 /** Questions that one pull may take: enough for all sections of the largest configuration. */
-const MOST_QUESTIONS = 64;
+const MAX_QUESTIONS = 64;
 
 /** What a pull needs. */
 export interface PullOptions {
@@ -38,7 +38,7 @@
   let { rootText } = root;
   const documents = new Map([...root.sections, ...answer.documents]);
   let result = store.offer(rootText, peerAddress, documents);
-  for (let question = 1; result.kind === 'incomplete' && question < MOST_QUESTIONS; question += 1) {
+  for (let question = 1; result.kind === 'incomplete' && question < MAX_QUESTIONS; question += 1) {
     const wantedHashes = result.missingHashes.filter((hash) => !documents.has(hash));
     const more = await askPeer(peerAddress, { haveVersion, wantedHashes });
     // Between two questions the peer may have taken the next version; its documents go with its root.
--- a/src/core/configuration/store.ts
+++ b/src/core/configuration/store.ts
@@ -39,7 +39,7 @@
 
 const NO_DOCUMENTS: Documents = new Map();
 /** Refused versions and conflicts that are remembered, so that each is reported once. */
-const MOST_REPORTED = 256;
+const MAX_REPORTED = 256;
 
 /** An empty store: until a first version is accepted, nothing can be served. */
 export function createConfigurationStore(
@@ -54,7 +54,7 @@
 
   const refuse = (key: string, problems: string, source: string): OfferResult => {
     const isNew = !refused.has(key);
-    if (refused.size >= MOST_REPORTED) refused.clear();
+    if (refused.size >= MAX_REPORTED) refused.clear();
     refused.set(key, problems);
     if (isNew) logger.event(CONFIGURATION_EVENTS.versionRefused, { source, problems });
     return { kind: 'refused', problems };
@@ -62,7 +62,7 @@
 
   const noteConflict = (claim: RootClaim, source: string) => {
     if (conflicts.has(claim.version)) return;
-    if (conflicts.size >= MOST_REPORTED) conflicts.clear();
+    if (conflicts.size >= MAX_REPORTED) conflicts.clear();
     conflicts.add(claim.version);
     logger.event(CONFIGURATION_EVENTS.contentConflict, {
       version: claim.version,
--- a/src/core/log-flow/decide-line.ts
+++ b/src/core/log-flow/decide-line.ts
@@ -1,7 +1,7 @@
 import type { EventLevel } from '../events';
 
 /** Bytes that may wait for a slow reader; some three thousand lines, a small part of a small instance's memory. */
-const MOST_WAITING_BYTES = 1_048_576;
+const MAX_WAITING_BYTES = 1_048_576;
 /** Bytes above which lines about what went well are left out, so that the rest stays for what went wrong. */
 const WAITING_BYTES_FOR_ALL = 524_288;
 
@@ -14,6 +14,6 @@
  */
 export function decideLine(level: EventLevel, waitingBytes: number): 'write' | 'drop' {
   const isFailure = level === 'error' || level === 'warn';
-  const mostBytes = isFailure ? MOST_WAITING_BYTES : WAITING_BYTES_FOR_ALL;
-  return waitingBytes < mostBytes ? 'write' : 'drop';
+  const maxBytes = isFailure ? MAX_WAITING_BYTES : WAITING_BYTES_FOR_ALL;
+  return waitingBytes < maxBytes ? 'write' : 'drop';
 }
--- a/src/core/metrics/create-metrics.ts
+++ b/src/core/metrics/create-metrics.ts
@@ -41,12 +41,12 @@
 /** One kind of histogram by itself: the library's factory loads its log formats as well, which nobody reads here. */
 const { default: LatencyHistogram } = histogramModule;
 
-const LOWEST_MS = 1;
+const MIN_RECORDED_MS = 1;
 /** An hour: longer than any deadline that the configuration lets callers state. */
-const HIGHEST_MS = 3_600_000;
+const MAX_RECORDED_MS = 3_600_000;
 const SIGNIFICANT_DIGITS = 2;
 /** Counts of attempts above this share one label; routes allow two or three. */
-const MOST_ATTEMPTS_TOLD = 5;
+const MAX_ATTEMPTS_LABEL = 5;
 
 interface LatencyFamily {
   record(service: string, durationMs: number): void;
@@ -76,10 +76,10 @@
     record(service, durationMs) {
       let histogram = histograms.get(service);
       if (histogram === undefined) {
-        histogram = new LatencyHistogram(LOWEST_MS, HIGHEST_MS, SIGNIFICANT_DIGITS);
+        histogram = new LatencyHistogram(MIN_RECORDED_MS, MAX_RECORDED_MS, SIGNIFICANT_DIGITS);
         histograms.set(service, histogram);
       }
-      histogram.recordValue(Math.min(HIGHEST_MS, Math.max(0, Math.round(durationMs))));
+      histogram.recordValue(Math.min(MAX_RECORDED_MS, Math.max(0, Math.round(durationMs))));
     },
   };
 }
@@ -123,8 +123,8 @@
       refusals.inc({ refusal, outcome });
     },
     attempts(service, count) {
-      const told = count > MOST_ATTEMPTS_TOLD ? `over ${MOST_ATTEMPTS_TOLD}` : String(count);
-      attempts.inc({ service, attempts: told });
+      const label = count > MAX_ATTEMPTS_LABEL ? `over ${MAX_ATTEMPTS_LABEL}` : String(count);
+      attempts.inc({ service, attempts: label });
     },
     cutShort(service) {
       cuts.inc({ service });
--- a/src/core/node/whole-answers.test.ts
+++ b/src/core/node/whole-answers.test.ts
@@ -147,7 +147,7 @@
 describe('an answer that is read slowly', () => {
   const OFFERED_BYTES = 256 * 1024 * 1024;
   /** Buffers of the system on each of at most four connections, and those of the processes. */
-  const MOST_TAKEN_BYTES = 64 * 1024 * 1024;
+  const MAX_TAKEN_BYTES = 64 * 1024 * 1024;
 
   for (const region of ['windhoek', 'rundu'] as const) {
     it(`holds back its server and not the memory of instances, asked for in ${region}`, async () => {
@@ -200,7 +200,7 @@
         lastBytes = takenBytes;
         return sameRounds > 60;
       }, 'the server to be held back');
-      assert.ok(takenBytes < MOST_TAKEN_BYTES, `${takenBytes} bytes were taken`);
+      assert.ok(takenBytes < MAX_TAKEN_BYTES, `${takenBytes} bytes were taken`);
       gone.abort();
       await fleet[Symbol.asyncDispose]();
       server.closeAllConnections();
--- a/src/core/poison/crash-ledger.ts
+++ b/src/core/poison/crash-ledger.ts
@@ -26,11 +26,11 @@
 }
 
 /** Requests on record; at 340 nodes and one crash a minute far more than are ever live. */
-const MOST_FINGERPRINTS = 10_000;
+const MAX_FINGERPRINTS = 10_000;
 /** Crashes on record per request; enough for the refusal to reach its longest time. */
-const MOST_MARKS = 8;
+const MAX_MARKS = 8;
 /** Crashes with another cause on record. */
-const MOST_EXCUSED = 1_000;
+const MAX_EXCUSED = 1_000;
 /** Copies of a request that one crash cut off are found out one by one, within this time. */
 const SAME_CRASH_MS = 2_000;
 
@@ -44,7 +44,7 @@
   );
   if (isKnown) return marks;
   const inOrder = [...marks, added].sort((left, right) => left.atUnixMs - right.atUnixMs);
-  return inOrder.slice(-MOST_MARKS);
+  return inOrder.slice(-MAX_MARKS);
 }
 
 interface FingerprintRecord {
@@ -78,7 +78,7 @@
     records.delete(fingerprint);
     records.set(fingerprint, record);
     const [oldest] = records.keys();
-    if (records.size > MOST_FINGERPRINTS && oldest !== undefined) records.delete(oldest);
+    if (records.size > MAX_FINGERPRINTS && oldest !== undefined) records.delete(oldest);
   };
 
   const dropOldest = (nowUnixMs: number): void => {
@@ -108,7 +108,7 @@
     excuse(serverId) {
       excusedServerIds.add(serverId);
       const [oldest] = excusedServerIds;
-      if (excusedServerIds.size > MOST_EXCUSED && oldest !== undefined) {
+      if (excusedServerIds.size > MAX_EXCUSED && oldest !== undefined) {
         excusedServerIds.delete(oldest);
       }
       for (const [fingerprint, { marks, clearedAtUnixMs }] of records) {
--- a/src/core/streams/serve-stream.ts
+++ b/src/core/streams/serve-stream.ts
@@ -21,10 +21,10 @@
 }
 
 /**
- * Engines that one answer may use up, in all its parts together. Should a second fail as well, the prompt is as likely
- * the cause as they are.
+ * Maximum number of servers that one answer may use, in all its parts together. If the second one fails as well, the
+ * prompt is as likely the cause as they are.
  */
-const MOST_ENGINES = 2;
+const MAX_SERVERS = 2;
 
 function mayResume({ service }: GatewayRequest): boolean {
   return service.kind === 'model' && service.resumption === 'continueFinalMessage';
@@ -55,8 +55,8 @@
       }
       const next = relay.isCutShort ? continueRequest(request, relay.progress) : undefined;
       const hasTime = clock.monotonicMs() < request.deadlineAtMs;
-      const enginesUsed = Math.max(leg, costs.triesThatMayHaveRun);
-      const goesOn = next !== undefined && enginesUsed < MOST_ENGINES && hasTime && !signal.aborted;
+      const serversUsed = Math.max(leg, costs.triesThatMayHaveRun);
+      const goesOn = next !== undefined && serversUsed < MAX_SERVERS && hasTime && !signal.aborted;
       if (!goesOn || !mayResume(request) || !(error instanceof RefusalError)) throw error;
       logger.event(STREAM_EVENTS.resumed, {
         requestId: request.requestId,
--- a/src/core/streams/stream-relay.ts
+++ b/src/core/streams/stream-relay.ts
@@ -16,7 +16,7 @@
 }
 
 /** Bytes of an event that is not whole; no engine sends tokens of this size. */
-const MOST_PARTIAL_BYTES = 1_048_576;
+const MAX_PARTIAL_BYTES = 1_048_576;
 
 function isEventStream({ status, headers }: ResponseHead): boolean {
   const type = headers.find(({ name }) => name.toLowerCase() === 'content-type')?.value ?? '';
@@ -62,7 +62,7 @@
 
     const passEvents = async (chunk: Uint8Array): Promise<void> => {
       const events = splitter.add(chunk);
-      if (splitter.rest().length > MOST_PARTIAL_BYTES) throw broken('An event has no end.');
+      if (splitter.rest().length > MAX_PARTIAL_BYTES) throw broken('An event has no end.');
       const passed: Buffer[] = [];
       for (const event of events) {
         sawLastEvent ||= event.includes(LAST_EVENT_DATA) && dataOf(event) === LAST_EVENT_DATA;
--- a/src/runtime/batching-stream.ts
+++ b/src/runtime/batching-stream.ts
@@ -2,10 +2,10 @@
 import type { TextSink } from './standard-output';
 
 /** How long a line may wait for others, ms; what a crash can lose at the most. */
-const LONGEST_WAIT_MS = 10;
+const MAX_WAIT_MS = 10;
 
 /** Text that has waited this long is written at once, characters. */
-const MOST_WAITING = 65_536;
+const MAX_WAITING_CHARACTERS = 65_536;
 
 /**
  * Gathers small writes into few large ones.
@@ -30,8 +30,8 @@
     decodeStrings: false,
     write(chunk: string | Buffer, _encoding, callback) {
       waiting += chunk.toString();
-      if (waiting.length >= MOST_WAITING) flush();
-      else timer ??= setTimeout(flush, LONGEST_WAIT_MS).unref();
+      if (waiting.length >= MAX_WAITING_CHARACTERS) flush();
+      else timer ??= setTimeout(flush, MAX_WAIT_MS).unref();
       callback();
     },
     final(callback) {
--- a/src/runtime/system-clock.ts
+++ b/src/runtime/system-clock.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '../core/clock';
 
 /** The longest delay that Node's timers take; longer waits are cut into several. */
-const LONGEST_TIMER_MS = 2 ** 31 - 1;
+const MAX_TIMER_MS = 2 ** 31 - 1;
 
 /** The machine's own time. */
 export function createSystemClock(): Clock {
@@ -14,7 +14,7 @@
       let timer: NodeJS.Timeout;
       const arm = () => {
         const leftMs = Math.max(0, atMs - monotonicMs());
-        const delayMs = Math.min(Math.ceil(leftMs), LONGEST_TIMER_MS);
+        const delayMs = Math.min(Math.ceil(leftMs), MAX_TIMER_MS);
         timer = setTimeout(() => (monotonicMs() >= atMs ? callback() : arm()), delayMs);
       };
       arm();
--- a/src/testing/entry-caller.ts
+++ b/src/testing/entry-caller.ts
@@ -33,7 +33,7 @@
 }
 
 const NEVER_CONNECTED = ['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT'];
-const MOST_TRIES = 20;
+const MAX_TRIES = 20;
 /** How long an entry answer is used; far shorter than real callers do, since tests are short. */
 const ENTRY_USED_REQUESTS = 10;
 
@@ -94,7 +94,7 @@
     totals,
     entryAddress: () => entries[0],
     async ask() {
-      for (let attempt = 0; attempt < MOST_TRIES; attempt += 1) {
+      for (let attempt = 0; attempt < MAX_TRIES; attempt += 1) {
         if (entries.length === 0 || usedRequests >= ENTRY_USED_REQUESTS) await askForEntry();
         const [address] = entries;
         if (address === undefined) continue;
