Let operators turn off attempts beside silent ones, and count them

Cause: the part could neither be seen in the metrics nor be turned off. Change: trafficPolicy.silenceHedges (on by default, follows the settings file at once), and the gauge coltsfootworks_hedges_begun. Result: hedge-silence.test.ts has a case for it; types, lint, format pass.

--- a/src/core/pass-through/hedge-silence.test.ts
+++ b/src/core/pass-through/hedge-silence.test.ts
@@ -22,6 +22,8 @@
   readonly isOtherSilent?: boolean;
   /** Time after which a slot at the other server is granted, ms. */
   readonly slotAfterMs?: number;
+  /** Whether the operator has turned hedges off. */
+  readonly isOff?: boolean;
   /** When the request is over, ms. */
   readonly overAtMs?: number;
 }
@@ -79,6 +81,7 @@
         retriesLeft += 1;
       },
     },
+    hedges: { isEnabled: () => situation.isOff !== true, recordBegun() {} },
     limits: { requestPermit: (_serverId, decide) => decide({ kind: 'granted' }) },
     brittle: { requestSlot: (_server, decide) => decideSlot(decide) },
     mayReceive: () => true,
@@ -172,6 +175,7 @@
       begunAtMs: [1_200],
       retriesLeft: 1,
     },
+    { name: 'is not if that is turned off', isOff: true, begunAtMs: [], retriesLeft: 1 },
     { name: 'is sent once a slot is free', slotAfterMs: 200, begunAtMs: [1_400], retriesLeft: 0 },
     {
       name: 'is not if it was over before a slot was free',
--- a/src/core/pass-through/hedge-silence.ts
+++ b/src/core/pass-through/hedge-silence.ts
@@ -10,11 +10,19 @@
 import type { InboundRequest, RequestPlan } from './types';
 import { areAllSilent, watchSilence } from './watch-silence';
 
+/** Hedges of all requests of an instance. */
+export interface Hedges {
+  /** Whether hedges may begin. */
+  isEnabled(): boolean;
+  recordBegun(): void;
+}
+
 /** Options of `hedgeSilence`. */
 export interface HedgeSilenceOptions extends Omit<AskPermissionOptions, 'isNeeded'> {
   readonly clock: Clock;
   readonly router: Pick<Router, 'chooseBeside' | 'loads'>;
   readonly retries: RetryAllowance;
+  readonly hedges: Hedges;
   readonly request: InboundRequest;
   /** Returns the plan of the next attempt. */
   readonly planOfNext: () => RequestPlan;
@@ -23,7 +31,7 @@
   readonly tried: TriedRecord;
   /** Whether the request is over, or has to be refused. */
   readonly isOver: () => boolean;
-  readonly send: (to: SendableDestination, slotLease: SlotLease | undefined) => void;
+  readonly send: (to: SendableDestination, slotLease?: SlotLease) => void;
 }
 
 /** Delay until regions that have refused a hedge are asked again, ms: a slot of a busy server is free within this time. */
@@ -37,18 +45,24 @@
  * in progress stay until one of them has something for the caller, and an attempt begins only where there is room for it.
  */
 export function hedgeSilence(options: HedgeSilenceOptions): Disposable {
-  const { clock, router, retries, request, planOfNext, attemptBudget, openAttempts, tried } =
-    options;
+  const { clock, router, retries, hedges, request, planOfNext, attemptBudget } = options;
+  const { openAttempts, tried } = options;
   let isPending = false;
   let nextAtMs = -Infinity;
 
   const isNeeded = (): boolean =>
+    hedges.isEnabled() &&
     !options.isOver() &&
     attemptBudget.hasRemaining() &&
     areAllSilent(openAttempts.list(), router.loads, clock.monotonicMs());
 
   const giveUp = (): void => retries.giveBack(planOfNext().service, clock.monotonicMs());
 
+  const send = (to: SendableDestination, slotLease?: SlotLease): void => {
+    hedges.recordBegun();
+    options.send(to, slotLease);
+  };
+
   const choose = (nowMs: number): SendableDestination | undefined => {
     const to = router.chooseBeside(request, planOfNext(), tried, nowMs);
     if (to === undefined && tried.forgetRefusals()) nextAtMs = nowMs + REFUSED_RETRY_MS;
@@ -59,7 +73,7 @@
     isPending = true;
     askPermission({ ...options, isNeeded }, to.server, (permission) => {
       isPending = false;
-      if (permission.kind === 'granted') options.send(to, permission.slotLease);
+      if (permission.kind === 'granted') send(to, permission.slotLease);
       else giveUp();
     });
   };
@@ -75,7 +89,7 @@
       const to = choose(nowMs);
       if (to === undefined) giveUp();
       else if (to.kind === 'server') sendIfPermitted(to);
-      else options.send(to, undefined);
+      else send(to);
     },
   });
 }
--- a/src/core/pass-through/serve-dependencies.ts
+++ b/src/core/pass-through/serve-dependencies.ts
@@ -10,6 +10,7 @@
 import type { StreamVersions } from '../stream-versions';
 import type { CrashWatch } from './crash-watch';
 import type { Router } from './create-router';
+import type { Hedges } from './hedge-silence';
 import type { ServedRequest } from './request-end';
 import type { HeaderDialect, RefusalReason } from './types';
 import type { WarmCheck } from './warm-check';
@@ -24,6 +25,8 @@
   readonly warmCheck: WarmCheck;
   readonly crashWatch: CrashWatch;
   readonly retries: RetryAllowance;
+  /** Attempts beside silent ones. */
+  readonly hedges: Hedges;
   /** Limits that backend servers name in their answers. */
   readonly limits: ServerLimits;
   /** What backend servers state in their answers about the requests after them. */
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -298,6 +298,12 @@
     warmCheck.ask(server, MAX_CHECK_CONNECTIONS, () => {}, over);
   }
 
+  let hedgesBegun = 0;
+  options.metrics.gauge(
+    'coltsfootworks_hedges_begun',
+    'Attempts that were begun beside silent ones since the start',
+    () => hedgesBegun,
+  );
   const retries = createRetryAllowance(() => options.settings().retryBudget, instances.count);
   return {
     clock,
@@ -308,6 +314,12 @@
     warmCheck,
     crashWatch: crashes.watch,
     retries,
+    hedges: {
+      isEnabled: () => options.settings().trafficPolicy.silenceHedges,
+      recordBegun() {
+        hedgesBegun += 1;
+      },
+    },
     limits,
     notices,
     brittle,
--- a/src/core/relay-node/settings.ts
+++ b/src/core/relay-node/settings.ts
@@ -27,6 +27,10 @@
     .boolean()
     .default(true)
     .describe('Refuse requests with a part of the prompt that crashes servers'),
+  silenceHedges: z
+    .boolean()
+    .default(true)
+    .describe('Send a request that may be repeated to another server too while its own is silent'),
 });
 
 /** Switches for decisions under load, with defaults filled in. */
