Announce the close of a connection only with the last answer on it

Cause: during a planned stop, each answer announced the close of its connection, also while further requests of the caller had been read and sent to servers; Node.js closes the connection after that answer. A request that arrived after the announcement was sent to a server as well. Servers ran both, and their callers got no answer.

Change: an answer announces the close only if no further request has been read on its connection, and a request that arrives after that is not begun.

Measured with npm test platform/kept-connections: of two requests at once, the second got no answer when a planned stop began; and a request after the announcement reached the server.

--- /dev/null
+++ b/src/core/pass-through/caller-connections.ts
@@ -0,0 +1,51 @@
+import type { ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+
+/** Requests in progress on each connection of callers. */
+export interface CallerConnections {
+  /** Adds a request; returns false if no answer to it can be sent, since the connection is about to be closed. */
+  begin(socket: Socket, response: ServerResponse): boolean;
+  /**
+   * Decides, when the head of an answer is sent, whether it announces the close of the connection. That is so only if no
+   * further request has been read; later ones are not begun.
+   */
+  announceClose(response: ServerResponse): boolean;
+}
+
+interface Connection {
+  newest: ServerResponse;
+  isClosing: boolean;
+}
+
+/**
+ * Creates a record without connections.
+ *
+ * A caller may send further requests before it has its answer (pipelining). If the close of the connection were announced
+ * then, servers would run requests whose answers can't be sent.
+ */
+export function createCallerConnections(): CallerConnections {
+  const bySocket = new WeakMap<Socket, Connection>();
+  const byResponse = new WeakMap<ServerResponse, Connection>();
+
+  const open = (socket: Socket, newest: ServerResponse): Connection => {
+    const connection: Connection = { newest, isClosing: false };
+    bySocket.set(socket, connection);
+    return connection;
+  };
+
+  return {
+    begin(socket, response) {
+      const connection = bySocket.get(socket) ?? open(socket, response);
+      if (connection.isClosing) return false;
+      connection.newest = response;
+      byResponse.set(response, connection);
+      return true;
+    },
+    announceClose(response) {
+      const connection = byResponse.get(response);
+      if (connection === undefined || connection.newest !== response) return false;
+      connection.isClosing = true;
+      return true;
+    },
+  };
+}
--- a/src/core/pass-through/client-answer.ts
+++ b/src/core/pass-through/client-answer.ts
@@ -12,19 +12,19 @@
 /** Options of `createClientAnswer`. */
 export interface ClientAnswerOptions {
   readonly response: ServerResponse;
-  /** Whether to close the connection after the answer, because this instance is about to stop. */
-  readonly isLeaving: () => boolean;
+  /** Decides, when the head is sent, whether the connection is closed after the answer. */
+  readonly announcesClose: () => boolean;
   /** Whether the reader is another instance, which needs the outcome of the request. */
   readonly isForPeer: boolean;
 }
 
 /** Creates an answer that writes to an HTTP response. */
 export function createClientAnswer(options: ClientAnswerOptions): ClientAnswer {
-  const { response, isLeaving, isForPeer } = options;
+  const { response, announcesClose, isForPeer } = options;
   let attempts = 0;
   let streamVersion: string | undefined;
   let hasLength = false;
-  const leavingHeaders = (): HeaderMap => (isLeaving() ? { connection: 'close' } : {});
+  const closeHeaders = (): HeaderMap => (announcesClose() ? { connection: 'close' } : {});
   const attemptHeaders = (): HeaderMap =>
     isForPeer ? { [ATTEMPTS_HEADER]: String(attempts) } : {};
   const versionHeaders = (): HeaderMap =>
@@ -34,7 +34,7 @@
     const body = JSON.stringify({ reason: refusal.reason, outcome: refusal.outcome });
     const { retryAfterMs } = refusal;
     response.writeHead(statusOf(refusal), {
-      ...leavingHeaders(),
+      ...closeHeaders(),
       ...attemptHeaders(),
       ...(retryAfterMs === undefined ? {} : { 'retry-after': retryAfterText(retryAfterMs) }),
       ...(isForPeer ? { [OUTCOME_HEADER]: refusal.outcome, [REASON_HEADER]: refusal.reason } : {}),
@@ -58,7 +58,7 @@
       hasLength = headers['content-length'] !== undefined;
       response.writeHead(status, {
         ...headers,
-        ...leavingHeaders(),
+        ...closeHeaders(),
         ...attemptHeaders(),
         ...versionHeaders(),
       });
--- a/src/core/pass-through/open-ingress.ts
+++ b/src/core/pass-through/open-ingress.ts
@@ -10,6 +10,7 @@
 import type { EventLoopTurns, Intake, LoopWatch } from '../intake';
 import type { RandomSource } from '../random';
 import type { RetryAllowance } from '../shared-budget';
+import { createCallerConnections } from './caller-connections';
 import { createClientAnswer } from './client-answer';
 import { closeIdleConnections } from './close-idle-connections';
 import { PASS_THROUGH_EVENTS } from './events';
@@ -96,6 +97,7 @@
   const { isLeaving, isRefusing, calls } = options;
   const { dialect } = serving;
   const isForPeer = options.from === 'peers';
+  const connections = createCallerConnections();
   let openRequests = 0;
 
   const refuse = (
@@ -124,6 +126,7 @@
     answer: ClientAnswer,
     reason: RefusalReason,
   ): void => {
+    connections.announceClose(response);
     response.setHeader('connection', 'close');
     refuse(incoming, answer, reason);
   };
@@ -306,11 +309,13 @@
 
   const handle = (incoming: IncomingMessage, response: ServerResponse): void => {
     if (calls !== undefined && handleCall(calls, incoming, response, logger)) return;
+    if (!connections.begin(incoming.socket, response)) return;
     openRequests += 1;
     response.on('close', () => {
       openRequests -= 1;
     });
-    const answer = createClientAnswer({ response, isLeaving, isForPeer });
+    const announcesClose = () => isLeaving() && connections.announceClose(response);
+    const answer = createClientAnswer({ response, announcesClose, isForPeer });
     if (isRefusing()) {
       refuse(incoming, answer, 'stopping', STOPPING_RETRY_MS);
       return;
