Cancel all requests of a caller that leaves

Cause: Node.js reports the end of a connection for the answer in turn only. If a caller had sent several requests at once and left, servers went on with all but the first until the timeout of the route, and the count of open requests, for which a planned stop waits, stayed too high for good.

Change: at the end of a connection, the answers that wait for their turn are closed as well.

--- a/src/core/pass-through/caller-connections.ts
+++ b/src/core/pass-through/caller-connections.ts
@@ -13,6 +13,8 @@
 }
 
 interface Connection {
+  /** Answers in progress, in the order of their requests. */
+  readonly open: Set<ServerResponse>;
   newest: ServerResponse;
   isClosing: boolean;
 }
@@ -21,15 +23,25 @@
  * Creates a record without connections.
  *
  * A caller may send further requests before it has its answer (pipelining). If the close of the connection were announced
- * then, servers would run requests whose answers can't be sent.
+ * then, servers would run requests whose answers can't be sent. When such a caller leaves, Node.js reports that for the
+ * first of its requests only; servers would go on with the others, and a planned stop would wait for them.
  */
 export function createCallerConnections(): CallerConnections {
   const bySocket = new WeakMap<Socket, Connection>();
   const byResponse = new WeakMap<ServerResponse, Connection>();
 
   const open = (socket: Socket, newest: ServerResponse): Connection => {
-    const connection: Connection = { newest, isClosing: false };
+    const connection: Connection = { open: new Set(), newest, isClosing: false };
     bySocket.set(socket, connection);
+    socket.once('close', () => {
+      for (const response of connection.open) {
+        // The answer in turn has the socket; Node.js closes it.
+        if (response.socket === null) {
+          response.destroy();
+          response.emit('close');
+        }
+      }
+    });
     return connection;
   };
 
@@ -38,7 +50,9 @@
       const connection = bySocket.get(socket) ?? open(socket, response);
       if (connection.isClosing) return false;
       connection.newest = response;
+      connection.open.add(response);
       byResponse.set(response, connection);
+      response.once('close', () => connection.open.delete(response));
       return true;
     },
     announceClose(response) {
