Move what the benches with processes share to one place

Cause: two benches start instances, measure rows by name and hold a server's slots each in a copy of their own, and a third one needs all of it. Change: bench/processes.ts starts instances and measures rows, and rejects names of no row; standins/server-slots.ts holds slots, load and rejections; sendRequest takes a deadline and reports parts of a body as they arrive.

--- a/bench/crashing-parts/main.ts
+++ b/bench/crashing-parts/main.ts
@@ -4,10 +4,7 @@
  * the first part of their prompts with the others. `node scripts/build-platform.mjs` builds the bundle. Arguments: names of
  * rows, all where none is given.
  */
-import { mkdtempSync } from 'node:fs';
 import { Agent, request as httpRequest } from 'node:http';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import process from 'node:process';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createDisposableStore } from '../../src/core/lifetime';
@@ -15,7 +12,6 @@
 import type { RandomSource } from '../../src/core/random';
 import { domainOf } from '../../platform/testing/process-settings';
 import { configurationOf } from '../../soak/configuration';
-import { startSoakInstances } from '../../soak/instances';
 import type { SoakInstances } from '../../soak/instances';
 import {
   chunkOf,
@@ -26,11 +22,11 @@
 import type { AnnouncedServer, ReceivedRequest } from '../../standins/announced-server';
 import { openStoreStandIn, serverEntry } from '../../standins/published-store';
 import type { StoreStandIn } from '../../standins/published-store';
+import { measureRows, startBenchInstances } from '../processes';
 
 const INSTANCES = 6;
 const SERVERS = 12;
 const SLOTS = 16;
-const SETTLING_MS = 4_000;
 const CALM_MS = 6_000;
 const TROUBLE_MS = 23_000;
 const BACK_AFTER_MS = 2_500;
@@ -239,13 +235,8 @@
     store.put('op/config', { ...configurationOf(2), Tenants: undefined });
     const servers = await openServers(row, store, owned);
     const instances = owned.add(
-      await startSoakInstances({
-        count: INSTANCES,
-        openStore: () => store.openView((_key, value) => value),
-        logFolder: mkdtempSync(join(tmpdir(), 'crashing-parts-')),
-      }),
+      await startBenchInstances({ count: INSTANCES, store, name: 'crashing-parts' }),
     );
-    await sleep(SETTLING_MS);
     const sound: Promise<SoundRequest>[] = [];
     const bad: Promise<unknown>[] = [];
     let number = 0;
@@ -298,12 +289,9 @@
   }
 }
 
-const names = process.argv.slice(2);
 console.log(
   '| row | reached servers from 5 s after the fifth crash on | servers ended | sound requests that began, calm | until 10 s after the fifth crash | later |',
 );
 console.log('| --- | --- | --- | --- | --- | --- |');
-for (const row of ROWS) {
-  if (names.length === 0 || names.includes(row.name)) await measure(row);
-}
+await measureRows(ROWS, process.argv.slice(2), measure);
 process.exit(0);
--- a/bench/version-streams/main.ts
+++ b/bench/version-streams/main.ts
@@ -5,10 +5,7 @@
  * is given.
  */
 import { Agent } from 'node:http';
-import { mkdtempSync } from 'node:fs';
 import type { Socket } from 'node:net';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import process from 'node:process';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createDisposableStore } from '../../src/core/lifetime';
@@ -17,7 +14,6 @@
 import { domainOf } from '../../platform/testing/process-settings';
 import { sendRequest } from '../../soak/callers';
 import { configurationOf } from '../../soak/configuration';
-import { startSoakInstances } from '../../soak/instances';
 import type { SoakInstances } from '../../soak/instances';
 import { EVENTS_PER_STREAM, eventText, versionsIn } from '../../soak/promises';
 import { takenUpAfter } from '../../soak/stream-versions';
@@ -31,6 +27,8 @@
 import type { ReceivedRequest, ServerScript } from '../../standins/announced-server';
 import { openStoreStandIn, serverEntry } from '../../standins/published-store';
 import type { StoreStandIn } from '../../standins/published-store';
+import { createServerSlots } from '../../standins/server-slots';
+import { measureRows, startBenchInstances } from '../processes';
 
 const INSTANCES = 6;
 const SERVERS = 8;
@@ -42,7 +40,6 @@
 const EVENT_GAP_MS = 125;
 const STREAM_GAP_MS = 25;
 const SECONDS = 8;
-const SETTLING_MS = 4_000;
 const DEADLINE_MS = 6_000;
 /** Attempts of one caller; those at an instance that is down are among them, and are not counted. */
 const MAX_TRIES = 6;
@@ -138,21 +135,13 @@
   let turningAway: string | undefined;
 
   const scriptOf = (version: string): ServerScript => {
-    const waiting: (() => void)[] = [];
-    let open = 0;
-    const withLoad = (head: string) =>
-      head.replace('\r\n', `\r\nX-Server-Load: ${open},${waiting.length},${slots}\r\n`);
-    const release = (): void => {
-      open -= 1;
-      waiting.shift()?.();
-    };
+    const serverSlots = createServerSlots({ slots, maxWaiting: MAX_WAITING });
     const run = (request: ReceivedRequest, socket: Socket): void => {
       const requestId = request.headers.get('x-request-id') ?? '';
       let eventId = Number(request.headers.get('last-event-id') ?? 0) + 1;
       const breaks = eventId === 1 && random.next() < breakingShare;
       const breaksAt = breaks ? 3 + Math.floor(random.next() * 4) : Infinity;
-      open += 1;
-      socket.write(withLoad(streamHead(request)));
+      socket.write(serverSlots.withLoad(streamHead(request)));
       const timer = setInterval(() => {
         if (eventId >= breaksAt) socket.resetAndDestroy();
         if (!socket.destroyed && eventId <= EVENTS_PER_STREAM) {
@@ -161,7 +150,7 @@
           return;
         }
         clearInterval(timer);
-        release();
+        serverSlots.release();
         if (!socket.destroyed) socket.write(chunkOf(''));
       }, EVENT_GAP_MS);
     };
@@ -170,13 +159,8 @@
         socket.write(wholeAnswer(request, ''));
         return;
       }
-      if (turningAway === version || waiting.length >= MAX_WAITING) {
-        const refusal = withLoad(wholeAnswer(request, '', { status: 503 }));
-        socket.write(refusal.replace('\r\n', '\r\nX-Not-Executed: 1\r\n'));
-        return;
-      }
-      if (open < slots) run(request, socket);
-      else waiting.push(() => run(request, socket));
+      const isTaken = turningAway !== version && serverSlots.admit(() => run(request, socket));
+      if (!isTaken) socket.write(serverSlots.rejectionOf(request));
     };
   };
 
@@ -254,15 +238,9 @@
     const store = owned.add(await openStoreStandIn());
     store.put('op/config', { ...configurationOf(2), Tenants: undefined });
     const servers = await openServers(row, store, random, owned);
-    const logFolder = mkdtempSync(join(tmpdir(), 'version-streams-'));
     const instances = owned.add(
-      await startSoakInstances({
-        count: INSTANCES,
-        openStore: () => store.openView((_key, value) => value),
-        logFolder,
-      }),
+      await startBenchInstances({ count: INSTANCES, store, name: 'version-streams' }),
     );
-    await sleep(SETTLING_MS);
     const trouble = row.run?.(servers, instances);
     const streams: Promise<readonly CallerAttempt[]>[] = [];
     for (let number = 0; number < (SECONDS * 1_000) / STREAM_GAP_MS; number += 1) {
@@ -283,10 +261,7 @@
   }
 }
 
-const names = process.argv.slice(2);
 console.log('| row | streams of two versions | of | begun | taken up by callers | went on |');
 console.log('| --- | --- | --- | --- | --- | --- |');
-for (const row of ROWS) {
-  if (names.length === 0 || names.includes(row.name)) await measure(row);
-}
+await measureRows(ROWS, process.argv.slice(2), measure);
 process.exit(0);
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -71,10 +71,13 @@
     readonly key: string;
     readonly leavesAfterMs: number;
     readonly takesUp?: TakenUpStream | undefined;
+    readonly deadlineMs?: number;
+    /** Called with each part of the answer's body as it arrives. */
+    readonly onData?: (text: string) => void;
   },
 ): Promise<CallerAttempt> {
   const [host = '', port = ''] = address.split(':');
-  const { key, takesUp } = options;
+  const { key, takesUp, deadlineMs = DEADLINE_MS } = options;
   const resumption =
     takesUp === undefined
       ? {}
@@ -113,7 +116,7 @@
           host: HOST,
           'x-request-id': requestId,
           'x-api-key': key,
-          'x-deadline-ms': String(DEADLINE_MS),
+          'x-deadline-ms': String(deadlineMs),
           ...resumption,
         },
       },
@@ -122,6 +125,7 @@
         isSigned = incoming.headers['x-response-signature'] !== undefined;
         incoming.on('data', (chunk: Buffer) => {
           body += chunk.toString();
+          options.onData?.(chunk.toString());
         });
         incoming.on('end', () => end(incoming.complete));
         incoming.on('error', () => end(false));
--- a/soak/servers.ts
+++ b/soak/servers.ts
@@ -4,6 +4,7 @@
   openAnnouncedServer,
   streamHead,
   wholeAnswer,
+  withHeaders,
 } from '../standins/announced-server';
 import type { AnnouncedServer, ReceivedRequest, ServerScript } from '../standins/announced-server';
 import { serverEntry } from '../standins/published-store';
@@ -115,10 +116,6 @@
   const leavingStarts = new Set<string>();
   const refusingStarts = new Map<string, number>();
 
-  /** Adds headers to the head of an answer. */
-  const withHeaders = (head: string, headers: readonly string[]): string =>
-    head.replace('\r\n', `\r\n${headers.map((header) => `${header}\r\n`).join('')}`);
-
   /** Adds what a server states to the head of an answer. */
   const withStatements = (startId: string, head: string): string => {
     const perSecond = limits.get(startId);
--- a/standins/announced-server.ts
+++ b/standins/announced-server.ts
@@ -66,6 +66,11 @@
   ].join('\r\n');
 }
 
+/** Adds header lines to the head of an answer. */
+export function withHeaders(head: string, headers: readonly string[]): string {
+  return head.replace('\r\n', `\r\n${headers.map((header) => `${header}\r\n`).join('')}`);
+}
+
 /** Returns one chunk of a chunked body; an empty chunk ends the body. */
 export function chunkOf(text: string): string {
   return `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
