Refuse bytes that are no request after the answers before them

Cause: Node.js answers such bytes, and headers that take too long, with a status of its own at once. If a request before them on the connection was in progress, its caller took that for its answer, and an order that ran counted as refused; an answer that had begun was closed midway.

Change: the connection is closed after the answers in progress, and the refusal is sent only if there were none.

Measured with npm test platform/malformed-requests: an order that ran was answered 400 before, and gets its answer now; the refusal without a request in progress is as before.

--- a/src/core/pass-through/caller-connections.ts
+++ b/src/core/pass-through/caller-connections.ts
@@ -10,6 +10,11 @@
    * further request has been read; later ones are not begun.
    */
   announceClose(response: ServerResponse): boolean;
+  /**
+   * Begins no further request on a connection, and calls `close` once no answer on it is in progress: at once, or with
+   * true after the last one.
+   */
+  closeAfterAnswers(socket: Socket, close: (hadAnswers: boolean) => void): void;
 }
 
 interface Connection {
@@ -17,6 +22,8 @@
   readonly open: Set<ServerResponse>;
   newest: ServerResponse;
   isClosing: boolean;
+  /** Called when the last answer in progress has ended; undefined if nothing waits for that. */
+  onLastAnswer: (() => void) | undefined;
 }
 
 /**
@@ -31,7 +38,12 @@
   const byResponse = new WeakMap<ServerResponse, Connection>();
 
   const open = (socket: Socket, newest: ServerResponse): Connection => {
-    const connection: Connection = { open: new Set(), newest, isClosing: false };
+    const connection: Connection = {
+      open: new Set(),
+      newest,
+      isClosing: false,
+      onLastAnswer: undefined,
+    };
     bySocket.set(socket, connection);
     socket.once('close', () => {
       for (const response of connection.open) {
@@ -52,7 +64,10 @@
       connection.newest = response;
       connection.open.add(response);
       byResponse.set(response, connection);
-      response.once('close', () => connection.open.delete(response));
+      response.once('close', () => {
+        connection.open.delete(response);
+        if (connection.open.size === 0) connection.onLastAnswer?.();
+      });
       return true;
     },
     announceClose(response) {
@@ -61,5 +76,14 @@
       connection.isClosing = true;
       return true;
     },
+    closeAfterAnswers(socket, close) {
+      const connection = bySocket.get(socket);
+      if (connection === undefined || connection.open.size === 0) {
+        close(false);
+        return;
+      }
+      connection.isClosing = true;
+      connection.onLastAnswer ??= () => close(true);
+    },
   };
 }
--- a/src/core/pass-through/open-ingress.ts
+++ b/src/core/pass-through/open-ingress.ts
@@ -19,6 +19,7 @@
 import { headerText } from './classify-answer';
 import { headersToPassOn } from './headers';
 import { createRequestPlanner } from './plan-request';
+import { refuseMalformed } from './refuse-malformed';
 import { planResumedStream } from './resumed-stream';
 import type { ResumedPlan } from './resumed-stream';
 import type { ChargedPlan, RefusedPlan } from './plan-request';
@@ -328,6 +329,7 @@
   server.requestTimeout = 0;
   server.on('connection', intake.recordConnection);
   closeIdleConnections(server, options.turns);
+  refuseMalformed(server, connections);
   const applyLimits = () => {
     const limits = routes.current()?.table.limits;
     server.keepAliveTimeout = isForPeer
