Pass a failure on whole that is too large to be kept

Cause: an answer over 256 KiB is passed on as it arrives, also a failure of a server. At its end it still counted as one that is kept, so the request was sent again, or the connection was closed before the end of the answer. Events of another server's stream were appended to the failure: the caller got pieces of two answers.

Change: a failure of which the caller has got a part ends as an answer.

Measured with npm test large-answers: three of three cases failed before (the caller of a stream got 400,015 bytes instead of 400,000, the other two were closed midway), and pass in three runs of three.

--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -298,12 +298,14 @@
 
   const onWhole = (): void => {
     const status = head?.status ?? 0;
-    if (isFailure) {
+    // Of a failure that is too large to be kept, the caller has got a part.
+    if (isFailure && !answer.headSent) {
       report({ kind: 'serverFailed', status, passOn }, 'failed');
       return;
     }
     const problem = reader?.finish();
-    if (problem === undefined) report({ kind: 'answered', status }, 'answered');
+    const seen = isFailure ? 'failed' : 'answered';
+    if (problem === undefined) report({ kind: 'answered', status }, seen);
     else report({ kind: 'lost', reason: problem, cause: 'reset', wasBrokenOff: true }, 'failed');
   };
 
