Send no request again of whose answer the caller has a part that can't go on

When its server broke it off or stood still, the request was sent to another server all the same, whose answer could not be used, and which counted as failed.

Change: such a request is neither retried nor hedged.

--- a/src/core/pass-through/hedge-silence.ts
+++ b/src/core/pass-through/hedge-silence.ts
@@ -29,7 +29,7 @@
   readonly attemptBudget: Pick<AttemptBudget, 'hasRemaining'>;
   readonly openAttempts: Pick<OpenAttempts, 'list'>;
   readonly tried: TriedRecord;
-  /** Whether the request is over, or has to be refused. */
+  /** Whether the request is over, or has to be refused, or no other server can go on with its answer. */
   readonly isOver: () => boolean;
   readonly send: (to: SendableDestination, slotLease?: SlotLease) => void;
 }
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -96,9 +96,15 @@
       ? plan
       : { ...plan, streamVersion: progress.softwareVersion };
 
+  /** Returns whether one more server can help: of an answer that has begun, only a stream can go on elsewhere. */
+  const canGoOn = (): boolean => !answer.headSent || progress.events > 0;
+
   /** Returns whether the request may be sent to one more server; takes that out of the retry budget. */
   const mayTryAgain = (): boolean =>
-    !isTimedOut && attemptBudget.hasRemaining() && retries.take(plan.service, clock.monotonicMs());
+    !isTimedOut &&
+    canGoOn() &&
+    attemptBudget.hasRemaining() &&
+    retries.take(plan.service, clock.monotonicMs());
 
   const afterLoss = (): void => {
     if (mayRepeat && mayTryAgain()) tryNext();
@@ -340,7 +346,7 @@
         attemptBudget,
         openAttempts,
         tried,
-        isOver: () => end.isOver() || isTimedOut || isRefused(),
+        isOver: () => end.isOver() || isTimedOut || !canGoOn() || isRefused(),
         send,
       })
     : undefined;
