Pass nothing on of an attempt that was discarded while its end was checked

Cause: an answer that ends with its connection is whole only after a check for a reset, which an abort does not end. If another attempt won meanwhile, the late answer was still written after it: a write after the end, an error that nothing handles, which ends the process. The check takes longer than a moment only where the server has not read the request.

Change: the end of such an answer shows nothing and passes nothing on.

Measured with npm test discarded-attempt: failed before (the late body was written), and passes.

--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -298,6 +298,11 @@
 
   const onWhole = (): void => {
     const status = head?.status ?? 0;
+    // The end of an answer may still have been checked when another attempt won.
+    if (isDiscarded) {
+      report({ kind: 'answered', status }, 'inconclusive');
+      return;
+    }
     // Of a failure that is too large to be kept, the caller has got a part.
     if (isFailure && !answer.headSent) {
       report({ kind: 'serverFailed', status, passOn }, 'failed');
