Take an answer of status 304 for whole that states a length

Cause: status 304 may state the length of the answer it stands for, without a body. The HTTP client takes that for a body that is missing, so the answer counted as malformed and lost, and its caller got 502 although the request had run.

Change: for an answer that ends with its head, that error of the client is its end.

--- a/src/core/exchanges/bodiless-answers.test.ts
+++ b/src/core/exchanges/bodiless-answers.test.ts
@@ -20,6 +20,16 @@
   const cases = [
     { name: 'status 204', method: 'POST', head: 'HTTP/1.1 204 No Content\r\n\r\n' },
     { name: 'status 304', method: 'GET', head: 'HTTP/1.1 304 Not Modified\r\n\r\n' },
+    {
+      name: 'status 304 that states the length of what it stands for',
+      method: 'GET',
+      head: 'HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n',
+    },
+    {
+      name: 'an answer to HEAD that states the length of what it stands for',
+      method: 'HEAD',
+      head: 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n',
+    },
     { name: 'an answer to HEAD', method: 'HEAD', head: 'HTTP/1.1 200 OK\r\n\r\n' },
   ];
   for (const { name, method, head } of cases) {
--- a/src/core/exchanges/connection.ts
+++ b/src/core/exchanges/connection.ts
@@ -57,6 +57,8 @@
 
 const NO_CONTENT_STATUS = 204;
 const NOT_MODIFIED_STATUS = 304;
+/** Name of the HTTP client's error for a body that is not as long as the answer states. */
+const LENGTH_MISMATCH_ERROR = 'ResponseContentLengthMismatchError';
 
 /** Returns whether only the end of the connection marks the end of an answer with these headers, if it has a body. */
 export function isCloseDelimited(headers: HeaderMap): boolean {
@@ -166,6 +168,7 @@
     let abortCause: LossCause | undefined;
     let ended = false;
     let endsOnClose = false;
+    let endsWithHead = false;
     isIdle = false;
 
     const settle = (end: Parameters<AnswerListener['onEnd']>[0]) => {
@@ -207,7 +210,8 @@
         },
         onResponseStart(_controller, status, headers) {
           if (status < 200) return;
-          endsOnClose = mayHaveBody(request.method, status) && isCloseDelimited(headers);
+          endsWithHead = !mayHaveBody(request.method, status);
+          endsOnClose = !endsWithHead && isCloseDelimited(headers);
           listener.onHead({ status, headers });
         },
         onResponseData(_controller, chunk) {
@@ -222,7 +226,10 @@
           socketState.probe(settleUnlessReset);
         },
         onResponseError(_controller, error) {
-          fail(error);
+          // The client expects a body of the length that status 304 states, which is that of the answer it stands for.
+          const lacksBody = error.name === LENGTH_MISMATCH_ERROR;
+          if (endsWithHead && lacksBody) settle({ kind: 'whole' });
+          else fail(error);
         },
       },
     );
