Keep the time of the first byte of a stream that another server goes on with

Cause: a discarded attempt reports no result, and with it went the time of the first byte that the caller had got from it.

Change: when an attempt is discarded of whose answer the caller has a part, its first byte counts.

Measured with npm test silent-servers: the new case failed before (first byte after 1,214 ms, of a stream that paused for 1,212 ms), and passes; the other 12 pass.

--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -241,6 +241,8 @@
     const nowMs = clock.monotonicMs();
     openAttempts.discard((attempt) => {
       if (attempt === answering) return undefined;
+      // The caller has got the first byte from this one.
+      if (answer.headSent) firstByteAtMs ??= attempt.firstByteAtMs();
       const cause = isSilent(attempt, router.loads, nowMs) ? 'silence' : 'aborted';
       log.attemptDiscarded(attempt, cause);
       return cause;
