Share the candidate of the placement tests

Cause: three tests made the same candidate. Change: testing/candidate.ts makes it; the planner's tests keep their 128 slots.

--- a/src/core/placement/memory-slots.test.ts
+++ b/src/core/placement/memory-slots.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from 'node:test';
 import { chooseServer } from './choose-server';
 import { memorySlots } from './memory-slots';
+import { candidate } from './testing/candidate';
 
 const NONE = { requests: 0, tokens: 0 };
 const OWN = { parts: [{ partId: 'own', tokens: 2_000 }], promptTokens: 2_000 };
@@ -67,16 +68,6 @@
   }
 
   const speed = { prefillMsPerToken: 0.025, slotTimeMs: 1_000 };
-  const server = {
-    slots: 64,
-    load: 10,
-    pendingTokens: 0,
-    uncachedTokens: 0,
-    copyableTokens: 0,
-    delayMs: 0,
-    speedFactor: 1,
-    failureCostMs: 0,
-  };
   const choices = [
     { name: 'a busier server is chosen if the memory is full', memorySlots: 8, expected: 'busier' },
     { name: 'the server is chosen if the memory is not full', memorySlots: 60, expected: 'server' },
@@ -86,8 +77,8 @@
   for (const { name, memorySlots: slots, expected } of choices) {
     it(name, () => {
       const candidates = [
-        { ...server, incarnationId: 'server', memorySlots: slots },
-        { ...server, incarnationId: 'busier', load: 12 },
+        candidate('server', { load: 10, memorySlots: slots }),
+        candidate('busier', { load: 12 }),
       ];
       assert.equal(chooseServer(candidates, speed)?.incarnationId, expected);
     });
--- a/src/core/placement/placement.test.ts
+++ b/src/core/placement/placement.test.ts
@@ -8,24 +8,10 @@
   createServiceSpeeds,
 } from '.';
 import type { Candidate } from '.';
+import { candidate } from './testing/candidate';
 
 const SPEED = { prefillMsPerToken: 0.025, slotTimeMs: 1_000 };
 
-function candidate(incarnationId: string, more: Partial<Candidate> = {}): Candidate {
-  return {
-    incarnationId,
-    slots: 64,
-    load: 0,
-    pendingTokens: 0,
-    uncachedTokens: 0,
-    copyableTokens: 0,
-    delayMs: 0,
-    speedFactor: 1,
-    failureCostMs: 0,
-    ...more,
-  };
-}
-
 describe('chooseServer', () => {
   const cases: readonly {
     readonly name: string;
--- a/src/core/placement/prefill-planner.test.ts
+++ b/src/core/placement/prefill-planner.test.ts
@@ -2,23 +2,12 @@
 import { describe, it } from 'node:test';
 import { chooseServer, createPrefixCacheView, createPrefillPlanner } from '.';
 import type { Candidate, ModelDemand } from '.';
+import { candidate } from './testing/candidate';
 
 const SPEED = { prefillMsPerToken: 0.03, slotTimeMs: 1_000, copyMsPerToken: 0.004 };
 
-function candidate(incarnationId: string, more: Partial<Candidate> = {}): Candidate {
-  return {
-    incarnationId,
-    slots: 128,
-    load: 0,
-    pendingTokens: 0,
-    uncachedTokens: 0,
-    copyableTokens: 0,
-    delayMs: 0,
-    speedFactor: 1,
-    failureCostMs: 0,
-    ...more,
-  };
-}
+const largeCandidate = (incarnationId: string, more: Partial<Candidate> = {}): Candidate =>
+  candidate(incarnationId, { slots: 128, ...more });
 
 describe('a prompt whose first parts a neighbour has cached', () => {
   const DEMAND: ModelDemand = {
@@ -82,8 +71,8 @@
   it('is processed by a free server instead of the busy server that has cached them', () => {
     const choice = chooseServer(
       [
-        candidate('holder', { uncachedTokens: 2_890, pendingTokens: 30_000, load: 20 }),
-        candidate('free', { uncachedTokens: 9_190, copyableTokens: 6_300 }),
+        largeCandidate('holder', { uncachedTokens: 2_890, pendingTokens: 30_000, load: 20 }),
+        largeCandidate('free', { uncachedTokens: 9_190, copyableTokens: 6_300 }),
       ],
       SPEED,
     );
