Share the checked server of the server health tests

Cause: three tests made the same server and the same rules. Change: testing/checked-server.ts makes it.

--- a/src/core/server-health/health-table.test.ts
+++ b/src/core/server-health/health-table.test.ts
@@ -2,21 +2,11 @@
 import { describe, it } from 'node:test';
 import { createHealthTable } from './health-table';
 import { SLOW_START_MIN_SHARE } from './slow-start';
-import type { CheckedServer, ServerObservation } from './types';
+import { checkedServer } from './testing/checked-server';
+import type { ServerObservation } from './types';
 
-const server = (serverId: string, address = '10.0.0.1:80'): CheckedServer => ({
-  serverId,
-  address,
-  service: 'kit-assistant',
-  rules: {
-    path: '/health',
-    intervalMs: 1_000,
-    timeoutMs: 500,
-    failuresToDown: 2,
-    successesToUp: 2,
-    slowStartMs: 10_000,
-  },
-});
+const server = (serverId: string, address = '10.0.0.1:80') =>
+  checkedServer(serverId, address, { slowStartMs: 10_000 });
 
 const healthy = (incarnation?: string): ServerObservation => ({ kind: 'healthy', incarnation });
 const draining = (incarnation?: string): ServerObservation => ({ kind: 'draining', incarnation });
--- a/src/core/server-health/read-server-list.test.ts
+++ b/src/core/server-health/read-server-list.test.ts
@@ -1,22 +1,9 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { listStatuses, serverListSchema } from './read-server-list';
-import type { CheckedServer } from './types';
+import { checkedServer } from './testing/checked-server';
 
-const rules = {
-  path: '/health',
-  intervalMs: 1_000,
-  timeoutMs: 500,
-  failuresToDown: 2,
-  successesToUp: 2,
-  slowStartMs: 0,
-};
-const server: CheckedServer = {
-  serverId: 'engine-1',
-  address: '10.0.0.1:8000',
-  service: 'kit-assistant',
-  rules,
-};
+const server = checkedServer('engine-1', '10.0.0.1:8000');
 
 const entry = (change: object = {}, checks: object[] = []) => ({
   Node: { Address: '10.0.0.1' },
--- a/src/core/server-health/watch-server-list.test.ts
+++ b/src/core/server-health/watch-server-list.test.ts
@@ -5,28 +5,18 @@
 import { createMemoryLogger, waitFor } from '../../testing';
 import { openServerListStandIn } from '../../../standins/server-list';
 import type { ServerHealth } from './create-server-health';
-import type { CheckedServer, ListStatus } from './types';
+import { checkedServer } from './testing/checked-server';
+import type { ListStatus } from './types';
 import { watchServerLists } from './watch-server-list';
 
-const checked = (serverId: string, address: string): CheckedServer => ({
-  serverId,
-  address,
-  service: 'kit-assistant',
-  rules: {
-    path: '/health',
-    intervalMs: 1_000,
-    timeoutMs: 500,
-    failuresToDown: 2,
-    successesToUp: 2,
-    slowStartMs: 0,
-  },
-});
-
 /** Creates a stand-in for the server health that only records the statuses of the list. */
 function createRecordingHealth(isOnDuty: boolean) {
   const statuses = new Map<string, ListStatus>();
   const health: Pick<ServerHealth, 'servers' | 'recordListStatus' | 'isOnDuty'> = {
-    servers: () => [checked('engine-1', '10.0.0.1:80'), checked('engine-2', '10.0.0.2:80')],
+    servers: () => [
+      checkedServer('engine-1', '10.0.0.1:80'),
+      checkedServer('engine-2', '10.0.0.2:80'),
+    ],
     recordListStatus: (serverId, status) => statuses.set(serverId, status),
     isOnDuty: () => isOnDuty,
   };
