Share the announcement of a ready server in tests

Cause: the tests of the registry and of state-sync made the same announcement. Change: server-registry/testing/ready-server.ts makes it. Result: npm test src/core/placement src/core/server-health src/core/server-registry src/core/state-sync: 213 of 213 pass; no case was changed.

--- a/src/core/server-registry/server-registry.test.ts
+++ b/src/core/server-registry/server-registry.test.ts
@@ -2,25 +2,13 @@
 import { describe, it } from 'node:test';
 import { createServerRegistry } from '.';
 import type { KnownServer, ServerAnnouncement, ServerRegistry } from '.';
+import { readyServer } from './testing/ready-server';
 
 const FIRST_START_UNIX_MS = 1_000;
 const NEXT_START_UNIX_MS = 9_000;
 
-function announcement(overrides: Partial<ServerAnnouncement> = {}): ServerAnnouncement {
-  return {
-    serverId: 's-1',
-    startedAtUnixMs: FIRST_START_UNIX_MS,
-    softwareVersion: 'v1',
-    service: 'app',
-    address: '10.0.0.1:80',
-    failureDomain: 'north-a',
-    slots: 8,
-    isDraining: false,
-    coldForMs: 0,
-    goneInMs: undefined,
-    ...overrides,
-  };
-}
+const announcement = (overrides: Partial<ServerAnnouncement> = {}): ServerAnnouncement =>
+  readyServer({ startedAtUnixMs: FIRST_START_UNIX_MS, ...overrides });
 
 function setUp() {
   const restarted: KnownServer[] = [];
--- a/src/core/state-sync/testing/published-items.ts
+++ b/src/core/state-sync/testing/published-items.ts
@@ -1,5 +1,6 @@
 import type { RouteTable } from '../../host-routes';
 import type { ServerAnnouncement } from '../../server-registry';
+import { readyServer } from '../../server-registry/testing/ready-server';
 import type { RoutesItem, ServerItem } from '../types';
 
 /** Published items for tests. */
@@ -9,22 +10,7 @@
   serverId: string,
   overrides: Partial<ServerAnnouncement> = {},
 ): ServerItem {
-  return {
-    kind: 'server',
-    announcement: {
-      serverId,
-      startedAtUnixMs: undefined,
-      softwareVersion: 'v1',
-      service: 'app',
-      address: '10.0.0.1:80',
-      failureDomain: 'north-a',
-      slots: 8,
-      isDraining: false,
-      coldForMs: 0,
-      goneInMs: undefined,
-      ...overrides,
-    },
-  };
+  return { kind: 'server', announcement: readyServer({ serverId, ...overrides }) };
 }
 
 /** Returns the item of a version that has no routes; `headerTimeoutMs` distinguishes items of the same version. */
