--- a/bench/crashing-parts/main.ts
+++ b/bench/crashing-parts/main.ts
@@ -4,13 +4,13 @@
  * the first part of their prompts with the others. `node scripts/build-platform.mjs` builds the bundle. Arguments: names of
  * rows, all where none is given.
  */
-import { Agent, request as httpRequest } from 'node:http';
 import process from 'node:process';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createDisposableStore } from '../../src/core/lifetime';
 import { createSeededRandom, pickIndex } from '../../src/core/random';
 import type { RandomSource } from '../../src/core/random';
 import { domainOf } from '../../platform/testing/process-settings';
+import { askWithParts } from '../../soak/ask-with-parts';
 import { configurationOf } from '../../soak/configuration';
 import type { SoakInstances } from '../../soak/instances';
 import {
@@ -35,6 +35,7 @@
 const EVENT_GAP_MS = 100;
 const SOUND_GAP_MS = 33;
 const DEADLINE_MS = 4_000;
+const OUTPUT_TOKENS = 40;
 const CRASHES_ALLOWED = 5;
 const ALLOWED_AFTER_MS = 5_000;
 const SOUND_FROM_MS = 10_000;
@@ -167,43 +168,15 @@
 }
 
 /** Asks for a stream; resolves with whether its answer began. */
-function ask(address: string, number: number, prompt: readonly string[]): Promise<boolean> {
-  const [host = '', port = ''] = address.split(':');
-  const parts = [...prompt, `f${number.toString(16)}`].map((part) => `${part}:100`);
-  const agent = new Agent();
-  return new Promise((resolve) => {
-    let hasBegun = false;
-    const end = (): void => {
-      agent.destroy();
-      resolve(hasBegun);
-    };
-    const outgoing = httpRequest(
-      {
-        host,
-        port,
-        agent,
-        method: 'POST',
-        path: '/chat/1',
-        headers: {
-          host: 'kits.example',
-          'x-request-id': `r-${number}`,
-          'x-deadline-ms': String(DEADLINE_MS),
-          'x-token-count': `${parts.length * 100},40`,
-          'x-prefix-hash': parts.join(','),
-        },
-      },
-      (incoming) => {
-        incoming.on('data', () => {
-          hasBegun ||= incoming.statusCode === 200;
-        });
-        incoming.on('error', end);
-        incoming.on('end', end);
-      },
-    );
-    outgoing.on('error', end);
-    outgoing.on('close', end);
-    outgoing.end(`question ${number}`);
+async function ask(address: string, number: number, prompt: readonly string[]): Promise<boolean> {
+  const { status, text } = await askWithParts({
+    address,
+    requestId: `r-${number}`,
+    parts: [...prompt, `f${number.toString(16)}`],
+    outputTokens: OUTPUT_TOKENS,
+    deadlineMs: DEADLINE_MS,
   });
+  return status === 200 && text !== '';
 }
 
 interface SoundRequest {
--- a/soak/crashing-parts.ts
+++ b/soak/crashing-parts.ts
@@ -1,9 +1,9 @@
-import { Agent, request as httpRequest } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { pickIndex } from '../src/core/random';
 import type { RandomSource } from '../src/core/random';
 import type { ReceivedRequest } from '../standins/announced-server';
 import { keyOfCaller } from './accounts';
+import { askWithParts } from './ask-with-parts';
 import type { BrokenPromise } from './types';
 
 /** Requests with a part of the prompt on which servers crash, at times, and sound requests beside them. */
@@ -54,6 +54,7 @@
 const BAD_GAP_MS = 250;
 const SOUND_PER_BAD = 2;
 const DEADLINE_MS = 2_000;
+const OUTPUT_TOKENS = 20;
 const SYSTEM_PART = 'a0';
 const SUBJECTS = 10;
 const SUSPECTED = '"suspectedOfCrashes"';
@@ -69,47 +70,18 @@
   let asked = 0;
 
   /** Sends a request to a drawn instance, and resolves with the text of the answer; never rejects. */
-  const ask = (prompt: readonly string[], requestId: string): Promise<string> => {
+  const ask = async (prompt: readonly string[], requestId: string): Promise<string> => {
     const instance = pickIndex(random, instances);
     askedAt.set(requestId, instance);
-    const [host = '', port = ''] = callerAddress(instance).split(':');
-    const entries = [...prompt, `f${asked.toString(16)}`].map((part) => `${part}:100`);
-    const agent = new Agent();
-    return new Promise((resolve) => {
-      let text = '';
-      const end = () => {
-        agent.destroy();
-        resolve(text);
-      };
-      const outgoing = httpRequest(
-        {
-          host,
-          port,
-          agent,
-          method: 'POST',
-          path: '/chat/1',
-          headers: {
-            host: 'kits.example',
-            'x-request-id': requestId,
-            'x-api-key': keyOfCaller(0),
-            'x-deadline-ms': String(DEADLINE_MS),
-            'x-token-count': `${entries.length * 100},20`,
-            'x-prefix-hash': entries.join(','),
-          },
-        },
-        (incoming) => {
-          incoming.on('data', (chunk: Buffer) => {
-            text += chunk.toString();
-          });
-          incoming.on('error', end);
-          incoming.on('end', end);
-        },
-      );
-      outgoing.on('error', end);
-      outgoing.on('close', end);
-      outgoing.setTimeout(2 * DEADLINE_MS, () => outgoing.destroy());
-      outgoing.end(`question ${asked}`);
+    const { text } = await askWithParts({
+      address: callerAddress(instance),
+      requestId,
+      parts: [...prompt, `f${asked.toString(16)}`],
+      outputTokens: OUTPUT_TOKENS,
+      deadlineMs: DEADLINE_MS,
+      apiKey: keyOfCaller(0),
     });
+    return text;
   };
 
   const askSound = async (subject: string): Promise<void> => {
