Share the stale service of three configuration tests

Change: spreadPastStaleService stands once. Result: npm test src/core/configuration-sync src/core/membership src/core/serving src/core/streams: 97 of 97 pass; no case was changed.

--- a/src/core/configuration-sync/configuration-sync.test.ts
+++ b/src/core/configuration-sync/configuration-sync.test.ts
@@ -56,6 +56,15 @@
   assert.deepEqual(versions(fleet), [2]);
 }
 
+/** Publishes a version while the service goes on showing the old one; all instances get it from one that has it. */
+async function spreadPastStaleService(fleet: VirtualFleet, publisher: Publisher): Promise<void> {
+  fleet.service.setMood('stale');
+  publishNext(fleet, publisher);
+  const { rootText, documents } = publisher.published;
+  fleet.get('i-4').store.offer(rootText, 'test', documents);
+  await fleet.clock.runFor(5_000);
+}
+
 async function replace(fleet: VirtualFleet, instances: readonly VirtualInstance[]) {
   const seedPeers = ['i-0:7400', 'i-1:7400', 'i-2:7400'];
   for (const { instanceId } of instances) await fleet.crash(instanceId, false);
@@ -165,11 +174,7 @@
   it('does not fall back when a whole region is replaced while the service is stale', () =>
     withFleet(async (fleet, publisher) => {
       await publishFirst(fleet, publisher);
-      fleet.service.setMood('stale');
-      publishNext(fleet, publisher);
-      const { rootText, documents } = publisher.published;
-      fleet.get('i-4').store.offer(rootText, 'test', documents);
-      await fleet.clock.runFor(5_000);
+      await spreadPastStaleService(fleet, publisher);
       assert.deepEqual(versions(fleet), [3]);
       const fresh = await replace(fleet, ofRegion(fleet, 'region-0'));
       await fleet.clock.runFor(10_000);
@@ -190,11 +195,7 @@
   it('serves unconfirmed and says so when a region is replaced while stale and cut off', () =>
     withFleet(async (fleet, publisher) => {
       await publishFirst(fleet, publisher);
-      fleet.service.setMood('stale');
-      publishNext(fleet, publisher);
-      const { rootText, documents } = publisher.published;
-      fleet.get('i-4').store.offer(rootText, 'test', documents);
-      await fleet.clock.runFor(5_000);
+      await spreadPastStaleService(fleet, publisher);
       assert.deepEqual(versions(fleet), [3]);
       fleet.setCut((from, to) => (from.region === 'region-0') !== (to.region === 'region-0'));
       const fresh = await replace(fleet, ofRegion(fleet, 'region-0'));
@@ -284,11 +285,7 @@
   // newer version is left; the version falls to what the service gives, and rises again with it.
   it('can only take what the service gives when all regions are replaced at once, and says so', () =>
     withFleet(async (fleet, publisher) => {
-      fleet.service.setMood('stale');
-      publishNext(fleet, publisher);
-      const { rootText, documents } = publisher.published;
-      fleet.get('i-4').store.offer(rootText, 'test', documents);
-      await fleet.clock.runFor(5_000);
+      await spreadPastStaleService(fleet, publisher);
       const fresh = await replace(fleet, all(fleet));
       await fleet.clock.runFor(30_000);
       assert.deepEqual(versions(fleet), [1]);
