--- a/src/core/membership/exchange-text.test.ts
+++ b/src/core/membership/exchange-text.test.ts
@@ -14,9 +14,8 @@
 
 const openRequestsByService = fc.array(fc.tuple(fc.string(), count));
 
-const LOAD_KEYS = [
-  'memberKey',
-  'wide',
+/** Required fields that members and loads share. */
+const CHANGING_KEYS = [
   'loadSequence',
   'inFlightRequests',
   'configurationVersion',
@@ -26,6 +25,8 @@
   'watching',
 ] as const;
 
+const LOAD_KEYS = ['memberKey', 'wide', ...CHANGING_KEYS] as const;
+
 const MEMBER_KEYS = [
   'instanceId',
   'region',
@@ -37,15 +38,20 @@
   'life',
   'sequence',
   'processToken',
-  'loadSequence',
-  'inFlightRequests',
-  'configurationVersion',
-  'configurationDigest',
-  'configurationSinceUnixMs',
-  'configurationConfirmed',
-  'watching',
+  ...CHANGING_KEYS,
 ] as const;
 
+const anyChangingFields = {
+  loadSequence: count,
+  inFlightRequests: count,
+  configurationVersion: count,
+  configurationDigest: count,
+  configurationSinceUnixMs: count,
+  configurationConfirmed: fc.boolean(),
+  watching: fc.boolean(),
+  openRequestsByService,
+};
+
 const anyMember: fc.Arbitrary<MemberRecord> = fc.record(
   {
     instanceId: fc.string({ minLength: 1 }),
@@ -58,14 +64,7 @@
     life: count,
     sequence: count,
     processToken: count,
-    loadSequence: count,
-    inFlightRequests: count,
-    configurationVersion: count,
-    configurationDigest: count,
-    configurationSinceUnixMs: count,
-    configurationConfirmed: fc.boolean(),
-    watching: fc.boolean(),
-    openRequestsByService,
+    ...anyChangingFields,
   },
   { noNullPrototype: true, requiredKeys: [...MEMBER_KEYS] },
 );
@@ -74,14 +73,7 @@
   {
     memberKey: count,
     wide: fc.boolean(),
-    loadSequence: count,
-    inFlightRequests: count,
-    configurationVersion: count,
-    configurationDigest: count,
-    configurationSinceUnixMs: count,
-    configurationConfirmed: fc.boolean(),
-    watching: fc.boolean(),
-    openRequestsByService,
+    ...anyChangingFields,
   },
   { noNullPrototype: true, requiredKeys: [...LOAD_KEYS] },
 );
