--- a/src/core/serving/legs-and-tries.test.ts
+++ b/src/core/serving/legs-and-tries.test.ts
@@ -1,9 +1,8 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { createFakeClock, createMemoryLogger } from '../../testing';
-import { createMemorySink, sampleConfiguration, sampleRequest } from '../../testing/sample-request';
-import { configurationSchema, resilienceSchema } from '../configuration';
-import type { Service } from '../configuration';
+import { createMemorySink, sampleModelService, sampleRequest } from '../../testing/sample-request';
+import { resilienceSchema } from '../configuration';
 import { createGossipStore } from '../gossip';
 import { createPoisonGuard } from '../poison';
 import { createSeededRandom } from '../random';
@@ -13,18 +12,7 @@
 import { runAttempts } from './run-attempts';
 import type { GatewayRequest, ResponseSink } from './types';
 
-const [service] = configurationSchema.parse({
-  ...sampleConfiguration().document,
-  services: [
-    {
-      kind: 'model',
-      name: 'kit-assistant',
-      regions: ['windhoek'],
-      models: ['kit-large'],
-      resumption: 'continueFinalMessage',
-    },
-  ],
-}).services as [Service];
+const service = sampleModelService();
 
 const BODY = { model: 'kit-large', stream: true, messages: [{ role: 'user', content: 'a plan' }] };
 const HEAD = { status: 200, headers: [{ name: 'content-type', value: 'text/event-stream' }] };
--- a/src/core/streams/serve-stream.test.ts
+++ b/src/core/streams/serve-stream.test.ts
@@ -2,26 +2,13 @@
 import { describe, it } from 'node:test';
 import { createFakeClock } from '../../testing/fake-clock';
 import { createMemoryLogger } from '../../testing/memory-logger';
-import { createMemorySink, sampleConfiguration, sampleRequest } from '../../testing/sample-request';
-import type { Service } from '../configuration';
-import { configurationSchema } from '../configuration';
+import { createMemorySink, sampleModelService, sampleRequest } from '../../testing/sample-request';
 import { createSeededRandom, pickIndex } from '../random';
 import { REFUSALS, RefusalError } from '../refusals';
 import type { GatewayRequest, ResponseSink } from '../serving';
 import { serveStream } from './serve-stream';
 
-const [service] = configurationSchema.parse({
-  ...sampleConfiguration().document,
-  services: [
-    {
-      kind: 'model',
-      name: 'kit-assistant',
-      regions: ['windhoek'],
-      models: ['kit-large'],
-      resumption: 'continueFinalMessage',
-    },
-  ],
-}).services as [Service];
+const service = sampleModelService();
 
 /** Letters of several bytes each, so that cuts fall inside of them too. */
 const TOKENS = ['Rafter ', '3×', '— ', '§ ', 'Länge ', '木 ', '\n\n', 'data: ', '🪵'];
--- a/src/testing/sample-request.ts
+++ b/src/testing/sample-request.ts
@@ -1,6 +1,6 @@
 import { keyDigest } from '../core/access';
 import { compileConfiguration, configurationSchema } from '../core/configuration';
-import type { CompiledConfiguration } from '../core/configuration';
+import type { CompiledConfiguration, Service } from '../core/configuration';
 import type { GatewayRequest, Header, ResponseHead, ResponseSink } from '../core/serving';
 
 /** A configuration with one non-repeatable call, and requests and sinks for tests without sockets. */
@@ -29,6 +29,25 @@
   return compileConfiguration(document);
 }
 
+/** A model service whose streams can go on at another server. */
+export function sampleModelService(): Service {
+  const { services } = configurationSchema.parse({
+    ...sampleConfiguration().document,
+    services: [
+      {
+        kind: 'model',
+        name: 'kit-assistant',
+        regions: ['windhoek'],
+        models: ['kit-large'],
+        resumption: 'continueFinalMessage',
+      },
+    ],
+  });
+  const [service] = services;
+  if (service === undefined) throw new Error('The sample is incomplete.');
+  return service;
+}
+
 /** A request of `dealer` that places an order. */
 export function sampleRequest(changes: Partial<GatewayRequest> = {}): GatewayRequest {
   const configuration = changes.configuration ?? sampleConfiguration();
