--- a/src/core/server-registry/server-registry.test.ts
+++ b/src/core/server-registry/server-registry.test.ts
@@ -127,3 +127,31 @@
     assert.deepEqual(restarted, []);
   });
 });
+
+describe('the registry of servers', () => {
+  const registry = () =>
+    createServerRegistry({ regionOf: () => 'north', coldStartMs: () => 3_000 });
+  // Servers of an evacuated domain lose their in-memory state. The full load, returning at once, would crash them.
+  it('treats servers as cold when the evacuation of their domain ends', () => {
+    const servers = registry();
+    servers.put(readyServer(), 0);
+    servers.setEvacuated('north-a', true, 0);
+    assert.deepEqual(servers.usable('app', 'north'), []);
+    servers.setEvacuated('north-a', false, 10_000);
+    assert.equal(servers.usable('app', 'north')[0]?.coldUntilMs, 13_000);
+  });
+
+  // A late message reports a draining server as ready. New work sent to it would be cut off when it stops.
+  it('never makes a draining server usable again', () => {
+    const servers = registry();
+    servers.put(readyServer({ isDraining: true }), 0);
+    servers.put(readyServer(), 1);
+    assert.deepEqual(servers.usable('app', 'north'), []);
+  });
+
+  it('gives no work to a server that is about to be stopped', () => {
+    const servers = registry();
+    servers.put(readyServer({ goneInMs: 2_000 }), 0);
+    assert.deepEqual(servers.usable('app', 'north'), []);
+  });
+});
