--- a/bench/idle-instances/main.ts
+++ b/bench/idle-instances/main.ts
@@ -23,7 +23,7 @@
 const SETTLING_MS = 10_000;
 const MEASURED_MS = 10_000;
 /** Processes that may run at once on a machine that is used for other things as well. */
-const MOST_INSTANCES = 100;
+const MAX_INSTANCES = 100;
 const MS_PER_S = 1_000;
 /** Number of the line with which an instance says that it listens. */
 const LISTENS = '"event":4201';
@@ -105,8 +105,8 @@
 
 const sizes = process.argv.slice(2).map(Number);
 const fleets = sizes.length === 0 ? [8, 24] : sizes;
-if (fleets.some((size) => !Number.isInteger(size) || size < 1 || size > MOST_INSTANCES)) {
-  throw new Error(`Give sizes of fleets between 1 and ${MOST_INSTANCES}.`);
+if (fleets.some((size) => !Number.isInteger(size) || size < 1 || size > MAX_INSTANCES)) {
+  throw new Error(`Give sizes of fleets between 1 and ${MAX_INSTANCES}.`);
 }
 const rows = [];
 for (const size of fleets) rows.push(await measure(size));
--- a/bench/server-health/main.ts
+++ b/bench/server-health/main.ts
@@ -26,11 +26,11 @@
 const STEP_MS = 50;
 const WARM_UP_MS = 3_000;
 const QUIET_MS = 5_000;
-const LONGEST_MS = 20_000;
+const MAX_WAIT_MS = 20_000;
 
 async function msUntil(region: ServerRegion, condition: () => boolean): Promise<number> {
   const startMs = region.clock.monotonicMs();
-  while (!condition() && region.clock.monotonicMs() - startMs < LONGEST_MS) {
+  while (!condition() && region.clock.monotonicMs() - startMs < MAX_WAIT_MS) {
     await region.clock.advanceByAsync(STEP_MS);
   }
   return region.clock.monotonicMs() - startMs;
--- a/bench/trust/fault-shares.ts
+++ b/bench/trust/fault-shares.ts
@@ -1,7 +1,7 @@
 import { NO_MUTANT } from '../../checks/invariants/mutants';
 import {
   ORDERS,
-  FAULTS_WITHIN_MS,
+  FAULT_WINDOW_MS,
   playOut,
   runSchedule,
 } from '../../checks/invariants/run-schedule';
@@ -29,7 +29,7 @@
 }
 
 const PATIENCE_MS = [300, 4_000] as const;
-const MOST_REQUESTS = 10;
+const MAX_REQUESTS = 10;
 
 async function naiveSchedule(seed: number, way: NaiveWay) {
   const world = createWorld(seed);
@@ -37,7 +37,7 @@
   const answered = new Set<string>();
 
   const ask = (order: string, requests: number): void => {
-    if (requests > MOST_REQUESTS) return;
+    if (requests > MAX_REQUESTS) return;
     const caller = createSimProcess(world.clock, `caller of ${order}`, 'windhoek', 1);
     const names = [...fleet.instances.keys()].filter((name) => name !== 'kolkata-a');
     const instance = names.length === 0 ? undefined : fleet.instances.get(world.pick(names));
@@ -68,7 +68,7 @@
     );
   };
   for (let order = 1; order <= ORDERS; order += 1) {
-    world.clock.schedule(world.between(0, FAULTS_WITHIN_MS), () => ask(`order ${order}`, 1));
+    world.clock.schedule(world.between(0, FAULT_WINDOW_MS), () => ask(`order ${order}`, 1));
   }
   await playOut(world, fleet);
   const runs = new Map<string, number>();
--- a/bench/trust/naive-fleet.ts
+++ b/bench/trust/naive-fleet.ts
@@ -27,7 +27,7 @@
 }
 
 const SEND_TIMEOUT_MS = 1_500;
-const MOST_TRIES = 3;
+const MAX_ATTEMPTS = 3;
 const ALLOWED_REGIONS = ['windhoek', 'rundu'];
 
 /** Sends an order to one server and waits. */
@@ -77,7 +77,7 @@
   let starts = 0;
 
   const retrying = async (process: SimProcess, order: string): Promise<NaiveReply> => {
-    for (let tries = 1; tries < MOST_TRIES; tries += 1) {
+    for (let tries = 1; tries < MAX_ATTEMPTS; tries += 1) {
       const reply = await sendOnce(world, process, world.pick(servers), order);
       if (reply.kind === 'answer') return reply;
     }
--- a/checks/invariants/caller.ts
+++ b/checks/invariants/caller.ts
@@ -15,7 +15,7 @@
 /** Timeout of a request, ms. */
 const PATIENCE_MS = [300, 4_000] as const;
 /** Maximum number of requests of a caller for one order. */
-const MOST_REQUESTS = 10;
+const MAX_REQUESTS = 10;
 
 /**
  * Places one order like a caller that trusts the answers: while the outcome is unknown it retries with the same ticket at
@@ -33,7 +33,7 @@
   let answered = 0;
 
   const ask = (ticket: string | undefined): void => {
-    if (requests === MOST_REQUESTS) return;
+    if (requests === MAX_REQUESTS) return;
     requests += 1;
     const requestId = `${order}/${requests}`;
     const names = [...instances.keys()].filter(mayAsk);
--- a/checks/invariants/run-schedule.ts
+++ b/checks/invariants/run-schedule.ts
@@ -32,9 +32,9 @@
 
 /** Orders in each schedule. */
 export const ORDERS = 4;
-const MOST_FAULTS = 7;
+const MAX_FAULTS = 7;
 /** Time in which faults begin, ms. */
-export const FAULTS_WITHIN_MS = 5_000;
+export const FAULT_WINDOW_MS = 5_000;
 /** Time by which every caller has given up and every delayed message has arrived, ms. */
 const SCHEDULE_MS = 60_000;
 
@@ -95,9 +95,9 @@
 
 /** Draws the faults of a schedule and runs it to its end. */
 export async function playOut(world: World, fleet: FaultTarget): Promise<void> {
-  const faults = world.between(0, MOST_FAULTS);
+  const faults = world.between(0, MAX_FAULTS);
   for (let fault = 0; fault < faults; fault += 1) {
-    const atMs = world.between(0, FAULTS_WITHIN_MS);
+    const atMs = world.between(0, FAULT_WINDOW_MS);
     world.clock.schedule(atMs, () => drawFault(world, fleet));
   }
   await world.clock.advanceByAsync(SCHEDULE_MS);
@@ -120,7 +120,7 @@
   const told: Told[] = [];
   const mayAsk = (name: string) => withBarredRegions || INSTANCE_REGIONS[name] !== 'kolkata';
   for (let order = 1; order <= ORDERS; order += 1) {
-    const atMs = world.between(0, FAULTS_WITHIN_MS);
+    const atMs = world.between(0, FAULT_WINDOW_MS);
     world.clock.schedule(atMs, () => placeOrder(fleet, `order ${order}`, told, mayAsk));
   }
   await playOut(world, withBarredRegions ? fleet : { ...fleet, tighten: () => {} });
--- a/checks/invariants/sim-serving.ts
+++ b/checks/invariants/sim-serving.ts
@@ -21,7 +21,7 @@
   readonly mutant: Mutant;
 }
 
-const MOST_TRIES = 3;
+const MAX_ATTEMPTS = 3;
 
 /**
  * Worst-case behaviour of the code above the guard: it always prefers other regions, retries after every failure regardless
@@ -76,7 +76,7 @@
         await attemptOnce({ ...request, attempt: request.attempt + tries - 1 }, sink, signal);
         return;
       } catch (error) {
-        if (tries === MOST_TRIES || sink.headSent) throw error;
+        if (tries === MAX_ATTEMPTS || sink.headSent) throw error;
       }
     }
   };
--- a/scripts/stats.ts
+++ b/scripts/stats.ts
@@ -15,7 +15,7 @@
   'demo',
   'scripts',
 ];
-const MOST_LINES = 400;
+const MAX_LINES = 400;
 /** Slices for the cooperation of many instances and for failures. */
 const HEART = [
   'admission',
@@ -80,6 +80,6 @@
 console.log(
   `routing, limits, retries, membership, state, recovery: ${heart} lines, ${percent(heart, all)}`,
 );
-const large = files.filter((file) => file.lines > MOST_LINES);
-for (const { path, lines } of large) console.log(`over ${MOST_LINES} lines: ${path} (${lines})`);
+const large = files.filter((file) => file.lines > MAX_LINES);
+for (const { path, lines } of large) console.log(`over ${MAX_LINES} lines: ${path} (${lines})`);
 process.exitCode = large.length === 0 ? 0 : 1;
