Have servers stand still and fall silent in the soak, and check their answers

Cause: no fault of the soak had a sound server send nothing for a while, so answers that instances cut off then were not noticed. Change: standStill (all servers or a drawn share of them, 0.8 to 2 s) and fallSilent (one or two servers, another one of the region always left, replaced 3 to 6 s later), with requests at a steady rate beside them. The routes time out after the callers' deadline of 4 s, and each version changes their timeouts. A stated departure is recorded when its answer is sent, which may be after a standstill.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -9,7 +9,7 @@
 import type { CallerAttempt, TakenUpStream } from './types';
 
 /** A route of the tested configuration. */
-interface RequestedRoute {
+export interface RequestedRoute {
   readonly path: string;
   readonly kind: RouteKind;
   readonly maxAttempts: number;
@@ -28,15 +28,16 @@
 ];
 
 /** Returns the routes of the callers of an instance. */
-function routesAt(instance: number): readonly RequestedRoute[] {
+export function routesAt(instance: number): readonly RequestedRoute[] {
   const path = `${boundPrefix(regionOf(instance))}1`;
   return [...ROUTES, { path, kind: 'idempotent', maxAttempts: 2, isBoundToRegion: true }];
 }
 
 const HOST = 'kits.example';
-const DEADLINE_MS = 4_000;
+/** Time from sending a request in which its caller wants the whole answer, ms. */
+export const DEADLINE_MS = 4_000;
 /** Time after which a caller gives up an attempt, ms: well after its deadline. */
-const GIVE_UP_MS = 6_000;
+export const GIVE_UP_MS = 6_000;
 /** Share of the requests whose caller disconnects before the end of the answer. */
 const LEAVING_SHARE = 0.03;
 
@@ -88,13 +89,17 @@
     let status: number | undefined;
     let isSigned = false;
     let body = '';
+    let hasLeft = false;
     const end = (isWhole: boolean) => {
-      const { kind, maxAttempts } = route;
+      const { kind, maxAttempts, isResumable = false } = route;
       resolve({
         requestId,
         address,
         atMs,
+        endedAtMs: Date.now(),
+        hasLeft,
         kind,
+        isResumable,
         isBoundToRegion,
         maxAttempts,
         key,
@@ -133,7 +138,10 @@
     );
     outgoing.on('error', () => end(false));
     outgoing.on('close', () => end(false));
-    const leaving = setTimeout(() => outgoing.destroy(), options.leavesAfterMs);
+    const leaving = setTimeout(() => {
+      hasLeft = true;
+      outgoing.destroy();
+    }, options.leavesAfterMs);
     outgoing.on('close', () => clearTimeout(leaving));
     outgoing.end('a question');
   });
--- a/soak/configuration.ts
+++ b/soak/configuration.ts
@@ -42,7 +42,19 @@
   })),
 ];
 
-/** Returns a version of the tested configuration. */
+/** Timeouts of the routes in turn, ms: longer than the callers' deadline, so that only that one ends a request. */
+const TIMEOUTS_MS = [4_500, 6_000];
+/** Idle timeouts of callers' connections in turn, ms. */
+const IDLE_TIMEOUTS_MS = [5_000, 4_000];
+
+/** Returns a version of the tested configuration. Each changes the timeouts of the one before. */
 export function configurationOf(version: number): object {
-  return { ...TEST_CONFIGURATION, Routes: ROUTES, Version: version, Tenants: SOAK_ACCOUNTS };
+  const turn = version % TIMEOUTS_MS.length;
+  return {
+    ...TEST_CONFIGURATION,
+    Version: version,
+    Routes: ROUTES.map((route) => ({ ...route, TimeoutMs: TIMEOUTS_MS[turn] })),
+    Limits: { ...TEST_CONFIGURATION.Limits, IdleTimeoutMs: IDLE_TIMEOUTS_MS[turn] },
+    Tenants: SOAK_ACCOUNTS,
+  };
 }
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -8,6 +8,7 @@
 import { CUT_MODES } from './links';
 import type { CutMode, SoakLinks } from './links';
 import type { SoakServers } from './servers';
+import type { SteadyCallers } from './steady-callers';
 
 /** A fault with its randomly drawn parameters. */
 export type Fault =
@@ -32,6 +33,10 @@
   | { readonly kind: 'brittle'; readonly forMs: number }
   /** Servers crash on a part of prompts, and requests with it are sent. */
   | { readonly kind: 'crashingPart'; readonly forMs: number }
+  /** Servers send nothing for some time, and then go on. */
+  | { readonly kind: 'standStill'; readonly servers: readonly number[]; readonly forMs: number }
+  /** Servers send nothing any more, and are replaced some time later. */
+  | { readonly kind: 'fallSilent'; readonly servers: readonly number[]; readonly forMs: number }
   /** A server states its departure in answers, and announces it some time later. */
   | { readonly kind: 'departure'; readonly server: number; readonly forMs: number }
   /** Servers refuse all requests; a pause of 0 is not stated. */
@@ -78,6 +83,8 @@
   'brittle',
   'rollout',
   'crashingPart',
+  'standStill',
+  'fallSilent',
 ] as const satisfies readonly FaultKind[];
 const MIN_FAULT_MS = 300;
 const MAX_FAULT_MS = 4_000;
@@ -85,8 +92,18 @@
 /** Time for which an instance has no links, ms: its callers are served from 2 s on. */
 const MIN_CUT_MS = 4_000;
 const MAX_CUT_MS = 8_000;
-/** Share of cuts that strike two instances at the same moment. */
+/** Share of cuts that strike two instances, and of silences that strike two servers, at the same moment. */
 const PAIR_SHARE = 0.5;
+/** Time for which servers stand still, ms. */
+const MIN_STANDSTILL_MS = 800;
+const MAX_STANDSTILL_MS = 2_000;
+/** Share of standstills that strike all servers. */
+const ALL_STAND_SHARE = 0.5;
+/** Time after which a server that fell silent is replaced, ms. */
+const MIN_SILENCE_MS = 3_000;
+const MAX_SILENCE_MS = 6_000;
+/** Time before servers stand still from which requests are sent at a steady rate, ms: streams are open then. */
+const ASKED_BEFORE_MS = 300;
 /** Limits that servers name, requests a second. */
 const LIMITS = [0, 0.25, 1, 4, 20];
 /** Pauses that servers ask for, ms; 0 is not stated. */
@@ -99,6 +116,19 @@
 /** Time after the store was restored from an older copy until everything is published again, ms. */
 const WRITTEN_AGAIN_AFTER_MS = 1_000;
 
+/** Draws a time, ms. */
+function drawMs(random: RandomSource, minMs: number, maxMs: number): number {
+  return minMs + random.next() * (maxMs - minMs);
+}
+
+/** Draws the servers that stand still at once: all of them, or `server` and a drawn share of the others. */
+function drawStanding(random: RandomSource, server: number, servers: number): readonly number[] {
+  const share = random.next() < ALL_STAND_SHARE ? 1 : random.next();
+  return Array.from({ length: servers }, (_, index) => index).filter(
+    (index) => random.next() < share || index === server,
+  );
+}
+
 /** Draws a fault of one of the kinds. */
 export function drawFault(
   random: RandomSource,
@@ -143,6 +173,16 @@
       return { kind, server, forMs };
     case 'rollout':
       return { kind, servers: [server, (server + 1) % servers], forMs };
+    case 'standStill': {
+      const standMs = drawMs(random, MIN_STANDSTILL_MS, MAX_STANDSTILL_MS);
+      return { kind, servers: drawStanding(random, server, servers), forMs: standMs };
+    }
+    case 'fallSilent': {
+      const silentMs = drawMs(random, MIN_SILENCE_MS, MAX_SILENCE_MS);
+      const next = (server + 1) % servers;
+      const silent = random.next() < PAIR_SHARE ? [server, next] : [server];
+      return { kind, servers: silent, forMs: silentMs };
+    }
     case 'refuse':
     case 'refuseAll':
       return { kind, server, pauseMs: PAUSES_MS[pickIndex(random, PAUSES_MS.length)] ?? 0, forMs };
@@ -169,6 +209,7 @@
   readonly links: SoakLinks;
   readonly brittleness: Brittleness;
   readonly crashingParts: CrashingParts;
+  readonly steadyCallers: SteadyCallers;
   /** Publishes the next version of the routes. */
   readonly changeRoutes: () => void;
   /** Publishes everything again, since an older copy may lack some of it. */
@@ -188,6 +229,17 @@
   setActive(false);
 }
 
+/** Applies something beside requests at a steady rate, which begin a moment earlier. */
+async function beside(
+  { during: sendDuring }: SteadyCallers,
+  forMs: number,
+  apply: () => Promise<void>,
+): Promise<void> {
+  const sent = sendDuring(ASKED_BEFORE_MS + forMs);
+  await sleep(ASKED_BEFORE_MS);
+  await Promise.all([sent, apply()]);
+}
+
 /** Injects a fault, and resolves after its end. */
 export async function injectFault(fault: Fault, targets: FaultTargets): Promise<void> {
   const { store, instances, servers } = targets;
@@ -262,6 +314,16 @@
         await sleep(fault.forMs / fault.servers.length);
       }
       return;
+    case 'standStill':
+      await beside(targets.steadyCallers, fault.forMs, () =>
+        servers.standStill(fault.servers, fault.forMs),
+      );
+      return;
+    case 'fallSilent':
+      await beside(targets.steadyCallers, fault.forMs, async () => {
+        await Promise.all(fault.servers.map((server) => servers.fallSilent(server, fault.forMs)));
+      });
+      return;
     case 'departure':
       servers.stateDeparture(fault.server);
       await sleep(fault.forMs);
--- a/soak/instances.ts
+++ b/soak/instances.ts
@@ -10,6 +10,7 @@
 import { openFaultProxy } from '../standins/fault-proxy';
 import type { FaultProxy } from '../standins/fault-proxy';
 import type { StandIn } from '../standins/listen';
+import type { InstanceInterruption } from './types';
 
 /** Instances that run as processes, each with its own proxy to the store. */
 export interface SoakInstances extends AsyncDisposable {
@@ -19,6 +20,8 @@
   storeProxy(index: number): FaultProxy;
   /** Sends a signal to the process of an instance if it runs. */
   signal(index: number, signal: NodeJS.Signals): void;
+  /** Times in which processes were stopped, and moments at which a signal ended one at once; a lasting stop has no end yet. */
+  readonly interruptions: readonly InstanceInterruption[];
 }
 
 /** Options of `startSoakInstances`. */
@@ -29,6 +32,8 @@
   readonly logFolder: string;
 }
 
+/** Signals that end a process at once; SIGTERM does if it comes twice. */
+const ENDING_SIGNALS: readonly (NodeJS.Signals | null)[] = ['SIGKILL', 'SIGTERM'];
 const BUNDLE = 'target/coltsfootworks.cjs';
 /** Delay before a process that has exited is restarted, ms. */
 const RESTART_DELAY_MS = 300;
@@ -44,8 +49,21 @@
   const stores: StandIn[] = [];
   const storeProxies: FaultProxy[] = [];
   const ending = endChildrenWithProcess(() => running.values());
+  const interruptions: (Omit<InstanceInterruption, 'toMs'> & { toMs: number })[] = [];
+  /** When the last signal was sent to the process of an instance, Unix ms. */
+  const signalledAtMs = new Map<number, number>();
   let isEnding = false;
 
+  const recordStop = (instance: number): void => {
+    interruptions.push({ instance, fromMs: Date.now(), toMs: Infinity });
+  };
+
+  const recordContinuation = (instance: number): void => {
+    for (const stop of interruptions) {
+      if (stop.instance === instance && stop.toMs === Infinity) stop.toMs = Date.now();
+    }
+  };
+
   const start = (index: number): void => {
     if (isEnding) return;
     const log = openSync(join(logFolder, `instance-${index}.log`), 'a');
@@ -55,8 +73,14 @@
     });
     closeSync(log);
     running.set(index, child);
-    child.once('exit', () => {
+    child.once('exit', (_code, signal) => {
       running.delete(index);
+      const atMs = Date.now();
+      recordContinuation(index);
+      if (ENDING_SIGNALS.includes(signal)) {
+        const fromMs = signalledAtMs.get(index) ?? atMs;
+        interruptions.push({ instance: index, fromMs, toMs: atMs });
+      }
       setTimeout(() => start(index), RESTART_DELAY_MS).unref();
     });
   };
@@ -79,8 +103,14 @@
       if (proxy === undefined) throw new RangeError(`there is no instance ${index}`);
       return proxy;
     },
+    interruptions,
     signal(index, signal) {
-      running.get(index)?.kill(signal);
+      const child = running.get(index);
+      if (child === undefined) return;
+      signalledAtMs.set(index, Date.now());
+      if (signal === 'SIGSTOP') recordStop(index);
+      if (signal === 'SIGCONT') recordContinuation(index);
+      child.kill(signal);
     },
     async [Symbol.asyncDispose]() {
       isEnding = true;
--- a/soak/log-lines.ts
+++ b/soak/log-lines.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { z } from 'zod';
+import { PASS_THROUGH_EVENTS } from '../src/core/pass-through';
 
 const lineSchema = z.object({
   event: z.number(),
@@ -34,3 +35,23 @@
     parseLog(readFileSync(join(logFolder, `instance-${index}.log`), 'utf8')),
   );
 }
+
+const INSTANCE_NAME = /^instance-(\d+)$/u;
+
+/** Returns the instances that each request passed through, by the logs of all instances. */
+export function readInstancesOf(
+  logs: readonly (readonly LogLine[])[],
+): ReadonlyMap<string, ReadonlySet<number>> {
+  const instancesOf = new Map<string, Set<number>>();
+  logs.forEach((log, instance) => {
+    for (const { event, requestId, to = '' } of log) {
+      if (event !== PASS_THROUGH_EVENTS.placed.id || requestId === undefined) continue;
+      const instances = instancesOf.get(requestId) ?? new Set();
+      const peer = INSTANCE_NAME.exec(to)?.[1];
+      instances.add(instance);
+      if (peer !== undefined) instances.add(Number(peer));
+      instancesOf.set(requestId, instances);
+    }
+  });
+  return instancesOf;
+}
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -10,6 +10,7 @@
 import { isAnswered, startCallers } from './callers';
 import { configurationOf } from './configuration';
 import { checkCrashingParts, createCrashingParts } from './crashing-parts';
+import { checkSilence, silenceFigures, tallySilence } from './cut-in-silence';
 import { createDisturbances } from './disturbances';
 import { drawFault, injectFault } from './faults';
 import { startSoakInstances } from './instances';
@@ -17,10 +18,11 @@
 import { createSoakLinks } from './links';
 import { checkPromises } from './promises';
 import { checkVersions } from './routes-in-force';
-import { readLogs } from './log-lines';
+import { readInstancesOf, readLogs } from './log-lines';
 import { checkLimits, readKnownSince } from './server-limits';
 import { checkStatements } from './server-statements';
 import { openSoakServers } from './servers';
+import { createSteadyCallers } from './steady-callers';
 import { checkStreamVersions, tallyStreams } from './stream-versions';
 import type { BrokenPromise, CallerAttempt, SoakOptions, SoakReport } from './types';
 
@@ -84,15 +86,20 @@
       }),
     );
     callerAddress = instances.callerAddress;
+    const addresses = Array.from({ length: options.instances }, (_, index) =>
+      instances.callerAddress(index),
+    );
     await sleep(SETTLING_MS);
     const callers = startCallers({
       random,
       count: options.instances * CALLERS_PER_INSTANCE,
-      addresses: Array.from({ length: options.instances }, (_, index) =>
-        instances.callerAddress(index),
-      ),
+      addresses,
       pauseMs: CALLER_PAUSE_MS,
     });
+    const steadyCallers = createSteadyCallers({
+      random: createSeededRandom(seed + 3),
+      addresses,
+    });
     const copies: StoreCopy[] = [];
     const saving = setInterval(() => {
       copies.push(store.saveCopy());
@@ -106,6 +113,7 @@
       links,
       brittleness,
       crashingParts,
+      steadyCallers,
       changeRoutes,
       publishAgain() {
         store.put('op/config', configurationOf(version));
@@ -134,24 +142,37 @@
     const boundCutOff = tally(attempts.filter(({ isBoundToRegion }) => isBoundToRegion));
     const streams = tallyStreams(attempts, servers.versionCounts);
     const logs = readLogs(logFolder, options.instances);
+    const passedThrough = readInstancesOf(logs);
+    const allAttempts = [...attempts, ...steadyCallers.attempts];
+    const silence = tallySilence({
+      ...servers,
+      attempts: allAttempts,
+      brittleTimes: brittleness.times,
+      interruptions: [...instances.interruptions, ...links.cuts],
+      instancesOf: ({ requestId, address }) => [
+        ...(passedThrough.get(requestId) ?? []),
+        addresses.indexOf(address),
+      ],
+    });
     return {
       seed,
       seconds,
       instances: options.instances,
       faults: pendingFaults.length,
-      requests: attempts.length,
-      answered: attempts.filter(isAnswered).length,
-      refused: attempts.filter(({ status }) => status === 503 || status === 429).length,
+      requests: allAttempts.length,
+      answered: allAttempts.filter(isAnswered).length,
+      refused: allAttempts.filter(({ status }) => status === 503 || status === 429).length,
       cutOff,
       boundCutOff,
       streams,
+      silence: silenceFigures(silence),
       crashingParts: {
         arrivals: crashingParts.arrivals.length,
         sound: crashingParts.sound.length,
       },
       falls: brittleness.times.map(({ falls }) => falls),
       broken: [
-        ...checkPromises(attempts, servers.runs),
+        ...checkPromises(allAttempts, servers.runs),
         ...checkServedAgain(attempts.slice(before).filter(({ key }) => isWithinQuota(key))),
         ...checkVersions(logFolder, options.instances, version),
         ...checkLimits(servers.runs, servers.limitChanges, readKnownSince(logs)),
@@ -161,6 +182,7 @@
         ...(options.instances > REGIONS.length ? checkCutOff(boundCutOff) : []),
         ...checkFalls(brittleness.times, SERVERS),
         ...checkStreamVersions(streams),
+        ...checkSilence(silence),
         ...checkSuspects(logs, servers.ends),
         ...checkCrashingParts(crashingParts.arrivals, crashingParts.sound),
       ],
--- a/soak/servers.ts
+++ b/soak/servers.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import {
   chunkOf,
@@ -10,18 +11,26 @@
 import { serverEntry } from '../standins/published-store';
 import type { StoreStandIn } from '../standins/published-store';
 import type { RandomSource } from '../src/core/random';
-import { domainOf } from '../platform/testing/process-settings';
+import { domainOf, regionOf } from '../platform/testing/process-settings';
 import { SERVER_SLOTS } from './brittleness';
 import type { Brittleness } from './brittleness';
 import { LONG_PATH, SOLO_PREFIX } from './configuration';
 import type { SoakLinks } from './links';
 import { EVENTS_PER_STREAM, eventText, plainBody } from './promises';
+import { createServingTimes } from './serving-times';
+import { createStillness } from './stillness';
 import type {
+  FailedAnswer,
   NamedLimitChange,
   ServerArrival,
   ServerEnd,
   ServerRun,
   ServerStatement,
+  ServingServer,
+  ServingTime,
+  SilencedRequest,
+  SilentServer,
+  Standstill,
   VersionCounts,
 } from './types';
 
@@ -52,11 +61,32 @@
   refuse(index: number, pauseMs: number | undefined): void;
   /** Ends of servers, in order of time. */
   readonly ends: readonly ServerEnd[];
+  /** Has servers send nothing for some time, and then go on where they were. */
+  standStill(indexes: readonly number[], forMs: number): Promise<void>;
+  /**
+   * Has a server send nothing any more, and replaces it after some time, as a machine that lost power. Does nothing if the
+   * others of its region are silent.
+   */
+  fallSilent(index: number, forMs: number): Promise<void>;
+  readonly standstills: readonly Standstill[];
+  readonly silentServers: readonly SilentServer[];
+  /** Answers that servers broke off, and failures of their own. */
+  readonly failedAnswers: readonly FailedAnswer[];
+  readonly servingTimes: readonly ServingTime[];
   /** Writes the entries of all servers again, and removes those of servers that have gone. */
   publishAgain(): void;
 }
 
+/** A request that a server has received and not yet answered. */
+interface OpenRequest {
+  readonly requestId: string;
+  readonly socket: Socket;
+  /** When it arrived, Unix ms. */
+  readonly sinceMs: number;
+}
+
 interface RunningServer {
+  readonly index: number;
   readonly server: AnnouncedServer;
   readonly links: AsyncDisposable;
   /** Identifies this start of the server, as the instances' logs do. */
@@ -84,6 +114,14 @@
 /** Time for which a leaving server continues to serve, ms: longer than the instances take to learn of it. */
 const LEAVING_MS = 4_000;
 
+/** Time for which a damaged entry stays damaged, ms. */
+const DAMAGED_MS = 500;
+/** Status of the failures of servers. */
+const FAILURE_STATUS = 500;
+
+const failureOf = (request: ReceivedRequest) =>
+  wholeAnswer(request, 'failed', { status: FAILURE_STATUS });
+const isFailure = (answer: string) => answer.startsWith(`HTTP/1.1 ${FAILURE_STATUS} `);
 const requestIdOf = ({ headers }: ReceivedRequest): string => headers.get('x-request-id') ?? '';
 const isStream = ({ path }: ReceivedRequest) =>
   path.startsWith('/plans') || path.startsWith('/chat') || path.startsWith(SOLO_PREFIX);
@@ -115,6 +153,29 @@
   const statements: ServerStatement[] = [];
   const leavingStarts = new Set<string>();
   const refusingStarts = new Map<string, number>();
+  /** Starts whose refusals still ask for a pause, or whose entry is damaged. */
+  const restingStarts = new Set<string>();
+  const stillness = createStillness();
+  const servingTimes = createServingTimes();
+  const failedAnswers: FailedAnswer[] = [];
+  /** Open requests of which an event was sent. */
+  const begun = new WeakSet<OpenRequest>();
+  const openRequests = new Map<string, OpenRequest[]>();
+  const silentServers: (SilentServer & { readonly requests: SilencedRequest[] })[] = [];
+  /** Servers that fell silent and were replaced; their connections stay open until the end of the run. */
+  const lost: RunningServer[] = [];
+
+  const openRequest = (startId: string, requestId: string, socket: Socket): OpenRequest => {
+    const opened = { requestId, socket, sinceMs: Date.now() };
+    const others = (openRequests.get(startId) ?? []).filter((one) => !one.socket.destroyed);
+    openRequests.set(startId, [...others, opened]);
+    return opened;
+  };
+
+  const closeRequest = (startId: string, closed: OpenRequest): void => {
+    const others = (openRequests.get(startId) ?? []).filter((one) => one !== closed);
+    openRequests.set(startId, others);
+  };
 
   /** Adds what a server states to the head of an answer. */
   const withStatements = (startId: string, head: string): string => {
@@ -138,82 +199,136 @@
   /** Draws the answer to a request without a stream; undefined if the server breaks the connection instead. */
   const answerOf = (request: ReceivedRequest): string | undefined => {
     if (request.path === LONG_PATH) return wholeAnswer(request, plainBody(requestIdOf(request)));
-    if (random.next() < FAILING_SHARE) return wholeAnswer(request, 'failed', { status: 500 });
+    if (random.next() < FAILING_SHARE) return failureOf(request);
     if (random.next() < BREAKING_SHARE) return undefined;
     return wholeAnswer(request, plainBody(requestIdOf(request)));
   };
 
+  /** Records that an answer that states the departure of a server was sent. */
+  const recordDeparture = (startId: string, requestId: string): void => {
+    if (!leavingStarts.has(startId)) return;
+    statements.push({ requestId, server: startId, atMs: Date.now(), kind: 'departure' });
+  };
+
   const createScript = (
     serverId: string,
     startId: string,
     softwareVersion: string,
   ): ServerScript => {
-    const streamTo: ServerScript = (request, socket) => {
-      const requestId = requestIdOf(request);
+    const fail = (requestId: string, kind: FailedAnswer['kind']): void => {
+      failedAnswers.push({ requestId, server: startId, atMs: Date.now(), kind });
+    };
+
+    const recordRun = ({ headers }: ReceivedRequest, { requestId, sinceMs }: OpenRequest): void => {
+      const account = headers.get('x-tenant-id');
+      const sawKey = headers.get('x-api-key') !== undefined;
+      runs.push({ requestId, serverId, server: startId, atMs: sinceMs, account, sawKey });
+    };
+
+    /** Records a request at a server that has fallen silent: it may have run all the same. */
+    const recordSilenced = (request: ReceivedRequest, opened: OpenRequest): void => {
+      const { requestId, sinceMs } = opened;
+      const wanted = request.headers.get('x-target-instance') ?? serverId;
+      if (request.path === '/health' || wanted !== serverId) return;
+      recordRun(request, opened);
+      const fallen = silentServers.find(({ server }) => server === startId);
+      fallen?.requests.push({ requestId, sinceMs, hasBegun: false });
+    };
+
+    const breakOff = ({ requestId, socket }: OpenRequest): void => {
+      if (!socket.destroyed) fail(requestId, 'brokenOff');
+      socket.resetAndDestroy();
+    };
+
+    const streamTo = (request: ReceivedRequest, opened: OpenRequest): void => {
+      const { requestId, socket } = opened;
       const first = Number(request.headers.get('last-event-id') ?? 0) + 1;
       const breakingShare = request.path.startsWith(SOLO_PREFIX)
         ? BREAKING_SOLO_SHARE
         : BREAKING_SHARE;
       const breaksAt = random.next() < breakingShare ? first + 3 : Infinity;
       let eventId = first;
+      recordDeparture(startId, requestId);
       socket.write(withStatements(startId, streamHead(request)));
       const timer = setInterval(() => {
-        if (eventId >= breaksAt) socket.resetAndDestroy();
+        if (stillness.isSilent(startId)) clearInterval(timer);
+        if (stillness.isStill(startId)) return;
+        if (eventId >= breaksAt) breakOff(opened);
         if (socket.destroyed || eventId > EVENTS_PER_STREAM) {
           clearInterval(timer);
           brittleness.release(startId);
+          closeRequest(startId, opened);
           if (!socket.destroyed) socket.write(chunkOf(''));
           return;
         }
         socket.write(chunkOf(eventText(requestId, eventId, softwareVersion)));
+        begun.add(opened);
         eventId += 1;
       }, EVENT_GAP_MS);
     };
-    return (request, socket) => {
+
+    const answerTo = (request: ReceivedRequest, opened: OpenRequest): void => {
+      const { requestId, socket } = opened;
+      const answer = answerOf(request);
+      const workMs = request.path === LONG_PATH ? LONG_RUN_MS : brittleness.workMs();
+      const finish = (): void => {
+        brittleness.release(startId);
+        closeRequest(startId, opened);
+        if (answer === undefined) breakOff(opened);
+        else if (!socket.destroyed) {
+          if (isFailure(answer)) fail(requestId, 'failure');
+          recordDeparture(startId, requestId);
+          socket.write(withStatements(startId, answer));
+        }
+      };
+      setTimeout(() => stillness.whenMoving(startId, finish), workMs).unref();
+    };
+
+    /** Reads a request that has arrived. */
+    const read = (request: ReceivedRequest, opened: OpenRequest): void => {
+      const { requestId, socket } = opened;
+      const refuse = (answer: string): void => {
+        closeRequest(startId, opened);
+        if (!socket.destroyed) socket.write(answer);
+      };
       const pauseMs = refusingStarts.get(startId);
       if (request.path === '/health') {
         const healthy = withStatements(startId, wholeAnswer(request, ''));
-        socket.write(pauseMs === undefined ? healthy : refusalOf(request, pauseMs));
+        refuse(pauseMs === undefined ? healthy : refusalOf(request, pauseMs));
         return;
       }
       const wanted = request.headers.get('x-target-instance');
       if (wanted !== undefined && wanted !== serverId) {
-        socket.write(wholeAnswer(request, '', { status: 421 }));
+        refuse(wholeAnswer(request, '', { status: 421 }));
         return;
       }
-      const requestId = requestIdOf(request);
       const arrival = { requestId, server: startId, atMs: Date.now() };
       arrivals.push(arrival);
       if (pauseMs !== undefined) {
         if (pauseMs > 0) statements.push({ ...arrival, kind: 'pause', waitMs: pauseMs });
-        socket.write(refusalOf(request, pauseMs));
+        refuse(refusalOf(request, pauseMs));
         return;
       }
       if (crashesOn(request)) {
-        setTimeout(() => onFall(startId), CRASH_DELAY_MS).unref();
+        const fall = () => stillness.whenMoving(startId, () => onFall(startId));
+        setTimeout(fall, CRASH_DELAY_MS).unref();
         return;
       }
       const admission = brittleness.admit(startId);
       if (admission !== 'run') {
-        socket.write(refusalOf(request, 0));
+        refuse(refusalOf(request, 0));
         if (admission === 'fall') onFall(startId);
         return;
       }
-      const account = request.headers.get('x-tenant-id');
-      const sawKey = request.headers.get('x-api-key') !== undefined;
-      runs.push({ requestId, serverId, server: startId, atMs: Date.now(), account, sawKey });
-      if (leavingStarts.has(startId)) statements.push({ ...arrival, kind: 'departure' });
-      if (isStream(request)) {
-        streamTo(request, socket);
-        return;
-      }
-      const answer = answerOf(request);
-      const workMs = request.path === LONG_PATH ? LONG_RUN_MS : brittleness.workMs();
-      setTimeout(() => {
-        brittleness.release(startId);
-        if (answer === undefined) socket.resetAndDestroy();
-        else if (!socket.destroyed) socket.write(withStatements(startId, answer));
-      }, workMs).unref();
+      recordRun(request, opened);
+      if (isStream(request)) streamTo(request, opened);
+      else answerTo(request, opened);
+    };
+
+    return (request, socket) => {
+      const opened = openRequest(startId, requestIdOf(request), socket);
+      if (stillness.isSilent(startId)) recordSilenced(request, opened);
+      stillness.whenMoving(startId, () => read(request, opened));
     };
   };
 
@@ -230,8 +345,38 @@
     store.put(`servers/${serverId}`, serverEntry(server.address, entry));
   };
 
+  const servingOf = ({ startId, softwareVersion, index }: RunningServer): ServingServer => ({
+    server: startId,
+    region: regionOf(index),
+    softwareVersion,
+  });
+
+  /** Records which servers take requests now. */
+  const recordServing = (): void => {
+    const serving = running.filter(
+      ({ startId }) =>
+        !endedStarts.has(startId) &&
+        !stillness.isStill(startId) &&
+        !limits.has(startId) &&
+        !leavingStarts.has(startId) &&
+        !refusingStarts.has(startId) &&
+        !restingStarts.has(startId),
+    );
+    servingTimes.record(serving.map(servingOf));
+  };
+
+  /** Has a server count as one that takes no requests for some time. */
+  const restFor = (startId: string, forMs: number): void => {
+    restingStarts.add(startId);
+    setTimeout(() => {
+      restingStarts.delete(startId);
+      recordServing();
+    }, forMs).unref();
+  };
+
   /** Records how many servers of each version take requests now. */
   const recordVersions = (): void => {
+    recordServing();
     const counts = new Map<string, number>();
     for (const { softwareVersion, startId } of running) {
       if (endedStarts.has(startId)) continue;
@@ -245,6 +390,7 @@
     const startId = `${serverId}@${bornUnixMs}`;
     const server = await openAnnouncedServer(createScript(serverId, startId, softwareVersion));
     running[index] = {
+      index,
       server,
       links: await links.open(server.address),
       startId,
@@ -257,12 +403,21 @@
     recordVersions();
   };
 
-  /** Ends a server with its links, so that connections to it are reset and refused. */
-  const end = async ({ server, startId, links: ownLinks }: RunningServer): Promise<void> => {
+  /** Closes what is left of a server. */
+  const dispose = async ({ server, links: ownLinks }: RunningServer): Promise<void> => {
+    await Promise.all([server[Symbol.asyncDispose](), ownLinks[Symbol.asyncDispose]()]);
+  };
+
+  const recordEnd = ({ startId }: RunningServer): void => {
     ends.push({ server: startId, atMs: Date.now() });
     endedStarts.add(startId);
     recordVersions();
-    await Promise.all([server[Symbol.asyncDispose](), ownLinks[Symbol.asyncDispose]()]);
+  };
+
+  /** Ends a server with its links, so that connections to it are reset and refused. */
+  const end = async (ended: RunningServer): Promise<void> => {
+    recordEnd(ended);
+    await dispose(ended);
   };
 
   /** Ends a server that had to reject too many requests, and starts it again some time later. */
@@ -303,6 +458,16 @@
     await start(index, newId(), softwareVersion);
   };
 
+  /** Whether a server of the region other than this one is neither silent nor gone. */
+  const hasOther = (index: number): boolean =>
+    running.some(
+      (other) =>
+        other.index !== index &&
+        regionOf(other.index) === regionOf(index) &&
+        !stillness.isSilent(other.startId) &&
+        !endedStarts.has(other.startId),
+    );
+
   for (let index = 0; index < count; index += 1) {
     await start(index, newId(), VERSIONS[index % VERSIONS.length] ?? VERSIONS[0]);
   }
@@ -314,15 +479,48 @@
     ends,
     versionCounts,
     count,
+    standstills: stillness.standstills,
+    silentServers,
+    failedAnswers,
+    servingTimes: servingTimes.times,
+    async standStill(indexes, forMs) {
+      const startIds = indexes.flatMap((index) => running[index]?.startId ?? []);
+      await stillness.during(startIds, forMs, recordServing);
+    },
+    async fallSilent(index, forMs) {
+      const fallen = running[index];
+      if (fallen === undefined || endedStarts.has(fallen.startId) || !hasOther(index)) return;
+      const requests = (openRequests.get(fallen.startId) ?? [])
+        .filter(({ socket }) => !socket.destroyed)
+        .map((one) => ({
+          requestId: one.requestId,
+          sinceMs: one.sinceMs,
+          hasBegun: begun.has(one),
+        }));
+      silentServers.push({ ...servingOf(fallen), fromMs: Date.now(), requests });
+      stillness.fallSilent(fallen.startId);
+      recordServing();
+      await sleep(forMs);
+      if (running[index] !== fallen || endedStarts.has(fallen.startId)) return;
+      lost.push(fallen);
+      recordEnd(fallen);
+      store.remove(`servers/${fallen.serverId}`);
+      await start(index, newId(), fallen.softwareVersion);
+    },
     stateDeparture(index) {
       const { startId } = running[index] ?? {};
       if (startId !== undefined) leavingStarts.add(startId);
+      recordServing();
     },
     refuse(index, pauseMs) {
       const { startId } = running[index] ?? {};
       if (startId === undefined) return;
-      if (pauseMs === undefined) refusingStarts.delete(startId);
-      else refusingStarts.set(startId, pauseMs);
+      if (pauseMs !== undefined) refusingStarts.set(startId, pauseMs);
+      else {
+        restFor(startId, refusingStarts.get(startId) ?? 0);
+        refusingStarts.delete(startId);
+      }
+      recordServing();
     },
     setLimit(index, perSecond) {
       const { startId } = running[index] ?? {};
@@ -330,6 +528,7 @@
       if (perSecond === undefined) limits.delete(startId);
       else limits.set(startId, perSecond);
       limitChanges.push({ server: startId, atMs: Date.now(), perSecond });
+      recordServing();
     },
     async replace(index) {
       await replaceBy(index, running[index]?.softwareVersion ?? VERSIONS[0]);
@@ -350,14 +549,16 @@
       for (const serverId of started) if (!alive.has(serverId)) store.remove(`servers/${serverId}`);
     },
     damageEntry(index) {
-      const { serverId } = running[index] ?? {};
-      if (serverId === undefined) return;
+      const { serverId, startId } = running[index] ?? {};
+      if (serverId === undefined || startId === undefined) return;
       store.putRaw(`servers/${serverId}`, 'bm90IGpzb24=');
-      setTimeout(() => announce(index), 500).unref();
+      restFor(startId, DAMAGED_MS);
+      recordServing();
+      setTimeout(() => announce(index), DAMAGED_MS).unref();
     },
     async [Symbol.asyncDispose]() {
       await Promise.all(leaving);
-      await Promise.all(running.map(end));
+      await Promise.all([...running.map(end), ...lost.map(dispose)]);
     },
   };
 }
--- a/soak/soak.test.ts
+++ b/soak/soak.test.ts
@@ -16,9 +16,10 @@
 ];
 
 // Instances are killed, stopped, paused and cut off from the store while servers leave, restart under their ids, break off
-// answers, name limits, state their departure, and refuse with and without a pause; the faults overlap, and callers keep their connections until the process is gone. A caller may then
-// see an order that ran twice, a refusal of one that ran, an answer to another request, or a stream with a missing or repeated
-// event.
+// answers, name limits, state their departure, refuse with and without a pause, stand still, and fall silent; the faults
+// overlap, and callers keep their connections until the process is gone. A caller may then see an order that ran twice, a
+// refusal of one that ran, an answer to another request, a stream with a missing or repeated event, or a sound answer that is
+// cut off.
 describe('real processes under faults', () => {
   before(() => {
     const built = spawnSync(process.execPath, ['scripts/build-platform.mjs'], { stdio: 'inherit' });
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -1,4 +1,5 @@
 import type { RouteKind } from '../src/core/host-routes';
+import type { SilenceFigures } from './cut-in-silence';
 import type { CutOffTally } from './cut-off';
 import type { FaultKind } from './faults';
 import type { StreamTally } from './stream-versions';
@@ -10,7 +11,13 @@
   readonly address: string;
   /** When it was sent, Unix ms. */
   readonly atMs: number;
+  /** When its answer or its connection ended, Unix ms. */
+  readonly endedAtMs: number;
+  /** Whether the caller left before that. */
+  readonly hasLeft: boolean;
   readonly kind: RouteKind;
+  /** Whether it is a stream that another server may go on with. */
+  readonly isResumable: boolean;
   /** Whether it may run in the region of the instance only. */
   readonly isBoundToRegion: boolean;
   readonly maxAttempts: number;
@@ -75,6 +82,59 @@
 export type ServerStatement = ServerArrival &
   ({ readonly kind: 'departure' } | { readonly kind: 'pause'; readonly waitMs: number });
 
+/** An answer that a server broke off, or that was a failure of its own. */
+export type FailedAnswer = ServerArrival & { readonly kind: 'brokenOff' | 'failure' };
+
+/** Time in which a start of a server read and sent nothing; it then went on where it was. */
+export interface Standstill {
+  /** Identifies the start of the server. */
+  readonly server: string;
+  /** Unix ms. */
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
+/** A start of a server, with where and what it is. */
+export interface ServingServer {
+  /** Identifies the start of the server. */
+  readonly server: string;
+  readonly region: string;
+  readonly softwareVersion: string;
+}
+
+/** Time in which a server took requests: it ran, was not silent, refused nothing, and named no limit and no departure. */
+export type ServingTime = ServingServer & {
+  /** Unix ms. */
+  readonly fromMs: number;
+  /** Infinity if it lasts. */
+  readonly toMs: number;
+};
+
+/** A server that read and sent nothing any more until it was replaced. */
+export type SilentServer = ServingServer & {
+  /** When it fell silent, Unix ms. */
+  readonly fromMs: number;
+  /** Requests that were open then, or arrived later. */
+  readonly requests: readonly SilencedRequest[];
+};
+
+/** A request at a server that fell silent. */
+export interface SilencedRequest {
+  readonly requestId: string;
+  /** When it arrived, Unix ms. */
+  readonly sinceMs: number;
+  /** Whether the server had sent an event of its stream. */
+  readonly hasBegun: boolean;
+}
+
+/** Time in which a process stood still, or the moment at which it was killed. */
+export interface InstanceInterruption {
+  readonly instance: number;
+  /** Unix ms. */
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
 /** Time in which an instance had no links to backend servers. */
 export interface LinkCut {
   readonly instance: number;
@@ -124,7 +184,10 @@
     | 'mixedVersions'
     | 'notTakenUp'
     | 'crashingPartServed'
-    | 'soundSuspected';
+    | 'soundSuspected'
+    | 'cutInSilence'
+    | 'resumableServedLess'
+    | 'leftAtSilentServer';
   readonly requestId: string;
   readonly detail: string;
 }
@@ -155,6 +218,8 @@
   readonly boundCutOff: CutOffTally;
   /** Streams that began, and that their callers took up. */
   readonly streams: StreamTally;
+  /** Requests while servers stood still, and at servers that fell silent. */
+  readonly silence: SilenceFigures;
   /** Falls in each time in which the servers were brittle. */
   readonly falls: readonly number[];
   /** Requests with crashing parts that reached servers, and sound ones beside them. */
