--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -17,6 +17,7 @@
   readDecisiveReason,
 } from './forwarding';
 import { announceAnswer } from './announce-answer';
+import { isEventStream, readServersTried, versionOfWriter } from './answer-head';
 import { attemptHeaders } from './attempt-headers';
 import type { AttemptResult } from './attempt-result';
 import { classifyAnswer, headerText } from './classify-answer';
@@ -115,32 +116,11 @@
   return to.kind === 'server' ? to.server.incarnationId : to.peer.instanceId;
 }
 
-function isEventStream({ kind }: RequestPlan, { status, headers }: AnswerHead): boolean {
-  const type = headerText(headers['content-type']) ?? '';
-  return kind === 'stream' && status === 200 && type.startsWith('text/event-stream');
-}
-
 function maxIdleMs({ plan, to }: AttemptOptions): number {
   if (plan.kind !== 'nonIdempotent') return to.kind === 'server' ? MAX_IDLE_MS : PEER_IDLE_MS;
   return to.kind === 'server' ? TRUSTED_IDLE_MS : PEER_TRUSTED_IDLE_MS;
 }
 
-/**
- * Returns how many backend servers another instance reports to have sent a request to; undefined if
- * it does not report that.
- */
-function readServersTried({ headers }: AnswerHead): number | undefined {
-  const text = headerText(headers[ATTEMPTS_HEADER]);
-  const count = Number(text);
-  return text === undefined || !Number.isInteger(count) || count < 0 ? undefined : count;
-}
-
-/** Returns the software version of the server that writes an answer; undefined if another instance does not state it. */
-function versionOfWriter(to: SendableDestination, { headers }: AnswerHead): string | undefined {
-  if (to.kind === 'server') return to.server.softwareVersion;
-  return headerText(headers[STREAM_VERSION_HEADER]);
-}
-
 /** Sends a request once and passes its answer on as it arrives, as far as that is allowed. */
 export function startAttempt(options: AttemptOptions): Attempt {
   const { clock, dialect, pool, router, request, plan, to, progress } = options;
