Name what keeps a request from being hedged, and what gives a retry back

Cause: isOver stood for four reasons, and giveUp for giving a retry back, while end.giveUp ends a request. Change: names only. Result: types, lint and the tests of hedges pass.

--- a/src/core/pass-through/hedge-silence.test.ts
+++ b/src/core/pass-through/hedge-silence.test.ts
@@ -105,7 +105,7 @@
     attemptBudget,
     openAttempts: { list: () => open },
     tried,
-    isOver: () => clock.monotonicMs() >= overAtMs,
+    mayNotHedge: () => clock.monotonicMs() >= overAtMs,
     send(to) {
       begun.push({ atMs: clock.monotonicMs(), to });
       attemptBudget.reserveOne();
--- a/src/core/pass-through/hedge-silence.ts
+++ b/src/core/pass-through/hedge-silence.ts
@@ -29,8 +29,8 @@
   readonly attemptBudget: Pick<AttemptBudget, 'hasRemaining'>;
   readonly openAttempts: Pick<OpenAttempts, 'list'>;
   readonly tried: TriedRecord;
-  /** Whether the request is over, or has to be refused, or no other server can go on with its answer. */
-  readonly isOver: () => boolean;
+  /** Whether the request is over or has to be refused, or no other server can go on with its answer. */
+  readonly mayNotHedge: () => boolean;
   readonly send: (to: SendableDestination, slotLease?: SlotLease) => void;
 }
 
@@ -52,11 +52,11 @@
 
   const isNeeded = (): boolean =>
     hedges.isEnabled() &&
-    !options.isOver() &&
+    !options.mayNotHedge() &&
     attemptBudget.hasRemaining() &&
     areAllSilent(openAttempts.list(), router.loads, clock.monotonicMs());
 
-  const giveUp = (): void => retries.giveBack(planOfNext().service, clock.monotonicMs());
+  const giveRetryBack = (): void => retries.giveBack(planOfNext().service, clock.monotonicMs());
 
   const send = (to: SendableDestination, slotLease?: SlotLease): void => {
     hedges.recordBegun();
@@ -74,7 +74,7 @@
     askPermission({ ...options, isNeeded }, to.server, (permission) => {
       isPending = false;
       if (permission.kind === 'granted') send(to, permission.slotLease);
-      else giveUp();
+      else giveRetryBack();
     });
   };
 
@@ -87,7 +87,7 @@
       if (isPending || nowMs < nextAtMs || !isNeeded()) return;
       if (!retries.take(planOfNext().service, nowMs)) return;
       const to = choose(nowMs);
-      if (to === undefined) giveUp();
+      if (to === undefined) giveRetryBack();
       else if (to.kind === 'server') sendIfPermitted(to);
       else send(to);
     },
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -348,7 +348,7 @@
         attemptBudget,
         openAttempts,
         tried,
-        isOver: () => end.isOver() || isTimedOut || !canGoOn() || isRefused(),
+        mayNotHedge: () => end.isOver() || isTimedOut || !canGoOn() || isRefused(),
         send,
       })
     : undefined;
