--- a/soak/servers.ts
+++ b/soak/servers.ts
@@ -1,22 +1,14 @@
-import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
-import {
-  chunkOf,
-  openAnnouncedServer,
-  streamHead,
-  wholeAnswer,
-  withHeaders,
-} from '../standins/announced-server';
-import type { AnnouncedServer, ReceivedRequest, ServerScript } from '../standins/announced-server';
+import { openAnnouncedServer } from '../standins/announced-server';
+import type { AnnouncedServer, ReceivedRequest } from '../standins/announced-server';
 import { serverEntry } from '../standins/published-store';
 import type { StoreStandIn } from '../standins/published-store';
 import type { RandomSource } from '../src/core/random';
 import { domainOf, regionOf } from '../platform/testing/process-settings';
 import { SERVER_SLOTS } from './brittleness';
 import type { Brittleness } from './brittleness';
-import { LONG_PATH, SOLO_PREFIX } from './configuration';
 import type { SoakLinks } from './links';
-import { EVENTS_PER_STREAM, eventText, plainBody } from './promises';
+import { createServerScripts } from './server-scripts';
 import { createServingTimes } from './serving-times';
 import { createStillness } from './stillness';
 import type {
@@ -77,14 +69,6 @@
   publishAgain(): void;
 }
 
-/** A request that a server has received and not yet answered. */
-interface OpenRequest {
-  readonly requestId: string;
-  readonly socket: Socket;
-  /** When it arrived, Unix ms. */
-  readonly sinceMs: number;
-}
-
 interface RunningServer {
   readonly index: number;
   readonly server: AnnouncedServer;
@@ -96,19 +80,8 @@
   readonly softwareVersion: string;
 }
 
-const MS_PER_S = 1_000;
-const EVENT_GAP_MS = 15;
-/** Time that a long request takes, ms. */
-const LONG_RUN_MS = 300;
-/** Shares of the requests that a server answers with a failure, and whose connection it resets. */
-const FAILING_SHARE = 0.05;
-const BREAKING_SHARE = 0.03;
-/** Share of the streams that their callers have to take up. */
-const BREAKING_SOLO_SHARE = 0.3;
 /** Software versions of the servers; half of them begin with each. */
 const VERSIONS = ['v1', 'v1.1'] as const;
-/** Time from the arrival of a request until a server crashes on a part of its prompt, ms. */
-const CRASH_DELAY_MS = 30;
 /** Time after which a server that fell is back, ms. */
 const DOWN_MS = 3_000;
 /** Time for which a leaving server continues to serve, ms: longer than the instances take to learn of it. */
@@ -116,16 +89,6 @@
 
 /** Time for which a damaged entry stays damaged, ms. */
 const DAMAGED_MS = 500;
-/** Status of the failures of servers. */
-const FAILURE_STATUS = 500;
-
-const failureOf = (request: ReceivedRequest) =>
-  wholeAnswer(request, 'failed', { status: FAILURE_STATUS });
-const isFailure = (answer: string) => answer.startsWith(`HTTP/1.1 ${FAILURE_STATUS} `);
-const requestIdOf = ({ headers }: ReceivedRequest): string => headers.get('x-request-id') ?? '';
-const isStream = ({ path }: ReceivedRequest) =>
-  path.startsWith('/plans') || path.startsWith('/chat') || path.startsWith(SOLO_PREFIX);
-
 /** Starts servers, and assigns them to the failure domains in turn. */
 export async function openSoakServers(
   store: StoreStandIn,
@@ -135,203 +98,34 @@
   brittleness: Brittleness,
   crashesOn: (request: ReceivedRequest) => boolean,
 ): Promise<SoakServers> {
-  const runs: ServerRun[] = [];
   const running: RunningServer[] = [];
   const leaving = new Set<Promise<void>>();
   /** Ids of all servers that have been started. */
   const started = new Set<string>();
   let nextNumber = 1;
 
-  const limits = new Map<string, number>();
   const limitChanges: NamedLimitChange[] = [];
 
   const ends: ServerEnd[] = [];
   const endedStarts = new Set<string>();
   const versionCounts: VersionCounts[] = [];
-  let onFall: (startId: string) => void = () => {};
-  const arrivals: ServerArrival[] = [];
-  const statements: ServerStatement[] = [];
-  const leavingStarts = new Set<string>();
-  const refusingStarts = new Map<string, number>();
   /** Starts whose refusals still ask for a pause, or whose entry is damaged. */
   const restingStarts = new Set<string>();
   const stillness = createStillness();
-  const servingTimes = createServingTimes();
-  const failedAnswers: FailedAnswer[] = [];
-  /** Open requests of which an event was sent. */
-  const begun = new WeakSet<OpenRequest>();
-  const openRequests = new Map<string, OpenRequest[]>();
+  let fall: (startId: string) => void = () => {};
+  const scripts = createServerScripts({
+    random,
+    brittleness,
+    stillness,
+    crashesOn,
+    onFall: (startId) => fall(startId),
+  });
+  const { limits, leavingStarts, refusingStarts } = scripts;
   const silentServers: (SilentServer & { readonly requests: SilencedRequest[] })[] = [];
+  const servingTimes = createServingTimes();
   /** Servers that fell silent and were replaced; their connections stay open until the end of the run. */
   const lost: RunningServer[] = [];
 
-  const openRequest = (startId: string, requestId: string, socket: Socket): OpenRequest => {
-    const opened = { requestId, socket, sinceMs: Date.now() };
-    const others = (openRequests.get(startId) ?? []).filter((one) => !one.socket.destroyed);
-    openRequests.set(startId, [...others, opened]);
-    return opened;
-  };
-
-  const closeRequest = (startId: string, closed: OpenRequest): void => {
-    const others = (openRequests.get(startId) ?? []).filter((one) => one !== closed);
-    openRequests.set(startId, others);
-  };
-
-  /** Adds what a server states to the head of an answer. */
-  const withStatements = (startId: string, head: string): string => {
-    const perSecond = limits.get(startId);
-    const maxRejections = brittleness.statedMax();
-    const headers = perSecond === undefined ? [] : [`Server-Limit: ${perSecond}`];
-    if (maxRejections !== undefined) headers.push(`Server-Brittle: ${maxRejections}`);
-    if (leavingStarts.has(startId)) headers.push('Server-Leaving: 1');
-    return withHeaders(head, headers);
-  };
-
-  /** Returns the answer of a server that refuses a request. */
-  const refusalOf = (request: ReceivedRequest, pauseMs: number): string => {
-    const headers = ['X-Not-Executed: 1'];
-    const maxRejections = brittleness.statedMax();
-    if (pauseMs > 0) headers.push(`Retry-After: ${pauseMs / MS_PER_S}`);
-    if (maxRejections !== undefined) headers.push(`Server-Brittle: ${maxRejections}`);
-    return withHeaders(wholeAnswer(request, '', { status: 503 }), headers);
-  };
-
-  /** Draws the answer to a request without a stream; undefined if the server breaks the connection instead. */
-  const answerOf = (request: ReceivedRequest): string | undefined => {
-    if (request.path === LONG_PATH) return wholeAnswer(request, plainBody(requestIdOf(request)));
-    if (random.next() < FAILING_SHARE) return failureOf(request);
-    if (random.next() < BREAKING_SHARE) return undefined;
-    return wholeAnswer(request, plainBody(requestIdOf(request)));
-  };
-
-  /** Records that an answer that states the departure of a server was sent. */
-  const recordDeparture = (startId: string, requestId: string): void => {
-    if (!leavingStarts.has(startId)) return;
-    statements.push({ requestId, server: startId, atMs: Date.now(), kind: 'departure' });
-  };
-
-  const createScript = (
-    serverId: string,
-    startId: string,
-    softwareVersion: string,
-  ): ServerScript => {
-    const fail = (requestId: string, kind: FailedAnswer['kind']): void => {
-      failedAnswers.push({ requestId, server: startId, atMs: Date.now(), kind });
-    };
-
-    const recordRun = ({ headers }: ReceivedRequest, { requestId, sinceMs }: OpenRequest): void => {
-      const account = headers.get('x-tenant-id');
-      const sawKey = headers.get('x-api-key') !== undefined;
-      runs.push({ requestId, serverId, server: startId, atMs: sinceMs, account, sawKey });
-    };
-
-    /** Records a request at a server that has fallen silent: it may have run all the same. */
-    const recordSilenced = (request: ReceivedRequest, opened: OpenRequest): void => {
-      const { requestId, sinceMs } = opened;
-      const wanted = request.headers.get('x-target-instance') ?? serverId;
-      if (request.path === '/health' || wanted !== serverId) return;
-      recordRun(request, opened);
-      const fallen = silentServers.find(({ server }) => server === startId);
-      fallen?.requests.push({ requestId, sinceMs, hasBegun: false });
-    };
-
-    const breakOff = ({ requestId, socket }: OpenRequest): void => {
-      if (!socket.destroyed) fail(requestId, 'brokenOff');
-      socket.resetAndDestroy();
-    };
-
-    const streamTo = (request: ReceivedRequest, opened: OpenRequest): void => {
-      const { requestId, socket } = opened;
-      const first = Number(request.headers.get('last-event-id') ?? 0) + 1;
-      const breakingShare = request.path.startsWith(SOLO_PREFIX)
-        ? BREAKING_SOLO_SHARE
-        : BREAKING_SHARE;
-      const breaksAt = random.next() < breakingShare ? first + 3 : Infinity;
-      let eventId = first;
-      recordDeparture(startId, requestId);
-      socket.write(withStatements(startId, streamHead(request)));
-      const timer = setInterval(() => {
-        if (stillness.isSilent(startId)) clearInterval(timer);
-        if (stillness.isStill(startId)) return;
-        if (eventId >= breaksAt) breakOff(opened);
-        if (socket.destroyed || eventId > EVENTS_PER_STREAM) {
-          clearInterval(timer);
-          brittleness.release(startId);
-          closeRequest(startId, opened);
-          if (!socket.destroyed) socket.write(chunkOf(''));
-          return;
-        }
-        socket.write(chunkOf(eventText(requestId, eventId, softwareVersion)));
-        begun.add(opened);
-        eventId += 1;
-      }, EVENT_GAP_MS);
-    };
-
-    const answerTo = (request: ReceivedRequest, opened: OpenRequest): void => {
-      const { requestId, socket } = opened;
-      const answer = answerOf(request);
-      const workMs = request.path === LONG_PATH ? LONG_RUN_MS : brittleness.workMs();
-      const finish = (): void => {
-        brittleness.release(startId);
-        closeRequest(startId, opened);
-        if (answer === undefined) breakOff(opened);
-        else if (!socket.destroyed) {
-          if (isFailure(answer)) fail(requestId, 'failure');
-          recordDeparture(startId, requestId);
-          socket.write(withStatements(startId, answer));
-        }
-      };
-      setTimeout(() => stillness.whenMoving(startId, finish), workMs).unref();
-    };
-
-    /** Reads a request that has arrived. */
-    const read = (request: ReceivedRequest, opened: OpenRequest): void => {
-      const { requestId, socket } = opened;
-      const refuse = (answer: string): void => {
-        closeRequest(startId, opened);
-        if (!socket.destroyed) socket.write(answer);
-      };
-      const pauseMs = refusingStarts.get(startId);
-      if (request.path === '/health') {
-        const healthy = withStatements(startId, wholeAnswer(request, ''));
-        refuse(pauseMs === undefined ? healthy : refusalOf(request, pauseMs));
-        return;
-      }
-      const wanted = request.headers.get('x-target-instance');
-      if (wanted !== undefined && wanted !== serverId) {
-        refuse(wholeAnswer(request, '', { status: 421 }));
-        return;
-      }
-      const arrival = { requestId, server: startId, atMs: Date.now() };
-      arrivals.push(arrival);
-      if (pauseMs !== undefined) {
-        if (pauseMs > 0) statements.push({ ...arrival, kind: 'pause', waitMs: pauseMs });
-        refuse(refusalOf(request, pauseMs));
-        return;
-      }
-      if (crashesOn(request)) {
-        const fall = () => stillness.whenMoving(startId, () => onFall(startId));
-        setTimeout(fall, CRASH_DELAY_MS).unref();
-        return;
-      }
-      const admission = brittleness.admit(startId);
-      if (admission !== 'run') {
-        refuse(refusalOf(request, 0));
-        if (admission === 'fall') onFall(startId);
-        return;
-      }
-      recordRun(request, opened);
-      if (isStream(request)) streamTo(request, opened);
-      else answerTo(request, opened);
-    };
-
-    return (request, socket) => {
-      const opened = openRequest(startId, requestIdOf(request), socket);
-      if (stillness.isSilent(startId)) recordSilenced(request, opened);
-      stillness.whenMoving(startId, () => read(request, opened));
-    };
-  };
-
   const announce = (index: number, more: object = {}): void => {
     const { server, serverId, bornUnixMs, softwareVersion } = running[index] ?? {};
     if (server === undefined) return;
@@ -388,7 +182,9 @@
   const start = async (index: number, serverId: string, softwareVersion: string): Promise<void> => {
     const bornUnixMs = Date.now();
     const startId = `${serverId}@${bornUnixMs}`;
-    const server = await openAnnouncedServer(createScript(serverId, startId, softwareVersion));
+    const server = await openAnnouncedServer(
+      scripts.scriptOf({ serverId, startId, softwareVersion }),
+    );
     running[index] = {
       index,
       server,
@@ -421,7 +217,7 @@
   };
 
   /** Ends a server that had to reject too many requests, and starts it again some time later. */
-  onFall = (startId) => {
+  fall = (startId) => {
     const index = running.findIndex((candidate) => candidate.startId === startId);
     const fallen = running[index];
     if (fallen === undefined) return;
@@ -473,16 +269,16 @@
     await start(index, newId(), VERSIONS[index % VERSIONS.length] ?? VERSIONS[0]);
   }
   return {
-    runs,
+    runs: scripts.runs,
     limitChanges,
-    arrivals,
-    statements,
+    arrivals: scripts.arrivals,
+    statements: scripts.statements,
     ends,
     versionCounts,
     count,
     standstills: stillness.standstills,
     silentServers,
-    failedAnswers,
+    failedAnswers: scripts.failedAnswers,
     servingTimes: servingTimes.times,
     async standStill(indexes, forMs) {
       const startIds = indexes.flatMap((index) => running[index]?.startId ?? []);
@@ -491,13 +287,7 @@
     async fallSilent(index, forMs) {
       const fallen = running[index];
       if (fallen === undefined || !isThere(fallen) || !hasOther(index)) return;
-      const requests = (openRequests.get(fallen.startId) ?? [])
-        .filter(({ socket }) => !socket.destroyed)
-        .map((one) => ({
-          requestId: one.requestId,
-          sinceMs: one.sinceMs,
-          hasBegun: begun.has(one),
-        }));
+      const requests = scripts.fallSilent(fallen.startId);
       silentServers.push({ ...servingOf(fallen), fromMs: Date.now(), requests });
       stillness.fallSilent(fallen.startId);
       recordServing();
