--- a/src/core/pass-through/warm-check.ts
+++ b/src/core/pass-through/warm-check.ts
@@ -124,12 +124,6 @@
       for (const id of suspectIds) if (!incarnationIds.has(id)) suspectIds.delete(id);
     },
     ask(server, maxConnections, onResult, over = 'anyConnection') {
-      const healthPath = serviceOf(server)?.healthPath;
-      if (healthPath === undefined) {
-        // Any other path might be work for the server.
-        onResult({ kind: 'unanswered', reason: 'the service is not configured' });
-        return { abort() {} };
-      }
       let result: WarmCheckResult | undefined;
       let exchange: Exchange | undefined;
       let isCancelled = false;
@@ -145,7 +139,7 @@
         },
         {
           method: 'GET',
-          path: healthPath,
+          path: serviceOf(server)?.healthPath ?? '/',
           headers: [dialect.targetServer, server.serverId],
           body: new Uint8Array(),
         },
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -295,6 +295,8 @@
   function checkHealth(incarnationId: string, over?: CheckConnection): void {
     const server = servers.all().find((known) => known.incarnationId === incarnationId);
     if (server === undefined || server.isDraining) return;
+    // Without its service, the path of a health check is unknown, and any other might be work for the server.
+    if (routes.current()?.table.services.has(server.service) !== true) return;
     warmCheck.ask(server, MAX_CHECK_CONNECTIONS, () => {}, over);
   }
 
