Report requests that end without an answer, and stalls of the event loop

Callers saw requests that were read whole and got neither an answer nor a refusal. Nothing that an instance reports could show that by itself: the ends that it logs are those that it decides on, a connection that is closed under a request counts as a caller that left, and the lag of the event loop is exported as it is at that moment, so that a stall which is over leaves no trace.

Each request that was read whole is now watched at its connection alone. If that closes before the answer or the refusal is written, the request is counted by cause (coltsfootworks_requests_unanswered_total: closedHere, callerLeft, overdue). The first and the last are logged as well, with 4108, one line a request. A tick of the loop that is 250 ms late or more is logged as 4403 with its length, at most four lines a second, and counted, with the longest.

Nothing else changes.

--- a/src/core/intake/events.ts
+++ b/src/core/intake/events.ts
@@ -16,4 +16,11 @@
     text: 'No request waits in the process any more.',
     action: 'Check how long it lasted and how many requests were refused.',
   },
+  stalled: {
+    id: 4403,
+    name: 'loop-stalled',
+    level: 'warn',
+    text: 'The event loop stood still until now; nobody was answered meanwhile.',
+    action: 'Check what the instance did at that time, and whether its machine was paused.',
+  },
 } as const satisfies Record<string, EventDefinition>;
--- a/src/core/intake/index.ts
+++ b/src/core/intake/index.ts
@@ -4,4 +4,6 @@
 export { INTAKE_EVENTS } from './events';
 export { createLoopWatch } from './loop-watch';
 export type { LoopWatch } from './loop-watch';
+export { createStallRecord } from './stall-record';
+export type { StallRecord, StallRecordOptions } from './stall-record';
 export type { EventLoopTurns, WaitingRequest } from './types';
--- a/src/core/metrics/create-metrics.ts
+++ b/src/core/metrics/create-metrics.ts
@@ -17,6 +17,8 @@
   cutShort(service: string): void;
   /** Notes a caller that left before the end. */
   callerGone(service: string): void;
+  /** Notes a request that was read whole and got neither a complete answer nor a refusal, by its cause. */
+  unanswered(cause: string): void;
   /** A value that is read when metrics are asked for. */
   gauge(name: string, help: string, read: () => number): void;
   /** A value for each value of one label, all read when metrics are asked for. The label must have few values. */
@@ -102,6 +104,11 @@
     ['service', 'attempts'],
   );
   const gone = counter('coltsfootworks_callers_gone_total', 'Callers that left early', ['service']);
+  const unanswered = counter(
+    'coltsfootworks_requests_unanswered_total',
+    'Requests that were read whole and got neither a complete answer nor a refusal',
+    ['cause'],
+  );
   const firstByte = createLatencyFamily(
     registry,
     'coltsfootworks_first_byte_ms',
@@ -132,6 +139,9 @@
     callerGone(service) {
       gone.inc({ service });
     },
+    unanswered(cause) {
+      unanswered.inc({ cause });
+    },
     gauge(name, help, read) {
       addGauge(registry, { name, help, read });
     },
--- a/src/core/pass-through/events.ts
+++ b/src/core/pass-through/events.ts
@@ -51,4 +51,12 @@
     text: 'An attempt was ended because another attempt of its request had begun to answer.',
     action: 'Check any backend server that appears often with the cause silence.',
   },
+  unanswered: {
+    id: 4108,
+    name: 'request-unanswered',
+    level: 'warn',
+    text: 'A request that was read whole ended without a complete answer or a refusal.',
+    action:
+      'Check the other events of the request. With the cause closedHere, this instance closed the connection; with overdue, the caller left after its answer was due.',
+  },
 } as const satisfies Record<string, EventDefinition>;
--- a/src/core/pass-through/open-ingress.ts
+++ b/src/core/pass-through/open-ingress.ts
@@ -28,6 +28,7 @@
 import { serveRequest } from './serve-request';
 import type { ServeDependencies } from './serve-dependencies';
 import type { ClientAnswer, InboundRequest, Refusal, RefusalReason, RequestPlan } from './types';
+import { watchForAnswer } from './unanswered-requests';
 
 /** Options of `openIngress`. */
 export interface IngressOptions {
@@ -240,6 +241,12 @@
       if (response.destroyed) return;
       if (!plan.isForwarded) retries.recordRequest(plan.service, receivedAtMs);
       const request = toRequest(incoming, reading.body, receivedAtMs);
+      watchForAnswer({ clock, logger, onUnanswered: serving.onUnanswered }, incoming, response, {
+        requestId: request.requestId,
+        route: plan.route,
+        receivedAtMs,
+        answerDeadlineMs: answerDeadlineMs(plan),
+      });
       intake.enter({
         answerDeadlineMs: answerDeadlineMs(plan),
         isGone: () => response.destroyed,
--- a/src/core/pass-through/serve-dependencies.ts
+++ b/src/core/pass-through/serve-dependencies.ts
@@ -13,6 +13,7 @@
 import type { Hedges } from './hedge-silence';
 import type { ServedRequest } from './request-end';
 import type { HeaderDialect, RefusalReason } from './types';
+import type { UnansweredCause } from './unanswered-requests';
 import type { WarmCheck } from './warm-check';
 
 /** Dependencies of `serveRequest`. */
@@ -44,4 +45,6 @@
   readonly onDone: (done: ServedRequest) => void;
   /** Called when a request was refused before any work was done for it. */
   readonly onRefused: (reason: RefusalReason, service: string) => void;
+  /** Called when a request that was read whole ended without a complete answer or a refusal. */
+  readonly onUnanswered: (cause: UnansweredCause) => void;
 }
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -331,6 +331,7 @@
     onReplaced: servers.markReplaced,
     onDone: createRequestCounter(options.metrics),
     onRefused: (reason, service) => options.metrics.refused(reason, service),
+    onUnanswered: options.metrics.unanswered,
     receiveServerMessage: (text) =>
       streamVersions.receive(text) ||
       limits.receive(text) ||
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -11,7 +11,7 @@
 import { createRouteTableStore } from '../host-routes';
 import { createDisposableStore } from '../lifetime';
 import type { DisposableStore } from '../lifetime';
-import { createIntake, createLoopWatch } from '../intake';
+import { createIntake, createLoopWatch, createStallRecord } from '../intake';
 import type { EventLoopTurns } from '../intake';
 import { createMembership } from '../membership';
 import type { ServiceRequests } from '../membership';
@@ -235,6 +235,17 @@
   const loopWatch = createLoopWatch();
   const intake = createIntake({ clock, turns: options.turns, random, logger, loopWatch });
   metrics.gauge('coltsfootworks_loop_lag_ms', 'Lateness of the event loop', loopWatch.lagMs);
+  const stalls = createStallRecord({ logger });
+  metrics.gauge(
+    'coltsfootworks_loop_stalls_total',
+    'How often the event loop stood still',
+    stalls.count,
+  );
+  metrics.gauge(
+    'coltsfootworks_loop_longest_stall_ms',
+    'Longest time for which the event loop stood still',
+    stalls.longestMs,
+  );
   metrics.gauge(
     'coltsfootworks_statements_waiting',
     'Statements on crashes that the instance which lags most has yet to be sent',
@@ -309,6 +320,7 @@
   owned.add(
     startTicks(clock, TICK_INTERVAL_MS, (dueAtMs, nextDueAtMs) => {
       loopWatch.recordTick(dueAtMs, nextDueAtMs, nowMs());
+      stalls.recordLag(loopWatch.lagMs());
       serving.sendLoad();
       serving.runDueTasks();
       quotas.sendDueReports();
