Take a silent health check for no sign of a crash

Callers saw harmless requests refused for a quarter of an hour: a server lost one answer and then stood still for a second, its health check was accepted and not answered within 400 ms, another server answered, and that counted as a crash.

Cause: a check that was not answered was one fact, whether the connection was refused or the server only silent. A machine that is alive refuses or resets connections to a process that is gone; silence may be a standstill.

Checks now tell a refused or reset connection, one that is made and silent, and one that is not made in time. Only the first one, beside another server that answers, is evidence at once. A silent server is checked again, over a new connection, 500 ms after the last checks, together with others; it counts as crashed once it alone has been silent for 8 s, or by its entry. An investigation that the published state decided while a check was in progress was reported once more when that check ended (found by reading, without a test); it ends once now.

--- a/src/core/pass-through/investigate-crash.ts
+++ b/src/core/pass-through/investigate-crash.ts
@@ -1,8 +1,8 @@
 import type { Clock } from '../clock';
 import type { KnownServer, ServerRegistry } from '../server-registry';
-import { judgeCrash } from './judge-crash';
+import { isWithoutWord, judgeCrash } from './judge-crash';
 import type { CheckOutcome, CrashFacts, CrashVerdict, EntryState } from './judge-crash';
-import type { WarmCheck, WarmCheckResult } from './warm-check';
+import type { CheckConnection, WarmCheck, WarmCheckResult } from './warm-check';
 
 /** Finds out whether servers that broke a connection crashed. */
 export interface CrashInvestigations {
@@ -12,7 +12,7 @@
     maxConnections: number,
     onVerdict: (verdict: DecidedVerdict) => void,
   ): void;
-  /** Decides what time or the published state has made clear. Must be called regularly. */
+  /** Decides what time or the published state has made clear, and checks silent servers again. Must be called regularly. */
   runDue(): void;
 }
 
@@ -31,6 +31,9 @@
   readonly draw: () => number;
 }
 
+/** Time after which a server that was silent is checked again, ms. */
+const RECHECK_INTERVAL_MS = 500;
+
 /** Number of other servers that are checked, one after the other until one answers. */
 const MAX_CONTROLS = 2;
 
@@ -40,18 +43,27 @@
  */
 const MIN_SIGN_OF_LIFE_MS = 500;
 
+/** A server that broke a connection, until it is decided whether it crashed. */
 interface Investigation {
-  readonly server: KnownServer;
-  readonly wasLeaving: boolean;
-  readonly beganAtMs: number;
-  readonly listeners: ((verdict: DecidedVerdict) => void)[];
-  /** Undefined until the check of the server has ended. */
-  check: CheckOutcome | undefined;
-  readonly controls: CheckOutcome[];
+  addListener(onVerdict: (verdict: DecidedVerdict) => void): void;
+  /** Checks the server, and others if that does not decide it. */
+  check(maxConnections: number, over?: CheckConnection): void;
+  /** Decides what time or the published state has made clear, and checks a silent server again. */
+  runDue(): void;
 }
 
-function outcomeOf({ kind }: WarmCheckResult): CheckOutcome {
-  return kind === 'warm' || kind === 'cold' ? 'answered' : kind;
+function outcomeOf(result: WarmCheckResult): CheckOutcome {
+  switch (result.kind) {
+    case 'warm':
+    case 'cold':
+      return 'answered';
+    case 'replaced':
+      return 'replaced';
+    case 'unanswered':
+      return result.saw === 'refused' ? 'unanswered' : result.saw;
+    default:
+      return result satisfies never;
+  }
 }
 
 /** Creates a record without investigations. */
@@ -82,27 +94,6 @@
     return { kind: 'missing', forMs: nowMs - sinceMs };
   };
 
-  /** Ends an investigation if the facts decide it; returns whether they did. */
-  const decide = (investigation: Investigation): boolean => {
-    const { server, check, wasLeaving, controls, beganAtMs } = investigation;
-    if (check === undefined) return false;
-    const nowMs = clock.monotonicMs();
-    const reachedAtMs = options.lastReachedAtMs(server.incarnationId) ?? -Infinity;
-    const facts: CrashFacts = {
-      wasLeaving,
-      check: reachedAtMs - beganAtMs >= MIN_SIGN_OF_LIFE_MS ? 'answered' : check,
-      controls,
-      entry: entryOf(server, nowMs),
-      waitedMs: nowMs - beganAtMs,
-    };
-    const verdict = judgeCrash(facts);
-    if (verdict.kind === 'undecided') return false;
-    open.delete(server.incarnationId);
-    missingSinceMs.delete(server.incarnationId);
-    for (const listener of investigation.listeners) listener(verdict);
-    return true;
-  };
-
   /** Returns other servers of the region in random order, those of other failure domains first. */
   const controlsFor = ({ incarnationId, failureDomain }: KnownServer): readonly KnownServer[] => {
     const isNear = (server: KnownServer) => Number(server.failureDomain === failureDomain);
@@ -116,42 +107,102 @@
       .slice(0, MAX_CONTROLS);
   };
 
-  const checkControls = (
-    investigation: Investigation,
-    [control, ...others]: readonly KnownServer[],
-  ): void => {
-    if (control === undefined) return;
-    const onResult = (result: WarmCheckResult): void => {
-      investigation.controls.push(outcomeOf(result));
-      if (!decide(investigation)) checkControls(investigation, others);
+  const investigate = (server: KnownServer): Investigation => {
+    const { incarnationId } = server;
+    const wasLeaving = servers.get(server.serverId)?.isDraining === true;
+    const beganAtMs = clock.monotonicMs();
+    const listeners: ((verdict: DecidedVerdict) => void)[] = [];
+    let isOver = false;
+    /** Undefined until the first check of the server has ended. */
+    let outcome: CheckOutcome | undefined;
+    /** Results of checks of others since the last one of the server. */
+    let controls: CheckOutcome[] = [];
+    /** Since then, the server was silent at each check and another one answered after it, monotonic ms. */
+    let aloneSilentSinceMs: number | undefined;
+    /** Infinity while checks are in progress, and once the server has refused a connection. */
+    let nextCheckAtMs = Infinity;
+
+    /** Ends the investigation if the facts decide it; returns whether it is over. */
+    const decide = (): boolean => {
+      if (isOver || outcome === undefined) return isOver;
+      const nowMs = clock.monotonicMs();
+      const reachedAtMs = options.lastReachedAtMs(incarnationId) ?? -Infinity;
+      const facts: CrashFacts = {
+        wasLeaving,
+        check: reachedAtMs - beganAtMs >= MIN_SIGN_OF_LIFE_MS ? 'answered' : outcome,
+        controls,
+        ...(aloneSilentSinceMs !== undefined && { aloneSilentForMs: nowMs - aloneSilentSinceMs }),
+        entry: entryOf(server, nowMs),
+        waitedMs: nowMs - beganAtMs,
+      };
+      const verdict = judgeCrash(facts);
+      if (verdict.kind === 'undecided') return false;
+      isOver = true;
+      open.delete(incarnationId);
+      missingSinceMs.delete(incarnationId);
+      for (const listener of listeners) listener(verdict);
+      return true;
+    };
+
+    const endChecks = (checkedAtMs: number): void => {
+      if (outcome === undefined || !isWithoutWord(outcome)) return;
+      const isAlone = controls.includes('answered');
+      aloneSilentSinceMs = isAlone ? (aloneSilentSinceMs ?? checkedAtMs) : undefined;
+      nextCheckAtMs = clock.monotonicMs() + RECHECK_INTERVAL_MS;
+    };
+
+    const checkControls = (
+      checkedAtMs: number,
+      [control, ...others]: readonly KnownServer[],
+    ): void => {
+      if (control === undefined || controls.includes('answered')) {
+        endChecks(checkedAtMs);
+        return;
+      }
+      const onResult = (result: WarmCheckResult): void => {
+        controls.push(outcomeOf(result));
+        if (!decide()) checkControls(checkedAtMs, others);
+      };
+      warmCheck.ask(control, Infinity, onResult, 'newConnection');
+    };
+
+    const check: Investigation['check'] = (maxConnections, over) => {
+      const checkedAtMs = clock.monotonicMs();
+      nextCheckAtMs = Infinity;
+      const onResult = (result: WarmCheckResult): void => {
+        outcome = outcomeOf(result);
+        controls = [];
+        if (!decide()) checkControls(checkedAtMs, controlsFor(server));
+      };
+      warmCheck.ask(server, maxConnections, onResult, over);
+    };
+
+    return {
+      addListener: (onVerdict) => listeners.push(onVerdict),
+      check,
+      runDue() {
+        if (decide() || nextCheckAtMs > clock.monotonicMs()) return;
+        // The connections that are open may be dead, while new ones work.
+        check(Infinity, 'newConnection');
+      },
     };
-    warmCheck.ask(control, Infinity, onResult, 'newConnection');
   };
 
   return {
     begin(server, maxConnections, onVerdict) {
       const known = open.get(server.incarnationId);
       if (known !== undefined) {
-        known.listeners.push(onVerdict);
+        known.addListener(onVerdict);
         return;
       }
-      const investigation: Investigation = {
-        server,
-        wasLeaving: servers.get(server.serverId)?.isDraining === true,
-        beganAtMs: clock.monotonicMs(),
-        listeners: [onVerdict],
-        check: undefined,
-        controls: [],
-      };
+      const investigation = investigate(server);
+      investigation.addListener(onVerdict);
       open.set(server.incarnationId, investigation);
       // One connection above the maximum: if requests hold all of them, the check would say nothing about the server.
-      warmCheck.ask(server, maxConnections + 1, (result) => {
-        investigation.check = outcomeOf(result);
-        if (!decide(investigation)) checkControls(investigation, controlsFor(server));
-      });
+      investigation.check(maxConnections + 1);
     },
     runDue() {
-      for (const investigation of [...open.values()]) decide(investigation);
+      for (const investigation of [...open.values()]) investigation.runDue();
     },
   };
 }
--- a/src/core/pass-through/judge-crash.test.ts
+++ b/src/core/pass-through/judge-crash.test.ts
@@ -42,6 +42,31 @@
     verdict: UNDECIDED,
   },
   { name: 'may have if there is no other server', facts: {}, verdict: UNDECIDED },
+  {
+    name: 'may have if it accepts connections and is silent, although others are reached',
+    facts: { check: 'silent', controls: ['answered'], aloneSilentForMs: 7_900, waitedMs: 7_900 },
+    verdict: UNDECIDED,
+  },
+  {
+    name: 'may have if no connection to it is made in time, although others are reached',
+    facts: { check: 'notConnected', controls: ['answered'], aloneSilentForMs: 2_000 },
+    verdict: UNDECIDED,
+  },
+  {
+    name: 'may have if it is refused and others are silent',
+    facts: { controls: ['silent', 'notConnected'] },
+    verdict: UNDECIDED,
+  },
+  {
+    name: 'did if it alone stays silent for longer than servers stand still',
+    facts: { check: 'silent', controls: ['answered'], aloneSilentForMs: 8_000, waitedMs: 8_000 },
+    verdict: { kind: 'crashed', evidence: 'aloneSilent' },
+  },
+  {
+    name: 'did if it is silent and its entry stays missing',
+    facts: { check: 'silent', entry: { kind: 'missing', forMs: 2_000 } },
+    verdict: { kind: 'crashed', evidence: 'entryGone' },
+  },
   {
     name: 'did if it has started again',
     facts: { controls: ['unanswered'], entry: { kind: 'superseded' } },
--- a/src/core/pass-through/warm-check.ts
+++ b/src/core/pass-through/warm-check.ts
@@ -1,6 +1,6 @@
 import type { BrittleServers } from '../brittle-servers';
 import type { Clock } from '../clock';
-import type { AnswerHead, ConnectionPool, Exchange } from '../exchanges';
+import type { AnswerHead, ConnectionPool, Exchange, ExchangeEnd } from '../exchanges';
 import type { RouteTableStore } from '../host-routes';
 import type { ServerLimits } from '../server-limits';
 import type { ServerNotices } from '../server-notices';
@@ -38,7 +38,16 @@
   /** Another server uses its address now. */
   | { readonly kind: 'replaced' }
   /** No answer arrived; nothing but the check has been sent. */
-  | { readonly kind: 'unanswered'; readonly reason: string };
+  | { readonly kind: 'unanswered'; readonly saw: UnansweredCheck; readonly reason: string };
+
+/** What a check that was not answered saw of the server. */
+export type UnansweredCheck =
+  /** The connection was refused or reset. */
+  | 'refused'
+  /** The connection was made, and nothing arrived within the timeout. */
+  | 'silent'
+  /** No connection was made within the timeout, or none was free. */
+  | 'notConnected';
 
 /** Options of `createWarmCheck`. */
 export interface WarmCheckOptions {
@@ -72,6 +81,11 @@
 /** Maximum idle time that no open connection is within, so that a new one is opened. */
 const NEVER_REUSE_MS = -1;
 
+function whatWasSeen(end: ExchangeEnd, isTimedOut: boolean): UnansweredCheck {
+  if (!isTimedOut) return 'refused';
+  return end.kind === 'neverSent' ? 'notConnected' : 'silent';
+}
+
 /**
  * Creates a check that sends health checks to servers that may have become cold unnoticed.
  *
@@ -127,9 +141,11 @@
       let result: WarmCheckResult | undefined;
       let exchange: Exchange | undefined;
       let isCancelled = false;
-      const deadline = clock.schedule(clock.monotonicMs() + ANSWER_TIMEOUT_MS, () =>
-        exchange?.abort('timeout'),
-      );
+      let isTimedOut = false;
+      const deadline = clock.schedule(clock.monotonicMs() + ANSWER_TIMEOUT_MS, () => {
+        isTimedOut = true;
+        exchange?.abort('timeout');
+      });
       exchange = pool.send(
         server.address,
         {
@@ -166,13 +182,13 @@
             if (result === undefined && !isCancelled) {
               reachability.recordFailed(server.incarnationId);
             }
-            onResult(result ?? { kind: 'unanswered', reason });
+            onResult(result ?? { kind: 'unanswered', saw: whatWasSeen(end, isTimedOut), reason });
           },
         },
       );
       if (exchange === undefined) {
         deadline[Symbol.dispose]();
-        onResult({ kind: 'unanswered', reason: 'no connection is free' });
+        onResult({ kind: 'unanswered', saw: 'notConnected', reason: 'no connection is free' });
         return { abort() {} };
       }
       return {
