Close a connection that brings interim answers, empty lines or framing without end

Callers saw: a server in trouble that sends 103 answers, empty lines or a chunk extension without end kept requests that can't be repeated until their deadline (504), and the instance read all that the server could send meanwhile, tens of megabytes a request.

Cause: the HTTP client bounds the fields of one head. It doesn't bound how many interim answers, empty lines, bytes of a status line, blanks before a field's value or bytes of chunk framing it reads, and it calls nothing back for most of them.

Change: each connection counts the bytes that the HTTP client has taken since the request was written, since the final head, or since the last byte of the body. The count is compared once for each read of the socket, not for each byte. Beyond 64 KiB the exchange ends as lost, with the cause `endless`, the shape and the number of bytes, and the connection is destroyed. The outcome is unknown, since the request was sent. What a pause of the caller gives back to the socket isn't counted. An idle connection that receives as much is closed too.

--- a/src/core/decision-trace/schema.ts
+++ b/src/core/decision-trace/schema.ts
@@ -24,7 +24,15 @@
   z.strictObject({ kind: z.literal('ranBefore') }),
   z.strictObject({
     kind: z.literal('lostAfterSending'),
-    cause: z.enum(['reset', 'timeout', 'silence', 'aborted', 'malformed', 'peerFellSilent']),
+    cause: z.enum([
+      'reset',
+      'timeout',
+      'silence',
+      'aborted',
+      'malformed',
+      'peerFellSilent',
+      'endless',
+    ]),
   }),
 ]);
 
--- a/src/core/exchanges/connection-pool.ts
+++ b/src/core/exchanges/connection-pool.ts
@@ -129,6 +129,7 @@
         isAborted = true;
         (replacement ?? first).abort(cause);
       },
+      abortEndless: (endless) => (replacement ?? first).abortEndless(endless),
       pause: () => (replacement ?? first).pause(),
       resume: () => (replacement ?? first).resume(),
     };
--- a/src/core/exchanges/connection.ts
+++ b/src/core/exchanges/connection.ts
@@ -1,9 +1,10 @@
 import type { Socket } from 'node:net';
 import type { Dispatcher } from 'undici';
 import { errorText } from '../errors';
-import type { LossCause } from '../outcomes';
+import type { AbortCause, EndlessBytes } from '../outcomes';
+import { createFramingBound } from './framing-bound';
 import { Client, buildConnector } from './http-client';
-import type { AnswerListener, Exchange, HeaderMap, OutgoingRequest } from './types';
+import type { AnswerListener, Exchange, ExchangeEnd, HeaderMap, OutgoingRequest } from './types';
 
 /**
  * One connection that carries one request at a time.
@@ -38,10 +39,15 @@
 /** Written to check whether the connection is still open; servers ignore an empty line between requests. */
 const EMPTY_LINE = '\r\n';
 
+/** Why this side ends an exchange. */
+type Abortion = AbortCause | EndlessBytes;
+
 interface SocketState {
   /** Whether the connection is established, so that requests written to it are sent. */
   isConnected: boolean;
   wasReset: boolean;
+  /** Returns the bytes that have been read from the connection and handed to the HTTP client. */
+  readBytes(): number;
   /**
    * Reports whether the connection was reset, once that is known from writing an empty line after the other side has
    * ended the connection.
@@ -52,11 +58,14 @@
 const NEVER_CONNECTED: SocketState = {
   isConnected: false,
   wasReset: false,
+  readBytes: () => 0,
   probe: (onResult) => onResult(true),
 };
 
 const NO_CONTENT_STATUS = 204;
 const NOT_MODIFIED_STATUS = 304;
+/** Reason of an exchange that its sender has aborted. */
+const ABORTED = 'The exchange was aborted.';
 /** Name of the HTTP client's error for a body that is not as long as the answer states. */
 const LENGTH_MISMATCH_ERROR = 'ResponseContentLengthMismatchError';
 
@@ -70,8 +79,11 @@
   return method !== 'HEAD' && status !== NO_CONTENT_STATUS && status !== NOT_MODIFIED_STATUS;
 }
 
-function lossCause(error: Error, abortCause: LossCause | undefined): LossCause {
-  if (abortCause !== undefined) return abortCause;
+function describeEndless({ shape, bytes }: EndlessBytes): string {
+  return `The connection was closed after ${bytes} bytes that are no answer (${shape}).`;
+}
+
+function lossCause(error: Error): AbortCause {
   const isMalformed =
     error.name.startsWith('HTTPParser') || error.name.startsWith('ResponseContent');
   return isMalformed ? 'malformed' : 'reset';
@@ -84,7 +96,7 @@
  * read. A partial answer that is delimited by the end of the connection would then count as complete. A write after
  * that end fails only on a connection that was reset.
  */
-function watchSocket(socket: Socket): SocketState {
+function watchSocket(socket: Socket, onReadable: () => void): SocketState {
   let probeResult: boolean | undefined;
   let onProbed: ((wasReset: boolean) => void) | undefined;
   const settle = (wasReset: boolean): void => {
@@ -95,12 +107,15 @@
   const state: SocketState = {
     isConnected: true,
     wasReset: false,
+    readBytes: () => socket.bytesRead - socket.readableLength,
     probe(onResult) {
       if (probeResult === undefined) onProbed = onResult;
       else onResult(probeResult);
     },
   };
   socket.setNoDelay(true);
+  // Called once for each read of the socket, before the HTTP client takes what was read.
+  socket.on('readable', onReadable);
   socket.on('error', () => {
     state.wasReset = true;
     settle(true);
@@ -124,6 +139,13 @@
   let isClosed = false;
   let hasStartedConnecting = false;
   let idleSinceMs = nowMs();
+  const framing = createFramingBound();
+  /** Ends the exchange in progress, or closes the connection if there is none. */
+  let onEndless: (endless: EndlessBytes) => void;
+  const checkFraming = () => {
+    const endless = framing.findEndless(socketState.readBytes());
+    if (endless !== undefined) onEndless(endless);
+  };
   const connect = buildConnector({
     timeout: options.connectTimeoutMs,
     keepAlive: true,
@@ -148,7 +170,7 @@
           callback(error, null);
           return;
         }
-        socketState = watchSocket(socket);
+        socketState = watchSocket(socket, checkFraming);
         callback(null, socket);
       });
     },
@@ -160,20 +182,23 @@
     onClosed();
     void client.destroy();
   };
+  onEndless = close;
   client.on('disconnect', close);
   client.on('connectionError', close);
 
   const send = (request: OutgoingRequest, listener: AnswerListener): Exchange => {
     let controller: Dispatcher.DispatchController | undefined;
-    let abortCause: LossCause | undefined;
+    let abortion: Abortion | undefined;
     let ended = false;
     let endsOnClose = false;
     let endsWithHead = false;
     isIdle = false;
 
-    const settle = (end: Parameters<AnswerListener['onEnd']>[0]) => {
+    const settle = (end: ExchangeEnd) => {
       if (ended) return;
       ended = true;
+      framing.recordEnd(socketState.readBytes());
+      onEndless = close;
       isIdle = true;
       idleSinceMs = nowMs();
       // The other side has ended the connection with the answer; a request sent on it now would be lost.
@@ -188,8 +213,21 @@
         settle({ kind: 'neverSent', reason });
         return;
       }
-      settle({ kind: 'lost', cause: lossCause(error, abortCause), reason });
+      if (typeof abortion === 'object') {
+        settle({ kind: 'lost', cause: 'endless', endless: abortion, reason });
+        return;
+      }
+      settle({ kind: 'lost', cause: abortion ?? lossCause(error), reason });
+    };
+
+    const abort = (cause: Abortion, reason: string): void => {
+      if (ended) return;
+      abortion = cause;
+      if (controller !== undefined) controller.abort(new Error(reason));
+      // Before the connection is established, the client has not started the request; closing cancels it.
+      else close();
     };
+    const abortEndless = (endless: EndlessBytes) => abort(endless, describeEndless(endless));
 
     const settleUnlessReset = (wasReset: boolean) => {
       if (wasReset) fail(new Error('The connection was reset before the end of the answer.'));
@@ -206,15 +244,26 @@
       {
         onRequestStart(started) {
           controller = started;
-          if (abortCause !== undefined) started.abort(new Error('The exchange was aborted.'));
+          if (abortion !== undefined) {
+            started.abort(new Error(ABORTED));
+            return;
+          }
+          framing.recordRequest(socketState.readBytes());
+          onEndless = abortEndless;
         },
+        onResponseStarted: () => framing.recordHeadBegin(),
         onResponseStart(_controller, status, headers) {
-          if (status < 200) return;
+          if (status < 200) {
+            framing.recordInterimAnswer();
+            return;
+          }
+          framing.recordHead(socketState.readBytes());
           endsWithHead = !mayHaveBody(request.method, status);
           endsOnClose = !endsWithHead && isCloseDelimited(headers);
           listener.onHead({ status, headers });
         },
         onResponseData(_controller, chunk) {
+          framing.recordBody(socketState.readBytes());
           listener.onData(chunk);
         },
         onResponseEnd() {
@@ -235,13 +284,8 @@
     );
 
     return {
-      abort(cause) {
-        if (ended) return;
-        abortCause = cause;
-        if (controller !== undefined) controller.abort(new Error('The exchange was aborted.'));
-        // Before the connection is established, the client has not started the request; closing cancels it.
-        else close();
-      },
+      abort: (cause) => abort(cause, ABORTED),
+      abortEndless,
       pause: () => controller?.pause(),
       resume: () => controller?.resume(),
     };
--- /dev/null
+++ b/src/core/exchanges/framing-bound.ts
@@ -0,0 +1,72 @@
+import type { EndlessBytes, EndlessShape } from '../outcomes';
+
+/**
+ * Bounds the bytes that a connection carries besides final heads and bodies. The HTTP client reads interim answers, empty
+ * lines and the framing of chunks for as long as the other side writes them.
+ */
+export interface FramingBound {
+  /** Records that a request is being written, after `readBytes` in total. */
+  recordRequest(readBytes: number): void;
+  /** Records the first bytes of a head, be it of an interim answer. */
+  recordHeadBegin(): void;
+  recordInterimAnswer(): void;
+  /** Records a complete final head. */
+  recordHead(readBytes: number): void;
+  /** Records bytes of the body, which are progress. */
+  recordBody(readBytes: number): void;
+  /** Records that the exchange has ended and that nothing is expected any more. */
+  recordEnd(readBytes: number): void;
+  /** Returns what has exceeded the bound once `readBytes` have been read in total; undefined while nothing has. */
+  findEndless(readBytes: number): EndlessBytes | undefined;
+}
+
+/** Maximum bytes without progress: four heads of the largest size that is accepted. */
+export const MAX_FRAMING_BYTES = 65_536;
+
+type Phase = 'betweenAnswers' | 'beforeHead' | 'inHead' | 'inBody';
+
+/** Creates the bound of a new connection. */
+export function createFramingBound(): FramingBound {
+  let phase: Phase = 'betweenAnswers';
+  let hasInterimAnswers = false;
+  let progressAtBytes = 0;
+
+  const shape = (): EndlessShape => {
+    if (phase === 'inBody') return 'chunkFraming';
+    if (hasInterimAnswers) return 'interimAnswers';
+    return phase === 'inHead' ? 'head' : 'emptyLines';
+  };
+
+  return {
+    recordRequest(readBytes) {
+      phase = 'beforeHead';
+      hasInterimAnswers = false;
+      progressAtBytes = readBytes;
+    },
+    recordHeadBegin() {
+      phase = 'inHead';
+    },
+    recordInterimAnswer() {
+      phase = 'beforeHead';
+      hasInterimAnswers = true;
+    },
+    recordHead(readBytes) {
+      phase = 'inBody';
+      progressAtBytes = readBytes;
+    },
+    recordBody(readBytes) {
+      progressAtBytes = readBytes;
+    },
+    recordEnd(readBytes) {
+      phase = 'betweenAnswers';
+      hasInterimAnswers = false;
+      progressAtBytes = readBytes;
+    },
+    findEndless(readBytes) {
+      // A read that was cut short by a pause is given back, so that less counts as read than at the last progress.
+      progressAtBytes = Math.min(progressAtBytes, readBytes);
+      const bytes = readBytes - progressAtBytes;
+      return bytes > MAX_FRAMING_BYTES ? { shape: shape(), bytes } : undefined;
+    },
+  };
+}
--- a/src/core/exchanges/types.ts
+++ b/src/core/exchanges/types.ts
@@ -1,4 +1,4 @@
-import type { LossCause } from '../outcomes';
+import type { AbortCause, EndlessBytes } from '../outcomes';
 
 /** Lower-case header names with their values, as the HTTP client provides them. */
 export type HeaderMap = Readonly<Record<string, string | string[] | undefined>>;
@@ -25,7 +25,14 @@
   /** No byte of the request has left this process. */
   | { readonly kind: 'neverSent'; readonly reason: string }
   /** No answer was received, or only a part of it; the request may have run. */
-  | { readonly kind: 'lost'; readonly cause: LossCause; readonly reason: string };
+  | { readonly kind: 'lost'; readonly cause: AbortCause; readonly reason: string }
+  /** Like `lost` otherwise, because of bytes that are no answer and did not end. */
+  | {
+      readonly kind: 'lost';
+      readonly cause: 'endless';
+      readonly endless: EndlessBytes;
+      readonly reason: string;
+    };
 
 /** Receives the parts of an answer as they arrive. */
 export interface AnswerListener {
@@ -39,7 +46,9 @@
 /** An exchange in progress. */
 export interface Exchange {
   /** Aborts the exchange and closes its connection; `onEnd` is still called. */
-  abort(cause: LossCause): void;
+  abort(cause: AbortCause): void;
+  /** Like `abort`, because the bytes of the answer are none that can belong to a whole one. */
+  abortEndless(endless: EndlessBytes): void;
   pause(): void;
   resume(): void;
 }
--- a/src/core/outcomes/index.ts
+++ b/src/core/outcomes/index.ts
@@ -1,3 +1,3 @@
 /** Whether a request that brought no answer ran. */
 export { combineOutcomes, judgeOutcome } from './judge-outcome';
-export type { Evidence, LossCause, Outcome } from './types';
+export type { AbortCause, EndlessBytes, EndlessShape, Evidence, LossCause, Outcome } from './types';
--- a/src/core/outcomes/judge-outcome.test.ts
+++ b/src/core/outcomes/judge-outcome.test.ts
@@ -3,6 +3,16 @@
 import { combineOutcomes, judgeOutcome } from './judge-outcome';
 import type { Evidence, Outcome } from './types';
 
+const LOSS_CAUSES = [
+  'reset',
+  'timeout',
+  'silence',
+  'aborted',
+  'malformed',
+  'peerFellSilent',
+  'endless',
+] as const;
+
 // A caller that reads "not run" places its order again. Each kind of evidence that is weaker than proof must
 // therefore come out as "unknown".
 describe('what a caller is told', () => {
@@ -15,9 +25,7 @@
     [{ kind: 'refusedByServer', declaredNotRun: false }, 'unknown'],
     [{ kind: 'ranBefore' }, 'ran'],
     [{ kind: 'ticketNotVouchedFor' }, 'unknown'],
-    ...(['reset', 'timeout', 'silence', 'aborted', 'malformed', 'peerFellSilent'] as const).map(
-      (cause) => [{ kind: 'lostAfterSending', cause } as const, 'unknown'] as const,
-    ),
+    ...LOSS_CAUSES.map((cause) => [{ kind: 'lostAfterSending', cause }, 'unknown'] as const),
   ];
   for (const [evidence, outcome] of cases) {
     it(`is ${outcome} by ${JSON.stringify(evidence)}`, () => {
--- a/src/core/outcomes/types.ts
+++ b/src/core/outcomes/types.ts
@@ -4,10 +4,35 @@
  */
 export type Outcome = 'notRun' | 'ran' | 'unknown';
 
-/** How an attempt was lost after bytes may have left. */
-export type LossCause =
+/** Why this process may end an attempt itself. */
+export type AbortCause =
   'reset' | 'timeout' | 'silence' | 'aborted' | 'malformed' | 'peerFellSilent';
 
+/** How an attempt was lost after bytes may have left; `endless` if what arrived was no answer and did not end. */
+export type LossCause = AbortCause | 'endless';
+
+/** What arrived without end in place of an answer. */
+export type EndlessShape =
+  | 'emptyLines'
+  | 'interimAnswers'
+  /** The status line and header fields of an answer. */
+  | 'head'
+  /** What a chunked body has around the bytes of its chunks, or trailers. */
+  | 'chunkFraming'
+  /** One event of a stream. */
+  | 'partialEvent'
+  /** The body of a failure. */
+  | 'failureBody'
+  /** The body of an answer that is kept as a whole. */
+  | 'answerBody';
+
+/** Bytes that are no answer and did not end. */
+export interface EndlessBytes {
+  readonly shape: EndlessShape;
+  /** Bytes read without progress. */
+  readonly bytes: number;
+}
+
 /** What this process knows of an attempt that brought no answer. */
 export type Evidence =
   /** Nothing left this process: refused before sending, or no connection was ever made. */
--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -1,7 +1,7 @@
 import type { BrittleServers } from '../brittle-servers';
 import type { Clock } from '../clock';
 import type { AnswerHead, ConnectionPool, Exchange, ExchangeEnd } from '../exchanges';
-import type { LossCause } from '../outcomes';
+import type { AbortCause } from '../outcomes';
 import type { Reachability } from '../reachability';
 import type { ServerLimits } from '../server-limits';
 import type { ServerNotices } from '../server-notices';
@@ -36,12 +36,12 @@
   readonly to: SendableDestination;
   readonly sentAtMs: number;
   /** Aborts the attempt; its result is still reported, unless `discard` was called. */
-  abort(cause: LossCause): void;
+  abort(cause: AbortCause): void;
   /**
    * Aborts the attempt and discards its result, since nothing waits for it any more. Silence counts against its server, any
    * other cause does not.
    */
-  discard(cause: LossCause): void;
+  discard(cause: AbortCause): void;
   /**
    * Time of the last byte of the answer, or else of the start of the attempt, monotonic ms. While the caller reads too
    * slowly, it is the present time, since nothing is read from the server then.
@@ -143,12 +143,12 @@
   let firstByteAtMs: number | undefined;
   let lastByteAtMs = sentAtMs;
   let isPaused = false;
-  let abortedBy: LossCause | undefined;
+  let abortedBy: AbortCause | undefined;
   let isDiscarded = false;
   /** Whether a connection for the request was free or could be opened. */
   let hasBegun = false;
 
-  const abort = (cause: LossCause): void => {
+  const abort = (cause: AbortCause): void => {
     abortedBy = cause;
     exchange?.abort(cause);
   };
--- a/src/core/pass-through/open-attempts.ts
+++ b/src/core/pass-through/open-attempts.ts
@@ -1,5 +1,5 @@
 import type { SlotLease } from '../brittle-servers';
-import type { LossCause } from '../outcomes';
+import type { AbortCause } from '../outcomes';
 import type { Attempt } from './attempt';
 import type { AttemptReservation } from './attempt-budget';
 import type { AttemptResult, FailedAttempt } from './attempt-result';
@@ -23,9 +23,9 @@
   /** Removes an attempt that has ended, and releases what it holds. */
   end(attempt: Attempt, result: AttemptResult): void;
   /** Aborts all attempts; their results are still reported. */
-  abortAll(cause: LossCause): void;
+  abortAll(cause: AbortCause): void;
   /** Discards all attempts that `isUnneeded` names, for the cause that it returns. */
-  discard(isUnneeded: (attempt: Attempt) => LossCause | undefined): void;
+  discard(isUnneeded: (attempt: Attempt) => AbortCause | undefined): void;
 }
 
 /** Returns how many backend servers got the request in one attempt; undefined if that is unknown. */
--- a/src/core/pass-through/send-when-warm.ts
+++ b/src/core/pass-through/send-when-warm.ts
@@ -70,6 +70,7 @@
       isAborted = true;
       current?.abort(cause);
     },
+    abortEndless: (endless) => sent?.abortEndless(endless),
     pause: () => sent?.pause(),
     resume: () => sent?.resume(),
   };
