Add a way to drop the rest of an answer whose head decides

Callers and servers saw: a rejection with a body without end (status 503 with a statement that the request has not run) kept its connection busy, and the instance reading, until the caller's deadline.

Cause: an exchange could only be read to its end or aborted. Aborting each rejection would close the connections of sound servers, whose rejections have a few bytes of body.

Change: Exchange.discardRest(clock, closeByMs). The rest is read within 16 KiB and until a stored deadline, so that a short one leaves its connection usable; a rest that is stated to be longer, that ends only with the connection, or that goes beyond the bound closes the connection. Nothing of it is handed on.

--- a/src/core/exchanges/connection-pool.ts
+++ b/src/core/exchanges/connection-pool.ts
@@ -130,6 +130,7 @@
         (replacement ?? first).abort(cause);
       },
       abortEndless: (endless) => (replacement ?? first).abortEndless(endless),
+      discardRest: (clock, closeByMs) => (replacement ?? first).discardRest(clock, closeByMs),
       pause: () => (replacement ?? first).pause(),
       resume: () => (replacement ?? first).resume(),
     };
--- a/src/core/exchanges/connection.ts
+++ b/src/core/exchanges/connection.ts
@@ -2,7 +2,7 @@
 import type { Dispatcher } from 'undici';
 import { errorText } from '../errors';
 import type { AbortCause, EndlessBytes } from '../outcomes';
-import { createFramingBound } from './framing-bound';
+import { MAX_REST_BYTES, createFramingBound } from './framing-bound';
 import { Client, buildConnector } from './http-client';
 import type { AnswerListener, Exchange, ExchangeEnd, HeaderMap, OutgoingRequest } from './types';
 
@@ -66,6 +66,8 @@
 const NOT_MODIFIED_STATUS = 304;
 /** Reason of an exchange that its sender has aborted. */
 const ABORTED = 'The exchange was aborted.';
+/** Reason of an exchange whose rest was to be dropped and is too long or too slow for that. */
+const REST_DROPPED = 'The rest of the answer was not read.';
 /** Name of the HTTP client's error for a body that is not as long as the answer states. */
 const LENGTH_MISMATCH_ERROR = 'ResponseContentLengthMismatchError';
 
@@ -192,11 +194,14 @@
     let ended = false;
     let endsOnClose = false;
     let endsWithHead = false;
+    let statedBodyBytes = 0;
+    let restDeadline: Disposable | undefined;
     isIdle = false;
 
     const settle = (end: ExchangeEnd) => {
       if (ended) return;
       ended = true;
+      restDeadline?.[Symbol.dispose]();
       framing.recordEnd(socketState.readBytes());
       onEndless = close;
       isIdle = true;
@@ -260,11 +265,12 @@
           framing.recordHead(socketState.readBytes());
           endsWithHead = !mayHaveBody(request.method, status);
           endsOnClose = !endsWithHead && isCloseDelimited(headers);
+          statedBodyBytes = Number(headers['content-length'] ?? 0);
           listener.onHead({ status, headers });
         },
         onResponseData(_controller, chunk) {
           framing.recordBody(socketState.readBytes());
-          listener.onData(chunk);
+          if (restDeadline === undefined) listener.onData(chunk);
         },
         onResponseEnd() {
           if (!endsOnClose) {
@@ -286,6 +292,18 @@
     return {
       abort: (cause) => abort(cause, ABORTED),
       abortEndless,
+      discardRest(clock, closeByMs) {
+        if (ended || restDeadline !== undefined) return;
+        const drop = () => abort('aborted', REST_DROPPED);
+        if (endsOnClose || (!endsWithHead && statedBodyBytes > MAX_REST_BYTES)) {
+          drop();
+          return;
+        }
+        restDeadline = clock.schedule(closeByMs, drop);
+        framing.recordDiscard(socketState.readBytes());
+        onEndless = drop;
+        controller?.resume();
+      },
       pause: () => controller?.pause(),
       resume: () => controller?.resume(),
     };
--- a/src/core/exchanges/framing-bound.test.ts
+++ b/src/core/exchanges/framing-bound.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import type { EndlessBytes } from '../outcomes';
-import { MAX_FRAMING_BYTES, createFramingBound } from './framing-bound';
+import { MAX_FRAMING_BYTES, MAX_REST_BYTES, createFramingBound } from './framing-bound';
 import type { FramingBound } from './framing-bound';
 
 const TOO_MANY = MAX_FRAMING_BYTES + 1;
@@ -75,6 +75,17 @@
       readBytes: 20_000 + TOO_MANY,
       found: { shape: 'chunkFraming', bytes: TOO_MANY },
     },
+    {
+      name: 'takes the body for no progress once it is discarded, within a bound of its own',
+      record(bound) {
+        bound.recordRequest(0);
+        bound.recordHead(100);
+        bound.recordDiscard(100);
+        bound.recordBody(200);
+      },
+      readBytes: 100 + MAX_REST_BYTES + 1,
+      found: { shape: 'answerBody', bytes: MAX_REST_BYTES + 1 },
+    },
     {
       name: 'finds empty lines on an idle connection',
       record(bound) {
--- a/src/core/exchanges/framing-bound.ts
+++ b/src/core/exchanges/framing-bound.ts
@@ -14,6 +14,8 @@
   recordHead(readBytes: number): void;
   /** Records bytes of the body, which are progress. */
   recordBody(readBytes: number): void;
+  /** Records that nothing more of the answer is of use: from here on, its body counts like framing. */
+  recordDiscard(readBytes: number): void;
   /** Records that the exchange has ended and that nothing is expected any more. */
   recordEnd(readBytes: number): void;
   /** Returns what has exceeded the bound once `readBytes` have been read in total; undefined while nothing has. */
@@ -23,7 +25,10 @@
 /** Maximum bytes without progress: four heads of the largest size that is accepted. */
 export const MAX_FRAMING_BYTES = 65_536;
 
-type Phase = 'betweenAnswers' | 'beforeHead' | 'inHead' | 'inBody';
+/** Maximum bytes of an answer that are read only so that its connection can be used again. */
+export const MAX_REST_BYTES = 16_384;
+
+type Phase = 'betweenAnswers' | 'beforeHead' | 'inHead' | 'inBody' | 'inRest';
 
 /** Creates the bound of a new connection. */
 export function createFramingBound(): FramingBound {
@@ -32,9 +37,20 @@
   let progressAtBytes = 0;
 
   const shape = (): EndlessShape => {
-    if (phase === 'inBody') return 'chunkFraming';
-    if (hasInterimAnswers) return 'interimAnswers';
-    return phase === 'inHead' ? 'head' : 'emptyLines';
+    switch (phase) {
+      case 'inBody':
+        return 'chunkFraming';
+      case 'inRest':
+        return 'answerBody';
+      case 'inHead':
+        return hasInterimAnswers ? 'interimAnswers' : 'head';
+      case 'beforeHead':
+        return hasInterimAnswers ? 'interimAnswers' : 'emptyLines';
+      case 'betweenAnswers':
+        return 'emptyLines';
+      default:
+        return phase satisfies never;
+    }
   };
 
   return {
@@ -55,6 +71,10 @@
       progressAtBytes = readBytes;
     },
     recordBody(readBytes) {
+      if (phase === 'inBody') progressAtBytes = readBytes;
+    },
+    recordDiscard(readBytes) {
+      phase = 'inRest';
       progressAtBytes = readBytes;
     },
     recordEnd(readBytes) {
@@ -66,7 +86,8 @@
       // A read that was cut short by a pause is given back, so that less counts as read than at the last progress.
       progressAtBytes = Math.min(progressAtBytes, readBytes);
       const bytes = readBytes - progressAtBytes;
-      return bytes > MAX_FRAMING_BYTES ? { shape: shape(), bytes } : undefined;
+      const maxBytes = phase === 'inRest' ? MAX_REST_BYTES : MAX_FRAMING_BYTES;
+      return bytes > maxBytes ? { shape: shape(), bytes } : undefined;
     },
   };
 }
--- a/src/core/exchanges/types.ts
+++ b/src/core/exchanges/types.ts
@@ -1,3 +1,4 @@
+import type { Clock } from '../clock';
 import type { AbortCause, EndlessBytes } from '../outcomes';
 
 /** Lower-case header names with their values, as the HTTP client provides them. */
@@ -49,6 +50,12 @@
   abort(cause: AbortCause): void;
   /** Like `abort`, because the bytes of the answer are none that can belong to a whole one. */
   abortEndless(endless: EndlessBytes): void;
+  /**
+   * Drops what is left of an answer whose head is all that is needed. `onData` isn't called any more; `onEnd` is, once the
+   * connection is free or closed: `whole` if the rest was short and arrived by `closeByMs`, monotonic ms, else `lost` with
+   * the cause `aborted`. That may be during this call.
+   */
+  discardRest(clock: Pick<Clock, 'schedule'>, closeByMs: number): void;
   pause(): void;
   resume(): void;
 }
--- a/src/core/pass-through/discarded-attempt.test.ts
+++ b/src/core/pass-through/discarded-attempt.test.ts
@@ -36,7 +36,7 @@
     pool: {
       send(_address: string, _options: object, _request: object, listens: AnswerListener) {
         listener = listens;
-        return { abort() {}, abortEndless() {}, pause() {}, resume() {} };
+        return { abort() {}, abortEndless() {}, discardRest() {}, pause() {}, resume() {} };
       },
     },
     router: region.router,
--- a/src/core/pass-through/send-when-warm.ts
+++ b/src/core/pass-through/send-when-warm.ts
@@ -71,6 +71,7 @@
       current?.abort(cause);
     },
     abortEndless: (endless) => sent?.abortEndless(endless),
+    discardRest: (clock, closeByMs) => sent?.discardRest(clock, closeByMs),
     pause: () => sent?.pause(),
     resume: () => sent?.resume(),
   };
