End the requests that are open when a planned stop is over

New requests are refused long before, but those that are being served had no end of their own before their deadline, which may be later than the exit.

A request that another instance forwarded gets the same, so that this one may go on with it.

--- a/src/core/pass-through/open-ingress.ts
+++ b/src/core/pass-through/open-ingress.ts
@@ -26,6 +26,7 @@
 import { chargeQuota } from './charge-quota';
 import type { ServedRequest } from './request-end';
 import { serveRequest } from './serve-request';
+import type { ServedHandle } from './serve-request';
 import type { ServeDependencies } from './serve-dependencies';
 import type { ClientAnswer, InboundRequest, Refusal, RefusalReason, RequestPlan } from './types';
 import { watchForAnswer } from './unanswered-requests';
@@ -60,6 +61,8 @@
   readonly port: number;
   /** Number of requests that have been read or are being read, and are not completely answered. */
   openRequests(): number;
+  /** Ends all requests that are being served, as at their deadlines; answers that have begun are closed. */
+  expireRequests(): void;
   /** Applies the idle timeout of connections and the header timeout of the routes in force. */
   applyLimits(): void;
 }
@@ -100,6 +103,7 @@
   const { dialect } = serving;
   const isForPeer = options.from === 'peers';
   const connections = createCallerConnections();
+  const served = new Set<ServedHandle>();
   let openRequests = 0;
 
   const refuse = (
@@ -212,7 +216,9 @@
       serving.onDone(done);
     };
     const handle = serveRequest({ ...serving, onDone }, request, plan, answer);
+    served.add(handle);
     response.on('close', () => {
+      served.delete(handle);
       if (!response.writableFinished) handle.cancel();
     });
   };
@@ -349,6 +355,9 @@
   return {
     port,
     openRequests: () => openRequests,
+    expireRequests() {
+      for (const request of [...served]) request.expire();
+    },
     applyLimits,
     async [Symbol.asyncDispose]() {
       server.close();
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -23,6 +23,8 @@
 export interface ServedHandle {
   /** Cancels the request because its caller has left. */
   cancel(): void;
+  /** Ends the request as at its deadline, because no time is left for it. */
+  expire(): void;
 }
 
 /**
@@ -334,11 +336,13 @@
    * shows whether the request has been sent: if it were refused as `notRun` while a server runs it,
    * the caller would send it again and it would run twice.
    */
-  const deadline = clock.schedule(answerDeadlineMs(plan), () => {
+  const expire = (): void => {
+    if (end.isOver()) return;
     isTimedOut = true;
     if (openAttempts.size === 0) end.giveUp('timedOut', TIMED_OUT_RETRY_MS);
     else openAttempts.abortAll('timeout');
-  });
+  };
+  const deadline = clock.schedule(answerDeadlineMs(plan), expire);
   const isRefused = () => dependencies.crashWatch.refusedForMs(request, plan) !== undefined;
   const hedge = mayRepeat
     ? hedgeSilence({
@@ -366,5 +370,6 @@
       end.callerGone();
       openAttempts.discard(() => 'aborted');
     },
+    expire,
   };
 }
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -351,6 +351,11 @@
       membership.markLeaving();
       logger.event(RELAY_NODE_EVENTS.stopping, { openRequests: openRequests() });
       while (stopState.step() !== 'exit') await sleepUntil(clock, nowMs() + STOP_CHECK_INTERVAL_MS);
+      if (openRequests() > 0) {
+        for (const listener of requestListeners) listener.expireRequests();
+        // The ends of the attempts and the last bytes to the callers take a few turns.
+        await sleepUntil(clock, nowMs() + STOP_CHECK_INTERVAL_MS);
+      }
       logger.event(RELAY_NODE_EVENTS.stopped, { openRequests: openRequests() });
     },
     applySettings(changed) {
