Stop reading the answer to a health check soon after its head

Callers saw: requests that wait for the check of a server that may be cold waited up to 400 ms for each check of a server in trouble, and the instance read what that server wrote meanwhile.

Cause: the head of the answer decides a check, but its result was reported only at the end of the body or at the check's timeout.

The result is reported once the connection is free or closed, not at the head itself, since the request that waits for it needs a connection and the server may allow only as many as it has slots. A check whose framing doesn't end is unanswered once the bound is reached.

--- a/src/core/pass-through/warm-check.ts
+++ b/src/core/pass-through/warm-check.ts
@@ -73,6 +73,11 @@
 const CONNECT_TIMEOUT_MS = 500;
 /** Timeout for an answer: a check waits for a slot like any request, and uses it for a millisecond. */
 const ANSWER_TIMEOUT_MS = 400;
+/**
+ * Maximum wait for the rest of an answer after its head, ms. The request that waits for the check needs a connection, and
+ * the server may allow no other one.
+ */
+const REST_WAIT_MS = 50;
 /**
  * Maximum idle time of a reused connection, ms. A check may be repeated, so a connection that
  * breaks does no harm.
@@ -119,6 +124,17 @@
     options.serverSpeeds?.recordStatedSlowdown(incarnationId, slowdown, clock.monotonicMs());
   };
 
+  /** Records what an answer states; its body is ignored, since a healthy server's may say otherwise. */
+  const readHead = (server: KnownServer, head: AnswerHead): WarmCheckResult => {
+    if (head.status === MISDIRECTED_STATUS) return { kind: 'replaced' };
+    suspectIds.delete(server.incarnationId);
+    observeStatements(options, server, head, 'healthCheck');
+    recordSpeed(server, head);
+    const coldMs = coldForMs(head);
+    if (coldMs > 0) servers.markCold(server.serverId, clock.monotonicMs() + coldMs);
+    return { kind: coldMs > 0 ? 'cold' : 'warm' };
+  };
+
   return {
     isNeeded(server) {
       const service = serviceOf(server);
@@ -162,18 +178,8 @@
         {
           onHead(head) {
             reachability.recordReached(server.incarnationId);
-            if (head.status === MISDIRECTED_STATUS) {
-              result = { kind: 'replaced' };
-              return;
-            }
-            suspectIds.delete(server.incarnationId);
-            observeStatements(options, server, head, 'healthCheck');
-            recordSpeed(server, head);
-            const coldMs = coldForMs(head);
-            if (coldMs > 0) servers.markCold(server.serverId, clock.monotonicMs() + coldMs);
-            // The rest of the answer is ignored: a server may be healthy although its answer says
-            // otherwise.
-            result = { kind: coldMs > 0 ? 'cold' : 'warm' };
+            result = readHead(server, head);
+            exchange?.discardRest(clock, clock.monotonicMs() + REST_WAIT_MS);
           },
           onData() {},
           onEnd(end) {
