Bound the answers to calls between instances and to the store

Instances saw: an answer to a call whose body doesn't end was kept in memory until the call's deadline, which is many seconds for a watch. What a caller sent beyond its limit stayed in memory until the refusal had been written.

Cause: the client of calls collected whatever arrived, also the body of failures, which none of its users reads.

Change: the body of an answer is kept up to 64 MiB, and the call fails at once beyond that, with the connection closed. An answer that isn't successful resolves the call with its head; the rest is dropped. A request that is too large releases what was read of it.

--- a/src/core/calls/create-call-client.ts
+++ b/src/core/calls/create-call-client.ts
@@ -1,7 +1,8 @@
 import { createDeadlineSignal } from '../clock';
 import type { Clock } from '../clock';
 import { createConnectionPool } from '../exchanges';
-import type { AnswerHead, ConnectionPool } from '../exchanges';
+import type { AnswerHead, ConnectionPool, Exchange } from '../exchanges';
+import type { EndlessBytes } from '../outcomes';
 import type { CallAnswer, CallClient, OutgoingCall } from './types';
 
 /** Options of a client for calls. */
@@ -23,19 +24,33 @@
 const JSON_HEADERS = ['content-type', 'application/json'];
 const EMPTY = new Uint8Array();
 
+/** Maximum body of an answer, bytes: several times the published state of the largest deployments. */
+export const MAX_ANSWER_BYTES = 67_108_864;
+/** Maximum wait for the rest of an answer of which only the head is used, ms. */
+const REST_WAIT_MS = 50;
+
+function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
+}
+
 /** Collects the parts of one answer as they arrive. */
 function collectAnswer(answerHeader: string | undefined) {
   const chunks: Buffer[] = [];
+  let bytes = 0;
   let status = 0;
   let header: string | undefined;
   return {
-    onHead(head: AnswerHead) {
+    addHead(head: AnswerHead) {
       status = head.status;
       if (answerHeader !== undefined) [header] = [head.headers[answerHeader]].flat();
     },
-    // The bytes are only valid during the callback.
-    onData(chunk: Buffer) {
+    /** Returns what is too much of the body, if it is. */
+    addChunk(chunk: Buffer): EndlessBytes | undefined {
+      bytes += chunk.length;
+      if (bytes > MAX_ANSWER_BYTES) return { shape: 'answerBody', bytes };
+      // The bytes are only valid during the callback.
       chunks.push(Buffer.from(chunk));
+      return undefined;
     },
     answer: (): CallAnswer => ({
       status,
@@ -51,7 +66,7 @@
     new Promise((resolve, reject) => {
       const collector = collectAnswer(call.answerHeader);
       const text = call.text ?? '';
-      const exchange = pool.send(
+      const exchange: Exchange | undefined = pool.send(
         address,
         {
           maxConnections: MAX_CONNECTIONS,
@@ -65,8 +80,16 @@
           body: text === '' ? EMPTY : Buffer.from(text),
         },
         {
-          onHead: collector.onHead,
-          onData: collector.onData,
+          onHead(head) {
+            collector.addHead(head);
+            if (isSuccess(head.status)) return;
+            resolve(collector.answer());
+            exchange?.discardRest(clock, clock.monotonicMs() + REST_WAIT_MS);
+          },
+          onData(chunk) {
+            const endless = collector.addChunk(chunk);
+            if (endless !== undefined) exchange?.abortEndless(endless);
+          },
           onEnd(end) {
             if (end.kind === 'whole') resolve(collector.answer());
             else reject(new Error(end.reason));
--- a/src/core/calls/read-body.ts
+++ b/src/core/calls/read-body.ts
@@ -39,8 +39,12 @@
   incoming.on('data', (chunk: Buffer) => {
     if (isSettled) return;
     bytes += chunk.length;
-    if (bytes > maxBytes) settle({ kind: 'tooLarge' });
-    else chunks.push(chunk);
+    if (bytes <= maxBytes) {
+      chunks.push(chunk);
+      return;
+    }
+    chunks.length = 0;
+    settle({ kind: 'tooLarge' });
   });
   incoming.on('end', () => {
     settle({
--- a/src/core/calls/types.ts
+++ b/src/core/calls/types.ts
@@ -14,6 +14,7 @@
 /** The answer to a call. */
 export interface CallAnswer {
   readonly status: number;
+  /** Empty in the answer to an outgoing call that was not successful. */
   readonly text: string;
   /** Defaults to JSON. */
   readonly contentType?: string;
@@ -23,7 +24,7 @@
 
 /** Client that makes calls over reused connections. */
 export interface CallClient {
-  /** Rejects if no complete answer arrives in time, or when `signal` aborts. */
+  /** Rejects if no complete answer of up to 64 MiB arrives in time, or when `signal` aborts. */
   call(address: string, call: OutgoingCall, signal?: AbortSignal): Promise<CallAnswer>;
 }
 
