Cut event streams in time linear in their bytes

What callers saw: while one server sent one event without end, callers of other servers got no answer, as the instance stood still. Cause: the splitter joined all that it held of an event with each chunk, and searched all of it again. Change: each byte is searched once, with what a blank line may straddle carried along, and copied twice at most.

--- /dev/null
+++ b/src/core/held-bytes/index.ts
@@ -0,0 +1,3 @@
+/** Bytes of answers that an instance holds until more of them has arrived. */
+export { createHeldBytes } from './held-bytes';
+export type { HeldBytes } from './held-bytes';
--- a/src/core/pass-through/answer-reader.ts
+++ b/src/core/pass-through/answer-reader.ts
@@ -83,7 +83,7 @@
       return answer.sendData(events.length === 1 ? (events[0] ?? chunk) : Buffer.concat(events));
     },
     finish() {
-      if (splitter.rest().length > 0) return 'the stream ended within an event';
+      if (splitter.heldBytes > 0) return 'the stream ended within an event';
       if (isEmptyIfCut && progress.events === 0) return 'the stream ended before its first event';
       sendHead();
       answer.end();
--- a/src/core/streams/split-events.ts
+++ b/src/core/streams/split-events.ts
@@ -1,44 +1,64 @@
+import { createHeldBytes } from '../held-bytes';
+
 /** Cuts a server-sent event stream into whole events, so that half an event is never passed on. */
 export interface EventSplitter {
+  /** Number of bytes of an event that is not whole. */
+  readonly heldBytes: number;
   /** The whole events that `chunk` completes, each with the blank line that ends it. */
   add(chunk: Uint8Array): readonly Buffer[];
-  /** What has come of an event that is not whole. */
-  rest(): Buffer;
 }
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 
-/** The index after the first blank line at or after `from`, or -1. */
-function endOfEvent(buffer: Buffer, from: number): number {
-  for (
-    let at = buffer.indexOf(LINE_FEED, from);
-    at !== -1;
-    at = buffer.indexOf(LINE_FEED, at + 1)
-  ) {
-    const next = buffer[at + 1];
-    if (next === LINE_FEED) return at + 2;
-    if (next === CARRIAGE_RETURN && buffer[at + 2] === LINE_FEED) return at + 3;
-  }
-  return -1;
+/** What the bytes read so far end with, as far as a blank line may begin there. */
+type Tail = 'text' | 'lineEnd' | 'lineEndAndReturn';
+
+/** Finds the ends of events in chunks, each byte of which is read once. */
+function createEndFinder() {
+  let tail: Tail = 'text';
+
+  /** Returns the tail after one more byte; undefined if that byte ends a blank line. */
+  const tailAfter = (byte: number | undefined): Tail | undefined => {
+    if (byte === LINE_FEED) return tail === 'text' ? 'lineEnd' : undefined;
+    return byte === CARRIAGE_RETURN && tail === 'lineEnd' ? 'lineEndAndReturn' : 'text';
+  };
+
+  /** Returns the index after the first blank line that ends at or after `from`, or -1. */
+  return (chunk: Buffer, from: number): number => {
+    for (let at = from; at < chunk.length; at += 1) {
+      if (tail === 'text') {
+        at = chunk.indexOf(LINE_FEED, at);
+        if (at === -1) return -1;
+      }
+      const next = tailAfter(chunk[at]);
+      tail = next ?? 'text';
+      if (next === undefined) return at + 1;
+    }
+    return -1;
+  };
 }
 
 /** An empty splitter. */
 export function createEventSplitter(): EventSplitter {
-  let held: Buffer = Buffer.alloc(0);
+  const held = createHeldBytes();
+  const endOfEvent = createEndFinder();
   return {
+    get heldBytes() {
+      return held.length;
+    },
     add(chunk) {
-      held = held.length === 0 ? Buffer.from(chunk) : Buffer.concat([held, chunk]);
+      const bytes = Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length);
       const events: Buffer[] = [];
       let start = 0;
-      for (let end = endOfEvent(held, start); end !== -1; end = endOfEvent(held, start)) {
-        events.push(held.subarray(start, end));
+      for (let end = endOfEvent(bytes, start); end !== -1; end = endOfEvent(bytes, start)) {
+        held.add(bytes.subarray(start, end));
+        events.push(held.take());
         start = end;
       }
-      held = held.subarray(start);
+      if (start < bytes.length) held.add(bytes.subarray(start));
       return events;
     },
-    rest: () => held,
   };
 }
 
--- a/src/core/streams/stream-relay.ts
+++ b/src/core/streams/stream-relay.ts
@@ -62,7 +62,7 @@
 
     const passEvents = async (chunk: Uint8Array): Promise<void> => {
       const events = splitter.add(chunk);
-      if (splitter.rest().length > MAX_PARTIAL_BYTES) throw broken('An event has no end.');
+      if (splitter.heldBytes > MAX_PARTIAL_BYTES) throw broken('An event has no end.');
       const passed: Buffer[] = [];
       for (const event of events) {
         sawLastEvent ||= event.includes(LAST_EVENT_DATA) && dataOf(event) === LAST_EVENT_DATA;
