Log and count answers that have no end

What callers saw: streams and requests that waited for their deadline at a server that kept sending bytes. Logs and metrics did not tell such an answer from a slow or a lost one.

--- a/src/core/metrics/create-metrics.test.ts
+++ b/src/core/metrics/create-metrics.test.ts
@@ -35,6 +35,14 @@
     assert.match(text, /coltsfootworks_test\{region="east"\} 2/);
   });
 
+  it('counts answers without end by their shape, and their bytes', async () => {
+    const metrics = createMetrics();
+    for (const bytes of [10, 20]) metrics.endless({ shape: 'partialEvent', bytes });
+    const { text } = await metrics.export();
+    assert.match(text, /endless_answers_total\{shape="partialEvent"\} 2/);
+    assert.match(text, /endless_answer_bytes_total\{shape="partialEvent"\} 30/);
+  });
+
   it('counts requests by the servers that each was sent to, many of them under one label', async () => {
     const metrics = createMetrics();
     for (const count of [1, 1, 2, 6, 40]) metrics.attempts('stock', count);
--- a/src/core/metrics/create-metrics.ts
+++ b/src/core/metrics/create-metrics.ts
@@ -1,6 +1,7 @@
 import type { Histogram } from 'hdr-histogram-js';
 import histogramModule from 'hdr-histogram-js/dist/Int32Histogram.js';
 import type { Registry as MetricsRegistry } from 'prom-client';
+import type { EndlessBytes } from '../outcomes';
 import { addGauge } from './add-gauge';
 import { addProcessMetrics } from './process-metrics';
 import { Counter, Gauge, Registry } from './prometheus';
@@ -19,6 +20,8 @@
   callerGone(service: string): void;
   /** Notes a request that was read whole and got neither a complete answer nor a refusal, by its cause. */
   unanswered(cause: string): void;
+  /** Notes bytes without end that a backend server sent in place of an answer, by their shape. */
+  endless(found: EndlessBytes): void;
   /** A value that is read when metrics are asked for. */
   gauge(name: string, help: string, read: () => number): void;
   /** A value for each value of one label, all read when metrics are asked for. The label must have few values. */
@@ -109,6 +112,16 @@
     'Requests that were read whole and got neither a complete answer nor a refusal',
     ['cause'],
   );
+  const endless = counter(
+    'coltsfootworks_endless_answers_total',
+    'Answers of backend servers that were ended because their bytes had no end',
+    ['shape'],
+  );
+  const endlessBytes = counter(
+    'coltsfootworks_endless_answer_bytes_total',
+    'Bytes of these answers without progress',
+    ['shape'],
+  );
   const firstByte = createLatencyFamily(
     registry,
     'coltsfootworks_first_byte_ms',
@@ -142,6 +155,10 @@
     unanswered(cause) {
       unanswered.inc({ cause });
     },
+    endless({ shape, bytes }) {
+      endless.inc({ shape });
+      endlessBytes.inc({ shape }, bytes);
+    },
     gauge(name, help, read) {
       addGauge(registry, { name, help, read });
     },
--- a/src/core/pass-through/attempt-result.ts
+++ b/src/core/pass-through/attempt-result.ts
@@ -1,4 +1,4 @@
-import type { LossCause } from '../outcomes';
+import type { EndlessBytes, LossCause } from '../outcomes';
 import type { DecisiveReason } from './forwarding';
 
 /** Result of one attempt. */
@@ -33,6 +33,8 @@
       readonly cause: LossCause;
       /** Whether the server broke the answer off, as happens when it crashes. */
       readonly wasBrokenOff: boolean;
+      /** What had no end, if that is the cause. */
+      readonly endless?: EndlessBytes;
     };
 
 /** Result of an attempt without an answer that could be passed on. */
--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -320,6 +320,7 @@
             reason: end.reason,
             cause: end.cause,
             wasBrokenOff: end.cause === 'reset',
+            ...(end.cause === 'endless' && { endless: end.endless }),
           },
           end.cause === 'timeout' && !observer.isSilent() ? 'inconclusive' : 'failed',
         );
--- a/src/core/pass-through/events.ts
+++ b/src/core/pass-through/events.ts
@@ -59,4 +59,11 @@
     action:
       'Check the other events of the request. With the cause closedHere, this instance closed the connection; with overdue, the caller left after its answer was due.',
   },
+  endlessAnswer: {
+    id: 4109,
+    name: 'endless-answer',
+    level: 'warn',
+    text: 'A backend server sent bytes without end that are no answer; their connection was closed.',
+    action: 'Check the backend server.',
+  },
 } as const satisfies Record<string, EventDefinition>;
--- a/src/core/pass-through/request-log.ts
+++ b/src/core/pass-through/request-log.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../clock';
 import type { Logger } from '../events';
-import type { LossCause } from '../outcomes';
+import type { EndlessBytes, LossCause } from '../outcomes';
 import { destinationName } from './attempt';
 import type { Attempt } from './attempt';
 import { PASS_THROUGH_EVENTS } from './events';
@@ -16,6 +16,8 @@
   /** Logs where the request is sent; `beside` is the number of attempts that are in progress already. */
   placed(to: SendableDestination, beside: number): void;
   attemptFailed(attempt: Attempt, reason: string, details?: FailureDetails): void;
+  /** Logs what a server sent without end, in addition to the failed attempt. */
+  endless(attempt: Attempt, found: EndlessBytes): void;
   /** Logs that an attempt was ended because another one had something for the caller. */
   attemptDiscarded(attempt: Attempt, cause: LossCause): void;
   /** Logs that another instance refused the request, for the reason that it states. */
@@ -150,6 +152,8 @@
         reason,
         ...details,
       }),
+    endless: (attempt, { shape, bytes }) =>
+      logger.event(PASS_THROUGH_EVENTS.endlessAnswer, { ...attemptFields(attempt), shape, bytes }),
     attemptDiscarded: (attempt, cause) =>
       logger.event(PASS_THROUGH_EVENTS.attemptDiscarded, { ...attemptFields(attempt), cause }),
     peerRefused: (attempt, refusalReason) =>
--- a/src/core/pass-through/serve-dependencies.ts
+++ b/src/core/pass-through/serve-dependencies.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../clock';
 import type { Logger } from '../events';
 import type { ConnectionPool } from '../exchanges';
+import type { EndlessBytes } from '../outcomes';
 import type { Reachability } from '../reachability';
 import type { ServerLimits } from '../server-limits';
 import type { ServerNotices } from '../server-notices';
@@ -42,6 +43,8 @@
   readonly mayReceive: (server: KnownServer) => boolean;
   /** Called when a server other than `serverId` has answered at its address. */
   readonly onReplaced: (serverId: string) => void;
+  /** Called when the bytes of an answer had no end. */
+  readonly onEndless: (found: EndlessBytes) => void;
   readonly onDone: (done: ServedRequest) => void;
   /** Called when a request was refused before any work was done for it. */
   readonly onRefused: (reason: RefusalReason, service: string) => void;
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -187,6 +187,10 @@
         return;
       case 'lost':
         log.attemptFailed(attempt, result.reason, { cause: result.cause });
+        if (result.endless !== undefined) {
+          log.endless(attempt, result.endless);
+          dependencies.onEndless(result.endless);
+        }
         recordLoss();
         return;
       default:
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -329,6 +329,7 @@
     streamVersions,
     mayReceive: (server) => servers.isUsable(server) && notices.waitMs(server.incarnationId) === 0,
     onReplaced: servers.markReplaced,
+    onEndless: options.metrics.endless,
     onDone: createRequestCounter(options.metrics),
     onRefused: (reason, service) => options.metrics.refused(reason, service),
     onUnanswered: options.metrics.unanswered,
