--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -18,15 +18,13 @@
 } from './forwarding';
 import { announceAnswer } from './announce-answer';
 import { isEventStream, readServersTried, versionOfWriter } from './answer-head';
-import { attemptHeaders } from './attempt-headers';
 import type { AttemptResult } from './attempt-result';
 import { classifyAnswer, headerText } from './classify-answer';
 import type { AnswerClassification } from './classify-answer';
 import { observeDestination } from './observe-destination';
 import type { ObservedEnd } from './observe-destination';
 import { UNAVAILABLE_STATUS, observeStatements, readPause } from './observe-statements';
-import { PEER_IDLE_MS } from './other-regions';
-import { sendWhenWarm } from './send-when-warm';
+import { sendAttempt } from './send-attempt';
 import type { StreamProgress } from './stream-progress';
 import type { ClientAnswer, HeaderDialect, InboundRequest, RequestPlan } from './types';
 import type { WarmCheck } from './warm-check';
@@ -83,31 +81,6 @@
   readonly onResult: (result: AttemptResult) => void;
 }
 
-/** Connect timeout for a server of this region: several round trips within a region. */
-const CONNECT_TIMEOUT_MS = 500;
-/** Connect timeout for an instance of another region: several round trips of the longest links. */
-const PEER_CONNECT_TIMEOUT_MS = 800;
-/**
- * Maximum connections to another instance: the number of requests that its region is likely to
- * accept from this instance at once.
- */
-const PEER_MAX_CONNECTIONS = 128;
-/**
- * Maximum idle time of a reused connection to a server for a request that may not be repeated. One
- * that was idle for longer may have broken unnoticed, and the request would be lost with it.
- */
-const TRUSTED_IDLE_MS = 1_500;
-/**
- * Like `TRUSTED_IDLE_MS`, for a connection to another instance, which keeps idle connections for a
- * minute. TCP probes detect a silent one within about ten seconds.
- */
-const PEER_TRUSTED_IDLE_MS = 12_000;
-/**
- * Maximum idle time of a reused connection for other requests; the pool closes idle connections
- * earlier.
- */
-const MAX_IDLE_MS = 60_000;
-
 /**
  * Returns the name of a destination in log lines and in the set of tried destinations. For a
  * server, it identifies one incarnation.
@@ -116,14 +89,9 @@
   return to.kind === 'server' ? to.server.incarnationId : to.peer.instanceId;
 }
 
-function maxIdleMs({ plan, to }: AttemptOptions): number {
-  if (plan.kind !== 'nonIdempotent') return to.kind === 'server' ? MAX_IDLE_MS : PEER_IDLE_MS;
-  return to.kind === 'server' ? TRUSTED_IDLE_MS : PEER_TRUSTED_IDLE_MS;
-}
-
 /** Sends a request once and passes its answer on as it arrives, as far as that is allowed. */
 export function startAttempt(options: AttemptOptions): Attempt {
-  const { clock, dialect, pool, router, request, plan, to, progress } = options;
+  const { clock, dialect, router, request, plan, to, progress } = options;
   const answer = announceAnswer(options.answer, options.onPassingOn);
   const sentAtMs = clock.monotonicMs();
   const observer = observeDestination(options, to);
@@ -330,44 +298,14 @@
     }
   };
 
-  const isServer = to.kind === 'server';
-  const send = (): Exchange | undefined => {
-    if (isServer) options.notices.recordSent(to.server.incarnationId);
-    const begun = pool.send(
-      isServer ? to.server.address : to.peer.forwardAddress,
-      {
-        maxConnections: isServer ? to.maxConnections : PEER_MAX_CONNECTIONS,
-        connectTimeoutMs: isServer ? CONNECT_TIMEOUT_MS : PEER_CONNECT_TIMEOUT_MS,
-        maxIdleMs: maxIdleMs(options),
-      },
-      {
-        method: request.method,
-        path: request.path,
-        headers: attemptHeaders(options, clock.monotonicMs()),
-        body: request.body,
-      },
-      { onHead, onData, onEnd },
-    );
-    hasBegun = begun !== undefined;
-    return begun;
-  };
-  if (isServer) {
-    const onUnusable = (reason: string) => report({ kind: 'neverSent', reason }, 'inconclusive');
-    const { server, maxConnections } = to;
-    const { warmCheck: check, mayReceive } = options;
-    exchange = sendWhenWarm({
-      check,
-      mayReceive,
-      server,
-      maxConnections,
-      send,
-      onEnd,
-      onUnusable,
-    });
-  } else {
-    exchange = send();
-    if (exchange === undefined) onEnd({ kind: 'neverSent', reason: 'no connection is free' });
-  }
+  exchange = sendAttempt(options, {
+    listener: { onHead, onData, onEnd },
+    onBegun() {
+      hasBegun = true;
+    },
+    onUnusable: (reason) => report({ kind: 'neverSent', reason }, 'inconclusive'),
+  });
+  if (exchange === undefined) onEnd({ kind: 'neverSent', reason: 'no connection is free' });
   const attempt: Attempt = {
     to,
     sentAtMs,
@@ -378,7 +316,8 @@
     },
     lastByteAtMs: () => (isPaused ? clock.monotonicMs() : lastByteAtMs),
     firstByteAtMs: () => firstByteAtMs,
-    serversTriedThere: () => (isServer || head === undefined ? undefined : readServersTried(head)),
+    serversTriedThere: () =>
+      to.kind === 'server' || head === undefined ? undefined : readServersTried(head),
   };
   return attempt;
 }
