Bound the size of an event, and the bytes held of all answers

What callers saw: one server sent an event without end, and callers of all servers got no answer; the largest instance came to 349 MB, of 350 that it may use. Cause: what had come of an event was held whatever its size, and nothing bounded the sum over all answers. Change: an event may be 8 MiB long. Above that the attempt is lost with the cause endless (shape partialEvent) and its connection is closed; a stream that may be resumed goes on elsewhere after its last event. An instance holds 64 MiB of all answers together, beside 64 KiB of each: reading pauses unless the largest event held could still become as large as one may be, so that some event always ends. Time in which an answer waits for room is no silence of its server. A gauge has the bytes that are held.

--- /dev/null
+++ b/src/core/held-bytes/room.ts
@@ -0,0 +1,89 @@
+/** Room of one instance for the bytes that it holds of answers. */
+export interface HoldingRoom {
+  /** Begins to hold parts of one answer. `onRoom` is called when the answer may be read on after it had to wait. */
+  open(onRoom: () => void): RoomHolder;
+  /** Number of bytes held, of all answers. */
+  heldBytes(): number;
+}
+
+/** Part of the room that one answer takes. */
+export interface RoomHolder extends Disposable {
+  /** Sets the bytes that are held of the answer. Returns whether it may be read on now. */
+  hold(bytes: number): boolean;
+}
+
+/** Options of `createHoldingRoom`. */
+export interface HoldingRoomOptions {
+  /** Bytes that may be held of all answers together, without small parts. */
+  readonly totalBytes: number;
+  /** Maximum size of what is held of one answer, bytes; its reader ends what would be larger. */
+  readonly largestBytes: number;
+  /** Bytes of one answer that may be held at any time, so that usual answers never wait for large ones. */
+  readonly smallBytes: number;
+}
+
+interface Holder {
+  bytes: number;
+  isWaiting: boolean;
+  readonly onRoom: () => void;
+}
+
+/**
+ * Creates an empty room.
+ *
+ * Answers are read on as long as the largest one held could still grow to its maximum. If each were read until the room
+ * is full, none could become whole. The largest one itself is always read on, so that some answer ends.
+ */
+export function createHoldingRoom(options: HoldingRoomOptions): HoldingRoom {
+  const { totalBytes, largestBytes, smallBytes } = options;
+  const holders = new Set<Holder>();
+  let heldBytes = 0;
+
+  const isLarge = ({ bytes }: Holder): boolean => bytes > smallBytes;
+
+  /** Returns the largest holder, the earliest of several. */
+  const largest = (): Holder | undefined => {
+    let best: Holder | undefined;
+    for (const holder of holders) if (holder.bytes > (best?.bytes ?? 0)) best = holder;
+    return best;
+  };
+
+  const mayReadOn = (holder: Holder): boolean => {
+    if (!isLarge(holder) || heldBytes + largestBytes <= totalBytes) return true;
+    const most = largest();
+    return most === holder || heldBytes - (most?.bytes ?? 0) + largestBytes <= totalBytes;
+  };
+
+  const wakeUp = (): void => {
+    for (const holder of [...holders]) {
+      if (!holder.isWaiting || !mayReadOn(holder)) continue;
+      holder.isWaiting = false;
+      holder.onRoom();
+    }
+  };
+
+  return {
+    heldBytes: () => heldBytes,
+    open(onRoom) {
+      const holder: Holder = { bytes: 0, isWaiting: false, onRoom };
+      holders.add(holder);
+      const setBytes = (bytes: number): void => {
+        const isLess = bytes < holder.bytes;
+        heldBytes += bytes - holder.bytes;
+        holder.bytes = bytes;
+        if (isLess) wakeUp();
+      };
+      return {
+        hold(bytes) {
+          if (!holders.has(holder)) return true;
+          setBytes(bytes);
+          holder.isWaiting = !mayReadOn(holder);
+          return !holder.isWaiting;
+        },
+        [Symbol.dispose]() {
+          if (holders.delete(holder)) setBytes(0);
+        },
+      };
+    },
+  };
+}
--- /dev/null
+++ b/src/core/pass-through/answer-limits.ts
@@ -0,0 +1,18 @@
+import { createHoldingRoom } from '../held-bytes';
+import type { HoldingRoom } from '../held-bytes';
+
+/** Maximum size of one event of a stream, bytes. */
+export const MAX_EVENT_BYTES = 8_388_608;
+/** Bytes that an instance may hold of all answers together, without small parts. */
+const MAX_HELD_BYTES = 67_108_864;
+/** Bytes that may be held of one answer at any time. */
+const SMALL_PART_BYTES = 65_536;
+
+/** Creates the room of an instance for parts of answers. */
+export function createAnswerRoom(): HoldingRoom {
+  return createHoldingRoom({
+    totalBytes: MAX_HELD_BYTES,
+    largestBytes: MAX_EVENT_BYTES,
+    smallBytes: SMALL_PART_BYTES,
+  });
+}
--- a/src/core/pass-through/answer-reader.ts
+++ b/src/core/pass-through/answer-reader.ts
@@ -1,6 +1,8 @@
 import { isCloseDelimited } from '../exchanges';
 import type { AnswerHead } from '../exchanges';
+import type { EndlessBytes } from '../outcomes';
 import { createEventSplitter } from '../streams';
+import { MAX_EVENT_BYTES } from './answer-limits';
 import { readEventId } from './read-event-id';
 import type { StreamProgress } from './stream-progress';
 import type { ClientAnswer } from './types';
@@ -8,12 +10,24 @@
 
 /** Receives the body of one answer and passes on the parts that may be passed on. */
 export interface AnswerReader {
-  /** Adds a chunk of the body; returns false while the caller reads slowly. */
-  addChunk(chunk: Buffer): boolean;
+  /** Bytes that are held until more has arrived, if they may be many. */
+  heldBytes(): number;
+  /** Adds a chunk of the body. */
+  addChunk(chunk: Buffer): ReadStep;
   /** Ends the answer after its last chunk; returns a problem with it, undefined if it is complete. */
   finish(): string | undefined;
 }
 
+/** What a chunk of a body has brought. */
+export type ReadStep =
+  | {
+      readonly kind: 'taken';
+      /** Whether the caller reads slowly. */
+      readonly isCallerSlow: boolean;
+    }
+  /** Nothing that arrives any more can belong to an answer that is passed on. */
+  | { readonly kind: 'endless'; readonly found: EndlessBytes };
+
 /**
  * Maximum size of a buffered answer. Larger ones are passed on as they arrive, so they cannot be
  * retried if they break off.
@@ -31,7 +45,7 @@
 ): AnswerReader {
   const chunks: Buffer[] = [];
   let bytes = 0;
-  const isTooLarge = () => bytes > MAX_BUFFERED_BYTES;
+  const isLarge = () => bytes > MAX_BUFFERED_BYTES;
   const flush = (): boolean => {
     if (!answer.headSent) answer.sendHead(head.status, answerHeaders(head.headers, dropped));
     let mayContinue = true;
@@ -39,10 +53,12 @@
     return mayContinue;
   };
   return {
+    heldBytes: () => 0,
     addChunk(chunk) {
       bytes += chunk.length;
       chunks.push(Buffer.from(chunk));
-      return isTooLarge() ? flush() : true;
+      const isCallerSlow = isLarge() && !flush();
+      return { kind: 'taken', isCallerSlow };
     },
     finish() {
       flush();
@@ -66,21 +82,32 @@
   const splitter = createEventSplitter();
   // A stream that is resumed may have nothing left. One that begins has an event, unless its server crashed before it.
   const isEmptyIfCut = isCloseDelimited(head.headers) && progress.lastEventId === undefined;
-  const sendHead = () => {
+  const sendHead = (): void => {
     // A stream that is resumed at another server keeps the head of the first answer.
     if (answer.headSent) return;
     answer.recordStreamVersion(softwareVersion);
     answer.sendHead(head.status, answerHeaders(head.headers, dropped));
   };
+
+  /** Returns what of the stream has no end, if it is known to have none. */
+  const findEndless = (): EndlessBytes | undefined => {
+    const { heldBytes } = splitter;
+    return heldBytes > MAX_EVENT_BYTES ? { shape: 'partialEvent', bytes: heldBytes } : undefined;
+  };
+
   return {
+    heldBytes: () => splitter.heldBytes,
     addChunk(chunk) {
       const events = splitter.add(chunk);
-      if (events.length === 0) return true;
-      sendHead();
-      for (const event of events) {
-        progress.recordEvent(readEventId(event), softwareVersion);
+      let isCallerSlow = false;
+      if (events.length > 0) {
+        sendHead();
+        for (const event of events) progress.recordEvent(readEventId(event), softwareVersion);
+        const whole = events.length === 1 ? (events[0] ?? chunk) : Buffer.concat(events);
+        isCallerSlow = !answer.sendData(whole);
       }
-      return answer.sendData(events.length === 1 ? (events[0] ?? chunk) : Buffer.concat(events));
+      const found = findEndless();
+      return found === undefined ? { kind: 'taken', isCallerSlow } : { kind: 'endless', found };
     },
     finish() {
       if (splitter.heldBytes > 0) return 'the stream ended within an event';
--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -1,6 +1,7 @@
 import type { BrittleServers } from '../brittle-servers';
 import type { Clock } from '../clock';
 import type { AnswerHead, ConnectionPool, Exchange, ExchangeEnd } from '../exchanges';
+import type { HoldingRoom } from '../held-bytes';
 import type { AbortCause } from '../outcomes';
 import type { Reachability } from '../reachability';
 import type { ServerLimits } from '../server-limits';
@@ -24,6 +25,7 @@
 import { observeDestination } from './observe-destination';
 import type { ObservedEnd } from './observe-destination';
 import { UNAVAILABLE_STATUS, observeStatements, readPause } from './observe-statements';
+import { createReadingPauses } from './reading-pauses';
 import { sendAttempt } from './send-attempt';
 import type { StreamProgress } from './stream-progress';
 import type { ClientAnswer, HeaderDialect, InboundRequest, RequestPlan } from './types';
@@ -65,6 +67,8 @@
   readonly notices: Pick<ServerNotices, 'observe' | 'recordSent'>;
   readonly brittle: Pick<BrittleServers, 'observe'>;
   readonly reachability: Pick<Reachability, 'recordReached' | 'recordFailed'>;
+  /** Room of this instance for parts of answers. */
+  readonly room: HoldingRoom;
   /** Whether a server that was chosen a moment ago may still get a request. */
   readonly mayReceive: (server: KnownServer) => boolean;
   readonly request: InboundRequest;
@@ -110,12 +114,20 @@
   let isFailure = false;
   let firstByteAtMs: number | undefined;
   let lastByteAtMs = sentAtMs;
-  let isPaused = false;
   let abortedBy: AbortCause | undefined;
   let isDiscarded = false;
   /** Whether a connection for the request was free or could be opened. */
   let hasBegun = false;
 
+  const pauses = createReadingPauses(
+    () => exchange?.pause(),
+    () => {
+      lastByteAtMs = clock.monotonicMs();
+      exchange?.resume();
+    },
+  );
+  const holder = options.room.open(() => pauses.end('noRoom'));
+
   const abort = (cause: AbortCause): void => {
     abortedBy = cause;
     exchange?.abort(cause);
@@ -127,6 +139,7 @@
   };
 
   const report = (result: AttemptResult, end: ObservedEnd): void => {
+    holder[Symbol.dispose]();
     const showsNothing = isDiscarded && abortedBy !== 'silence';
     observer.recordEnd(showsNothing ? 'inconclusive' : end);
     if (!isDiscarded) options.onResult(result);
@@ -230,14 +243,15 @@
     lastByteAtMs = clock.monotonicMs();
     recordFirstByte();
     observer.recordData();
-    if (reader.addChunk(chunk)) return;
-    isPaused = true;
-    exchange?.pause();
-    answer.onDrain(() => {
-      isPaused = false;
-      lastByteAtMs = clock.monotonicMs();
-      exchange?.resume();
-    });
+    const step = reader.addChunk(chunk);
+    if (step.kind === 'endless') {
+      exchange?.abortEndless(step.found);
+      return;
+    }
+    if (!holder.hold(reader.heldBytes())) pauses.begin('noRoom');
+    if (!step.isCallerSlow) return;
+    pauses.begin('callerIsSlow');
+    answer.onDrain(() => pauses.end('callerIsSlow'));
   };
 
   const passOn = (): void => {
@@ -314,7 +328,7 @@
       isDiscarded = true;
       abort(cause);
     },
-    lastByteAtMs: () => (isPaused ? clock.monotonicMs() : lastByteAtMs),
+    lastByteAtMs: () => (pauses.isPaused ? clock.monotonicMs() : lastByteAtMs),
     firstByteAtMs: () => firstByteAtMs,
     serversTriedThere: () =>
       to.kind === 'server' || head === undefined ? undefined : readServersTried(head),
--- a/src/core/pass-through/discarded-attempt.test.ts
+++ b/src/core/pass-through/discarded-attempt.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import type { AnswerListener } from '../exchanges';
+import { createAnswerRoom } from './answer-limits';
 import { startAttempt } from './attempt';
 import type { AttemptOptions } from './attempt';
 import { createStreamProgress } from './stream-progress';
@@ -45,6 +46,7 @@
     notices: { observe() {}, recordSent() {} },
     brittle: { observe() {} },
     reachability: { recordReached() {}, recordFailed() {} },
+    room: createAnswerRoom(),
     mayReceive: () => true,
     request: REQUEST,
     plan: { service: CHAT, kind: 'idempotent', deadlineAtMs: 1_000, timeoutAtMs: 1_000 },
--- /dev/null
+++ b/src/core/pass-through/endless-answers.test.ts
@@ -0,0 +1,58 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createHoldingRoom } from '../held-bytes';
+import { MAX_EVENT_BYTES } from './answer-limits';
+import { STREAM_HEAD, startPlayedAttempt } from './testing/started-attempt';
+
+const MIB = 1_048_576;
+const CHUNK = Buffer.alloc(16_384, 'x');
+
+// A server sends one event without end. If all of it were held, the instance would run out of memory, and callers of all
+// servers would lose their answers.
+describe('an event of a stream', () => {
+  it('is passed on if it is some MiB long', () => {
+    const play = startPlayedAttempt('stream');
+    play.onHead(STREAM_HEAD);
+    play.onData('id: 1\ndata: ');
+    play.sendMany(6 * MIB, CHUNK);
+    play.onData('\n\n');
+    play.onWhole();
+    assert.deepEqual(play.results, [{ kind: 'answered', status: 200 }]);
+    assert.ok(play.writtenBytes() > 6 * MIB);
+  });
+
+  it('ends the attempt if it is longer than any may be, and what came before is passed on', () => {
+    const play = startPlayedAttempt('stream');
+    play.onHead(STREAM_HEAD);
+    play.onData('id: 1\ndata: a\n\ndata: ');
+    const sentBytes = play.sendMany(64 * MIB, CHUNK);
+    assert.ok(sentBytes <= MAX_EVENT_BYTES + CHUNK.length, `${sentBytes} bytes`);
+    assert.equal(play.endless[0]?.shape, 'partialEvent');
+    const [result] = play.results;
+    assert.equal(result?.kind === 'lost' && result.cause, 'endless');
+    assert.equal(play.writtenText(), 'id: 1\ndata: a\n\n');
+  });
+});
+
+// Many servers send events without end at once. Together they would take more memory than the instance has.
+describe('the events that are held of many streams', () => {
+  it('wait for room, and are read on when others end', () => {
+    const room = createHoldingRoom({ totalBytes: 4 * MIB, largestBytes: MIB, smallBytes: 65_536 });
+    const plays = Array.from({ length: 20 }, () => startPlayedAttempt('stream', room));
+    for (const play of plays) {
+      play.onHead(STREAM_HEAD);
+      play.sendMany(MIB - 1, CHUNK);
+    }
+    const isAnyPaused = () => plays.some((play) => play.isPaused());
+    assert.ok(isAnyPaused());
+    assert.ok(room.heldBytes() <= 4 * MIB + plays.length * 2 * 65_536, `${room.heldBytes()} bytes`);
+    plays[0]?.attempt.abort('aborted');
+    plays[1]?.onData('\n\n');
+    for (const play of plays.slice(2)) {
+      play.attempt.abort('aborted');
+      assert.equal(play.results.length, 1);
+    }
+    assert.equal(isAnyPaused(), false);
+    assert.equal(room.heldBytes(), 0);
+  });
+});
--- a/src/core/pass-through/index.ts
+++ b/src/core/pass-through/index.ts
@@ -1,4 +1,5 @@
 /** Passes requests through to backend servers unchanged, here or in another region. */
+export { createAnswerRoom } from './answer-limits';
 export { createCrashWatch } from './crash-watch';
 export type { CrashWatch } from './crash-watch';
 export { createCrashInvestigations } from './investigate-crash';
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -13,7 +13,12 @@
   parseLoadUpdate,
 } from '../load-sharing';
 import type { Metrics } from '../metrics';
-import { createCrashInvestigations, createRouter, createWarmCheck } from '../pass-through';
+import {
+  createAnswerRoom,
+  createCrashInvestigations,
+  createRouter,
+  createWarmCheck,
+} from '../pass-through';
 import type {
   CheckConnection,
   HeaderDialect,
@@ -306,6 +311,12 @@
     'Attempts that were begun beside silent ones since the start',
     () => hedgesBegun,
   );
+  const room = createAnswerRoom();
+  options.metrics.gauge(
+    'coltsfootworks_held_answer_bytes',
+    'Bytes of answers that are held until more of them has arrived',
+    room.heldBytes,
+  );
   const retries = createRetryAllowance(() => options.settings().retryBudget, instances.count);
   return {
     clock,
@@ -326,6 +337,7 @@
     notices,
     brittle,
     reachability,
+    room,
     streamVersions,
     mayReceive: (server) => servers.isUsable(server) && notices.waitMs(server.incarnationId) === 0,
     onReplaced: servers.markReplaced,
