State what a refusal as overloaded rests on, and the room at that moment

Callers are refused as overloaded while servers state free slots, and the line of such a refusal did not say why: the predicted time was one sum, and a refusal without a server gave no reason at all.

The prediction for the chosen server now keeps its parts (wait for a slot, batch, prompts of others, own prompt, copies, slowness, lateness, correction). Line 4104 has them with the bound that was exceeded, the largest part, the number of idle servers of the region, the free slots elsewhere, and where no server was weighed the reason for it.

--- a/bench/day-causes/day-causes.test.ts
+++ b/bench/day-causes/day-causes.test.ts
@@ -3,6 +3,7 @@
 import { PASS_THROUGH_EVENTS } from '../../src/core/pass-through/events';
 import { judgeRequest } from './judge-request';
 import { readRequests } from './read-log';
+import { readRefusalGrounds } from './refusal-grounds';
 
 const { placed, answered, refused, callerGone } = PASS_THROUGH_EVENTS;
 
@@ -80,3 +81,30 @@
     assert.equal(judgeRequest(request)?.size, 'long prompt');
   });
 });
+
+describe('the grounds of a refusal as overloaded', () => {
+  const overloaded = { event: refused.id, reason: 'overloaded' };
+  const bound = { exceeded: 'wait', largestPart: 'latenessMs' };
+  const cases = [
+    {
+      fields: { ...overloaded, ...bound, idleServers: 2 },
+      expected: { ground: 'wait, most of it latenessMs', room: 'servers idle here' },
+    },
+    {
+      fields: { ...overloaded, ...bound, idleServers: 0, freeSlotsElsewhere: 3 },
+      expected: { ground: 'wait, most of it latenessMs', room: 'slots free elsewhere' },
+    },
+    {
+      fields: { ...overloaded, absence: 'noConnection', idleServers: 0 },
+      expected: { ground: 'no server: noConnection', room: 'no room known' },
+    },
+    { fields: overloaded, expected: { ground: 'none stated', room: 'no room known' } },
+    { fields: { ...overloaded, reason: 'noServer' }, expected: undefined },
+  ] as const;
+  for (const { fields, expected } of cases) {
+    it(`are ${JSON.stringify(expected)} by ${JSON.stringify(fields)}`, () => {
+      const [lines = []] = readRequests(line(1, 'a-1', fields)).values();
+      assert.deepEqual(readRefusalGrounds(lines), expected === undefined ? [] : [expected]);
+    });
+  }
+});
--- a/bench/day-causes/main.ts
+++ b/bench/day-causes/main.ts
@@ -3,6 +3,8 @@
 import type { JudgedRequest } from './judge-request';
 import { rankBySize } from './rank-by-size';
 import { readRequests } from './read-log';
+import { readRefusalGrounds } from './refusal-grounds';
+import type { RefusalGround } from './refusal-grounds';
 
 /**
  * Says of a day why requests were late, refused or failed: `npm run explain:day -- LOG`, where LOG holds what
@@ -47,12 +49,28 @@
   console.log(`| share that was served | ${served.join(' | ')} | ${servedShare(requests)} |`);
 }
 
+function printGrounds(grounds: readonly RefusalGround[]): void {
+  const rooms = [...new Set(grounds.map(({ room }) => room))].sort();
+  const cells = countBy(grounds, ({ ground, room }) => `${ground}/${room}`);
+  const rows = [...countBy(grounds, ({ ground }) => ground)].sort(
+    (left, right) => right[1] - left[1],
+  );
+  console.log(`\n| refused as overloaded, by instance | ${rooms.join(' | ')} | all |`);
+  console.log(`| --- |${' ---: |'.repeat(rooms.length + 1)}`);
+  for (const [ground, all] of rows) {
+    console.log(
+      `| ${ground} | ${rooms.map((room) => cells.get(`${ground}/${room}`) ?? 0).join(' | ')} | ${all} |`,
+    );
+  }
+}
+
 const path = process.argv[2];
 if (path === undefined) {
   console.error('usage: npm run explain:day -- LOG');
   process.exit(2);
 }
-const requests = [...readRequests(readFileSync(path, 'utf8')).values()].flatMap((lines) => {
+const linesByRequest = [...readRequests(readFileSync(path, 'utf8')).values()];
+const requests = linesByRequest.flatMap((lines) => {
   const judged = judgeRequest(lines);
   return judged === undefined ? [] : [judged];
 });
@@ -61,6 +79,7 @@
 printTable('cause by second', requests, ({ atS }) =>
   String(Math.floor(atS / SLICE_S) * SLICE_S).padStart(2, '0'),
 );
+printGrounds(linesByRequest.flatMap(readRefusalGrounds));
 for (const { kind, ranked } of rankBySize(requests)) {
   printTable(`${kind}: cause by rank of size`, ranked, ({ rank }) => rank);
 }
--- a/src/core/metrics/create-metrics.ts
+++ b/src/core/metrics/create-metrics.ts
@@ -12,6 +12,8 @@
   answered(service: string, firstByteMs: number, totalMs: number): void;
   /** Notes a refusal by its kind and outcome. */
   refused(refusal: string, outcome: string): void;
+  /** A refusal for a predicted time, with the bound that was exceeded and the largest part of the prediction. */
+  refusedForPrediction(service: string, bound: string, part: string): void;
   /** Notes how many backend servers a request that is over has been sent to, at all instances together. */
   attempts(service: string, count: number): void;
   /** Notes an answer that could not be finished. */
@@ -101,6 +103,11 @@
   const cuts = counter('coltsfootworks_answers_cut_short_total', 'Answers not finished', [
     'service',
   ]);
+  const predictions = counter(
+    'coltsfootworks_refusals_by_prediction_total',
+    'Refusals for a predicted time to the first byte, by the bound exceeded and the largest part of the prediction',
+    ['service', 'bound', 'part'],
+  );
   const attempts = counter(
     'coltsfootworks_requests_by_attempts_total',
     'Requests by the backend servers that each was sent to, at all instances together',
@@ -142,6 +149,9 @@
     refused(refusal, outcome) {
       refusals.inc({ refusal, outcome });
     },
+    refusedForPrediction(service, bound, part) {
+      predictions.inc({ service, bound, part });
+    },
     attempts(service, count) {
       const label = count > MAX_ATTEMPTS_LABEL ? `over ${MAX_ATTEMPTS_LABEL}` : String(count);
       attempts.inc({ service, attempts: label });
--- a/src/core/pass-through/create-refuser.ts
+++ b/src/core/pass-through/create-refuser.ts
@@ -2,7 +2,9 @@
 import type { RefusedRequest } from '../placement';
 import { answerDeadlineMs } from './forwarding';
 import { waitMsOf } from './local-servers';
+import type { ExceededBound } from './local-admission';
 import type { LocalChoice, RestrictedServer } from './local-servers';
+import type { ServerAbsence } from './server-absence';
 import type { RequestPlan } from './types';
 
 /** Why a request is refused. */
@@ -15,6 +17,7 @@
       readonly waitMs: number;
       /** Maximum wait of the request by its priority, ms. */
       readonly maxWaitMs: number;
+      readonly exceeded: ExceededBound;
     }
   /** No server may be asked now; `server` is the one that may be asked again first. */
   | { readonly kind: 'restricted'; readonly server: RestrictedServer }
@@ -38,8 +41,25 @@
   readonly retryAfterMs: number | undefined;
   /** Undefined if there is no server for the request. */
   readonly basis: RefusalBasis | undefined;
+  readonly room: RoomAtRefusal;
 }
 
+/** What a refusal rests on. */
+export type RefusalGrounds = Pick<RefusedPlacement, 'basis' | 'room'>;
+
+/** Room for a request when it was refused, as far as this instance knows. */
+export interface RoomAtRefusal {
+  /** Why no server of this region was weighed; undefined if one was. */
+  readonly absence: ServerAbsence | undefined;
+  /** Number of servers of the service in this region with a free slot and no prompt that waits. */
+  readonly idleServers: number;
+  /** Free slots for the service in other regions that may serve the request. */
+  readonly freeSlotsElsewhere: number;
+}
+
+/** A refusal before the room at that moment is added. */
+export type Refused = Omit<RefusedPlacement, 'room'>;
+
 /** Refuses requests, each with a time to retry. */
 export interface Refuser {
   /** Refuses a request whose best server would take too long. */
@@ -47,20 +67,17 @@
     plan: RequestPlan,
     best: LocalChoice,
     maxWaitMs: number,
+    exceeded: ExceededBound,
     nowMs: number,
-  ): RefusedPlacement;
+  ): Refused;
   /** Refuses a request of an account that is over its share. */
-  refuseOverShare(plan: RequestPlan, admittedShare: number, nowMs: number): RefusedPlacement;
+  refuseOverShare(plan: RequestPlan, admittedShare: number, nowMs: number): Refused;
   /** Refuses a request because of what the servers of this region have stated. */
-  refuseRestricted(plan: RequestPlan, server: RestrictedServer, nowMs: number): RefusedPlacement;
+  refuseRestricted(plan: RequestPlan, server: RestrictedServer, nowMs: number): Refused;
   /** Refuses a request for which this region has no server. */
-  refuseWithoutServer(
-    plan: RequestPlan,
-    hasServersElsewhere: boolean,
-    nowMs: number,
-  ): RefusedPlacement;
+  refuseWithoutServer(plan: RequestPlan, hasServersElsewhere: boolean, nowMs: number): Refused;
   /** Refuses a request because this instance reaches no server, and knows no other instance that may. */
-  refuseUnreachable(plan: RequestPlan, nowMs: number): RefusedPlacement;
+  refuseUnreachable(plan: RequestPlan, nowMs: number): Refused;
   /** Records that a request is sent to a server; retries are scheduled at the rate of these requests. */
   recordAdmitted(plan: RequestPlan, nowMs: number): void;
 }
@@ -105,7 +122,7 @@
     minDelayMs: number,
     nowMs: number,
     basis?: RefusalBasis,
-  ): RefusedPlacement => {
+  ): Refused => {
     // The instance that forwarded the request answers its caller. A place in the retry schedule
     // here would delay the callers of this region.
     const retryAfterMs = plan.isForwarded
@@ -115,10 +132,10 @@
   };
 
   return {
-    refuseTooSlow(plan, best, maxWaitMs, nowMs) {
+    refuseTooSlow(plan, best, maxWaitMs, exceeded, nowMs) {
       const waitMs = waitMsOf(best);
       const excessMs = Math.max(best.predictedMs - plan.objectiveMs, waitMs - maxWaitMs);
-      const basis: RefusalBasis = { kind: 'tooSlow', best, waitMs, maxWaitMs };
+      const basis: RefusalBasis = { kind: 'tooSlow', best, waitMs, maxWaitMs, exceeded };
       return refuse('overloaded', plan, Math.max(MIN_RETRY_MS, excessMs), nowMs, basis);
     },
     refuseOverShare: (plan, admittedShare, nowMs) => ({
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -21,8 +21,9 @@
 import { createRefusals } from '../server-notices';
 import type { Refusals } from '../server-notices';
 import { createRefuser } from './create-refuser';
-import type { RefusedPlacement } from './create-refuser';
+import type { Refused, RefusedPlacement, RoomAtRefusal } from './create-refuser';
 import { createLocalAdmission } from './local-admission';
+import type { ExceededBound } from './local-admission';
 import { createLocalServers, waitMsOf } from './local-servers';
 import type {
   LocalChoice,
@@ -33,6 +34,7 @@
 import { needsDetour } from './needs-detour';
 import { createOtherRegions } from './other-regions';
 import type { ForwardPeer, OtherRegionsOptions } from './other-regions';
+import type { ServerAbsence } from './server-absence';
 import { createShareGate } from './share-gate';
 import type { InboundRequest, RequestPlan, TriedDestinations } from './types';
 
@@ -54,7 +56,18 @@
 export type SendableDestination = Exclude<Destination, { kind: 'none' }>;
 
 /** Finding of a choice; a refusal is made, and its retry scheduled, only if the caller is going to get it. */
-type Finding = SendableDestination | { readonly kind: 'none'; refuse(): RefusedPlacement };
+type Finding = SendableDestination | { readonly kind: 'none'; refuse(): Refused };
+
+/** A finding, and what it rests on. */
+interface Found {
+  readonly finding: Finding;
+  /** The best server of this region. */
+  readonly best: LocalChoice | undefined;
+  /** Why no server of this region was weighed; undefined if one was. */
+  readonly absence: ServerAbsence | undefined;
+  /** Whether the finding counts for the share of the account. */
+  readonly countsForShare: boolean;
+}
 
 /** Chooses destinations for requests, and records their results for later choices. */
 export interface Router {
@@ -132,6 +145,7 @@
   best: undefined,
   unreachable: undefined,
   restricted: undefined,
+  absence: 'linksCut',
 };
 
 /**
@@ -230,7 +244,7 @@
     plan: RequestPlan,
     restricted: RestrictedServer | undefined,
     nowMs: number,
-  ): RefusedPlacement => {
+  ): Refused => {
     if (isVersionGone(plan)) {
       return {
         kind: 'none',
@@ -246,6 +260,16 @@
     return refuser.refuseWithoutServer(plan, hasServersElsewhere, nowMs);
   };
 
+  const exceededBound = (
+    choice: LocalChoice,
+    plan: RequestPlan,
+    maxWaitMs: number,
+    nowMs: number,
+  ): ExceededBound | undefined => {
+    if (!isBoundToSome(plan)) return admission.exceededBound(choice, plan, maxWaitMs, nowMs);
+    return admission.admitsBound(choice, plan, nowMs) ? undefined : 'deadline';
+  };
+
   const chooseAmong = (
     { best, unreachable, restricted }: LocalChoices,
     plan: RequestPlan,
@@ -262,32 +286,32 @@
     if (choice === undefined) {
       return { kind: 'none', refuse: () => refuseWithoutServer(plan, restricted, nowMs) };
     }
-    const isAdmitted = isBoundToSome(plan)
-      ? admission.admitsBound(choice, plan, nowMs)
-      : admission.admits(choice, plan, maxWaitMs, nowMs);
-    if (!isAdmitted) {
-      return { kind: 'none', refuse: () => refuser.refuseTooSlow(plan, choice, maxWaitMs, nowMs) };
+    const exceeded = exceededBound(choice, plan, maxWaitMs, nowMs);
+    if (exceeded !== undefined) {
+      return {
+        kind: 'none',
+        refuse: () => refuser.refuseTooSlow(plan, choice, maxWaitMs, exceeded, nowMs),
+      };
     }
     const { server } = choice;
     if (server.coldUntilMs > nowMs) coldServerLimiter.recordSent(server.incarnationId, nowMs);
     return { kind: 'server', ...choice };
   };
 
-  /**
-   * Finds a destination; `best` is the best server of this region, and `countsForShare` whether the finding counts for the
-   * share of the account.
-   */
+  /** Finds a destination. */
   const find = (
     request: InboundRequest,
     plan: RequestPlan,
     tried: TriedDestinations,
     nowMs: number,
-  ): { finding: Finding; best: LocalChoice | undefined; countsForShare: boolean } => {
+  ): Found => {
     const known = localServers.outlook(request, plan, tried, nowMs);
     const detour = plan.isForwarded ? undefined : chooseDetour(plan, known, tried);
-    if (detour !== undefined) return { finding: detour, best: undefined, countsForShare: false };
     const choices = links.isCut() ? NO_LOCAL_CHOICES : known;
-    const { best } = choices;
+    const { best, absence } = choices;
+    if (detour !== undefined) {
+      return { finding: detour, best: undefined, absence, countsForShare: false };
+    }
     const verdict = shareGate.check(request, plan, best, nowMs);
     if (!verdict.isAdmitted) {
       // The account has its share of this region only; another one may have room for the request.
@@ -295,12 +319,23 @@
         kind: 'none',
         refuse: () => refuser.refuseOverShare(plan, verdict.admittedShare, nowMs),
       };
-      return { finding, best, countsForShare: false };
+      return { finding, best, absence, countsForShare: false };
     }
     admission.recordDemand(request, plan, best, nowMs);
-    return { finding: chooseAmong(choices, plan, tried, nowMs), best, countsForShare: true };
+    const finding = chooseAmong(choices, plan, tried, nowMs);
+    return { finding, best, absence, countsForShare: true };
   };
 
+  const roomNow = (
+    plan: RequestPlan,
+    absence: ServerAbsence | undefined,
+    nowMs: number,
+  ): RoomAtRefusal => ({
+    absence,
+    idleServers: localServers.idleServers(plan, nowMs),
+    freeSlotsElsewhere: plan.isForwarded ? 0 : otherRegions.freeSlots(plan),
+  });
+
   return {
     loads,
     refusals,
@@ -311,8 +346,11 @@
     spillWindows,
     wereLinksCutSince: links.wasCutSince,
     choose(request, plan, tried, nowMs) {
-      const { finding, best, countsForShare } = find(request, plan, tried, nowMs);
-      const destination = finding.kind === 'none' ? finding.refuse() : finding;
+      const { finding, best, absence, countsForShare } = find(request, plan, tried, nowMs);
+      const destination: Destination =
+        finding.kind === 'none'
+          ? { ...finding.refuse(), room: roomNow(plan, absence, nowMs) }
+          : finding;
       if (countsForShare) shareGate.record(request, plan, best, destination, nowMs);
       return destination;
     },
--- a/src/core/pass-through/local-admission.ts
+++ b/src/core/pass-through/local-admission.ts
@@ -20,11 +20,16 @@
   /** Returns the maximum wait of a request that is admitted here, ms. */
   maxWaitMs(plan: RequestPlan, nowMs: number): number;
   /**
-   * Returns whether a request may be sent to a server, by the predicted time to its first byte and
-   * the predicted wait there. The wait is without the computation of its own prompt, so that the
-   * bound by priority refuses no prompt for its size.
+   * Returns what keeps a request from being sent to a server, by the predicted time to its first byte and
+   * the predicted wait there; undefined if it may be sent. The wait is without the computation of its own prompt, so that
+   * the bound by priority refuses no prompt for its size.
    */
-  admits(choice: LocalChoice, plan: RequestPlan, maxWaitMs: number, nowMs: number): boolean;
+  exceededBound(
+    choice: LocalChoice,
+    plan: RequestPlan,
+    maxWaitMs: number,
+    nowMs: number,
+  ): ExceededBound | undefined;
   /**
    * Returns whether a stream that can only go on at some of the servers may be sent to one of them. It is not held to the
    * bounds on waits, since new requests have all servers to go to, and what its caller has is lost without the rest.
@@ -32,6 +37,9 @@
   admitsBound(choice: LocalChoice, plan: RequestPlan, nowMs: number): boolean;
 }
 
+/** Bound on a prediction: the time until the deadline, the longest wait by priority, or the latency objective. */
+export type ExceededBound = 'deadline' | 'wait' | 'objective';
+
 /** Options of `createLocalAdmission`. */
 export interface LocalAdmissionOptions {
   /** The region of this instance. */
@@ -73,21 +81,22 @@
     maxWaitMs: (plan, nowMs) =>
       options.byPriority ? priorityAdmission.maxWaitMs(plan, nowMs) : plan.objectiveMs,
     admitsBound: ({ predictedMs }, plan, nowMs) => predictedMs <= plan.deadlineAtMs - nowMs,
-    admits(choice, plan, maxWaitMs, nowMs) {
+    exceededBound(choice, plan, maxWaitMs, nowMs) {
       const { predictedMs, ownPrefillMs } = choice;
       const { objectiveMs } = plan;
       const waitMs = waitMsOf(choice);
-      if (predictedMs > plan.deadlineAtMs - nowMs) return false;
-      if (waitMs > maxWaitMs) return false;
+      if (predictedMs > plan.deadlineAtMs - nowMs) return 'deadline';
+      if (waitMs > maxWaitMs) return 'wait';
       const kind = requestClassKey(plan);
       if (predictedMs <= objectiveMs * MAX_OBJECTIVE_MULTIPLE) {
         // The admission by size compares late prompts to those in time.
         sizeAdmission.recordInTime(kind, ownPrefillMs);
-        return true;
+        return undefined;
       }
       // The server would not be faster later, so that a refusal could not help.
-      if (waitMs <= objectiveMs * MAX_IDLE_WAIT_SHARE) return true;
-      return sizeAdmission.admits({ kind, predictedMs, ownPrefillMs, objectiveMs });
+      if (waitMs <= objectiveMs * MAX_IDLE_WAIT_SHARE) return undefined;
+      const isAdmitted = sizeAdmission.admits({ kind, predictedMs, ownPrefillMs, objectiveMs });
+      return isAdmitted ? undefined : 'objective';
     },
   };
 }
--- a/src/core/pass-through/local-servers.ts
+++ b/src/core/pass-through/local-servers.ts
@@ -11,6 +11,7 @@
 import type {
   Candidate,
   PredictionCorrection,
+  PredictionParts,
   PrefixCacheView,
   PrefillPlanner,
   PrefillPlan,
@@ -23,6 +24,8 @@
 import type { KnownServer, ServerRegistry } from '../server-registry';
 import type { ColdServerLimiter } from '../shared-budget';
 import { requestClassKey } from './forwarding';
+import { nameAbsence } from './server-absence';
+import type { ServerAbsence } from './server-absence';
 import type { InboundRequest, RequestPlan, TriedDestinations } from './types';
 
 /** The best server of this region for a request, with the prediction for it. */
@@ -36,6 +39,8 @@
   readonly usualMs: number;
   /** Factor of the time that the server takes for its work; 1 is the usual speed of the service. */
   readonly speedFactor: number;
+  /** What the prediction before the correction consists of. */
+  readonly parts: PredictionParts;
   /** Part of `predictedMs` that is spent on reading the request's own prompt. */
   readonly ownPrefillMs: number;
   /** Estimated prompt tokens that the server has to compute, without those that it copies. */
@@ -68,6 +73,8 @@
    * be asked again if there are several. Set only if `best` is not.
    */
   readonly restricted: RestrictedServer | undefined;
+  /** Why there is neither `best` nor `unreachable`; undefined if there is one. */
+  readonly absence: ServerAbsence | undefined;
 }
 
 /** A server that may not be sent a request at the moment because of what it has stated. */
@@ -93,6 +100,8 @@
    * state is concerned, ms; 0 if that is so now, or if there is no server.
    */
   waitMs(service: string): number;
+  /** Returns the number of servers that a request may go to, and that have a free slot and no prompt that waits. */
+  idleServers(plan: RequestPlan, nowMs: number): number;
 }
 
 /** Options of `createLocalServers`. */
@@ -181,19 +190,17 @@
   const speedFactorOf = (incarnationId: string, nowMs: number): number =>
     serverSpeeds?.factor(incarnationId, nowMs) ?? 1;
 
-  const canReceive = (
-    server: KnownServer,
+  const isConnectable = ({ address }: KnownServer, service: RoutedService | undefined): boolean =>
+    pool.hasCapacity(address, maxConnectionsOf(service));
+
+  /** Returns whether a server is warm, or may get one more request although it is cold. */
+  const isReceiving = (
+    { incarnationId, coldUntilMs }: KnownServer,
     service: RoutedService | undefined,
     nowMs: number,
-  ): boolean => {
-    if (!pool.hasCapacity(server.address, maxConnectionsOf(service))) return false;
-    if (server.coldUntilMs <= nowMs) return true;
-    return coldServerLimiter.maySend(
-      server.incarnationId,
-      service?.coldRequestsPerSecond ?? 0,
-      nowMs,
-    );
-  };
+  ): boolean =>
+    coldUntilMs <= nowMs ||
+    coldServerLimiter.maySend(incarnationId, service?.coldRequestsPerSecond ?? 0, nowMs);
 
   /** Returns why a server may not be sent a request now; undefined if it may. */
   const restrictionOf = ({ incarnationId }: KnownServer): RestrictedServer | undefined => {
@@ -340,6 +347,7 @@
       rawPredictedMs: choice.predictedMs,
       usualMs: choice.usualMs,
       speedFactor,
+      parts: choice.parts,
       ownPrefillMs: correction.correct(kind, ownPrefillMs),
       tokens: choice.prefillTokens,
       load: loadOf(server.incarnationId, nowMs),
@@ -353,27 +361,42 @@
     outlook(request, plan, tried, nowMs) {
       const mayServeHere = plan.homeRegions.length === 0 || plan.homeRegions.includes(region);
       if (!mayServeHere) {
-        return { best: undefined, unreachable: undefined, restricted: undefined };
+        const absence = 'notInThisRegion';
+        return { best: undefined, unreachable: undefined, restricted: undefined, absence };
       }
       const service = routes.current()?.table.services.get(plan.service);
-      const candidates = servers
-        .usable(plan.service, region, plan.streamVersion)
-        .filter(
-          (server) => !tried.ids.has(server.incarnationId) && canReceive(server, service, nowMs),
-        );
+      const usable = servers.usable(plan.service, region, plan.streamVersion);
+      const untried = usable.filter(({ incarnationId }) => !tried.ids.has(incarnationId));
+      const connectable = untried.filter((server) => isConnectable(server, service));
+      const candidates = connectable.filter((server) => isReceiving(server, service, nowMs));
       const eligible = candidates.filter((server) => restrictionOf(server) === undefined);
       const reachable = eligible.filter(
         (server) => !loads.isBackingOff(server.incarnationId, nowMs),
       );
       if (reachable.length > 0) {
         const best = chooseBest(reachable, request, plan, tried, nowMs);
-        return { best, unreachable: undefined, restricted: undefined };
+        return { best, unreachable: undefined, restricted: undefined, absence: undefined };
       }
       const unreachable = chooseBest(eligible, request, plan, tried, nowMs);
       const restricted =
         firstRestricted(candidates) ?? serviceRestriction(plan.service, plan.streamVersion);
-      return { best: undefined, unreachable, restricted };
+      const facts = {
+        mayServeHere,
+        usable: usable.length,
+        untried: untried.length,
+        connectable: connectable.length,
+        receiving: candidates.length,
+      };
+      const absence = unreachable === undefined ? nameAbsence(facts) : undefined;
+      return { best: undefined, unreachable, restricted, absence };
     },
     waitMs: (service) => serviceRestriction(service)?.waitMs ?? 0,
+    idleServers: ({ service, streamVersion }, nowMs) =>
+      servers
+        .usable(service, region, streamVersion)
+        .filter(
+          ({ incarnationId, slots }) =>
+            loadOf(incarnationId, nowMs) + 1 <= slots && pendingTokensOf(incarnationId) === 0,
+        ).length,
   };
 }
--- a/src/core/pass-through/other-regions.ts
+++ b/src/core/pass-through/other-regions.ts
@@ -20,6 +20,8 @@
 export interface OtherRegions {
   /** Returns the regions that have servers for a request, whether or not they may be sent more now. */
   regionsWithServers(plan: RequestPlan): readonly string[];
+  /** Returns the free slots for a request in other regions that may serve it, as far as they have reported. */
+  freeSlots(plan: RequestPlan): number;
   /** Returns the regions that have servers for a request and may be sent more now. */
   options(plan: RequestPlan, tried: TriedDestinations): readonly RegionOption[];
   /**
@@ -117,6 +119,12 @@
 
   return {
     regionsWithServers,
+    freeSlots(plan) {
+      const peers = options.peers();
+      return regionsWithServers(plan)
+        .map((other) => toOption(plan, other, peers).room)
+        .reduce((sum, room) => sum + room, 0);
+    },
     options(plan, tried) {
       const peers = options.peers();
       return regionsWithServers(plan)
--- a/src/core/pass-through/request-end.ts
+++ b/src/core/pass-through/request-end.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../clock';
-import type { RefusalBasis } from './create-refuser';
+import type { RefusalGrounds } from './create-refuser';
 import type { RequestLog } from './request-log';
 import type { ClientAnswer, InboundRequest, Refusal, RefusalReason, RequestPlan } from './types';
 
@@ -16,6 +16,8 @@
   readonly attempts: number;
   /** Whether no server has run the request, and none will. */
   readonly hasNotRun: boolean;
+  /** What a refusal rests on; undefined if the choice of a destination was not the reason. */
+  readonly grounds?: RefusalGrounds | undefined;
 }
 
 /** Ends one request: as answered, refused, broken off, or left by its caller. */
@@ -31,10 +33,10 @@
   callerGone(): void;
   /**
    * Ends the request without further attempts. The caller gets the kept failure answer of a server,
-   * or else a refusal; an answer that has begun is closed incomplete. `basis` is the
+   * or else a refusal; an answer that has begun is closed incomplete. `grounds` are those of the
    * server that is the reason, if there is one.
    */
-  giveUp(reason: RefusalReason, retryAfterMs: number | undefined, basis?: RefusalBasis): void;
+  giveUp(reason: RefusalReason, retryAfterMs: number | undefined, grounds?: RefusalGrounds): void;
 }
 
 /** Options of `createRequestEnd`. */
@@ -57,15 +59,19 @@
   let mayHaveRun = false;
   let passOnKeptFailure: (() => void) | undefined;
 
-  const finish = (result: ServedRequest['result'], hasNotRun = false): void => {
+  const finish = (
+    result: ServedRequest['result'],
+    hasNotRun = false,
+    grounds?: RefusalGrounds,
+  ): void => {
     isOver = true;
     const nowMs = clock.monotonicMs();
     const firstByteMs = (options.firstByteAtMs() ?? nowMs) - request.receivedAtMs;
     const totalMs = nowMs - request.receivedAtMs;
-    onDone({ plan, result, firstByteMs, totalMs, attempts: attempts(), hasNotRun });
+    onDone({ plan, result, firstByteMs, totalMs, attempts: attempts(), hasNotRun, grounds });
   };
 
-  const refuse: RequestEnd['giveUp'] = (reason, retryAfterMs, basis) => {
+  const refuse: RequestEnd['giveUp'] = (reason, retryAfterMs, grounds) => {
     const outcome = mayHaveRun ? 'unknown' : 'notRun';
     const refusal: Refusal = {
       reason,
@@ -74,8 +80,8 @@
     };
     answer.recordAttempts(attempts());
     answer.refuse(refusal);
-    log.refused(refusal, basis);
-    finish(reason, outcome === 'notRun');
+    log.refused(refusal, grounds);
+    finish(reason, outcome === 'notRun', grounds);
   };
 
   return {
@@ -90,7 +96,7 @@
     },
     answered: () => finish('answered'),
     callerGone: () => finish('callerGone', attempts() === 0),
-    giveUp(reason, retryAfterMs, basis) {
+    giveUp(reason, retryAfterMs, grounds) {
       if (answer.headSent) {
         answer.closeIncomplete();
         log.brokenOff(reason);
@@ -98,7 +104,7 @@
         return;
       }
       if (passOnKeptFailure === undefined) {
-        refuse(reason, retryAfterMs, basis);
+        refuse(reason, retryAfterMs, grounds);
         return;
       }
       // A server's own answer carries more information than a refusal, and identifies the server
--- a/src/core/pass-through/request-log.ts
+++ b/src/core/pass-through/request-log.ts
@@ -5,8 +5,9 @@
 import type { Attempt } from './attempt';
 import { PASS_THROUGH_EVENTS } from './events';
 import { answerDeadlineMs, requestFields } from './forwarding';
-import type { RefusalBasis } from './create-refuser';
+import type { RefusalBasis, RefusalGrounds, RoomAtRefusal } from './create-refuser';
 import type { SendableDestination } from './create-router';
+import { largestPart } from './largest-part';
 import type { LocalChoice } from './local-servers';
 import type { StreamProgress } from './stream-progress';
 import type { InboundRequest, Refusal, RefusalReason, RequestPlan } from './types';
@@ -26,11 +27,8 @@
   rejected(attempt: Attempt, status: number, pauseMs: number | undefined): void;
   /** Logs a complete answer; `firstByteAtMs` is undefined if the answer had no body. */
   answered(attempt: Attempt, status: number, firstByteAtMs: number | undefined): void;
-  /**
-   * Logs a refusal; `basis` is the server that is the reason, and undefined if no server could accept
-   * the request.
-   */
-  refused(refusal: Refusal, basis: RefusalBasis | undefined): void;
+  /** Logs a refusal; `grounds` are undefined if the choice of a destination was not the reason. */
+  refused(refusal: Refusal, grounds: RefusalGrounds | undefined): void;
   brokenOff(reason: RefusalReason): void;
   callerGone(): void;
 }
@@ -73,6 +71,27 @@
   };
 }
 
+/** Returns what a prediction consists of as log fields, in ms; `correctionMs` is what its correction adds. */
+function partFields({ parts, predictedMs, rawPredictedMs }: LocalChoice) {
+  return {
+    slotWaitMs: Math.round(parts.slotWaitMs),
+    batchMs: Math.round(parts.batchMs),
+    otherPromptsMs: Math.round(parts.otherPromptsMs),
+    ownPromptMs: Math.round(parts.ownPromptMs),
+    copyMs: Math.round(parts.copyMs),
+    slownessMs: Math.round(parts.slownessMs),
+    latenessMs: Math.round(parts.latenessMs),
+    correctionMs: Math.round(predictedMs - rawPredictedMs),
+  };
+}
+
+/** Returns the room at the time of a refusal as log fields. */
+function roomFields(room: RoomAtRefusal | undefined) {
+  if (room === undefined) return {};
+  const { absence, idleServers, freeSlotsElsewhere } = room;
+  return { absence, idleServers, freeSlotsElsewhere };
+}
+
 /** Returns the server that is the reason for a refusal as log fields. */
 function basisFields(basis: RefusalBasis | undefined) {
   switch (basis?.kind) {
@@ -84,6 +103,10 @@
         bestServer: basis.best.server.incarnationId,
         waitMs: Math.round(basis.waitMs),
         maxWaitMs: Math.round(basis.maxWaitMs),
+        exceeded: basis.exceeded,
+        largestPart: largestPart(basis.best),
+        slots: basis.best.server.slots,
+        ...partFields(basis.best),
       };
     case 'restricted':
       return basis.server.kind === 'limited'
@@ -181,11 +204,12 @@
         firstByteMs: sinceReceivedMs(firstByteAtMs ?? request.receivedAtMs),
         totalMs: totalMs(),
       }),
-    refused: (refusal, basis) =>
+    refused: (refusal, grounds) =>
       logger.event(PASS_THROUGH_EVENTS.refused, {
         ...fields(),
         ...refusal,
-        ...basisFields(basis),
+        ...basisFields(grounds?.basis),
+        ...roomFields(grounds?.room),
         ...resumptionFields(request, progress),
         streamVersion: plan.streamVersion,
         priority: plan.priority,
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -304,7 +304,7 @@
       const minRetryMs = to.basis === undefined ? (peerRetryAfterMs ?? 0) : 0;
       const retryAfterMs =
         to.retryAfterMs === undefined ? undefined : Math.max(to.retryAfterMs, minRetryMs);
-      end.giveUp(end.mayHaveRun() ? lastFailure : to.reason, retryAfterMs, to.basis);
+      end.giveUp(end.mayHaveRun() ? lastFailure : to.reason, retryAfterMs, to);
       return;
     }
     if (to.kind === 'server') sendWithPermit(to);
--- a/src/core/placement/choose-server.ts
+++ b/src/core/placement/choose-server.ts
@@ -41,16 +41,60 @@
   speed: ServiceSpeed,
   speedFactor: number,
 ): number {
+  const { slotWaitMs, batchMs, otherPromptsMs, ownPromptMs } = usualParts(candidate, speed);
+  const workMs = slotWaitMs + batchMs + otherPromptsMs + ownPromptMs;
+  return workMs * speedFactor + copyMs(candidate.copyableTokens, speed);
+}
+
+/** Returns the parts of a prediction for a server of usual speed, without copies between caches. */
+function usualParts(
+  candidate: Candidate,
+  speed: ServiceSpeed,
+): Omit<PredictionParts, 'copyMs' | 'slownessMs' | 'latenessMs'> {
   const { load, pendingTokens, uncachedTokens, copyableTokens, memorySlots = Infinity } = candidate;
   // Requests beyond the server's memory wait, even if the server has a slot for them.
   const slots = Math.min(candidate.slots, memorySlots);
   const queued = Math.max(0, load + 1 - slots);
-  const waitMs = (queued * speed.slotTimeMs) / Math.max(1, slots);
-  const batchDelayMs =
-    (Math.min(load, slots) / Math.max(1, slots)) * speed.slotTimeMs * BATCH_DELAY_SHARE;
-  const prefillTokens = uncachedTokens - copyableTokens + pendingTokens * PENDING_PREFILL_WEIGHT;
-  const prefillMs = prefillTokens * speed.prefillMsPerToken;
-  return (waitMs + batchDelayMs + prefillMs) * speedFactor + copyMs(copyableTokens, speed);
+  const busyShare = Math.min(load, slots) / Math.max(1, slots);
+  return {
+    slotWaitMs: (queued * speed.slotTimeMs) / Math.max(1, slots),
+    batchMs: busyShare * speed.slotTimeMs * BATCH_DELAY_SHARE,
+    otherPromptsMs: pendingTokens * PENDING_PREFILL_WEIGHT * speed.prefillMsPerToken,
+    ownPromptMs: (uncachedTokens - copyableTokens) * speed.prefillMsPerToken,
+  };
+}
+
+/** Returns the parts of the prediction for a server; their sum is the predicted time to the first byte. */
+function predictionParts(candidate: Candidate, speed: ServiceSpeed): PredictionParts {
+  const { delayMs, speedFactor, copyableTokens } = candidate;
+  const usualMs = predictWithoutDelayMs(candidate, speed, 1);
+  const slownessMs = predictWithoutDelayMs(candidate, speed, speedFactor) - usualMs;
+  const lateMs = delayMs + Math.min(0, slownessMs);
+  const isSlownessLarger = slownessMs >= lateMs;
+  return {
+    ...usualParts(candidate, speed),
+    copyMs: copyMs(copyableTokens, speed),
+    slownessMs: isSlownessLarger ? slownessMs : 0,
+    latenessMs: isSlownessLarger ? 0 : lateMs,
+  };
+}
+
+/** What a predicted time to the first byte consists of, ms, before its correction. */
+export interface PredictionParts {
+  /** Wait for a free slot. */
+  readonly slotWaitMs: number;
+  /** Steps of the batch that the request joins. */
+  readonly batchMs: number;
+  /** Prompts of other requests that the server reads before. */
+  readonly otherPromptsMs: number;
+  /** The request's own prompt, without what is copied. */
+  readonly ownPromptMs: number;
+  /** Copies from the cache of another server. */
+  readonly copyMs: number;
+  /** What the server's work takes longer than usual; negative for a fast server. */
+  readonly slownessMs: number;
+  /** Delay that is expected from recent silence and lateness of the server. */
+  readonly latenessMs: number;
 }
 
 /** A selected server and the predicted cost of the request there. */
@@ -61,6 +105,7 @@
   readonly usualMs: number;
   /** Estimated prompt tokens that the server has to compute, without those that it copies. */
   readonly prefillTokens: number;
+  readonly parts: PredictionParts;
 }
 
 /** Returns the best candidate; undefined if there are none. */
@@ -68,7 +113,8 @@
   candidates: readonly Candidate[],
   speed: ServiceSpeed,
 ): ServerChoice | undefined {
-  let best: ServerChoice | undefined;
+  let best: Omit<ServerChoice, 'parts'> | undefined;
+  let bestCandidate: Candidate | undefined;
   let minCostMs = Infinity;
   for (const candidate of candidates) {
     const predictedMs = predictFirstByteMs(candidate, speed);
@@ -81,8 +127,10 @@
         usualMs: predictWithoutDelayMs(candidate, speed, 1),
         prefillTokens: uncachedTokens - copyableTokens,
       };
+      bestCandidate = candidate;
       minCostMs = costMs;
     }
   }
-  return best;
+  if (best === undefined || bestCandidate === undefined) return undefined;
+  return { ...best, parts: predictionParts(bestCandidate, speed) };
 }
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -2,7 +2,7 @@
 export { chooseRegion } from './choose-region';
 export type { RegionChoice, RegionInput, RegionOption } from './choose-region';
 export { chooseServer, predictFirstByteMs } from './choose-server';
-export type { ServerChoice } from './choose-server';
+export type { PredictionParts, ServerChoice } from './choose-server';
 export { memorySlots, ownTokens } from './memory-slots';
 export type { OpenSizes } from './memory-slots';
 export { createPredictionCorrection } from './prediction-correction';
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -18,6 +18,7 @@
   createCrashInvestigations,
   createRouter,
   createWarmCheck,
+  largestPart,
 } from '../pass-through';
 import type {
   CheckConnection,
@@ -64,13 +65,16 @@
 const MAX_CHECK_CONNECTIONS = 64;
 
 function createRequestCounter(metrics: Metrics) {
-  return ({ plan, result, firstByteMs, totalMs, attempts }: ServedRequest): void => {
+  return ({ plan, result, firstByteMs, totalMs, attempts, grounds }: ServedRequest): void => {
     // The instance that forwarded a request counts its attempts, including those that this one reports to it.
     if (!plan.isForwarded) metrics.attempts(plan.route, attempts);
     if (result === 'answered') metrics.answered(plan.route, firstByteMs, totalMs);
     else if (result === 'brokenOff') metrics.cutShort(plan.route);
     else if (result === 'callerGone') metrics.callerGone(plan.route);
     else metrics.refused(result, plan.service);
+    const basis = grounds?.basis;
+    if (basis?.kind !== 'tooSlow') return;
+    metrics.refusedForPrediction(plan.service, basis.exceeded, largestPart(basis.best));
   };
 }
 
