Take what a route takes by nature out of the lateness of its servers

Callers of quick routes were refused as overloaded at nearly idle servers as soon as a slow route shared these: the time to the first byte of requests that state no prompt was predicted as a wait only, so all that they take by nature counted as lateness of their server, against every other request there, and as an error of the prediction.

An instance now learns, for each route whose requests state no prompt, the median of what its requests take beyond the predicted wait at servers with spare slots. Lateness and the correction count what comes on top of that; admission by the objective adds it to the wait, unless the route never meets its objective, which no refusal changes. Requests that state a prompt are predicted as before.

--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -6,6 +6,7 @@
   createServerLoads,
   createServiceSpeeds,
   createSpillWindows,
+  createUsualTimes,
 } from '../placement';
 import type { CachedParts } from '../load-sharing';
 import type {
@@ -16,6 +17,7 @@
   ServerSpeeds,
   ServiceSpeeds,
   SpillWindows,
+  UsualTimes,
 } from '../placement';
 import type { Reachability } from '../reachability';
 import { createRefusals } from '../server-notices';
@@ -96,6 +98,8 @@
   readonly serverSpeeds: ServerSpeeds | undefined;
   readonly prefixes: PrefixCacheView;
   readonly correction: PredictionCorrection;
+  /** Times that requests without a stated prompt take by nature, by `ownTimeKey`. */
+  readonly usualTimes: UsualTimes;
   readonly spillWindows: SpillWindows;
   /** Whether this instance reached no server at some time since the given one, monotonic ms. */
   wereLinksCutSince(atMs: number): boolean;
@@ -159,11 +163,13 @@
   const speeds = createServiceSpeeds();
   const prefixes = createPrefixCacheView();
   const correction = createPredictionCorrection();
+  const usualTimes = createUsualTimes();
   const spillWindows = createSpillWindows();
   const admission = createLocalAdmission({
     region: options.region,
     byPriority: options.priorityAdmission,
     draw: options.draw,
+    usualTimes,
   });
   const refuser = createRefuser();
   const shareGate = createShareGate(options.accountShares);
@@ -262,16 +268,20 @@
 
   const exceededBound = (
     choice: LocalChoice,
+    request: InboundRequest,
     plan: RequestPlan,
     maxWaitMs: number,
     nowMs: number,
   ): ExceededBound | undefined => {
-    if (!isBoundToSome(plan)) return admission.exceededBound(choice, plan, maxWaitMs, nowMs);
+    if (!isBoundToSome(plan)) {
+      return admission.exceededBound(choice, request, plan, maxWaitMs, nowMs);
+    }
     return admission.admitsBound(choice, plan, nowMs) ? undefined : 'deadline';
   };
 
   const chooseAmong = (
     { best, unreachable, restricted }: LocalChoices,
+    request: InboundRequest,
     plan: RequestPlan,
     tried: TriedDestinations,
     nowMs: number,
@@ -286,7 +296,7 @@
     if (choice === undefined) {
       return { kind: 'none', refuse: () => refuseWithoutServer(plan, restricted, nowMs) };
     }
-    const exceeded = exceededBound(choice, plan, maxWaitMs, nowMs);
+    const exceeded = exceededBound(choice, request, plan, maxWaitMs, nowMs);
     if (exceeded !== undefined) {
       return {
         kind: 'none',
@@ -322,7 +332,7 @@
       return { finding, best, absence, countsForShare: false };
     }
     admission.recordDemand(request, plan, best, nowMs);
-    const finding = chooseAmong(choices, plan, tried, nowMs);
+    const finding = chooseAmong(choices, request, plan, tried, nowMs);
     return { finding, best, absence, countsForShare: true };
   };
 
@@ -343,6 +353,7 @@
     serverSpeeds: options.serverSpeeds,
     prefixes,
     correction,
+    usualTimes,
     spillWindows,
     wereLinksCutSince: links.wasCutSince,
     choose(request, plan, tried, nowMs) {
--- a/src/core/pass-through/forwarding.ts
+++ b/src/core/pass-through/forwarding.ts
@@ -89,6 +89,17 @@
   return `${service}/${priority}/${objectiveMs}`;
 }
 
+/**
+ * Returns the key of requests that take the same time by nature; undefined for one that states its prompt, whose time is
+ * predicted from that.
+ */
+export function ownTimeKey(
+  { demand }: InboundRequest,
+  { service, route }: RequestPlan,
+): string | undefined {
+  return demand === undefined || demand.promptTokens === 0 ? `${service}/${route}` : undefined;
+}
+
 /** Returns whether a request may be sent again after it may have run. */
 export function isRepeatable({ kind, isResumable }: RequestPlan): boolean {
   return kind === 'idempotent' || (kind === 'stream' && isResumable);
--- a/src/core/pass-through/local-admission.ts
+++ b/src/core/pass-through/local-admission.ts
@@ -1,6 +1,7 @@
 import { createSizeAdmission } from '../placement';
+import type { UsualTimes } from '../placement';
 import { createPriorityAdmission } from '../priority-admission';
-import { requestClassKey } from './forwarding';
+import { ownTimeKey, requestClassKey } from './forwarding';
 import { waitMsOf } from './local-servers';
 import type { LocalChoice } from './local-servers';
 import type { InboundRequest, RequestPlan } from './types';
@@ -26,6 +27,7 @@
    */
   exceededBound(
     choice: LocalChoice,
+    request: InboundRequest,
     plan: RequestPlan,
     maxWaitMs: number,
     nowMs: number,
@@ -48,6 +50,7 @@
   readonly byPriority: boolean;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
   readonly draw: () => number;
+  readonly usualTimes: Pick<UsualTimes, 'usualMs'>;
 }
 
 /**
@@ -68,6 +71,13 @@
   const priorityAdmission = createPriorityAdmission();
   const recordedRequests = new WeakSet<InboundRequest>();
 
+  /** Returns the time that a request takes by nature, ms; 0 if it never meets its objective, which no refusal changes. */
+  const ownMs = (request: InboundRequest, plan: RequestPlan): number => {
+    const key = ownTimeKey(request, plan);
+    const usualMs = key === undefined ? 0 : (options.usualTimes.usualMs(key) ?? 0);
+    return usualMs < plan.objectiveMs ? usualMs : 0;
+  };
+
   return {
     recordDemand(request, plan, best, nowMs) {
       if (recordedRequests.has(request)) return;
@@ -81,14 +91,14 @@
     maxWaitMs: (plan, nowMs) =>
       options.byPriority ? priorityAdmission.maxWaitMs(plan, nowMs) : plan.objectiveMs,
     admitsBound: ({ predictedMs }, plan, nowMs) => predictedMs <= plan.deadlineAtMs - nowMs,
-    exceededBound(choice, plan, maxWaitMs, nowMs) {
+    exceededBound(choice, request, plan, maxWaitMs, nowMs) {
       const { predictedMs, ownPrefillMs } = choice;
       const { objectiveMs } = plan;
       const waitMs = waitMsOf(choice);
       if (predictedMs > plan.deadlineAtMs - nowMs) return 'deadline';
       if (waitMs > maxWaitMs) return 'wait';
       const kind = requestClassKey(plan);
-      if (predictedMs <= objectiveMs * MAX_OBJECTIVE_MULTIPLE) {
+      if (predictedMs + ownMs(request, plan) <= objectiveMs * MAX_OBJECTIVE_MULTIPLE) {
         // The admission by size compares late prompts to those in time.
         sizeAdmission.recordInTime(kind, ownPrefillMs);
         return undefined;
--- a/src/core/pass-through/observe-destination.ts
+++ b/src/core/pass-through/observe-destination.ts
@@ -2,7 +2,7 @@
 import { ownTokens } from '../placement';
 import type { LoadReport, SpillResult } from '../placement';
 import type { Router, SendableDestination } from './create-router';
-import { requestClassKey } from './forwarding';
+import { ownTimeKey, requestClassKey } from './forwarding';
 import type { InboundRequest, RequestPlan } from './types';
 
 /** End of an attempt, classified by what it shows about the destination. */
@@ -50,10 +50,11 @@
 ): DestinationObserver {
   const { server, tokens, predictedMs, usualMs, rawPredictedMs } = to;
   const { incarnationId } = server;
-  const { loads, refusals, speeds, serverSpeeds, correction } = router;
+  const { loads, refusals, speeds, serverSpeeds, correction, usualTimes } = router;
   const promptTokens = request.demand?.promptTokens ?? 0;
   const sentAtMs = clock.monotonicMs();
   const kind = requestClassKey(plan);
+  const ownKey = ownTimeKey(request, plan);
   const factorNow = () => serverSpeeds?.factor(incarnationId, clock.monotonicMs()) ?? 1;
   /** Mean of the server's factor when the request was sent and now; the work was done in between. */
   const meanFactor = () => (to.speedFactor + factorNow()) / 2;
@@ -91,17 +92,28 @@
       const factor = meanFactor();
       const extraFactor = factor - to.speedFactor;
       if (hasSpareSlots) speeds.recordPrefill(plan.service, tokens, actualMs / factor);
+      const ownMs = ownKey === undefined ? 0 : usualTimes.usualMs(ownKey);
+      if (hasSpareSlots && ownKey !== undefined) {
+        usualTimes.record(ownKey, actualMs / factor - usualMs);
+      }
+      if (ownMs === undefined) {
+        // What the request takes by nature is not known yet, so that its time shows no lateness.
+        loads.recordFirstByte(incarnationId, { tokens, predictedMs: actualMs, actualMs }, nowMs);
+        return;
+      }
+      const waitedMs = Math.max(0, actualMs - ownMs * factor);
       const correctedUsualMs = correction.correct(kind, usualMs);
       serverSpeeds?.recordFirstByte(
         incarnationId,
-        { predictedMs: correctedUsualMs, actualMs },
+        { predictedMs: correctedUsualMs + ownMs, actualMs },
         nowMs,
       );
-      correction.record(kind, rawPredictedMs + usualMs * extraFactor, actualMs);
+      correction.record(kind, rawPredictedMs + usualMs * extraFactor, waitedMs);
       // A slowdown that began after the request was sent is not recorded as lateness: it ends within a second, while
       // recorded lateness affects choices for longer.
       const expectedMs = predictedMs + correctedUsualMs * Math.max(0, extraFactor);
-      loads.recordFirstByte(incarnationId, { tokens, predictedMs: expectedMs, actualMs }, nowMs);
+      const timing = { tokens, predictedMs: expectedMs, actualMs: waitedMs };
+      loads.recordFirstByte(incarnationId, timing, nowMs);
     },
     recordData() {
       loads.recordReceived(incarnationId, clock.monotonicMs());
--- a/src/core/pass-through/testing/north-instance.ts
+++ b/src/core/pass-through/testing/north-instance.ts
@@ -116,8 +116,11 @@
     announce,
     choose: (tried = NOTHING_TRIED, more: Partial<RequestPlan> = {}, request = REQUEST) =>
       router.choose(request, { ...PLAN, ...more }, tried, nowMs),
-    observe: (to: Parameters<typeof observeDestination>[1]) =>
-      observeDestination({ clock, router, request: REQUEST, plan: PLAN }, to),
+    observe: (
+      to: Parameters<typeof observeDestination>[1],
+      more: Partial<RequestPlan> = {},
+      request = REQUEST,
+    ) => observeDestination({ clock, router, request, plan: { ...PLAN, ...more } }, to),
     advanceMs(ms: number) {
       nowMs += ms;
     },
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -25,4 +25,6 @@
 export type { SizeAdmission } from './size-admission';
 export { createSpillWindows } from './spill-windows';
 export type { SpillResult, SpillWindows } from './spill-windows';
+export { createUsualTimes } from './usual-times';
+export type { UsualTimes } from './usual-times';
 export type { Candidate, LoadReport, ModelDemand, PromptPart, ServiceSpeed } from './types';
