Bound the body of a request that another instance forwards

An instance saw: a forwarded request whose body doesn't end was kept as it arrived, without a bound.

Cause: the listener for other instances had no limit, since the sender checks the limit of the routes that it has, which may differ from those here.

Change: the bound is 64 MiB, or the limit for callers if that is higher. Beyond it the request is refused as too large and its connection closed.

Evidence: before, 2 of the 3 cases of endless-forwarded.test.ts fail: the instance takes all 144 MiB that the sender has, and waits for a body that is stated to be 900 MB long. With the change all pass; a body of 1 MiB is served although callers may send 100 kB.

--- a/src/core/pass-through/open-ingress.ts
+++ b/src/core/pass-through/open-ingress.ts
@@ -69,6 +69,11 @@
 
 /** Maximum header section that is read at all; the routes' own limit is checked in addition. */
 const MAX_HEADER_BYTES = 131_072;
+/**
+ * Maximum body of a request from another instance, bytes, where the limit for callers isn't higher. It may have accepted
+ * the request under a limit that isn't known here.
+ */
+const MAX_PEER_BODY_BYTES = 67_108_864;
 /** Idle timeout of connections from other instances: longer than gaps between bursts. */
 const PEER_IDLE_TIMEOUT_MS = 60_000;
 /** Idle timeout of callers' connections until the routes state one. */
@@ -318,7 +323,10 @@
       return;
     }
     // The instance that received the request from its caller has charged the client account.
-    serve(incoming, response, answer, { plan, charge: { kind: 'free' } }, Infinity, receivedAtMs);
+    const callerBodyBytes = routes.current()?.table.limits.bodyBytes ?? 0;
+    const maxBodyBytes = Math.max(MAX_PEER_BODY_BYTES, callerBodyBytes);
+    const charge = { kind: 'free' } as const;
+    serve(incoming, response, answer, { plan, charge }, maxBodyBytes, receivedAtMs);
   };
 
   const handle = (incoming: IncomingMessage, response: ServerResponse): void => {
