--- a/bench/silent-servers/requests.ts
+++ b/bench/silent-servers/requests.ts
@@ -43,9 +43,13 @@
   readonly maxAttempts: number;
 }
 
-/** Draws a request. */
-export function drawRequest(random: RandomSource, number: number): BenchRequest {
-  const of = REQUEST_KINDS[pickIndex(random, REQUEST_KINDS.length)];
+/** Draws a request of one of the kinds. */
+export function drawRequest(
+  random: RandomSource,
+  number: number,
+  kinds: readonly RequestKind[] = REQUEST_KINDS,
+): BenchRequest {
+  const of = kinds[pickIndex(random, kinds.length)];
   if (of === undefined) throw new RangeError('there is no kind of request');
   const workMs = of.minMs + Math.floor(random.next() * (of.maxMs - of.minMs));
   return {
@@ -58,7 +62,7 @@
 }
 
 /** Returns a version of the configuration; each has an idle timeout of its own. */
-export function benchConfiguration(version: number): object {
+export function benchConfiguration(version: number, timeoutMs = DEADLINE_MS) {
   const { Routes, Limits } = TEST_CONFIGURATION;
   return {
     ...TEST_CONFIGURATION,
@@ -67,7 +71,7 @@
     Routes: Routes.map((route) => ({
       ...route,
       MaxAttempts: MAX_ATTEMPTS,
-      TimeoutMs: DEADLINE_MS,
+      TimeoutMs: timeoutMs,
     })),
     Limits: { ...Limits, IdleTimeoutMs: Limits.IdleTimeoutMs - version * 100 },
   };
--- a/bench/silent-servers/servers.ts
+++ b/bench/silent-servers/servers.ts
@@ -29,6 +29,9 @@
   readonly slots: number;
   readonly store: StoreStandIn;
   readonly owned: DisposableStore;
+  readonly service?: string;
+  /** Returns the script of a server, made of that of a sound one. */
+  readonly scriptOf?: (serverId: string, sound: ServerScript) => ServerScript;
 }
 
 /** Requests that wait at a server at most; it rejects more. */
@@ -136,15 +139,17 @@
 
 /** Starts servers, one in each failure domain in turn, and announces them. */
 export async function openSilentServers(options: SilentServersOptions): Promise<SilentServers> {
-  const { serverIds, slots, store, owned } = options;
+  const { serverIds, slots, store, owned, service: Service = 'app' } = options;
+  const { scriptOf = (_serverId, sound) => sound } = options;
   const runs: ServerRun[] = [];
   const standstills = new Map<string, Standstill>();
   for (const [index, serverId] of serverIds.entries()) {
     const standstill = createStandstill();
     standstills.set(serverId, standstill);
-    const script = createScript(serverId, slots, standstill, runs);
+    const script = scriptOf(serverId, createScript(serverId, slots, standstill, runs));
     const { address } = owned.add(await openAnnouncedServer(script));
-    store.put(`servers/${serverId}`, serverEntry(address, { Zone: domainOf(index), Slots: slots }));
+    const entry = serverEntry(address, { Service, Zone: domainOf(index), Slots: slots });
+    store.put(`servers/${serverId}`, entry);
   }
   return {
     runs,
--- a/soak/instances.ts
+++ b/soak/instances.ts
@@ -16,6 +16,8 @@
 export interface SoakInstances extends AsyncDisposable {
   readonly count: number;
   callerAddress(index: number): string;
+  /** Returns the process of an instance; undefined while it is restarted. */
+  processId(index: number): number | undefined;
   /** Returns the proxy between an instance and the store. */
   storeProxy(index: number): FaultProxy;
   /** Sends a signal to the process of an instance if it runs. */
@@ -98,6 +100,7 @@
   return {
     count,
     callerAddress: (index) => callerAddress({ index, hostOf }),
+    processId: (index) => running.get(index)?.pid,
     storeProxy(index) {
       const proxy = storeProxies[index];
       if (proxy === undefined) throw new RangeError(`there is no instance ${index}`);
