--- a/bench/endless-bytes/servers.ts
+++ b/bench/endless-bytes/servers.ts
@@ -1,7 +1,7 @@
 import { plainBody, streamBody } from '../../soak/promises';
 import type { ServerRun } from '../../soak/types';
 import type { ReceivedRequest, ServerScript } from '../../standins/announced-server';
-import { writeEndlessly } from '../../standins/endless-answers';
+import { canHaveShape, writeEndlessly } from '../../standins/endless-answers';
 import type { EndlessAnswer, EndlessShape } from '../../standins/endless-answers';
 import { REQUEST_KINDS } from '../silent-servers/requests';
 
@@ -24,12 +24,6 @@
   return streamBody(requestId, Number(request.headers.get('last-event-id') ?? 0));
 }
 
-/** Whether an answer to a request can have a shape: any bytes may be the body of a plain answer. */
-function canHave({ kind }: EndlessShape, request: ReceivedRequest): boolean {
-  const isOfStreams = kind === 'event' || kind === 'comments';
-  return !isOfStreams || isStream(request) || request.path === '/health';
-}
-
 /** Creates servers that are sound so far; those with the given ids send `shape` while they are in trouble. */
 export function createTroubledServers(
   serverIds: readonly string[],
@@ -60,12 +54,13 @@
     scriptOf(serverId, sound) {
       if (shape === undefined || !serverIds.includes(serverId)) return sound;
       return (request, socket) => {
-        if (!isTroubled || !canHave(shape, request)) {
+        const asked = { request, isStream: isStream(request), soundBody: soundBodyOf(request) };
+        if (!isTroubled || !canHaveShape(shape, asked)) {
           sound(request, socket);
           return;
         }
         recordRun(serverId, request);
-        answers.push(writeEndlessly(shape, request, socket, soundBodyOf(request)));
+        answers.push(writeEndlessly(shape, asked, socket));
       };
     },
   };
--- a/standins/endless-answers.ts
+++ b/standins/endless-answers.ts
@@ -47,15 +47,31 @@
 
 const LINE = 'x'.repeat(1_000);
 
+/** What is asked for. */
+export interface EndlessRequest {
+  readonly request: ReceivedRequest;
+  readonly isStream: boolean;
+  /** Body of a whole answer, for the shapes that begin with one. */
+  readonly soundBody: string;
+}
+
+/** Whether an answer can have a shape: any bytes may be the body of one that is no stream. */
+export function canHaveShape(
+  { kind }: EndlessShape,
+  { request, isStream }: Omit<EndlessRequest, 'soundBody'>,
+): boolean {
+  return (kind !== 'event' && kind !== 'comments') || isStream || request.path === '/health';
+}
+
 /** Returns the head of a chunked answer of a server that is sound so far. */
-function chunkedHead(request: ReceivedRequest, status = '200 OK'): string {
+function chunkedHead({ request, isStream }: EndlessRequest, status = '200 OK'): string {
   const head = streamHead(request).replace('200 OK', status);
-  const isStream = /^\/(?:plans|chat)\//u.test(request.path);
   return isStream ? head : head.replace('text/event-stream', 'text/plain');
 }
 
-function textOf({ kind }: EndlessShape, request: ReceivedRequest, soundBody: string): EndlessText {
-  const head = chunkedHead(request);
+function textOf({ kind }: EndlessShape, endless: EndlessRequest): EndlessText {
+  const { soundBody } = endless;
+  const head = chunkedHead(endless);
   const answerBegin = `${head}${chunkOf(soundBody)}0\r\n`;
   switch (kind) {
     case 'garbage':
@@ -75,9 +91,9 @@
     case 'chunkExtension':
       return { begin: `${head}5;`, repeated: 'x' };
     case 'failure':
-      return { begin: chunkedHead(request, '500 Failed'), repeated: chunkOf(LINE) };
+      return { begin: chunkedHead(endless, '500 Failed'), repeated: chunkOf(LINE) };
     case 'notExecuted': {
-      const rejection = chunkedHead(request, '503 Busy');
+      const rejection = chunkedHead(endless, '503 Busy');
       return { begin: withHeaders(rejection, ['X-Not-Executed: 1']), repeated: chunkOf(LINE) };
     }
     case 'event':
@@ -109,18 +125,14 @@
   isOpen(): boolean;
 }
 
-/**
- * Writes a shape until the connection closes, not faster than it is read. `soundBody` is the body of a whole answer, for the
- * shapes that begin with one.
- */
+/** Writes a shape until the connection closes, not faster than it is read. */
 export function writeEndlessly(
   shape: EndlessShape,
-  request: ReceivedRequest,
+  endless: EndlessRequest,
   socket: Socket,
-  soundBody: string,
 ): EndlessAnswer {
   const isSlow = 'pace' in shape && shape.pace === 'slow';
-  const { begin, repeated } = textOf(shape, request, soundBody);
+  const { begin, repeated } = textOf(shape, endless);
   const part = repeatUpTo(repeated, isSlow ? SLOW_PART_BYTES : QUICK_PART_BYTES);
   const beforeBytes = socket.bytesWritten;
   const writtenBytes = (): number => socket.bytesWritten - socket.writableLength - beforeBytes;
@@ -134,5 +146,5 @@
   };
   socket.write(begin);
   goOn();
-  return { path: request.path, writtenBytes, isOpen: () => !socket.destroyed };
+  return { path: endless.request.path, writtenBytes, isOpen: () => !socket.destroyed };
 }
