Hedge streams that bring nothing their caller can use

What callers saw: at a server that sent one event without end, 8 KiB each 50 ms, streams that may be resumed waited for their deadline (26 of 100 got 504) and no second attempt began. Comments without end were read until the deadline. Cause: any byte counted as a sign that an attempt goes on. Comments also ended the other attempt of their request. Change: progress is a whole event with data or an id, or body bytes of an answer that is no stream. An attempt without progress for 2 s is stalled, which lets a second one begin as silence does, and ends nothing. Before the first progress, it is so only if its server gives nobody of this instance anything of use, since its prompt may be queued or be long. Comments are passed on and decide nothing between attempts, nor do they fix the version of a stream; after 1 MiB of them without an event the attempt is lost with the cause endless (shape comments). Result: endless-answers.test.ts and hedge-silence.test.ts have eight more cases. Comments each 100 ms for ten minutes end nothing.

--- a/src/core/outcomes/types.ts
+++ b/src/core/outcomes/types.ts
@@ -21,6 +21,8 @@
   | 'chunkFraming'
   /** One event of a stream. */
   | 'partialEvent'
+  /** Events of a stream that have neither data nor an id. */
+  | 'comments'
   /** The body of a failure. */
   | 'failureBody'
   /** The body of an answer that is kept as a whole. */
--- a/src/core/pass-through/answer-limits.ts
+++ b/src/core/pass-through/answer-limits.ts
@@ -3,6 +3,8 @@
 
 /** Maximum size of one event of a stream, bytes. */
 export const MAX_EVENT_BYTES = 8_388_608;
+/** Maximum bytes of comments between two events that a caller can use; a keep-alive comment takes some tens of bytes. */
+export const MAX_COMMENT_BYTES = 1_048_576;
 /** Bytes that an instance may hold of all answers together, without small parts. */
 const MAX_HELD_BYTES = 67_108_864;
 /** Bytes that may be held of one answer at any time. */
--- a/src/core/pass-through/answer-reader.ts
+++ b/src/core/pass-through/answer-reader.ts
@@ -2,7 +2,7 @@
 import type { AnswerHead } from '../exchanges';
 import type { EndlessBytes } from '../outcomes';
 import { createEventSplitter } from '../streams';
-import { MAX_EVENT_BYTES } from './answer-limits';
+import { MAX_COMMENT_BYTES, MAX_EVENT_BYTES } from './answer-limits';
 import { readEventId } from './read-event-id';
 import type { StreamProgress } from './stream-progress';
 import type { ClientAnswer } from './types';
@@ -22,6 +22,8 @@
 export type ReadStep =
   | {
       readonly kind: 'taken';
+      /** Whether the chunk has something that the caller can use. */
+      readonly hasProgressed: boolean;
       /** Whether the caller reads slowly. */
       readonly isCallerSlow: boolean;
     }
@@ -58,7 +60,7 @@
       bytes += chunk.length;
       chunks.push(Buffer.from(chunk));
       const isCallerSlow = isLarge() && !flush();
-      return { kind: 'taken', isCallerSlow };
+      return { kind: 'taken', hasProgressed: true, isCallerSlow };
     },
     finish() {
       flush();
@@ -68,6 +70,21 @@
   };
 }
 
+/** Answers that a reader of a stream writes to; both lead to the same caller. */
+export interface StreamAnswers {
+  /** Gets events that the caller can use, which decides between the attempts in progress. */
+  readonly answer: ClientAnswer;
+  /** Gets events that the caller can't use. */
+  readonly quietAnswer: ClientAnswer;
+}
+
+const USABLE_FIELD = /^(?:data|id)(?:[:\r\n]|$)/m;
+
+/** Returns whether an event has data or an id; a comment has neither. */
+function isUsable(event: Buffer): boolean {
+  return USABLE_FIELD.test(event.toString('latin1'));
+}
+
 /**
  * Creates a reader that passes on complete events as they arrive, and never a part of an event. `softwareVersion` is that
  * of the server that writes them, if it is known.
@@ -75,44 +92,70 @@
 export function createStreamReader(
   head: AnswerHead,
   softwareVersion: string | undefined,
-  answer: ClientAnswer,
+  { answer, quietAnswer }: StreamAnswers,
   progress: StreamProgress,
   dropped: ReadonlySet<string>,
 ): AnswerReader {
   const splitter = createEventSplitter();
   // A stream that is resumed may have nothing left. One that begins has an event, unless its server crashed before it.
   const isEmptyIfCut = isCloseDelimited(head.headers) && progress.lastEventId === undefined;
-  const sendHead = (): void => {
+  /** Bytes of comments since the last event that the caller can use. */
+  let commentBytes = 0;
+
+  const sendHead = (to: ClientAnswer): void => {
     // A stream that is resumed at another server keeps the head of the first answer.
-    if (answer.headSent) return;
-    answer.recordStreamVersion(softwareVersion);
-    answer.sendHead(head.status, answerHeaders(head.headers, dropped));
+    if (to.headSent) return;
+    to.recordStreamVersion(softwareVersion);
+    to.sendHead(head.status, answerHeaders(head.headers, dropped));
+  };
+
+  /** Records events that are about to be passed on; returns whether the caller can use one of them. */
+  const record = (events: readonly Buffer[]): boolean => {
+    let hasProgressed = false;
+    for (const event of events) {
+      if (isUsable(event)) {
+        progress.recordEvent(readEventId(event), softwareVersion);
+        commentBytes = 0;
+        hasProgressed = true;
+      } else {
+        progress.recordComment();
+        commentBytes += event.length;
+      }
+    }
+    return hasProgressed;
   };
 
   /** Returns what of the stream has no end, if it is known to have none. */
   const findEndless = (): EndlessBytes | undefined => {
     const { heldBytes } = splitter;
-    return heldBytes > MAX_EVENT_BYTES ? { shape: 'partialEvent', bytes: heldBytes } : undefined;
+    if (heldBytes > MAX_EVENT_BYTES) return { shape: 'partialEvent', bytes: heldBytes };
+    if (commentBytes > MAX_COMMENT_BYTES) return { shape: 'comments', bytes: commentBytes };
+    return undefined;
   };
 
   return {
     heldBytes: () => splitter.heldBytes,
     addChunk(chunk) {
       const events = splitter.add(chunk);
+      let hasProgressed = false;
       let isCallerSlow = false;
       if (events.length > 0) {
-        sendHead();
-        for (const event of events) progress.recordEvent(readEventId(event), softwareVersion);
-        const whole = events.length === 1 ? (events[0] ?? chunk) : Buffer.concat(events);
-        isCallerSlow = !answer.sendData(whole);
+        const to = events.some(isUsable) ? answer : quietAnswer;
+        sendHead(to);
+        hasProgressed = record(events);
+        isCallerSlow = !to.sendData(
+          events.length === 1 ? (events[0] ?? chunk) : Buffer.concat(events),
+        );
       }
       const found = findEndless();
-      return found === undefined ? { kind: 'taken', isCallerSlow } : { kind: 'endless', found };
+      return found === undefined
+        ? { kind: 'taken', hasProgressed, isCallerSlow }
+        : { kind: 'endless', found };
     },
     finish() {
       if (splitter.heldBytes > 0) return 'the stream ended within an event';
       if (isEmptyIfCut && progress.events === 0) return 'the stream ended before its first event';
-      sendHead();
+      sendHead(answer);
       answer.end();
       return undefined;
     },
--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -7,6 +7,7 @@
 import type { ServerLimits } from '../server-limits';
 import type { ServerNotices } from '../server-notices';
 import type { KnownServer } from '../server-registry';
+import { createAnswerTiming } from './answer-timing';
 import { createBufferedReader, createStreamReader } from './answer-reader';
 import type { AnswerReader } from './answer-reader';
 import type { Router, SendableDestination } from './create-router';
@@ -49,6 +50,10 @@
   lastByteAtMs(): number;
   /** Time of the first byte of a body, monotonic ms; undefined before that. */
   firstByteAtMs(): number | undefined;
+  /** Whether something of the answer has arrived that the caller can use. */
+  hasProgressed(): boolean;
+  /** Time from which the attempt counts as stalled if nothing more arrives that the caller can use, monotonic ms. */
+  stalledFromMs(): number;
   /**
    * Number of backend servers that another instance had sent the request to when its answer began,
    * as reported by it.
@@ -112,17 +117,19 @@
   /** Result that the head alone determines, whatever follows. */
   let decidedResult: AttemptResult | undefined;
   let isFailure = false;
-  let firstByteAtMs: number | undefined;
-  let lastByteAtMs = sentAtMs;
   let abortedBy: AbortCause | undefined;
   let isDiscarded = false;
   /** Whether a connection for the request was free or could be opened. */
   let hasBegun = false;
 
+  const timing = createAnswerTiming(clock);
   const pauses = createReadingPauses(
-    () => exchange?.pause(),
     () => {
-      lastByteAtMs = clock.monotonicMs();
+      timing.recordPaused();
+      exchange?.pause();
+    },
+    () => {
+      timing.recordResumed();
       exchange?.resume();
     },
   );
@@ -146,7 +153,7 @@
   };
 
   const recordFirstByte = (): void => {
-    firstByteAtMs ??= clock.monotonicMs();
+    timing.recordFirstByte();
     observer.recordFirstByte();
   };
 
@@ -158,7 +165,8 @@
   const openReader = (answerHead: AnswerHead): void => {
     if (isEventStream(plan, answerHead)) {
       const version = versionOfWriter(to, answerHead);
-      reader = createStreamReader(answerHead, version, answer, progress, droppedHeaders);
+      const answers = { answer, quietAnswer: options.answer };
+      reader = createStreamReader(answerHead, version, answers, progress, droppedHeaders);
       return;
     }
     if (answer.headSent) {
@@ -192,7 +200,7 @@
     recordReached();
     if (isDiscarded) return;
     head = answerHead;
-    lastByteAtMs = clock.monotonicMs();
+    timing.recordByte();
     const load = dialect.readLoadReport(headerText(head.headers[dialect.load]) ?? '');
     if (load !== undefined) observer.recordLoad(load);
     const outcome = headerText(head.headers[OUTCOME_HEADER]);
@@ -240,7 +248,7 @@
   const onData = (chunk: Buffer): void => {
     recordReached();
     if (isDiscarded || reader === undefined) return;
-    lastByteAtMs = clock.monotonicMs();
+    timing.recordByte();
     recordFirstByte();
     observer.recordData();
     const step = reader.addChunk(chunk);
@@ -248,6 +256,10 @@
       exchange?.abortEndless(step.found);
       return;
     }
+    if (step.hasProgressed) {
+      timing.recordProgress();
+      observer.recordProgress();
+    }
     if (!holder.hold(reader.heldBytes())) pauses.begin('noRoom');
     if (!step.isCallerSlow) return;
     pauses.begin('callerIsSlow');
@@ -328,8 +340,10 @@
       isDiscarded = true;
       abort(cause);
     },
-    lastByteAtMs: () => (pauses.isPaused ? clock.monotonicMs() : lastByteAtMs),
-    firstByteAtMs: () => firstByteAtMs,
+    lastByteAtMs: timing.lastByteAtMs,
+    firstByteAtMs: timing.firstByteAtMs,
+    hasProgressed: timing.hasProgressed,
+    stalledFromMs: timing.stalledFromMs,
     serversTriedThere: () =>
       to.kind === 'server' || head === undefined ? undefined : readServersTried(head),
   };
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -22,6 +22,7 @@
 import type { Reachability } from '../reachability';
 import { createRefusals } from '../server-notices';
 import type { Refusals } from '../server-notices';
+import { STALL_TIMEOUT_MS } from './answer-timing';
 import { createRefuser } from './create-refuser';
 import type { Refused, RefusedPlacement, RoomAtRefusal } from './create-refuser';
 import { createLocalAdmission } from './local-admission';
@@ -140,6 +141,9 @@
  */
 const MAX_SILENCE_MS = 500;
 
+/** Time without anything that a caller can use from which no request is sent there beside a stalled attempt, ms. */
+const MAX_UNPROGRESSED_MS = STALL_TIMEOUT_MS;
+
 const ALL_REACHABLE: LinksToServers = {
   isCut: () => false,
   isUnreachable: () => false,
@@ -369,7 +373,11 @@
       const silentIds = servers
         .usable(plan.service, region, plan.streamVersion)
         .map(({ incarnationId }) => incarnationId)
-        .filter((incarnationId) => loads.unheardMs(incarnationId, nowMs) > MAX_SILENCE_MS);
+        .filter(
+          (incarnationId) =>
+            loads.unheardMs(incarnationId, nowMs) > MAX_SILENCE_MS ||
+            loads.unprogressedMs(incarnationId, nowMs) > MAX_UNPROGRESSED_MS,
+        );
       const ids = new Set([...tried.ids, ...silentIds]);
       const { finding } = find(request, plan, { ...tried, ids }, nowMs);
       return finding.kind === 'none' ? undefined : finding;
--- a/src/core/pass-through/endless-answers.test.ts
+++ b/src/core/pass-through/endless-answers.test.ts
@@ -1,10 +1,12 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { createHoldingRoom } from '../held-bytes';
-import { MAX_EVENT_BYTES } from './answer-limits';
+import { MAX_COMMENT_BYTES, MAX_EVENT_BYTES } from './answer-limits';
+import { STALL_TIMEOUT_MS } from './answer-timing';
 import { STREAM_HEAD, startPlayedAttempt } from './testing/started-attempt';
 
 const MIB = 1_048_576;
+const KEEP_ALIVE = Buffer.from(': keep-alive\n\n');
 const CHUNK = Buffer.alloc(16_384, 'x');
 
 // A server sends one event without end. If all of it were held, the instance would run out of memory, and callers of all
@@ -34,6 +36,49 @@
   });
 });
 
+// A server sends comments. While it reads a long prompt, they keep the stream alive; without end, they are no answer. If they
+// ended the other attempt of the request, its answer would be lost to them.
+describe('comments of a stream', () => {
+  it('are passed on, and decide nothing between attempts until an event follows', () => {
+    const play = startPlayedAttempt('stream');
+    play.onHead(STREAM_HEAD);
+    play.onData(': wait\n\n');
+    assert.equal(play.writtenText(), ': wait\n\n');
+    assert.equal(play.passedOn(), 0);
+    assert.equal(play.attempt.hasProgressed(), false);
+    play.onData('data: a\n\n');
+    assert.ok(play.passedOn() > 0);
+    assert.equal(play.attempt.hasProgressed(), true);
+  });
+
+  it('leave the attempt stalled, and an event does not', () => {
+    const play = startPlayedAttempt('stream');
+    play.onHead(STREAM_HEAD);
+    play.advanceTo(1_000);
+    play.onData(': wait\n\n');
+    assert.equal(play.attempt.stalledFromMs(), STALL_TIMEOUT_MS);
+    play.onData('id: 1\n\n');
+    assert.equal(play.attempt.stalledFromMs(), 1_000 + STALL_TIMEOUT_MS);
+  });
+
+  it('end nothing if they come each 100 ms for ten minutes', () => {
+    const play = startPlayedAttempt('stream');
+    play.onHead(STREAM_HEAD);
+    play.sendMany(6_000 * KEEP_ALIVE.length, KEEP_ALIVE);
+    play.onData('data: a\n\n');
+    play.onWhole();
+    assert.equal(play.results[0]?.kind, 'answered');
+  });
+
+  it('end the attempt if they have no end', () => {
+    const play = startPlayedAttempt('stream');
+    play.onHead(STREAM_HEAD);
+    const sentBytes = play.sendMany(64 * MIB, KEEP_ALIVE);
+    assert.ok(sentBytes <= MAX_COMMENT_BYTES + KEEP_ALIVE.length, `${sentBytes} bytes`);
+    assert.equal(play.endless[0]?.shape, 'comments');
+  });
+});
+
 // Many servers send events without end at once. Together they would take more memory than the instance has.
 describe('the events that are held of many streams', () => {
   it('wait for room, and are read on when others end', () => {
--- a/src/core/pass-through/hedge-silence.test.ts
+++ b/src/core/pass-through/hedge-silence.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from 'node:test';
 import { createSteppedClock } from '../../testing';
 import type { SlotVerdict } from '../brittle-servers';
+import { STALL_TIMEOUT_MS } from './answer-timing';
 import { createAttemptBudget } from './attempt-budget';
 import type { SendableDestination } from './create-router';
 import { hedgeSilence } from './hedge-silence';
@@ -16,6 +17,10 @@
   readonly retries?: number;
   /** Interval at which the first attempt receives bytes, ms; it receives none if not given. */
   readonly bytesEveryMs?: number;
+  /** Interval at which the first attempt has something for its caller, ms; by default, all its bytes are that. */
+  readonly progressEveryMs?: number;
+  /** Whether the attempt has had something for its caller; by default, unless it is queued. */
+  readonly hasProgressed?: boolean;
   /** Whether the attempt is at a server that answers other requests, and has had no byte itself. */
   readonly isQueued?: boolean;
   readonly hasOther?: boolean;
@@ -42,11 +47,14 @@
   loads.recordSent('n-1', 0, 0);
   if (situation.isOtherSilent === true) loads.recordSent('n-2', 0, 0);
   let lastByteAtMs = 0;
+  let lastProgressAtMs = 0;
   const open = [
     {
       to: first,
       firstByteAtMs: () => (situation.isQueued === true ? undefined : 0),
       lastByteAtMs: () => lastByteAtMs,
+      hasProgressed: () => situation.hasProgressed ?? situation.isQueued !== true,
+      stalledFromMs: () => lastProgressAtMs + STALL_TIMEOUT_MS,
     } as unknown as Attempt,
   ];
   const attemptBudget = createAttemptBudget(attempts, true);
@@ -115,18 +123,27 @@
         to,
         firstByteAtMs: () => undefined,
         lastByteAtMs: () => sentAtMs,
+        hasProgressed: () => false,
+        stalledFromMs: () => sentAtMs + STALL_TIMEOUT_MS,
       } as unknown as Attempt);
       if (to.kind === 'server') loads.recordSent(to.server.incarnationId, 0, sentAtMs);
     },
   });
-  const { bytesEveryMs = Infinity } = situation;
+  const { bytesEveryMs = Infinity, progressEveryMs = bytesEveryMs } = situation;
   for (let atMs = STEP_MS; atMs <= untilMs; atMs += STEP_MS) {
     region.advanceMs(STEP_MS);
     if (atMs % bytesEveryMs === 0) {
       lastByteAtMs = atMs;
       loads.recordReceived('n-1', atMs);
     }
-    if (situation.isQueued === true) loads.recordReceived('n-1', atMs);
+    if (atMs % progressEveryMs === 0) {
+      lastProgressAtMs = atMs;
+      loads.recordProgress('n-1', atMs);
+    }
+    if (situation.isQueued === true) {
+      loads.recordReceived('n-1', atMs);
+      loads.recordProgress('n-1', atMs);
+    }
     advanceTo(atMs);
   }
   watch[Symbol.dispose]();
@@ -195,6 +212,46 @@
   }
 });
 
+// A server sends bytes that no caller can use: comments, or an event without end. If they counted as an answer, callers would
+// wait for their deadline; if each long prompt were sent twice, servers that send comments meanwhile would do all work twice.
+describe('a request whose attempt receives bytes', () => {
+  const cases: readonly (Situation & {
+    readonly name: string;
+    readonly begunAtMs: readonly number[];
+  })[] = [
+    {
+      name: 'is sent to another server if none of them is of use',
+      bytesEveryMs: 100,
+      progressEveryMs: Infinity,
+      begunAtMs: [2_100],
+    },
+    {
+      name: 'is so before the first event if its server answers nobody',
+      bytesEveryMs: 100,
+      progressEveryMs: Infinity,
+      hasProgressed: false,
+      begunAtMs: [2_100],
+    },
+    {
+      name: 'is not before the first event if its server answers others',
+      bytesEveryMs: 100,
+      progressEveryMs: Infinity,
+      hasProgressed: false,
+      isQueued: true,
+      begunAtMs: [],
+    },
+    {
+      name: 'is not while an event of use arrives now and then',
+      bytesEveryMs: 100,
+      progressEveryMs: 1_900,
+      begunAtMs: [],
+    },
+  ];
+  for (const { name, begunAtMs, ...situation } of cases) {
+    it(name, () => assert.deepEqual(hedge(situation, 6_000).begunAtMs, begunAtMs));
+  }
+});
+
 // Requests that wait beside silent attempts look for room several times a second. If each look took a place in the order
 // of return, refused callers would be told to come back later and later.
 describe('a look for another destination that finds none', () => {
--- a/src/core/pass-through/observe-destination.ts
+++ b/src/core/pass-through/observe-destination.ts
@@ -22,6 +22,8 @@
   recordTaken(wasTaken: boolean): void;
   recordFirstByte(): void;
   recordData(): void;
+  /** Records that something has arrived that the caller can use. */
+  recordProgress(): void;
   recordEnd(end: ObservedEnd): void;
   /**
    * Whether the destination has unfinished requests and has sent nothing for any of them for a long
@@ -118,6 +120,9 @@
     recordData() {
       loads.recordReceived(incarnationId, clock.monotonicMs());
     },
+    recordProgress() {
+      loads.recordProgress(incarnationId, clock.monotonicMs());
+    },
     recordEnd(end) {
       if (isEndRecorded) return;
       isEndRecorded = true;
@@ -156,6 +161,7 @@
     recordTaken() {},
     recordFirstByte,
     recordData() {},
+    recordProgress() {},
     recordEnd(observed) {
       switch (observed) {
         case 'answered':
@@ -182,6 +188,7 @@
   recordTaken() {},
   recordFirstByte() {},
   recordData() {},
+  recordProgress() {},
   recordEnd() {},
   isSilent: () => false,
 };
--- a/src/core/pass-through/reading-pauses.ts
+++ b/src/core/pass-through/reading-pauses.ts
@@ -3,7 +3,6 @@
 
 /** Reasons for which the reading of one answer is paused. */
 export interface ReadingPauses {
-  readonly isPaused: boolean;
   begin(reason: PauseReason): void;
   end(reason: PauseReason): void;
 }
@@ -12,9 +11,6 @@
 export function createReadingPauses(onPause: () => void, onResume: () => void): ReadingPauses {
   const reasons = new Set<PauseReason>();
   return {
-    get isPaused() {
-      return reasons.size > 0;
-    },
     begin(reason) {
       const wasPaused = reasons.size > 0;
       reasons.add(reason);
--- a/src/core/pass-through/stream-progress.ts
+++ b/src/core/pass-through/stream-progress.ts
@@ -8,11 +8,14 @@
    * does not state it.
    */
   readonly softwareVersion: string | undefined;
+  /** Number of events that have been passed on, comments included. */
   readonly events: number;
   /** Maximum pause between two events so far, across all servers, ms. */
   readonly longestPauseMs: number;
   /** Records an event that has been passed on, and the software version of the server that wrote it. */
   recordEvent(eventId: string | undefined, softwareVersion: string | undefined): void;
+  /** Records an event without data and id that has been passed on; it is the same whichever server wrote it. */
+  recordComment(): void;
 }
 
 /**
@@ -30,6 +33,15 @@
   let longestPauseMs = 0;
   let lastId = lastEventId;
   let version: string | undefined;
+  let hasBegun = false;
+
+  const recordAny = (): void => {
+    const nowMs = clock.monotonicMs();
+    longestPauseMs = Math.max(longestPauseMs, nowMs - (lastEventAtMs ?? nowMs));
+    lastEventAtMs = nowMs;
+    events += 1;
+  };
+
   return {
     get events() {
       return events;
@@ -44,13 +56,12 @@
       return longestPauseMs;
     },
     recordEvent(eventId, softwareVersion) {
-      const nowMs = clock.monotonicMs();
-      if (events === 0) onFirstEvent(softwareVersion);
-      longestPauseMs = Math.max(longestPauseMs, nowMs - (lastEventAtMs ?? nowMs));
-      lastEventAtMs = nowMs;
-      events += 1;
+      if (!hasBegun) onFirstEvent(softwareVersion);
+      hasBegun = true;
+      recordAny();
       lastId = eventId ?? lastId;
       version = softwareVersion;
     },
+    recordComment: recordAny,
   };
 }
--- a/src/core/pass-through/testing/started-attempt.ts
+++ b/src/core/pass-through/testing/started-attempt.ts
@@ -36,6 +36,7 @@
   const written: Buffer[] = [];
   const results: AttemptResult[] = [];
   let headsSent = 0;
+  let discards = 0;
   let passedOn = 0;
   const reason = 'ended by the test';
   const exchange: Exchange = {
@@ -44,7 +45,9 @@
       endless.push(found);
       listener?.onEnd({ kind: 'lost', cause: 'endless', endless: found, reason });
     },
-    discardRest() {},
+    discardRest() {
+      discards += 1;
+    },
     pause() {
       isPaused = true;
     },
@@ -122,6 +125,8 @@
       }
       return sent;
     },
+    /** Number of times that the rest of the answer was dropped. */
+    discards: () => discards,
     onWhole: () => onEnd({ kind: 'whole' }),
     isPaused: () => isPaused,
     /** What the attempt found to have no end. */
--- a/src/core/pass-through/watch-silence.ts
+++ b/src/core/pass-through/watch-silence.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../clock';
 import type { ServerLoads } from '../placement';
+import { STALL_TIMEOUT_MS } from './answer-timing';
 import type { Attempt } from './attempt';
 
 /**
@@ -11,12 +12,18 @@
 const CHECK_INTERVAL_MS = 300;
 
 /** Part of an attempt that its silence depends on. */
-export type ObservedAttempt = Pick<Attempt, 'to' | 'firstByteAtMs' | 'lastByteAtMs'>;
+export type ObservedAttempt = Pick<
+  Attempt,
+  'to' | 'firstByteAtMs' | 'lastByteAtMs' | 'hasProgressed' | 'stalledFromMs'
+>;
+
+/** What is known of the servers of attempts. */
+export type ObservedLoads = Pick<ServerLoads, 'silentMs' | 'unprogressedMs'>;
 
 /** Options of `watchSilence`. */
 export interface WatchSilenceOptions {
   readonly clock: Clock;
-  readonly loads: Pick<ServerLoads, 'silentMs'>;
+  readonly loads: ObservedLoads;
   /** Returns the attempts in progress. */
   readonly attempts: () => readonly ObservedAttempt[];
   /** Called at intervals while all attempts in progress are silent. */
@@ -26,7 +33,7 @@
 /** Returns the time since the last sign that an attempt is still being processed, ms. */
 function silentMs(
   { to, firstByteAtMs, lastByteAtMs }: ObservedAttempt,
-  loads: Pick<ServerLoads, 'silentMs'>,
+  loads: ObservedLoads,
   nowMs: number,
 ): number {
   const ownMs = nowMs - lastByteAtMs();
@@ -37,19 +44,33 @@
   return ownMs;
 }
 
-/** Returns whether nothing shows that an attempt is still being processed. */
-export function isSilent(
-  attempt: ObservedAttempt,
-  loads: Pick<ServerLoads, 'silentMs'>,
+/**
+ * Returns whether nothing has arrived for an attempt for a while that its caller can use, although bytes may arrive: keep-alive
+ * comments, or an event without end.
+ */
+function isStalled(
+  { to, hasProgressed, stalledFromMs }: ObservedAttempt,
+  loads: ObservedLoads,
   nowMs: number,
 ): boolean {
-  return silentMs(attempt, loads, nowMs) >= SILENCE_TIMEOUT_MS;
+  if (nowMs < stalledFromMs()) return false;
+  // Before it progresses, a request may just be queued, or its prompt be read, at a server that answers others.
+  return (
+    to.kind === 'peer' ||
+    hasProgressed() ||
+    loads.unprogressedMs(to.server.incarnationId, nowMs) >= STALL_TIMEOUT_MS
+  );
+}
+
+/** Returns whether nothing shows that an attempt is still being processed. */
+export function isSilent(attempt: ObservedAttempt, loads: ObservedLoads, nowMs: number): boolean {
+  return silentMs(attempt, loads, nowMs) >= SILENCE_TIMEOUT_MS || isStalled(attempt, loads, nowMs);
 }
 
 /** Returns whether there are attempts, and nothing shows that any of them is still being processed. */
 export function areAllSilent(
   attempts: readonly ObservedAttempt[],
-  loads: Pick<ServerLoads, 'silentMs'>,
+  loads: ObservedLoads,
   nowMs: number,
 ): boolean {
   return attempts.length > 0 && attempts.every((attempt) => isSilent(attempt, loads, nowMs));
@@ -60,7 +81,8 @@
  *
  * A connection may go silent permanently without a reset, and a machine may lose power: nothing arrives any more, and the
  * caller would wait until its deadline. But a sound server may stand still for a second or two, and at that moment nothing
- * tells it from one that is gone. So silence ends no attempt; it is the time to begin another one.
+ * tells it from one that is gone. So silence ends no attempt; it is the time to begin another one. So is a time without
+ * anything that the caller can use: a server may send comments while it reads a long prompt.
  */
 export function watchSilence(options: WatchSilenceOptions): Disposable {
   const { clock, loads, attempts, onSilence } = options;
--- a/src/core/placement/server-load.ts
+++ b/src/core/placement/server-load.ts
@@ -16,6 +16,8 @@
   awaitingFirstByte: number;
   /** Time of the last byte received, or of sending the first of the waiting requests if that is later. */
   lastByteAtMs: number;
+  /** Time of the last byte that a caller can use, or of sending the first of the open requests if that is later. */
+  lastProgressAtMs: number;
   /** Recent share of failed requests, from 0 to 1. */
   failureShare: number;
   /** Recent average by which first bytes arrived later than predicted, ms. */
@@ -35,6 +37,8 @@
   recordSent(incarnationId: string, tokens: number, nowMs: number, keptTokens?: number): void;
   /** Records that any byte of a response was received. */
   recordReceived(incarnationId: string, nowMs: number): void;
+  /** Records that something was received that a caller can use. */
+  recordProgress(incarnationId: string, nowMs: number): void;
   /** Records the first byte of a response. */
   recordFirstByte(incarnationId: string, timing: FirstByteTiming, nowMs: number): void;
   /** Records the end of a request, whatever its outcome. */
@@ -59,6 +63,8 @@
   silentMs(incarnationId: string, nowMs: number): number;
   /** Returns the time since the server's last byte, ms; 0 if this instance has no open request there. */
   unheardMs(incarnationId: string, nowMs: number): number;
+  /** Returns the time since the server sent something that a caller can use, ms; 0 if no request is open there. */
+  unprogressedMs(incarnationId: string, nowMs: number): number;
   totalInFlight(): number;
   /** Returns the open requests of this instance, per server. */
   ownLoads(): readonly OwnServerLoad[];
@@ -124,6 +130,7 @@
     openSizes: NO_OPEN_SIZES,
     awaitingFirstByte: 0,
     lastByteAtMs: nowMs,
+    lastProgressAtMs: nowMs,
     failureShare: 0,
     latenessMs: 0,
     backoffUntilMs: 0,
@@ -168,6 +175,7 @@
     recordSent(incarnationId, tokens, nowMs, keptTokens) {
       const load = loadOf(incarnationId, nowMs);
       if (load.awaitingFirstByte === 0) load.lastByteAtMs = Math.max(load.lastByteAtMs, nowMs);
+      if (load.ownInFlight === 0) load.lastProgressAtMs = Math.max(load.lastProgressAtMs, nowMs);
       load.ownInFlight += 1;
       load.awaitingFirstByte += 1;
       load.pendingTokens += tokens;
@@ -177,6 +185,9 @@
     recordReceived(incarnationId, nowMs) {
       loadOf(incarnationId, nowMs).lastByteAtMs = nowMs;
     },
+    recordProgress(incarnationId, nowMs) {
+      loadOf(incarnationId, nowMs).lastProgressAtMs = nowMs;
+    },
     recordFirstByte(incarnationId, { tokens, predictedMs, actualMs }, nowMs) {
       const load = decay(incarnationId, nowMs);
       load.awaitingFirstByte -= 1;
@@ -240,6 +251,10 @@
       const load = loads.get(incarnationId);
       return load === undefined || load.ownInFlight === 0 ? 0 : nowMs - load.lastByteAtMs;
     },
+    unprogressedMs(incarnationId, nowMs) {
+      const load = loads.get(incarnationId);
+      return load === undefined || load.ownInFlight === 0 ? 0 : nowMs - load.lastProgressAtMs;
+    },
     totalInFlight: () => total,
     ownLoads: () =>
       [...loads]
