End failures without end, and let their heads decide

What callers saw: where one of six servers answered 500 with a body without end, 64 of 250 requests were cut at their deadline, also safe and resumable ones, and the server was never avoided. A rejection with such a body was read until the deadline. Cause: a failure over 256 KiB was passed on as it arrived, whether or not its length was known, so that no other server could answer; and a failure counted against its server only when its body had ended. The result of a rejection waited for its body. Change: a failing head counts at once. A failure that states a length of up to 128 MiB is read and passed on as before. One that states none is held until it is whole: beyond 2 MiB, or 2 s after its head, the attempt is lost with the cause endless (shape failureBody), and the request goes elsewhere or is refused. Rejections, and refusals of other instances, are reported at their head, and the rest of the answer is dropped.

--- a/src/core/pass-through/answer-reader.ts
+++ b/src/core/pass-through/answer-reader.ts
@@ -1,8 +1,15 @@
 import { isCloseDelimited } from '../exchanges';
 import type { AnswerHead } from '../exchanges';
+import { createHeldBytes } from '../held-bytes';
 import type { EndlessBytes } from '../outcomes';
 import { createEventSplitter } from '../streams';
-import { MAX_COMMENT_BYTES, MAX_EVENT_BYTES } from './answer-limits';
+import {
+  MAX_COMMENT_BYTES,
+  MAX_EVENT_BYTES,
+  MAX_STATED_FAILURE_BYTES,
+  MAX_UNSTATED_FAILURE_BYTES,
+} from './answer-limits';
+import { headerText } from './classify-answer';
 import { readEventId } from './read-event-id';
 import type { StreamProgress } from './stream-progress';
 import type { ClientAnswer } from './types';
@@ -14,6 +21,8 @@
   heldBytes(): number;
   /** Adds a chunk of the body. */
   addChunk(chunk: Buffer): ReadStep;
+  /** Whether the answer is too large to be kept while another one is asked for. */
+  isLarge(): boolean;
   /** Ends the answer after its last chunk; returns a problem with it, undefined if it is complete. */
   finish(): string | undefined;
 }
@@ -56,6 +65,7 @@
   };
   return {
     heldBytes: () => 0,
+    isLarge,
     addChunk(chunk) {
       bytes += chunk.length;
       chunks.push(Buffer.from(chunk));
@@ -70,6 +80,41 @@
   };
 }
 
+/** Returns whether a failure states how long it is, so that its end is known from its head. */
+export function statesFailureLength({ headers }: AnswerHead): boolean {
+  const text = headerText(headers['content-length']);
+  return text !== undefined && Number(text) <= MAX_STATED_FAILURE_BYTES;
+}
+
+/**
+ * Creates a reader of a failure that does not state its length. It is held until it is whole: if a part of one without
+ * end were passed on, its caller would get neither an answer nor a refusal.
+ */
+export function createHeldFailureReader(
+  head: AnswerHead,
+  answer: ClientAnswer,
+  dropped: ReadonlySet<string>,
+): AnswerReader {
+  const held = createHeldBytes();
+  return {
+    heldBytes: () => held.length,
+    isLarge: () => held.length > MAX_BUFFERED_BYTES,
+    addChunk(chunk) {
+      held.add(chunk);
+      if (held.length > MAX_UNSTATED_FAILURE_BYTES) {
+        return { kind: 'endless', found: { shape: 'failureBody', bytes: held.length } };
+      }
+      return { kind: 'taken', hasProgressed: false, isCallerSlow: false };
+    },
+    finish() {
+      answer.sendHead(head.status, answerHeaders(head.headers, dropped));
+      if (held.length > 0) answer.sendData(held.take());
+      answer.end();
+      return undefined;
+    },
+  };
+}
+
 /** Answers that a reader of a stream writes to; both lead to the same caller. */
 export interface StreamAnswers {
   /** Gets events that the caller can use, which decides between the attempts in progress. */
@@ -135,6 +180,7 @@
 
   return {
     heldBytes: () => splitter.heldBytes,
+    isLarge: () => false,
     addChunk(chunk) {
       const events = splitter.add(chunk);
       let hasProgressed = false;
--- a/src/core/pass-through/answer-timing.ts
+++ b/src/core/pass-through/answer-timing.ts
@@ -10,6 +10,8 @@
   hasProgressed(): boolean;
   /** Time from which the attempt counts as stalled if nothing more arrives that the caller can use, monotonic ms. */
   stalledFromMs(): number;
+  /** Whether the answer is not read at the moment. */
+  isPaused(): boolean;
   recordByte(): void;
   recordFirstByte(): void;
   recordProgress(): void;
@@ -37,6 +39,7 @@
     firstByteAtMs: () => firstByteAtMs,
     hasProgressed: () => hasProgressed,
     stalledFromMs: () => (isPaused ? clock.monotonicMs() + STALL_TIMEOUT_MS : stalledFromMs),
+    isPaused: () => isPaused,
     recordByte() {
       lastByteAtMs = clock.monotonicMs();
     },
--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -7,8 +7,14 @@
 import type { ServerLimits } from '../server-limits';
 import type { ServerNotices } from '../server-notices';
 import type { KnownServer } from '../server-registry';
+import { FAILURE_BODY_TIMEOUT_MS } from './answer-limits';
 import { createAnswerTiming } from './answer-timing';
-import { createBufferedReader, createStreamReader } from './answer-reader';
+import {
+  createBufferedReader,
+  createHeldFailureReader,
+  createStreamReader,
+  statesFailureLength,
+} from './answer-reader';
 import type { AnswerReader } from './answer-reader';
 import type { Router, SendableDestination } from './create-router';
 import {
@@ -90,6 +96,9 @@
   readonly onResult: (result: AttemptResult) => void;
 }
 
+/** Time in which the rest of an answer has to arrive whose head decides, ms, for its connection to be used again. */
+const REST_TIMEOUT_MS = 500;
+
 /**
  * Returns the name of a destination in log lines and in the set of tried destinations. For a
  * server, it identifies one incarnation.
@@ -117,6 +126,9 @@
   /** Result that the head alone determines, whatever follows. */
   let decidedResult: AttemptResult | undefined;
   let isFailure = false;
+  let isReported = false;
+  /** Ends a failure that does not state its length. */
+  let failureDeadline: Disposable | undefined;
   let abortedBy: AbortCause | undefined;
   let isDiscarded = false;
   /** Whether a connection for the request was free or could be opened. */
@@ -146,7 +158,10 @@
   };
 
   const report = (result: AttemptResult, end: ObservedEnd): void => {
+    if (isReported) return;
+    isReported = true;
     holder[Symbol.dispose]();
+    failureDeadline?.[Symbol.dispose]();
     const showsNothing = isDiscarded && abortedBy !== 'silence';
     observer.recordEnd(showsNothing ? 'inconclusive' : end);
     if (!isDiscarded) options.onResult(result);
@@ -157,9 +172,29 @@
     observer.recordFirstByte();
   };
 
-  const decide = (result: AttemptResult): void => {
-    decidedResult = result;
-    if (result.kind === 'lost') abort('malformed');
+  /** Ends the attempt because of its head. */
+  const abortAtHead = (reason: string): void => {
+    decidedResult = { kind: 'lost', reason, cause: 'malformed', wasBrokenOff: false };
+    abort('malformed');
+  };
+
+  /** Reports what the head alone determines, whatever follows, and drops the rest of the answer. */
+  const reportAtHead = (result: AttemptResult): void => {
+    report(result, 'refused');
+    exchange?.discardRest(clock, clock.monotonicMs() + REST_TIMEOUT_MS);
+  };
+
+  const openFailureReader = (answerHead: AnswerHead): void => {
+    const held = createHeldFailureReader(answerHead, answer, droppedHeaders);
+    reader = held;
+    const endIfDue = (): void => {
+      if (timing.isPaused()) scheduleEnd();
+      else exchange?.abortEndless({ shape: 'failureBody', bytes: held.heldBytes() });
+    };
+    function scheduleEnd(): void {
+      failureDeadline = clock.schedule(clock.monotonicMs() + FAILURE_BODY_TIMEOUT_MS, endIfDue);
+    }
+    scheduleEnd();
   };
 
   const openReader = (answerHead: AnswerHead): void => {
@@ -171,16 +206,12 @@
     }
     if (answer.headSent) {
       // A resumed stream got an answer that is no event stream; nothing of it may reach the caller.
-      decide({
-        kind: 'lost',
-        reason: 'the stream could not be resumed',
-        cause: 'malformed',
-        wasBrokenOff: false,
-      });
+      abortAtHead('the stream could not be resumed');
       return;
     }
     recordFirstByte();
-    reader = createBufferedReader(answerHead, answer, droppedHeaders);
+    if (isFailure && !statesFailureLength(answerHead)) openFailureReader(answerHead);
+    else reader = createBufferedReader(answerHead, answer, droppedHeaders);
   };
 
   const rejection = (answerHead: AnswerHead): AttemptResult => {
@@ -208,7 +239,7 @@
       const pause = readPause(head, options);
       const retryAfterMs = pause.kind === 'pause' ? pause.waitMs : undefined;
       const statedReason = headerText(head.headers[REASON_HEADER]);
-      decide({
+      reportAtHead({
         kind: 'peerRefused',
         hasNotRun: outcome === 'notRun',
         reason: readDecisiveReason(statedReason),
@@ -225,19 +256,15 @@
         if (classification.isReplaced && to.kind === 'server') {
           options.onReplaced(to.server.serverId);
         }
-        decide(rejection(head));
+        reportAtHead(rejection(head));
         return;
       case 'wrong':
-        decide({
-          kind: 'lost',
-          reason: classification.reason,
-          cause: 'malformed',
-          wasBrokenOff: false,
-        });
+        abortAtHead(classification.reason);
         return;
       case 'ran':
         observer.recordTaken(true);
         isFailure = classification.isFailure;
+        if (isFailure) observer.recordFailing();
         openReader(head);
         return;
       default:
@@ -247,7 +274,7 @@
 
   const onData = (chunk: Buffer): void => {
     recordReached();
-    if (isDiscarded || reader === undefined) return;
+    if (isDiscarded || isReported || reader === undefined) return;
     timing.recordByte();
     recordFirstByte();
     observer.recordData();
@@ -277,8 +304,8 @@
       report({ kind: 'answered', status }, 'inconclusive');
       return;
     }
-    // Of a failure that is too large to be kept, the caller has got a part.
-    if (isFailure && !answer.headSent) {
+    // Of a failure that is too large to be kept, the caller has got a part, or gets all of it now.
+    if (isFailure && !answer.headSent && reader?.isLarge() !== true) {
       report({ kind: 'serverFailed', status, passOn }, 'failed');
       return;
     }
@@ -289,8 +316,9 @@
   };
 
   const onEnd = (end: ExchangeEnd): void => {
+    if (isReported) return;
     if (decidedResult !== undefined) {
-      report(decidedResult, decidedResult.kind === 'lost' ? 'failed' : 'refused');
+      report(decidedResult, 'failed');
       return;
     }
     switch (end.kind) {
--- a/src/core/pass-through/endless-answers.test.ts
+++ b/src/core/pass-through/endless-answers.test.ts
@@ -1,9 +1,14 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { createHoldingRoom } from '../held-bytes';
-import { MAX_COMMENT_BYTES, MAX_EVENT_BYTES } from './answer-limits';
+import {
+  FAILURE_BODY_TIMEOUT_MS,
+  MAX_COMMENT_BYTES,
+  MAX_EVENT_BYTES,
+  MAX_UNSTATED_FAILURE_BYTES,
+} from './answer-limits';
 import { STALL_TIMEOUT_MS } from './answer-timing';
-import { STREAM_HEAD, startPlayedAttempt } from './testing/started-attempt';
+import { STREAM_HEAD, failureHead, startPlayedAttempt } from './testing/started-attempt';
 
 const MIB = 1_048_576;
 const KEEP_ALIVE = Buffer.from(': keep-alive\n\n');
@@ -79,6 +84,87 @@
   });
 });
 
+// A server fails, and its failure has no end. If it counted as failed only at the end, it would get ever more requests; if a
+// part of the failure were passed on, its caller would get neither an answer nor a refusal.
+describe('a failure', () => {
+  it('counts against its server when its head arrives, and once', () => {
+    const play = startPlayedAttempt('idempotent');
+    const { loads } = play.region.router;
+    play.onHead(failureHead());
+    const share = loads.failureShare(play.serverId, 0);
+    assert.ok(share > 0);
+    play.onWhole();
+    assert.equal(play.results[0]?.kind, 'serverFailed');
+    assert.equal(loads.failureShare(play.serverId, 0), share);
+    assert.equal(loads.ownInFlight(play.serverId), 0);
+  });
+
+  const lengths = { 'its length': true, 'no length': false };
+  for (const [name, isStated] of Object.entries(lengths)) {
+    it(`is passed on whole if it states ${name} and has 1 MiB`, () => {
+      const play = startPlayedAttempt('idempotent');
+      play.onHead(failureHead(isStated ? { 'content-length': String(MIB) } : {}));
+      play.sendMany(MIB, CHUNK);
+      play.onWhole();
+      assert.deepEqual(play.results, [{ kind: 'answered', status: 500 }]);
+      assert.equal(play.writtenBytes(), MIB);
+    });
+  }
+
+  it('is passed on as it arrives if it states its length, however long it takes', () => {
+    const play = startPlayedAttempt('idempotent');
+    play.onHead(failureHead({ 'content-length': String(100 * MIB) }));
+    for (let atMs = 100; atMs <= 6_000; atMs += 100) play.advanceTo(atMs);
+    assert.equal(play.sendMany(100 * MIB, CHUNK), 100 * MIB);
+    play.onWhole();
+    assert.deepEqual(play.results, [{ kind: 'answered', status: 500 }]);
+  });
+
+  const endless = {
+    'that states no length': failureHead(),
+    'that states an absurd length': failureHead({ 'content-length': String(10 ** 12) }),
+  };
+  for (const [name, head] of Object.entries(endless)) {
+    it(`${name} is a lost answer once it is too large, and nothing of it is passed on`, () => {
+      const play = startPlayedAttempt('idempotent');
+      play.onHead(head);
+      const sentBytes = play.sendMany(64 * MIB, CHUNK);
+      assert.ok(sentBytes <= MAX_UNSTATED_FAILURE_BYTES + CHUNK.length, `${sentBytes} bytes`);
+      assert.equal(play.endless[0]?.shape, 'failureBody');
+      assert.equal(play.results[0]?.kind, 'lost');
+      assert.equal(play.headsSent(), 0);
+    });
+
+    it(`${name} is a lost answer if it is not whole in time`, () => {
+      const play = startPlayedAttempt('idempotent');
+      play.onHead(head);
+      for (let atMs = 100; atMs <= FAILURE_BODY_TIMEOUT_MS; atMs += 100) {
+        assert.equal(play.results.length, 0);
+        play.advanceTo(atMs);
+        play.onData('x');
+      }
+      assert.deepEqual(play.endless, [
+        { shape: 'failureBody', bytes: FAILURE_BODY_TIMEOUT_MS / 100 - 1 },
+      ]);
+      assert.equal(play.headsSent(), 0);
+    });
+  }
+});
+
+// A server states that it has not run a request, in an answer whose body has no end. If that were read first, the request
+// would reach another server only at its deadline.
+describe('a rejection', () => {
+  it('is reported when its head arrives, and the rest is dropped', () => {
+    const play = startPlayedAttempt('nonIdempotent');
+    play.onHead({ status: 503, headers: { 'not-run': '1' } });
+    assert.equal(play.results[0]?.kind, 'rejected');
+    assert.equal(play.discards(), 1);
+    play.onWhole();
+    assert.equal(play.results.length, 1);
+    assert.equal(play.region.router.loads.ownInFlight(play.serverId), 0);
+  });
+});
+
 // Many servers send events without end at once. Together they would take more memory than the instance has.
 describe('the events that are held of many streams', () => {
   it('wait for room, and are read on when others end', () => {
--- a/src/core/pass-through/observe-destination.ts
+++ b/src/core/pass-through/observe-destination.ts
@@ -24,6 +24,8 @@
   recordData(): void;
   /** Records that something has arrived that the caller can use. */
   recordProgress(): void;
+  /** Records that the head of the answer is that of a failure, which counts before its body has ended. */
+  recordFailing(): void;
   recordEnd(end: ObservedEnd): void;
   /**
    * Whether the destination has unfinished requests and has sent nothing for any of them for a long
@@ -62,6 +64,7 @@
   const meanFactor = () => (to.speedFactor + factorNow()) / 2;
   let hadFirstByte = false;
   let isEndRecorded = false;
+  let isFailing = false;
   const keptTokens = request.demand === undefined ? undefined : ownTokens(request.demand);
   loads.recordSent(incarnationId, tokens, sentAtMs, keptTokens);
   return {
@@ -123,11 +126,15 @@
     recordProgress() {
       loads.recordProgress(incarnationId, clock.monotonicMs());
     },
+    recordFailing() {
+      isFailing = true;
+      loads.recordFailure(incarnationId, clock.monotonicMs());
+    },
     recordEnd(end) {
       if (isEndRecorded) return;
       isEndRecorded = true;
       const nowMs = clock.monotonicMs();
-      const isInconclusive = end === 'inconclusive' || end === 'refused';
+      const isInconclusive = end === 'inconclusive' || end === 'refused' || isFailing;
       const isFailure = isInconclusive ? undefined : end === 'failed';
       loads.recordEnd(incarnationId, { hadFirstByte, tokens, keptTokens, isFailure }, nowMs);
       if (end === 'answered' && !router.wereLinksCutSince(sentAtMs)) {
@@ -162,6 +169,7 @@
     recordFirstByte,
     recordData() {},
     recordProgress() {},
+    recordFailing() {},
     recordEnd(observed) {
       switch (observed) {
         case 'answered':
@@ -189,6 +197,7 @@
   recordFirstByte() {},
   recordData() {},
   recordProgress() {},
+  recordFailing() {},
   recordEnd() {},
   isSilent: () => false,
 };
--- a/src/core/pass-through/testing/started-attempt.ts
+++ b/src/core/pass-through/testing/started-attempt.ts
@@ -23,6 +23,12 @@
   },
 };
 
+/** Returns the head of a failure that was not asked to state its length. */
+export const failureHead = (more: Readonly<Record<string, string>> = {}) => ({
+  status: 500,
+  headers: { id: REQUEST.requestId, signature: 's', ...more },
+});
+
 /** Starts an attempt of a request over an exchange that the test plays. */
 export function startPlayedAttempt(kind: RequestPlan['kind'], room = createAnswerRoom()) {
   const { clock, advanceTo } = createSteppedClock(STEP_MS);
--- a/src/core/placement/server-load.ts
+++ b/src/core/placement/server-load.ts
@@ -41,6 +41,8 @@
   recordProgress(incarnationId: string, nowMs: number): void;
   /** Records the first byte of a response. */
   recordFirstByte(incarnationId: string, timing: FirstByteTiming, nowMs: number): void;
+  /** Records that a request fails that has not ended; its end is to be recorded without a verdict. */
+  recordFailure(incarnationId: string, nowMs: number): void;
   /** Records the end of a request, whatever its outcome. */
   recordEnd(incarnationId: string, ended: EndedRequest, nowMs: number): void;
   /** Records a server's own report, which counts the requests of all instances. */
@@ -166,6 +168,11 @@
     return load;
   };
 
+  const recordVerdict = (incarnationId: string, isFailure: boolean, nowMs: number): void => {
+    const load = decay(incarnationId, nowMs);
+    load.failureShare += ((isFailure ? 1 : 0) - load.failureShare) * NEWEST_SAMPLE_WEIGHT;
+  };
+
   const silentMs = (incarnationId: string, nowMs: number): number => {
     const load = loads.get(incarnationId);
     return load === undefined || load.awaitingFirstByte === 0 ? 0 : nowMs - load.lastByteAtMs;
@@ -197,6 +204,7 @@
       const lateMs = Math.min(MAX_LATENESS_MS, Math.max(0, actualMs - predictedMs));
       load.latenessMs += (lateMs - load.latenessMs) * NEWEST_SAMPLE_WEIGHT;
     },
+    recordFailure: (incarnationId, nowMs) => recordVerdict(incarnationId, true, nowMs),
     recordEnd(incarnationId, { hadFirstByte, tokens, keptTokens, isFailure }, nowMs) {
       const load = loadOf(incarnationId, nowMs);
       load.openSizes = addSize(load.openSizes, keptTokens, -1);
@@ -206,9 +214,7 @@
         load.awaitingFirstByte -= 1;
         load.pendingTokens -= tokens;
       }
-      if (isFailure === undefined) return;
-      const { failureShare } = decay(incarnationId, nowMs);
-      load.failureShare += ((isFailure ? 1 : 0) - failureShare) * NEWEST_SAMPLE_WEIGHT;
+      if (isFailure !== undefined) recordVerdict(incarnationId, isFailure, nowMs);
     },
     recordReport(incarnationId, { running, waiting }, nowMs) {
       const load = loadOf(incarnationId, nowMs);
