Free the connections of requests whose answer is ignored

An instance saw: a statement of load, or the request that opens a standby connection, whose answer has a body that doesn't end or doesn't arrive, held its connection for ever. Once both connections to an instance were held so, no statement too large for a datagram was sent to it any more.

Cause: the answer was ignored by reading it without a bound and without a deadline.

Change: both drop the rest of the answer after its head, as health checks and failed calls do; they share one constant for how long the rest is waited for.

--- a/src/core/calls/create-call-client.ts
+++ b/src/core/calls/create-call-client.ts
@@ -1,6 +1,6 @@
 import { createDeadlineSignal } from '../clock';
 import type { Clock } from '../clock';
-import { createConnectionPool } from '../exchanges';
+import { REST_WAIT_MS, createConnectionPool } from '../exchanges';
 import type { AnswerHead, ConnectionPool, Exchange } from '../exchanges';
 import type { EndlessBytes } from '../outcomes';
 import type { CallAnswer, CallClient, OutgoingCall } from './types';
@@ -26,8 +26,6 @@
 
 /** Maximum body of an answer, bytes: several times the published state of the largest deployments. */
 export const MAX_ANSWER_BYTES = 67_108_864;
-/** Maximum wait for the rest of an answer of which only the head is used, ms. */
-const REST_WAIT_MS = 50;
 
 function isSuccess(status: number): boolean {
   return status >= 200 && status < 300;
--- a/src/core/pass-through/standby-connections.test.ts
+++ b/src/core/pass-through/standby-connections.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { createFakeClock } from '../../testing';
 import type { ForwardPeer } from './other-regions';
 import { createStandbyConnections } from './standby-connections';
 
@@ -16,6 +17,7 @@
 function countOpened(peers: readonly ForwardPeer[]): Map<string, number> {
   const counts = new Map<string, number>();
   const connections = createStandbyConnections({
+    clock: createFakeClock(),
     selfId: 'north-0',
     region: 'north',
     peers: () => peers,
--- a/src/core/pass-through/standby-connections.ts
+++ b/src/core/pass-through/standby-connections.ts
@@ -1,3 +1,5 @@
+import type { Clock } from '../clock';
+import { sendIgnoringAnswer } from '../exchanges';
 import type { ConnectionPool } from '../exchanges';
 import { rankCandidates } from '../rendezvous';
 import type { ForwardPeer } from './other-regions';
@@ -10,6 +12,7 @@
 
 /** Options of `createStandbyConnections`. */
 export interface StandbyConnectionsOptions {
+  readonly clock: Pick<Clock, 'monotonicMs' | 'schedule'>;
   readonly selfId: string;
   readonly region: string;
   readonly pool: Pick<ConnectionPool, 'count' | 'send'>;
@@ -28,8 +31,6 @@
 /** Connect timeout, ms: several round trips of the longest links. */
 const CONNECT_TIMEOUT_MS = 800;
 
-const IGNORING_LISTENER = { onHead() {}, onData() {}, onEnd() {} };
-
 /**
  * Creates a set of standby connections; the first `refill` opens them.
  *
@@ -40,7 +41,7 @@
  * fleet.
  */
 export function createStandbyConnections(options: StandbyConnectionsOptions): StandbyConnections {
-  const { selfId, region, pool, path } = options;
+  const { clock, selfId, region, pool, path } = options;
 
   const partners = (): readonly ForwardPeer[] => {
     const others = options.peers().filter((peer) => peer.region !== region);
@@ -56,7 +57,9 @@
   };
 
   const openConnection = (address: string): void => {
-    pool.send(
+    sendIgnoringAnswer(
+      pool,
+      clock,
       address,
       {
         maxConnections: CONNECTIONS_PER_PARTNER,
@@ -65,7 +68,6 @@
         maxIdleMs: -1,
       },
       { method: 'GET', path, headers: [], body: new Uint8Array() },
-      IGNORING_LISTENER,
     );
   };
 
--- a/src/core/pass-through/warm-check.ts
+++ b/src/core/pass-through/warm-check.ts
@@ -1,5 +1,6 @@
 import type { BrittleServers } from '../brittle-servers';
 import type { Clock } from '../clock';
+import { REST_WAIT_MS } from '../exchanges';
 import type { AnswerHead, ConnectionPool, Exchange, ExchangeEnd } from '../exchanges';
 import type { RouteTableStore } from '../host-routes';
 import type { ServerLimits } from '../server-limits';
@@ -73,11 +74,6 @@
 const CONNECT_TIMEOUT_MS = 500;
 /** Timeout for an answer: a check waits for a slot like any request, and uses it for a millisecond. */
 const ANSWER_TIMEOUT_MS = 400;
-/**
- * Maximum wait for the rest of an answer after its head, ms. The request that waits for the check needs a connection, and
- * the server may allow no other one.
- */
-const REST_WAIT_MS = 50;
 /**
  * Maximum idle time of a reused connection, ms. A check may be repeated, so a connection that
  * breaks does no harm.
@@ -179,6 +175,7 @@
           onHead(head) {
             reachability.recordReached(server.incarnationId);
             result = readHead(server, head);
+            // The result waits for this: the request that follows needs a connection, and the server may allow no other one.
             exchange?.discardRest(clock, clock.monotonicMs() + REST_WAIT_MS);
           },
           onData() {},
--- a/src/core/relay-node/send-statement.ts
+++ b/src/core/relay-node/send-statement.ts
@@ -1,4 +1,6 @@
 import type { CallHandler } from '../calls';
+import type { Clock } from '../clock';
+import { sendIgnoringAnswer } from '../exchanges';
 import type { ConnectionPool } from '../exchanges';
 
 /** Path on the listener for other instances that accepts statements too large for a datagram, of load or of quotas. */
@@ -11,17 +13,17 @@
 /** Maximum idle time of a reused connection, ms; instances close idle connections after a minute. */
 const MAX_IDLE_MS = 45_000;
 
-/** Ignores the answer: the next statement replaces a lost one. */
-const IGNORE_ANSWER = { onHead() {}, onData() {}, onEnd() {} };
-
 /**
  * Creates a sender for statements that are too large for a datagram. It reuses connections, and drops a statement for
  * which none is free, since the next statement supersedes it.
  */
-export function createStatementSender(pool: Pick<ConnectionPool, 'send'>) {
+export function createStatementSender(pool: Pick<ConnectionPool, 'send'>, clock: Clock) {
   return (address: string, text: string): void => {
     const body = Buffer.from(text);
-    pool.send(
+    // The next statement replaces a lost one.
+    sendIgnoringAnswer(
+      pool,
+      clock,
       address,
       {
         maxConnections: MAX_CONNECTIONS,
@@ -34,7 +36,6 @@
         headers: ['content-type', 'application/json'],
         body,
       },
-      IGNORE_ANSWER,
     );
   };
 }
--- a/src/core/relay-node/start-relay-node.ts
+++ b/src/core/relay-node/start-relay-node.ts
@@ -178,7 +178,7 @@
     await openStatementSocket({
       ...listeners.forwarding,
       logger,
-      sendLarge: createStatementSender(pool),
+      sendLarge: createStatementSender(pool, clock),
     }),
   );
   const serializeState = () => serializeSnapshot(sync.snapshot());
@@ -309,6 +309,7 @@
   const standbyConnections = createStandbyConnections({
     selfId: instanceId,
     region,
+    clock,
     pool,
     peers: instances.peers,
     path: PING_PATH,
