Bound the answers to health checks, of engines and of the platform's services

An instance saw: a server, an engine, the server list or the configuration service that answers with bytes without end was read, and its body kept, until the timeout of the request: up to 35 s for a watch.

Cause: these readers use the HTTP client's own connections, which bound the body of nothing that is kept and don't bound framing.

Change: an agent that closes a connection on which more than a maximum arrives in answer to one request, framing included: 256 KiB for a health check, 16 MiB for an engine's models, 64 MiB for a document or a server list. A health check is judged at the head, without waiting for the body.

The server list uses the same agent and has no case.

--- a/src/core/engine-orders/engine-client.ts
+++ b/src/core/engine-orders/engine-client.ts
@@ -1,5 +1,5 @@
-import { Agent } from 'undici';
 import { z } from 'zod';
+import { createBoundedAgent } from '../answers/bounded-agent';
 import { ERRORS, errorText, gatewayError } from '../errors';
 import type { EngineOrder, EngineSight, OrderAnswer, PlacedEngine } from './types';
 
@@ -18,6 +18,8 @@
 
 /** Longest wait for an answer. An order is acknowledged before its load has ended. */
 const ANSWER_TIMEOUT_MS = 2_000;
+/** Maximum answer, bytes: a list of tens of thousands of models and adapters. */
+const MAX_ANSWER_BYTES = 16_777_216;
 const FENCED_STATUS = 409;
 
 const roleSchema = z.enum(['mixed', 'prefill', 'decode']).catch('mixed');
@@ -67,7 +69,7 @@
 
 /** A client over HTTP: the adapter calls are those of vLLM, the others follow them. */
 export function createEngineClient(): EngineClient & AsyncDisposable {
-  const agent = new Agent({ pipelining: 1 });
+  const agent = createBoundedAgent(MAX_ANSWER_BYTES, { pipelining: 1 });
 
   return {
     async look({ engineId, address }) {
--- a/src/core/platform/configuration-service.ts
+++ b/src/core/platform/configuration-service.ts
@@ -1,4 +1,5 @@
 import { request } from 'undici';
+import { createBoundedAgent } from '../answers/bounded-agent';
 import type { ConfigurationService, ServiceValue } from '../configuration-sync';
 import { ERRORS, gatewayError } from '../errors';
 
@@ -15,6 +16,8 @@
 /** Time beyond that after which the watch counts as lost. */
 const WATCH_GRACE_MS = 5_000;
 const READ_TIMEOUT_MS = 3_000;
+/** Maximum size of a document, bytes. */
+const MAX_ANSWER_BYTES = 67_108_864;
 
 interface Read {
   readonly query: string;
@@ -23,12 +26,15 @@
 
 /** Reads of the platform's configuration service. */
 export function createConfigurationService({ url, key }: ConfigurationPlace): ConfigurationService {
+  const dispatcher = createBoundedAgent(MAX_ANSWER_BYTES);
+
   const read = async (
     path: string,
     { query, timeoutMs }: Read,
     signal: AbortSignal,
   ): Promise<ServiceValue> => {
     const response = await request(`${url}/v1/kv/${path}?raw${query}`, {
+      dispatcher,
       signal,
       headersTimeout: timeoutMs,
       bodyTimeout: READ_TIMEOUT_MS,
--- a/src/core/server-health/probe-server.ts
+++ b/src/core/server-health/probe-server.ts
@@ -1,4 +1,4 @@
-import { Agent } from 'undici';
+import { createBoundedAgent } from '../answers/bounded-agent';
 import { errorText } from '../errors';
 import { classifyHealthAnswer } from './classify-health-answer';
 import type { CheckedServer, ServerObservation } from './types';
@@ -11,12 +11,15 @@
   readonly probe: ServerProbe;
 }
 
+/** Maximum answer to a health check, bytes. */
+const MAX_ANSWER_BYTES = 262_144;
+
 /**
  * Creates a prober with its own connections. Each check opens a new one: a kept connection that a middlebox has
  * dropped would show a live server as dead, and one that still works would hide that no new one can be opened.
  */
 export function createServerProber(): ServerProber {
-  const agent = new Agent({ pipelining: 0, keepAliveTimeout: 1 });
+  const agent = createBoundedAgent(MAX_ANSWER_BYTES, { pipelining: 0, keepAliveTimeout: 1 });
   return {
     async probe({ address, rules }) {
       try {
@@ -26,7 +29,8 @@
           method: 'GET',
           signal: AbortSignal.timeout(rules.timeoutMs),
         });
-        await response.body.dump();
+        // The head decides; the rest is dropped.
+        void response.body.dump();
         return classifyHealthAnswer(response.statusCode, response.headers);
       } catch (error) {
         return { kind: 'failed', reason: errorText(error) };
--- a/src/core/server-health/watch-server-list.ts
+++ b/src/core/server-health/watch-server-list.ts
@@ -1,4 +1,6 @@
 import { request } from 'undici';
+import type { Dispatcher } from 'undici';
+import { createBoundedAgent } from '../answers/bounded-agent';
 import { sleepUntil } from '../clock';
 import type { Clock } from '../clock';
 import { ERRORS, errorText, gatewayError } from '../errors';
@@ -28,6 +30,9 @@
 /** Time after the end of a watch at which the statuses from its list are reset, ms. */
 const STATUS_RESET_DELAY_MS = 10_000;
 
+/** Maximum size of a list, bytes: tens of thousands of servers. */
+const MAX_ANSWER_BYTES = 67_108_864;
+
 interface ListAnswer {
   readonly index: string;
   readonly entries: readonly ServerListEntry[];
@@ -39,10 +44,11 @@
   service: string,
   index: string,
   signal: AbortSignal,
+  dispatcher: Dispatcher,
 ): Promise<ListAnswer> {
   const response = await request(
     `${url}/v1/health/service/${service}?index=${encodeURIComponent(index)}&wait=${MAX_WATCH_WAIT_S}s`,
-    { signal, headersTimeout: MAX_WATCH_WAIT_S * 1000 + WATCH_TIMEOUT_MARGIN_MS },
+    { dispatcher, signal, headersTimeout: MAX_WATCH_WAIT_S * 1000 + WATCH_TIMEOUT_MARGIN_MS },
   );
   if (response.statusCode !== 200) {
     await response.body.dump();
@@ -60,6 +66,7 @@
  */
 export function watchServerLists(options: ServerListWatchOptions): AsyncDisposable {
   const { clock, logger, health, url } = options;
+  const agent = createBoundedAgent(MAX_ANSWER_BYTES);
   const stopping = new AbortController();
   const watches = new Map<string, { stop: AbortController; task: Promise<void> }>();
 
@@ -76,7 +83,7 @@
     let index = '0';
     while (!signal.aborted) {
       try {
-        const answer = await watchOnce(url, service, index, signal);
+        const answer = await watchOnce(url, service, index, signal, agent);
         index = answer.index;
         recordListAnswer(service, answer);
       } catch (error) {
@@ -134,6 +141,7 @@
       await task;
       for (const { stop } of watches.values()) stop.abort();
       await Promise.all([...watches.values()].map((watch) => watch.task));
+      await agent.destroy();
     },
   };
 }
