Send nothing to a server whose answer had no end until one request shows that it is sound

Cause: an answer without end counted as one failure among eight; the server was skipped only after several, and got any number of requests again once the share had decayed. If no other server is left and no other region takes a request, it is sent there all the same. No hedge is sent there.

--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -334,6 +334,7 @@
         report({ kind: 'neverSent', reason: end.reason }, 'refused');
         return;
       case 'lost':
+        if (end.cause === 'endless') observer.recordEndless();
         if (to.kind === 'server' && end.cause === 'reset') options.warmCheck.markSuspect(to.server);
         // A timeout shows nothing about the server, unless the server was silent to all requests.
         report(
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -7,6 +7,7 @@
   createServiceSpeeds,
   createSpillWindows,
   createUsualTimes,
+  createSuspicions,
 } from '../placement';
 import type { CachedParts } from '../load-sharing';
 import type {
@@ -18,6 +19,7 @@
   ServiceSpeeds,
   SpillWindows,
   UsualTimes,
+  Suspicions,
 } from '../placement';
 import type { Reachability } from '../reachability';
 import { createRefusals } from '../server-notices';
@@ -82,7 +84,7 @@
   ): Destination;
   /**
    * Chooses a destination for one more attempt of a request beside those in progress, which are silent; undefined if there
-   * is none. Leaves out servers of this region that are silent as well.
+   * is none. Leaves out servers of this region that are silent as well, or under suspicion.
    */
   chooseBeside(
     request: InboundRequest,
@@ -94,6 +96,8 @@
   waitMs(plan: RequestPlan): number;
   readonly loads: ServerLoads;
   readonly refusals: Refusals;
+  /** Servers whose answers had no end. */
+  readonly suspicions: Suspicions;
   readonly speeds: ServiceSpeeds;
   /** Speeds of single servers; undefined if all servers of a service count as equally fast. */
   readonly serverSpeeds: ServerSpeeds | undefined;
@@ -120,7 +124,7 @@
 /** Options of `createRouter`. */
 export type RouterOptions = Omit<
   LocalServersOptions,
-  'loads' | 'refusals' | 'speeds' | 'prefixes' | 'correction'
+  'loads' | 'refusals' | 'suspicions' | 'speeds' | 'prefixes' | 'correction'
 > &
   Omit<OtherRegionsOptions, 'windows'> & {
     /** Record of refusals; a new one by default. */
@@ -164,6 +168,7 @@
   const { coldServerLimiter, region, servers, links = ALL_REACHABLE } = options;
   const loads = createServerLoads();
   const refusals = options.refusals ?? createRefusals();
+  const suspicions = createSuspicions();
   const speeds = createServiceSpeeds();
   const prefixes = createPrefixCacheView();
   const correction = createPredictionCorrection();
@@ -181,6 +186,7 @@
     ...options,
     loads,
     refusals,
+    suspicions,
     speeds,
     prefixes,
     correction,
@@ -353,6 +359,7 @@
   return {
     loads,
     refusals,
+    suspicions,
     speeds,
     serverSpeeds: options.serverSpeeds,
     prefixes,
@@ -376,7 +383,8 @@
         .filter(
           (incarnationId) =>
             loads.unheardMs(incarnationId, nowMs) > MAX_SILENCE_MS ||
-            loads.unprogressedMs(incarnationId, nowMs) > MAX_UNPROGRESSED_MS,
+            loads.unprogressedMs(incarnationId, nowMs) > MAX_UNPROGRESSED_MS ||
+            suspicions.standing(incarnationId, nowMs) !== 'sound',
         );
       const ids = new Set([...tried.ids, ...silentIds]);
       const { finding } = find(request, plan, { ...tried, ids }, nowMs);
@@ -395,6 +403,7 @@
     keepOnly(known) {
       loads.keepOnly(known);
       refusals.keepOnly(known);
+      suspicions.keepOnly(known);
       prefixes.keepOnly(known);
       options.serverSpeeds?.keepOnly(known);
       coldServerLimiter.keepOnly(known);
--- a/src/core/pass-through/local-servers.ts
+++ b/src/core/pass-through/local-servers.ts
@@ -18,15 +18,17 @@
   ServerLoads,
   ServerSpeeds,
   ServiceSpeeds,
+  Suspicions,
 } from '../placement';
 import type { ServerLimits } from '../server-limits';
 import type { Refusals, ServerNotices } from '../server-notices';
 import type { KnownServer, ServerRegistry } from '../server-registry';
 import type { ColdServerLimiter } from '../shared-budget';
-import { requestClassKey } from './forwarding';
+import { isRepeatable, requestClassKey } from './forwarding';
 import { nameAbsence } from './server-absence';
 import type { ServerAbsence } from './server-absence';
 import type { InboundRequest, RequestPlan, TriedDestinations } from './types';
+import { withoutSuspects } from './without-suspects';
 
 /** The best server of this region for a request, with the prediction for it. */
 export interface LocalChoice {
@@ -64,8 +66,8 @@
   /** Best server that is not known to be unreachable; undefined if there is none. */
   readonly best: LocalChoice | undefined;
   /**
-   * Best server among those that recently could not be connected to; set only if no other is
-   * usable.
+   * Best server among those that recently could not be connected to, or are under suspicion; set
+   * only if no other is usable.
    */
   readonly unreachable: LocalChoice | undefined;
   /**
@@ -117,6 +119,8 @@
   readonly instancesInRegion: () => number;
   readonly loads: ServerLoads;
   readonly refusals: Refusals;
+  /** Servers whose answers had no end. */
+  readonly suspicions: Pick<Suspicions, 'standing'>;
   /** Requests that the other instances of this region have in flight at its servers. */
   readonly otherLoads: PeerLoads;
   readonly speeds: ServiceSpeeds;
@@ -159,6 +163,7 @@
     notices,
     loads,
     refusals,
+    suspicions,
     otherLoads,
     speeds,
     serverSpeeds,
@@ -190,7 +195,7 @@
   const speedFactorOf = (incarnationId: string, nowMs: number): number =>
     serverSpeeds?.factor(incarnationId, nowMs) ?? 1;
 
-  const isConnectable = ({ address }: KnownServer, service: RoutedService | undefined): boolean =>
+  const hasConnection = ({ address }: KnownServer, service: RoutedService | undefined): boolean =>
     pool.hasCapacity(address, maxConnectionsOf(service));
 
   /** Returns whether a server is warm, or may get one more request although it is cold. */
@@ -367,24 +372,35 @@
       const service = routes.current()?.table.services.get(plan.service);
       const usable = servers.usable(plan.service, region, plan.streamVersion);
       const untried = usable.filter(({ incarnationId }) => !tried.ids.has(incarnationId));
-      const connectable = untried.filter((server) => isConnectable(server, service));
-      const candidates = connectable.filter((server) => isReceiving(server, service, nowMs));
+      const withConnection = untried.filter((server) => hasConnection(server, service));
+      const candidates = withConnection.filter((server) => isReceiving(server, service, nowMs));
       const eligible = candidates.filter((server) => restrictionOf(server) === undefined);
-      const reachable = eligible.filter(
+      const connectable = eligible.filter(
         (server) => !loads.isBackingOff(server.incarnationId, nowMs),
       );
+      const reachable = withoutSuspects(connectable, {
+        standingOf: ({ incarnationId }) => suspicions.standing(incarnationId, nowMs),
+        mayBeSentAgain: isRepeatable(plan) && tried.ids.size + 1 < plan.maxAttempts,
+      });
       if (reachable.length > 0) {
         const best = chooseBest(reachable, request, plan, tried, nowMs);
         return { best, unreachable: undefined, restricted: undefined, absence: undefined };
       }
-      const unreachable = chooseBest(eligible, request, plan, tried, nowMs);
+      // A server under suspicion is likelier to answer than one that can't be connected to.
+      const unreachable = chooseBest(
+        connectable.length > 0 ? connectable : eligible,
+        request,
+        plan,
+        tried,
+        nowMs,
+      );
       const restricted =
         firstRestricted(candidates) ?? serviceRestriction(plan.service, plan.streamVersion);
       const facts = {
         mayServeHere,
         usable: usable.length,
         untried: untried.length,
-        connectable: connectable.length,
+        connectable: withConnection.length,
         receiving: candidates.length,
       };
       const absence = unreachable === undefined ? nameAbsence(facts) : undefined;
--- a/src/core/pass-through/observe-destination.ts
+++ b/src/core/pass-through/observe-destination.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../clock';
 import { ownTokens } from '../placement';
-import type { LoadReport, SpillResult } from '../placement';
+import type { LoadReport, SpillResult, TrialResult } from '../placement';
 import type { Router, SendableDestination } from './create-router';
 import { ownTimeKey, requestClassKey } from './forwarding';
 import type { InboundRequest, RequestPlan } from './types';
@@ -26,6 +26,8 @@
   recordProgress(): void;
   /** Records that the head of the answer is that of a failure, which counts before its body has ended. */
   recordFailing(): void;
+  /** Records that the answer has no end, before its end is recorded. */
+  recordEndless(): void;
   recordEnd(end: ObservedEnd): void;
   /**
    * Whether the destination has unfinished requests and has sent nothing for any of them for a long
@@ -48,13 +50,18 @@
  */
 const SERVER_SILENCE_TIMEOUT_MS = 1_200;
 
+function trialResultOf(end: ObservedEnd, isFailing: boolean): TrialResult {
+  if (isFailing || end === 'failed') return 'failed';
+  return end === 'answered' ? 'whole' : 'inconclusive';
+}
+
 function observeServer(
   { clock, router, plan, request }: ObserverOptions,
   to: SendableDestination & { kind: 'server' },
 ): DestinationObserver {
   const { server, tokens, predictedMs, usualMs, rawPredictedMs } = to;
   const { incarnationId } = server;
-  const { loads, refusals, speeds, serverSpeeds, correction, usualTimes } = router;
+  const { loads, refusals, suspicions, speeds, serverSpeeds, correction, usualTimes } = router;
   const promptTokens = request.demand?.promptTokens ?? 0;
   const sentAtMs = clock.monotonicMs();
   const kind = requestClassKey(plan);
@@ -67,6 +74,7 @@
   let isFailing = false;
   const keptTokens = request.demand === undefined ? undefined : ownTokens(request.demand);
   loads.recordSent(incarnationId, tokens, sentAtMs, keptTokens);
+  const trial = suspicions.begin(incarnationId);
   return {
     recordLoad(report) {
       const nowMs = clock.monotonicMs();
@@ -130,10 +138,12 @@
       isFailing = true;
       loads.recordFailure(incarnationId, clock.monotonicMs());
     },
+    recordEndless: () => suspicions.recordMisbehaved(incarnationId, clock.monotonicMs()),
     recordEnd(end) {
       if (isEndRecorded) return;
       isEndRecorded = true;
       const nowMs = clock.monotonicMs();
+      trial.end(trialResultOf(end, isFailing), nowMs);
       const isInconclusive = end === 'inconclusive' || end === 'refused' || isFailing;
       const isFailure = isInconclusive ? undefined : end === 'failed';
       loads.recordEnd(incarnationId, { hadFirstByte, tokens, keptTokens, isFailure }, nowMs);
@@ -170,6 +180,7 @@
     recordData() {},
     recordProgress() {},
     recordFailing() {},
+    recordEndless() {},
     recordEnd(observed) {
       switch (observed) {
         case 'answered':
@@ -198,6 +209,7 @@
   recordData() {},
   recordProgress() {},
   recordFailing() {},
+  recordEndless() {},
   recordEnd() {},
   isSilent: () => false,
 };
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -17,6 +17,8 @@
 export { serverSampleSize, sampleServers } from './sample-servers';
 export { createServerLoads } from './server-load';
 export type { ServerLoads } from './server-load';
+export { createSuspicions } from './suspicions';
+export type { SuspicionStanding, Suspicions, TrialResult } from './suspicions';
 export { createServerSpeeds } from './server-speeds';
 export type { ServerSpeeds, ServerSpeedsOptions, SpeedSample } from './server-speeds';
 export { createServiceSpeeds } from './service-speeds';
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -321,6 +321,11 @@
     'Bytes of answers that are held until more of them has arrived',
     room.heldBytes,
   );
+  options.metrics.gauge(
+    'coltsfootworks_suspected_servers',
+    'Backend servers that get one request at a time at most, since an answer of theirs had no end',
+    router.suspicions.count,
+  );
   const retries = createRetryAllowance(() => options.settings().retryBudget, instances.count);
   return {
     clock,
