Name the shape of header fields and trailers without end

A server in trouble that sends header fields or trailers without end was taken for one that resets its connections, and so was suspected of a crash.

Cause: the HTTP client ends such an exchange with an error of its own, which was read as a reset.

Change: it counts as lost with the cause `endless`, with the shape and the bytes since the last progress.

Evidence: the two new cases of endless-framing.test.ts fail before with the cause `reset`, and pass with the change.

--- a/src/core/exchanges/connection.ts
+++ b/src/core/exchanges/connection.ts
@@ -68,6 +68,8 @@
 const ABORTED = 'The exchange was aborted.';
 /** Reason of an exchange whose rest was to be dropped and is too long or too slow for that. */
 const REST_DROPPED = 'The rest of the answer was not read.';
+/** Name of the HTTP client's error for header fields or trailers that are longer than it accepts. */
+const HEADERS_OVERFLOW_ERROR = 'HeadersOverflowError';
 /** Name of the HTTP client's error for a body that is not as long as the answer states. */
 const LENGTH_MISMATCH_ERROR = 'ResponseContentLengthMismatchError';
 
@@ -218,6 +220,9 @@
         settle({ kind: 'neverSent', reason });
         return;
       }
+      if (abortion === undefined && error.name === HEADERS_OVERFLOW_ERROR) {
+        abortion = framing.sinceProgress(socketState.readBytes());
+      }
       if (typeof abortion === 'object') {
         settle({ kind: 'lost', cause: 'endless', endless: abortion, reason });
         return;
--- a/src/core/exchanges/endless-framing.test.ts
+++ b/src/core/exchanges/endless-framing.test.ts
@@ -52,6 +52,8 @@
       begin: 'HTTP/1.1 200 OK\r\nA:',
       repeat: ' ',
     },
+    { shape: 'head', name: 'header fields', begin: 'HTTP/1.1 200 OK\r\n', repeat: 'A: b\r\n' },
+    { shape: 'chunkFraming', name: 'trailers', begin: `${CHUNKED_HEAD}0\r\n`, repeat: 'A: b\r\n' },
     {
       shape: 'chunkFraming',
       name: 'a chunk extension',
--- a/src/core/exchanges/framing-bound.ts
+++ b/src/core/exchanges/framing-bound.ts
@@ -20,6 +20,8 @@
   recordEnd(readBytes: number): void;
   /** Returns what has exceeded the bound once `readBytes` have been read in total; undefined while nothing has. */
   findEndless(readBytes: number): EndlessBytes | undefined;
+  /** Returns what has been read since the last progress, be it within the bound. */
+  sinceProgress(readBytes: number): EndlessBytes;
 }
 
 /** Maximum bytes without progress: four heads of the largest size that is accepted. */
@@ -53,6 +55,12 @@
     }
   };
 
+  const sinceProgress = (readBytes: number): EndlessBytes => {
+    // A read that was cut short by a pause is given back, so that less counts as read than at the last progress.
+    progressAtBytes = Math.min(progressAtBytes, readBytes);
+    return { shape: shape(), bytes: readBytes - progressAtBytes };
+  };
+
   return {
     recordRequest(readBytes) {
       phase = 'beforeHead';
@@ -83,11 +91,10 @@
       progressAtBytes = readBytes;
     },
     findEndless(readBytes) {
-      // A read that was cut short by a pause is given back, so that less counts as read than at the last progress.
-      progressAtBytes = Math.min(progressAtBytes, readBytes);
-      const bytes = readBytes - progressAtBytes;
+      const found = sinceProgress(readBytes);
       const maxBytes = phase === 'inRest' ? MAX_REST_BYTES : MAX_FRAMING_BYTES;
-      return bytes > maxBytes ? { shape: shape(), bytes } : undefined;
+      return found.bytes > maxBytes ? found : undefined;
     },
+    sinceProgress,
   };
 }
