Have servers of the soak answer without end

A new fault: a server sends one of the shapes in place of its answers and health checks for one to four seconds. Beside it requests are sent at a steady rate. Comments of a stream mean nothing to the comparison of bodies.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -53,6 +53,14 @@
   return status === 200 && isWhole;
 }
 
+/** Statuses of refusals of requests that may have run. */
+const MAY_HAVE_RUN: ReadonlySet<number | undefined> = new Set([502, 504]);
+
+/** Whether an answer was closed before its end, or refused as one of a request that may have run. */
+export function isCut({ status, isWhole }: CallerAttempt): boolean {
+  return MAY_HAVE_RUN.has(status) || (!isWhole && (status === undefined || status === 200));
+}
+
 /** Options of `startCallers`. */
 export interface CallersOptions {
   readonly random: RandomSource;
@@ -180,8 +188,8 @@
       const next = route.isResumable === true ? takenUpAfter(attempt) : undefined;
       interrupted = next === undefined ? undefined : { route, takesUp: next };
       // The caller stays with an instance until the connection to it ends, and may take a stream up anywhere.
-      const isCut = attempt.status === undefined || !attempt.isWhole;
-      if (isCut || interrupted !== undefined) address = pick(addresses);
+      const wasCut = attempt.status === undefined || !attempt.isWhole;
+      if (wasCut || interrupted !== undefined) address = pick(addresses);
       if (interrupted === undefined) await rest();
     }
     agent.destroy();
--- a/soak/cut-in-silence.ts
+++ b/soak/cut-in-silence.ts
@@ -1,5 +1,5 @@
 import { isWithinQuota } from './accounts';
-import { DEADLINE_MS, isAnswered } from './callers';
+import { DEADLINE_MS, isAnswered, isCut } from './callers';
 import type {
   BrittleTime,
   BrokenPromise,
@@ -17,8 +17,6 @@
 
 /** Checks what became of requests while servers stood still, and of those at servers that fell silent for good. */
 
-/** Statuses of refusals of requests that may have run. */
-const MAY_HAVE_RUN: ReadonlySet<number | undefined> = new Set([502, 504]);
 /** Standard deviations of a random draw by which fewer streams of a kind may be served. */
 const CHANCE_DEVIATIONS = 3;
 /** Minimum streams of either kind from which their shares are compared. */
@@ -120,11 +118,6 @@
   return { count: attempts.length, answered: attempts.filter(isServed).length };
 }
 
-/** Whether an answer was closed before its end, or refused as one of a request that may have run. */
-function isCut({ status, isWhole }: CallerAttempt): boolean {
-  return MAY_HAVE_RUN.has(status) || (!isWhole && (status === undefined || status === 200));
-}
-
 /** Whether a caller got a whole answer within its deadline. */
 function isAnsweredInTime(attempt: CallerAttempt): boolean {
   return isAnswered(attempt) && attempt.endedAtMs <= attempt.atMs + DEADLINE_MS;
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -1,6 +1,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { pickIndex } from '../src/core/random';
 import type { RandomSource } from '../src/core/random';
+import { ENDLESS_SHAPES } from '../standins/endless-answers';
+import type { EndlessShape } from '../standins/endless-answers';
 import type { StoreCopy, StoreStandIn } from '../standins/published-store';
 import type { Brittleness } from './brittleness';
 import type { CrashingParts } from './crashing-parts';
@@ -37,6 +39,13 @@
   | { readonly kind: 'standStill'; readonly servers: readonly number[]; readonly forMs: number }
   /** Servers send nothing any more, and are replaced some time later. */
   | { readonly kind: 'fallSilent'; readonly servers: readonly number[]; readonly forMs: number }
+  /** A server answers without end for some time. */
+  | {
+      readonly kind: 'endless';
+      readonly server: number;
+      readonly shape: EndlessShape;
+      readonly forMs: number;
+    }
   /** A server states its departure in answers, and announces it some time later. */
   | { readonly kind: 'departure'; readonly server: number; readonly forMs: number }
   /** Servers refuse all requests; a pause of 0 is not stated. */
@@ -85,6 +94,7 @@
   'crashingPart',
   'standStill',
   'fallSilent',
+  'endless',
 ] as const satisfies readonly FaultKind[];
 const MIN_FAULT_MS = 300;
 const MAX_FAULT_MS = 4_000;
@@ -102,6 +112,9 @@
 /** Time after which a server that fell silent is replaced, ms. */
 const MIN_SILENCE_MS = 3_000;
 const MAX_SILENCE_MS = 6_000;
+/** Time for which a server answers without end, ms. */
+const MIN_ENDLESS_MS = 1_000;
+const MAX_ENDLESS_MS = 4_000;
 /** Time before servers stand still from which requests are sent at a steady rate, ms: streams are open then. */
 const ASKED_BEFORE_MS = 300;
 /** Limits that servers name, requests a second. */
@@ -129,6 +142,11 @@
   );
 }
 
+function drawShape(random: RandomSource): EndlessShape {
+  const shapes = Object.values(ENDLESS_SHAPES);
+  return shapes[pickIndex(random, shapes.length)] ?? { kind: 'garbage' };
+}
+
 /** Draws a fault of one of the kinds. */
 export function drawFault(
   random: RandomSource,
@@ -183,6 +201,10 @@
       const silent = random.next() < PAIR_SHARE ? [server, next] : [server];
       return { kind, servers: silent, forMs: silentMs };
     }
+    case 'endless': {
+      const endlessMs = drawMs(random, MIN_ENDLESS_MS, MAX_ENDLESS_MS);
+      return { kind, server, shape: drawShape(random), forMs: endlessMs };
+    }
     case 'refuse':
     case 'refuseAll':
       return { kind, server, pauseMs: PAUSES_MS[pickIndex(random, PAUSES_MS.length)] ?? 0, forMs };
@@ -324,6 +346,11 @@
         await Promise.all(fault.servers.map((server) => servers.fallSilent(server, fault.forMs)));
       });
       return;
+    case 'endless':
+      await beside(targets.steadyCallers, fault.forMs, () =>
+        servers.answerEndlessly(fault.server, fault.shape, fault.forMs),
+      );
+      return;
     case 'departure':
       servers.stateDeparture(fault.server);
       await sleep(fault.forMs);
--- a/soak/instances.ts
+++ b/soak/instances.ts
@@ -10,7 +10,7 @@
 import { openFaultProxy } from '../standins/fault-proxy';
 import type { FaultProxy } from '../standins/fault-proxy';
 import type { StandIn } from '../standins/listen';
-import type { InstanceInterruption } from './types';
+import type { InstanceEnd, InstanceInterruption } from './types';
 
 /** Instances that run as processes, each with its own proxy to the store. */
 export interface SoakInstances extends AsyncDisposable {
@@ -22,6 +22,8 @@
   storeProxy(index: number): FaultProxy;
   /** Sends a signal to the process of an instance if it runs. */
   signal(index: number, signal: NodeJS.Signals): void;
+  /** Ends of processes that no signal had asked for. */
+  readonly unexpectedEnds: readonly InstanceEnd[];
   /** Times in which processes were stopped, and moments at which a signal ended one at once; a lasting stop has no end yet. */
   readonly interruptions: readonly InstanceInterruption[];
 }
@@ -54,6 +56,9 @@
   const interruptions: (Omit<InstanceInterruption, 'toMs'> & { toMs: number })[] = [];
   /** When the last signal was sent to the process of an instance, Unix ms. */
   const signalledAtMs = new Map<number, number>();
+  /** Processes that a signal has asked to end. */
+  const asked = new WeakSet<ChildProcess>();
+  const unexpectedEnds: InstanceEnd[] = [];
   let isEnding = false;
 
   const recordStop = (instance: number): void => {
@@ -75,9 +80,12 @@
     });
     closeSync(log);
     running.set(index, child);
-    child.once('exit', (_code, signal) => {
+    child.once('exit', (code, signal) => {
       running.delete(index);
       const atMs = Date.now();
+      if (!asked.has(child) && !isEnding) {
+        unexpectedEnds.push({ instance: index, atMs, how: String(signal ?? code) });
+      }
       recordContinuation(index);
       if (ENDING_SIGNALS.includes(signal)) {
         const fromMs = signalledAtMs.get(index) ?? atMs;
@@ -107,10 +115,12 @@
       return proxy;
     },
     interruptions,
+    unexpectedEnds,
     signal(index, signal) {
       const child = running.get(index);
       if (child === undefined) return;
       signalledAtMs.set(index, Date.now());
+      if (ENDING_SIGNALS.includes(signal)) asked.add(child);
       if (signal === 'SIGSTOP') recordStop(index);
       if (signal === 'SIGCONT') recordContinuation(index);
       child.kill(signal);
--- a/soak/promises.ts
+++ b/soak/promises.ts
@@ -22,17 +22,20 @@
   return [...body.matchAll(VERSION_OF_EVENT)].map(([, version]) => version ?? '');
 }
 
+/** Comments of a stream, which mean nothing to its caller. */
+const COMMENT = /^:.*\n\n/gmu;
+
 function withoutVersions(body: string): string {
-  return body.replace(VERSION_OF_EVENT, '');
+  return body.replace(VERSION_OF_EVENT, '').replace(COMMENT, '');
 }
 
 /** Number of events of each stream. */
 export const EVENTS_PER_STREAM = 8;
 
 /** Returns the complete body of a stream after the event `lastEventId`. */
-export function streamBody(requestId: string, lastEventId = 0): string {
+export function streamBody(requestId: string, lastEventId = 0, softwareVersion = 'v1'): string {
   return Array.from({ length: EVENTS_PER_STREAM - lastEventId }, (_, index) =>
-    eventText(requestId, lastEventId + index + 1),
+    eventText(requestId, lastEventId + index + 1, softwareVersion),
   ).join('');
 }
 
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -11,6 +11,7 @@
 import { configurationOf } from './configuration';
 import { checkCrashingParts, createCrashingParts } from './crashing-parts';
 import { checkSilence, silenceFigures, tallySilence } from './cut-in-silence';
+import { checkEndless } from './check-endless';
 import { createDisturbances } from './disturbances';
 import { drawFault, injectFault } from './faults';
 import { startSoakInstances } from './instances';
@@ -144,16 +145,18 @@
     const logs = readLogs(logFolder, options.instances);
     const passedThrough = readInstancesOf(logs);
     const allAttempts = [...attempts, ...steadyCallers.attempts];
-    const silence = tallySilence({
+    const record = {
       ...servers,
       attempts: allAttempts,
       brittleTimes: brittleness.times,
       interruptions: [...instances.interruptions, ...links.cuts],
-      instancesOf: ({ requestId, address }) => [
+      instancesOf: ({ requestId, address }: CallerAttempt) => [
         ...(passedThrough.get(requestId) ?? []),
         addresses.indexOf(address),
       ],
-    });
+    };
+    const silence = tallySilence(record);
+    const endlessReads = servers.endless.reads();
     return {
       seed,
       seconds,
@@ -170,6 +173,7 @@
         arrivals: crashingParts.arrivals.length,
         sound: crashingParts.sound.length,
       },
+      endless: endlessReads.length,
       falls: brittleness.times.map(({ falls }) => falls),
       broken: [
         ...checkPromises(allAttempts, servers.runs),
@@ -183,6 +187,12 @@
         ...checkFalls(brittleness.times, SERVERS),
         ...checkStreamVersions(streams),
         ...checkSilence(silence),
+        ...checkEndless({
+          ...record,
+          endlessTimes: servers.endless.times,
+          endlessReads,
+          unexpectedEnds: instances.unexpectedEnds,
+        }),
         ...checkSuspects(logs, servers.ends),
         ...checkCrashingParts(crashingParts.arrivals, crashingParts.sound),
       ],
--- a/soak/server-scripts.ts
+++ b/soak/server-scripts.ts
@@ -4,7 +4,8 @@
 import type { ReceivedRequest, ServerScript } from '../standins/announced-server';
 import type { Brittleness } from './brittleness';
 import { LONG_PATH, SOLO_PREFIX } from './configuration';
-import { EVENTS_PER_STREAM, eventText, plainBody } from './promises';
+import { EVENTS_PER_STREAM, eventText, plainBody, streamBody } from './promises';
+import type { EndlessServers } from './endless';
 import type { Stillness } from './stillness';
 import type {
   FailedAnswer,
@@ -45,6 +46,7 @@
   readonly random: RandomSource;
   readonly brittleness: Brittleness;
   readonly stillness: Stillness;
+  readonly endless: Pick<EndlessServers, 'answer' | 'shapeOf'>;
   readonly crashesOn: (request: ReceivedRequest) => boolean;
   /** Called when a start of a server ends for what it was sent. */
   readonly onFall: (startId: string) => void;
@@ -81,7 +83,7 @@
 
 /** Creates the scripts of servers that have received nothing yet. */
 export function createServerScripts(options: ServerScriptsOptions): ServerScripts {
-  const { random, brittleness, stillness, crashesOn, onFall } = options;
+  const { random, brittleness, stillness, endless, crashesOn, onFall } = options;
   const runs: ServerRun[] = [];
   const limits = new Map<string, number>();
   const arrivals: ServerArrival[] = [];
@@ -159,6 +161,14 @@
       silenced.get(startId)?.push({ requestId, sinceMs, hasBegun: false });
     };
 
+    /** Returns the body of a whole answer. */
+    const soundBodyOf = (request: ReceivedRequest): string => {
+      const requestId = requestIdOf(request);
+      if (!isStream(request)) return plainBody(requestId);
+      const lastEventId = Number(request.headers.get('last-event-id') ?? 0);
+      return streamBody(requestId, lastEventId, softwareVersion);
+    };
+
     const breakOff = ({ requestId, socket }: OpenRequest): void => {
       if (!socket.destroyed) fail(requestId, 'brokenOff');
       socket.resetAndDestroy();
@@ -208,6 +218,20 @@
       setTimeout(() => stillness.whenMoving(startId, finish), workMs).unref();
     };
 
+    /** Begins an answer without end if the server is in trouble; returns whether it is. */
+    const answerEndlessly = (request: ReceivedRequest, opened: OpenRequest): boolean => {
+      const { requestId, socket } = opened;
+      const isRun = endless.shapeOf(startId)?.kind !== 'notExecuted';
+      const wanted = { request, isStream: isStream(request), soundBody: soundBodyOf(request) };
+      if (!endless.answer(startId, requestId, wanted, socket)) return false;
+      closeRequest(startId, opened);
+      if (request.path === '/health') return true;
+      arrivals.push({ requestId, server: startId, atMs: opened.sinceMs });
+      if (isRun) recordRun(request, opened);
+      fail(requestId, 'brokenOff');
+      return true;
+    };
+
     /** Reads a request that has arrived. */
     const read = (request: ReceivedRequest, opened: OpenRequest): void => {
       const { requestId, socket } = opened;
@@ -215,14 +239,15 @@
         closeRequest(startId, opened);
         if (!socket.destroyed) socket.write(answer);
       };
+      const isForOther = (request.headers.get('x-target-instance') ?? serverId) !== serverId;
+      if (!isForOther && answerEndlessly(request, opened)) return;
       const pauseMs = refusingStarts.get(startId);
       if (request.path === '/health') {
         const healthy = withStatements(startId, wholeAnswer(request, ''));
         refuse(pauseMs === undefined ? healthy : refusalOf(request, pauseMs));
         return;
       }
-      const wanted = request.headers.get('x-target-instance');
-      if (wanted !== undefined && wanted !== serverId) {
+      if (isForOther) {
         refuse(wholeAnswer(request, '', { status: 421 }));
         return;
       }
--- a/soak/servers.ts
+++ b/soak/servers.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { openAnnouncedServer } from '../standins/announced-server';
 import type { AnnouncedServer, ReceivedRequest } from '../standins/announced-server';
+import type { EndlessShape } from '../standins/endless-answers';
 import { serverEntry } from '../standins/published-store';
 import type { StoreStandIn } from '../standins/published-store';
 import type { RandomSource } from '../src/core/random';
@@ -10,6 +11,8 @@
 import type { SoakLinks } from './links';
 import { createServerScripts } from './server-scripts';
 import { createServingTimes } from './serving-times';
+import { createEndlessServers } from './endless';
+import type { EndlessServers } from './endless';
 import { createStillness } from './stillness';
 import type {
   FailedAnswer,
@@ -60,6 +63,9 @@
    * others of its region are silent.
    */
   fallSilent(index: number, forMs: number): Promise<void>;
+  /** Has a server answer without end for some time. */
+  answerEndlessly(index: number, shape: EndlessShape, forMs: number): Promise<void>;
+  readonly endless: Pick<EndlessServers, 'times' | 'reads'>;
   readonly standstills: readonly Standstill[];
   readonly silentServers: readonly SilentServer[];
   /** Answers that servers broke off, and failures of their own. */
@@ -112,11 +118,13 @@
   /** Starts whose refusals still ask for a pause, or whose entry is damaged. */
   const restingStarts = new Set<string>();
   const stillness = createStillness();
+  const endless = createEndlessServers();
   let fall: (startId: string) => void = () => {};
   const scripts = createServerScripts({
     random,
     brittleness,
     stillness,
+    endless,
     crashesOn,
     onFall: (startId) => fall(startId),
   });
@@ -151,6 +159,7 @@
       ({ startId }) =>
         !endedStarts.has(startId) &&
         !stillness.isStill(startId) &&
+        endless.shapeOf(startId) === undefined &&
         !limits.has(startId) &&
         !leavingStarts.has(startId) &&
         !refusingStarts.has(startId) &&
@@ -280,6 +289,16 @@
     silentServers,
     failedAnswers: scripts.failedAnswers,
     servingTimes: servingTimes.times,
+    endless,
+    async answerEndlessly(index, shape, forMs) {
+      const { startId } = running[index] ?? {};
+      if (startId === undefined || endless.shapeOf(startId) !== undefined) return;
+      endless.begin(startId, shape);
+      recordServing();
+      await sleep(forMs);
+      endless.end(startId);
+      recordServing();
+    },
     async standStill(indexes, forMs) {
       const startIds = indexes.flatMap((index) => running[index]?.startId ?? []);
       await stillness.during(startIds, forMs, recordServing);
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -153,6 +153,31 @@
   readonly falls: number;
 }
 
+/** Time in which a start of a server answered without end. */
+export interface EndlessTime {
+  /** Identifies the start of the server. */
+  readonly server: string;
+  /** Unix ms. */
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
+/** An answer without end. */
+export interface EndlessRead extends ServerArrival {
+  readonly shape: string;
+  readonly writtenBytes: number;
+  /** Whether its connection is open. */
+  readonly isOpen: boolean;
+}
+
+/** End of the process of an instance. */
+export interface InstanceEnd {
+  readonly instance: number;
+  readonly atMs: number;
+  /** Exit code, or the signal that ended it. */
+  readonly how: string;
+}
+
 /** End of a start of a server. */
 export interface ServerEnd {
   /** Identifies the start, as the instances' logs do. */
@@ -187,7 +212,12 @@
     | 'soundSuspected'
     | 'cutInSilence'
     | 'resumableServedLess'
-    | 'leftAtSilentServer';
+    | 'leftAtSilentServer'
+    | 'lateInEndless'
+    | 'struckByEndless'
+    | 'endlessReadTooFar'
+    | 'endlessKeptOpen'
+    | 'instanceEnded';
   readonly requestId: string;
   readonly detail: string;
 }
@@ -220,6 +250,8 @@
   readonly streams: StreamTally;
   /** Requests while servers stood still, and at servers that fell silent. */
   readonly silence: SilenceFigures;
+  /** Answers without end. */
+  readonly endless: number;
   /** Falls in each time in which the servers were brittle. */
   readonly falls: readonly number[];
   /** Requests with crashing parts that reached servers, and sound ones beside them. */
