Keep the first attempt of a stream in reserve while its hedge proves itself

Callers found streams closed midway although the server that began them was sound: it stood still, the server that was asked beside it sent one event, and that one broke off or fell silent; no attempt was left.

Cause: the first attempt was ended at the first event of the other one.

An attempt of which the caller has events is now kept, unread, for 3 s at most or until the answer ends. If the other one is lost, or silent for 1.2 s, it goes on. Events that were passed on meanwhile are kept up to 64 KiB; those that the first server writes again have to have an id and the same bytes, in the same places, and are left out. At the first one that differs, or if its stream ends before, the attempt is given up and the stream ends as before this change. So no pieces of two runs are joined by their ids alone; servers that write another text in each run gain nothing. An instance keeps 16 attempts at most, a request one and once; it reaches no further server, so the limit of attempts of a route holds as before.

--- a/src/core/pass-through/answer-reader.ts
+++ b/src/core/pass-through/answer-reader.ts
@@ -10,8 +10,7 @@
   MAX_UNSTATED_FAILURE_BYTES,
 } from './answer-limits';
 import { headerText } from './classify-answer';
-import { readEventId } from './read-event-id';
-import type { StreamProgress } from './stream-progress';
+import type { StreamPosition } from './stream-progress';
 import type { ClientAnswer } from './types';
 import { answerHeaders } from './headers';
 
@@ -36,6 +35,8 @@
       /** Whether the caller reads slowly. */
       readonly isCallerSlow: boolean;
     }
+  /** The caller has other events than this answer has in their place. */
+  | { readonly kind: 'different' }
   /** Nothing that arrives any more can belong to an answer that is passed on. */
   | { readonly kind: 'endless'; readonly found: EndlessBytes };
 
@@ -130,18 +131,24 @@
   return USABLE_FIELD.test(event.toString('latin1'));
 }
 
+function joined(events: readonly Buffer[]): Buffer {
+  const [first, ...others] = events;
+  return first !== undefined && others.length === 0 ? first : Buffer.concat(events);
+}
+
 /**
- * Creates a reader that passes on complete events as they arrive, and never a part of an event. `softwareVersion` is that
- * of the server that writes them, if it is known.
+ * Creates a reader that passes on complete events as they arrive, and never a part of an event; those that another attempt has
+ * passed on meanwhile are left out. `softwareVersion` is that of the server that writes them, if it is known.
  */
 export function createStreamReader(
   head: AnswerHead,
   softwareVersion: string | undefined,
   { answer, quietAnswer }: StreamAnswers,
-  progress: StreamProgress,
+  position: StreamPosition,
   dropped: ReadonlySet<string>,
 ): AnswerReader {
   const splitter = createEventSplitter();
+  const { progress } = position;
   // A stream that is resumed may have nothing left. One that begins has an event, unless its server crashed before it.
   const isEmptyIfCut = isCloseDelimited(head.headers) && progress.lastEventId === undefined;
   /** Bytes of comments since the last event that the caller can use. */
@@ -154,20 +161,22 @@
     to.sendHead(head.status, answerHeaders(head.headers, dropped));
   };
 
-  /** Records events that are about to be passed on; returns whether the caller can use one of them. */
-  const record = (events: readonly Buffer[]): boolean => {
-    let hasProgressed = false;
+  /** Records events; returns those to pass on, or undefined if the caller has others in their place. */
+  const takeNew = (events: readonly Buffer[]): readonly Buffer[] | undefined => {
+    const added: Buffer[] = [];
     for (const event of events) {
-      if (isUsable(event)) {
-        progress.recordEvent(readEventId(event), softwareVersion);
-        commentBytes = 0;
-        hasProgressed = true;
-      } else {
+      if (!isUsable(event)) {
         progress.recordComment();
         commentBytes += event.length;
+        added.push(event);
+        continue;
       }
+      commentBytes = 0;
+      const taken = position.take(event, softwareVersion);
+      if (taken === 'different') return undefined;
+      if (taken === 'new') added.push(event);
     }
-    return hasProgressed;
+    return added;
   };
 
   /** Returns what of the stream has no end, if it is known to have none. */
@@ -183,15 +192,14 @@
     isLarge: () => false,
     addChunk(chunk) {
       const events = splitter.add(chunk);
-      let hasProgressed = false;
+      const hasProgressed = events.some(isUsable);
       let isCallerSlow = false;
       if (events.length > 0) {
-        const to = events.some(isUsable) ? answer : quietAnswer;
-        sendHead(to);
-        hasProgressed = record(events);
-        isCallerSlow = !to.sendData(
-          events.length === 1 ? (events[0] ?? chunk) : Buffer.concat(events),
-        );
+        sendHead(hasProgressed ? answer : quietAnswer);
+        const added = takeNew(events);
+        if (added === undefined) return { kind: 'different' };
+        const to = added.some(isUsable) ? answer : quietAnswer;
+        isCallerSlow = added.length > 0 && !to.sendData(joined(added));
       }
       const found = findEndless();
       return found === undefined
@@ -201,6 +209,7 @@
     finish() {
       if (splitter.heldBytes > 0) return 'the stream ended within an event';
       if (isEmptyIfCut && progress.events === 0) return 'the stream ended before its first event';
+      if (!position.isAtEnd()) return 'the stream ended before events that were passed on';
       sendHead(answer);
       answer.end();
       return undefined;
--- a/src/core/pass-through/attempt.ts
+++ b/src/core/pass-through/attempt.ts
@@ -33,6 +33,7 @@
 import type { ObservedEnd } from './observe-destination';
 import { UNAVAILABLE_STATUS, observeStatements, readPause } from './observe-statements';
 import { createReadingPauses } from './reading-pauses';
+import { createHeldAnswer } from './held-answer';
 import { sendAttempt } from './send-attempt';
 import type { StreamProgress } from './stream-progress';
 import type { ClientAnswer, HeaderDialect, InboundRequest, RequestPlan } from './types';
@@ -49,6 +50,13 @@
    * other cause does not.
    */
   discard(cause: AbortCause): void;
+  /**
+   * Holds the rest of a stream back, unread; returns false if nothing of the stream has been passed on. It may be aborted
+   * by `discard` alone then.
+   */
+  hold(): boolean;
+  /** Goes on with a stream that was held. Events that another attempt has passed on meanwhile are left out. */
+  release(): void;
   /**
    * Time of the last byte of the answer, or else of the start of the attempt, monotonic ms. While the caller reads too
    * slowly, it is the present time, since nothing is read from the server then.
@@ -107,10 +115,19 @@
   return to.kind === 'server' ? to.server.incarnationId : to.peer.instanceId;
 }
 
+function endOfDecided(result: AttemptResult): ObservedEnd {
+  if (result.kind !== 'lost') return 'refused';
+  return result.cause === 'aborted' ? 'inconclusive' : 'failed';
+}
+
 /** Sends a request once and passes its answer on as it arrives, as far as that is allowed. */
 export function startAttempt(options: AttemptOptions): Attempt {
   const { clock, dialect, router, request, plan, to, progress } = options;
-  const answer = announceAnswer(options.answer, options.onPassingOn);
+  let hasPassedOn = false;
+  const answer = announceAnswer(options.answer, () => {
+    hasPassedOn = true;
+    options.onPassingOn();
+  });
   const sentAtMs = clock.monotonicMs();
   const observer = observeDestination(options, to);
   const droppedHeaders = new Set([
@@ -133,6 +150,7 @@
   let isDiscarded = false;
   /** Whether a connection for the request was free or could be opened. */
   let hasBegun = false;
+  let position = progress.openPosition();
 
   const timing = createAnswerTiming(clock);
   const pauses = createReadingPauses(
@@ -172,10 +190,18 @@
     observer.recordFirstByte();
   };
 
+  const endAsLost = (reason: string, cause: AbortCause): void => {
+    decidedResult = { kind: 'lost', reason, cause, wasBrokenOff: false };
+    abort(cause);
+  };
+
   /** Ends the attempt because of its head. */
-  const abortAtHead = (reason: string): void => {
-    decidedResult = { kind: 'lost', reason, cause: 'malformed', wasBrokenOff: false };
-    abort('malformed');
+  const abortAtHead = (reason: string): void => endAsLost(reason, 'malformed');
+
+  /** Ends an attempt that writes another stream than the one that the caller has got meanwhile. */
+  const endAsDifferent = (): void => {
+    reader = undefined;
+    endAsLost('another attempt has passed on other events', 'aborted');
   };
 
   /** Reports what the head alone determines, whatever follows, and drops the rest of the answer. */
@@ -201,7 +227,7 @@
     if (isEventStream(plan, answerHead)) {
       const version = versionOfWriter(to, answerHead);
       const answers = { answer, quietAnswer: options.answer };
-      reader = createStreamReader(answerHead, version, answers, progress, droppedHeaders);
+      reader = createStreamReader(answerHead, version, answers, position, droppedHeaders);
       return;
     }
     if (answer.headSent) {
@@ -283,6 +309,10 @@
       exchange?.abortEndless(step.found);
       return;
     }
+    if (step.kind === 'different') {
+      endAsDifferent();
+      return;
+    }
     if (step.hasProgressed) {
       timing.recordProgress();
       observer.recordProgress();
@@ -318,7 +348,7 @@
   const onEnd = (end: ExchangeEnd): void => {
     if (isReported) return;
     if (decidedResult !== undefined) {
-      report(decidedResult, 'failed');
+      report(decidedResult, endOfDecided(decidedResult));
       return;
     }
     switch (end.kind) {
@@ -353,9 +383,11 @@
     }
   };
 
+  const held = createHeldAnswer({ onHead, onData, onEnd });
   exchange = sendAttempt(options, {
-    listener: { onHead, onData, onEnd },
+    listener: held,
     onBegun() {
+      position = progress.openPosition();
       hasBegun = true;
     },
     onUnusable: (reason) => report({ kind: 'neverSent', reason }, 'inconclusive'),
@@ -367,7 +399,19 @@
     abort,
     discard(cause) {
       isDiscarded = true;
-      abort(cause);
+      // A server that went on while its answer was held was not silent.
+      abort(held.hasArrived ? 'aborted' : cause);
+      held.drop();
+    },
+    hold() {
+      if (!hasPassedOn || head === undefined || !isEventStream(plan, head)) return false;
+      held.hold();
+      pauses.begin('inReserve');
+      return true;
+    },
+    release() {
+      held.release();
+      pauses.end('inReserve');
     },
     lastByteAtMs: timing.lastByteAtMs,
     firstByteAtMs: timing.firstByteAtMs,
--- a/src/core/pass-through/index.ts
+++ b/src/core/pass-through/index.ts
@@ -14,6 +14,7 @@
 export type { ForwardPeer } from './other-regions';
 export { sumByService } from './region-room';
 export { largestPart } from './largest-part';
+export { createReserveSlots } from './reserve-attempt';
 export type { ServedRequest } from './request-end';
 export type { ServeDependencies } from './serve-dependencies';
 export type { HeaderDialect, TokenCount } from './types';
--- a/src/core/pass-through/reading-pauses.ts
+++ b/src/core/pass-through/reading-pauses.ts
@@ -1,5 +1,5 @@
-/** Why an answer is not read at the moment: its caller reads slowly, or there is no room for more of it. */
-export type PauseReason = 'callerIsSlow' | 'noRoom';
+/** Why an answer is not read at the moment: its caller reads slowly, there is no room for more of it, or another one goes on in its place. */
+export type PauseReason = 'callerIsSlow' | 'noRoom' | 'inReserve';
 
 /** Reasons for which the reading of one answer is paused. */
 export interface ReadingPauses {
--- a/src/core/pass-through/serve-dependencies.ts
+++ b/src/core/pass-through/serve-dependencies.ts
@@ -14,6 +14,7 @@
 import type { Router } from './create-router';
 import type { Hedges } from './hedge-silence';
 import type { ServedRequest } from './request-end';
+import type { ReserveSlots } from './reserve-attempt';
 import type { HeaderDialect, RefusalReason } from './types';
 import type { UnansweredCause } from './unanswered-requests';
 import type { WarmCheck } from './warm-check';
@@ -30,6 +31,8 @@
   readonly retries: RetryAllowance;
   /** Attempts beside silent ones. */
   readonly hedges: Hedges;
+  /** Attempts of streams that are kept while another one goes on. */
+  readonly reserveSlots: ReserveSlots;
   /** Limits that backend servers name in their answers. */
   readonly limits: ServerLimits;
   /** What backend servers state in their answers about the requests after them. */
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -1,4 +1,5 @@
 import type { SlotLease } from '../brittle-servers';
+import type { AbortCause } from '../outcomes';
 import { askPermission } from './ask-permission';
 import { startAttempt } from './attempt';
 import type { Attempt } from './attempt';
@@ -11,6 +12,7 @@
 import { createOpenAttempts, hasReachedNoServer } from './open-attempts';
 import { createRequestEnd } from './request-end';
 import { createRequestLog } from './request-log';
+import { createReserve } from './reserve-attempt';
 import { recordBegunStream } from './resumed-stream';
 import type { ServeDependencies } from './serve-dependencies';
 import { createStreamProgress } from './stream-progress';
@@ -226,8 +228,23 @@
     }
   };
 
+  const discard = (attempt: Attempt, cause: AbortCause): void => {
+    log.attemptDiscarded(attempt, cause);
+    openAttempts.discard((open) => (open === attempt ? cause : undefined));
+  };
+  const reserve = createReserve({
+    clock,
+    loads: router.loads,
+    slots: dependencies.reserveSlots,
+    attempts: openAttempts.list,
+    end(attempt, cause) {
+      progress.forgetEvents();
+      discard(attempt, cause);
+    },
+  });
   const onResult = (attempt: Attempt, result: AttemptResult): void => {
     openAttempts.end(attempt, result);
+    reserve.forget(attempt);
     firstByteAtMs ??= attempt.firstByteAtMs();
     if (result.kind === 'answered') {
       log.answered(attempt, result.status, firstByteAtMs);
@@ -239,20 +256,21 @@
     else if (hasReachedNoServer(attempt, result)) {
       retries.giveBack(plan.service, clock.monotonicMs());
     }
+    if (reserve.active().length === 0) reserve.goOn();
   };
 
-  /** Ends all attempts but the one that has something for the caller. */
+  /** Ends all attempts but the one that has something for the caller; one may be kept in reserve. */
   const keepOnly = (answering: Attempt): void => {
     if (openAttempts.size < 2) return;
     const nowMs = clock.monotonicMs();
-    openAttempts.discard((attempt) => {
-      if (attempt === answering) return undefined;
+    for (const attempt of reserve.active()) {
+      if (attempt === answering) continue;
       // The caller has got the first byte from this one.
       if (answer.headSent) firstByteAtMs ??= attempt.firstByteAtMs();
       const cause = isSilent(attempt, router.loads, nowMs) ? 'silence' : 'aborted';
-      log.attemptDiscarded(attempt, cause);
-      return cause;
-    });
+      if (!reserve.keep(attempt, cause)) discard(attempt, cause);
+    }
+    if (!reserve.isHolding()) progress.forgetEvents();
   };
 
   const send = (to: SendableDestination, slotLease?: SlotLease): void => {
@@ -261,6 +279,7 @@
     answer.recordAttempts(attemptBudget.used());
     tried.recordSent(to);
     log.placed(to, openAttempts.size);
+    if (openAttempts.size > 0) progress.keepEvents();
     let crashWatched: CrashWatchedAttempt | undefined;
     if (to.kind === 'server') {
       const { server, maxConnections } = to;
@@ -343,6 +362,7 @@
   const expire = (): void => {
     if (end.isOver()) return;
     isTimedOut = true;
+    reserve[Symbol.dispose]();
     if (openAttempts.size === 0) end.giveUp('timedOut', TIMED_OUT_RETRY_MS);
     else openAttempts.abortAll('timeout');
   };
@@ -356,7 +376,8 @@
         attemptBudget,
         openAttempts,
         tried,
-        mayNotHedge: () => end.isOver() || isTimedOut || !canGoOn() || isRefused(),
+        mayNotHedge: () =>
+          end.isOver() || isTimedOut || !canGoOn() || reserve.isHolding() || isRefused(),
         send,
       })
     : undefined;
@@ -364,6 +385,7 @@
   function stopTimers(): void {
     deadline[Symbol.dispose]();
     hedge?.[Symbol.dispose]();
+    reserve[Symbol.dispose]();
   }
 
   tryNext();
--- a/src/core/pass-through/stream-progress.ts
+++ b/src/core/pass-through/stream-progress.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../clock';
+import { readEventId } from './read-event-id';
 
 /** Progress of a stream that is passed on, across all servers that served a part of it. */
 export interface StreamProgress {
@@ -12,12 +13,35 @@
   readonly events: number;
   /** Maximum pause between two events so far, across all servers, ms. */
   readonly longestPauseMs: number;
-  /** Records an event that has been passed on, and the software version of the server that wrote it. */
-  recordEvent(eventId: string | undefined, softwareVersion: string | undefined): void;
   /** Records an event without data and id that has been passed on; it is the same whichever server wrote it. */
   recordComment(): void;
+  /** Returns the place of an attempt that begins to go on after the last event. */
+  openPosition(): StreamPosition;
+  /** Keeps the events that are passed on from now on, up to a number of bytes, so that others can be compared with them. */
+  keepEvents(): void;
+  forgetEvents(): void;
 }
 
+/** What an event of an attempt is. */
+export type TakenEvent =
+  | 'new'
+  /** The caller has this event, with the same bytes. */
+  | 'passedOn'
+  /** The caller has another event in its place, or it is no longer known. */
+  | 'different';
+
+/** Place of one attempt in a stream that several attempts may write; comments have no place. */
+export interface StreamPosition {
+  readonly progress: StreamProgress;
+  /** Takes the next event of the attempt. One that is new is recorded, and must be passed on. */
+  take(event: Buffer, softwareVersion: string | undefined): TakenEvent;
+  /** Whether the attempt has written all events that the caller has. */
+  isAtEnd(): boolean;
+}
+
+/** Maximum size of the events that are kept, bytes. */
+const MAX_KEPT_BYTES = 65_536;
+
 /**
  * Creates the progress of a stream that resumes after the event `lastEventId`, or starts if that is
  * undefined. `onFirstEvent` is called before the first event of this answer is passed on, with the software version of
@@ -33,7 +57,11 @@
   let longestPauseMs = 0;
   let lastId = lastEventId;
   let version: string | undefined;
-  let hasBegun = false;
+  /** Number of events that have been passed on, without comments. */
+  let places = 0;
+  /** Events by their place; undefined if none are kept. */
+  let kept: Map<number, Buffer> | undefined;
+  let keptBytes = 0;
 
   const recordAny = (): void => {
     const nowMs = clock.monotonicMs();
@@ -42,7 +70,18 @@
     events += 1;
   };
 
-  return {
+  const recordEvent = (event: Buffer, softwareVersion: string | undefined): void => {
+    if (places === 0) onFirstEvent(softwareVersion);
+    recordAny();
+    lastId = readEventId(event) ?? lastId;
+    version = softwareVersion;
+    keptBytes += event.length;
+    if (keptBytes > MAX_KEPT_BYTES) kept = undefined;
+    kept?.set(places, Buffer.from(event));
+    places += 1;
+  };
+
+  const progress: StreamProgress = {
     get events() {
       return events;
     },
@@ -55,13 +94,33 @@
     get longestPauseMs() {
       return longestPauseMs;
     },
-    recordEvent(eventId, softwareVersion) {
-      if (!hasBegun) onFirstEvent(softwareVersion);
-      hasBegun = true;
-      recordAny();
-      lastId = eventId ?? lastId;
-      version = softwareVersion;
-    },
     recordComment: recordAny,
+    openPosition() {
+      let next = places;
+      return {
+        progress,
+        take(event, softwareVersion) {
+          const isNew = next === places;
+          const known = kept?.get(next);
+          next += 1;
+          if (isNew) {
+            recordEvent(event, softwareVersion);
+            return 'new';
+          }
+          const isSame = known?.equals(event) === true && readEventId(event) !== undefined;
+          return isSame ? 'passedOn' : 'different';
+        },
+        isAtEnd: () => next === places,
+      };
+    },
+    keepEvents() {
+      if (kept !== undefined) return;
+      kept = new Map();
+      keptBytes = 0;
+    },
+    forgetEvents() {
+      kept = undefined;
+    },
   };
+  return progress;
 }
--- a/src/core/relay-node/create-serving-context.ts
+++ b/src/core/relay-node/create-serving-context.ts
@@ -16,6 +16,7 @@
 import {
   createAnswerRoom,
   createCrashInvestigations,
+  createReserveSlots,
   createRouter,
   createWarmCheck,
   largestPart,
@@ -342,6 +343,7 @@
         hedgesBegun += 1;
       },
     },
+    reserveSlots: createReserveSlots(),
     limits,
     notices,
     brittle,
