--- a/bench/silent-servers/servers.ts
+++ b/bench/silent-servers/servers.ts
@@ -96,12 +96,13 @@
   const stream = (request: ReceivedRequest, requestId: string, socket: Socket): void => {
     const firstEventId = Number(request.headers.get('last-event-id') ?? 0) + 1;
     const sendEvent = (eventId: number): void => {
+      // A stream that is taken up after its last event has nothing left but its head and its end.
+      const head = eventId === firstEventId ? serverSlots.withLoad(streamHead(request)) : '';
       if (socket.destroyed || eventId > EVENTS_PER_STREAM) {
         serverSlots.release();
-        if (!socket.destroyed) socket.write(chunkOf(''));
+        if (!socket.destroyed) socket.write(head + chunkOf(''));
         return;
       }
-      const head = eventId === firstEventId ? serverSlots.withLoad(streamHead(request)) : '';
       socket.write(head + chunkOf(eventText(requestId, eventId)));
       later(workMsOf(request), () => sendEvent(eventId + 1));
     };
