Keep hedges of other regions off servers that are silent as well

Callers of streams and safe requests waited for their deadline although four of six servers answered: their server was silent for good, and the attempt beside it went to another region, which placed it at a server that was silent too.

Cause: leaving out silent servers was a choice of the instance that hedges alone. The instance of the other region served the hedge as any request, with one attempt and so without a hedge of its own.

A forwarded plan states that it is a hedge; the instance there leaves out servers that have sent nothing, or nothing of use, for as long as for hedges of its own, and refuses it if none is left.

create-router.test.ts has three cases; without the change the first two fail, as the router did not know of hedges.

--- a/src/core/pass-through/create-router.test.ts
+++ b/src/core/pass-through/create-router.test.ts
@@ -241,3 +241,25 @@
     );
   });
 });
+
+// A hedge of another region was served as any request there, and placed at a server that is silent as well: its caller waited
+// for its deadline.
+describe('a hedge that another region has sent', () => {
+  const cases = [
+    { name: 'goes to a server that answers', hasOther: true, isHedge: true, server: 'n-2' },
+    { name: 'is refused if all servers are silent', hasOther: false, isHedge: true },
+    { name: 'is served as any other request if it is none', hasOther: false, server: 'n-1' },
+  ];
+  for (const { name, hasOther, isHedge, server } of cases) {
+    it(name, () => {
+      const region = createNorthInstance([]);
+      region.announce('n-1', 'north-a');
+      const silent = region.choose();
+      region.observe(silent.kind === 'server' ? silent : assert.fail('no server was chosen'));
+      region.advanceMs(700);
+      if (hasOther) region.announce('n-2', 'north-b');
+      const to = region.choose(NOTHING_TRIED, { isForwarded: true, isHedge });
+      assert.equal(to.kind === 'server' ? to.server.serverId : undefined, server);
+    });
+  }
+});
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -76,6 +76,7 @@
 
 /** Chooses destinations for requests, and records their results for later choices. */
 export interface Router {
+  /** Chooses a destination; leaves out silent servers if the request is a hedge that another region has sent. */
   choose(
     request: InboundRequest,
     plan: RequestPlan,
@@ -356,6 +357,24 @@
     freeSlotsElsewhere: plan.isForwarded ? 0 : otherRegions.freeSlots(plan),
   });
 
+  /** Adds the silent and suspect servers of this region to the destinations that are left out. */
+  const withSilent = (
+    plan: RequestPlan,
+    tried: TriedDestinations,
+    nowMs: number,
+  ): TriedDestinations => {
+    const silentIds = servers
+      .usable(plan.service, region, plan.streamVersion)
+      .map(({ incarnationId }) => incarnationId)
+      .filter(
+        (incarnationId) =>
+          loads.unheardMs(incarnationId, nowMs) > MAX_SILENCE_MS ||
+          loads.unprogressedMs(incarnationId, nowMs) > MAX_UNPROGRESSED_MS ||
+          suspicions.standing(incarnationId, nowMs) !== 'sound',
+      );
+    return { ...tried, ids: new Set([...tried.ids, ...silentIds]) };
+  };
+
   return {
     loads,
     refusals,
@@ -368,7 +387,8 @@
     spillWindows,
     wereLinksCutSince: links.wasCutSince,
     choose(request, plan, tried, nowMs) {
-      const { finding, best, absence, countsForShare } = find(request, plan, tried, nowMs);
+      const avoided = plan.isHedge === true ? withSilent(plan, tried, nowMs) : tried;
+      const { finding, best, absence, countsForShare } = find(request, plan, avoided, nowMs);
       const destination: Destination =
         finding.kind === 'none'
           ? { ...finding.refuse(), room: roomNow(plan, absence, nowMs) }
@@ -377,17 +397,7 @@
       return destination;
     },
     chooseBeside(request, plan, tried, nowMs) {
-      const silentIds = servers
-        .usable(plan.service, region, plan.streamVersion)
-        .map(({ incarnationId }) => incarnationId)
-        .filter(
-          (incarnationId) =>
-            loads.unheardMs(incarnationId, nowMs) > MAX_SILENCE_MS ||
-            loads.unprogressedMs(incarnationId, nowMs) > MAX_UNPROGRESSED_MS ||
-            suspicions.standing(incarnationId, nowMs) !== 'sound',
-        );
-      const ids = new Set([...tried.ids, ...silentIds]);
-      const { finding } = find(request, plan, { ...tried, ids }, nowMs);
+      const { finding } = find(request, plan, withSilent(plan, tried, nowMs), nowMs);
       return finding.kind === 'none' ? undefined : finding;
     },
     waitMs: ({ service }) => localServers.waitMs(service),
--- a/src/core/pass-through/forwarding.ts
+++ b/src/core/pass-through/forwarding.ts
@@ -54,6 +54,8 @@
    */
   timeLeftMs: z.number(),
   timeoutLeftMs: z.number(),
+  /** See `RequestPlan.isHedge`. */
+  isHedge: z.boolean().optional(),
 });
 
 /** Returns the plan as a header value. */
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -279,7 +279,8 @@
     answer.recordAttempts(attemptBudget.used());
     tried.recordSent(to);
     log.placed(to, openAttempts.size);
-    if (openAttempts.size > 0) progress.keepEvents();
+    const isHedge = openAttempts.size > 0;
+    if (isHedge) progress.keepEvents();
     let crashWatched: CrashWatchedAttempt | undefined;
     if (to.kind === 'server') {
       const { server, maxConnections } = to;
@@ -292,7 +293,7 @@
     const started = startAttempt({
       ...dependencies,
       request,
-      plan: planOfNext(),
+      plan: isHedge ? { ...planOfNext(), isHedge } : planOfNext(),
       to,
       answer,
       progress,
--- a/src/core/pass-through/types.ts
+++ b/src/core/pass-through/types.ts
@@ -114,6 +114,8 @@
   readonly timeoutAtMs: number;
   /** Whether another instance forwarded the request, so that it must not be forwarded again. */
   readonly isForwarded: boolean;
+  /** Whether other attempts of the request are in progress and silent, so that no silent server may get it. */
+  readonly isHedge?: boolean | undefined;
 }
 
 /** Destinations that a request has been sent to or refused by, so that it is not sent there again. */
