End answers no earlier than the latest deadline that their callers may have

Cause: when a request that is read after a long turn of the loop arrived is estimated, at the middle of that turn, and the answer ended at the deadline by that estimate.

The plan now holds by how much the estimate may be too early, also where another region serves the request, and the answer ends that much later. What servers are told, admission and the queue of an instance that is behind go by the estimate as before, which keeps servers from working for callers that have left.

--- a/src/core/intake/loop-watch.ts
+++ b/src/core/intake/loop-watch.ts
@@ -8,6 +8,8 @@
   isLate(nowMs: number): boolean;
   /** Estimated time for which a request that is read now has waited unread, ms. */
   waitedMs(nowMs: number): number;
+  /** Maximum time by which that estimate may be too long, ms. */
+  unsureMs(nowMs: number): number;
 }
 
 /**
@@ -43,5 +45,6 @@
     lagMs: () => lagMs,
     isLate,
     waitedMs: (nowMs) => (isLate(nowMs) ? overdueMs(nowMs) + lagMs / 2 : 0),
+    unsureMs: (nowMs) => (isLate(nowMs) ? lagMs / 2 : 0),
   };
 }
--- a/src/core/pass-through/forwarding.ts
+++ b/src/core/pass-through/forwarding.ts
@@ -54,6 +54,8 @@
    */
   timeLeftMs: z.number(),
   timeoutLeftMs: z.number(),
+  /** See `RequestPlan.unsureMs`. */
+  unsureMs: z.number().optional(),
   /** See `RequestPlan.isHedge`. */
   isHedge: z.boolean().optional(),
 });
@@ -72,7 +74,7 @@
 }
 
 /** Parses the plan from a header value; undefined if the value is not one that instances write. */
-export function readPlan(text: string, nowMs: number): RequestPlan | undefined {
+export function readPlan(text: string, nowMs: number, unsureMs = 0): RequestPlan | undefined {
   const plan = parseJsonText(planSchema, text);
   if (plan === undefined) return undefined;
   const { timeLeftMs, timeoutLeftMs, pauseObjectiveMs, account, ...rest } = plan;
@@ -82,6 +84,7 @@
     pauseObjectiveMs,
     deadlineAtMs: nowMs + timeLeftMs,
     timeoutAtMs: nowMs + timeoutLeftMs,
+    unsureMs: (plan.unsureMs ?? 0) + unsureMs,
     isForwarded: true,
   };
 }
@@ -112,6 +115,15 @@
   return Math.min(deadlineAtMs, timeoutAtMs);
 }
 
+/**
+ * Returns the time at which an answer that has not arrived is given up, monotonic ms: the latest at which the deadline may be.
+ * An instance whose event loop is late only estimates when a request arrived. If it ended answers at the estimated deadline,
+ * callers that still wait would find them closed.
+ */
+export function endAtMs(plan: RequestPlan): number {
+  return answerDeadlineMs(plan) + (plan.unsureMs ?? 0);
+}
+
 /** Returns the fields that identify a request in log lines. */
 export function requestFields(request: InboundRequest, plan: RequestPlan) {
   return {
--- a/src/core/pass-through/open-ingress.ts
+++ b/src/core/pass-through/open-ingress.ts
@@ -47,7 +47,7 @@
   readonly quotas: Pick<AccountQuotas, 'authorize' | 'refund'>;
   /** Shared by all listeners of the process. */
   readonly intake: Pick<Intake, 'enter' | 'recordConnection'>;
-  readonly loopWatch: Pick<LoopWatch, 'waitedMs'>;
+  readonly loopWatch: Pick<LoopWatch, 'waitedMs' | 'unsureMs'>;
   /** Whether a planned stop has begun. */
   readonly isLeaving: () => boolean;
   /** Whether to refuse new requests, because too little time remains to answer them. */
@@ -307,7 +307,8 @@
       refuse(incoming, answer, planned.refused);
       return;
     }
-    serve(incoming, response, answer, planned, limits.bodyBytes, receivedAtMs);
+    const plan = { ...planned.plan, unsureMs: loopWatch.unsureMs(clock.monotonicMs()) };
+    serve(incoming, response, answer, { ...planned, plan }, limits.bodyBytes, receivedAtMs);
   };
 
   const handlePeer = (
@@ -317,7 +318,10 @@
   ): void => {
     const text = headerText(incoming.headers[PLAN_HEADER]);
     const receivedAtMs = estimateArrivalMs();
-    const plan = text === undefined ? undefined : readPlan(text, receivedAtMs);
+    const plan =
+      text === undefined
+        ? undefined
+        : readPlan(text, receivedAtMs, loopWatch.unsureMs(clock.monotonicMs()));
     if (plan === undefined) {
       refuse(incoming, answer, 'malformedRequest');
       return;
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -7,7 +7,7 @@
 import type { AttemptResult, FailedAttempt } from './attempt-result';
 import type { CrashWatchedAttempt } from './crash-watch';
 import type { SendableDestination } from './create-router';
-import { answerDeadlineMs, isRepeatable } from './forwarding';
+import { endAtMs, isRepeatable } from './forwarding';
 import { hedgeSilence } from './hedge-silence';
 import { createOpenAttempts, hasReachedNoServer } from './open-attempts';
 import { createRequestEnd } from './request-end';
@@ -367,7 +367,7 @@
     if (openAttempts.size === 0) end.giveUp('timedOut', TIMED_OUT_RETRY_MS);
     else openAttempts.abortAll('timeout');
   };
-  const deadline = clock.schedule(answerDeadlineMs(plan), expire);
+  const deadline = clock.schedule(endAtMs(plan), expire);
   const isRefused = () => dependencies.crashWatch.refusedForMs(request, plan) !== undefined;
   const hedge = mayRepeat
     ? hedgeSilence({
--- a/src/core/pass-through/types.ts
+++ b/src/core/pass-through/types.ts
@@ -112,6 +112,8 @@
   readonly deadlineAtMs: number;
   /** End of the route's timeout, monotonic ms. */
   readonly timeoutAtMs: number;
+  /** Maximum time by which the caller may have sent the request later than these times suppose, ms; 0 by default. */
+  readonly unsureMs?: number | undefined;
   /** Whether another instance forwarded the request, so that it must not be forwarded again. */
   readonly isForwarded: boolean;
   /** Whether other attempts of the request are in progress and silent, so that no silent server may get it. */
