Move what precedes the serving of a request out of the listener

The listener asked for the version of a stream and for the quota in nested callbacks, which no test reached without two instances and real time. Both are now in prepareRequest, which needs no network.

--- a/src/core/pass-through/open-ingress.ts
+++ b/src/core/pass-through/open-ingress.ts
@@ -19,11 +19,10 @@
 import { headerText } from './classify-answer';
 import { headersToPassOn } from './headers';
 import { createRequestPlanner } from './plan-request';
+import { prepareRequest } from './prepare-request';
 import { refuseMalformed } from './refuse-malformed';
-import { planResumedStream } from './resumed-stream';
 import type { ResumedPlan } from './resumed-stream';
 import type { ChargedPlan, RefusedPlan } from './plan-request';
-import { chargeQuota } from './charge-quota';
 import type { ServedRequest } from './request-end';
 import { serveRequest } from './serve-request';
 import type { ServedHandle } from './serve-request';
@@ -232,10 +231,11 @@
     incoming: IncomingMessage,
     response: ServerResponse,
     answer: ClientAnswer,
-    { plan, charge }: ChargedPlan,
+    planned: ChargedPlan,
     maxBodyBytes: number,
     receivedAtMs: number,
   ): void => {
+    const { plan } = planned;
     readBody(incoming, maxBodyBytes, (reading) => {
       switch (reading.kind) {
         case 'gone':
@@ -263,21 +263,20 @@
         isGone: () => response.destroyed,
         drop: () => logDropped(request),
         refuse: (retryAfterMs) => refuse(incoming, answer, 'instanceBehind', retryAfterMs),
-        serve() {
-          const serveCharged = (charged: RequestPlan): void =>
-            chargeQuota(quotas, {
-              charge,
+        serve: () =>
+          prepareRequest(
+            { quotas, routes, streamVersions: serving.streamVersions },
+            {
+              request,
+              planned,
               isGone: () => response.destroyed,
               drop: () => logDropped(request),
-              refuse: (decision) => refuseForQuota(incoming, answer, charged, decision),
-              serve: (refund) => serveNow(response, answer, request, charged, refund),
-            });
-          planResumedStream(serving.streamVersions, routes, request, plan, (resumed) => {
-            if (response.destroyed) logDropped(request);
-            else if (resumed.kind === 'planned') serveCharged(resumed.plan);
-            else refuseResumed(incoming, answer, plan, resumed);
-          });
-        },
+              refuseForQuota: (charged, decision) =>
+                refuseForQuota(incoming, answer, charged, decision),
+              refuseResumed: (resumed) => refuseResumed(incoming, answer, plan, resumed),
+              serve: (ready, refund) => serveNow(response, answer, request, ready, refund),
+            },
+          ),
       });
     });
   };
