Copy the events of a chunk once

Found by a reviewer; small-events.test.ts failed before and passes.

Events that lie whole within a chunk share one copy of it; only the rest is held.

--- a/src/core/streams/split-events.ts
+++ b/src/core/streams/split-events.ts
@@ -43,17 +43,22 @@
 export function createEventSplitter(): EventSplitter {
   const held = createHeldBytes();
   const endOfEvent = createEndFinder();
+  const takeWith = (part: Buffer): Buffer => {
+    held.add(part);
+    return held.take();
+  };
   return {
     get heldBytes() {
       return held.length;
     },
     add(chunk) {
-      const bytes = Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length);
+      // One copy for all events of the chunk, whose bytes are only valid during the call.
+      const bytes = Buffer.from(chunk);
       const events: Buffer[] = [];
       let start = 0;
       for (let end = endOfEvent(bytes, start); end !== -1; end = endOfEvent(bytes, start)) {
-        held.add(bytes.subarray(start, end));
-        events.push(held.take());
+        const part = bytes.subarray(start, end);
+        events.push(held.length === 0 ? part : takeWith(part));
         start = end;
       }
       if (start < bytes.length) held.add(bytes.subarray(start));
