--- a/src/core/pass-through/observe-destination.ts
+++ b/src/core/pass-through/observe-destination.ts
@@ -107,7 +107,7 @@
       if (hasSpareSlots) speeds.recordPrefill(plan.service, tokens, actualMs / factor);
       const ownMs = ownKey === undefined ? 0 : usualTimes.usualMs(ownKey);
       if (hasSpareSlots && ownKey !== undefined) {
-        usualTimes.record(ownKey, actualMs / factor - usualMs);
+        usualTimes.record(ownKey, actualMs / factor - usualMs, nowMs);
       }
       if (ownMs === undefined) {
         // What the request takes by nature is not known yet, so that its time shows no lateness.
