Count a whole answer without a body as progress of its server

Cause: progress was recorded with the bytes of a body. A request that is queued at a server whose other answers have none (204, or to HEAD) would have counted as stalled after 2 s, and have been sent twice. Change: the end of a whole answer is progress as well. Result: one more case in endless-answers.test.ts, which fails without the change.

--- a/src/core/pass-through/endless-answers.test.ts
+++ b/src/core/pass-through/endless-answers.test.ts
@@ -165,6 +165,20 @@
   });
 });
 
+// A server answers without a body. If that were no progress, requests that are queued there would be sent twice.
+describe('a whole answer without a body', () => {
+  it('shows that its server answers', () => {
+    const play = startPlayedAttempt('idempotent');
+    const { loads } = play.region.router;
+    loads.recordSent(play.serverId, 0, 0);
+    play.advanceTo(2_000);
+    assert.equal(loads.unprogressedMs(play.serverId, 2_000), 2_000);
+    play.onHead({ ...STREAM_HEAD, status: 204 });
+    play.onWhole();
+    assert.equal(loads.unprogressedMs(play.serverId, 2_000), 0);
+  });
+});
+
 // Many servers send events without end at once. Together they would take more memory than the instance has.
 describe('the events that are held of many streams', () => {
   it('wait for room, and are read on when others end', () => {
--- a/src/core/pass-through/observe-destination.ts
+++ b/src/core/pass-through/observe-destination.ts
@@ -144,6 +144,8 @@
       isEndRecorded = true;
       const nowMs = clock.monotonicMs();
       trial.end(trialResultOf(end, isFailing), nowMs);
+      // An answer may have no body.
+      if (end === 'answered') loads.recordProgress(incarnationId, nowMs);
       const isInconclusive = end === 'inconclusive' || end === 'refused' || isFailing;
       const isFailure = isInconclusive ? undefined : end === 'failed';
       loads.recordEnd(incarnationId, { hadFirstByte, tokens, keptTokens, isFailure }, nowMs);
