Refuse a request at its deadline while it waits for its quota

Callers whose request waited for a quota, or for the version that began a stream, got neither an answer nor a refusal before their deadline where the instances that know didn't answer. Two are asked for a quota in turn, twice each, and once more after a refill: 1.26 s at most. The deadline of a request was in force only once it was being served, and a late grant was served or refused after it.

--- a/src/core/pass-through/open-ingress.ts
+++ b/src/core/pass-through/open-ingress.ts
@@ -24,7 +24,7 @@
 import type { ResumedPlan } from './resumed-stream';
 import type { ChargedPlan, RefusedPlan } from './plan-request';
 import type { ServedRequest } from './request-end';
-import { serveRequest } from './serve-request';
+import { TIMED_OUT_RETRY_MS, serveRequest } from './serve-request';
 import type { ServedHandle } from './serve-request';
 import type { ServeDependencies } from './serve-dependencies';
 import type { ClientAnswer, InboundRequest, Refusal, RefusalReason, RequestPlan } from './types';
@@ -208,6 +208,15 @@
     serving.onRefused(reason, service);
   };
 
+  const refuseTimedOut = (
+    incoming: IncomingMessage,
+    answer: ClientAnswer,
+    { service }: RequestPlan,
+  ): void => {
+    refuse(incoming, answer, 'timedOut', TIMED_OUT_RETRY_MS);
+    serving.onRefused('timedOut', service);
+  };
+
   const serveNow = (
     response: ServerResponse,
     answer: ClientAnswer,
@@ -265,7 +274,7 @@
         refuse: (retryAfterMs) => refuse(incoming, answer, 'instanceBehind', retryAfterMs),
         serve: () =>
           prepareRequest(
-            { quotas, routes, streamVersions: serving.streamVersions },
+            { clock, quotas, routes, streamVersions: serving.streamVersions },
             {
               request,
               planned,
@@ -274,6 +283,7 @@
               refuseForQuota: (charged, decision) =>
                 refuseForQuota(incoming, answer, charged, decision),
               refuseResumed: (resumed) => refuseResumed(incoming, answer, plan, resumed),
+              refuseTimedOut: () => refuseTimedOut(incoming, answer, plan),
               serve: (ready, refund) => serveNow(response, answer, request, ready, refund),
             },
           ),
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -44,7 +44,7 @@
  */
 const MAX_SLOT_DENIALS = 3;
 /** Retry delay after a timeout before anything was sent. */
-const TIMED_OUT_RETRY_MS = 1_000;
+export const TIMED_OUT_RETRY_MS = 1_000;
 
 /** Serves one request: sends it, passes its answer on, and retries where that is allowed and helps. */
 export function serveRequest(
--- a/src/core/pass-through/testing/north-instance.ts
+++ b/src/core/pass-through/testing/north-instance.ts
@@ -31,7 +31,7 @@
   limits: { headerBytes: 8_192, bodyBytes: 8_192, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
   accounts: undefined,
 };
-const PLAN: RequestPlan = {
+export const PLAN: RequestPlan = {
   route: 'chat',
   service: CHAT,
   kind: 'stream',
