Take the end of a connection whose answer is not read at the moment

The process of an instance ended, with all its requests, where a caller read slowly and the connection of its server ended meanwhile: an answer without a length, or one that announces the close of its connection. Callers of all servers got neither an answer nor a refusal.

Cause: the HTTP client expects no end while its parser is paused, and asserts that outside of any callback that could catch it.

At an end in order, reading goes on and isn't paused again: all that had come is in memory by then.

--- a/src/core/exchanges/connection.ts
+++ b/src/core/exchanges/connection.ts
@@ -3,7 +3,7 @@
 import { errorText } from '../errors';
 import type { AbortCause, EndlessBytes } from '../outcomes';
 import { MAX_REST_BYTES, createFramingBound } from './framing-bound';
-import { Client, buildConnector } from './http-client';
+import { Client, buildConnector, clientSymbols } from './http-client';
 import type { AnswerListener, Exchange, ExchangeEnd, HeaderMap, OutgoingRequest } from './types';
 
 /**
@@ -42,6 +42,20 @@
 /** Why this side ends an exchange. */
 type Abortion = AbortCause | EndlessBytes;
 
+/** What is used of the HTTP client's parser of a connection. */
+interface ConnectionParser {
+  paused: boolean;
+}
+
+/**
+ * Has the HTTP client take the end of a connection whose answer is not read at the moment. It expects no end then, and throws
+ * where nothing catches it, which ends the process with all its requests.
+ */
+function expectEnd(socket: Socket & { [clientSymbols.kParser]?: ConnectionParser | null }): void {
+  const parser = socket[clientSymbols.kParser];
+  if (parser?.paused === true) parser.paused = false;
+}
+
 interface SocketState {
   /** Whether the connection is established, so that requests written to it are sent. */
   isConnected: boolean;
@@ -100,7 +114,7 @@
  * read. A partial answer that is delimited by the end of the connection would then count as complete. A write after
  * that end fails only on a connection that was reset.
  */
-function watchSocket(socket: Socket, onReadable: () => void): SocketState {
+function watchSocket(socket: Socket, onReadable: () => void, onEnd: () => void): SocketState {
   let probeResult: boolean | undefined;
   let onProbed: ((wasReset: boolean) => void) | undefined;
   const settle = (wasReset: boolean): void => {
@@ -121,12 +135,17 @@
   // Called once for each read of the socket, before the HTTP client takes what was read.
   socket.on('readable', onReadable);
   socket.on('error', () => {
+    expectEnd(socket);
     state.wasReset = true;
     settle(true);
   });
   // A close without a preceding end was not expected by this side.
-  socket.on('close', () => settle(true));
+  socket.on('close', () => {
+    expectEnd(socket);
+    settle(true);
+  });
   socket.on('end', () => {
+    onEnd();
     socket.write(EMPTY_LINE, (error) => {
       const code = error === null || error === undefined || !('code' in error) ? '' : error.code;
       settle(code === 'EPIPE' || code === 'ECONNRESET');
@@ -150,6 +169,13 @@
     const endless = framing.findEndless(socketState.readBytes());
     if (endless !== undefined) onEndless(endless);
   };
+  /** Whether the other side has ended the connection, so that nothing more is to be read. */
+  let hasEnded = false;
+  let resumeReading = () => {};
+  const endPause = () => {
+    hasEnded = true;
+    resumeReading();
+  };
   const connect = buildConnector({
     timeout: options.connectTimeoutMs,
     keepAlive: true,
@@ -174,7 +200,7 @@
           callback(error, null);
           return;
         }
-        socketState = watchSocket(socket, checkFraming);
+        socketState = watchSocket(socket, checkFraming, endPause);
         callback(null, socket);
       });
     },
@@ -260,6 +286,7 @@
           }
           framing.recordRequest(socketState.readBytes());
           onEndless = abortEndless;
+          resumeReading = () => started.resume();
         },
         onResponseStarted: () => framing.recordHeadBegin(),
         onResponseStart(_controller, status, headers) {
@@ -309,7 +336,9 @@
         onEndless = drop;
         controller?.resume();
       },
-      pause: () => controller?.pause(),
+      pause() {
+        if (!hasEnded) controller?.pause();
+      },
       resume: () => controller?.resume(),
     };
   };
--- a/src/types/library-parts.d.ts
+++ b/src/types/library-parts.d.ts
@@ -12,6 +12,11 @@
   export default Client;
 }
 
+declare module 'undici/lib/core/symbols.js' {
+  const symbols: { readonly kParser: unique symbol };
+  export default symbols;
+}
+
 declare module 'hdr-histogram-js/dist/Int32Histogram.js' {
   import type { Histogram } from 'hdr-histogram-js';
 
