--- a/src/core/pass-through/answer-head.ts
+++ b/src/core/pass-through/answer-head.ts
@@ -1,6 +1,6 @@
 import type { AnswerHead } from '../exchanges';
 import { headerText } from './classify-answer';
-import type { SendableDestination } from './create-router';
+import type { SendableDestination } from './destinations';
 import { ATTEMPTS_HEADER, STREAM_VERSION_HEADER } from './forwarding';
 import type { RequestPlan } from './types';
 
--- a/src/core/pass-through/attempt-headers.ts
+++ b/src/core/pass-through/attempt-headers.ts
@@ -1,4 +1,4 @@
-import type { SendableDestination } from './create-router';
+import type { SendableDestination } from './destinations';
 import { PLAN_HEADER, answerDeadlineMs, writePlan } from './forwarding';
 import type { StreamProgress } from './stream-progress';
 import type { HeaderDialect, InboundRequest, RequestPlan } from './types';
--- a/src/core/pass-through/create-refuser.ts
+++ b/src/core/pass-through/create-refuser.ts
@@ -1,9 +1,9 @@
 import { createRetryAfterSchedule } from '../placement';
 import type { RefusedRequest } from '../placement';
 import { answerDeadlineMs } from './forwarding';
-import { waitMsOf } from './local-servers';
+import { waitMsOf } from './local-choice';
 import type { ExceededBound } from './local-admission';
-import type { LocalChoice, RestrictedServer } from './local-servers';
+import type { LocalChoice, RestrictedServer } from './local-choice';
 import type { ServerAbsence } from './server-absence';
 import type { RequestPlan } from './types';
 
--- a/src/core/pass-through/create-router.ts
+++ b/src/core/pass-through/create-router.ts
@@ -26,54 +26,27 @@
 import type { Refusals } from '../server-notices';
 import { STALL_TIMEOUT_MS } from './answer-timing';
 import { createRefuser } from './create-refuser';
-import type { Refused, RefusedPlacement, RoomAtRefusal } from './create-refuser';
+import type { Refused, RoomAtRefusal } from './create-refuser';
+import type {
+  Destination,
+  Finding,
+  Found,
+  PeerDestination,
+  SendableDestination,
+} from './destinations';
 import { createLocalAdmission } from './local-admission';
 import type { ExceededBound } from './local-admission';
-import { createLocalServers, waitMsOf } from './local-servers';
-import type {
-  LocalChoice,
-  LocalChoices,
-  LocalServersOptions,
-  RestrictedServer,
-} from './local-servers';
+import { createLocalServers } from './local-servers';
+import { waitMsOf } from './local-choice';
+import type { LocalServersOptions } from './local-servers';
+import type { LocalChoice, LocalChoices, RestrictedServer } from './local-choice';
 import { needsDetour } from './needs-detour';
 import { createOtherRegions } from './other-regions';
-import type { ForwardPeer, OtherRegionsOptions } from './other-regions';
+import type { OtherRegionsOptions } from './other-regions';
 import type { ServerAbsence } from './server-absence';
 import { createShareGate } from './share-gate';
 import type { InboundRequest, RequestPlan, TriedDestinations } from './types';
 
-/** Another instance, of another region or, for want of links to servers, of this one. */
-export interface PeerDestination {
-  readonly kind: 'peer';
-  readonly peer: ForwardPeer;
-  /** Whether it is of this region. */
-  readonly isDetour?: boolean;
-  /** Free slots of its region for the service of the request. */
-  readonly room?: number | undefined;
-}
-
-/** Next destination of a request. */
-export type Destination =
-  ({ readonly kind: 'server' } & LocalChoice) | PeerDestination | RefusedPlacement;
-
-/** Destination that a request can be sent to. */
-export type SendableDestination = Exclude<Destination, { kind: 'none' }>;
-
-/** Finding of a choice; a refusal is made, and its retry scheduled, only if the caller is going to get it. */
-type Finding = SendableDestination | { readonly kind: 'none'; refuse(): Refused };
-
-/** A finding, and what it rests on. */
-interface Found {
-  readonly finding: Finding;
-  /** The best server of this region. */
-  readonly best: LocalChoice | undefined;
-  /** Why no server of this region was weighed; undefined if one was. */
-  readonly absence: ServerAbsence | undefined;
-  /** Whether the finding counts for the share of the account. */
-  readonly countsForShare: boolean;
-}
-
 /** Chooses destinations for requests, and records their results for later choices. */
 export interface Router {
   /** Chooses a destination; leaves out silent servers if the request is a hedge that another region has sent. */
--- a/src/core/pass-through/discarded-attempt.test.ts
+++ b/src/core/pass-through/discarded-attempt.test.ts
@@ -3,7 +3,7 @@
 import type { AnswerListener } from '../exchanges';
 import { createAnswerRoom } from './answer-limits';
 import { startAttempt } from './attempt';
-import type { AttemptOptions } from './attempt';
+import type { AttemptOptions } from './attempt-types';
 import { createStreamProgress } from './stream-progress';
 import { CHAT, REQUEST, createNorthInstance } from './testing/north-instance';
 
--- a/src/core/pass-through/hedge-silence.test.ts
+++ b/src/core/pass-through/hedge-silence.test.ts
@@ -4,11 +4,11 @@
 import type { SlotVerdict } from '../brittle-servers';
 import { STALL_TIMEOUT_MS } from './answer-timing';
 import { createAttemptBudget } from './attempt-budget';
-import type { SendableDestination } from './create-router';
+import type { SendableDestination } from './destinations';
 import { hedgeSilence } from './hedge-silence';
 import { CHAT, REQUEST, createNorthInstance } from './testing/north-instance';
 import { createTriedRecord } from './tried-destinations';
-import type { Attempt } from './attempt';
+import type { Attempt } from './attempt-types';
 
 const STEP_MS = 100;
 
--- a/src/core/pass-through/largest-part.ts
+++ b/src/core/pass-through/largest-part.ts
@@ -1,4 +1,4 @@
-import type { LocalChoice } from './local-servers';
+import type { LocalChoice } from './local-choice';
 
 /** Part of a prediction that a refusal may rest on. */
 export type PredictionPart = keyof LocalChoice['parts'] | 'correctionMs';
--- a/src/core/pass-through/local-admission.ts
+++ b/src/core/pass-through/local-admission.ts
@@ -2,8 +2,8 @@
 import type { UsualTimes } from '../placement';
 import { createPriorityAdmission } from '../priority-admission';
 import { ownTimeKey, requestClassKey } from './forwarding';
-import { waitMsOf } from './local-servers';
-import type { LocalChoice } from './local-servers';
+import { waitMsOf } from './local-choice';
+import type { LocalChoice } from './local-choice';
 import type { InboundRequest, RequestPlan } from './types';
 
 /** Decides which requests the servers of this region take. */
--- a/src/core/pass-through/observe-destination.ts
+++ b/src/core/pass-through/observe-destination.ts
@@ -1,7 +1,8 @@
 import type { Clock } from '../clock';
 import { ownTokens } from '../placement';
 import type { LoadReport, SpillResult, TrialResult } from '../placement';
-import type { Router, SendableDestination } from './create-router';
+import type { Router } from './create-router';
+import type { SendableDestination } from './destinations';
 import { ownTimeKey, requestClassKey } from './forwarding';
 import type { InboundRequest, RequestPlan } from './types';
 
--- a/src/core/pass-through/open-attempts.ts
+++ b/src/core/pass-through/open-attempts.ts
@@ -1,6 +1,6 @@
 import type { SlotLease } from '../brittle-servers';
 import type { AbortCause } from '../outcomes';
-import type { Attempt } from './attempt';
+import type { Attempt } from './attempt-types';
 import type { AttemptReservation } from './attempt-budget';
 import type { AttemptResult, FailedAttempt } from './attempt-result';
 import type { CrashWatchedAttempt } from './crash-watch';
--- a/src/core/pass-through/request-log.ts
+++ b/src/core/pass-through/request-log.ts
@@ -2,13 +2,13 @@
 import type { Logger } from '../events';
 import type { EndlessBytes, LossCause } from '../outcomes';
 import { destinationName } from './attempt';
-import type { Attempt } from './attempt';
+import type { Attempt } from './attempt-types';
 import { PASS_THROUGH_EVENTS } from './events';
 import { answerDeadlineMs, requestFields } from './forwarding';
 import type { RefusalBasis, RefusalGrounds, RoomAtRefusal } from './create-refuser';
-import type { SendableDestination } from './create-router';
+import type { SendableDestination } from './destinations';
 import { largestPart } from './largest-part';
-import type { LocalChoice } from './local-servers';
+import type { LocalChoice } from './local-choice';
 import type { StreamProgress } from './stream-progress';
 import type { InboundRequest, Refusal, RefusalReason, RequestPlan } from './types';
 
--- a/src/core/pass-through/reserve-attempt.test.ts
+++ b/src/core/pass-through/reserve-attempt.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import type { Attempt } from './attempt';
+import type { Attempt } from './attempt-types';
 import { createReserve, createReserveSlots } from './reserve-attempt';
 
 const RESERVE_MS = 3_000;
--- a/src/core/pass-through/reserve-attempt.ts
+++ b/src/core/pass-through/reserve-attempt.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../clock';
 import type { AbortCause } from '../outcomes';
-import type { Attempt } from './attempt';
+import type { Attempt } from './attempt-types';
 import { watchSilence } from './watch-silence';
 import type { ObservedLoads } from './watch-silence';
 
--- a/src/core/pass-through/send-attempt.ts
+++ b/src/core/pass-through/send-attempt.ts
@@ -1,5 +1,5 @@
 import type { AnswerListener, Exchange } from '../exchanges';
-import type { AttemptOptions } from './attempt';
+import type { AttemptOptions } from './attempt-types';
 import { attemptHeaders } from './attempt-headers';
 import { PEER_IDLE_MS } from './other-regions';
 import { sendWhenWarm } from './send-when-warm';
--- a/src/core/pass-through/share-gate.ts
+++ b/src/core/pass-through/share-gate.ts
@@ -1,7 +1,7 @@
 import type { AccountShares, DemandOutcome } from '../account-shares';
-import type { Destination } from './create-router';
-import { waitMsOf } from './local-servers';
-import type { LocalChoice } from './local-servers';
+import type { Destination } from './destinations';
+import { waitMsOf } from './local-choice';
+import type { LocalChoice } from './local-choice';
 import type { InboundRequest, RequestPlan } from './types';
 
 /** Whether a request is admitted by the share of its account. */
--- a/src/core/pass-through/testing/started-attempt.ts
+++ b/src/core/pass-through/testing/started-attempt.ts
@@ -3,7 +3,7 @@
 import type { EndlessBytes } from '../../outcomes';
 import { createAnswerRoom } from '../answer-limits';
 import { startAttempt } from '../attempt';
-import type { AttemptOptions } from '../attempt';
+import type { AttemptOptions } from '../attempt-types';
 import type { AttemptResult } from '../attempt-result';
 import { createStreamProgress } from '../stream-progress';
 import type { RequestPlan } from '../types';
--- a/src/core/pass-through/tried-destinations.ts
+++ b/src/core/pass-through/tried-destinations.ts
@@ -1,5 +1,5 @@
 import { destinationName } from './attempt';
-import type { SendableDestination } from './create-router';
+import type { SendableDestination } from './destinations';
 import type { ForwardPeer } from './other-regions';
 import type { TriedDestinations } from './types';
 
--- a/src/core/pass-through/watch-silence.ts
+++ b/src/core/pass-through/watch-silence.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '../clock';
 import type { ServerLoads } from '../placement';
 import { STALL_TIMEOUT_MS } from './answer-timing';
-import type { Attempt } from './attempt';
+import type { Attempt } from './attempt-types';
 
 /**
  * Silence of all attempts of a request after which another one begins beside them, ms: well above the pauses of a batch
