Take a health check that brings bytes for no sign of a crash

Callers saw harmless requests suspected of crashing a server that never ended, which lets them be refused later: the server broke off or reset a connection, or met the client's bounds, the check that followed brought interim answers, empty lines, header fields or garbage, and that counted as a refused connection.

Cause: a check without an answer that ended before its timeout counted as refused, whatever had arrived. An interim answer that the HTTP client doesn't accept counted as a reset.

Change: a check that brings bytes which are no answer says so. Whoever sends them is there, so it counts as reached in the investigation of a crash and for the links. The same holds for a check that ends at its timeout after bytes have arrived; that case has no test. The HTTP client's errors about answers that it doesn't accept count as malformed.

--- a/src/core/exchanges/connection.ts
+++ b/src/core/exchanges/connection.ts
@@ -78,6 +78,9 @@
 
 const NO_CONTENT_STATUS = 204;
 const NOT_MODIFIED_STATUS = 304;
+const BEGUN = { hasAnswerBegun: true } as const;
+/** Messages of the HTTP client's errors for an interim answer that it does not accept, and for bytes between answers. */
+const BAD_ANSWER_ERRORS: ReadonlySet<string> = new Set(['bad response', 'bad upgrade']);
 /** Reason of an exchange that its sender has aborted. */
 const ABORTED = 'The exchange was aborted.';
 /** Reason of an exchange whose rest was to be dropped and is too long or too slow for that. */
@@ -103,7 +106,9 @@
 
 function lossCause(error: Error): AbortCause {
   const isMalformed =
-    error.name.startsWith('HTTPParser') || error.name.startsWith('ResponseContent');
+    error.name.startsWith('HTTPParser') ||
+    error.name.startsWith('ResponseContent') ||
+    BAD_ANSWER_ERRORS.has(error.message);
   return isMalformed ? 'malformed' : 'reset';
 }
 
@@ -253,7 +258,8 @@
         settle({ kind: 'lost', cause: 'endless', endless: abortion, reason });
         return;
       }
-      settle({ kind: 'lost', cause: abortion ?? lossCause(error), reason });
+      const begun = framing.hasAnswerBegun(socketState.readBytes()) ? BEGUN : {};
+      settle({ kind: 'lost', cause: abortion ?? lossCause(error), reason, ...begun });
     };
 
     const abort = (cause: Abortion, reason: string): void => {
--- a/src/core/exchanges/discarded-rest.test.ts
+++ b/src/core/exchanges/discarded-rest.test.ts
@@ -16,6 +16,7 @@
   kind: 'lost',
   cause: 'aborted',
   reason: 'The rest of the answer was not read.',
+  hasAnswerBegun: true,
 } as const;
 const MAX_BYTES = 33_554_432;
 
--- a/src/core/exchanges/framing-bound.ts
+++ b/src/core/exchanges/framing-bound.ts
@@ -20,6 +20,8 @@
   recordEnd(readBytes: number): void;
   /** Returns what has exceeded the bound once `readBytes` have been read in total; undefined while nothing has. */
   findEndless(readBytes: number): EndlessBytes | undefined;
+  /** Returns whether anything has been read since the request. */
+  hasAnswerBegun(readBytes: number): boolean;
   /** Returns what has been read since the last progress, be it within the bound. */
   sinceProgress(readBytes: number): EndlessBytes;
 }
@@ -36,6 +38,7 @@
 export function createFramingBound(): FramingBound {
   let phase: Phase = 'betweenAnswers';
   let hasInterimAnswers = false;
+  let requestAtBytes = 0;
   let progressAtBytes = 0;
 
   const shape = (): EndlessShape => {
@@ -65,6 +68,7 @@
     recordRequest(readBytes) {
       phase = 'beforeHead';
       hasInterimAnswers = false;
+      requestAtBytes = readBytes;
       progressAtBytes = readBytes;
     },
     recordHeadBegin() {
@@ -95,6 +99,7 @@
       const maxBytes = phase === 'inRest' ? MAX_REST_BYTES : MAX_FRAMING_BYTES;
       return found.bytes > maxBytes ? found : undefined;
     },
+    hasAnswerBegun: (readBytes) => readBytes > requestAtBytes,
     sinceProgress,
   };
 }
--- a/src/core/exchanges/types.ts
+++ b/src/core/exchanges/types.ts
@@ -26,7 +26,13 @@
   /** No byte of the request has left this process. */
   | { readonly kind: 'neverSent'; readonly reason: string }
   /** No answer was received, or only a part of it; the request may have run. */
-  | { readonly kind: 'lost'; readonly cause: AbortCause; readonly reason: string }
+  | {
+      readonly kind: 'lost';
+      readonly cause: AbortCause;
+      readonly reason: string;
+      /** Set if bytes had arrived since the request, be they of an answer or not. */
+      readonly hasAnswerBegun?: true;
+    }
   /** Like `lost` otherwise, because of bytes that are no answer and did not end. */
   | {
       readonly kind: 'lost';
--- a/src/core/pass-through/investigate-crash.test.ts
+++ b/src/core/pass-through/investigate-crash.test.ts
@@ -8,6 +8,7 @@
 const CHECK_TIMEOUT_MS = 400;
 const ANSWERED: WarmCheckResult = { kind: 'warm' };
 const REFUSED: WarmCheckResult = { kind: 'unanswered', saw: 'refused', reason: '' };
+const NO_ANSWER: WarmCheckResult = { kind: 'unanswered', saw: 'noAnswer', reason: '' };
 const SILENT: WarmCheckResult = { kind: 'unanswered', saw: 'silent', reason: '' };
 
 const knownServer = (serverId: string): KnownServer => ({
@@ -76,6 +77,12 @@
     verdict: { kind: 'crashed', evidence: 'aloneUnreachable' },
     maxMs: 200,
   },
+  {
+    name: 'that answers checks with what is no answer is not convicted',
+    at: (id) => (id === 'broken' ? NO_ANSWER : ANSWERED),
+    verdict: { kind: 'notCrashed' },
+    maxMs: 200,
+  },
   {
     name: 'that is silent for 4 s and then answers is not convicted',
     at: (id, nowMs) => (id === 'broken' && nowMs < 4_000 ? SILENT : ANSWERED),
--- a/src/core/pass-through/investigate-crash.ts
+++ b/src/core/pass-through/investigate-crash.ts
@@ -2,7 +2,7 @@
 import type { KnownServer, ServerRegistry } from '../server-registry';
 import { isWithoutWord, judgeCrash } from './judge-crash';
 import type { CheckOutcome, CrashFacts, CrashVerdict, EntryState } from './judge-crash';
-import type { CheckConnection, WarmCheck, WarmCheckResult } from './warm-check';
+import type { UnansweredCheck, CheckConnection, WarmCheck, WarmCheckResult } from './warm-check';
 
 /** Finds out whether servers that broke a connection crashed. */
 export interface CrashInvestigations {
@@ -52,6 +52,20 @@
   runDue(): void;
 }
 
+function outcomeOfSeen(saw: UnansweredCheck): CheckOutcome {
+  switch (saw) {
+    case 'refused':
+      return 'unanswered';
+    case 'noAnswer':
+      return 'answered';
+    case 'silent':
+    case 'notConnected':
+      return saw;
+    default:
+      return saw satisfies never;
+  }
+}
+
 function outcomeOf(result: WarmCheckResult): CheckOutcome {
   switch (result.kind) {
     case 'warm':
@@ -60,7 +74,7 @@
     case 'replaced':
       return 'replaced';
     case 'unanswered':
-      return result.saw === 'refused' ? 'unanswered' : result.saw;
+      return outcomeOfSeen(result.saw);
     default:
       return result satisfies never;
   }
--- a/src/core/pass-through/judge-crash.ts
+++ b/src/core/pass-through/judge-crash.ts
@@ -12,6 +12,7 @@
 
 /** Result of a health check. */
 export type CheckOutcome =
+  /** Bytes arrived, be they an answer or not. */
   | 'answered'
   /** Another server answered at the address. */
   | 'replaced'
--- a/src/core/pass-through/warm-check.ts
+++ b/src/core/pass-through/warm-check.ts
@@ -45,6 +45,8 @@
 export type UnansweredCheck =
   /** The connection was refused or reset. */
   | 'refused'
+  /** Bytes arrived, but no answer: whoever sends them is there. */
+  | 'noAnswer'
   /** The connection was made, and nothing arrived within the timeout. */
   | 'silent'
   /** No connection was made within the timeout, or none was free. */
@@ -83,6 +85,10 @@
 const NEVER_REUSE_MS = -1;
 
 function whatWasSeen(end: ExchangeEnd, isTimedOut: boolean): UnansweredCheck {
+  if (end.kind === 'lost') {
+    if (end.cause === 'malformed' || end.cause === 'endless') return 'noAnswer';
+    if (isTimedOut && end.hasAnswerBegun === true) return 'noAnswer';
+  }
   if (!isTimedOut) return 'refused';
   return end.kind === 'neverSent' ? 'notConnected' : 'silent';
 }
@@ -182,10 +188,12 @@
           onEnd(end) {
             deadline[Symbol.dispose]();
             const reason = end.kind === 'whole' ? 'the answer had no head' : end.reason;
+            const saw = whatWasSeen(end, isTimedOut);
             if (result === undefined && !isCancelled) {
-              reachability.recordFailed(server.incarnationId);
+              if (saw === 'noAnswer') reachability.recordReached(server.incarnationId);
+              else reachability.recordFailed(server.incarnationId);
             }
-            onResult(result ?? { kind: 'unanswered', saw: whatWasSeen(end, isTimedOut), reason });
+            onResult(result ?? { kind: 'unanswered', saw, reason });
           },
         },
       );
