Close connections of callers and instances that send no request without end

An instance saw: empty lines, blanks before a field's value or the digits of a chunk's size were read from a caller or another instance for as long as they came, at several hundred megabytes a second.

Cause: the HTTP server's own timeouts didn't end such connections while bytes arrived, and its limits hold for the fields of one head and for chunk extensions alone.

--- a/src/core/pass-through/open-ingress.ts
+++ b/src/core/pass-through/open-ingress.ts
@@ -12,6 +12,7 @@
 import type { RetryAllowance } from '../shared-budget';
 import { createCallerConnections } from './caller-connections';
 import { createClientAnswer } from './client-answer';
+import { boundIncoming } from './bound-incoming';
 import { closeIdleConnections } from './close-idle-connections';
 import { PASS_THROUGH_EVENTS } from './events';
 import { PLAN_HEADER, answerDeadlineMs, readPlan } from './forwarding';
@@ -364,6 +365,7 @@
   server.on('connection', intake.recordConnection);
   closeIdleConnections(server, options.turns);
   refuseMalformed(server, connections);
+  const incomingBound = boundIncoming(server, clock, 2 * MAX_HEADER_BYTES);
   const applyLimits = () => {
     const limits = routes.current()?.table.limits;
     server.keepAliveTimeout = isForPeer
@@ -381,6 +383,7 @@
     },
     applyLimits,
     async [Symbol.asyncDispose]() {
+      incomingBound[Symbol.dispose]();
       server.close();
       server.closeAllConnections();
     },
