Check the bytes that instances read of an answer without end by their logs

What a server writes goes as far as the buffers of two connections, which took 27 to 36 MB in a run on the machine under load; what an instance reads is in its log.

--- a/soak/check-endless.test.ts
+++ b/soak/check-endless.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { PASS_THROUGH_EVENTS } from '../src/core/pass-through';
 import { checkEndless } from './check-endless';
 import type { EndlessRecord } from './check-endless';
 import type { CallerAttempt, EndlessRead, ServerRun } from './types';
@@ -39,14 +40,21 @@
   server: ENDLESS,
   atMs: SENT_MS + 10,
   shape: 'event',
-  writtenBytes: 16 * 1_048_576,
   isOpen: false,
 };
+const FOUND = {
+  event: PASS_THROUGH_EVENTS.endlessAnswer.id,
+  timestamp: '',
+  requestId: REQUEST_ID,
+  shape: 'partialEvent',
+  bytes: 16 * 1_048_576,
+};
 const RECORD: EndlessRecord = {
   attempts: [REFUSED],
   runs: [RUN],
   endlessTimes: [{ server: ENDLESS, fromMs: SENT_MS - 100, toMs: SENT_MS + 100 }],
   endlessReads: [],
+  logs: [],
   failedAnswers: [],
   servingTimes: [
     { server: SOUND, region: 'region-0', softwareVersion: 'v1', fromMs: 0, toMs: Infinity },
@@ -94,7 +102,8 @@
   },
   {
     name: 'an answer that is read too far',
-    endlessReads: [{ ...READ, writtenBytes: 25 * 1_048_576 }],
+    attempts: [],
+    logs: [[FOUND], [{ ...FOUND, bytes: 18 * 1_048_576 }]],
     broken: ['endlessReadTooFar'],
   },
   {
--- a/soak/check-endless.ts
+++ b/soak/check-endless.ts
@@ -1,4 +1,6 @@
+import { PASS_THROUGH_EVENTS } from '../src/core/pass-through';
 import { DEADLINE_MS, isCut } from './callers';
+import type { LogLine } from './log-lines';
 import type {
   BrokenPromise,
   CallerAttempt,
@@ -17,8 +19,8 @@
 const MARGIN_MS = 1_000;
 /** Time for which a server must have taken requests before it counts, ms. */
 const SETTLED_MS = 1_000;
-/** Bytes of one answer without end that may be written: an event of some MB, and buffers on the way. */
-const MAX_WRITTEN_BYTES = 24 * 1_048_576;
+/** Bytes of one answer without end that an instance may read: those of an event, and what one read may add. */
+const MAX_READ_BYTES = 17 * 1_048_576;
 
 /** What is recorded of a run. */
 export interface EndlessRecord {
@@ -26,6 +28,8 @@
   readonly runs: readonly ServerRun[];
   readonly endlessTimes: readonly EndlessTime[];
   readonly endlessReads: readonly EndlessRead[];
+  /** Log lines of all instances. */
+  readonly logs: readonly (readonly LogLine[])[];
   readonly failedAnswers: readonly FailedAnswer[];
   readonly servingTimes: readonly ServingTime[];
   /** Times in which instances were stopped or cut off, and moments at which they were killed. */
@@ -85,7 +89,10 @@
   const struck = judged.filter(
     (attempt) => !attempt.hasLeft && isCut(attempt) && wasAtSoundServers(attempt),
   );
-  const tooFar = endlessReads.filter(({ writtenBytes }) => writtenBytes > MAX_WRITTEN_BYTES);
+  const tooFar = record.logs
+    .flat()
+    .filter(({ event }) => event === PASS_THROUGH_EVENTS.endlessAnswer.id)
+    .filter(({ bytes = Infinity }) => bytes > MAX_READ_BYTES);
   const stillOpen = endlessReads.filter(({ isOpen }) => isOpen);
   return [
     ...late.map(({ requestId, atMs, endedAtMs }) => ({
@@ -98,10 +105,10 @@
       requestId,
       detail: `${status} at sound servers`,
     })),
-    ...tooFar.map(({ requestId, server, shape, writtenBytes }) => ({
+    ...tooFar.map(({ requestId = '', to, shape, bytes }) => ({
       promise: 'endlessReadTooFar' as const,
       requestId,
-      detail: `${writtenBytes} bytes of ${shape} at ${server}`,
+      detail: `${bytes} bytes of ${shape} at ${to}`,
     })),
     ...stillOpen.map(({ requestId, server, shape }) => ({
       promise: 'endlessKeptOpen' as const,
--- a/soak/endless.ts
+++ b/soak/endless.ts
@@ -7,7 +7,7 @@
 export interface EndlessServers {
   /** Times that have ended. */
   readonly times: readonly EndlessTime[];
-  /** What was written of each answer without end so far, in order of their begin. */
+  /** Answers without end so far, in order of their begin. */
   reads(): readonly EndlessRead[];
   /** Returns what a server sends; undefined if it answers as ever. */
   shapeOf(server: string): EndlessShape | undefined;
@@ -38,7 +38,6 @@
         requestId,
         shape: shape.kind,
         atMs,
-        writtenBytes: answer.writtenBytes(),
         isOpen: answer.isOpen(),
       })),
     shapeOf: (server) => begun.get(server)?.shape,
--- a/soak/log-lines.ts
+++ b/soak/log-lines.ts
@@ -9,6 +9,8 @@
   server: z.string().optional(),
   to: z.string().optional(),
   requestId: z.string().optional(),
+  shape: z.string().optional(),
+  bytes: z.number().optional(),
 });
 
 /** A log line of an instance, as far as it concerns backend servers and the requests that they get. */
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -189,6 +189,7 @@
         ...checkSilence(silence),
         ...checkEndless({
           ...record,
+          logs,
           endlessTimes: servers.endless.times,
           endlessReads,
           unexpectedEnds: instances.unexpectedEnds,
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -165,7 +165,6 @@
 /** An answer without end. */
 export interface EndlessRead extends ServerArrival {
   readonly shape: string;
-  readonly writtenBytes: number;
   /** Whether its connection is open. */
   readonly isOpen: boolean;
 }
