Begin the bench of answers without end when each instance has answered

On a busy machine an instance listened only 8 s after its start; eleven requests of a row found no listener and counted as neither answered nor refused.

--- a/bench/endless-bytes/main.ts
+++ b/bench/endless-bytes/main.ts
@@ -9,6 +9,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { parseArgs } from 'node:util';
 import { createDisposableStore } from '../../src/core/lifetime';
+import { waitFor } from '../../src/testing';
 import { createSeededRandom, pickIndex } from '../../src/core/random';
 import { sendRequest } from '../../soak/callers';
 import type { SoakInstances } from '../../soak/instances';
@@ -37,6 +38,7 @@
 const GIVE_UP_MS = 13_000;
 const DEFAULT_SEED = 73;
 const PER_MIB = 1_048_576;
+const OK = 200;
 const FAILURE = 500;
 
 const OTHER_SERVICE: RequestKind = {
@@ -128,6 +130,19 @@
   return { [Symbol.dispose]: () => clearInterval(timer) };
 }
 
+/** Waits until each instance has answered a request; on a busy machine some start late. */
+async function waitUntilServing({ count, callerAddress }: SoakInstances): Promise<void> {
+  for (let instance = 0; instance < count; instance += 1) {
+    const path = `${OTHER_SERVICE.prefix}1`;
+    const request = { of: OTHER_SERVICE, path, kind: OTHER_SERVICE.kind, maxAttempts: 1 };
+    const isServing = async (): Promise<boolean> => {
+      const probe = { ...request, requestId: `first-${instance}-${performance.now()}` };
+      return (await ask(callerAddress(instance), probe)).attempt.status === OK;
+    };
+    await waitFor(isServing, `an answer of instance ${instance}`);
+  }
+}
+
 /** Sends the requests at a steady rate, and resolves with their answers. */
 async function askAll(instances: SoakInstances, seed: number): Promise<readonly MeasuredRequest[]> {
   const random = createSeededRandom(seed);
@@ -184,6 +199,7 @@
       await startBenchInstances({ count: row.instances, store, name: 'endless-bytes' }),
     );
 
+    await waitUntilServing(instances);
     const before = usageOf(instances);
     const trouble = owned.add(beginTrouble(troubled, row.changesEachMs));
     const measured = await askAll(instances, seed);
