--- a/src/core/pass-through/open-ingress.ts
+++ b/src/core/pass-through/open-ingress.ts
@@ -26,9 +26,15 @@
 import type { ChargedPlan, RefusedPlan } from './plan-request';
 import type { ServedRequest } from './request-end';
 import { TIMED_OUT_RETRY_MS, serveRequest } from './serve-request';
-import type { ServedHandle } from './serve-request';
 import type { ServeDependencies } from './serve-dependencies';
-import type { ClientAnswer, InboundRequest, Refusal, RefusalReason, RequestPlan } from './types';
+import type {
+  ClientAnswer,
+  InboundRequest,
+  Refusal,
+  RefusalReason,
+  RequestPlan,
+  ServedHandle,
+} from './types';
 import { watchForAnswer } from './unanswered-requests';
 
 /** Options of `openIngress`. */
--- a/src/core/pass-through/serve-request.ts
+++ b/src/core/pass-through/serve-request.ts
@@ -18,17 +18,15 @@
 import { createStreamProgress } from './stream-progress';
 import type { StreamProgress } from './stream-progress';
 import { createTriedRecord } from './tried-destinations';
-import type { ClientAnswer, InboundRequest, RefusalReason, RequestPlan } from './types';
+import type {
+  ClientAnswer,
+  InboundRequest,
+  RefusalReason,
+  RequestPlan,
+  ServedHandle,
+} from './types';
 import { isSilent } from './watch-silence';
 
-/** Handle of a request that is being served. */
-export interface ServedHandle {
-  /** Cancels the request because its caller has left. */
-  cancel(): void;
-  /** Ends the request as at its deadline, because no time is left for it. */
-  expire(): void;
-}
-
 /**
  * Maximum attempts that may fail before the request leaves this process; each uses another server.
  * The request is refused afterwards.
--- a/src/core/pass-through/types.ts
+++ b/src/core/pass-through/types.ts
@@ -200,3 +200,11 @@
   /** Time after which the caller may retry, ms; undefined if a retry makes no sense. */
   readonly retryAfterMs: number | undefined;
 }
+
+/** Handle of a request that is being served. */
+export interface ServedHandle {
+  /** Cancels the request because its caller has left. */
+  cancel(): void;
+  /** Ends the request as at its deadline, because no time is left for it. */
+  expire(): void;
+}
