Begin to watch the connections of a listener once it is open

An instance whose listener could not be opened did not end: a timer that looks at its connections had been started before, and nothing ended it.

--- a/src/core/pass-through/open-ingress.ts
+++ b/src/core/pass-through/open-ingress.ts
@@ -371,7 +371,6 @@
   server.on('connection', intake.recordConnection);
   closeIdleConnections(server, options.turns);
   refuseMalformed(server, connections);
-  const incomingBound = boundIncoming(server, clock, 2 * MAX_HEADER_BYTES);
   const applyLimits = () => {
     const limits = routes.current()?.table.limits;
     server.keepAliveTimeout = isForPeer
@@ -381,6 +380,8 @@
   };
   applyLimits();
   const port = await listen(server, options.host, options.port);
+  // Only now, as nothing would end its timer if the start failed.
+  const incomingBound = boundIncoming(server, clock, 2 * MAX_HEADER_BYTES);
   return {
     port,
     openRequests: () => openRequests,
