--- a/review/harness/gateways.ts
+++ b/review/harness/gateways.ts
@@ -19,10 +19,13 @@
   readonly name: string;
   readonly host: string;
   readonly frontPort: number;
-  readonly process: ChildProcess;
-  /** How the process ended; undefined while it runs. */
+  /** Id of the process; undefined while it does not run. */
+  processId(): number | undefined;
+  /** How the process ended last; undefined while it runs. */
   ended(): string | undefined;
   signal(signal: NodeJS.Signals): void;
+  /** Starts a process that has ended again, with the same settings. */
+  start(): void;
 }
 
 /** The processes of one deployment. */
@@ -117,7 +120,7 @@
   onLogLine: (gateway: string, line: string) => void = () => {},
 ): Promise<Deployment> {
   const folder = mkdtempSync(join(tmpdir(), 'review-'));
-  const children: ChildProcess[] = [];
+  const children = new Set<ChildProcess>();
   const close = (): void => {
     for (const child of children) child.kill('SIGKILL');
     rmSync(folder, { recursive: true, force: true });
@@ -128,42 +131,50 @@
   const gateways = places.map((_, index): Gateway => {
     const path = join(folder, `${index}.json`);
     writeFileSync(path, JSON.stringify(settingsOf(index, places, storeAddress)));
-    const child = spawn(
-      process.execPath,
-      ['--max-old-space-size=200', 'target/coltsfootworks.cjs'],
-      {
-        env: {
-          PATH: process.env.PATH,
-          HOME: process.env.HOME,
-          LANG: process.env.LANG,
-          COLTSFOOTWORKS_NODE_FILE: path,
-        },
-        stdio: ['ignore', 'pipe', 'pipe'],
-      },
-    );
-    children.push(child);
     const name = `machine-${index + 1}`;
     let ended: string | undefined;
-    child.once('exit', (code, signal) => {
-      ended = signal ?? `status ${code}`;
-    });
-    for (const output of [child.stdout, child.stderr]) {
-      let held = '';
-      output?.on('data', (chunk: Buffer) => {
-        const lines = (held + chunk.toString('utf8')).split('\n');
-        held = lines.pop() ?? '';
-        for (const line of lines) onLogLine(name, line);
+    let child: ChildProcess | undefined;
+    const start = (): void => {
+      ended = undefined;
+      const started = spawn(
+        process.execPath,
+        ['--max-old-space-size=200', 'target/coltsfootworks.cjs'],
+        {
+          env: {
+            PATH: process.env.PATH,
+            HOME: process.env.HOME,
+            LANG: process.env.LANG,
+            COLTSFOOTWORKS_NODE_FILE: path,
+          },
+          stdio: ['ignore', 'pipe', 'pipe'],
+        },
+      );
+      child = started;
+      children.add(started);
+      started.once('exit', (code, signal) => {
+        children.delete(started);
+        ended = signal ?? `status ${code}`;
       });
-    }
+      for (const output of [started.stdout, started.stderr]) {
+        let held = '';
+        output.on('data', (chunk: Buffer) => {
+          const lines = (held + chunk.toString('utf8')).split('\n');
+          held = lines.pop() ?? '';
+          for (const line of lines) onLogLine(name, line);
+        });
+      }
+    };
+    start();
     return {
       name,
       host: `${NET}.${10 + index}`,
       frontPort: PORTS.Front,
-      process: child,
+      processId: () => (ended === undefined ? child?.pid : undefined),
       ended: () => ended,
       signal(signal) {
-        child.kill(signal);
+        child?.kill(signal);
       },
+      start,
     };
   });
 
