--- a/review/harness/gateways.ts
+++ b/review/harness/gateways.ts
@@ -26,6 +26,9 @@
   signal(signal: NodeJS.Signals): void;
   /** Starts a process that has ended again, with the same settings. */
   start(): void;
+  /** Has the reader of what the process writes stop reading. */
+  pauseLogs(): void;
+  resumeLogs(): void;
 }
 
 /** The processes of one deployment. */
@@ -175,6 +178,12 @@
         child?.kill(signal);
       },
       start,
+      pauseLogs() {
+        child?.stdout?.pause();
+      },
+      resumeLogs() {
+        child?.stdout?.resume();
+      },
     };
   });
 
