--- a/review/1/case.ts
+++ b/review/1/case.ts
@@ -30,6 +30,9 @@
 const REQUESTS_PER_S = 230;
 /** A faulty engine sends each answer of which this is the number twice: the largest share on the pages is 0.03. */
 const EXTRA_EVERY = 34;
+/** Times in which they do, s; the longest on the pages is 5 s. */
+const EXTRA_FROM_S = [2, 10, 18];
+const EXTRA_S = 5;
 
 const CONFIGURATION = {
   Version: 7,
@@ -61,13 +64,17 @@
   /** Engines that ran each order, in order. */
   const runs = new Map<string, string[]>();
   let rejections = 0;
+  let startedAtMs = Infinity;
   const extras = { rejections: 0, successes: 0 };
   const answersOf = new Map<number, number>();
   /** Returns whether the answer that an engine gives now is one that it sends twice. */
   const isDoubled = (index: number): boolean => {
+    const sinceS = (performance.now() - startedAtMs) / 1_000;
+    const isTrouble = EXTRA_FROM_S.some((fromS) => sinceS >= fromS && sinceS < fromS + EXTRA_S);
+    if (!HAS_TROUBLE || !isTrouble || index >= FAULTY_ENGINES) return false;
     const answers = (answersOf.get(index) ?? 0) + 1;
     answersOf.set(index, answers);
-    return HAS_TROUBLE && index < FAULTY_ENGINES && answers % EXTRA_EVERY === 0;
+    return answers % EXTRA_EVERY === 0;
   };
   const onRun = (index: number, begun: Run): void => {
     const { engineId, request, connection, end } = begun;
@@ -116,7 +123,7 @@
   const statuses = new Map<string, number | undefined>();
   const open: Promise<void>[] = [];
   const total = SECONDS * REQUESTS_PER_S;
-  const startedAtMs = performance.now();
+  startedAtMs = performance.now();
   for (let number = 0; number < total; number += 1) {
     await sleep(Math.max(0, startedAtMs + (number * 1_000) / REQUESTS_PER_S - performance.now()));
     const at = number % gateways.length;
