--- a/review/2/case.ts
+++ b/review/2/case.ts
@@ -28,7 +28,7 @@
 /** Longer than the timeout of the routes, so that clients still wait when the machine has to answer. */
 const DEADLINE_MS = 6_000;
 const SECONDS = 30;
-const REQUESTS_PER_S = 30;
+const REQUESTS_PER_S = 60;
 const TROUBLE_FROM_S = 5;
 const TROUBLE_TO_S = 10;
 /** The faulty engine spoils each answer of which this is the number: the pages' default is 0.02 of the answers. */
@@ -78,7 +78,7 @@
     const sinceS = (performance.now() - startedAtMs) / 1_000;
     if (engineId !== 'i-1' || sinceS < TROUBLE_FROM_S || sinceS > TROUBLE_TO_S) return false;
     answersOfFaulty += 1;
-    return HAS_TROUBLE && answersOfFaulty % SPOILED_EVERY === 1;
+    return HAS_TROUBLE && answersOfFaulty % SPOILED_EVERY === 0;
   };
   const onRun = (begun: Run): void => {
     const { engineId, request, connection } = begun;
--- a/review/5/case.ts
+++ b/review/5/case.ts
@@ -179,8 +179,10 @@
     const late = (before?.eventsAtMs ?? []).filter(
       (atMs) => atMs > resumed.begunAtMs + LEAVE_WITHIN_MS,
     );
+    // One that was left at the second engine again didn't go on there.
+    const wentOn = resumed.eventsAtMs.some((atMs) => atMs > resumed.begunAtMs + LEAVE_WITHIN_MS);
     const lastAtMs = late.at(-1);
-    if (before === undefined || lastAtMs === undefined) return [];
+    if (before === undefined || lastAtMs === undefined || !wentOn) return [];
     const stillAfterMs = Math.round(lastAtMs - resumed.begunAtMs);
     const { requestId, lastEventId } = resumed;
     record.log('went on while the engine before still worked', {
