--- a/review/harness/engine.ts
+++ b/review/harness/engine.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
+import { performance } from 'node:perf_hooks';
 import { setInterval, setTimeout } from 'node:timers';
 import type { Store } from './store';
 
@@ -34,6 +35,8 @@
 export interface EngineOptions {
   readonly id: string;
   readonly host: string;
+  /** Port of an engine that starts again; a free one without it. */
+  readonly port?: number;
   readonly zone: string;
   readonly service: string;
   readonly slots: number;
@@ -51,10 +54,14 @@
 export interface Engine {
   readonly id: string;
   readonly address: string;
+  readonly port: number;
   running(): number;
   close(): void;
+  /** Ends as in a crash: all connections are reset, and the entry is removed after three heartbeats of silence. */
+  crash(): void;
 }
 
+const SILENT_HEARTBEATS = 3;
 const HEAD_END = '\r\n\r\n';
 
 interface Head {
@@ -228,11 +235,14 @@
   const server = createServer(accept);
   await new Promise<void>((resolve, fail) => {
     server.once('error', fail);
-    server.listen(0, options.host, resolve);
+    server.listen(options.port ?? 0, options.host, resolve);
   });
-  const address = `${options.host}:${(server.address() as AddressInfo).port}`;
+  const { port } = server.address() as AddressInfo;
+  const address = `${options.host}:${port}`;
+  let announcedAtMs = 0;
   const announce = (): void => {
     sequence += 1;
+    announcedAtMs = performance.now();
     store.put(`servers/${id}`, {
       Service: options.service,
       Address: address,
@@ -249,12 +259,20 @@
   return {
     id,
     address,
+    port,
     running: () => running,
     close() {
       clearInterval(heartbeat);
       server.close();
       for (const socket of sockets) socket.destroy();
     },
+    crash() {
+      clearInterval(heartbeat);
+      server.close();
+      for (const socket of sockets) socket.resetAndDestroy();
+      const expiresAtMs = announcedAtMs + SILENT_HEARTBEATS * options.heartbeatMs;
+      later(Math.max(0, expiresAtMs - performance.now()), () => store.remove(`servers/${id}`));
+    },
   };
 }
 
