--- a/review/harness-2/entries.ts
+++ b/review/harness-2/entries.ts
@@ -23,6 +23,12 @@
   readonly ColdStartS: number;
   readonly ColdPerS: number;
   readonly HealthPath: string;
+  /** Figures of engines that cache prompts. */
+  readonly Engine?: {
+    readonly KvBytes: number;
+    readonly LinkMbps: number;
+    readonly KvCapacity: number;
+  };
 }
 
 /** Returns a configuration with the limits of the deployment. */
